--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := packages/carobwood packages/carobwood-daemon packages/carobwood-client
+SOURCES := packages tests bench examples
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format bench generate clean
+
+$(STAMP): requirements.txt requirements-dev.txt $(PACKAGES:%=%/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -r requirements-dev.txt
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PYTHON) examples/demo.py
+
+test: $(STAMP)
+	$(PYTHON) -m pytest -q tests
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format $(SOURCES)
+
+bench: $(STAMP)
+	$(PYTHON) bench/relay.py
+
+# Needed only after a change of the IDL; the generated code is committed.
+generate:
+	thrift --gen py -out packages/carobwood/carobwood/gen thrift/links.thrift
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and measurements; not part of the product."""
--- /dev/null
+++ b/bench/fake_engine.py
@@ -0,0 +1,253 @@
+"""A stand-in for a model engine.
+
+Speaks the protocol of docs/design/engine-protocol.md: continuous
+batching with one prefill at a time, a prefix cache of limited memory,
+numbered events that can be resumed, and tokens that depend only on the
+prompt, so that engines with the same weights agree.
+"""
+
+import collections
+import hashlib
+import json
+import os
+import threading
+import time
+
+import http_stand_in
+
+PIECE_TOKENS = 2048
+BYTES_PER_TOKEN = 4
+POISON = 'poison-this-engine'
+
+
+class PrefixCache:
+    """Cached pieces by chained hash, least recently used first."""
+
+    def __init__(self, capacity, lifetime):
+        self._capacity = capacity
+        self._lifetime = lifetime
+        self._lock = threading.Lock()
+        self._used_at_by_piece = collections.OrderedDict()
+
+    def lookup(self, chain):
+        """Return how many leading pieces are cached, and cache all."""
+        now = time.monotonic()
+        with self._lock:
+            hits = 0
+            for piece in chain:
+                used_at = self._used_at_by_piece.get(piece)
+                if used_at is None or now - used_at > self._lifetime:
+                    break
+                hits += 1
+            for piece in chain:
+                self._used_at_by_piece[piece] = now
+                self._used_at_by_piece.move_to_end(piece)
+            while len(self._used_at_by_piece) > self._capacity:
+                self._used_at_by_piece.popitem(last=False)
+            return hits
+
+
+class Engine:
+    """State of the engine and its account of what it did."""
+
+    def __init__(self, arguments):
+        self.arguments = arguments
+        self.cache = PrefixCache(
+            arguments.cache_pieces, arguments.cache_seconds
+        )
+        self.prefill_lock = threading.Lock()
+        self.lock = threading.Lock()
+        self.running = 0
+        self.waiting = 0
+        self.counters = collections.Counter()
+        self.headers_seen = []
+        self.fault = ''
+
+    def describe(self):
+        """Return the engine's part of an announcement."""
+        return {
+            'weights_version': self.arguments.weights_version,
+            'running': self.running,
+            'waiting': self.waiting,
+        }
+
+    def count(self, name, amount=1):
+        """Count something."""
+        with self.lock:
+            self.counters[name] += amount
+
+    def prefill(self, text, customer):
+        """Compute a prompt's missing pieces.
+
+        Returns:
+            Tokens of the prompt, and how many of them were cached.
+        """
+        chain = _chain(f'{customer}|{self.arguments.weights_version}', text)
+        tokens = max(1, len(text) // BYTES_PER_TOKEN)
+        with self.lock:
+            self.waiting += 1
+        with self.prefill_lock:
+            with self.lock:
+                self.waiting -= 1
+            hits = self.cache.lookup(chain)
+            cached = min(tokens, hits * PIECE_TOKENS)
+            missing = tokens - cached
+            time.sleep(missing * self.arguments.prefill_seconds_per_token)
+        self.count('prefilled_tokens', missing)
+        self.count('cached_tokens', cached)
+        return tokens, cached
+
+
+class Handler(http_stand_in.Handler):
+    """Serves the OpenAI interface and the bench's controls."""
+
+    engine = None
+
+    def do_GET(self):  # noqa: N802 (named by http.server)
+        """Answer health and counters."""
+        engine = self.engine
+        if self.path == '/counters':
+            with engine.lock:
+                counters = dict(engine.counters)
+                seen = list(engine.headers_seen)
+            self.send_json(200, {'counters': counters, 'headers': seen})
+            return
+        self.send_json(200, {'state': 'ok'})
+
+    def do_POST(self):  # noqa: N802 (named by http.server)
+        """Run a request, or set a fault."""
+        body = self.read_body()
+        if self.path == '/fault':
+            self.engine.fault = json.loads(body)['fault']
+            self.send_json(200, {})
+            return
+        self._run(json.loads(body))
+
+    def _run(self, request):
+        engine = self.engine
+        text = _prompt_text(request)
+        with engine.lock:
+            engine.running += 1
+            engine.counters['requests'] += 1
+            engine.headers_seen.append(dict(self.headers.items()))
+            del engine.headers_seen[:-50]
+        try:
+            if POISON in text:
+                os._exit(13)
+            self._generate(request, text)
+        except OSError:
+            engine.count('cancelled')
+            self.close_connection = True
+        finally:
+            with engine.lock:
+                engine.running -= 1
+
+    def _generate(self, request, text):
+        engine = self.engine
+        customer = self.headers.get('Carobwood-Customer', '')
+        tokens, cached = engine.prefill(text, customer)
+        usage = {
+            'prompt_tokens': tokens,
+            'completion_tokens': request.get('max_tokens', 16),
+            'prompt_tokens_details': {'cached_tokens': cached},
+        }
+        extra = {'X-Weights-Version': engine.arguments.weights_version}
+        if request.get('stream'):
+            self.start_stream(extra)
+            self._stream(text, usage)
+            return
+        words = [
+            _token(text, number)
+            for number in range(usage['completion_tokens'])
+        ]
+        time.sleep(engine.arguments.token_seconds * len(words))
+        message = {'role': 'assistant', 'content': ' '.join(words)}
+        choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
+        answer = {'object': 'chat.completion', 'choices': [choice]}
+        self.send_json(200, {**answer, 'usage': usage}, extra)
+
+    def _stream(self, text, usage):
+        engine = self.engine
+        first = int(self.headers.get('Last-Event-ID', '-1')) + 1
+        count = usage['completion_tokens']
+        pause = engine.arguments.token_seconds
+        for number in range(first, count):
+            if pause:
+                time.sleep(pause)
+            self._check_fault(number)
+            self.send_chunk(_event(number, _token(text, number), None))
+        if first <= count:
+            self.send_chunk(_event(count, '', usage))
+        self.send_chunk(b'id: %d\ndata: [DONE]\n\n' % (count + 1))
+        self.send_chunk(b'')
+        engine.count('streams')
+
+    def _check_fault(self, number):
+        fault, _, at = self.engine.fault.partition(':')
+        if not fault or number != int(at):
+            return
+        self.engine.fault = ''
+        if fault == 'reset':
+            raise ConnectionResetError('as the bench asked')
+        if fault == 'stall':
+            time.sleep(3600)
+        if fault == 'skip':
+            self.send_chunk(_event(number + 1, 'skipped', None))
+        if fault == 'crash':
+            os._exit(14)
+
+
+def _prompt_text(request):
+    if 'messages' in request:
+        return '\n'.join(
+            f'{message["role"]}: {message["content"]}'
+            for message in request['messages']
+        )
+    prompt = request['prompt']
+    return prompt if isinstance(prompt, str) else json.dumps(prompt)
+
+
+def _chain(seed, text):
+    data = text.encode('utf-8')
+    piece_bytes = PIECE_TOKENS * BYTES_PER_TOKEN
+    previous = seed.encode('utf-8')
+    chain = []
+    for start in range(0, len(data) - piece_bytes + 1, piece_bytes):
+        piece = data[start : start + piece_bytes]
+        previous = hashlib.blake2b(previous + piece, digest_size=12).digest()
+        chain.append(previous)
+    return chain
+
+
+def _token(text, number):
+    digest = hashlib.blake2b(
+        f'{len(text)}:{text[-64:]}:{number}'.encode('utf-8'), digest_size=3
+    )
+    return digest.hexdigest()
+
+
+def _event(number, word, usage):
+    choice = {'index': 0, 'delta': {'content': word}}
+    body = {'object': 'chat.completion.chunk', 'choices': [choice]}
+    if usage is not None:
+        body['usage'] = usage
+    return b'id: %d\ndata: %s\n\n' % (number, json.dumps(body).encode())
+
+
+def main():
+    """Run the engine until SIGTERM."""
+    parser = http_stand_in.make_parser(__doc__.splitlines()[0])
+    parser.add_argument('--weights-version', default='1')
+    parser.add_argument('--cache-pieces', type=int, default=64)
+    parser.add_argument('--cache-seconds', type=float, default=30.0)
+    parser.add_argument('--token-seconds', type=float, default=0.002)
+    parser.add_argument(
+        '--prefill-seconds-per-token', type=float, default=0.00002
+    )
+    arguments = parser.parse_args()
+    Handler.engine = Engine(arguments)
+    http_stand_in.serve(arguments, Handler, Handler.engine.describe)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/carobwood-client/carobwood_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every VM."""
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -0,0 +1,268 @@
+"""The daemon of one VM: its parts, its start and its stop."""
+
+import dataclasses
+import sys
+import threading
+import time
+
+from carobwood import events
+from carobwood import timer as timers
+
+from .entry import at_most_once
+from .entry import caller_app
+from .entry import credentials
+from .entry import gate as gates
+from .entry import listener
+from .limits import allowance as allowances
+from .membership import directory as directories
+from .membership import fleet_handler
+from .membership import follower as followers
+from .membership import gossip as gossips
+from .membership import keepers
+from .membership import link
+from .membership import link_server
+from .membership import withdrawals as withdrawal_sets
+from .observe import metrics as metric_clients
+from .observe import tracing
+from .operators import operator_app
+from .operators import porcelain
+from .replication import data_folder
+from .replication import proposer as proposers
+from .replication import state_store
+from .replication import voter as voters
+from .routing import chooser
+from .routing import loads as endpoint_loads
+from .routing import placements as placement_tables
+
+OPERATOR_THREADS = 16
+SPARE_THREADS = 8
+SWITCH_INTERVAL = 0.001
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What the operators' verbs work with."""
+
+    store: state_store.StateStore
+    voter: voters.Voter | None
+    proposer: proposers.Proposer
+    directory: directories.Directory
+    withdrawals: withdrawal_sets.Withdrawals
+    gossip: gossips.Gossip
+    gate: gates.Gate
+    links: link.Links
+
+
+class Daemon:
+    """All parts of a VM, built from its settings."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._timer = timers.Timer()
+        self._folder = None
+        if settings.data_folder:
+            self._folder = data_folder.DataFolder(settings.data_folder)
+        self._links = link.Links(settings.link_secret)
+        self._store = state_store.StateStore()
+        self._withdrawals = withdrawal_sets.Withdrawals(self._folder)
+        self._gate = gates.Gate(settings.max_requests)
+        self._build_membership()
+        self._build_entry()
+        self._build_listeners()
+
+    def start(self):
+        """Start serving."""
+        sys.setswitchinterval(SWITCH_INTERVAL)
+        self._timer.start()
+        self._proposer.start()
+        self._settlements.start()
+        if self._voter is not None:
+            self._voter.start(self._timer)
+        self._link_server.start()
+        self._gossip.start(self._timer)
+        self._follower.start()
+        for keeper in self._keepers:
+            keeper.start()
+        self._timer.subscribe(gossips.PERIOD, self._note_contact)
+        self._operator_listener.start()
+        self._caller_listener.start()
+        events.emit(
+            events.DAEMON_STARTED,
+            vm=self._settings.vm_id,
+            data_centre=self._settings.data_centre,
+            caller=str(self._settings.caller_listen),
+        )
+
+    def stop(self):
+        """Stop gracefully: no request in flight is cut.
+
+        Returns:
+            Whether every request in flight has finished.
+        """
+        events.emit(events.DAEMON_STOPPING, vm=self._settings.vm_id)
+        self._gate.announce_stop()
+        threading.Event().wait(self._settings.balancer_delay)
+        drained = self._gate.drain(self._settings.drain_timeout)
+        if not drained:
+            events.emit(events.DRAIN_TIMED_OUT, in_flight=self._gate.in_flight)
+        self._caller_listener.stop()
+        self._operator_listener.stop()
+        for keeper in self._keepers:
+            keeper.stop()
+        self._follower.stop()
+        self._proposer.stop()
+        if self._voter is not None:
+            self._voter.stop()
+        self._gossip.stop()
+        self._link_server.stop()
+        self._links.close()
+        self._timer.stop()
+        self._tracer.shut_down()
+        if self._folder is not None:
+            self._folder.close()
+        events.emit(events.DAEMON_STOPPED, vm=self._settings.vm_id)
+        return drained
+
+    def _build_membership(self):
+        settings = self._settings
+        own_vm = directories.Vm(
+            settings.vm_id,
+            settings.data_centre,
+            settings.link_advertise,
+            settings.operator_advertise,
+            time.time_ns() // 1_000_000,
+            self._folder is not None,
+        )
+        self._directory = directories.Directory(own_vm, settings.peers)
+        self._voter = None
+        if self._folder is not None:
+            self._voter = voters.Voter(
+                self._folder,
+                settings.vm_id,
+                settings.link_advertise,
+                self._links,
+                self._store,
+                settings.replica_options,
+            )
+        self._proposer = proposers.Proposer(
+            self._voter, self._links, self._directory
+        )
+        self._gossip = gossips.Gossip(
+            self._directory, self._withdrawals, self._store, self._links
+        )
+        self._gossip.fleet_id = self._fleet_id
+        self._follower = followers.Follower(
+            self._store, self._directory, self._links, self._is_member
+        )
+        handler = fleet_handler.FleetHandler(
+            self._voter, self._store, self._gossip
+        )
+        self._link_server = link_server.LinkServer(
+            settings.link_listen, settings.link_secret, handler
+        )
+
+    def _build_entry(self):
+        settings = self._settings
+        self._tracer = tracing.make_tracer(
+            settings.trace_export, settings.trace_target, settings.vm_id
+        )
+        self._metrics = metric_clients.Metrics()
+        if settings.statsd is not None:
+            self._metrics = metric_clients.StatsdMetrics(settings.statsd)
+        self._settlements = at_most_once.Settlements(self._proposer)
+        self._allowance = allowances.Allowance(settings.vm_slots)
+        self._loads = endpoint_loads.Loads()
+        self._placements = placement_tables.Placements()
+        self._store.on_change(self._adopt)
+        self._withdrawals.on_addition(self._gate.withdraw)
+        self._keepers = [
+            keepers.Registrar(self._directory, self._store, self._proposer),
+            keepers.WithdrawalKeeper(
+                self._withdrawals, self._store, self._proposer
+            ),
+            keepers.EndpointProber(self._directory, self._placements.forget),
+        ]
+        if self._voter is not None:
+            self._keepers.append(
+                keepers.Joiner(self._voter, self._directory, self._links)
+            )
+
+    def _build_listeners(self):
+        settings = self._settings
+        application = caller_app.CallerApplication(self._services())
+        self._caller_listener = listener.Listener(
+            settings.caller_listen,
+            application.handle,
+            settings.max_requests + SPARE_THREADS,
+            settings.tls,
+        )
+        verbs = porcelain.Porcelain(self._parts())
+        operators = operator_app.OperatorApplication(
+            verbs, settings.operator_tokens, settings.announce_token
+        )
+        self._operator_listener = listener.Listener(
+            settings.operator_listen,
+            operators.handle,
+            OPERATOR_THREADS,
+            settings.tls,
+        )
+
+    def _services(self):
+        settings = self._settings
+        return caller_app.Services(
+            environment=settings.environment,
+            max_body_bytes=settings.max_body_bytes,
+            store=self._store,
+            gatekeeper=credentials.Gatekeeper(
+                self._store, self._withdrawals, settings.environment
+            ),
+            gate=self._gate,
+            allowance=self._allowance,
+            chooser=chooser.Chooser(
+                self._directory,
+                self._store,
+                self._loads,
+                self._placements,
+                settings.data_centre,
+            ),
+            loads=self._loads,
+            placements=self._placements,
+            proposer=self._proposer,
+            settlements=self._settlements,
+            tracer=self._tracer,
+            metrics=self._metrics,
+        )
+
+    def _parts(self):
+        return Parts(
+            self._store,
+            self._voter,
+            self._proposer,
+            self._directory,
+            self._withdrawals,
+            self._gossip,
+            self._gate,
+            self._links,
+        )
+
+    def _fleet_id(self):
+        return self._voter.fleet_id if self._voter is not None else ''
+
+    def _is_member(self):
+        if self._voter is None or not self._voter.is_running:
+            return False
+        replica = self._voter.replica
+        in_contact = replica.contact_age() < followers.STALE_CONTACT
+        return replica.is_member and in_contact
+
+    def _note_contact(self):
+        if self._voter is not None and self._voter.is_running:
+            replica = self._voter.replica
+            if replica.is_leader:
+                self._store.note_contact(replica.contact_age())
+
+    def _adopt(self, fleet):
+        self._gate.withdraw(fleet.withdrawn_digests)
+        document = fleet.document(self._settings.environment)
+        if document is not None:
+            self._allowance.prepare(document)
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: listeners, credentials, streams and services."""
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Customers' rate and burst."""
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/__init__.py
@@ -0,0 +1,1 @@
+"""VMs, endpoints and the links between VMs."""
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -0,0 +1,121 @@
+"""Answers of this VM to the calls of other VMs."""
+
+import math
+
+from carobwood import errors
+from carobwood.gen.links import ttypes
+
+from ..replication import commands
+
+MAX_WAIT_MS = 5000
+NO_CONTACT = -1
+
+
+class FleetHandler:
+    """Implements the thrift service ``FleetLink``."""
+
+    def __init__(self, voter, store, gossip):
+        self._voter = voter
+        self._store = store
+        self._gossip = gossip
+
+    def request_vote(self, request):
+        """See ``Replica.handle_vote``."""
+        return self._replica().handle_vote(request)
+
+    def append_entries(self, request):
+        """See ``Replica.handle_append``."""
+        reply = self._replica().handle_append(request)
+        if reply.success:
+            self._store.note_contact(0.0)
+        return reply
+
+    def install_snapshot(self, request):
+        """See ``Replica.handle_snapshot``."""
+        return self._replica().handle_snapshot(request)
+
+    def transfer_leadership(self, request):
+        """See ``Voter.transfer_requested``."""
+        return self._voter is not None and (
+            self._voter.transfer_requested(request)
+        )
+
+    def propose(self, request):
+        """Append commands as the leader and return their results."""
+        try:
+            results = self._replica().propose(
+                request.payloads, request.timeout_ms / 1000
+            )
+        except errors.NotLeader as error:
+            return ttypes.ProposeReply(
+                ttypes.ProposeStatus.NOT_LEADER, [], error.leader_address
+            )
+        except errors.ChangeUncertain:
+            return ttypes.ProposeReply(ttypes.ProposeStatus.UNCERTAIN, [], '')
+        return ttypes.ProposeReply(ttypes.ProposeStatus.COMMITTED, results, '')
+
+    def join(self, request):
+        """Admit another VM's replica as a learner."""
+        member = commands.Member(
+            request.replica_id,
+            request.vm.vm_id,
+            request.vm.link_address,
+        )
+        try:
+            self._require_voter().admit(member)
+        except errors.NotLeader as error:
+            return ttypes.JoinReply(False, '', error.leader_address)
+        return ttypes.JoinReply(True, self._voter.fleet_id, '')
+
+    def replace_voter(self, request):
+        """Replace a voter; see ``VoterChanges.replace``."""
+        try:
+            self._require_voter().replace(
+                request.old_vm_id,
+                request.new_vm_id,
+                request.timeout_ms / 1000,
+            )
+        except errors.NotLeader as error:
+            return ttypes.ReplaceReply(
+                ttypes.ProposeStatus.NOT_LEADER, '', error.leader_address
+            )
+        except errors.ReplacementRefused as error:
+            return ttypes.ReplaceReply(
+                ttypes.ProposeStatus.UNCERTAIN, error.detail, ''
+            )
+        return ttypes.ReplaceReply(ttypes.ProposeStatus.COMMITTED, '', '')
+
+    def follow(self, request):
+        """Answer a long poll for newer versions of the state."""
+        wait_ms = min(max(0, request.wait_ms), MAX_WAIT_MS)
+        version = self._store.wait_beyond(
+            request.after_version, wait_ms / 1000
+        )
+        deltas = self._store.deltas_after(request.after_version)
+        snapshot = None
+        if deltas is None:
+            deltas = []
+            snapshot = self._store.snapshot()
+        return ttypes.FollowReply(
+            self._gossip.fleet_id(),
+            version,
+            [ttypes.VersionedCommand(*delta) for delta in deltas],
+            snapshot,
+            self._contact_age_ms(),
+        )
+
+    def gossip(self, message):
+        """Exchange news; see ``Gossip.receive``."""
+        return self._gossip.receive(message)
+
+    def _contact_age_ms(self):
+        age = self._store.contact_age()
+        return NO_CONTACT if math.isinf(age) else int(age * 1000)
+
+    def _require_voter(self):
+        if self._voter is None:
+            raise errors.NotLeader('')
+        return self._voter
+
+    def _replica(self):
+        return self._require_voter().replica
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -0,0 +1,257 @@
+"""News between VMs: one thread for each peer."""
+
+import threading
+import time
+
+from carobwood import errors
+from carobwood import events
+from carobwood.gen.links import ttypes
+
+from . import directory as directories
+
+PERIOD = 0.5
+REFRESH_PERIOD = 2.0
+CALL_TIMEOUT = 1.0
+
+
+class Gossip:
+    """Exchanges VMs, endpoints and withdrawals with every peer.
+
+    News travels at once; unchanged announcements are repeated every
+    ``REFRESH_PERIOD``. A failed call is repeated on a new connection.
+    """
+
+    def __init__(self, directory, withdrawals, store, links):
+        self._directory = directory
+        self._withdrawals = withdrawals
+        self._store = store
+        self._links = links
+        self._lock = threading.Lock()
+        self._peers_by_address = {}
+        self._stopped = False
+        self.fleet_id = lambda: ''
+        directory.on_endpoint_change(lambda endpoint: self.spread())
+        withdrawals.on_addition(lambda digests: self.spread())
+
+    def start(self, timer):
+        """Start a thread for each known peer and for later ones."""
+        self._ensure_peers()
+        timer.subscribe(PERIOD, self._ensure_peers)
+
+    def stop(self):
+        """End all threads."""
+        self._stopped = True
+        self.spread()
+
+    def spread(self):
+        """Send news to all peers without waiting for the period."""
+        with self._lock:
+            peers = list(self._peers_by_address.values())
+        for peer in peers:
+            peer.wake()
+
+    def confirm_withdrawal(self, digest, timeout):
+        """Wait until peers have confirmed a withdrawal.
+
+        Returns:
+            Addresses of the peers that have confirmed it.
+        """
+        deadline = time.monotonic() + timeout
+        with self._lock:
+            peers = dict(self._peers_by_address)
+        confirmed = set()
+        for address, peer in peers.items():
+            wait = max(0.0, deadline - time.monotonic())
+            if peer.await_confirmed(digest, wait):
+                confirmed.add(address)
+        return confirmed
+
+    def receive(self, message):
+        """Merge a peer's message and answer with own news."""
+        if message.fleet_id and self.fleet_id():
+            if message.fleet_id != self.fleet_id():
+                raise errors.LinkRefused('the peer is of another fleet')
+        self.merge(message, heard_directly=True)
+        return self.message(self._directory.endpoints())
+
+    def merge(self, message, heard_directly):
+        """Merge the content of a message."""
+        sender = _vm_of(message.vm)
+        self._directory.note_vm(sender, heard_directly, message.version)
+        for vm in message.vms:
+            self._directory.note_vm(_vm_of(vm), False)
+        now = time.monotonic()
+        for announcement in message.announcements:
+            self._directory.note_endpoint(endpoint_of(announcement, now))
+        self._withdrawals.add(message.withdrawn_digests)
+
+    def message(self, endpoints):
+        """Return a message with these endpoints and all other news."""
+        now = time.monotonic()
+        directory = self._directory
+        committed = self._store.fleet.withdrawn_digests
+        return ttypes.GossipMessage(
+            _descriptor_of(directory.own_vm),
+            self._store.version,
+            [_descriptor_of(vm) for vm in directory.vms()[1:]],
+            [announcement_of(endpoint, now) for endpoint in endpoints],
+            sorted(self._withdrawals.to_spread(committed)),
+            self.fleet_id(),
+        )
+
+    @property
+    def is_stopped(self):
+        """Whether the threads are to end."""
+        return self._stopped
+
+    @property
+    def directory(self):
+        """The ``Directory`` that is exchanged."""
+        return self._directory
+
+    def _ensure_peers(self):
+        for address in self._directory.peer_addresses():
+            with self._lock:
+                if address in self._peers_by_address or self._stopped:
+                    continue
+                peer = Peer(self, self._links.to(address))
+                self._peers_by_address[address] = peer
+            peer.start()
+
+
+class Peer(threading.Thread):
+    """Sends news to one other VM."""
+
+    def __init__(self, gossip, link):
+        super().__init__(name=f'gossip-{link.address}', daemon=True)
+        self._gossip = gossip
+        self._link = link
+        self._changed = threading.Condition()
+        self._woken = False
+        self._silent = False
+        self._sent_by_endpoint = {}
+        self._confirmed = frozenset()
+
+    def run(self):
+        """Exchange news every period until stopped."""
+        while not self._gossip.is_stopped:
+            self._exchange()
+            with self._changed:
+                self._changed.wait_for(lambda: self._woken, PERIOD)
+                self._woken = False
+
+    def wake(self):
+        """Exchange news at once."""
+        with self._changed:
+            self._woken = True
+            self._changed.notify_all()
+
+    def await_confirmed(self, digest, timeout):
+        """Wait until the peer has taken over a withdrawal."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: digest in self._confirmed, timeout
+            )
+
+    def _exchange(self):
+        due = self._due_endpoints()
+        message = self._gossip.message(due)
+        try:
+            reply = self._link.call('gossip', message, CALL_TIMEOUT)
+        except errors.LinkFailed as error:
+            self._note_silence(error)
+            return
+        self._silent = False
+        now = time.monotonic()
+        for endpoint in due:
+            self._sent_by_endpoint[endpoint.id] = (endpoint, now)
+        with self._changed:
+            sent = frozenset(message.withdrawn_digests)
+            self._confirmed = self._confirmed | sent
+            self._changed.notify_all()
+        self._gossip.merge(reply, heard_directly=True)
+
+    def _note_silence(self, error):
+        if not self._silent:
+            events.emit(events.VM_SILENT, reason=error.detail)
+        self._silent = True
+
+    def _due_endpoints(self):
+        now = time.monotonic()
+        due = []
+        for endpoint in self._gossip.directory.endpoints():
+            sent, sent_at = self._sent_by_endpoint.get(
+                endpoint.id, (None, 0.0)
+            )
+            if sent is not None and sent.order == endpoint.order:
+                continue
+            changed = sent is None or _is_news(sent, endpoint)
+            if changed or now - sent_at >= REFRESH_PERIOD:
+                due.append(endpoint)
+        return due
+
+
+def endpoint_of(announcement, now):
+    """Return the ``Endpoint`` that a thrift announcement describes."""
+    return directories.Endpoint(
+        announcement.endpoint_id,
+        announcement.incarnation,
+        announcement.sequence,
+        announcement.address,
+        announcement.data_centre,
+        announcement.pool,
+        announcement.environment,
+        announcement.weights_version or '',
+        announcement.leaving,
+        announcement.running,
+        announcement.waiting,
+        now - announcement.age_ms / 1000,
+    )
+
+
+def announcement_of(endpoint, now):
+    """Return the thrift announcement of an ``Endpoint``."""
+    return ttypes.Announcement(
+        endpoint.id,
+        endpoint.incarnation,
+        endpoint.sequence,
+        endpoint.address,
+        endpoint.data_centre,
+        endpoint.pool,
+        endpoint.environment,
+        endpoint.weights_version,
+        endpoint.leaving,
+        endpoint.running,
+        endpoint.waiting,
+        int((now - endpoint.heard_at) * 1000),
+    )
+
+
+def _is_news(sent, endpoint):
+    return (
+        sent.incarnation != endpoint.incarnation
+        or sent.leaving != endpoint.leaving
+        or sent.weights_version != endpoint.weights_version
+    )
+
+
+def _vm_of(descriptor):
+    return directories.Vm(
+        descriptor.vm_id,
+        descriptor.data_centre,
+        descriptor.link_address,
+        descriptor.operator_address,
+        descriptor.incarnation,
+        bool(descriptor.has_disk),
+    )
+
+
+def _descriptor_of(vm):
+    return ttypes.VmDescriptor(
+        vm.id,
+        vm.data_centre,
+        vm.link_address,
+        vm.operator_address,
+        vm.incarnation,
+        vm.has_disk,
+    )
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link.py
@@ -0,0 +1,119 @@
+"""Calls to other VMs over authenticated connections."""
+
+import threading
+import time
+
+from thrift.protocol import TCompactProtocol
+from thrift import Thrift
+
+from carobwood import addresses
+from carobwood import errors
+from carobwood.gen.links import FleetLink
+
+from . import link_transport
+
+CALL_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 1.0
+IDLE_LIMIT = 2.0
+
+
+class Link:
+    """Calls to one VM.
+
+    Each call has a connection of its own while it lasts. A connection
+    that failed, timed out or idled is closed and never used again.
+    """
+
+    def __init__(self, address, secret, clock=time.monotonic):
+        self.address = address
+        self._secret = secret
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._idle = []
+
+    def call(self, method, message, timeout=CALL_TIMEOUT):
+        """Call a method of ``FleetLink``.
+
+        Args:
+            method: the method's name.
+            message: its thrift argument.
+            timeout: seconds of silence before the call fails.
+
+        Raises:
+            LinkFailed: no answer came; the call may have taken effect.
+        """
+        connection = self._take()
+        try:
+            connection.transport.set_timeout(timeout)
+            reply = getattr(connection.client, method)(message)
+        except (OSError, EOFError, Thrift.TException) as error:
+            connection.transport.close()
+            self.close()
+            raise errors.LinkFailed(
+                f'{self.address} {method}: {error!r}'
+            ) from error
+        except BaseException:
+            connection.transport.close()
+            raise
+        self._give_back(connection)
+        return reply
+
+    def close(self):
+        """Close the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.transport.close()
+
+    def _take(self):
+        now = self._clock()
+        with self._lock:
+            while self._idle:
+                connection = self._idle.pop()
+                if now - connection.used_at < IDLE_LIMIT:
+                    return connection
+                connection.transport.close()
+        return _Connection(self.address, self._secret)
+
+    def _give_back(self, connection):
+        connection.used_at = self._clock()
+        with self._lock:
+            self._idle.append(connection)
+
+
+class Links:
+    """Links to all VMs, by address."""
+
+    def __init__(self, secret):
+        self._secret = secret
+        self._lock = threading.Lock()
+        self._links_by_address = {}
+
+    def to(self, address):
+        """Return the ``Link`` to an address of the form ``host:port``."""
+        with self._lock:
+            link = self._links_by_address.get(address)
+            if link is None:
+                parsed = addresses.parse_address(address)
+                link = Link(parsed, self._secret)
+                self._links_by_address[address] = link
+            return link
+
+    def close(self):
+        """Close all idle connections."""
+        with self._lock:
+            links = list(self._links_by_address.values())
+        for link in links:
+            link.close()
+
+
+class _Connection:
+    """One connection and its thrift client."""
+
+    def __init__(self, address, secret):
+        self.transport = link_transport.connect(
+            address, secret, CONNECT_TIMEOUT
+        )
+        protocol = TCompactProtocol.TCompactProtocolAccelerated(self.transport)
+        self.client = FleetLink.Client(protocol)
+        self.used_at = 0.0
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
@@ -0,0 +1,213 @@
+"""Authenticated, framed transport of the links between VMs.
+
+Both sides prove that they hold the fleet's secret, and every frame
+carries a keyed checksum over its position in the stream. The handshake
+names the protocol's version; another version is refused.
+"""
+
+import hashlib
+import hmac
+import io
+import secrets
+import socket
+import struct
+
+from thrift.transport import TTransport
+
+from carobwood import errors
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+_MAGIC = b'CBWL'
+_NONCE_BYTES = 16
+_PROOF_BYTES = 32
+_CHECKSUM_BYTES = 16
+_HELLO = struct.Struct(f'>4sH{_NONCE_BYTES}s')
+_FRAME_HEADER = struct.Struct(f'>I{_CHECKSUM_BYTES}s')
+_SEQUENCE = struct.Struct('>Q')
+
+
+class LinkTransport(TTransport.TTransportBase, TTransport.CReadableTransport):
+    """A thrift transport over an authenticated socket.
+
+    Errors of the socket surface as ``OSError`` or ``EOFError``; a frame
+    that fails its checksum raises ``LinkRefused``.
+    """
+
+    def __init__(self, connection, send_key, receive_key):
+        self._socket = connection
+        self._send_key = send_key
+        self._receive_key = receive_key
+        self._sent = 0
+        self._received = 0
+        self._incoming = io.BytesIO()
+        self._outgoing = io.BytesIO()
+
+    def isOpen(self):  # noqa: N802 (named by thrift)
+        """Tell whether the socket is open."""
+        return self._socket is not None
+
+    def open(self):
+        """Do nothing: the handshake opened the transport."""
+
+    def close(self):
+        """Close the socket."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def set_timeout(self, seconds):
+        """Bound the wait of each later socket operation."""
+        self._socket.settimeout(seconds)
+
+    def read(self, size):
+        """Return up to ``size`` bytes, at least one."""
+        data = self._incoming.read(size)
+        if not data and size:
+            self._incoming = io.BytesIO(self._receive_frame())
+            data = self._incoming.read(size)
+        return data
+
+    def write(self, data):
+        """Add bytes to the frame under construction."""
+        self._outgoing.write(data)
+
+    def flush(self):
+        """Send the frame under construction."""
+        payload = self._outgoing.getvalue()
+        self._outgoing = io.BytesIO()
+        checksum = _checksum(self._send_key, self._sent, payload)
+        self._sent += 1
+        header = _FRAME_HEADER.pack(len(payload), checksum)
+        self._socket.sendall(header + payload)
+
+    @property
+    def cstringio_buf(self):
+        """Buffer that the accelerated protocol reads."""
+        return self._incoming
+
+    def cstringio_refill(self, partialread, reqlen):
+        """Return a buffer with at least ``reqlen`` bytes."""
+        data = partialread
+        while len(data) < reqlen:
+            data += self._receive_frame()
+        self._incoming = io.BytesIO(data)
+        return self._incoming
+
+    def _receive_frame(self):
+        header = _receive_exactly(self._socket, _FRAME_HEADER.size)
+        size, checksum = _FRAME_HEADER.unpack(header)
+        if size > MAX_FRAME_BYTES:
+            raise errors.LinkRefused(f'a frame of {size} bytes')
+        payload = _receive_exactly(self._socket, size)
+        expected = _checksum(self._receive_key, self._received, payload)
+        if not hmac.compare_digest(checksum, expected):
+            raise errors.LinkRefused('a frame fails its checksum')
+        self._received += 1
+        return payload
+
+
+def connect(address, secret, timeout):
+    """Open a link as the calling side.
+
+    Args:
+        address: the other VM's link ``Address``.
+        secret: the fleet's shared secret, as bytes.
+        timeout: seconds for connection and handshake.
+
+    Raises:
+        LinkFailed: the other VM cannot be reached.
+        LinkRefused: the other side fails the handshake.
+    """
+    try:
+        connection = socket.create_connection(
+            (address.host, address.port), timeout
+        )
+    except OSError as error:
+        raise errors.LinkFailed(f'{address}: {error}') from error
+    try:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return _greet_as_caller(connection, secret)
+    except (OSError, EOFError) as error:
+        connection.close()
+        raise errors.LinkFailed(f'{address}: {error}') from error
+    except errors.LinkRefused:
+        connection.close()
+        raise
+
+
+def accept(connection, secret, timeout):
+    """Answer the handshake on an accepted socket.
+
+    Raises:
+        LinkRefused: the caller fails the handshake.
+        OSError, EOFError: the connection broke.
+    """
+    connection.settimeout(timeout)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    caller_nonce = _receive_hello(connection)
+    nonces = caller_nonce + nonce
+    hello = _HELLO.pack(_MAGIC, PROTOCOL_VERSION, nonce)
+    connection.sendall(hello + _derive(secret, b'callee', nonces))
+    _check_proof(connection, _derive(secret, b'caller', nonces))
+    return LinkTransport(
+        connection,
+        _derive(secret, b'to-caller', nonces),
+        _derive(secret, b'to-callee', nonces),
+    )
+
+
+def _greet_as_caller(connection, secret):
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    connection.sendall(_HELLO.pack(_MAGIC, PROTOCOL_VERSION, nonce))
+    nonces = nonce + _receive_hello(connection)
+    _check_proof(connection, _derive(secret, b'callee', nonces))
+    connection.sendall(_derive(secret, b'caller', nonces))
+    return LinkTransport(
+        connection,
+        _derive(secret, b'to-callee', nonces),
+        _derive(secret, b'to-caller', nonces),
+    )
+
+
+def _receive_hello(connection):
+    hello = _receive_exactly(connection, _HELLO.size)
+    magic, version, nonce = _HELLO.unpack(hello)
+    if magic != _MAGIC:
+        raise errors.LinkRefused('the other side speaks no link protocol')
+    if version != PROTOCOL_VERSION:
+        raise errors.LinkRefused(
+            f'link protocol {version}, expected {PROTOCOL_VERSION}'
+        )
+    return nonce
+
+
+def _check_proof(connection, expected):
+    proof = _receive_exactly(connection, _PROOF_BYTES)
+    if not hmac.compare_digest(proof, expected):
+        raise errors.LinkRefused('the other side holds another secret')
+
+
+def _derive(secret, label, nonces):
+    return hmac.digest(secret, label + nonces, 'sha256')
+
+
+def _checksum(key, sequence, payload):
+    digest = hashlib.blake2b(key=key, digest_size=_CHECKSUM_BYTES)
+    digest.update(_SEQUENCE.pack(sequence))
+    digest.update(payload)
+    return digest.digest()
+
+
+def _receive_exactly(connection, size):
+    parts = []
+    missing = size
+    while missing:
+        part = connection.recv(min(missing, 1 << 20))
+        if not part:
+            raise EOFError('the connection was closed')
+        parts.append(part)
+        missing -= len(part)
+    return b''.join(parts)
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Traces, metrics and log set-up."""
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators and announcing endpoints: their listener."""
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state: log, election, snapshots and state machines."""
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
@@ -0,0 +1,221 @@
+"""The configuration that all VMs of a fleet agree on."""
+
+import functools
+import zlib
+
+import msgspec
+
+from carobwood import document as documents
+
+from . import commands
+
+MAX_REMEMBERED_OPERATIONS = 10000
+MAX_DOCUMENT_BYTES = documents.MAX_DOCUMENT_BYTES
+
+
+class DocumentVersion(msgspec.Struct, frozen=True):
+    """One version of an environment's document.
+
+    Attributes:
+        version: number within the environment, from 1.
+        digest: digest of the text.
+        text_zlib: the text, compressed.
+        operator: who put it in force.
+        promoted_from: environment in which it was tried, or empty.
+    """
+
+    version: int
+    digest: str
+    text_zlib: bytes
+    operator: str
+    promoted_from: str = ''
+
+    @property
+    def text(self):
+        """The YAML text."""
+        return decompress_text(self.text_zlib)
+
+
+class KeyRecord(msgspec.Struct, frozen=True):
+    """What is known of a caller's key."""
+
+    digest: str
+    environment: str
+    customer: str
+
+
+class VmRecord(msgspec.Struct, frozen=True):
+    """A registered VM."""
+
+    vm_id: str
+    data_centre: str
+
+
+class FleetState(msgspec.Struct, frozen=True, dict=True):
+    """An immutable version of the fleet's configuration.
+
+    Attributes:
+        version: log index of the last command that changed it.
+        history_by_environment: document versions, oldest first.
+        keys_by_digest: issued keys.
+        withdrawn_digests: digests of keys that must never work again.
+        vms_by_id: registered VMs.
+        drained_endpoints: ids of endpoints that get no new work.
+        results_by_operation: results of recent operations.
+    """
+
+    version: int = 0
+    history_by_environment: dict[str, tuple[DocumentVersion, ...]] = {}
+    keys_by_digest: dict[str, KeyRecord] = {}
+    withdrawn_digests: frozenset[str] = frozenset()
+    vms_by_id: dict[str, VmRecord] = {}
+    drained_endpoints: frozenset[str] = frozenset()
+    results_by_operation: dict[str, commands.AnyResult] = {}
+
+    def current(self, environment):
+        """Return the ``DocumentVersion`` in force, or None."""
+        history = self.history_by_environment.get(environment)
+        return history[-1] if history else None
+
+    def document(self, environment):
+        """Return the parsed ``Document`` in force, or None."""
+        current = self.current(environment)
+        if current is None:
+            return None
+        return _parse_cached(current.text_zlib)
+
+    def apply(self, index, command):
+        """Apply a committed command.
+
+        Args:
+            index: log index of the command.
+            command: a ``Command``.
+
+        Returns:
+            The next ``FleetState`` and the command's ``Result``.
+        """
+        operation_id = getattr(command, 'operation_id', '')
+        if operation_id in self.results_by_operation:
+            remembered = self.results_by_operation[operation_id]
+            return self._with(version=index), remembered
+        changed, result = self._change(index, command)
+        if operation_id:
+            changed = changed._remember(operation_id, result)
+        return msgspec.structs.replace(changed, version=index), result
+
+    def _change(self, index, command):
+        applied = commands.Applied(index)
+        match command:
+            case commands.PutDocument():
+                return self._put_document(index, command, '')
+            case commands.PromoteDocument():
+                return self._promote(index, command)
+            case commands.IssueKey():
+                return self._issue_key(command), applied
+            case commands.WithdrawKey(digest=digest):
+                withdrawn = self.withdrawn_digests | {digest}
+                return self._with(withdrawn_digests=withdrawn), applied
+            case commands.DrainEndpoint(endpoint_id=name, drained=drained):
+                return self._drain(name, drained), applied
+            case commands.RegisterVm(vm_id=vm_id, data_centre=data_centre):
+                record = VmRecord(vm_id, data_centre)
+                vms = {**self.vms_by_id, vm_id: record}
+                return self._with(vms_by_id=vms), applied
+            case commands.ForgetVm(vm_id=vm_id):
+                return self._forget_vm(vm_id, applied)
+        return self, applied
+
+    def _with(self, **changes):
+        return msgspec.structs.replace(self, **changes)
+
+    def _remember(self, operation_id, result):
+        results = {**self.results_by_operation, operation_id: result}
+        while len(results) > MAX_REMEMBERED_OPERATIONS:
+            del results[next(iter(results))]
+        return self._with(results_by_operation=results)
+
+    def _put_document(self, index, command, promoted_from):
+        history = self.history_by_environment.get(command.environment, ())
+        in_force = history[-1].version if history else 0
+        if in_force != command.expected_version:
+            reason = f'expected version {command.expected_version}'
+            return self, self._conflict(reason, command.environment)
+        version = DocumentVersion(
+            in_force + 1,
+            command.digest,
+            command.text_zlib,
+            command.operator,
+            promoted_from,
+        )
+        history = self._trim(history + (version,))
+        histories = {
+            **self.history_by_environment,
+            command.environment: history,
+        }
+        result = commands.Applied(index, version.version)
+        return self._with(history_by_environment=histories), result
+
+    def _promote(self, index, command):
+        tried = self.current(command.source)
+        if tried is None:
+            return self, commands.Absent(command.source)
+        if tried.digest != command.source_digest:
+            reason = f'{command.source} holds another document'
+            return self, self._conflict(reason, command.source)
+        put = commands.PutDocument(
+            command.operation_id,
+            command.target,
+            command.text_zlib,
+            command.digest,
+            command.expected_version,
+            command.operator,
+        )
+        return self._put_document(index, put, command.source)
+
+    def _conflict(self, reason, environment):
+        current = self.current(environment)
+        if current is None:
+            return commands.Conflicted(reason, 0, '', '')
+        return commands.Conflicted(
+            reason, current.version, current.digest, current.operator
+        )
+
+    def _trim(self, history):
+        text_zlib = history[-1].text_zlib
+        keep = _parse_cached(text_zlib).retention.history_versions
+        return history[-keep:]
+
+    def _issue_key(self, command):
+        record = KeyRecord(
+            command.digest, command.environment, command.customer
+        )
+        keys = {**self.keys_by_digest, command.digest: record}
+        return self._with(keys_by_digest=keys)
+
+    def _drain(self, endpoint_id, drained):
+        names = self.drained_endpoints - {endpoint_id}
+        if drained:
+            names |= {endpoint_id}
+        return self._with(drained_endpoints=names)
+
+    def _forget_vm(self, vm_id, applied):
+        if vm_id not in self.vms_by_id:
+            return self, commands.Absent(vm_id)
+        vms = dict(self.vms_by_id)
+        del vms[vm_id]
+        return self._with(vms_by_id=vms), applied
+
+
+def compress_text(text):
+    """Return a document's text compressed."""
+    return zlib.compress(text.encode('utf-8'))
+
+
+def decompress_text(text_zlib):
+    """Return the text of a compressed document."""
+    return zlib.decompress(text_zlib).decode('utf-8')
+
+
+@functools.lru_cache(maxsize=16)
+def _parse_cached(text_zlib):
+    return documents.parse_document(decompress_text(text_zlib)).unwrap()
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/log.py
@@ -0,0 +1,173 @@
+"""The replicated log's contract, and a log in memory."""
+
+import abc
+import dataclasses
+import threading
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """One entry of the log.
+
+    Attributes:
+        index: position, from 1.
+        term: term of the leader that created it.
+        payload: an encoded command.
+    """
+
+    index: int
+    term: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Position:
+    """Index and term of an entry."""
+
+    index: int
+    term: int
+
+
+class Log(abc.ABC):
+    """An append-only sequence of entries above a compacted base.
+
+    Appended entries are visible at once and durable after ``flush``.
+    All methods are safe to call from several threads.
+    """
+
+    def __init__(self):
+        self._lock = threading.RLock()
+        # Taken before _lock by whatever writes to the medium.
+        self._flush_lock = threading.RLock()
+        self._base = Position(0, 0)
+        self._entries = []
+
+    @property
+    def base(self):
+        """Position of the last compacted entry."""
+        return self._base
+
+    @property
+    def last(self):
+        """Position of the last entry, or the base."""
+        with self._lock:
+            if not self._entries:
+                return self._base
+            entry = self._entries[-1]
+            return Position(entry.index, entry.term)
+
+    def term_at(self, index):
+        """Return the term at an index, or None if it is not held."""
+        with self._lock:
+            if index == self._base.index:
+                return self._base.term
+            entry = self.get(index)
+            return entry.term if entry else None
+
+    def get(self, index):
+        """Return the entry at an index, or None."""
+        with self._lock:
+            offset = index - self._base.index - 1
+            if 0 <= offset < len(self._entries):
+                return self._entries[offset]
+            return None
+
+    def read(self, index, max_bytes):
+        """Return entries from an index on.
+
+        Args:
+            index: index of the first entry.
+            max_bytes: bound on the payloads; one entry always fits.
+        """
+        with self._lock:
+            offset = max(0, index - self._base.index - 1)
+            found = []
+            size = 0
+            for position in range(offset, len(self._entries)):
+                entry = self._entries[position]
+                size += len(entry.payload)
+                if found and size > max_bytes:
+                    break
+                found.append(entry)
+            return found
+
+    def entries(self):
+        """Return all entries above the base."""
+        with self._lock:
+            return list(self._entries)
+
+    def append(self, entries):
+        """Append entries, replacing any of the same index and above."""
+        with self._lock:
+            for entry in entries:
+                offset = entry.index - self._base.index - 1
+                del self._entries[offset:]
+                self._entries.append(entry)
+                self._stage(entry)
+
+    def compact(self, position):
+        """Drop all entries up to a position."""
+        with self._flush_lock, self._lock:
+            if position.index <= self._base.index:
+                return
+            offset = position.index - self._base.index
+            self._entries = self._entries[offset:]
+            self._base = position
+            self._rewrite()
+
+    def reset(self, position):
+        """Drop all entries and start above a position."""
+        with self._flush_lock, self._lock:
+            self._entries = []
+            self._base = position
+            self._rewrite()
+
+    @abc.abstractmethod
+    def flush(self):
+        """Make all appended entries durable.
+
+        Returns:
+            Position of the last durable entry.
+
+        Raises:
+            DiskWriteFailed: the medium refused; entries stay staged.
+        """
+
+    @abc.abstractmethod
+    def record_commit(self, index):
+        """Note that entries up to an index are committed."""
+
+    @abc.abstractmethod
+    def close(self):
+        """Release the medium."""
+
+    @abc.abstractmethod
+    def _stage(self, entry):
+        """Prepare an entry for the next flush."""
+
+    @abc.abstractmethod
+    def _rewrite(self):
+        """Store base and entries anew."""
+
+
+class MemoryLog(Log):
+    """A log that lasts as long as the process."""
+
+    committed_index = 0
+
+    def flush(self):
+        """Return the last position; memory needs no flush."""
+        return self.last
+
+    def record_commit(self, index):
+        """Note the committed index."""
+        self.committed_index = max(self.committed_index, index)
+
+    def close(self):
+        """Do nothing."""
+
+    def _stage(self, entry):
+        pass
+
+    def _rewrite(self):
+        pass
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an endpoint."""
--- /dev/null
+++ b/packages/carobwood/carobwood/__init__.py
@@ -0,0 +1,1 @@
+"""Objects of the world that the daemon and the client share."""
--- /dev/null
+++ b/packages/carobwood/carobwood/events.py
@@ -0,0 +1,76 @@
+"""Numbered log events; docs/events.md is their catalogue."""
+
+import dataclasses
+import json
+
+from absl import logging
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One kind of log event.
+
+    Attributes:
+        number: stable number.
+        name: stable short name.
+        level: level of ``absl.logging``.
+    """
+
+    number: int
+    name: str
+    level: int
+
+
+DAEMON_STARTED = Event(100, 'daemon-started', logging.INFO)
+DAEMON_STOPPING = Event(101, 'daemon-stopping', logging.INFO)
+DAEMON_STOPPED = Event(102, 'daemon-stopped', logging.INFO)
+THREAD_FAILED = Event(103, 'thread-failed', logging.ERROR)
+DRAIN_TIMED_OUT = Event(104, 'drain-timed-out', logging.WARNING)
+REQUEST_REFUSED = Event(200, 'request-refused', logging.INFO)
+REQUEST_FAILED = Event(201, 'request-failed', logging.WARNING)
+REQUEST_CRASHED = Event(202, 'request-crashed', logging.ERROR)
+STREAM_RESUMED = Event(203, 'stream-resumed', logging.WARNING)
+STREAM_BROKEN = Event(204, 'stream-broken', logging.WARNING)
+CALLER_LEFT = Event(205, 'caller-left', logging.INFO)
+CLAIM_UNSETTLED = Event(206, 'claim-unsettled', logging.WARNING)
+ENDPOINT_SEEN = Event(300, 'endpoint-seen', logging.INFO)
+ENDPOINT_LEAVING = Event(301, 'endpoint-leaving', logging.INFO)
+ENDPOINT_EXPIRED = Event(302, 'endpoint-expired', logging.WARNING)
+ENDPOINT_SUSPECTED = Event(303, 'endpoint-suspected', logging.WARNING)
+VM_SEEN = Event(310, 'vm-seen', logging.INFO)
+VM_SILENT = Event(311, 'vm-silent', logging.WARNING)
+LINK_REFUSED = Event(312, 'link-refused', logging.WARNING)
+TERM_STARTED = Event(400, 'term-started', logging.INFO)
+LEADER_ELECTED = Event(401, 'leader-elected', logging.INFO)
+LEADER_STEPPED_DOWN = Event(402, 'leader-stepped-down', logging.INFO)
+SNAPSHOT_WRITTEN = Event(403, 'snapshot-written', logging.INFO)
+SNAPSHOT_INSTALLED = Event(404, 'snapshot-installed', logging.INFO)
+LOG_TAIL_CUT = Event(405, 'log-tail-cut', logging.WARNING)
+DISK_FAILED = Event(406, 'disk-failed', logging.ERROR)
+VOTERS_CHANGED = Event(407, 'voters-changed', logging.INFO)
+VERSION_FOLLOWED = Event(410, 'version-followed', logging.INFO)
+KEY_WITHDRAWN = Event(411, 'key-withdrawn', logging.INFO)
+WITHDRAWAL_UNCOMMITTED = Event(412, 'withdrawal-uncommitted', logging.WARNING)
+OPERATOR_CHANGE = Event(420, 'operator-change', logging.INFO)
+
+
+def all_events():
+    """Return every event, sorted by number."""
+    found = [item for item in globals().values() if isinstance(item, Event)]
+    return sorted(found, key=lambda event: event.number)
+
+
+def emit(event, **fields):
+    """Log one event as a line of JSON.
+
+    Args:
+        event: the ``Event``.
+        **fields: JSON-compatible details; keys and bodies stay out.
+    """
+    if not logging.get_absl_logger().isEnabledFor(
+        logging.converter.absl_to_standard(event.level)
+    ):
+        return
+    record = {'event': event.number, 'name': event.name}
+    record.update(fields)
+    logging.log(event.level, '%s', json.dumps(record, default=str))
--- /dev/null
+++ b/packages/carobwood/carobwood/gen/links/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'FleetLink']
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of carobwood."""
--- /dev/null
+++ b/thrift/links.thrift
@@ -0,0 +1,166 @@
+// Messages between carobwood's own processes. Times are durations in
+// milliseconds: clocks of two VMs are never compared.
+namespace py links
+
+struct VmDescriptor {
+  1: required string vm_id
+  2: required string data_centre
+  3: required string link_address
+  4: required string operator_address
+  5: required i64 incarnation
+  6: bool has_disk
+}
+
+struct LogEntry {
+  1: required i64 index
+  2: required i64 term
+  3: required binary payload
+}
+
+struct VoteRequest {
+  1: required string fleet_id
+  2: required i64 term
+  3: required string candidate_id
+  4: required i64 last_index
+  5: required i64 last_term
+  6: required bool pre_vote
+  7: required bool transfer
+}
+
+struct VoteReply {
+  1: required i64 term
+  2: required bool granted
+}
+
+struct AppendRequest {
+  1: required string fleet_id
+  2: required i64 term
+  3: required string leader_id
+  4: required string leader_address
+  5: required i64 previous_index
+  6: required i64 previous_term
+  7: required list<LogEntry> entries
+  8: required i64 commit_index
+}
+
+struct AppendReply {
+  1: required i64 term
+  2: required bool success
+  3: required i64 last_index
+}
+
+struct SnapshotRequest {
+  1: required string fleet_id
+  2: required i64 term
+  3: required string leader_id
+  4: required i64 last_index
+  5: required i64 last_term
+  6: required i64 offset
+  7: required binary data
+  8: required bool done
+}
+
+struct SnapshotReply {
+  1: required i64 term
+  2: required i64 next_offset
+}
+
+struct TransferRequest {
+  1: required string fleet_id
+  2: required i64 term
+}
+
+struct ProposeRequest {
+  1: required list<binary> payloads
+  2: required i32 timeout_ms
+}
+
+enum ProposeStatus {
+  COMMITTED = 1
+  NOT_LEADER = 2
+  UNCERTAIN = 3
+}
+
+struct ProposeReply {
+  1: required ProposeStatus status
+  2: list<binary> results
+  3: string leader_address
+}
+
+struct JoinRequest {
+  1: required string replica_id
+  2: required VmDescriptor vm
+}
+
+struct JoinReply {
+  1: required bool accepted
+  2: string fleet_id
+  3: string leader_address
+}
+
+struct ReplaceRequest {
+  1: required string old_vm_id
+  2: required string new_vm_id
+  3: required i32 timeout_ms
+}
+
+struct ReplaceReply {
+  1: required ProposeStatus status
+  2: string problem
+  3: string leader_address
+}
+
+struct VersionedCommand {
+  1: required i64 version
+  2: required binary payload
+}
+
+struct FollowRequest {
+  1: required i64 after_version
+  2: required i32 wait_ms
+}
+
+struct FollowReply {
+  1: required string fleet_id
+  2: required i64 version
+  3: required list<VersionedCommand> commands
+  4: binary snapshot
+  // Time since the sender, or the VM that it follows, heard a leader.
+  5: required i64 contact_age_ms
+}
+
+struct Announcement {
+  1: required string endpoint_id
+  2: required i64 incarnation
+  3: required i64 sequence
+  4: required string address
+  5: required string data_centre
+  6: required string pool
+  7: required string environment
+  8: string weights_version
+  9: required bool leaving
+  10: required i32 running
+  11: required i32 waiting
+  12: required i32 age_ms
+}
+
+struct GossipMessage {
+  1: required VmDescriptor vm
+  2: required i64 version
+  3: required list<VmDescriptor> vms
+  4: required list<Announcement> announcements
+  5: required list<string> withdrawn_digests
+  6: required string fleet_id
+}
+
+service FleetLink {
+  VoteReply request_vote(1: VoteRequest request)
+  AppendReply append_entries(1: AppendRequest request)
+  SnapshotReply install_snapshot(1: SnapshotRequest request)
+  bool transfer_leadership(1: TransferRequest request)
+  ProposeReply propose(1: ProposeRequest request)
+  JoinReply join(1: JoinRequest request)
+  ReplaceReply replace_voter(1: ReplaceRequest request)
+  FollowReply follow(1: FollowRequest request)
+  GossipMessage gossip(1: GossipMessage message)
+}
