Read small chunks of a stream together

Each chunk passed through urllib3's and http.client's readers one by one, and every event woke a thread and was written alone. Change: the answer's body is read in as large parts as have come and its chunks are joined (entry/answer_body.py), over urllib3's connection. Conclusion: batching follows from lag by itself; no timer is needed.

--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,188 @@
+"""Measures what the daemon adds: ``make bench``.
+
+Every figure through the daemon stands beside the same load sent to the
+fake engine directly, in the same run.
+"""
+
+import argparse
+import json
+import pathlib
+import statistics
+import subprocess
+import sys
+import time
+
+import fleet as fleets
+
+BENCH = pathlib.Path(__file__).resolve().parent
+DOCUMENT = BENCH.parent / 'examples' / 'production.yaml'
+OPEN_STREAMS = 500
+STREAMS = 50
+ENGINES = 5
+RATE = 50.0
+
+
+def start_fleet(fleet, engines, **engine_flags):
+    """Start one daemon with engines and return a caller's key."""
+    fleet.plan_vm('vm1', 'bole', vm_slots=1, log_level='warning')
+    fleet.start_vms()
+    fleet.found('vm1', voters=1)
+    for number in range(engines):
+        fleet.start_engine(f'engine-{number}', **engine_flags)
+    text = DOCUMENT.read_text()
+    text = text.replace(
+        'rate_tokens_per_second: 40000', ('rate_tokens_per_second: 1000000000')
+    )
+    text = text.replace('burst_tokens: 400000', 'burst_tokens: 1000000000')
+    text = text.replace('max_output_tokens: 512', 'max_output_tokens: 65536')
+    document = fleet.folder / 'bench.yaml'
+    document.write_text(text)
+    fleet.client('document', 'apply', str(document))
+    fleet.await_endpoints([f'engine-{n}' for n in range(engines)])
+    fleet.await_ready()
+    return fleet.client('key', 'issue', 'abyssinia-bole')['secret']
+
+
+def start_callers(address, key, **flags):
+    """Start a process of callers."""
+    return subprocess.Popen(
+        [
+            sys.executable,
+            str(BENCH / 'stream_client.py'),
+            f'--address={address}',
+            f'--key={key}',
+        ]
+        + [f'--{k.replace("_", "-")}={v}' for k, v in flags.items()],
+        stdout=subprocess.PIPE,
+    )
+
+
+def finish_callers(processes):
+    """Return the decoded records of caller processes."""
+    records = [json.loads(p.communicate()[0]) for p in processes]
+    for record in records:
+        if record['problems']:
+            raise RuntimeError(record['problems'][:3])
+    return records
+
+
+def measure_first_token(quick):
+    """Return added seconds to the first token at 50 requests a second."""
+    count = 150 if quick else 500
+    with fleets.Fleet() as fleet:
+        key = start_fleet(fleet, 1, token_seconds=0.005)
+        targets = {
+            'direct': f'127.0.0.1:{fleet.ports_by_id["engine-0"]}',
+            'daemon': fleet.vms_by_id['vm1'].caller,
+        }
+        samples = {}
+        for name, address in targets.items():
+            callers = start_callers(address, key, count=count, rate=RATE)
+            record = finish_callers([callers])[0]
+            samples[name] = sorted(record['first_event_seconds'])
+    result = {'requests_per_second': RATE, 'requests': count}
+    for share in (50, 95, 99):
+        values = {
+            name: _percentile(sample, share)
+            for name, sample in samples.items()
+        }
+        result[f'direct_p{share}_ms'] = round(values['direct'] * 1000, 2)
+        result[f'daemon_p{share}_ms'] = round(values['daemon'] * 1000, 2)
+        added = values['daemon'] - values['direct']
+        result[f'added_p{share}_ms'] = round(added * 1000, 2)
+    return result
+
+
+def measure_throughput(quick):
+    """Return streamed tokens a second over 50 streams."""
+    tokens = 2000 if quick else 8000
+    result = {'streams': STREAMS, 'tokens_per_stream': tokens}
+    with fleets.Fleet() as fleet:
+        key = start_fleet(fleet, ENGINES, token_seconds=0)
+        direct = [
+            f'127.0.0.1:{fleet.ports_by_id[f"engine-{n}"]}'
+            for n in range(ENGINES)
+        ]
+        caller = fleet.vms_by_id['vm1'].caller
+        for name, addresses in (
+            ('direct', direct),
+            ('daemon', [caller] * ENGINES),
+        ):
+            processes = [
+                start_callers(
+                    address,
+                    key,
+                    count=STREAMS // ENGINES,
+                    max_tokens=tokens,
+                    prompts=STREAMS,
+                )
+                for address in addresses
+            ]
+            records = finish_callers(processes)
+            events = sum(record['events'] for record in records)
+            seconds = max(record['seconds'] for record in records)
+            result[f'{name}_tokens_per_second'] = round(events / seconds)
+    return result
+
+
+def measure_open_streams(quick):
+    """Return the daemon's memory with 500 streams open."""
+    with fleets.Fleet() as fleet:
+        key = start_fleet(fleet, 2, token_seconds=0.5)
+        vm = fleet.vms_by_id['vm1']
+        idle = _resident_mib(vm.process.pid)
+        processes = [
+            start_callers(
+                vm.caller,
+                key,
+                count=OPEN_STREAMS // 2,
+                rate=100,
+                max_tokens=30 if quick else 60,
+                prompts=OPEN_STREAMS,
+            )
+            for _ in range(2)
+        ]
+        peak = 0.0
+        most = 0
+        while processes[0].poll() is None:
+            status = fleet.status('vm1')
+            most = max(most, status['requests_in_flight'])
+            peak = max(peak, _resident_mib(vm.process.pid))
+            time.sleep(0.5)
+        finish_callers(processes)
+    return {
+        'open_streams': most,
+        'idle_mib': round(idle, 1),
+        'peak_mib': round(peak, 1),
+    }
+
+
+def _percentile(values, share):
+    return statistics.quantiles(values, n=100)[share - 1]
+
+
+def _resident_mib(pid):
+    for line in pathlib.Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('VmRSS'):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def main():
+    """Run all measurements and print them as JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--quick', action='store_true')
+    parser.add_argument('--only', default='')
+    arguments = parser.parse_args()
+    for name, measure in (
+        ('first_token', measure_first_token),
+        ('throughput', measure_throughput),
+        ('open_streams', measure_open_streams),
+    ):
+        if arguments.only in ('', name):
+            figures = measure(arguments.quick)
+            print(json.dumps({name: figures}), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -14,10 +14,10 @@
 from carobwood import addresses
 from carobwood import errors
 
+from . import answer_body
 from . import headers
 
 CONNECT_TIMEOUT = 1.0
-READ_BYTES = 64 * 1024
 
 # Failures of a connection that urllib3 and http.client let through.
 _BREAKS = (
@@ -55,11 +55,17 @@
 
 
 class Answer:
-    """An endpoint's answer, read piece by piece."""
+    """An endpoint's answer, read as it comes.
+
+    Attributes:
+        status: HTTP status.
+        headers: headers by name, in any case.
+    """
 
     def __init__(self, connection, response):
         self._connection = connection
         self._response = response
+        self._body = answer_body.open_body(response)
         self.status = response.status
         self.headers = response.headers
 
@@ -70,8 +76,8 @@
             StreamBroken: the connection broke or went silent.
         """
         try:
-            return self._response.read1(READ_BYTES, decode_content=False)
-        except _TIMEOUTS as error:
+            return self._body.read_some()
+        except TimeoutError as error:
             raise errors.StreamBroken('the endpoint went silent') from error
         except _BREAKS as error:
             raise errors.StreamBroken(f'{type(error).__name__}') from error
@@ -87,16 +93,11 @@
         while True:
             part = self.read_some()
             if not part:
-                break
+                return b''.join(parts)
             parts.append(part)
             size += len(part)
             if size > limit:
                 raise errors.StreamBroken('the answer is too large')
-        body = b''.join(parts)
-        length = self.content_length
-        if length is not None and length != len(body):
-            raise errors.StreamBroken('the answer is cut short')
-        return body
 
     @property
     def content_length(self):
@@ -173,11 +174,10 @@
         call.target,
         body=call.body,
         headers=call.headers,
-        preload_content=False,
-        decode_content=False,
-        enforce_content_length=True,
     )
-    response = connection.getresponse()
+    # urllib3's own response reads one chunk at a time, which is too slow
+    # for streams of small events.
+    response = http.client.HTTPConnection.getresponse(connection)
     sock.settimeout(call.stall_seconds)
     return response
 
