Cancel an engine's work when the caller leaves

Cause: a scenario that lets a caller leave in mid-stream never saw the request end: requests in flight stayed at 1 for 30 s. CherryPy wraps a stream in a generator of its own, which passes no close() on. Ruled out: the write to the gone caller does fail, and the WSGI server does call close() on CherryPy's response. Change: the exchange registers its stream with the connection, and the gateway closes it when the request ends, however it ends. Scenarios of streams and keys behind a fault proxy; links leave from the address that they listen on, so that the proxy can tell VMs apart. Conclusion: resources of a stream must not depend on the framework.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of one VM: its parts, its start and its stop."""
 
 import dataclasses
+import ipaddress
 import sys
 import threading
 import time
@@ -62,7 +63,9 @@
         self._folder = None
         if settings.data_folder:
             self._folder = data_folder.DataFolder(settings.data_folder)
-        self._links = link.Links(settings.link_secret)
+        self._links = link.Links(
+            settings.link_secret, _source_of(settings.link_listen)
+        )
         self._store = state_store.StateStore()
         self._withdrawals = withdrawal_sets.Withdrawals(self._folder)
         self._gate = gates.Gate(settings.max_requests)
@@ -266,3 +269,9 @@
         document = fleet.document(self._settings.environment)
         if document is not None:
             self._allowance.prepare(document)
+
+
+def _source_of(address):
+    # A wildcard address is no source; the system then chooses one.
+    is_wildcard = ipaddress.ip_address(address.host).is_unspecified
+    return '' if is_wildcard else address.host
--- a/packages/carobwood-daemon/carobwood_daemon/entry/exchange.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/exchange.py
@@ -129,6 +129,8 @@
         if outcome is not None:
             response.headers[headers.OUTCOME] = outcome.value
         response.stream = True
+        environ = cherrypy.serving.request.wsgi_environ
+        environ[strict_request.STREAM_KEY] = stream
         return stream
 
     def refuse(self, error):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -9,6 +9,7 @@
 from carobwood import errors
 
 CONNECTION_KEY = 'carobwood.connection'
+STREAM_KEY = 'carobwood.stream'
 MAX_HEADER_BYTES = 32 * 1024
 
 _SINGLE_HEADERS = frozenset(
@@ -101,7 +102,20 @@
 
 
 class Gateway(cheroot_wsgi.Gateway_10):
-    """Tells the application which connection it serves."""
+    """Tells the application its connection, and closes its stream.
+
+    CherryPy wraps streams in generators, which pass no ``close`` on when
+    a caller leaves.
+    """
+
+    def respond(self):
+        """Serve the request and close the stream it left open."""
+        try:
+            super().respond()
+        finally:
+            stream = self.env.get(STREAM_KEY)
+            if stream is not None:
+                stream.close()
 
     def get_environ(self):
         """Return the WSGI environment with the request's connection."""
--- a/packages/carobwood-daemon/carobwood_daemon/membership/link.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link.py
@@ -24,9 +24,10 @@
     that failed, timed out or idled is closed and never used again.
     """
 
-    def __init__(self, address, secret, clock=time.monotonic):
+    def __init__(self, address, secret, source='', clock=time.monotonic):
         self.address = address
         self._secret = secret
+        self._source = source
         self._clock = clock
         self._lock = threading.Lock()
         self._idle = []
@@ -73,7 +74,7 @@
                 if now - connection.used_at < IDLE_LIMIT:
                     return connection
                 connection.transport.close()
-        return _Connection(self.address, self._secret)
+        return _Connection(self.address, self._secret, self._source)
 
     def _give_back(self, connection):
         connection.used_at = self._clock()
@@ -84,8 +85,15 @@
 class Links:
     """Links to all VMs, by address."""
 
-    def __init__(self, secret):
+    def __init__(self, secret, source=''):
+        """Prepare the links.
+
+        Args:
+            secret: the fleet's shared secret, as bytes.
+            source: own IP address that links leave from, or empty.
+        """
         self._secret = secret
+        self._source = source
         self._lock = threading.Lock()
         self._links_by_address = {}
 
@@ -95,7 +103,7 @@
             link = self._links_by_address.get(address)
             if link is None:
                 parsed = addresses.parse_address(address)
-                link = Link(parsed, self._secret)
+                link = Link(parsed, self._secret, self._source)
                 self._links_by_address[address] = link
             return link
 
@@ -110,9 +118,9 @@
 class _Connection:
     """One connection and its thrift client."""
 
-    def __init__(self, address, secret):
+    def __init__(self, address, secret, source):
         self.transport = link_transport.connect(
-            address, secret, CONNECT_TIMEOUT
+            address, secret, CONNECT_TIMEOUT, source
         )
         protocol = TCompactProtocol.TCompactProtocolAccelerated(self.transport)
         self.client = FleetLink.Client(protocol)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
@@ -108,13 +108,14 @@
         return payload
 
 
-def connect(address, secret, timeout):
+def connect(address, secret, timeout, source=''):
     """Open a link as the calling side.
 
     Args:
         address: the other VM's link ``Address``.
         secret: the fleet's shared secret, as bytes.
         timeout: seconds for connection and handshake.
+        source: own IP address that the link leaves from, or empty.
 
     Raises:
         LinkFailed: the other VM cannot be reached.
@@ -122,7 +123,9 @@
     """
     try:
         connection = socket.create_connection(
-            (address.host, address.port), timeout
+            (address.host, address.port),
+            timeout,
+            (source, 0) if source else None,
         )
     except OSError as error:
         raise errors.LinkFailed(f'{address}: {error}') from error
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,263 @@
+"""Builders of documents, requests and fleets behind fault proxies."""
+
+import concurrent.futures
+import dataclasses
+import http.client
+import json
+import pathlib
+
+import fault_proxy
+import fleet as fleets
+import urllib3
+import yaml
+
+EXAMPLE = pathlib.Path(__file__).parents[1] / 'examples' / 'production.yaml'
+CUSTOMER = 'abyssinia-bole'
+OTHER_CUSTOMER = 'tussock-waitaki'
+MODEL = 'ruling-8b'
+PIECE = 'The rulebook asks for one face and a plain background. ' * 150
+VM_NETWORK = '127.0.1.'
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status, or 0 if the connection broke.
+        headers: headers of the answer.
+        body: the body as bytes.
+    """
+
+    status: int
+    headers: object
+    body: bytes
+
+    @property
+    def outcome(self):
+        """The outcome that the answer names."""
+        return self.headers.get('Carobwood-Outcome', '')
+
+    @property
+    def code(self):
+        """Code of the error, or an empty string."""
+        try:
+            return json.loads(self.body)['error']['code']
+        except (ValueError, KeyError, TypeError):
+            return ''
+
+    @property
+    def events(self):
+        """Server-sent events, without the empty end."""
+        return self.body.decode('utf-8').split('\n\n')[:-1]
+
+    @property
+    def words(self):
+        """Words of a whole stream, in order."""
+        words = []
+        for event in self.events:
+            data = event.partition('data: ')[2]
+            if data.startswith('{"object"'):
+                words.append(json.loads(data)['choices'][0]['delta'])
+        return [word['content'] for word in words if word['content']]
+
+
+def document(environment='production', **changes):
+    """Return the text of a document with generous rates.
+
+    Args:
+        environment: name of the environment.
+        **changes: top-level fields to replace.
+    """
+    fields = yaml.safe_load(EXAMPLE.read_text())
+    fields['environment'] = environment
+    for customer in fields['customers']:
+        customer['rate_tokens_per_second'] = 10_000_000
+        customer['burst_tokens'] = 10_000_000
+    fields.update(changes)
+    return yaml.safe_dump(fields)
+
+
+def chat(prompt='Is this portrait fit?', stream=True, max_tokens=12):
+    """Return the body of a chat request."""
+    return {
+        'model': MODEL,
+        'stream': stream,
+        'max_tokens': max_tokens,
+        'messages': [{'role': 'user', 'content': prompt}],
+    }
+
+
+def bearer(secret):
+    """Return the header that shows a key."""
+    return {'Authorization': f'Bearer {secret}'}
+
+
+class World(fleets.Fleet):
+    """A fleet whose links and endpoints can pass through fault proxies.
+
+    Attributes:
+        key: a key of ``CUSTOMER``.
+        key_id: its public name.
+        proxies_by_id: proxies before VMs' links and before endpoints.
+        notes: what the steps of a scenario hand on.
+    """
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.key = ''
+        self.key_id = ''
+        self.proxies_by_id = {}
+        self.notes = {}
+        self.pool = concurrent.futures.ThreadPoolExecutor(64)
+
+    def __exit__(self, *exception):
+        super().__exit__(*exception)
+        for proxy in self.proxies_by_id.values():
+            proxy.close()
+        self.pool.shutdown(wait=False)
+
+    def plan_vm(self, vm_id, data_centre, has_disk=True, **flags):
+        """Plan a VM with an address of its own and a proxy before it."""
+        port = fleets.free_port()
+        host = f'{VM_NETWORK}{len(self.vms_by_id) + 1}'
+        link = f'{host}:{port}'
+        proxy = fault_proxy.FaultProxy(link)
+        self.proxies_by_id[vm_id] = proxy
+        flags.setdefault('vm_slots', 1)
+        vm = super().plan_vm(
+            vm_id,
+            data_centre,
+            has_disk,
+            link_advertise=proxy.address,
+            **flags,
+        )
+        vm.link = link
+        return vm
+
+    def cut(self, groups, fault=fault_proxy.Fault.CUT):
+        """Cut the links between groups of VMs."""
+        rule = fault_proxy.Rule(fault)
+        for target in self.vms_by_id:
+            for source in self.vms_by_id:
+                apart = _group_of(groups, source) != _group_of(groups, target)
+                if source != target and apart:
+                    self.cut_one_way(source, target, rule)
+
+    def cut_one_way(self, source, target, rule):
+        """Set the rule from one VM to another."""
+        host = self.vms_by_id[source].link.rpartition(':')[0]
+        self.proxies_by_id[target].set_rule(rule, host)
+
+    def heal(self):
+        """Let all links pass again."""
+        for target in self.vms_by_id:
+            for source in self.vms_by_id:
+                self.cut_one_way(source, target, fault_proxy.Rule())
+
+    def start_fleet(self, data_centres, diskless=(), **flags):
+        """Start VMs vm1, vm2... in the data centres and found a fleet."""
+        for number, name in enumerate(data_centres, 1):
+            vm_id = f'vm{number}'
+            self.plan_vm(vm_id, name, vm_id not in diskless, **flags)
+        self.start_vms()
+        voters = min(5, len(data_centres) - len(diskless))
+        self.found('vm1', voters)
+
+    def configure(self, text=None):
+        """Apply a document, await it everywhere and issue a key."""
+        path = self.folder / 'document.yaml'
+        path.write_text(text or document())
+        self.client('document', 'apply', str(path))
+        self.await_ready()
+        self.key, self.key_id = self.issue_key()
+
+    def issue_key(self, customer=CUSTOMER):
+        """Issue a key and return its secret and its id."""
+        issued = self.client('key', 'issue', customer)
+        return issued['secret'], issued['key_id']
+
+    def proxied_engine(self, engine_id, data_centre='bole', **flags):
+        """Start an engine behind a proxy of its own."""
+        port = fleets.free_port()
+        proxy = fault_proxy.FaultProxy(f'127.0.0.1:{port}')
+        self.proxies_by_id[engine_id] = proxy
+        flags.update(port=port, advertise=proxy.address)
+        self.start_engine(engine_id, data_centre, **flags)
+
+    def request(self, vm_id, method, path, body=None, headers=None):
+        """Send a caller's request and return the ``Answer``."""
+        if isinstance(body, dict):
+            body = json.dumps(body).encode('utf-8')
+        sent = dict(bearer(self.key)) if headers is None else dict(headers)
+        sent.setdefault('Content-Type', 'application/json')
+        host, _, port = self.vms_by_id[vm_id].caller.partition(':')
+        connection = http.client.HTTPConnection(host, int(port), timeout=40)
+        try:
+            connection.request(method, path, body, sent)
+            answer = connection.getresponse()
+            return Answer(answer.status, answer.headers, answer.read())
+        except (OSError, http.client.HTTPException):
+            return Answer(0, {}, b'')
+        finally:
+            connection.close()
+
+    def chat(self, vm_id='vm1', key=None, **fields):
+        """Send a chat request and return the ``Answer``."""
+        return self.request(
+            vm_id,
+            'POST',
+            '/v1/chat/completions',
+            chat(**fields),
+            bearer(key or self.key),
+        )
+
+    def order(self, vm_id, idempotency_key, body=b'{"prints": 6}'):
+        """Place an order and return the ``Answer``."""
+        headers = dict(bearer(self.key))
+        headers['Idempotency-Key'] = idempotency_key
+        return self.request(vm_id, 'POST', '/orders', body, headers)
+
+    def runs(self, service_id='booth-orders'):
+        """Return how often the service ran each idempotency key."""
+        return self.stand_in_get(service_id, '/runs')['runs']
+
+    def leader(self):
+        """Return the id of the VM that leads, or None."""
+        for vm_id, vm in self.vms_by_id.items():
+            if vm.process is None or vm.process.poll() is not None:
+                continue
+            status = self.status(vm_id)
+            if status and status['role'] == 'leader':
+                return vm_id
+        return None
+
+    def versions(self, environment='production'):
+        """Return the document version that each live VM holds."""
+        found = {}
+        for vm_id in self.vms_by_id:
+            status = self.status(vm_id)
+            for info in (status or {}).get('documents', ()):
+                if info['environment'] == environment:
+                    found[vm_id] = info['version']
+        return found
+
+    def operate(self, vm_id, path, **fields):
+        """Send an operator's operation to one VM; return (status, body)."""
+        try:
+            answer = self.http.request(
+                'POST',
+                f'http://{self.vms_by_id[vm_id].operator}{path}',
+                body=json.dumps(fields),
+                headers=self.operator_headers(),
+            )
+        except urllib3.exceptions.HTTPError:
+            return 0, {}
+        return answer.status, json.loads(answer.data)
+
+
+def _group_of(groups, vm_id):
+    for number, group in enumerate(groups):
+        if vm_id in group:
+            return number
+    return -1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,18 +1,98 @@
-"""Fixtures that all tests share."""
+"""Fixtures and steps that all scenarios share."""
 
 import pathlib
+import signal
 import sys
 
 import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import then
+from pytest_bdd import when
 
-BENCH = pathlib.Path(__file__).resolve().parent.parent / 'bench'
-sys.path.insert(0, str(BENCH))
+ROOT = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(ROOT.parent / 'bench'))
+sys.path.insert(0, str(ROOT))
 
+import builders  # noqa: E402 (needs the paths above)
+import fleet as fleets  # noqa: E402 (needs the paths above)
+
+DATA_CENTRES = ('bole', 'kirkos', 'arada', 'yeka')
 
-@pytest.fixture
-def fleet(tmp_path):
-    """Give an empty ``Fleet`` whose processes end with the test."""
-    import fleet as fleets
 
-    with fleets.Fleet(tmp_path) as empty:
+@pytest.fixture
+def world(tmp_path):
+    """Give an empty ``World`` whose processes end with the scenario."""
+    with builders.World(tmp_path) as empty:
         yield empty
+
+
+def names(text):
+    """Split a list such as ``vm1 and vm2``."""
+    return text.replace(',', ' ').replace(' and ', ' ').split()
+
+
+@given(parsers.parse('a configured fleet of {count:d} VMs'))
+def _fleet(world, count):
+    centres = [DATA_CENTRES[n % len(DATA_CENTRES)] for n in range(count)]
+    world.start_fleet(centres)
+    world.configure()
+
+
+@given(parsers.parse('a configured fleet in {centres} without disk on {vms}'))
+def _fleet_in(world, centres, vms):
+    world.start_fleet(names(centres), diskless=names(vms))
+    world.configure()
+
+
+@given(parsers.parse('engines {engines}'))
+def _engines(world, engines):
+    for engine in names(engines):
+        world.proxied_engine(engine, token_seconds=0.01)
+    world.await_endpoints(names(engines))
+
+
+@given('an order service')
+def _service(world):
+    world.start_service('booth-orders')
+    world.await_endpoints(['booth-orders'])
+
+
+@when(parsers.parse('{vm} is killed'))
+def _kill(world, vm):
+    world.stop_vm(vm, signal.SIGKILL)
+
+
+@when(parsers.parse('{vm} starts again'))
+def _restart(world, vm):
+    world.start_vm(vm)
+
+
+@when(parsers.parse('the links between {left} and {right} are cut'))
+def _cut(world, left, right):
+    world.cut([names(left), names(right)])
+
+
+@when('the links are healed')
+def _heal(world):
+    world.heal()
+
+
+@then(parsers.parse('{vm} leads'))
+def _leads(world, vm):
+    fleets.wait_until(lambda: world.leader() == vm, f'{vm} to lead')
+
+
+@then(parsers.parse('all VMs hold version {version:d}'))
+def _hold_version(world, version):
+    fleets.wait_until(
+        lambda: world.versions() == dict.fromkeys(world.vms_by_id, version),
+        f'version {version} everywhere',
+    )
+
+
+@then('no daemon has crashed a thread or a request')
+def _no_crash(world):
+    for vm in world.vms_by_id.values():
+        assert '"thread-failed"' not in vm.log_text()
+        assert '"request-crashed"' not in vm.log_text()
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,190 @@
+"""Scenarios of callers' keys."""
+
+import http.client
+import json
+
+import builders
+import fleet as fleets
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+import yaml
+
+from carobwood import keys
+
+scenarios('features/keys.feature')
+
+UNKNOWN = keys.issue_key().secret
+
+
+def _status(world, vm, key=None):
+    headers = builders.bearer(key or world.key)
+    return world.request(vm, 'GET', '/v1/models', headers=headers)
+
+
+@given(
+    parsers.parse('a fleet whose customers have an offline grace of {s:d} s')
+)
+def _grace(world, s):
+    fields = yaml.safe_load(builders.document())
+    for customer in fields['customers']:
+        customer['offline_grace_seconds'] = s
+    world.start_fleet(('bole', 'kirkos', 'arada'))
+    world.configure(yaml.safe_dump(fields))
+
+
+@when('requests with every kind of credential are sent')
+def _credentials(world):
+    good = world.key
+    answers = {}
+    for name, headers in {
+        'bearer': {'Authorization': f'Bearer {good}'},
+        'api key': {'X-Api-Key': good},
+        'none': {},
+        'both': {'Authorization': f'Bearer {good}', 'X-Api-Key': good},
+        'malformed': {'Authorization': f'Basic {good}'},
+        'short': {'X-Api-Key': 'cbw-short'},
+        'unknown': {'X-Api-Key': UNKNOWN},
+    }.items():
+        headers['Carobwood-Customer'] = builders.OTHER_CUSTOMER
+        headers['Proxy-Authorization'] = 'Basic eDp5'
+        headers['Idempotency-Key'] = name.replace(' ', '-')
+        answers[name] = (
+            world.request('vm2', 'POST', '/orders', b'{}', headers),
+            world.request(
+                'vm1', 'POST', '/v1/chat/completions', builders.chat(), headers
+            ),
+        )
+    world.notes['answers'] = answers
+
+
+@then('each is answered by the credential alone')
+def _answered(world):
+    expected = {
+        'bearer': (201, ''),
+        'api key': (201, ''),
+        'none': (401, 'credential_missing'),
+        'both': (400, 'conflicting_credentials'),
+        'malformed': (401, 'credential_malformed'),
+        'short': (401, 'credential_malformed'),
+        'unknown': (401, 'key_refused'),
+    }
+    for name, (order, chat) in world.notes['answers'].items():
+        status, code = expected[name]
+        assert (order.status, order.code) == (status, code), name
+        assert chat.code == code, name
+        if code:
+            assert order.outcome == chat.outcome == 'not-run'
+    assert set(world.runs()) == {'bearer', 'api-key'}
+
+
+@then('no endpoint and no log has seen a key')
+def _unseen(world):
+    texts = [
+        json.dumps(world.stand_in_get('engine-1', '/counters')),
+        json.dumps(world.stand_in_get('booth-orders', '/runs')),
+    ]
+    texts += [vm.log_text() for vm in world.vms_by_id.values()]
+    for order, chat in world.notes['answers'].values():
+        texts += [order.body.decode(), chat.body.decode()]
+    for text in texts:
+        assert 'cbw-' not in text
+
+
+@then("callers' customer and hop-by-hop headers were dropped")
+def _dropped(world):
+    seen = world.stand_in_get('engine-1', '/counters')['headers']
+    seen += world.stand_in_get('booth-orders', '/runs')['headers']
+    assert seen
+    for headers in seen:
+        assert headers['Carobwood-Customer'] == builders.CUSTOMER
+        assert 'Proxy-Authorization' not in headers
+        assert 'Authorization' not in headers
+        assert 'X-Api-Key' not in headers
+
+
+@when(
+    'a key is withdrawn while a caller streams and another keeps its '
+    'connection'
+)
+def _withdraw_in_use(world):
+    secret, key_id = world.issue_key()
+    host, _, port = world.vms_by_id['vm2'].caller.partition(':')
+    kept = http.client.HTTPConnection(host, int(port), timeout=20)
+    kept.request('GET', '/v1/models', headers=builders.bearer(secret))
+    assert kept.getresponse().read()
+    stream = world.pool.submit(world.chat, 'vm3', key=secret, max_tokens=500)
+    fleets.wait_until(
+        lambda: world.status('vm3')['requests_in_flight'] == 1,
+        'the stream to start',
+    )
+    world.notes['withdrawn'] = world.client(
+        'key', 'withdraw', key_id, vm_id='vm1'
+    )
+    kept.request('GET', '/v1/models', headers=builders.bearer(secret))
+    answer = kept.getresponse()
+    world.notes['kept'] = builders.Answer(
+        answer.status, answer.headers, answer.read()
+    )
+    world.notes['answer'] = stream.result()
+
+
+@then('the stream ends with an error event')
+def _stream_ends(world):
+    last = world.notes['answer'].events[-1]
+    assert '\nevent: error\n' in last and 'key_refused' in last
+
+
+@then('the kept connection is refused')
+def _kept_refused(world):
+    assert world.notes['kept'].code == 'key_refused'
+
+
+@then('every data centre has confirmed the withdrawal')
+def _confirmed(world):
+    withdrawn = world.notes['withdrawn']
+    assert withdrawn['confirmed_by_data_centre'] == {
+        'arada': ['vm3'],
+        'bole': ['vm1'],
+        'kirkos': ['vm2'],
+    }
+    assert not any(withdrawn['unconfirmed_by_data_centre'].values())
+
+
+@when('the key is withdrawn through vm1')
+def _withdraw(world):
+    _, reply = world.operate('vm1', '/v1/keys/withdraw', key=world.key_id)
+    assert reply['committed'] is False
+
+
+@then(parsers.re(r'(?P<vm>vm\d) refuses the key'))
+def _refuses(world, vm):
+    fleets.wait_until(
+        lambda: _status(world, vm).code == 'key_refused', f'{vm} to refuse'
+    )
+
+
+@then(parsers.re(r'(?P<vm>vm\d) refuses the key with (?P<code>\w+)'))
+def _refuses_with(world, vm, code):
+    fleets.wait_until(
+        lambda: _status(world, vm).code == code, f'{vm} to refuse'
+    )
+    assert _status(world, vm).outcome == 'not-run'
+
+
+@then(parsers.re(r'(?P<vm>vm\d) accepts the key'))
+def _accepts(world, vm):
+    fleets.wait_until(
+        lambda: _status(world, vm).status == 200, f'{vm} to accept'
+    )
+
+
+@then('the withdrawal is committed')
+def _committed(world):
+    def is_committed():
+        _, reply = world.operate('vm2', '/v1/keys/withdraw', key=world.key_id)
+        return reply['committed']
+
+    fleets.wait_until(is_committed, 'the commit')
