Refuse malformed input with typed answers at every layer

Cause: a request line of 9,000 bytes without Host was answered by CherryPy's own HTML page, without outcome and code: CherryPy refuses some requests before it reads an application's configuration. Ruled out: the strict header reader; the request passed it. Change: the application's request class carries the typed error pages, and cookies, which no route passes on, are not parsed. Tests: 38 malformed requests, 20 bodies, 120 mutated requests and 60 mutated documents; settings; TLS; spans for each hop; statsd; exit codes; graceful stop under streams.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener.py
@@ -6,6 +6,7 @@
 from cheroot.ssl import builtin
 from cheroot import wsgi as cheroot_wsgi
 import cherrypy
+from cherrypy import _cprequest
 
 from carobwood import errors
 from carobwood import events
@@ -84,14 +85,12 @@
     application.log.screen = False
     application.log.access = lambda: None
     application.log.error = _log_application_error
+    application.request_class = _Request
     application.merge(
         {
             '/': {
                 'request.dispatch': _SingleHandler(handler),
                 'request.process_request_body': False,
-                'request.error_response': _answer_crash,
-                'request.show_tracebacks': False,
-                'error_page.default': _error_page,
             }
         }
     )
@@ -118,6 +117,18 @@
     return json.dumps({'error': body})
 
 
+class _Request(_cprequest.Request):
+    """A request whose early failures are typed JSON too.
+
+    CherryPy refuses some requests before it reads the application's
+    configuration, so the answers stand here.
+    """
+
+    error_page = {'default': _error_page}
+    error_response = staticmethod(_answer_crash)
+    show_tracebacks = False
+
+
 def _log_application_error(msg='', context='', severity=0, traceback=False):
     if traceback:
         detail = cherrypy._cperror.format_exc()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -293,6 +293,8 @@
         self._is_closed = False
         self._tracking = services.gate.track(exchange.caller.key_digest)
         self._tracked = self._tracking.__enter__()
+        self._hop = exchange.trace.hop('stream', endpoint=endpoint.id)
+        self._hop.__enter__()
 
     def __iter__(self):
         return self
@@ -394,6 +396,7 @@
         self._answer.close()
         self._services.loads.leave(self._endpoint)
         self._tracking.__exit__(None, None, None)
+        self._hop.__exit__(None, None, None)
         if self._events.usage is not None:
             self._run.settle(self._events.usage.total_tokens)
         self._run.charge_streamed(self._events.last_id + 1)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -44,6 +44,8 @@
                 break
             self._read_line(line, headers)
         _check_lengths(headers)
+        # No route passes cookies on, so none are parsed.
+        headers.pop(b'Cookie', None)
         return headers
 
     def _read_line(self, line, headers):
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,195 @@
+"""At least 200 malformed requests and documents; nothing may stop."""
+
+import json
+import pathlib
+import random
+import socket
+
+import builders
+import pytest
+
+SEED = 20261204
+RANDOM_REQUESTS = 120
+RANDOM_DOCUMENTS = 60
+BODY = b'{"prints": 6}'
+
+HEAD = b'POST /orders HTTP/1.1\r\nHost: x\r\n'
+SHAPES = {
+    'no method': b'\r\n\r\n\r\n',
+    'garbage': b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n\r\n',
+    'bad version': b'GET / HTTP/9.9\r\n\r\n',
+    'bad protocol': b'GET / SPDY/1\r\n\r\n',
+    'space in target': b'GET /a b HTTP/1.1\r\nHost: x\r\n\r\n',
+    'bare line feeds': b'GET / HTTP/1.1\nHost: x\n\n',
+    'folded header': HEAD + b'A: b\r\n c\r\n\r\n',
+    'empty header name': HEAD + b': b\r\n\r\n',
+    'space before colon': HEAD + b'Content-Length : 3\r\n\r\nabc',
+    'control in header': HEAD + b'A: b\x00c\r\n\r\n',
+    'two lengths': HEAD + b'Content-Length: 3\r\nContent-Length: 4\r\n\r\n',
+    'equal lengths': HEAD + b'Content-Length: 3\r\nContent-Length: 3\r\n\r\n',
+    'length list': HEAD + b'Content-Length: 3, 3\r\n\r\nabc',
+    'signed length': HEAD + b'Content-Length: +3\r\n\r\nabc',
+    'negative length': HEAD + b'Content-Length: -3\r\n\r\nabc',
+    'underscored length': HEAD + b'Content-Length: 1_0\r\n\r\n0123456789',
+    'length and chunks': HEAD
+    + b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    'underscore alias': HEAD
+    + b'Content_Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+    'unknown coding': HEAD + b'Transfer-Encoding: gzip\r\n\r\n',
+    'two codings': HEAD + b'Transfer-Encoding: chunked, chunked\r\n\r\n',
+    'two hosts': b'GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n',
+    'two keys': HEAD + b'X-Api-Key: a\r\nX-Api-Key: b\r\n\r\n',
+    'alias key': HEAD + b'X-Api-Key: a\r\nX_Api_Key: b\r\n\r\n',
+    'long target': b'GET /' + b'a' * 9000 + b' HTTP/1.1\r\n\r\n',
+    'long header': HEAD + b'A: ' + b'b' * 70000 + b'\r\n\r\n',
+    'many headers': HEAD + b'A: b\r\n' * 9000 + b'\r\n',
+    'dot segment': b'GET /orders/../records HTTP/1.1\r\nHost: x\r\n\r\n',
+    'encoded dots': b'GET /orders/%2e%2e/x HTTP/1.1\r\nHost: x\r\n\r\n',
+    'encoded slash': b'GET /orders%2Fx HTTP/1.1\r\nHost: x\r\n\r\n',
+    'encoded twice': b'GET /orders/%252e HTTP/1.1\r\nHost: x\r\n\r\n',
+    'doubled slash': b'GET //orders HTTP/1.1\r\nHost: x\r\n\r\n',
+    'backslash': b'GET /orders%5cx HTTP/1.1\r\nHost: x\r\n\r\n',
+    'null in path': b'GET /orders%00 HTTP/1.1\r\nHost: x\r\n\r\n',
+    'parameters': b'GET /orders;a=b HTTP/1.1\r\nHost: x\r\n\r\n',
+    'absolute target': b'GET http://y/orders HTTP/1.1\r\nHost: x\r\n\r\n',
+    'no path': b'OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n',
+    'connect': b'CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n',
+    'latin path': b'GET /\xe9 HTTP/1.1\r\nHost: x\r\n\r\n',
+}
+MODEL_BODIES = [
+    b'',
+    b'[]',
+    b'{',
+    b'{"model": 1}',
+    b'{"model": "ruling-8b"}',
+    b'{"model": "ruling-8b", "messages": []}',
+    b'{"model": "ruling-8b", "messages": [1]}',
+    b'{"model": "ruling-8b", "messages": [{"role": 1}]}',
+    b'{"model": "ruling-8b", "messages": "x"}',
+    b'{"model": "ruling-8b", "prompt": "x", "messages": []}',
+    b'{"model": "ruling-8b", "prompt": "x", "n": 2}',
+    b'{"model": "ruling-8b", "prompt": "x", "max_tokens": 0}',
+    b'{"model": "ruling-8b", "prompt": "x", "max_tokens": -1}',
+    b'{"model": "ruling-8b", "prompt": "x", "max_tokens": 1e9}',
+    b'{"model": "ruling-8b", "prompt": "x", "stream": "yes"}',
+    b'{"model": "other", "prompt": "x"}',
+    b'{"model": "\\ud800", "prompt": "x"}',
+    b'\xff\xfe',
+    b'[' * 100000,
+    b'{"a":' * 5000,
+]
+
+
+def _exchange(address, data):
+    host, _, port = address.partition(':')
+    with socket.create_connection((host, int(port)), 10) as connection:
+        try:
+            connection.sendall(data)
+            connection.shutdown(socket.SHUT_WR)
+            answer = b''
+            while True:
+                part = connection.recv(65536)
+                if not part:
+                    return answer
+                answer += part
+        except ConnectionError:
+            return b''
+
+
+def _assert_refused(answer, name):
+    # A request that is not even begun, or refused while it is still
+    # sent, may end without an answer.
+    if not answer:
+        return
+    status = int(answer.split(b' ', 2)[1])
+    assert 400 <= status < 500, (name, answer[:300])
+    assert b'carobwood-outcome: not-run' in answer.lower(), name
+    assert b'"code"' in answer, name
+
+
+def _mutate(random_source, data):
+    mutated = bytearray(data)
+    for _ in range(random_source.randint(1, 12)):
+        position = random_source.randrange(len(mutated))
+        mutated[position] = random_source.randrange(256)
+    return bytes(mutated)
+
+
+@pytest.fixture
+def configured(world):
+    """Give a configured VM with a service and no engine."""
+    world.start_fleet(('bole',))
+    world.configure()
+    world.start_service('booth-orders')
+    world.await_endpoints(['booth-orders'])
+    return world
+
+
+def test_malformed_requests_are_refused_and_nothing_stops(configured):
+    world = configured
+    vm = world.vms_by_id['vm1']
+    for name, data in SHAPES.items():
+        _assert_refused(_exchange(vm.caller, data), name)
+    for body in MODEL_BODIES:
+        answer = world.request('vm1', 'POST', '/v1/completions', body)
+        assert 400 <= answer.status < 500, body[:50]
+        assert answer.outcome == 'not-run'
+    random_source = random.Random(SEED)
+    valid = HEAD + b'X-Api-Key: none\r\nContent-Length: 13\r\n\r\n' + BODY
+    for address in (vm.caller, vm.operator, vm.link):
+        for _ in range(RANDOM_REQUESTS // 3):
+            _exchange(address, _mutate(random_source, valid))
+    assert world.order('vm1', 'still-alive').status == 201
+    assert set(world.runs()) == {'still-alive'}
+    _assert_no_crash(vm)
+
+
+def test_malformed_documents_are_refused_and_nothing_changes(configured):
+    world = configured
+    random_source = random.Random(SEED)
+    text = pathlib.Path(builders.EXAMPLE).read_bytes()
+    before = world.status('vm1')['documents']
+    refused = 0
+    for _ in range(RANDOM_DOCUMENTS):
+        mutated = _mutate(random_source, text).decode('latin-1')
+        status, body = world.operate(
+            'vm1',
+            '/v1/documents/check',
+            environment='production',
+            text=mutated,
+        )
+        assert status in (200, 422)
+        refused += status == 422
+        if status == 422:
+            assert body['error']['code'] == 'document_invalid'
+    assert refused > RANDOM_DOCUMENTS // 2
+    for fields in ({}, {'text': 1}, {'environment': None}):
+        status, _ = world.operate('vm1', '/v1/documents/apply', **fields)
+        assert status == 400
+    assert world.status('vm1')['documents'] == before
+    _assert_no_crash(world.vms_by_id['vm1'])
+
+
+def test_bodies_that_are_too_large_are_refused(configured):
+    world = configured
+    answer = world.request(
+        'vm1', 'POST', '/v1/completions', b'x' * (17 * 1024 * 1024)
+    )
+    # The refusal may overtake the body, which then meets a closed socket.
+    assert answer.status in (0, 413)
+    order = world.order('vm1', 'too-large', b'x' * (2 * 1024 * 1024))
+    assert order.status in (0, 413)
+    assert world.runs() == {}
+    _assert_no_crash(world.vms_by_id['vm1'])
+
+
+def _assert_no_crash(vm):
+    assert vm.process.poll() is None
+    names = {json.loads(line)['name'] for line in _json_lines(vm)}
+    assert not names & {'request-crashed', 'thread-failed', 'text'}
+
+
+def _json_lines(vm):
+    return [
+        line for line in vm.log_text().splitlines() if line.startswith('{')
+    ]
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,146 @@
+"""TLS, traces, metrics, exit codes and graceful stops."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+
+import builders
+import fleet as fleets
+import pytest
+import urllib3
+
+CERTIFICATE_COMMAND = (
+    'openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=vm1 '
+    '-addext subjectAltName=IP:127.0.0.1 -keyout {key} -out {certificate}'
+)
+
+
+def _certificate(folder):
+    certificate, key = folder / 'vm.pem', folder / 'vm.key'
+    command = CERTIFICATE_COMMAND.format(key=key, certificate=certificate)
+    subprocess.run(command.split(), check=True, capture_output=True)
+    return str(certificate), str(key)
+
+
+def test_wrong_settings_exit_with_2_and_name_the_flag():
+    done = subprocess.run(
+        [sys.executable, '-m', 'carobwood_daemon', '--vm-slots=none'],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 2
+    assert "carobwoodd: --vm-slots 'none'" in done.stderr
+
+
+def test_tls_on_callers_and_operators_listeners(world, tmp_path):
+    certificate, key = _certificate(tmp_path)
+    vm = world.plan_vm('vm1', 'bole', tls_certificate=certificate, tls_key=key)
+    world.start_vm('vm1')
+
+    def status():
+        done = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'carobwood_client',
+                f'--operators={vm.operator}',
+                f'--token-file={world.token_file}',
+                f'--ca-file={certificate}',
+                'status',
+                '--json',
+            ],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        return done.returncode == 0 and json.loads(done.stdout)
+
+    assert fleets.wait_until(status, 'the TLS listener')['vm_id'] == 'vm1'
+    manager = urllib3.PoolManager(ca_certs=certificate, retries=False)
+    url = f'https://{vm.caller}/healthz'
+    assert manager.request('GET', url).status == 200
+    with pytest.raises(urllib3.exceptions.SSLError):
+        urllib3.PoolManager(retries=False).request('GET', url)
+
+
+def test_traces_hold_a_span_for_each_hop_and_no_key(world, tmp_path):
+    target = tmp_path / 'spans'
+    world.start_fleet(('bole',), trace_export='file', trace_target=str(target))
+    world.configure()
+    world.start_engine('engine-1')
+    world.start_service('booth-orders')
+    world.await_endpoints(['engine-1', 'booth-orders'])
+    assert world.chat().status == 200
+    assert world.order('vm1', 'traced').status == 201
+    assert world.stop_vm('vm1') == 0
+    spans = [json.loads(line) for line in target.read_text().splitlines()]
+    names_by_trace = {}
+    for span in spans:
+        trace = span['context']['trace_id']
+        names_by_trace.setdefault(trace, set()).add(span['name'])
+    assert {'caller', 'key', 'limit', 'choice', 'endpoint', 'stream'} in (
+        list(names_by_trace.values())
+    )
+    assert {'caller', 'key', 'claim', 'endpoint'} in (
+        list(names_by_trace.values())
+    )
+    assert 'cbw-' not in target.read_text()
+    seen = world.stand_in_get('engine-1', '/counters')['headers']
+    assert 'traceparent' in {name.lower() for name in seen[-1]}
+
+
+def test_metrics_go_to_statsd(world):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as collector:
+        collector.bind(('127.0.0.1', 0))
+        collector.settimeout(20)
+        port = collector.getsockname()[1]
+        world.start_fleet(('bole',), statsd=f'127.0.0.1:{port}')
+        world.configure()
+        assert world.chat().code == 'no_endpoint'
+        wanted = b'carobwood.refused.no_endpoint:1|c'
+        while collector.recv(1000) != wanted:
+            pass
+
+
+def test_a_planned_stop_cuts_no_request(world):
+    world.start_fleet(('bole', 'kirkos', 'arada'))
+    world.configure()
+    world.proxied_engine('engine-1', token_seconds=0.02)
+    world.await_endpoints(['engine-1'])
+    streams = [world.pool.submit(world.chat, max_tokens=150) for _ in range(8)]
+    fleets.wait_until(
+        lambda: world.status('vm1')['requests_in_flight'] == 8,
+        'the streams to start',
+    )
+    vm = world.vms_by_id['vm1']
+    vm.process.send_signal(signal.SIGTERM)
+    fleets.wait_until(lambda: not world.is_ready('vm1'), 'not ready')
+    late = fleets.wait_until(
+        lambda: world.request('vm1', 'GET', '/v1/models').code, 'a refusal'
+    )
+    assert late == 'stopping'
+    for stream in streams:
+        assert stream.result().events[-1].endswith('data: [DONE]')
+    assert vm.process.wait(30) == 0
+    assert '"drain-timed-out"' not in vm.log_text()
+    assert fleets.wait_until(world.leader, 'a new leader') != 'vm1'
+
+
+def test_client_exit_codes_and_json_errors(world):
+    world.start_fleet(('bole',))
+    world.configure()
+    path = world.folder / 'document.yaml'
+    stale = ('document', 'apply', str(path), '--expect-version=0')
+    assert world.client(*stale, code=3)['error']['code'] == (
+        'version_conflict'
+    )
+    missing = ('key', 'withdraw', 'absent')
+    assert world.client(*missing, code=1)['error']['code'] == 'not_found'
+    path.write_text(builders.document(customers=[{'id': 'X'}]))
+    checked = world.client('document', 'check', str(path), code=1)
+    assert 'customers/0' in checked['error']['message']
+    world.stop_vm('vm1', signal.SIGKILL)
+    assert world.client('status', code=6)['error']['code'] == 'unreachable'
