Give the client the read timeout that it states

Cause: a change through a cut-off VM ended the client with 'unreachable' (exit 6) after 2 s instead of 'change_uncertain' (exit 4): urllib3.Timeout takes its first argument as the total. Ruled out: the daemon; it answers 504 after its own 10 s. Conclusion: an uncertain change is told apart from an unreachable VM.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -85,7 +85,9 @@
         self._link_file = self._write('link', secrets.token_hex(16))
         self._announce_file = self._write('announce', self.announce_token)
         self.http = urllib3.PoolManager(
-            timeout=urllib3.Timeout(5.0, 30.0), retries=False, maxsize=64
+            timeout=urllib3.Timeout(connect=5.0, read=30.0),
+            retries=False,
+            maxsize=64,
         )
 
     def __enter__(self):
--- a/packages/carobwood-client/carobwood_client/connection.py
+++ b/packages/carobwood-client/carobwood_client/connection.py
@@ -46,7 +46,9 @@
         self._scheme = 'https' if ca_file else 'http'
         options = {'ca_certs': ca_file} if ca_file else {}
         self._manager = urllib3.PoolManager(
-            timeout=urllib3.Timeout(CONNECT_TIMEOUT, READ_TIMEOUT),
+            timeout=urllib3.Timeout(
+                connect=CONNECT_TIMEOUT, read=READ_TIMEOUT
+            ),
             retries=False,
             headers={
                 'Authorization': f'Bearer {token}',
--- /dev/null
+++ b/tests/features/configuration.feature
@@ -0,0 +1,63 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+
+  Scenario: Of two operators under equal numbers exactly one wins
+    Given a configured fleet of 3 VMs
+    When 6 operators apply different documents under equal numbers at once
+    Then exactly 1 change is accepted
+    And the other operators are told of the conflict
+    And all VMs hold version 2
+
+  Scenario: The resend of a lost answer gets the first answer
+    Given a configured fleet of 3 VMs
+    When an operator sends one operation through two VMs
+    Then both answers are the same
+    And all VMs hold version 2
+
+  Scenario: Only the document that was tried is promoted
+    Given a configured fleet of 3 VMs
+    When a document is put into trial
+    And the trial is changed before the first document is promoted
+    Then the promotion is refused with version_conflict
+    When the document in trial is promoted
+    Then all VMs hold version 2
+
+  Scenario: Changes go on after the leader is killed
+    Given a configured fleet of 3 VMs
+    When the leader is killed
+    And the document is changed through any VM
+    Then the live VMs hold version 2
+    When the killed VM starts again
+    Then all VMs hold version 2
+
+  Scenario: A minority accepts nothing and catches up without disturbance
+    Given a configured fleet of 5 VMs
+    When the links between vm4, vm5 and vm1, vm2, vm3 are cut
+    And the document is changed through vm1
+    Then a change through vm4 is not accepted
+    And vm4 and vm5 still hold version 1
+    When the term is noted
+    And the links are healed
+    Then all VMs hold version 2
+    And the term has not changed
+
+  Scenario: VMs without a disk serve after a restart in a cut-off data centre
+    Given a configured fleet in bole kirkos arada yeka yeka without disk on vm4 and vm5
+    And engines engine-1
+    When the links between vm4, vm5 and vm1, vm2, vm3 are cut
+    And vm5 is killed
+    And vm5 starts again
+    Then vm5 serves with version 1
+
+  Scenario: A whole fleet restarts as a herd after many changes
+    Given a configured fleet in bole kirkos arada bole kirkos without disk on vm4 and vm5
+    When the document is changed 30 times
+    And all VMs are killed and start again at once
+    Then all VMs hold version 31
+
+  Scenario: A silent leader is replaced
+    Given a configured fleet of 3 VMs
+    When the leader goes silent on every link
+    Then another VM leads
+    And the document is changed through the others
+    When the links are healed
+    Then all VMs hold version 2
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,235 @@
+"""Scenarios of documents and of the replicated log."""
+
+import signal
+import uuid
+
+import builders
+import fault_proxy
+import fleet as fleets
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+scenarios('features/configuration.feature')
+
+
+def _apply(world, vm_id, text, expected, operation_id=None):
+    return world.operate(
+        vm_id,
+        '/v1/documents/apply',
+        environment='production',
+        text=text,
+        operation_id=operation_id or uuid.uuid4().hex,
+        expected_version=expected,
+    )
+
+
+def _text(number, environment='production'):
+    retention = {'history_versions': 20, 'claim_seconds': 3600 + number}
+    return builders.document(environment, retention=retention)
+
+
+def _live(world):
+    return [
+        vm_id
+        for vm_id, vm in world.vms_by_id.items()
+        if vm.process.poll() is None
+    ]
+
+
+def _change_through(world, vm_ids, number, expected):
+    operation_id = uuid.uuid4().hex
+
+    def is_accepted():
+        for vm_id in vm_ids:
+            status, _ = _apply(
+                world, vm_id, _text(number), expected, operation_id
+            )
+            if status == 200:
+                return True
+        return False
+
+    fleets.wait_until(is_accepted, 'the change to be accepted')
+
+
+@when(
+    parsers.parse(
+        '{count:d} operators apply different documents under equal numbers '
+        'at once'
+    )
+)
+def _race(world, count):
+    vm_ids = list(world.vms_by_id)
+    pending = [
+        world.pool.submit(_apply, world, vm_ids[n % len(vm_ids)], _text(n), 1)
+        for n in range(count)
+    ]
+    world.notes['replies'] = [reply.result() for reply in pending]
+
+
+@then(parsers.parse('exactly {count:d} change is accepted'))
+def _accepted(world, count):
+    statuses = [status for status, _ in world.notes['replies']]
+    assert statuses.count(200) == count
+
+
+@then('the other operators are told of the conflict')
+def _conflict(world):
+    for status, body in world.notes['replies']:
+        if status != 200:
+            assert body['error']['code'] == 'version_conflict'
+            assert 'in force is version 2' in body['error']['message']
+
+
+@when('an operator sends one operation through two VMs')
+def _resend(world):
+    operation_id = uuid.uuid4().hex
+    world.notes['replies'] = [
+        _apply(world, vm_id, _text(1), 1, operation_id)
+        for vm_id in ('vm1', 'vm2')
+    ]
+
+
+@then('both answers are the same')
+def _same(world):
+    first, second = world.notes['replies']
+    assert first == second and first[0] == 200
+
+
+@when('a document is put into trial')
+def _trial(world):
+    path = world.folder / 'trial.yaml'
+    path.write_text(_text(1, 'trial'))
+    world.client('document', 'apply', str(path), '--environment=trial')
+    world.notes['digest'] = world.client(
+        'document', 'show', '--environment=trial'
+    )['digest']
+
+
+@when('the trial is changed before the first document is promoted')
+def _change_trial(world):
+    path = world.folder / 'trial.yaml'
+    path.write_text(_text(2, 'trial'))
+    world.client('document', 'apply', str(path), '--environment=trial')
+    world.notes['reply'] = world.client(
+        'document', 'promote', f'--digest={world.notes["digest"]}', code=3
+    )
+
+
+@then(parsers.parse('the promotion is refused with {code}'))
+def _refused(world, code):
+    error = world.notes['reply']['error']
+    assert error['code'] in (code, 'digest_mismatch')
+
+
+@when('the document in trial is promoted')
+def _promote(world):
+    world.client('document', 'promote')
+    shown = world.client('document', 'show')
+    assert shown['promoted_from'] == 'trial'
+    assert 'claim_seconds: 3602' in shown['text']
+
+
+@when('the leader is killed')
+def _kill_leader(world):
+    world.notes['killed'] = fleets.wait_until(world.leader, 'a leader')
+    world.stop_vm(world.notes['killed'], signal.SIGKILL)
+
+
+@when('the killed VM starts again')
+def _start_killed(world):
+    world.start_vm(world.notes['killed'])
+
+
+@when('the document is changed through any VM')
+def _change_any(world):
+    _change_through(world, _live(world), 1, 1)
+
+
+@when('the document is changed through vm1')
+def _change_vm1(world):
+    _change_through(world, ['vm1'], 1, 1)
+
+
+@then('the document is changed through the others')
+def _change_others(world):
+    others = [v for v in world.vms_by_id if v != world.notes['silent']]
+    _change_through(world, others, 1, 1)
+
+
+@when(parsers.parse('the document is changed {count:d} times'))
+def _change_often(world, count):
+    for number in range(count):
+        status, body = _apply(world, 'vm1', _text(number), 1 + number)
+        assert status == 200, body
+
+
+@then(parsers.parse('the live VMs hold version {version:d}'))
+def _live_hold(world, version):
+    fleets.wait_until(
+        lambda: world.versions() == dict.fromkeys(_live(world), version),
+        f'version {version} on live VMs',
+    )
+
+
+@then(parsers.parse('a change through {vm} is not accepted'))
+def _not_accepted(world, vm):
+    path = world.folder / 'document.yaml'
+    path.write_text(_text(9))
+    apply = ('document', 'apply', str(path), '--expect-version=1')
+    reply = world.client(*apply, vm_id=vm, code=4)
+    assert reply['error']['code'] == 'change_uncertain'
+
+
+@then(parsers.parse('vm4 and vm5 still hold version {version:d}'))
+def _still_hold(world, version):
+    versions = world.versions()
+    assert versions['vm4'] == versions['vm5'] == version
+
+
+@when('the term is noted')
+def _note_term(world):
+    world.notes['term'] = world.status('vm1')['term']
+
+
+@then('the term has not changed')
+def _same_term(world):
+    for vm_id in world.vms_by_id:
+        assert world.status(vm_id)['term'] == world.notes['term']
+
+
+@then(parsers.parse('{vm} serves with version {version:d}'))
+def _serves(world, vm, version):
+    world.await_ready([vm])
+    assert world.versions()[vm] == version
+    fleets.wait_until(lambda: world.chat(vm).status == 200, f'{vm} to serve')
+
+
+@when('all VMs are killed and start again at once')
+def _herd(world):
+    for vm_id in world.vms_by_id:
+        world.stop_vm(vm_id, signal.SIGKILL)
+    for vm_id in world.vms_by_id:
+        world.start_vm(vm_id)
+
+
+@when('the leader goes silent on every link')
+def _silence_leader(world):
+    leader = fleets.wait_until(world.leader, 'a leader')
+    world.notes['silent'] = leader
+    others = [vm_id for vm_id in world.vms_by_id if vm_id != leader]
+    world.cut([[leader], others], fault_proxy.Fault.SILENT)
+
+
+@then('another VM leads')
+def _other_leads(world):
+    others = [v for v in world.vms_by_id if v != world.notes['silent']]
+
+    def leads():
+        return any(
+            (world.status(vm_id) or {}).get('role') == 'leader'
+            for vm_id in others
+        )
+
+    fleets.wait_until(leads, 'another leader')
