Send orders to engines under a lease, and prove the state under chaos

Cause: the verb order of the starting design was missing, and no test mixed faults at random. Change: orders are committed with their log index as fencing number and sent by the leader only while it holds the lease; an engine is drained first, at most two orders run at once, the last serving engine is kept, and engines that do not check numbers wait until older leases have ended.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 SOURCES := packages tests bench examples
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench generate clean
+SHELL := bash
+.PHONY: demo test lint format bench capacity generate clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(PACKAGES:%=%/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -26,7 +27,11 @@
 	$(VENV)/bin/ruff format $(SOURCES)
 
 bench: $(STAMP)
-	$(PYTHON) bench/relay.py
+	$(PYTHON) bench/relay.py $(if $(QUICK),--quick)
+	$(PYTHON) bench/replication.py $(if $(QUICK),--quick)
+
+capacity: $(STAMP)
+	$(PYTHON) bench/capacity.py
 
 # Needed only after a change of the IDL; the generated code is committed.
 generate:
--- a/bench/fake_engine.py
+++ b/bench/fake_engine.py
@@ -67,6 +67,29 @@
         self.counters = collections.Counter()
         self.headers_seen = []
         self.fault = ''
+        self.order = {'fencing_number': 0}
+        self.loads = 0
+
+    def follow(self, order):
+        """Follow an order; tell whether it is not older than the last."""
+        with self.lock:
+            newest = self.order['fencing_number']
+            is_old = order['fencing_number'] < newest
+            if is_old and self.arguments.checks_fencing == 'yes':
+                return False
+            if order == self.order:
+                return True
+            self.loads += 1
+        time.sleep(self.arguments.load_seconds)
+        with self.lock:
+            self.loads -= 1
+            self.order = order
+            if order['kind'] == 'load-weights':
+                self.arguments.weights_version = order['argument']
+                lifetime = self.arguments.cache_seconds
+                self.cache = PrefixCache(self.arguments.cache_pieces, lifetime)
+            self.counters['running_at_order'] += self.running
+        return True
 
     def describe(self):
         """Return the engine's part of an announcement."""
@@ -117,6 +140,9 @@
                 seen = list(engine.headers_seen)
             self.send_json(200, {'counters': counters, 'headers': seen})
             return
+        if self.path == '/v1/orders':
+            self.send_json(200, engine.order)
+            return
         engine.count('probes')
         self.send_json(200, {'state': 'ok'})
 
@@ -127,6 +153,10 @@
             self.engine.fault = json.loads(body)['fault']
             self.send_json(200, {})
             return
+        if self.path == '/v1/orders':
+            is_followed = self.engine.follow(json.loads(body))
+            self.send_json(200 if is_followed else 409, {})
+            return
         self._run(json.loads(body))
 
     def _run(self, request):
@@ -244,6 +274,8 @@
     """Run the engine until SIGTERM."""
     parser = http_stand_in.make_parser(__doc__.splitlines()[0])
     parser.add_argument('--weights-version', default='1')
+    parser.add_argument('--checks-fencing', default='yes')
+    parser.add_argument('--load-seconds', type=float, default=0.6)
     parser.add_argument('--cache-pieces', type=int, default=64)
     parser.add_argument('--cache-seconds', type=float, default=30.0)
     parser.add_argument('--token-seconds', type=float, default=0.002)
--- a/packages/carobwood-client/carobwood_client/cli.py
+++ b/packages/carobwood-client/carobwood_client/cli.py
@@ -22,6 +22,15 @@
 EXIT_UNREACHABLE = 6
 
 _CONFLICTS = ('version_conflict', 'digest_mismatch', 'already_founded')
+_ORDER_COLUMNS = (
+    'fencing_number',
+    'endpoint_id',
+    'kind',
+    'argument',
+    'operator',
+    'state',
+    'detail',
+)
 _EPILOG = """\
 exit codes: 0 done, 1 refused, 2 wrong usage, 3 another change came first,
 4 the change may or may not be committed, 5 committed but not yet on every
@@ -85,6 +94,7 @@
     _add_document_verbs(nouns)
     _add_customer_and_key_verbs(nouns)
     _add_endpoint_verbs(nouns)
+    _add_order_verbs(nouns)
     _add_vm_verbs(nouns)
     _add_verb(nouns, 'status', _status, "show a VM's view of the fleet")
     return parser
@@ -238,6 +248,19 @@
         parser.set_defaults(drained=drained)
 
 
+def _add_order_verbs(nouns):
+    verbs = _add_noun(nouns, 'order', 'orders to engines')
+    _add_verb(verbs, 'list', _order_list, 'list recent orders')
+    parser = _add_verb(
+        verbs, 'place', _order_place, 'order an engine to change'
+    )
+    parser.add_argument('endpoint', help='id of the engine')
+    parser.add_argument(
+        'kind', choices=('load-weights', 'load-adapter', 'set-role')
+    )
+    parser.add_argument('argument', help='version, adapter or role')
+
+
 def _add_vm_verbs(nouns):
     verbs = _add_noun(nouns, 'vm', 'VMs of the fleet')
     _add_verb(verbs, 'list', _vm_list, 'list VMs')
@@ -388,6 +411,29 @@
     return _print_change(printer, change, f'{arguments.endpoint} is {state}')
 
 
+def _order_list(connection, arguments, printer):
+    printer.rows(porcelain.order_list(connection), _ORDER_COLUMNS)
+    return EXIT_OK
+
+
+def _order_place(connection, arguments, printer):
+    order = porcelain.order_place(
+        connection,
+        arguments.endpoint,
+        arguments.kind,
+        arguments.argument,
+        printer.progress,
+    )
+    printer.result(
+        order,
+        f'order {order["fencing_number"]} is {order["state"]} '
+        f'{order["detail"]}'.rstrip(),
+    )
+    if order['state'] == 'pending':
+        return EXIT_UNCERTAIN
+    return EXIT_OK if order['state'] == 'done' else EXIT_REFUSED
+
+
 def _vm_list(connection, arguments, printer):
     printer.rows(
         porcelain.vm_list(connection),
--- a/packages/carobwood-client/carobwood_client/porcelain.py
+++ b/packages/carobwood-client/carobwood_client/porcelain.py
@@ -11,6 +11,7 @@
 
 POLL_SECONDS = 0.1
 IN_FORCE_TIMEOUT = 30.0
+ORDER_TIMEOUT = 120.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -216,6 +217,36 @@
     return _await_change(connection, change, progress)
 
 
+def order_place(connection, endpoint_id, kind, argument, progress):
+    """Order an engine to change and wait for the outcome.
+
+    Returns:
+        The order as a dictionary, still ``pending`` if it takes longer
+        than ``ORDER_TIMEOUT`` seconds.
+    """
+    change = connection.post(
+        '/v1/orders/place',
+        endpoint_id=endpoint_id,
+        kind=kind,
+        argument=argument,
+        operation_id=_new_id(),
+    )
+    _await_change(connection, change, progress)
+    deadline = time.monotonic() + ORDER_TIMEOUT
+    while True:
+        for order in order_list(connection):
+            if order['fencing_number'] != change['version']:
+                continue
+            if order['state'] != 'pending' or time.monotonic() > deadline:
+                return order
+        time.sleep(POLL_SECONDS)
+
+
+def order_list(connection):
+    """Return recent orders to engines."""
+    return connection.get('/v1/orders')
+
+
 def vm_list(connection):
     """Return the VMs of the fleet."""
     return connection.get('/v1/vms')
--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -27,6 +27,7 @@
 from .observe import tracing
 from .operators import operator_app
 from .operators import porcelain
+from .orders import order_sender
 from .replication import data_folder
 from .replication import proposer as proposers
 from .replication import state_store
@@ -203,9 +204,15 @@
             keepers.EndpointProber(self._directory, self._placements.forget),
         ]
         if self._voter is not None:
-            self._keepers.append(
-                keepers.Joiner(self._voter, self._directory, self._links)
-            )
+            self._keepers += [
+                keepers.Joiner(self._voter, self._directory, self._links),
+                order_sender.OrderSender(
+                    self._voter,
+                    self._store,
+                    self._directory,
+                    self._proposer,
+                ),
+            ]
 
     def _build_listeners(self):
         settings = self._settings
--- a/packages/carobwood-daemon/carobwood_daemon/operators/messages.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/messages.py
@@ -1,5 +1,7 @@
 """Typed messages of the operators' interface, sent as JSON."""
 
+from typing import Literal
+
 import msgspec
 
 
@@ -52,6 +54,27 @@
     operation_id: str
 
 
+class PlaceOrder(msgspec.Struct, frozen=True):
+    """An order to an engine."""
+
+    endpoint_id: str
+    kind: Literal['load-weights', 'load-adapter', 'set-role']
+    argument: str
+    operation_id: str
+
+
+class OrderInfo(msgspec.Struct, frozen=True):
+    """An order and what became of it."""
+
+    fencing_number: int
+    endpoint_id: str
+    kind: str
+    argument: str
+    operator: str
+    state: str
+    detail: str
+
+
 class ReplaceVm(msgspec.Struct, frozen=True):
     """A voter to replace by another VM's replica."""
 
--- a/packages/carobwood-daemon/carobwood_daemon/operators/operator_app.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/operator_app.py
@@ -32,6 +32,7 @@
             '/v1/keys/issue': self._issue,
             '/v1/keys/withdraw': self._withdraw,
             '/v1/endpoints/drain': self._drain,
+            '/v1/orders/place': self._place_order,
             '/v1/vms/replace': self._replace,
             '/v1/vms/forget': self._forget,
             '/v1/fleet/found': self._found,
@@ -40,6 +41,7 @@
             '/v1/status': lambda query: porcelain.status(),
             '/v1/vms': lambda query: porcelain.vms(),
             '/v1/endpoints': lambda query: porcelain.endpoints(),
+            '/v1/orders': lambda query: porcelain.orders(),
             '/v1/keys': lambda query: porcelain.keys(query),
             '/v1/customers': lambda query: porcelain.customers(query),
             '/v1/documents/current': lambda query: porcelain.document(query),
@@ -115,6 +117,10 @@
         message = _decode(request, messages.DrainEndpoint)
         return self._porcelain.drain(message, operator)
 
+    def _place_order(self, request, operator):
+        message = _decode(request, messages.PlaceOrder)
+        return self._porcelain.place_order(message, operator)
+
     def _replace(self, request, operator):
         message = _decode(request, messages.ReplaceVm)
         return self._porcelain.replace(message, operator)
--- a/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
@@ -198,7 +198,7 @@
 
     def endpoints(self):
         """Return the endpoints that this VM knows."""
-        drained = self._parts.store.fleet.drained_endpoints
+        drained = self._parts.store.fleet.withheld_endpoints()
         found = sorted(self._parts.directory.endpoints(), key=lambda e: e.id)
         return [
             messages.EndpointInfo(
@@ -225,6 +225,37 @@
             operator,
         )
 
+    def place_order(self, message, operator):
+        """Place an order to an engine that this VM knows."""
+        endpoint = self._parts.directory.find_endpoint(message.endpoint_id)
+        if endpoint is None:
+            raise errors.NotFound(f'no endpoint {message.endpoint_id[:64]!r}')
+        return self._change(
+            commands.PlaceOrder(
+                message.operation_id,
+                message.endpoint_id,
+                message.kind,
+                message.argument,
+                operator,
+            ),
+            operator,
+        )
+
+    def orders(self):
+        """Return recent orders to engines."""
+        return [
+            messages.OrderInfo(
+                order.fencing_number,
+                order.endpoint_id,
+                order.kind,
+                order.argument,
+                order.operator,
+                order.state,
+                order.detail,
+            )
+            for order in self._parts.store.fleet.orders_by_fencing.values()
+        ]
+
     def vms(self):
         """Return the VMs that are registered or alive."""
         registered = self._parts.store.fleet.vms_by_id
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, sent by the leader."""
--- a/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
@@ -94,6 +94,32 @@
     drained: bool
 
 
+class PlaceOrder(Command, frozen=True, tag=True):
+    """Order an engine to change; the log index is the fencing number.
+
+    Attributes:
+        operation_id: a resend under the same id gets the first result.
+        endpoint_id: the engine.
+        kind: ``load-weights``, ``load-adapter`` or ``set-role``.
+        argument: version, adapter or role.
+        operator: who placed it.
+    """
+
+    operation_id: str
+    endpoint_id: str
+    kind: str
+    argument: str
+    operator: str
+
+
+class FinishOrder(Command, frozen=True, tag=True):
+    """Record what became of an order."""
+
+    fencing_number: int
+    state: str
+    detail: str
+
+
 class RegisterVm(Command, frozen=True, tag=True):
     """Record a VM of the fleet."""
 
@@ -154,6 +180,8 @@
     | IssueKey
     | WithdrawKey
     | DrainEndpoint
+    | PlaceOrder
+    | FinishOrder
     | RegisterVm
     | ForgetVm
     | OpenClaim
--- a/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
@@ -10,6 +10,7 @@
 from . import commands
 
 MAX_REMEMBERED_OPERATIONS = 10000
+MAX_FINISHED_ORDERS = 200
 MAX_DOCUMENT_BYTES = documents.MAX_DOCUMENT_BYTES
 
 
@@ -51,6 +52,33 @@
     data_centre: str
 
 
+class EngineOrder(msgspec.Struct, frozen=True):
+    """An order to an engine.
+
+    Attributes:
+        fencing_number: log index of the order, which only grows.
+        endpoint_id: the engine.
+        kind: ``load-weights``, ``load-adapter`` or ``set-role``.
+        argument: version, adapter or role.
+        operator: who placed it.
+        state: ``pending``, ``done`` or ``refused``.
+        detail: why it was refused.
+    """
+
+    fencing_number: int
+    endpoint_id: str
+    kind: str
+    argument: str
+    operator: str
+    state: str = 'pending'
+    detail: str = ''
+
+    @property
+    def needs_drain(self):
+        """Whether the engine must be idle while it follows the order."""
+        return self.kind != 'load-adapter'
+
+
 class FleetState(msgspec.Struct, frozen=True, dict=True):
     """An immutable version of the fleet's configuration.
 
@@ -61,6 +89,7 @@
         withdrawn_digests: digests of keys that must never work again.
         vms_by_id: registered VMs.
         drained_endpoints: ids of endpoints that get no new work.
+        orders_by_fencing: recent orders to engines.
         results_by_operation: results of recent operations.
     """
 
@@ -70,6 +99,7 @@
     withdrawn_digests: frozenset[str] = frozenset()
     vms_by_id: dict[str, VmRecord] = {}
     drained_endpoints: frozenset[str] = frozenset()
+    orders_by_fencing: dict[int, EngineOrder] = {}
     results_by_operation: dict[str, commands.AnyResult] = {}
 
     def current(self, environment):
@@ -84,6 +114,18 @@
             return None
         return _parse_cached(current.text_zlib)
 
+    def pending_orders(self):
+        """Return the orders that are not finished, oldest first."""
+        orders = self.orders_by_fencing.values()
+        return [order for order in orders if order.state == 'pending']
+
+    def withheld_endpoints(self):
+        """Return ids of endpoints that get no new work."""
+        ordered = {
+            o.endpoint_id for o in self.pending_orders() if o.needs_drain
+        }
+        return self.drained_endpoints | ordered
+
     def apply(self, index, command):
         """Apply a committed command.
 
@@ -117,6 +159,10 @@
                 return self._with(withdrawn_digests=withdrawn), applied
             case commands.DrainEndpoint(endpoint_id=name, drained=drained):
                 return self._drain(name, drained), applied
+            case commands.PlaceOrder():
+                return self._place_order(index, command), applied
+            case commands.FinishOrder():
+                return self._finish_order(command), applied
             case commands.RegisterVm(vm_id=vm_id, data_centre=data_centre):
                 record = VmRecord(vm_id, data_centre)
                 vms = {**self.vms_by_id, vm_id: record}
@@ -198,6 +244,30 @@
             names |= {endpoint_id}
         return self._with(drained_endpoints=names)
 
+    def _place_order(self, index, command):
+        order = EngineOrder(
+            index,
+            command.endpoint_id,
+            command.kind,
+            command.argument,
+            command.operator,
+        )
+        orders = {**self.orders_by_fencing, index: order}
+        finished = [i for i, o in orders.items() if o.state != 'pending']
+        for fencing_number in finished[:-MAX_FINISHED_ORDERS]:
+            del orders[fencing_number]
+        return self._with(orders_by_fencing=orders)
+
+    def _finish_order(self, command):
+        order = self.orders_by_fencing.get(command.fencing_number)
+        if order is None or order.state != 'pending':
+            return self
+        order = msgspec.structs.replace(
+            order, state=command.state, detail=command.detail
+        )
+        orders = {**self.orders_by_fencing, order.fencing_number: order}
+        return self._with(orders_by_fencing=orders)
+
     def _forget_vm(self, vm_id, applied):
         if vm_id not in self.vms_by_id:
             return self, commands.Absent(vm_id)
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
@@ -132,6 +132,7 @@
         self.transferring = False
         self.progress_by_id = {}
         self.term_start_index = 0
+        self.leading_since = 0.0
         self._proposals_by_index = {}
         self._voters_by_index = {0: configurations.Voters()}
         self._snapshot_parts = bytearray()
@@ -194,6 +195,12 @@
             age = time.monotonic() - self.quorum_acked_at()
             return age < self.timing.lease
 
+    def outlived_older_leases(self):
+        """Tell whether every older leader's lease has ended for sure."""
+        with self.changed:
+            age = time.monotonic() - self.leading_since
+            return self.is_leader and age > self.timing.election_max
+
     def quorum_acked_at(self):
         """Return the time by which a quorum last answered the leader."""
         times = []
@@ -355,6 +362,7 @@
     def lead(self):
         """Become leader of the current term; the caller holds the lock."""
         self.role = Role.LEADER
+        self.leading_since = time.monotonic()
         self.leader_id = self.replica_id
         self.leader_address = self.address
         self.progress_by_id = {}
--- a/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
@@ -45,14 +45,14 @@
             pool: the ``Pool``.
             weights_version: weights that they must have, or empty.
         """
-        drained = self._store.fleet.drained_endpoints
+        withheld = self._store.fleet.withheld_endpoints()
         return [
             endpoint
             for endpoint in self._directory.endpoints()
             if endpoint.pool == pool.id
             and endpoint.environment == environment
             and not endpoint.leaving
-            and endpoint.id not in drained
+            and endpoint.id not in withheld
             and (
                 not weights_version
                 or endpoint.weights_version == weights_version
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -52,6 +52,7 @@
 KEY_WITHDRAWN = Event(411, 'key-withdrawn', logging.INFO)
 WITHDRAWAL_UNCOMMITTED = Event(412, 'withdrawal-uncommitted', logging.WARNING)
 OPERATOR_CHANGE = Event(420, 'operator-change', logging.INFO)
+ORDER_FINISHED = Event(421, 'order-finished', logging.INFO)
 
 
 def all_events():
