Borrow tokens between VMs, and never follow without contact

Cause (limits): a VM spent only its fixed part of a rate, so a customer whose traffic lands on one VM of 8 was refused above an eighth of its rate. Ways weighed: chunks leased by a grantor (leases, margins, returns, a single place that must be up), or loans between the VMs' own buckets. A loan moves tokens and makes none, so the bound holds without clocks and under cuts. Change: a VM that runs short borrows from live VMs; lenders that serve the customer themselves keep half. Change: a source that names no contact is left. Conclusion: a follower must judge its source, not only its answers.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -15,6 +15,7 @@
 from .entry import gate as gates
 from .entry import listener
 from .limits import allowance as allowances
+from .limits import lenders
 from .membership import directory as directories
 from .membership import fleet_handler
 from .membership import follower as followers
@@ -175,8 +176,14 @@
         self._follower = followers.Follower(
             self._store, self._directory, self._links, self._is_member
         )
+        borrowing = lenders.Lenders(
+            self._directory, self._links, time.monotonic
+        )
+        self._allowance = allowances.Allowance(
+            settings.vm_slots, borrowing.borrow
+        )
         handler = fleet_handler.FleetHandler(
-            self._voter, self._store, self._gossip
+            self._voter, self._store, self._gossip, self._allowance
         )
         self._link_server = link_server.LinkServer(
             settings.link_listen, settings.link_secret, handler
@@ -191,7 +198,6 @@
         if settings.statsd is not None:
             self._metrics = metric_clients.StatsdMetrics(settings.statsd)
         self._settlements = at_most_once.Settlements(self._proposer)
-        self._allowance = allowances.Allowance(settings.vm_slots)
         self._loads = endpoint_loads.Loads()
         self._placements = placement_tables.Placements()
         self._store.on_change(self._adopt)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -14,10 +14,11 @@
 class FleetHandler:
     """Implements the thrift service ``FleetLink``."""
 
-    def __init__(self, voter, store, gossip):
+    def __init__(self, voter, store, gossip, allowance):
         self._voter = voter
         self._store = store
         self._gossip = gossip
+        self._allowance = allowance
 
     def request_vote(self, request):
         """See ``Replica.handle_vote``."""
@@ -108,6 +109,11 @@
         """Exchange news; see ``Gossip.receive``."""
         return self._gossip.receive(message)
 
+    def lend_tokens(self, request):
+        """Lend a customer's tokens; see ``Allowance.lend``."""
+        lent = self._allowance.lend(request.customer_id, request.tokens)
+        return ttypes.LendReply(lent)
+
     def _contact_age_ms(self):
         age = self._store.contact_age()
         return NO_CONTACT if math.isinf(age) else int(age * 1000)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/follower.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/follower.py
@@ -98,7 +98,8 @@
             except errors.LinkFailed:
                 return False
             self._take(reply)
-            if reply.contact_age_ms > STALE_CONTACT * 1000:
+            # Two VMs without contact must not follow only each other.
+            if not 0 <= reply.contact_age_ms <= STALE_CONTACT * 1000:
                 return False
         return True
 
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -1939,6 +1939,222 @@
         return not (self == other)
 
 
+class LendRequest(object):
+    """
+    Attributes:
+     - customer_id
+     - tokens
+
+    """
+
+
+    def __init__(self, customer_id=None, tokens=None,):
+        self.customer_id = customer_id
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.customer_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LendRequest')
+        if self.customer_id is not None:
+            oprot.writeFieldBegin('customer_id', TType.STRING, 1)
+            oprot.writeString(self.customer_id.encode('utf-8') if sys.version_info[0] == 2 else self.customer_id)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 2)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.customer_id is None:
+            raise TProtocolException(message='Required field customer_id is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LendReply(object):
+    """
+    Attributes:
+     - tokens
+
+    """
+
+
+    def __init__(self, tokens=None,):
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LendReply')
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 1)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Strike(object):
+    """
+    Attributes:
+     - fingerprint
+     - crash
+     - age_ms
+
+    """
+
+
+    def __init__(self, fingerprint=None, crash=None, age_ms=None,):
+        self.fingerprint = fingerprint
+        self.crash = crash
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.crash = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Strike')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.crash is not None:
+            oprot.writeFieldBegin('crash', TType.STRING, 2)
+            oprot.writeString(self.crash.encode('utf-8') if sys.version_info[0] == 2 else self.crash)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.crash is None:
+            raise TProtocolException(message='Required field crash is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GossipMessage(object):
     """
     Attributes:
@@ -1948,17 +2164,19 @@
      - announcements
      - withdrawn_digests
      - fleet_id
+     - strikes
 
     """
 
 
-    def __init__(self, vm=None, version=None, vms=None, announcements=None, withdrawn_digests=None, fleet_id=None,):
+    def __init__(self, vm=None, version=None, vms=None, announcements=None, withdrawn_digests=None, fleet_id=None, strikes=None,):
         self.vm = vm
         self.version = version
         self.vms = vms
         self.announcements = announcements
         self.withdrawn_digests = withdrawn_digests
         self.fleet_id = fleet_id
+        self.strikes = strikes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2017,6 +2235,17 @@
                     self.fleet_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.strikes = []
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = Strike()
+                        _elem51.read(iprot)
+                        self.strikes.append(_elem51)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2038,28 +2267,35 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter46 in self.vms:
-                iter46.write(oprot)
+            for iter52 in self.vms:
+                iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter47 in self.announcements:
-                iter47.write(oprot)
+            for iter53 in self.announcements:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter48 in self.withdrawn_digests:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter54 in self.withdrawn_digests:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fleet_id is not None:
             oprot.writeFieldBegin('fleet_id', TType.STRING, 6)
             oprot.writeString(self.fleet_id.encode('utf-8') if sys.version_info[0] == 2 else self.fleet_id)
             oprot.writeFieldEnd()
+        if self.strikes is not None:
+            oprot.writeFieldBegin('strikes', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.strikes))
+            for iter55 in self.strikes:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2242,6 +2478,24 @@
     (11, TType.I32, 'waiting', None, None, ),  # 11
     (12, TType.I32, 'age_ms', None, None, ),  # 12
 )
+all_structs.append(LendRequest)
+LendRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'customer_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'tokens', None, None, ),  # 2
+)
+all_structs.append(LendReply)
+LendReply.thrift_spec = (
+    None,  # 0
+    (1, TType.DOUBLE, 'tokens', None, None, ),  # 1
+)
+all_structs.append(Strike)
+Strike.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'crash', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(GossipMessage)
 GossipMessage.thrift_spec = (
     None,  # 0
@@ -2251,6 +2505,7 @@
     (4, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 4
     (5, TType.LIST, 'withdrawn_digests', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.STRING, 'fleet_id', 'UTF8', None, ),  # 6
+    (7, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,59 @@
+"""Tests of following the committed state."""
+
+import threading
+
+from carobwood.gen.links import ttypes
+from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import follower
+from carobwood_daemon.replication import commands
+from carobwood_daemon.replication import state_store
+
+LOST = '127.0.0.1:1'
+GOOD = '127.0.0.1:2'
+
+
+class FakeLinks:
+    """Answers polls: one VM without contact, one with news."""
+
+    def __init__(self):
+        self.lost_polls = 0
+        self.lost_was_left = threading.Event()
+
+    def to(self, address):
+        """Return the link to an address."""
+        return FakeLink(self, address)
+
+
+class FakeLink:
+    """A link that answers ``follow``."""
+
+    def __init__(self, links, address):
+        self._links = links
+        self._address = address
+
+    def call(self, method, request, timeout):
+        """Answer a poll."""
+        assert method == 'follow'
+        if self._address == LOST:
+            self._links.lost_polls += 1
+            return ttypes.FollowReply('f', 0, [], None, -1)
+        if self._links.lost_polls > 1:
+            self._links.lost_was_left.set()
+            payload = commands.encode(commands.RegisterVm('vm1', 'bole'))
+            news = [ttypes.VersionedCommand(7, payload)]
+            return ttypes.FollowReply('f', 7, news, None, 0)
+        return ttypes.FollowReply('f', 0, [], None, 10_000)
+
+
+def test_a_source_without_contact_is_left_for_another():
+    own = directory.Vm('vm4', 'bole', '127.0.0.1:9', '', 1, False)
+    store = state_store.StateStore()
+    links = FakeLinks()
+    following = follower.Follower(
+        store, directory.Directory(own, (LOST, GOOD)), links, lambda: False
+    )
+    following.start()
+    assert links.lost_was_left.wait(20)
+    assert store.wait_beyond(6, 20) == 7
+    following.stop()
+    assert store.contact_age() < 20
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -144,6 +144,22 @@
   12: required i32 age_ms
 }
 
+struct LendRequest {
+  1: required string customer_id
+  2: required double tokens
+}
+
+struct LendReply {
+  1: required double tokens
+}
+
+// A request that was in flight on an endpoint when it crashed.
+struct Strike {
+  1: required string fingerprint
+  2: required string crash
+  3: required i32 age_ms
+}
+
 struct GossipMessage {
   1: required VmDescriptor vm
   2: required i64 version
@@ -151,6 +167,7 @@
   4: required list<Announcement> announcements
   5: required list<string> withdrawn_digests
   6: required string fleet_id
+  7: list<Strike> strikes
 }
 
 service FleetLink {
@@ -163,4 +180,5 @@
   ReplaceReply replace_voter(1: ReplaceRequest request)
   FollowReply follow(1: FollowRequest request)
   GossipMessage gossip(1: GossipMessage message)
+  LendReply lend_tokens(1: LendRequest request)
 }
