Refuse a request that crashed two endpoints, on every VM

Cause: a request that crashes its engine was tried up to three times by each VM, and again with each resend, so one caller could take every engine down. Change: a crash (a broken connection and no answer on a new one) is a strike against all that ran there; strikes reach the peers before the next try; a suspect runs alone on an engine that all VMs choose alike, under a hold of that engine's arbiter; two strikes refuse it for a while. Conclusion: apart must mean apart for the whole fleet.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -16,6 +16,7 @@
 from .entry import listener
 from .limits import allowance as allowances
 from .limits import lenders
+from .membership import arbiter
 from .membership import directory as directories
 from .membership import fleet_handler
 from .membership import follower as followers
@@ -36,6 +37,7 @@
 from .routing import chooser
 from .routing import loads as endpoint_loads
 from .routing import placements as placement_tables
+from .routing import suspects as suspect_tables
 
 OPERATOR_THREADS = 16
 SPARE_THREADS = 8
@@ -169,13 +171,19 @@
         self._proposer = proposers.Proposer(
             self._voter, self._links, self._directory
         )
+        self._suspects = suspect_tables.Suspects()
         self._gossip = gossips.Gossip(
-            self._directory, self._withdrawals, self._store, self._links
+            self._directory,
+            self._withdrawals,
+            self._suspects,
+            self._store,
+            self._links,
         )
         self._gossip.fleet_id = self._fleet_id
         self._follower = followers.Follower(
             self._store, self._directory, self._links, self._is_member
         )
+        self._holds = arbiter.Holds()
         borrowing = lenders.Lenders(
             self._directory, self._links, time.monotonic
         )
@@ -183,7 +191,11 @@
             settings.vm_slots, borrowing.borrow
         )
         handler = fleet_handler.FleetHandler(
-            self._voter, self._store, self._gossip, self._allowance
+            self._voter,
+            self._store,
+            self._gossip,
+            self._allowance,
+            self._holds,
         )
         self._link_server = link_server.LinkServer(
             settings.link_listen, settings.link_secret, handler
@@ -264,6 +276,9 @@
             ),
             loads=self._loads,
             placements=self._placements,
+            suspects=self._suspects,
+            gossip=self._gossip,
+            arbiter=arbiter.Arbiter(self._holds, self._directory, self._links),
             proposer=self._proposer,
             settlements=self._settlements,
             tracer=self._tracer,
--- a/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
@@ -30,6 +30,9 @@
         chooser: the ``Chooser``.
         loads: the ``Loads``.
         placements: the ``Placements``.
+        suspects: the ``Suspects``.
+        gossip: the ``Gossip``.
+        arbiter: the ``Arbiter``.
         proposer: the ``Proposer``.
         settlements: the ``Settlements``.
         tracer: the ``Tracer``.
@@ -45,6 +48,9 @@
     chooser: object
     loads: object
     placements: object
+    suspects: object
+    gossip: object
+    arbiter: object
     proposer: object
     settlements: object
     tracer: object
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_request.py
@@ -0,0 +1,157 @@
+"""Checked requests to models, in the interface of the OpenAI API."""
+
+import dataclasses
+import hashlib
+
+import msgspec
+
+from carobwood import document as documents
+from carobwood import errors
+
+from ..routing import prefix
+
+CHAT_PATH, COMPLETIONS_PATH, MODELS_PATH = documents.MODEL_PATHS
+
+_FIELD_SEPARATOR = b'\x1e'
+_MESSAGE_SEPARATOR = b'\x1f'
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """A message of a chat; unknown fields are left to the engine."""
+
+    role: str
+    content: str | list[dict] | None = None
+
+
+class ModelRequest(msgspec.Struct, frozen=True):
+    """The part of a request's body that routing needs."""
+
+    model: str
+    messages: list[ChatMessage] | None = None
+    prompt: str | list[int] | None = None
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """A checked request to a model.
+
+    Attributes:
+        model: the ``Model``.
+        pool: the ``Pool`` of its engines.
+        prompt: the ``Prompt``.
+        output_tokens: most tokens that may be generated.
+        is_stream: whether the answer is a stream.
+        body: the body for the engine, as bytes.
+        fingerprint: names the request on every VM.
+    """
+
+    model: documents.Model
+    pool: documents.Pool
+    prompt: prefix.Prompt
+    output_tokens: int
+    is_stream: bool
+    body: bytes
+    fingerprint: str
+
+    @property
+    def reserved_tokens(self):
+        """Upper bound of the tokens that the request can use."""
+        return self.prompt.tokens + self.output_tokens
+
+
+def check_request(customer_id, document, route, path, raw):
+    """Return the ``Work`` that a request's body asks for.
+
+    Raises:
+        MalformedRequest: the body is wrong.
+        ModelNotFound: the route serves no such model.
+    """
+    request, fields = _decode(raw)
+    model = document.models_by_id.get(request.model)
+    if model is None or model.id not in route.models:
+        raise errors.ModelNotFound(f'no model {request.model[:64]!r}')
+    output_tokens = _output_tokens(request, model)
+    # The engine must see the same fields as this check, whatever it
+    # makes of repeated keys.
+    fields['max_tokens'] = output_tokens
+    body = msgspec.json.encode(fields)
+    scope = prefix.Scope(
+        document.environment,
+        customer_id,
+        model.id,
+        model.weights_version,
+        model.adapter,
+    )
+    return Work(
+        model,
+        document.pools_by_id[model.pool],
+        _hash_prompt(request, scope, model, path),
+        output_tokens,
+        request.stream,
+        body,
+        _fingerprint(customer_id, path, body),
+    )
+
+
+def _fingerprint(customer_id, path, body):
+    digest = hashlib.blake2b(digest_size=16)
+    digest.update(f'{customer_id}\0{path}\0'.encode('utf-8'))
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def _decode(raw):
+    try:
+        fields = msgspec.json.decode(raw)
+        request = msgspec.convert(fields, ModelRequest)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise errors.MalformedRequest(str(error)[:300]) from error
+    if request.n != 1:
+        raise errors.MalformedRequest('n must be 1')
+    return request, fields
+
+
+def _output_tokens(request, model):
+    wanted = request.max_completion_tokens
+    if wanted is None:
+        wanted = request.max_tokens
+    if wanted is None:
+        return model.max_output_tokens
+    if not 1 <= wanted <= model.max_output_tokens:
+        raise errors.MalformedRequest(
+            f'max_tokens must lie between 1 and {model.max_output_tokens}'
+        )
+    return wanted
+
+
+def _hash_prompt(request, scope, model, path):
+    if path == CHAT_PATH:
+        if not request.messages or request.prompt is not None:
+            raise errors.MalformedRequest('messages are needed, and no prompt')
+        text = _chat_text(request.messages)
+        return prefix.hash_text(scope, text, model.bytes_per_token)
+    if request.prompt is None or request.messages is not None:
+        raise errors.MalformedRequest('a prompt is needed, and no messages')
+    if isinstance(request.prompt, str):
+        text = request.prompt.encode('utf-8')
+        return prefix.hash_text(scope, text, model.bytes_per_token)
+    if any(not 0 <= token < 1 << 31 for token in request.prompt):
+        raise errors.MalformedRequest('a token id is out of range')
+    return prefix.hash_token_ids(scope, request.prompt)
+
+
+def _chat_text(messages):
+    parts = []
+    for message in messages:
+        content = message.content
+        if not isinstance(content, str):
+            content = msgspec.json.encode(content).decode('utf-8')
+        parts.append(message.role.encode('utf-8'))
+        parts.append(_FIELD_SEPARATOR)
+        parts.append(content.encode('utf-8'))
+        parts.append(_MESSAGE_SEPARATOR)
+    return b''.join(parts)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -14,11 +14,12 @@
 class FleetHandler:
     """Implements the thrift service ``FleetLink``."""
 
-    def __init__(self, voter, store, gossip, allowance):
+    def __init__(self, voter, store, gossip, allowance, holds):
         self._voter = voter
         self._store = store
         self._gossip = gossip
         self._allowance = allowance
+        self._holds = holds
 
     def request_vote(self, request):
         """See ``Replica.handle_vote``."""
@@ -109,6 +110,13 @@
         """Exchange news; see ``Gossip.receive``."""
         return self._gossip.receive(message)
 
+    def hold_apart(self, request):
+        """Decide on a hold as the arbiter; see ``Holds``."""
+        if request.release:
+            self._holds.release(request.endpoint_id, request.holder)
+            return True
+        return self._holds.take(request.endpoint_id, request.holder)
+
     def lend_tokens(self, request):
         """Lend a customer's tokens; see ``Allowance.lend``."""
         lent = self._allowance.lend(request.customer_id, request.tokens)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -21,9 +21,10 @@
     ``REFRESH_PERIOD``. A failed call is repeated on a new connection.
     """
 
-    def __init__(self, directory, withdrawals, store, links):
+    def __init__(self, directory, withdrawals, suspects, store, links):
         self._directory = directory
         self._withdrawals = withdrawals
+        self._suspects = suspects
         self._store = store
         self._links = links
         self._lock = threading.Lock()
@@ -32,6 +33,7 @@
         self.fleet_id = lambda: ''
         directory.on_endpoint_change(lambda endpoint: self.spread())
         withdrawals.on_addition(lambda digests: self.spread())
+        suspects.on_strike(lambda strikes: self.spread())
 
     def start(self, timer):
         """Start a thread for each known peer and for later ones."""
@@ -50,8 +52,12 @@
         for peer in peers:
             peer.wake()
 
-    def confirm_withdrawal(self, digest, timeout):
-        """Wait until peers have confirmed a withdrawal.
+    def confirm(self, news, timeout):
+        """Wait until peers have taken over a piece of news.
+
+        Args:
+            news: a withdrawn digest, or a (fingerprint, crash) pair.
+            timeout: seconds to wait for all peers together.
 
         Returns:
             Addresses of the peers that have confirmed it.
@@ -62,7 +68,7 @@
         confirmed = set()
         for address, peer in peers.items():
             wait = max(0.0, deadline - time.monotonic())
-            if peer.await_confirmed(digest, wait):
+            if peer.await_confirmed(news, wait):
                 confirmed.add(address)
         return confirmed
 
@@ -84,6 +90,12 @@
         for announcement in message.announcements:
             self._directory.note_endpoint(endpoint_of(announcement, now))
         self._withdrawals.add(message.withdrawn_digests)
+        self._suspects.merge(
+            {
+                (strike.fingerprint, strike.crash): now - strike.age_ms / 1000
+                for strike in message.strikes or ()
+            }
+        )
 
     def message(self, endpoints):
         """Return a message with these endpoints and all other news."""
@@ -97,6 +109,12 @@
             [announcement_of(endpoint, now) for endpoint in endpoints],
             sorted(self._withdrawals.to_spread(committed)),
             self.fleet_id(),
+            [
+                ttypes.Strike(fingerprint, crash, int((now - at) * 1000))
+                for (fingerprint, crash), at in (
+                    self._suspects.strikes().items()
+                )
+            ],
         )
 
     @property
@@ -146,11 +164,11 @@
             self._woken = True
             self._changed.notify_all()
 
-    def await_confirmed(self, digest, timeout):
-        """Wait until the peer has taken over a withdrawal."""
+    def await_confirmed(self, news, timeout):
+        """Wait until the peer has taken over a piece of news."""
         with self._changed:
             return self._changed.wait_for(
-                lambda: digest in self._confirmed, timeout
+                lambda: news in self._confirmed, timeout
             )
 
     def _exchange(self):
@@ -166,8 +184,10 @@
         for endpoint in due:
             self._sent_by_endpoint[endpoint.id] = (endpoint, now)
         with self._changed:
-            sent = frozenset(message.withdrawn_digests)
-            self._confirmed = self._confirmed | sent
+            self._confirmed = frozenset(message.withdrawn_digests) | {
+                (strike.fingerprint, strike.crash)
+                for strike in message.strikes
+            }
             self._changed.notify_all()
         self._gossip.merge(reply, heard_directly=True)
 
--- a/packages/carobwood-daemon/carobwood_daemon/membership/keepers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/keepers.py
@@ -2,21 +2,19 @@
 
 import threading
 
-import urllib3
-
 from carobwood import errors
 from carobwood import events
 from carobwood.gen.links import ttypes
 
 from ..replication import commands
 
+from . import probe
+
 JOIN_PERIOD = 0.5
 REGISTER_PERIOD = 2.0
 WITHDRAWAL_PERIOD = 1.0
 PROBE_PERIOD = 1.0
-PROBE_TIMEOUT = 1.0
 SUBMIT_TIMEOUT = 5.0
-HEALTH_PATH = '/health'
 
 
 class Keeper(threading.Thread):
@@ -142,26 +140,13 @@
     def step(self):
         """Probe each endpoint whose announcements have stopped."""
         for endpoint in self._directory.silent_endpoints():
-            if _answers(endpoint):
+            if probe.is_alive(endpoint):
                 self._directory.confirm_alive(endpoint)
             else:
                 self._directory.drop_endpoint(endpoint)
                 self._on_drop(endpoint)
 
 
-def _answers(endpoint):
-    try:
-        with urllib3.PoolManager(retries=False) as manager:
-            answer = manager.request(
-                'GET',
-                f'http://{endpoint.address}{HEALTH_PATH}',
-                timeout=PROBE_TIMEOUT,
-            )
-    except urllib3.exceptions.HTTPError:
-        return False
-    return answer.status == 200
-
-
 def _descriptor(vm):
     return ttypes.VmDescriptor(
         vm.id,
--- a/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
@@ -184,7 +184,7 @@
             change='WithdrawKey',
             key=keys.key_id_of(digest),
         )
-        confirmed = parts.gossip.confirm_withdrawal(digest, CONFIRM_TIMEOUT)
+        confirmed = parts.gossip.confirm(digest, CONFIRM_TIMEOUT)
         try:
             parts.proposer.submit(commands.WithdrawKey(digest), COMMIT_TIMEOUT)
             committed = True
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -173,6 +173,14 @@
     retry_after = 1
 
 
+class RequestCrashesEndpoints(RequestRefused):
+    """Two endpoints crashed while they ran the request."""
+
+    code = 'request_crashes_endpoints'
+    status = 503
+    retry_after = 60
+
+
 class ConfigurationMissing(RequestRefused):
     """The VM has no document of its environment yet."""
 
--- a/packages/carobwood/carobwood/gen/links/FleetLink.py
+++ b/packages/carobwood/carobwood/gen/links/FleetLink.py
@@ -91,6 +91,14 @@
         """
         pass
 
+    def hold_apart(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
     def lend_tokens(self, request):
         """
         Parameters:
@@ -395,6 +403,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "gossip failed: unknown result")
 
+    def hold_apart(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_hold_apart(request)
+        return self.recv_hold_apart()
+
+    def send_hold_apart(self, request):
+        self._oprot.writeMessageBegin('hold_apart', TMessageType.CALL, self._seqid)
+        args = hold_apart_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_hold_apart(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = hold_apart_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "hold_apart failed: unknown result")
+
     def lend_tokens(self, request):
         """
         Parameters:
@@ -441,6 +481,7 @@
         self._processMap["replace_voter"] = Processor.process_replace_voter
         self._processMap["follow"] = Processor.process_follow
         self._processMap["gossip"] = Processor.process_gossip
+        self._processMap["hold_apart"] = Processor.process_hold_apart
         self._processMap["lend_tokens"] = Processor.process_lend_tokens
         self._on_message_begin = None
 
@@ -671,6 +712,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_hold_apart(self, seqid, iprot, oprot):
+        args = hold_apart_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = hold_apart_result()
+        try:
+            result.success = self._handler.hold_apart(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("hold_apart", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_lend_tokens(self, seqid, iprot, oprot):
         args = lend_tokens_args()
         args.read(iprot)
@@ -1821,6 +1885,130 @@
 )
 
 
+class hold_apart_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = ApartRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hold_apart_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hold_apart_args)
+hold_apart_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [ApartRequest, None], None, ),  # 1
+)
+
+
+class hold_apart_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hold_apart_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hold_apart_result)
+hold_apart_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+)
+
+
 class lend_tokens_args(object):
     """
     Attributes:
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -2155,6 +2155,91 @@
         return not (self == other)
 
 
+class ApartRequest(object):
+    """
+    Attributes:
+     - endpoint_id
+     - holder
+     - release
+
+    """
+
+
+    def __init__(self, endpoint_id=None, holder=None, release=None,):
+        self.endpoint_id = endpoint_id
+        self.holder = holder
+        self.release = release
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.release = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ApartRequest')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRING, 2)
+            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
+            oprot.writeFieldEnd()
+        if self.release is not None:
+            oprot.writeFieldBegin('release', TType.BOOL, 3)
+            oprot.writeBool(self.release)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint_id is None:
+            raise TProtocolException(message='Required field endpoint_id is unset!')
+        if self.holder is None:
+            raise TProtocolException(message='Required field holder is unset!')
+        if self.release is None:
+            raise TProtocolException(message='Required field release is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GossipMessage(object):
     """
     Attributes:
@@ -2496,6 +2581,13 @@
     (2, TType.STRING, 'crash', 'UTF8', None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(ApartRequest)
+ApartRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'holder', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'release', None, None, ),  # 3
+)
 all_structs.append(GossipMessage)
 GossipMessage.thrift_spec = (
     None,  # 0
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -160,6 +160,13 @@
   3: required i32 age_ms
 }
 
+// Asks the arbiter of an endpoint to let one suspect run there alone.
+struct ApartRequest {
+  1: required string endpoint_id
+  2: required string holder
+  3: required bool release
+}
+
 struct GossipMessage {
   1: required VmDescriptor vm
   2: required i64 version
@@ -180,5 +187,6 @@
   ReplaceReply replace_voter(1: ReplaceRequest request)
   FollowReply follow(1: FollowRequest request)
   GossipMessage gossip(1: GossipMessage message)
+  bool hold_apart(1: ApartRequest request)
   LendReply lend_tokens(1: LendRequest request)
 }
