--- a/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
@@ -88,6 +88,7 @@
         self._vms_by_id = {}
         self._endpoints_by_id = {}
         self._departed_by_id = {}
+        self._announced_here = {}
         self._listeners = []
 
     @property
@@ -148,13 +149,19 @@
         if known is None:
             events.emit(events.VM_SEEN, vm=vm.id, address=vm.link_address)
 
-    def note_endpoint(self, endpoint):
+    def note_endpoint(self, endpoint, announced_here=False):
         """Merge an announcement.
 
+        Args:
+            endpoint: the ``Endpoint``.
+            announced_here: whether the endpoint told this VM itself.
+
         Returns:
             Whether it was news.
         """
         with self._lock:
+            if announced_here:
+                self._announced_here[endpoint.id] = self._clock()
             known = self._endpoints_by_id.get(endpoint.id)
             departed = self._departed_by_id.get(endpoint.id, (0, 0))
             if endpoint.order <= departed:
@@ -169,6 +176,11 @@
                 listener(endpoint)
         return True
 
+    def is_announced_here(self, endpoint):
+        """Tell whether an endpoint announces itself to this VM."""
+        at = self._announced_here.get(endpoint.id, float('-inf'))
+        return self._clock() - at < ENDPOINT_SILENCE_LIMIT
+
     def endpoints(self):
         """Return all known endpoints."""
         with self._lock:
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -11,6 +11,8 @@
 
 PERIOD = 0.5
 REFRESH_PERIOD = 2.0
+RELAY_PERIOD = 3.0
+VMS_PERIOD = 10.0
 CALL_TIMEOUT = 1.0
 
 
@@ -78,7 +80,8 @@
             if message.fleet_id != self.fleet_id():
                 raise errors.LinkRefused('the peer is of another fleet')
         self.merge(message, heard_directly=True)
-        return self.message(self._directory.endpoints())
+        # The peer's own thread here brings it what it does not know.
+        return self.message((), ())
 
     def merge(self, message, heard_directly):
         """Merge the content of a message."""
@@ -97,15 +100,15 @@
             }
         )
 
-    def message(self, endpoints):
-        """Return a message with these endpoints and all other news."""
+    def message(self, endpoints, vms):
+        """Return a message with these endpoints and VMs, and all news."""
         now = time.monotonic()
         directory = self._directory
         committed = self._store.fleet.withdrawn_digests
         return ttypes.GossipMessage(
             _descriptor_of(directory.own_vm),
             self._store.version,
-            [_descriptor_of(vm) for vm in directory.vms()[1:]],
+            [_descriptor_of(vm) for vm in vms],
             [announcement_of(endpoint, now) for endpoint in endpoints],
             sorted(self._withdrawals.to_spread(committed)),
             self.fleet_id(),
@@ -148,6 +151,7 @@
         self._woken = False
         self._silent = False
         self._sent_by_endpoint = {}
+        self._sent_vms = (frozenset(), 0.0)
         self._confirmed = frozenset()
 
     def run(self):
@@ -173,7 +177,8 @@
 
     def _exchange(self):
         due = self._due_endpoints()
-        message = self._gossip.message(due)
+        vms = self._due_vms()
+        message = self._gossip.message(due, vms)
         try:
             reply = self._link.call('gossip', message, CALL_TIMEOUT)
         except errors.LinkFailed as error:
@@ -183,6 +188,8 @@
         now = time.monotonic()
         for endpoint in due:
             self._sent_by_endpoint[endpoint.id] = (endpoint, now)
+        if vms:
+            self._sent_vms = (frozenset(vm.id for vm in vms), now)
         with self._changed:
             self._confirmed = frozenset(message.withdrawn_digests) | {
                 (strike.fingerprint, strike.crash)
@@ -206,10 +213,22 @@
             if sent is not None and sent.order == endpoint.order:
                 continue
             changed = sent is None or _is_news(sent, endpoint)
-            if changed or now - sent_at >= REFRESH_PERIOD:
+            period = REFRESH_PERIOD
+            if not self._gossip.directory.is_announced_here(endpoint):
+                # The VM that heard it itself tells the peer sooner.
+                period = RELAY_PERIOD
+            if changed or now - sent_at >= period:
                 due.append(endpoint)
         return due
 
+    def _due_vms(self):
+        vms = self._gossip.directory.vms()[1:]
+        sent_ids, sent_at = self._sent_vms
+        is_known = {vm.id for vm in vms} <= sent_ids
+        if is_known and time.monotonic() - sent_at < VMS_PERIOD:
+            return []
+        return vms
+
 
 def endpoint_of(announcement, now):
     """Return the ``Endpoint`` that a thrift announcement describes."""
--- a/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
@@ -361,7 +361,7 @@
             message.waiting,
             time.monotonic(),
         )
-        self._parts.directory.note_endpoint(endpoint)
+        self._parts.directory.note_endpoint(endpoint, announced_here=True)
         return messages.Change(self._parts.store.version)
 
     def _change(self, command, operator):
