Learn prefill rates and eviction, and count queued prefill

Cause: the choice used guessed constants for prefill, queue and the life of a cached piece, and noted a placement only after the engine's answer, so that concurrent requests with one cold prefix spread over engines. Change: placements are noted before sending; the life of pieces is learnt for each engine from cached_tokens; prefill time from first tokens that met no other request; the queue is counted in tokens still to be computed.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -37,6 +37,8 @@
 from .routing import chooser
 from .routing import loads as endpoint_loads
 from .routing import placements as placement_tables
+from .routing import policies
+from .routing import prefill_rate
 from .routing import suspects as suspect_tables
 
 OPERATOR_THREADS = 16
@@ -210,6 +212,7 @@
         self._settlements = at_most_once.Settlements(self._proposer)
         self._loads = endpoint_loads.Loads()
         self._placements = placement_tables.Placements()
+        self._rates = prefill_rate.PrefillRates()
         self._store.on_change(self._adopt)
         self._withdrawals.on_addition(self._gate.withdraw)
         self._keepers = [
@@ -270,10 +273,13 @@
                 self._store,
                 self._loads,
                 self._placements,
+                self._rates,
                 settings.data_centre,
+                policies.POLICIES_BY_NAME[settings.choice](),
             ),
             loads=self._loads,
             placements=self._placements,
+            rates=self._rates,
             suspects=self._suspects,
             gossip=self._gossip,
             arbiter=arbiter.Arbiter(self._holds, self._directory, self._links),
@@ -312,6 +318,8 @@
                 self._store.note_contact(replica.contact_age())
 
     def _adopt(self, fleet):
+        # A change that this VM has committed is as good as a heartbeat.
+        self._note_contact()
         self._gate.withdraw(fleet.withdrawn_digests)
         document = fleet.document(self._settings.environment)
         if document is not None:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
@@ -30,6 +30,7 @@
         chooser: the ``Chooser``.
         loads: the ``Loads``.
         placements: the ``Placements``.
+        rates: the ``PrefillRates``.
         suspects: the ``Suspects``.
         gossip: the ``Gossip``.
         arbiter: the ``Arbiter``.
@@ -48,6 +49,7 @@
     chooser: object
     loads: object
     placements: object
+    rates: object
     suspects: object
     gossip: object
     arbiter: object
--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
@@ -1,10 +1,12 @@
 """One request's stay on one engine."""
 
 import secrets
+import time
 
 from carobwood import errors
 
 from ..membership import probe
+from ..routing import prefix
 
 HOLDER_BYTES = 8
 PROBE_TIMEOUT = 0.5
@@ -22,7 +24,14 @@
         self.endpoint = endpoint
         self._services = services
         self._fingerprint = work.fingerprint
+        self._work = work
         self._holder = ''
+        self._ages = ()
+        self._missing_tokens = 0
+        self._was_alone = False
+        self._is_computing = False
+        self._started_at = 0.0
+        self._first_token_seconds = None
         self._is_inside = False
 
     def enter(self, timeout):
@@ -37,9 +46,28 @@
             self._services.arbiter.hold(self.endpoint, holder, timeout)
             self._holder = holder
         suspects.enter(self.endpoint, self._fingerprint)
-        self._services.loads.enter(self.endpoint)
+        self._start_prefill()
         self._is_inside = True
 
+    def note_first_token(self):
+        """Note that the engine has computed the prompt."""
+        if self._first_token_seconds is None:
+            elapsed = time.monotonic() - self._started_at
+            self._first_token_seconds = elapsed
+            self._end_prefill()
+
+    def learn(self, usage):
+        """Learn from the engine's account of the request."""
+        pieces = usage.cached_tokens // prefix.PIECE_TOKENS
+        services = self._services
+        services.placements.learn(self.endpoint, self._ages, pieces)
+        if self._was_alone and self._first_token_seconds is not None:
+            services.rates.note(
+                self._work.pool.id,
+                usage.prompt_tokens - usage.cached_tokens,
+                self._first_token_seconds,
+            )
+
     def succeed(self):
         """Count the request out after a whole answer."""
         self._services.suspects.clear(self._fingerprint)
@@ -50,6 +78,7 @@
         if not self._is_inside:
             return
         self._is_inside = False
+        self._end_prefill()
         self._services.suspects.leave(self.endpoint, self._fingerprint)
         if self._holder:
             self._services.arbiter.release(self.endpoint, self._holder)
@@ -74,3 +103,26 @@
             for strike in own:
                 services.gossip.confirm(strike, SPREAD_TIMEOUT)
         self.leave()
+
+    def _start_prefill(self):
+        # Noted before the engine answers, so that concurrent requests
+        # with the same prefix go to the same engine and compute it once.
+        services = self._services
+        self._was_alone = services.loads.open_requests(self.endpoint) == 0
+        services.loads.enter(self.endpoint)
+        self._missing_tokens = services.chooser.missing_tokens(
+            self.endpoint, self._work.prompt
+        )
+        services.loads.start_prefill(self.endpoint, self._missing_tokens)
+        self._is_computing = True
+        self._ages = services.placements.note(
+            self.endpoint, self._work.prompt.chain
+        )
+        self._started_at = time.monotonic()
+
+    def _end_prefill(self):
+        if self._is_computing:
+            self._is_computing = False
+            self._services.loads.end_prefill(
+                self.endpoint, self._missing_tokens
+            )
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -188,10 +188,6 @@
             raise
         return visit, answer
 
-    def note_placement(self, endpoint):
-        """Record that the engine now holds the prompt's prefix."""
-        self._services.placements.note(endpoint, self._work.prompt.chain)
-
     def _check_answer(self, answer):
         if answer.status >= 500:
             answer.close()
@@ -205,9 +201,9 @@
     def _try(self, endpoint, seconds):
         visit, answer = self.open_answer(endpoint, seconds)
         if answer.status == 200 and self._work.is_stream:
-            return self._stream(endpoint, visit, answer)
+            return self._stream(visit, answer)
         try:
-            body = self._read(endpoint, answer)
+            body = self._read(visit, answer)
         except errors.StreamBroken as error:
             visit.fail(error)
             raise
@@ -217,8 +213,7 @@
         visit.succeed()
         return body
 
-    def _stream(self, endpoint, visit, answer):
-        self.note_placement(endpoint)
+    def _stream(self, visit, answer):
         stream = model_stream.ModelStream(
             self, self._services, self._exchange, visit, answer
         )
@@ -226,14 +221,14 @@
             200, headers.answer_headers(answer.headers), stream
         )
 
-    def _read(self, endpoint, answer):
+    def _read(self, visit, answer):
         try:
             body = answer.read_all(MAX_ANSWER_BYTES)
         finally:
             answer.close()
-        if answer.status == 200:
-            self.note_placement(endpoint)
         usage = _usage_of(body)
+        if usage is not None:
+            visit.learn(usage)
         self.settle(usage.total_tokens if usage else None)
         digest = self._exchange.caller.key_digest
         if self._services.gatekeeper.is_withdrawn(digest):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -43,6 +43,8 @@
                 if not self._resume(error):
                     return self._end_with(error)
                 continue
+            if whole:
+                self._visit.note_first_token()
             if self._events.is_complete:
                 self._close(errors.Outcome.COMPLETE)
             if whole:
@@ -99,7 +101,6 @@
     def _switch(self, visit, answer):
         self._visit = visit
         self._answer = answer
-        self._run.note_placement(visit.endpoint)
         events.emit(
             events.STREAM_RESUMED,
             request_id=self._exchange.request_id,
@@ -123,6 +124,8 @@
         self._is_closed = True
         self._answer.close()
         if outcome is errors.Outcome.COMPLETE:
+            if self._events.usage is not None and not self._resumes:
+                self._visit.learn(self._events.usage)
             self._visit.succeed()
         self._visit.leave()
         self._tracking.__exit__(None, None, None)
--- a/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
@@ -4,12 +4,13 @@
 
 from carobwood import errors
 
+from . import policies
 from . import prefix
 from . import rendezvous
 
-PREFILL_SECONDS_PER_TOKEN = 0.0001
-SECONDS_PER_QUEUED_REQUEST = 0.05
 REMOTE_SECONDS = 0.002
+SERVICE_SECONDS_PER_REQUEST = 0.05
+TYPICAL_PROMPT_TOKENS = 2048
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,11 +31,22 @@
 class Chooser:
     """Orders the endpoints that may take a request."""
 
-    def __init__(self, directory, store, loads, placements, data_centre):
+    def __init__(
+        self,
+        directory,
+        store,
+        loads,
+        placements,
+        rates,
+        data_centre,
+        policy,
+    ):
         self._directory = directory
         self._store = store
         self._loads = loads
         self._placements = placements
+        self._rates = rates
+        self._policy = policy
         self._data_centre = data_centre
 
     def eligible(self, environment, pool, weights_version=''):
@@ -67,14 +79,21 @@
         """
         found = self.eligible(environment, pool, model.weights_version)
         found = self._within_bounds(found, pool)
-        # Without evidence, the first choice of the hash is taken to hold
-        # the prefix: every VM sends it there, so it soon does.
-        owner = rendezvous.rank(prompt.chain[0], found)[0]
-        candidates = [
-            self._candidate(endpoint, prompt, endpoint is owner)
-            for endpoint in found
-        ]
-        return _best_first(candidates)
+        match self._policy:
+            case policies.RoundRobin(numbers=numbers):
+                found.sort(key=lambda endpoint: endpoint.id)
+                start = next(numbers) % len(found)
+                return found[start:] + found[:start]
+            case policies.LeastLoaded():
+                return sorted(found, key=self._known_requests)
+            case policies.PrefixHash():
+                return rendezvous.rank(prompt.chain[0], found)
+        return self._order_by_expected_time(found, pool, prompt)
+
+    def missing_tokens(self, endpoint, prompt):
+        """Return tokens of a prompt that an engine probably lacks."""
+        cached = self._placements.cached_pieces(endpoint, prompt.chain)
+        return max(0, prompt.tokens - cached * prefix.PIECE_TOKENS)
 
     def order_services(self, environment, pool):
         """Return services, the best first.
@@ -86,7 +105,8 @@
         candidates = [
             Candidate(
                 endpoint,
-                self._wait(endpoint) + self._distance(endpoint),
+                self._known_requests(endpoint) * SERVICE_SECONDS_PER_REQUEST
+                + self._distance(endpoint),
                 self._loads.is_suspected(endpoint),
             )
             for endpoint in found
@@ -102,25 +122,34 @@
             raise errors.Saturated(f'all endpoints of {pool.id} are full')
         return free
 
-    def _candidate(self, endpoint, prompt, is_owner):
-        cached = self._placements.cached_pieces(endpoint, prompt.chain)
-        if is_owner:
-            cached = max(cached, 1)
-        missing = max(0, prompt.tokens - cached * prefix.PIECE_TOKENS)
-        seconds = (
-            self._wait(endpoint)
-            + missing * PREFILL_SECONDS_PER_TOKEN
-            + self._distance(endpoint)
-        )
-        suspected = self._loads.is_suspected(endpoint)
-        return Candidate(endpoint, seconds, suspected)
+    def _order_by_expected_time(self, found, pool, prompt):
+        # Without evidence, the first choice of the hash is taken to hold
+        # the prefix: every VM sends it there, so it soon does.
+        owner = rendezvous.rank(prompt.chain[0], found)[0]
+        seconds_per_token = self._rates.seconds_per_token(pool.id)
+        candidates = []
+        for endpoint in found:
+            missing = self.missing_tokens(endpoint, prompt)
+            if endpoint is owner and missing == prompt.tokens:
+                missing = max(0, missing - prefix.PIECE_TOKENS)
+            tokens = missing + self._queued_tokens(endpoint)
+            seconds = tokens * seconds_per_token + self._distance(endpoint)
+            suspected = self._loads.is_suspected(endpoint)
+            candidates.append(Candidate(endpoint, seconds, suspected))
+        return _best_first(candidates)
+
+    def _queued_tokens(self, endpoint):
+        # Reported load is late, and part of it is this VM's own.
+        own = self._loads.open_requests(endpoint)
+        others = max(0, endpoint.waiting - own)
+        queued = others * TYPICAL_PROMPT_TOKENS
+        return queued + self._loads.prefill_tokens(endpoint)
 
-    def _wait(self, endpoint):
-        queued = max(
+    def _known_requests(self, endpoint):
+        return max(
             endpoint.waiting + endpoint.running,
             self._loads.open_requests(endpoint),
         )
-        return queued * SECONDS_PER_QUEUED_REQUEST
 
     def _distance(self, endpoint):
         if endpoint.data_centre == self._data_centre:
--- a/packages/carobwood-daemon/carobwood_daemon/routing/loads.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/loads.py
@@ -17,6 +17,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._open_by_endpoint = collections.Counter()
+        self._prefill_by_endpoint = collections.Counter()
         self._suspected_until = {}
 
     @contextlib.contextmanager
@@ -42,6 +43,20 @@
         """Return how many own requests are open on an endpoint."""
         return self._open_by_endpoint[endpoint.id]
 
+    def start_prefill(self, endpoint, tokens):
+        """Note tokens that the endpoint has to compute for this VM."""
+        with self._lock:
+            self._prefill_by_endpoint[endpoint.id] += tokens
+
+    def end_prefill(self, endpoint, tokens):
+        """Note that these tokens are computed or given up."""
+        with self._lock:
+            self._prefill_by_endpoint[endpoint.id] -= tokens
+
+    def prefill_tokens(self, endpoint):
+        """Return tokens that own requests make the endpoint compute."""
+        return self._prefill_by_endpoint[endpoint.id]
+
     def suspect(self, endpoint, reason):
         """Avoid an endpoint for a moment."""
         until = self._clock() + SUSPICION_SECONDS
--- a/packages/carobwood-daemon/carobwood_daemon/settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/settings.py
@@ -11,6 +11,7 @@
 from .replication import applier
 from .replication import replica
 from .replication import voter_changes
+from .routing import policies
 
 ENVIRONMENT_PREFIX = 'CAROBWOOD_'
 MIN_SECRET_BYTES = 16
@@ -61,6 +62,7 @@
     )
     announce_token: str = dataclasses.field(repr=False)
     tls: TlsFiles | None
+    choice: str
     max_requests: int
     max_body_bytes: int
     vm_slots: int
@@ -183,6 +185,12 @@
 
 def _add_operation(add):
     timing = replica.Timing()
+    add(
+        'choice',
+        'expected-time',
+        'how engines are chosen; all but the default are baselines',
+        choices=tuple(policies.POLICIES_BY_NAME),
+    )
     add('max-requests', 600, 'requests served at once')
     add('max-body-bytes', 16 * 1024 * 1024, 'largest model request')
     add('vm-slots', 8, "VMs that customers' rates are divided by")
@@ -230,6 +238,7 @@
             checker, 'announce-token-file', arguments.announce_token_file
         ),
         tls=_tls(checker, arguments),
+        choice=arguments.choice,
         max_requests=checker.number(
             'max-requests', arguments.max_requests, int, 1, 10000
         ),
