--- a/bench/fake_engine.py
+++ b/bench/fake_engine.py
@@ -34,8 +34,8 @@
         self._lock = threading.Lock()
         self._used_at_by_piece = collections.OrderedDict()
 
-    def lookup(self, chain):
-        """Return how many leading pieces are cached, and cache all."""
+    def peek(self, chain):
+        """Return how many leading pieces are cached, changing nothing."""
         now = time.monotonic()
         with self._lock:
             hits = 0
@@ -44,6 +44,13 @@
                 if used_at is None or now - used_at > self._lifetime:
                     break
                 hits += 1
+            return hits
+
+    def lookup(self, chain):
+        """Return how many leading pieces are cached, and cache all."""
+        hits = self.peek(chain)
+        now = time.monotonic()
+        with self._lock:
             for piece in chain:
                 self._used_at_by_piece[piece] = now
                 self._used_at_by_piece.move_to_end(piece)
@@ -64,6 +71,7 @@
         self.lock = threading.Lock()
         self.running = 0
         self.waiting = 0
+        self.queued_tokens = 0
         self.counters = collections.Counter()
         self.headers_seen = []
         self.fault = ''
@@ -104,16 +112,29 @@
         with self.lock:
             self.counters[name] += amount
 
+    def peek(self, text, customer):
+        """Return what is cached of a prompt, and what is queued."""
+        chain = self._chain(text, customer)
+        return {
+            'cached_tokens': self.cache.peek(chain) * PIECE_TOKENS,
+            'queued_tokens': self.queued_tokens,
+        }
+
+    def _chain(self, text, customer):
+        return _chain(f'{customer}|{self.arguments.weights_version}', text)
+
     def prefill(self, text, customer):
         """Compute a prompt's missing pieces.
 
         Returns:
             Tokens of the prompt, and how many of them were cached.
         """
-        chain = _chain(f'{customer}|{self.arguments.weights_version}', text)
+        chain = self._chain(text, customer)
         tokens = max(1, len(text) // BYTES_PER_TOKEN)
+        expected = tokens - self.cache.peek(chain) * PIECE_TOKENS
         with self.lock:
             self.waiting += 1
+            self.queued_tokens += expected
         with self.prefill_lock:
             with self.lock:
                 self.waiting -= 1
@@ -121,6 +142,8 @@
             cached = min(tokens, hits * PIECE_TOKENS)
             missing = tokens - cached
             time.sleep(missing * self.arguments.prefill_seconds_per_token)
+        with self.lock:
+            self.queued_tokens -= expected
         self.count('prefilled_tokens', missing)
         self.count('cached_tokens', cached)
         return tokens, cached
@@ -153,6 +176,12 @@
             self.engine.fault = json.loads(body)['fault']
             self.send_json(200, {})
             return
+        if self.path == '/peek':
+            asked = json.loads(body)
+            self.send_json(
+                200, self.engine.peek(asked['prompt'], asked['customer'])
+            )
+            return
         if self.path == '/v1/orders':
             is_followed = self.engine.follow(json.loads(body))
             self.send_json(200 if is_followed else 409, {})
--- a/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
@@ -8,6 +8,7 @@
 from . import prefix
 from . import rendezvous
 
+RECOMPUTATION_WEIGHT = 2.0
 REMOTE_SECONDS = 0.002
 SERVICE_SECONDS_PER_REQUEST = 0.05
 TYPICAL_PROMPT_TOKENS = 2048
@@ -123,16 +124,19 @@
         return free
 
     def _order_by_expected_time(self, found, pool, prompt):
-        # Without evidence, the first choice of the hash is taken to hold
-        # the prefix: every VM sends it there, so it soon does.
-        owner = rendezvous.rank(prompt.chain[0], found)[0]
+        credits_by_id = _credited_pieces(prompt, found)
         seconds_per_token = self._rates.seconds_per_token(pool.id)
         candidates = []
         for endpoint in found:
-            missing = self.missing_tokens(endpoint, prompt)
-            if endpoint is owner and missing == prompt.tokens:
-                missing = max(0, missing - prefix.PIECE_TOKENS)
-            tokens = missing + self._queued_tokens(endpoint)
+            credited = credits_by_id.get(endpoint.id, 0)
+            missing = min(
+                self.missing_tokens(endpoint, prompt),
+                prompt.tokens - credited * prefix.PIECE_TOKENS,
+            )
+            # Tokens computed again delay the requests behind, too.
+            tokens = max(
+                0, missing
+            ) * RECOMPUTATION_WEIGHT + self._queued_tokens(endpoint)
             seconds = tokens * seconds_per_token + self._distance(endpoint)
             suspected = self._loads.is_suspected(endpoint)
             candidates.append(Candidate(endpoint, seconds, suspected))
@@ -157,6 +161,17 @@
         return REMOTE_SECONDS
 
 
+def _credited_pieces(prompt, found):
+    """Return pieces that engines are taken to hold without evidence.
+
+    Every VM sends a prefix to the first choice of its first piece, so
+    that engine is taken to hold all of it but the last piece, which may
+    be partial and names the request.
+    """
+    owner = rendezvous.rank(prompt.chain[0], found)[0]
+    return {owner.id: max(1, len(prompt.chain) - 1)}
+
+
 def _best_first(candidates):
     ordered = sorted(
         candidates, key=lambda c: (c.is_suspected, c.seconds, c.endpoint.id)
