Tell a restarted VM everything again, and wait for a leader to replace

Change: peers start anew when a VM's incarnation changes; replace asks until its deadline, and the client waits as long; test ports lie below the range of outgoing connections. Conclusion: what a peer was told belongs to its incarnation.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import signal
 import socket
@@ -18,13 +19,29 @@
 BENCH = pathlib.Path(__file__).resolve().parent
 START_TIMEOUT = 30.0
 POLL_SECONDS = 0.05
+PORTS = (10000, 30000)
+
+_given_ports = set()
 
 
 def free_port():
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a port that no one listens on, and that was not given yet.
+
+    It lies below the range of outgoing connections, so that none can
+    take it before a process listens.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(('', port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 def wait_until(condition, what, timeout=START_TIMEOUT):
--- a/packages/carobwood-client/carobwood_client/connection.py
+++ b/packages/carobwood-client/carobwood_client/connection.py
@@ -46,9 +46,6 @@
         self._scheme = 'https' if ca_file else 'http'
         options = {'ca_certs': ca_file} if ca_file else {}
         self._manager = urllib3.PoolManager(
-            timeout=urllib3.Timeout(
-                connect=CONNECT_TIMEOUT, read=READ_TIMEOUT
-            ),
             retries=False,
             headers={
                 'Authorization': f'Bearer {token}',
@@ -61,28 +58,32 @@
         """Return the decoded answer of a read."""
         return self._any('GET', path, None, fields)
 
-    def post(self, path, **fields):
+    def post(self, path, read_timeout=READ_TIMEOUT, **fields):
         """Return the decoded answer of an operation.
 
         The same operation is sent to the next VM if one does not
         answer; its id keeps it from taking effect twice.
         """
-        return self._any('POST', path, fields, None)
+        return self._any('POST', path, fields, None, read_timeout)
 
     def post_to(self, operator, path, **fields):
         """Return the decoded answer of one VM."""
         return self._call(operator, 'POST', path, fields, None)
 
-    def _any(self, method, path, body, fields):
+    def _any(self, method, path, body, fields, read_timeout=READ_TIMEOUT):
         problems = []
         for operator in self.operators:
             try:
-                return self._call(operator, method, path, body, fields)
+                return self._call(
+                    operator, method, path, body, fields, read_timeout
+                )
             except Unreachable as error:
                 problems.append(error.detail)
         raise Unreachable('; '.join(problems) or 'no VM is named')
 
-    def _call(self, operator, method, path, body, fields):
+    def _call(
+        self, operator, method, path, body, fields, read_timeout=READ_TIMEOUT
+    ):
         data = json.dumps(body).encode('utf-8') if body is not None else None
         try:
             answer = self._manager.request(
@@ -90,6 +91,9 @@
                 f'{self._scheme}://{operator}{path}',
                 body=data,
                 fields=fields or None,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT, read=read_timeout
+                ),
             )
         except urllib3.exceptions.HTTPError as error:
             raise Unreachable(f'{operator}: {type(error).__name__}') from (
--- a/packages/carobwood-client/carobwood_client/porcelain.py
+++ b/packages/carobwood-client/carobwood_client/porcelain.py
@@ -12,6 +12,7 @@
 POLL_SECONDS = 0.1
 IN_FORCE_TIMEOUT = 30.0
 ORDER_TIMEOUT = 120.0
+REPLY_MARGIN = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -261,6 +262,7 @@
     """Replace a voter; returns when a further loss is survivable."""
     return connection.post(
         '/v1/vms/replace',
+        read_timeout=timeout + REPLY_MARGIN,
         old_vm_id=old_vm_id,
         new_vm_id=new_vm_id,
         timeout_seconds=timeout,
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -150,6 +150,7 @@
         self._changed = threading.Condition()
         self._woken = False
         self._silent = False
+        self._peer_incarnation = 0
         self._sent_by_endpoint = {}
         self._sent_vms = (frozenset(), 0.0)
         self._confirmed = frozenset()
@@ -186,6 +187,12 @@
             return
         self._silent = False
         now = time.monotonic()
+        if reply.vm.incarnation != self._peer_incarnation:
+            # A restarted VM knows nothing of what its last life was told.
+            self._peer_incarnation = reply.vm.incarnation
+            self._sent_by_endpoint = {}
+            self._sent_vms = (frozenset(), 0.0)
+            self._woken = True
         for endpoint in due:
             self._sent_by_endpoint[endpoint.id] = (endpoint, now)
         if vms:
--- a/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
@@ -25,7 +25,7 @@
 COMMIT_TIMEOUT = 1.0
 NO_CONTACT_SECONDS = -1.0
 REPLACE_MARGIN = 2.0
-MAX_REDIRECTS = 5
+REDIRECT_PAUSE = 0.2
 
 
 class Porcelain:
@@ -305,11 +305,11 @@
             new=message.new_vm_id,
         )
         deadline = time.monotonic() + min(message.timeout_seconds, 300.0)
-        for _ in range(MAX_REDIRECTS):
+        while time.monotonic() < deadline:
             reply = self._ask_leader_to_replace(message, deadline)
             if reply is not None:
                 return reply
-            time.sleep(0.2)
+            time.sleep(REDIRECT_PAUSE)
         raise errors.QuorumUnavailable('no leader takes the change')
 
     def status(self):
