Split large modules and join doubled ones

Change: timing.py, progress.py and printer.py; descriptors beside Vm; the committed index belongs to every log; public names for what tests read.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -99,7 +99,7 @@
         self.operator_token = secrets.token_hex(16)
         self.announce_token = secrets.token_hex(16)
         self.token_file = self._write('tokens', f'op:{self.operator_token}')
-        self._link_file = self._write('link', secrets.token_hex(16))
+        self.link_secret_file = self._write('link', secrets.token_hex(16))
         self._announce_file = self._write('announce', self.announce_token)
         self.http = urllib3.PoolManager(
             timeout=urllib3.Timeout(connect=5.0, read=30.0),
@@ -172,7 +172,7 @@
             f'--link-advertise={vm.link_advertise}',
             f'--data-folder={vm.data_folder}',
             f'--peers={",".join(peers)}',
-            f'--link-secret-file={self._link_file}',
+            f'--link-secret-file={self.link_secret_file}',
             f'--operator-token-file={self.token_file}',
             f'--announce-token-file={self._announce_file}',
             '--balancer-delay=0.2',
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -183,7 +183,7 @@
 
 def measure_claims(fleet, seconds, rate=CLAIM_RATE, processes=2):
     """Return the rate and latency of claims, opened and settled."""
-    secret = pathlib.Path(fleet._link_file).read_text()
+    secret = pathlib.Path(fleet.link_secret_file).read_text()
     voters = [vm.link for vm in fleet.vms_by_id.values() if vm.data_folder]
     callers = [
         subprocess.Popen(
--- a/packages/carobwood-client/carobwood_client/cli.py
+++ b/packages/carobwood-client/carobwood_client/cli.py
@@ -2,7 +2,6 @@
 
 import argparse
 import dataclasses
-import json
 import os
 import pathlib
 import sys
@@ -11,7 +10,7 @@
 
 from . import connection as connections
 from . import porcelain
-from . import table
+from . import printer as printers
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -48,7 +47,7 @@
     """
     parser = make_parser()
     arguments = parser.parse_args(argv)
-    printer = _Printer(arguments.json, output, errors_output)
+    printer = printers.Printer(arguments.json, output, errors_output)
     try:
         connection = _connect(arguments)
         return arguments.function(connection, arguments, printer)
@@ -100,51 +99,6 @@
     return parser
 
 
-class _Printer:
-    """Prints results as a table or as JSON."""
-
-    def __init__(self, as_json, output, errors_output):
-        self._as_json = as_json
-        self._output = output
-        self._errors_output = errors_output
-        self._has_progress = False
-
-    def rows(self, rows, columns):
-        """Print a list of dictionaries."""
-        if self._as_json:
-            self._dump(rows)
-        else:
-            print(table.format_table(rows, columns), file=self._output)
-
-    def result(self, value, text):
-        """Print one result, as JSON or as a sentence."""
-        if self._as_json:
-            self._dump(value)
-        else:
-            print(text, file=self._output)
-
-    def fail(self, error):
-        """Print a failure."""
-        if self._as_json:
-            self._dump({'error': {'code': error.code, 'message': str(error)}})
-        print(f'carobwood: {error.code}: {error}', file=self._errors_output)
-
-    def progress(self, done, total):
-        """Print how many VMs have a change in force."""
-        if not self._errors_output.isatty():
-            return
-        end = '\n' if done == total else ''
-        print(
-            f'\rin force on {done} of {total} VMs',
-            end=end,
-            file=self._errors_output,
-            flush=True,
-        )
-
-    def _dump(self, value):
-        print(json.dumps(value, indent=2), file=self._output)
-
-
 def _connect(arguments):
     token = os.environ.get('CAROBWOOD_OPERATOR_TOKEN', '')
     if arguments.token_file:
--- a/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
@@ -5,6 +5,7 @@
 import time
 
 from carobwood import events
+from carobwood.gen.links import ttypes
 
 VM_SILENCE_LIMIT = 2.0
 ENDPOINT_SILENCE_LIMIT = 4.0
@@ -240,3 +241,27 @@
         or known.weights_version != endpoint.weights_version
         or known.address != endpoint.address
     )
+
+
+def vm_of(descriptor):
+    """Return the ``Vm`` of a thrift descriptor."""
+    return Vm(
+        descriptor.vm_id,
+        descriptor.data_centre,
+        descriptor.link_address,
+        descriptor.operator_address,
+        descriptor.incarnation,
+        bool(descriptor.has_disk),
+    )
+
+
+def descriptor_of(vm):
+    """Return the thrift descriptor of a ``Vm``."""
+    return ttypes.VmDescriptor(
+        vm.id,
+        vm.data_centre,
+        vm.link_address,
+        vm.operator_address,
+        vm.incarnation,
+        vm.has_disk,
+    )
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -85,10 +85,10 @@
 
     def merge(self, message, heard_directly):
         """Merge the content of a message."""
-        sender = _vm_of(message.vm)
+        sender = directories.vm_of(message.vm)
         self._directory.note_vm(sender, heard_directly, message.version)
         for vm in message.vms:
-            self._directory.note_vm(_vm_of(vm), False)
+            self._directory.note_vm(directories.vm_of(vm), False)
         now = time.monotonic()
         for announcement in message.announcements:
             self._directory.note_endpoint(endpoint_of(announcement, now))
@@ -106,9 +106,9 @@
         directory = self._directory
         committed = self._store.fleet.withdrawn_digests
         return ttypes.GossipMessage(
-            _descriptor_of(directory.own_vm),
+            directories.descriptor_of(directory.own_vm),
             self._store.version,
-            [_descriptor_of(vm) for vm in vms],
+            [directories.descriptor_of(vm) for vm in vms],
             [announcement_of(endpoint, now) for endpoint in endpoints],
             sorted(self._withdrawals.to_spread(committed)),
             self.fleet_id(),
@@ -279,25 +279,3 @@
         or sent.leaving != endpoint.leaving
         or sent.weights_version != endpoint.weights_version
     )
-
-
-def _vm_of(descriptor):
-    return directories.Vm(
-        descriptor.vm_id,
-        descriptor.data_centre,
-        descriptor.link_address,
-        descriptor.operator_address,
-        descriptor.incarnation,
-        bool(descriptor.has_disk),
-    )
-
-
-def _descriptor_of(vm):
-    return ttypes.VmDescriptor(
-        vm.id,
-        vm.data_centre,
-        vm.link_address,
-        vm.operator_address,
-        vm.incarnation,
-        vm.has_disk,
-    )
--- a/packages/carobwood-daemon/carobwood_daemon/membership/keepers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/keepers.py
@@ -8,6 +8,7 @@
 
 from ..replication import commands
 
+from . import directory
 from . import probe
 
 JOIN_PERIOD = 0.5
@@ -52,10 +53,10 @@
 
     period = JOIN_PERIOD
 
-    def __init__(self, voter, directory, links):
+    def __init__(self, voter, known, links):
         super().__init__('joiner')
         self._voter = voter
-        self._directory = directory
+        self._directory = known
         self._links = links
 
     def step(self):
@@ -72,7 +73,8 @@
 
     def _ask(self, address):
         request = ttypes.JoinRequest(
-            self._voter.member.replica_id, _descriptor(self._directory.own_vm)
+            self._voter.member.replica_id,
+            directory.descriptor_of(self._directory.own_vm),
         )
         try:
             reply = self._links.to(address).call('join', request)
@@ -89,9 +91,9 @@
 
     period = REGISTER_PERIOD
 
-    def __init__(self, directory, store, proposer):
+    def __init__(self, known, store, proposer):
         super().__init__('registrar')
-        self._directory = directory
+        self._directory = known
         self._store = store
         self._proposer = proposer
 
@@ -132,9 +134,9 @@
 
     period = PROBE_PERIOD
 
-    def __init__(self, directory, on_drop):
+    def __init__(self, known, on_drop):
         super().__init__('prober')
-        self._directory = directory
+        self._directory = known
         self._on_drop = on_drop
 
     def step(self):
@@ -145,14 +147,3 @@
             else:
                 self._directory.drop_endpoint(endpoint)
                 self._on_drop(endpoint)
-
-
-def _descriptor(vm):
-    return ttypes.VmDescriptor(
-        vm.id,
-        vm.data_centre,
-        vm.link_address,
-        vm.operator_address,
-        vm.incarnation,
-        vm.has_disk,
-    )
--- a/packages/carobwood-daemon/carobwood_daemon/replication/applier.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/applier.py
@@ -51,8 +51,8 @@
         replica.load_voters(index, self._machine.voters)
         replica.applied_index = index
         last = max(index, replica.log.last.index)
-        committed = getattr(replica.log, 'committed_index', 0)
-        replica.commit_index = min(last, max(index, committed))
+        committed = max(index, replica.log.committed_index)
+        replica.commit_index = min(last, committed)
         if replica.log.last.index < index:
             replica.log.reset(logs.Position(index, self._machine.term))
         while self._apply_batch():
@@ -105,11 +105,8 @@
             return [e for e in entries if e.index <= replica.commit_index]
 
     def _store_commit(self):
-        store = getattr(self._replica.log, 'store_commit', None)
-        if store is None:
-            return
         try:
-            store()
+            self._replica.log.store_commit()
         except errors.DiskWriteFailed as error:
             events.emit(events.DISK_FAILED, error=error.detail)
 
--- a/packages/carobwood-daemon/carobwood_daemon/replication/disk_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/disk_log.py
@@ -62,9 +62,6 @@
     A torn last frame is cut; damage before it stops the start.
     Compaction deletes whole segments and never rewrites one, so that
     flushes do not wait for it.
-
-    Attributes:
-        committed_index: highest index known to be committed.
     """
 
     def __init__(self, folder, segment_bytes=SEGMENT_BYTES):
@@ -73,7 +70,6 @@
         self._segment_bytes = segment_bytes
         self._staged = []
         self._durable = log.Position(0, 0)
-        self.committed_index = 0
         self._last_index_by_segment = {}
         self._number = 1
         self._recover()
@@ -103,11 +99,6 @@
             )
             return last
 
-    def record_commit(self, index):
-        """Note the committed index; the next flush stores it."""
-        with self._lock:
-            self.committed_index = max(self.committed_index, index)
-
     def store_commit(self):
         """Store the committed index without waiting for an entry."""
         with self._flush_lock:
--- a/packages/carobwood-daemon/carobwood_daemon/replication/log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/log.py
@@ -33,6 +33,9 @@
 
     Appended entries are visible at once and durable after ``flush``.
     All methods are safe to call from several threads.
+
+    Attributes:
+        committed_index: highest index known to be committed.
     """
 
     def __init__(self):
@@ -41,6 +44,7 @@
         self._flush_lock = threading.RLock()
         self._base = Position(0, 0)
         self._entries = []
+        self.committed_index = 0
 
     @property
     def base(self):
@@ -136,9 +140,18 @@
             DiskWriteFailed: the medium refused; entries stay staged.
         """
 
-    @abc.abstractmethod
     def record_commit(self, index):
-        """Note that entries up to an index are committed."""
+        """Note the committed index; the next flush stores it."""
+        with self._lock:
+            self.committed_index = max(self.committed_index, index)
+
+    @abc.abstractmethod
+    def store_commit(self):
+        """Store the committed index without waiting for an entry.
+
+        Raises:
+            DiskWriteFailed: the medium refused.
+        """
 
     @abc.abstractmethod
     def close(self):
@@ -160,15 +173,12 @@
 class MemoryLog(Log):
     """A log that lasts as long as the process."""
 
-    committed_index = 0
-
     def flush(self):
         """Return the last position; memory needs no flush."""
         return self.last
 
-    def record_commit(self, index):
-        """Note the committed index."""
-        self.committed_index = max(self.committed_index, index)
+    def store_commit(self):
+        """Do nothing: memory holds it."""
 
     def close(self):
         """Do nothing."""
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
@@ -17,6 +17,7 @@
 
 from . import commands
 from . import log as logs
+from . import progress as progresses
 from . import stable_state
 from . import voters as configurations
 
@@ -29,59 +30,6 @@
     LEADER = 'leader'
 
 
-@dataclasses.dataclass(frozen=True)
-class Timing:
-    """Periods of the protocol, in seconds.
-
-    Attributes:
-        heartbeat: pause between two messages to an idle follower.
-        election_min: shortest silence after which a follower campaigns.
-        election_max: longest such silence.
-        drift_margin: share of ``election_min`` that the leader's lease
-            leaves to clocks of unequal speed.
-    """
-
-    heartbeat: float = 0.1
-    election_min: float = 0.8
-    election_max: float = 1.6
-    drift_margin: float = 0.1
-
-    @property
-    def lease(self):
-        """How long a quorum's answers entitle a leader to act."""
-        return self.election_min * (1 - self.drift_margin)
-
-
-class Progress:
-    """How far a member holds the leader's log.
-
-    Attributes:
-        next_index: index of the next entry to send.
-        match_index: highest index known to be durable there.
-        acked_at: when the last answered message was sent, monotonic.
-    """
-
-    def __init__(self, next_index):
-        self.next_index = next_index
-        self.match_index = 0
-        self.acked_at = 0.0
-
-
-class Proposal:
-    """An entry that waits to be applied.
-
-    Attributes:
-        term: term in which it was appended.
-        result: encoded result, or None if its fate is unknown.
-        done: set once the fate is decided or lost.
-    """
-
-    def __init__(self, term):
-        self.term = term
-        self.result = None
-        self.done = threading.Event()
-
-
 @dataclasses.dataclass(frozen=True)
 class Status:
     """A replica's view, for operators."""
@@ -379,7 +327,7 @@
             if replica_id == self.replica_id:
                 continue
             if replica_id not in self.progress_by_id:
-                progress = Progress(self.log.last.index + 1)
+                progress = progresses.Progress(self.log.last.index + 1)
                 progress.acked_at = time.monotonic()
                 self.progress_by_id[replica_id] = progress
         for replica_id in list(self.progress_by_id):
@@ -427,7 +375,7 @@
             proposals = []
             for payload in payloads:
                 entry = self.append_locked(payload)
-                proposal = Proposal(self.term)
+                proposal = progresses.Proposal(self.term)
                 self._proposals_by_index[entry.index] = proposal
                 proposals.append(proposal)
             return proposals
--- a/packages/carobwood-daemon/carobwood_daemon/settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/settings.py
@@ -9,7 +9,7 @@
 from carobwood import errors
 
 from .replication import applier
-from .replication import replica
+from .replication import timing
 from .replication import voter_changes
 from .routing import policies
 
@@ -37,7 +37,7 @@
         target_voters: voters up to which learners are promoted.
     """
 
-    timing: replica.Timing
+    timing: timing.Timing
     snapshot_entries: int
     target_voters: int
 
@@ -184,7 +184,7 @@
 
 
 def _add_operation(add):
-    timing = replica.Timing()
+    defaults = timing.Timing()
     add(
         'choice',
         'expected-time',
@@ -194,7 +194,7 @@
     add('max-requests', 600, 'requests served at once')
     add('max-body-bytes', 16 * 1024 * 1024, 'largest model request')
     add('vm-slots', 8, "VMs that customers' rates are divided by")
-    add('election-timeout', timing.election_min, 'seconds without a leader')
+    add('election-timeout', defaults.election_min, 'seconds without a leader')
     add('snapshot-entries', applier.SNAPSHOT_ENTRIES, 'entries a snapshot')
     add('target-voters', voter_changes.TARGET_VOTERS, 'voters wanted')
     add('balancer-delay', 1.0, 'seconds from not ready to refusing')
@@ -336,15 +336,15 @@
     election = checker.number(
         'election-timeout', arguments.election_timeout, float, 0.2, 60
     )
-    timing = replica.Timing()
+    periods = timing.Timing()
     if election is not None:
-        timing = replica.Timing(
+        periods = timing.Timing(
             heartbeat=election / 8,
             election_min=election,
             election_max=2 * election,
         )
     return ReplicaOptions(
-        timing,
+        periods,
         checker.number(
             'snapshot-entries',
             arguments.snapshot_entries,
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -39,11 +39,12 @@
 
     Attributes:
         address: ``host:port`` to connect to instead of the target.
+        target: host and port behind it.
     """
 
     def __init__(self, target, host='127.0.0.1'):
         target_host, _, target_port = target.rpartition(':')
-        self._target = (target_host, int(target_port))
+        self.target = (target_host, int(target_port))
         self._lock = threading.Lock()
         self._rules_by_source = {}
         self._connections = set()
@@ -95,7 +96,7 @@
 
     def _open(self, near, source):
         try:
-            far = socket.create_connection(self._target, 5)
+            far = socket.create_connection(self.target, 5)
         except OSError:
             _reset(near)
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -230,7 +230,7 @@
     world.chat(prompt=prompt)
     holder = max(('engine-1', 'engine-2'), key=lambda e: _requests(world, e))
     world.stop_stand_in(holder, signal.SIGKILL)
-    port = int(world.proxies_by_id[holder]._target[1])
+    port = int(world.proxies_by_id[holder].target[1])
     world.start_engine(
         holder, port=port, advertise=world.proxies_by_id[holder].address
     )
