--- a/packages/carobwood-daemon/carobwood_daemon/replication/applier.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/applier.py
@@ -12,7 +12,7 @@
 
 MAX_BATCH_BYTES = 1024 * 1024
 SNAPSHOT_ENTRIES = 20000
-KEPT_ENTRIES = 2000
+KEPT_SHARE = 0.1
 
 
 class Applier(threading.Thread):
@@ -31,6 +31,8 @@
         self._machine = machine
         self._publish = publish
         self._snapshot_entries = snapshot_entries
+        # Kept for members that are only a little behind.
+        self._kept = int(snapshot_entries * KEPT_SHARE)
         self._snapshot_thread = None
         # Replicas apply in step; their snapshots must not coincide.
         self._snapshot_due = _spread(snapshot_entries)
@@ -135,7 +137,7 @@
                 return
             try:
                 self._replica.stable.store_snapshot(data)
-                kept = max(log.base.index, position.index - KEPT_ENTRIES)
+                kept = max(log.base.index, position.index - self._kept)
                 term = log.term_at(kept)
                 if term is not None:
                     log.compact(logs.Position(kept, term))
--- a/packages/carobwood-daemon/carobwood_daemon/replication/voter_changes.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/voter_changes.py
@@ -68,12 +68,14 @@
         """
         deadline = time.monotonic() + timeout
         replica = self._replica
+        # A VM that was just started may not have joined yet.
+        self._await(
+            deadline,
+            lambda: self._find_newcomer(old_vm_id, new_vm_id) is not None,
+        )
         with replica.changed:
-            self._require_leader()
-            newcomer = self._find_newcomer(new_vm_id)
+            newcomer = self._find_newcomer(old_vm_id, new_vm_id)
             leaver = replica.voters.voter_on(old_vm_id)
-        if leaver is not None and leaver.replica_id == newcomer.replica_id:
-            raise errors.ReplacementRefused(f'{old_vm_id} already votes')
         self._await(deadline, lambda: self._is_caught_up(newcomer))
         self._change(deadline, newcomer, lambda v, m: v.with_voter(m))
         if leaver is not None:
@@ -99,17 +101,19 @@
                 self._require_leader()
                 if time.monotonic() > deadline:
                     raise errors.ReplacementRefused(
-                        'the newcomer or a quorum did not keep up in time'
+                        'the newcomer did not join, or it or a quorum '
+                        'did not keep up in time'
                     )
                 replica.changed.wait(POLL_PERIOD)
 
-    def _find_newcomer(self, vm_id):
+    def _find_newcomer(self, old_vm_id, new_vm_id):
         voters = self._replica.voters
-        members = voters.learners + voters.voters
-        for member in members:
-            if member.vm_id == vm_id:
+        for member in voters.learners:
+            if member.vm_id == new_vm_id:
                 return member
-        raise errors.ReplacementRefused(f'{vm_id} has no replica that joined')
+        if old_vm_id == new_vm_id:
+            return None
+        return voters.voter_on(new_vm_id)
 
     def _require_leader(self):
         if not self._replica.is_leader:
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -18,6 +18,15 @@
     When vm3 is replaced by vm3
     Then vm3 votes with a new replica
 
+  Scenario: A newcomer takes a snapshot over after the log was compacted
+    Given a configured fleet of 3 VMs that compact their logs often
+    When 400 keys are issued
+    And vm3 is killed and its data folder is emptied
+    And vm3 starts again
+    And vm3 is replaced by vm3
+    Then vm3 has installed a snapshot
+    And every VM knows every key, also after a herd restart
+
   Scenario: A replacement that leaves no margin is refused
     Given a configured fleet of 3 VMs
     And a spare VM vm4 with a disk
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -48,6 +48,62 @@
     world.await_ready()
 
 
+@given(
+    parsers.parse(
+        'a configured fleet of {n:d} VMs that compact their logs often'
+    )
+)
+def _compacting(world, n):
+    world.start_fleet(('bole', 'kirkos', 'arada')[:n], snapshot_entries=100)
+    world.configure()
+
+
+@when(parsers.parse('{count:d} keys are issued'))
+def _issue(world, count):
+    world.notes['keys'] = {world.key_id}
+    for number in range(count):
+        digest = f'{number:064x}'
+        status, _ = world.operate(
+            'vm1',
+            '/v1/keys/issue',
+            environment='production',
+            customer=builders.CUSTOMER,
+            digest=digest,
+            operation_id=f'issue-{number}',
+        )
+        assert status == 200
+        world.notes['keys'].add(digest[:16])
+    log = world.vms_by_id['vm1'].log_text()
+    assert '"snapshot-written"' in log
+
+
+@then(parsers.parse('{vm} has installed a snapshot'))
+def _installed(world, vm):
+    assert '"snapshot-installed"' in world.vms_by_id[vm].log_text()
+
+
+@then('every VM knows every key, also after a herd restart')
+def _knows(world):
+    _assert_keys(world)
+    for vm_id in world.vms_by_id:
+        world.stop_vm(vm_id, signal.SIGKILL)
+    for vm_id in world.vms_by_id:
+        world.start_vm(vm_id)
+    world.await_ready()
+    _assert_keys(world)
+
+
+def _assert_keys(world):
+    for vm_id in world.vms_by_id:
+        fleets.wait_until(
+            lambda: (
+                {k['key_id'] for k in world.client('key', 'list', vm_id=vm_id)}
+                == world.notes['keys']
+            ),
+            f'{vm_id} to know the keys',
+        )
+
+
 @given(parsers.parse('an engine {engine} that announces itself once'))
 def _announced_once(world, engine):
     port = world.start_engine(engine, operators=[])
