Keep claims without an answer for good

Change: only settled claims expire; reading stops at the first young one. Conclusion: unknown must stay unknown.

--- a/packages/carobwood-daemon/carobwood_daemon/replication/claims.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/claims.py
@@ -96,11 +96,14 @@
 
     def _advance(self, elapsed_ms):
         self.time_ms += elapsed_ms
-        expired = [
-            request
-            for request, claim in self.claims_by_request.items()
-            if claim.opened_ms + claim.retention_ms <= self.time_ms
-        ]
+        expired = []
+        for request, claim in self.claims_by_request.items():
+            if claim.opened_ms + claim.retention_ms > self.time_ms:
+                # Claims are in the order of opening.
+                break
+            if claim.answer is not None:
+                # One without an answer may have run and stays for good.
+                expired.append(request)
         for request in expired:
             del self.claims_by_request[request]
         return commands.Applied(0)
