--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 bench: $(STAMP)
 	$(PYTHON) bench/relay.py $(if $(QUICK),--quick)
 	$(PYTHON) bench/replication.py $(if $(QUICK),--quick)
+	$(PYTHON) bench/choice.py $(if $(QUICK),--quick)
 
 capacity: $(STAMP)
 	$(PYTHON) bench/capacity.py
--- a/packages/carobwood-daemon/carobwood_daemon/limits/allowance.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/allowance.py
@@ -177,8 +177,10 @@
         held = account.bucket.tokens
         if held + lent < tokens:
             return tokens - held - lent
-        account.bucket.charge(tokens - lent)
-        account.bucket.put_back(0.0)
+        if lent >= tokens:
+            account.bucket.put_back(lent - tokens)
+        else:
+            account.bucket.charge(tokens - lent)
         return 0.0
 
     def _take(self, account, tokens):
