Prove relays, freezes and each step of a claim

Cause: large bodies, OTLP, frozen leaders, and kills before and after the service's answer had no proof. Change: 16 tests of services (64 MiB both ways within 32 MiB of memory, both framings, every split of chunks, spans to a collector); three scenarios of claims; one of a frozen leader.

--- a/bench/fake_service.py
+++ b/bench/fake_service.py
@@ -20,6 +20,7 @@
         self.runs_by_key = collections.Counter()
         self.headers_seen = []
         self.fault = ''
+        self.released = threading.Event()
 
 
 class Handler(http_stand_in.Handler):
@@ -43,6 +44,9 @@
         body = self.read_body()
         if self.path == '/fault':
             self.book.fault = json.loads(body)['fault']
+            if self.book.fault == 'release':
+                self.book.fault = ''
+                self.book.released.set()
             self.send_json(200, {})
             return
         if self.path.startswith('/echo'):
@@ -66,6 +70,8 @@
             return
         if fault == 'hang':
             time.sleep(3600)
+        if fault == 'hold':
+            self.book.released.wait()
         time.sleep(self.delay)
         self.send_json(201, {'order': key, 'run': run, 'bytes': len(body)})
 
--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -25,6 +25,29 @@
     Then a resend is told that the outcome is unknown
     And the order ran 1 times
 
+  Scenario: The VM is killed while the request is on its way
+    When the service is frozen and vm2 is killed while it sends an order
+    And the service goes on
+    Then a resend is told that the outcome is unknown
+    And the order ran at most once
+
+  Scenario: The VM is killed after the answer and before it is stored
+    When vm2 is cut off while an order runs through it
+    And the service answers
+    Then the caller got the whole answer
+    When vm2 is killed
+    And the links are healed
+    Then a resend is told that the outcome is unknown
+    And the order ran 1 times
+
+  Scenario: An answer that could not be stored at once is stored later
+    When vm2 is cut off while an order runs through it
+    And the service answers
+    Then the caller got the whole answer
+    When the links are healed
+    Then a resend is replayed in the end
+    And the order ran 1 times
+
   Scenario: Without a quorum nothing runs
     When the links between vm1 and vm2, vm3 are cut
     And an order is sent through vm1
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -61,3 +61,12 @@
     And the document is changed through the others
     When the links are healed
     Then all VMs hold version 2
+
+  Scenario: A frozen leader is replaced and reverts nothing when it thaws
+    Given a configured fleet of 3 VMs
+    When the leader is frozen
+    Then another VM leads
+    And the document is changed through the others
+    When the leader thaws
+    Then all VMs hold version 2
+    And the log of no VM shows two leaders in one term
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -90,6 +90,59 @@
     assert pending.result().status == 0
 
 
+@when('the service is frozen and vm2 is killed while it sends an order')
+def _kill_while_sending(world):
+    process = world.stand_ins_by_id[SERVICE]
+    process.send_signal(signal.SIGSTOP)
+    pending = world.pool.submit(world.order, 'vm2', KEY)
+    # A claim that is no longer free shows that vm2 went on to send.
+    fleets.wait_until(
+        lambda: world.order('vm3', KEY).code == 'claim_pending', 'the claim'
+    )
+    world.stop_vm('vm2', signal.SIGKILL)
+    assert pending.result().status == 0
+
+
+@when('the service goes on')
+def _continue(world):
+    world.stand_ins_by_id[SERVICE].send_signal(signal.SIGCONT)
+    fleets.wait_until(lambda: world.runs() is not None, 'the service')
+
+
+@then('the order ran at most once')
+def _at_most_once(world):
+    assert world.runs().get(KEY, 0) <= 1
+
+
+@when('vm2 is cut off while an order runs through it')
+def _cut_while_running(world):
+    # A leader that is cut off would have nobody to store the answer.
+    world.set_fault(SERVICE, 'hold')
+    world.notes['pending'] = world.pool.submit(world.order, 'vm2', KEY)
+    fleets.wait_until(lambda: KEY in world.runs(), 'the order to run')
+    world.cut([['vm2'], ['vm1', 'vm3']])
+
+
+@when('the service answers')
+def _release(world):
+    world.set_fault(SERVICE, 'release')
+    world.notes['answer'] = world.notes['pending'].result()
+
+
+@then('the caller got the whole answer')
+def _got_answer(world):
+    answer = world.notes['answer']
+    assert (answer.status, answer.outcome) == (201, 'complete')
+
+
+@then('a resend is replayed in the end')
+def _replayed_in_the_end(world):
+    answer = fleets.wait_until(
+        lambda: _answered(world.order('vm3', KEY)), 'the replay'
+    )
+    assert answer.headers['Carobwood-Replayed'] == 'true'
+
+
 @when(parsers.parse('an order is sent through {vm}'))
 def _send(world, vm):
     world.notes['answer'] = world.order(vm, KEY)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,6 @@
 """Scenarios of documents and of the replicated log."""
 
+import json
 import signal
 import uuid
 
@@ -222,6 +223,31 @@
     world.cut([[leader], others], fault_proxy.Fault.SILENT)
 
 
+@when('the leader is frozen')
+def _freeze_leader(world):
+    leader = fleets.wait_until(world.leader, 'a leader')
+    world.notes['silent'] = leader
+    world.vms_by_id[leader].process.send_signal(signal.SIGSTOP)
+
+
+@when('the leader thaws')
+def _thaw(world):
+    process = world.vms_by_id[world.notes['silent']].process
+    process.send_signal(signal.SIGCONT)
+
+
+@then('the log of no VM shows two leaders in one term')
+def _one_leader(world):
+    leaders_by_term = {}
+    for vm_id, vm in world.vms_by_id.items():
+        for line in vm.log_text().splitlines():
+            if '"leader-elected"' in line:
+                term = json.loads(line)['term']
+                leaders_by_term.setdefault(term, set()).add(vm_id)
+    assert len(leaders_by_term) > 1
+    assert all(len(vms) == 1 for vms in leaders_by_term.values())
+
+
 @then('another VM leads')
 def _other_leads(world):
     others = [v for v in world.vms_by_id if v != world.notes['silent']]
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,170 @@
+"""Plain services: bodies pass both ways without being held in memory."""
+
+import hashlib
+import http.client
+import http.server
+import pathlib
+import threading
+
+import builders
+import fleet as fleets
+import pytest
+import yaml
+
+from carobwood_daemon.entry import answer_body
+
+BODY_MIB = 64
+MEMORY_MIB = 32
+BLOCK = bytes(range(256)) * 4096
+
+
+def _document():
+    fields = yaml.safe_load(builders.document())
+    fields['routes'].append(
+        {
+            'prefix': '/echo',
+            'access': 'keyed',
+            'pool': 'orders',
+            'methods': ['POST', 'PUT'],
+            'deadline_seconds': 30,
+        }
+    )
+    return yaml.safe_dump(fields)
+
+
+@pytest.fixture
+def served(world):
+    """Give a configured VM with a service that echoes bodies."""
+    world.start_fleet(('bole',))
+    world.configure(_document())
+    world.start_service('booth-orders')
+    world.await_endpoints(['booth-orders'])
+    return world
+
+
+def _peak_mib(world):
+    pid = world.vms_by_id['vm1'].process.pid
+    for line in pathlib.Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('VmHWM'):
+            return int(line.split()[1]) / 1024
+    raise AssertionError('no peak of memory')
+
+
+def _echo(world, method, is_chunked):
+    host, _, port = world.vms_by_id['vm1'].caller.partition(':')
+    connection = http.client.HTTPConnection(host, int(port), timeout=60)
+    headers = dict(builders.bearer(world.key))
+    if not is_chunked:
+        headers['Content-Length'] = str(BODY_MIB * len(BLOCK))
+    blocks = (BLOCK for _ in range(BODY_MIB))
+    connection.request(
+        method, '/echo/a?b=c', blocks, headers, encode_chunked=is_chunked
+    )
+    answer = connection.getresponse()
+    digest = hashlib.sha256()
+    size = 0
+    while part := answer.read(1 << 20):
+        digest.update(part)
+        size += len(part)
+    connection.close()
+    return answer, digest.hexdigest(), size
+
+
+@pytest.mark.parametrize(
+    ('method', 'is_chunked'), [('POST', False), ('PUT', True)]
+)
+def test_large_bodies_pass_both_ways(served, method, is_chunked):
+    before = _peak_mib(served)
+    answer, digest, size = _echo(served, method, is_chunked)
+    expected = hashlib.sha256()
+    for _ in range(BODY_MIB):
+        expected.update(BLOCK)
+    assert answer.status == 200
+    assert answer.headers['Carobwood-Outcome'] == 'complete'
+    assert size == BODY_MIB * len(BLOCK)
+    assert digest == expected.hexdigest()
+    assert _peak_mib(served) - before < MEMORY_MIB
+
+
+def test_routes_decide_method_and_access(served):
+    lookup = served.request('vm1', 'GET', '/records/session-9')
+    assert (lookup.status, lookup.outcome) == (200, 'complete')
+    assert served.request('vm1', 'PUT', '/records/9').code == (
+        'method_not_allowed'
+    )
+    opened = served.request('vm1', 'GET', '/opening-hours', headers={})
+    assert opened.status == 200
+    closed = served.request('vm1', 'GET', '/records/9', headers={})
+    assert closed.code == 'credential_missing'
+    assert served.request('vm1', 'GET', '/nowhere').code == 'route_not_found'
+
+
+class _Reader:
+    """Gives bytes in blocks of a size, like a buffered socket."""
+
+    def __init__(self, data, block):
+        self._data = data
+        self._block = block
+
+    def read1(self, size):
+        """Return the next block."""
+        part = self._data[: min(size, self._block)]
+        self._data = self._data[len(part) :]
+        return part
+
+
+@pytest.mark.parametrize('block', [1, 2, 3, 5, 7, 64, 10000])
+def test_chunks_are_joined_whatever_the_blocks(block):
+    content = bytes(range(256)) * 3
+    raw = b''
+    for start in range(0, len(content), 50):
+        piece = content[start : start + 50]
+        raw += b'%x;ext=1\r\n%s\r\n' % (len(piece), piece)
+    body = answer_body.ChunkedBody(_Reader(raw + b'0\r\n\r\n', block))
+    parts = []
+    while part := body.read_some():
+        parts.append(part)
+    assert b''.join(parts) == content
+
+
+@pytest.mark.parametrize(
+    'raw', [b'5\r\nabc', b'zz\r\nabc\r\n', b'-1\r\n', b'', b'3\r\nabc\r\n']
+)
+def test_broken_chunks_are_never_a_whole_body(raw):
+    body = answer_body.ChunkedBody(_Reader(raw, 100))
+    with pytest.raises((http.client.HTTPException, ValueError)):
+        while body.read_some():
+            pass
+
+
+def test_spans_go_to_a_collector(world):
+    received = threading.Event()
+
+    class Collector(http.server.BaseHTTPRequestHandler):
+        """Takes one export of spans."""
+
+        def do_POST(self):  # noqa: N802 (named by http.server)
+            """Answer like a collector."""
+            self.rfile.read(int(self.headers['Content-Length']))
+            if self.path == '/v1/traces':
+                received.set()
+            self.send_response(200)
+            self.send_header('Content-Length', '0')
+            self.end_headers()
+
+        def log_message(self, format, *args):
+            """Stay silent."""
+
+    with http.server.HTTPServer(('127.0.0.1', 0), Collector) as server:
+        thread = threading.Thread(target=server.serve_forever, daemon=True)
+        thread.start()
+        port = server.server_address[1]
+        world.start_fleet(
+            ('bole',),
+            trace_export='otlp',
+            trace_target=f'http://127.0.0.1:{port}/v1/traces',
+        )
+        world.configure()
+        assert world.chat().code == 'no_endpoint'
+        assert received.wait(fleets.START_TIMEOUT)
+        server.shutdown()
