End a stop when the drain timeout ends

Cause: a trial that broke the drain still passed: the HTTP server waits for its threads without bound, so after the drain timeout a stop would wait on, too. Change: after a drain that timed out the listeners are not waited for, and the process ends with 1, as documented. Conclusion: the documented bound now holds.

--- a/packages/carobwood-daemon/carobwood_daemon/__main__.py
+++ b/packages/carobwood-daemon/carobwood_daemon/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of ``carobwoodd``."""
 
+import os
 import signal
 import sys
 import threading
@@ -45,7 +46,11 @@
         print(f'carobwoodd: {code}: {error}', file=sys.stderr)
         return EXIT_FAILED
     stop_requested.wait()
-    return EXIT_OK if process.stop() else EXIT_FAILED
+    if not process.stop():
+        # Threads that still serve would keep the process alive.
+        sys.stderr.flush()
+        os._exit(EXIT_FAILED)
+    return EXIT_OK
 
 
 if __name__ == '__main__':
--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -128,7 +128,9 @@
         drained = self._gate.drain(self._settings.drain_timeout)
         if not drained:
             events.emit(events.DRAIN_TIMED_OUT, in_flight=self._gate.in_flight)
-        self._stop_listeners()
+        if drained:
+            # It waits for its requests without bound.
+            self._stop_listeners()
         for keeper in self._keepers:
             keeper.stop()
         self._follower.stop()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -129,6 +129,22 @@
     assert fleets.wait_until(world.leader, 'a new leader') != 'vm1'
 
 
+def test_a_stop_ends_with_1_when_the_drain_timeout_ends_first(world):
+    world.start_fleet(('bole',), drain_timeout=1)
+    world.configure()
+    world.start_engine('engine-1', token_seconds=1)
+    world.await_endpoints(['engine-1'])
+    world.pool.submit(world.chat, max_tokens=300)
+    fleets.wait_until(
+        lambda: world.status('vm1')['requests_in_flight'] == 1,
+        'the stream to start',
+    )
+    vm = world.vms_by_id['vm1']
+    vm.process.send_signal(signal.SIGTERM)
+    assert vm.process.wait(30) == 1
+    assert '"drain-timed-out"' in vm.log_text()
+
+
 def test_client_exit_codes_and_json_errors(world):
     world.start_fleet(('bole',))
     world.configure()
