--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -16,7 +16,16 @@
 import pytest
 
 SEEDS = (11, 12, 13)
-ROUNDS = 6
+FAULTS = (
+    'kill',
+    'kill leader',
+    'cut',
+    'one way',
+    'silent',
+    'delay',
+    'reset',
+)
+ROUNDS = 8
 VMS = 5
 ORDERERS = 3
 PAUSE_SECONDS = 0.02
@@ -84,7 +93,7 @@
 
 def _fault(world, source):
     vm_ids = list(world.vms_by_id)
-    match source.choice(['kill', 'kill leader', 'cut', 'one way', 'silent']):
+    match source.choice(FAULTS):
         case 'kill':
             _kill_and_start(world, [source.choice(vm_ids)])
         case 'kill leader':
@@ -97,6 +106,15 @@
         case 'one way':
             rule = fault_proxy.Rule(fault_proxy.Fault.CUT)
             world.cut_one_way(*source.sample(vm_ids, 2), rule)
+        case 'delay':
+            rule = fault_proxy.Rule(delay=source.uniform(0.05, 0.5))
+            for _ in range(4):
+                world.cut_one_way(*source.sample(vm_ids, 2), rule)
+        case 'reset':
+            # In the middle of a message.
+            rule = fault_proxy.Rule(reset_after=source.randrange(1, 3000))
+            for _ in range(4):
+                world.cut_one_way(*source.sample(vm_ids, 2), rule)
         case 'silent':
             groups = [vm_ids[:2], vm_ids[2:]]
             world.cut(groups, fault_proxy.Fault.SILENT)
--- a/tests/test_damage.py
+++ b/tests/test_damage.py
@@ -4,7 +4,6 @@
 import random
 import resource
 import signal
-import subprocess
 import uuid
 
 import builders
@@ -82,7 +81,5 @@
 
 
 def _limit_file_size(pid, limit):
-    text = 'unlimited' if limit == resource.RLIM_INFINITY else str(limit)
-    subprocess.run(
-        ['prlimit', f'--pid={pid}', f'--fsize={text}:unlimited'], check=True
-    )
+    hard = resource.RLIM_INFINITY
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (limit, hard))
