Make the keepers' base class abstract

Cause: its step raised NotImplementedError, which reads like a stub. Change: an abstract method. Conclusion: nothing else changed.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/keepers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/keepers.py
@@ -1,5 +1,6 @@
 """Periodic duties of a VM: joining, registration and upkeep."""
 
+import abc
 import threading
 
 from carobwood import errors
@@ -18,7 +19,7 @@
 SUBMIT_TIMEOUT = 5.0
 
 
-class Keeper(threading.Thread):
+class Keeper(threading.Thread, abc.ABC):
     """A thread that does one duty every period until stopped."""
 
     period = 1.0
@@ -43,9 +44,9 @@
         """End the thread at its next step."""
         self._stopped.set()
 
+    @abc.abstractmethod
     def step(self):
         """Do the duty once."""
-        raise NotImplementedError
 
 
 class Joiner(Keeper):
