--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -99,6 +99,19 @@
     assert served.request('vm1', 'GET', '/nowhere').code == 'route_not_found'
 
 
+def test_prompts_as_token_ids_and_the_list_of_models(served):
+    served.start_engine('engine-1')
+    served.await_endpoints(['engine-1'])
+    body = {'model': builders.MODEL, 'prompt': [7] * 5000, 'max_tokens': 3}
+    answer = served.request('vm1', 'POST', '/v1/completions', body)
+    assert (answer.status, answer.outcome) == (200, 'complete')
+    body['prompt'] = [-1]
+    wrong = served.request('vm1', 'POST', '/v1/completions', body)
+    assert (wrong.code, wrong.outcome) == ('malformed_request', 'not-run')
+    listed = served.request('vm1', 'GET', '/v1/models')
+    assert builders.MODEL.encode() in listed.body
+
+
 class _Reader:
     """Gives bytes in blocks of a size, like a buffered socket."""
 
