Let strikes travel with holds

The logs show copy 2 getting the hold on the engine that copy 1 had crashed, before the strike had reached its VM; it found the engine dead and crashed the next one. It had been checked for strikes only before it waited for the hold. Ruled out: two arbiters, a wrong probe. Change: requests for holds and their replies carry the live strikes, and a suspect is checked again once it has the hold. Success keeps a strike as expired, so that a peer's news does not bring it back. Conclusion: the arbiter orders the copies, so its word must carry the strikes.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -198,6 +198,7 @@
             self._gossip,
             self._allowance,
             self._holds,
+            self._suspects,
         )
         self._link_server = link_server.LinkServer(
             settings.link_listen, settings.link_secret, handler
@@ -284,7 +285,9 @@
             rates=self._rates,
             suspects=self._suspects,
             gossip=self._gossip,
-            arbiter=arbiter.Arbiter(self._holds, self._directory, self._links),
+            arbiter=arbiter.Arbiter(
+                self._holds, self._suspects, self._directory, self._links
+            ),
             proposer=self._proposer,
             settlements=self._settlements,
             tracer=self._tracer,
--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
@@ -43,6 +43,7 @@
         Raises:
             Saturated: a suspect had no engine to itself in time.
             EndpointUnreachable: the engine died before a suspect came.
+            RequestCrashesEndpoints: another copy crashed it meanwhile.
         """
         if self._services.suspects.is_suspect(self._fingerprint):
             self._enter_apart(timeout)
@@ -117,13 +118,21 @@
     def _enter_apart(self, timeout):
         holder = secrets.token_hex(HOLDER_BYTES)
         self._services.arbiter.hold(self.endpoint, holder, timeout)
+        try:
+            self._check_apart()
+        except errors.RequestRefused:
+            self._services.arbiter.release(self.endpoint, holder)
+            raise
+        self._holder = holder
+
+    def _check_apart(self):
+        # The last holder may have been another copy of this request.
+        self._services.suspects.check(self._fingerprint)
         # Something between the two ends may accept connections for a
         # dead engine, and a second strike must not come from that.
         if not probe.is_alive(self.endpoint, PROBE_TIMEOUT):
-            self._services.arbiter.release(self.endpoint, holder)
             self._services.loads.suspect(self.endpoint, 'dead')
             raise errors.EndpointUnreachable('it does not answer its probe')
-        self._holder = holder
 
     def _start_prefill(self):
         # Noted before the engine answers, so that concurrent requests
--- a/packages/carobwood-daemon/carobwood_daemon/membership/arbiter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/arbiter.py
@@ -12,6 +12,8 @@
 
 from ..routing import rendezvous
 
+from . import strikes
+
 HOLD_LIFETIME = 120.0
 POLL_SECONDS = 0.05
 RELEASE_PERIOD = 0.5
@@ -40,6 +42,13 @@
             self._holds_by_endpoint[endpoint_id] = (holder, until)
             return True
 
+    def decide(self, endpoint_id, holder, release):
+        """Take or release an endpoint; tell whether it was done."""
+        if release:
+            self.release(endpoint_id, holder)
+            return True
+        return self.take(endpoint_id, holder)
+
     def release(self, endpoint_id, holder):
         """Give a claim up."""
         with self._lock:
@@ -49,10 +58,17 @@
 
 
 class Arbiter:
-    """Asks the arbiter of an endpoint for a hold, from any VM."""
+    """Asks the arbiter of an endpoint for a hold, from any VM.
 
-    def __init__(self, holds, directory, links, clock=time.monotonic):
+    Strikes travel with every request and reply, so that who gets a hold
+    knows of the crash that its last holder caused.
+    """
+
+    def __init__(
+        self, holds, suspects, directory, links, clock=time.monotonic
+    ):
         self._holds = holds
+        self._suspects = suspects
         self._directory = directory
         self._links = links
         self._clock = clock
@@ -94,21 +110,19 @@
     def _ask(self, endpoint, holder, release):
         vm = self._arbiter_of(endpoint)
         if vm.id == self._directory.own_vm.id:
-            return self._decide(endpoint, holder, release)
-        request = ttypes.ApartRequest(endpoint.id, holder, release)
+            return self._holds.decide(endpoint.id, holder, release)
+        request = ttypes.ApartRequest(
+            endpoint.id, holder, release, strikes.describe(self._suspects)
+        )
         try:
             link = self._links.to(vm.link_address)
-            return link.call('hold_apart', request, CALL_TIMEOUT)
+            reply = link.call('hold_apart', request, CALL_TIMEOUT)
         except errors.LinkFailed:
             # Two VMs that decide would let two suspects run at once. An
             # arbiter that stays silent is soon followed by the next one.
             return False
-
-    def _decide(self, endpoint, holder, release):
-        if release:
-            self._holds.release(endpoint.id, holder)
-            return True
-        return self._holds.take(endpoint.id, holder)
+        strikes.take_over(self._suspects, reply.strikes)
+        return reply.granted
 
     def _arbiter_of(self, endpoint):
         now = self._clock()
--- a/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -7,6 +7,8 @@
 
 from ..replication import commands
 
+from . import strikes
+
 MAX_WAIT_MS = 5000
 NO_CONTACT = -1
 
@@ -14,12 +16,13 @@
 class FleetHandler:
     """Implements the thrift service ``FleetLink``."""
 
-    def __init__(self, voter, store, gossip, allowance, holds):
+    def __init__(self, voter, store, gossip, allowance, holds, suspects):
         self._voter = voter
         self._store = store
         self._gossip = gossip
         self._allowance = allowance
         self._holds = holds
+        self._suspects = suspects
 
     def request_vote(self, request):
         """See ``Replica.handle_vote``."""
@@ -112,10 +115,11 @@
 
     def hold_apart(self, request):
         """Decide on a hold as the arbiter; see ``Holds``."""
-        if request.release:
-            self._holds.release(request.endpoint_id, request.holder)
-            return True
-        return self._holds.take(request.endpoint_id, request.holder)
+        strikes.take_over(self._suspects, request.strikes)
+        granted = self._holds.decide(
+            request.endpoint_id, request.holder, request.release
+        )
+        return ttypes.ApartReply(granted, strikes.describe(self._suspects))
 
     def lend_tokens(self, request):
         """Lend a customer's tokens; see ``Allowance.lend``."""
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -8,6 +8,7 @@
 from carobwood.gen.links import ttypes
 
 from . import directory as directories
+from . import strikes
 
 PERIOD = 0.5
 REFRESH_PERIOD = 2.0
@@ -93,12 +94,7 @@
         for announcement in message.announcements:
             self._directory.note_endpoint(endpoint_of(announcement, now))
         self._withdrawals.add(message.withdrawn_digests)
-        self._suspects.merge(
-            {
-                (strike.fingerprint, strike.crash): now - strike.age_ms / 1000
-                for strike in message.strikes or ()
-            }
-        )
+        strikes.take_over(self._suspects, message.strikes)
 
     def message(self, endpoints, vms):
         """Return a message with these endpoints and VMs, and all news."""
@@ -112,12 +108,7 @@
             [announcement_of(endpoint, now) for endpoint in endpoints],
             sorted(self._withdrawals.to_spread(committed)),
             self.fleet_id(),
-            [
-                ttypes.Strike(fingerprint, crash, int((now - at) * 1000))
-                for (fingerprint, crash), at in (
-                    self._suspects.strikes().items()
-                )
-            ],
+            strikes.describe(self._suspects),
         )
 
     @property
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/strikes.py
@@ -0,0 +1,30 @@
+"""Strikes against requests, as messages between VMs."""
+
+import time
+
+from carobwood.gen.links import ttypes
+
+
+def describe(suspects):
+    """Return the live strikes as thrift messages."""
+    now = time.monotonic()
+    return [
+        ttypes.Strike(fingerprint, crash, int((now - struck_at) * 1000))
+        for (fingerprint, crash), struck_at in suspects.strikes().items()
+    ]
+
+
+def take_over(suspects, messages):
+    """Merge strikes that another VM described.
+
+    Args:
+        suspects: the ``Suspects``.
+        messages: thrift strikes, or None.
+    """
+    now = time.monotonic()
+    suspects.merge(
+        {
+            (strike.fingerprint, strike.crash): now - strike.age_ms / 1000
+            for strike in messages or ()
+        }
+    )
--- a/packages/carobwood-daemon/carobwood_daemon/routing/suspects.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/suspects.py
@@ -74,7 +74,12 @@
     def clear(self, fingerprint):
         """Forget the strikes of a request that was answered."""
         with self._changed:
-            self._strikes_by_fingerprint.pop(fingerprint, None)
+            known = self._strikes_by_fingerprint.get(fingerprint)
+            if known:
+                # Kept as expired, so that a peer's news of the same crash
+                # does not bring the strike back.
+                for crash in known:
+                    known[crash] = float('-inf')
 
     def note_crash(self, endpoint):
         """Strike every request that runs on a crashed endpoint.
--- a/packages/carobwood/carobwood/gen/links/FleetLink.py
+++ b/packages/carobwood/carobwood/gen/links/FleetLink.py
@@ -1969,8 +1969,9 @@
             if ftype == TType.STOP:
                 break
             if fid == 0:
-                if ftype == TType.BOOL:
-                    self.success = iprot.readBool()
+                if ftype == TType.STRUCT:
+                    self.success = ApartReply()
+                    self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1984,8 +1985,8 @@
             return
         oprot.writeStructBegin('hold_apart_result')
         if self.success is not None:
-            oprot.writeFieldBegin('success', TType.BOOL, 0)
-            oprot.writeBool(self.success)
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2005,7 +2006,7 @@
         return not (self == other)
 all_structs.append(hold_apart_result)
 hold_apart_result.thrift_spec = (
-    (0, TType.BOOL, 'success', None, None, ),  # 0
+    (0, TType.STRUCT, 'success', [ApartReply, None], None, ),  # 0
 )
 
 
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -2161,14 +2161,16 @@
      - endpoint_id
      - holder
      - release
+     - strikes
 
     """
 
 
-    def __init__(self, endpoint_id=None, holder=None, release=None,):
+    def __init__(self, endpoint_id=None, holder=None, release=None, strikes=None,):
         self.endpoint_id = endpoint_id
         self.holder = holder
         self.release = release
+        self.strikes = strikes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2194,6 +2196,17 @@
                     self.release = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.strikes = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Strike()
+                        _elem33.read(iprot)
+                        self.strikes.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2216,6 +2229,13 @@
             oprot.writeFieldBegin('release', TType.BOOL, 3)
             oprot.writeBool(self.release)
             oprot.writeFieldEnd()
+        if self.strikes is not None:
+            oprot.writeFieldBegin('strikes', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.strikes))
+            for iter34 in self.strikes:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2240,6 +2260,185 @@
         return not (self == other)
 
 
+class ApartReply(object):
+    """
+    Attributes:
+     - granted
+     - strikes
+
+    """
+
+
+    def __init__(self, granted=None, strikes=None,):
+        self.granted = granted
+        self.strikes = strikes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.strikes = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Strike()
+                        _elem40.read(iprot)
+                        self.strikes.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ApartReply')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 1)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.strikes is not None:
+            oprot.writeFieldBegin('strikes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.strikes))
+            for iter41 in self.strikes:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.granted is None:
+            raise TProtocolException(message='Required field granted is unset!')
+        if self.strikes is None:
+            raise TProtocolException(message='Required field strikes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlacementNews(object):
+    """
+    Attributes:
+     - endpoint_id
+     - incarnation
+     - pieces
+     - age_ms
+
+    """
+
+
+    def __init__(self, endpoint_id=None, incarnation=None, pieces=None, age_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.pieces = pieces
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.pieces = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlacementNews')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.pieces is not None:
+            oprot.writeFieldBegin('pieces', TType.STRING, 3)
+            oprot.writeBinary(self.pieces)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint_id is None:
+            raise TProtocolException(message='Required field endpoint_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.pieces is None:
+            raise TProtocolException(message='Required field pieces is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GossipMessage(object):
     """
     Attributes:
@@ -2250,11 +2449,12 @@
      - withdrawn_digests
      - fleet_id
      - strikes
+     - placements
 
     """
 
 
-    def __init__(self, vm=None, version=None, vms=None, announcements=None, withdrawn_digests=None, fleet_id=None, strikes=None,):
+    def __init__(self, vm=None, version=None, vms=None, announcements=None, withdrawn_digests=None, fleet_id=None, strikes=None, placements=None,):
         self.vm = vm
         self.version = version
         self.vms = vms
@@ -2262,6 +2462,7 @@
         self.withdrawn_digests = withdrawn_digests
         self.fleet_id = fleet_id
         self.strikes = strikes
+        self.placements = placements
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2286,32 +2487,32 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.vms = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = VmDescriptor()
-                        _elem33.read(iprot)
-                        self.vms.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = VmDescriptor()
+                        _elem47.read(iprot)
+                        self.vms.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = Announcement()
-                        _elem39.read(iprot)
-                        self.announcements.append(_elem39)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = Announcement()
+                        _elem53.read(iprot)
+                        self.announcements.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem45)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2323,11 +2524,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = Strike()
-                        _elem51.read(iprot)
-                        self.strikes.append(_elem51)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = Strike()
+                        _elem65.read(iprot)
+                        self.strikes.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.placements = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = PlacementNews()
+                        _elem71.read(iprot)
+                        self.placements.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2352,22 +2564,22 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter52 in self.vms:
-                iter52.write(oprot)
+            for iter72 in self.vms:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter53 in self.announcements:
-                iter53.write(oprot)
+            for iter73 in self.announcements:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter54 in self.withdrawn_digests:
-                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            for iter74 in self.withdrawn_digests:
+                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fleet_id is not None:
@@ -2377,8 +2589,15 @@
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter55 in self.strikes:
-                iter55.write(oprot)
+            for iter75 in self.strikes:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.placements is not None:
+            oprot.writeFieldBegin('placements', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.placements))
+            for iter76 in self.placements:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2587,6 +2806,21 @@
     (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'holder', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'release', None, None, ),  # 3
+    (4, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 4
+)
+all_structs.append(ApartReply)
+ApartReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+    (2, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 2
+)
+all_structs.append(PlacementNews)
+PlacementNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'pieces', 'BINARY', None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
 all_structs.append(GossipMessage)
 GossipMessage.thrift_spec = (
@@ -2598,6 +2832,7 @@
     (5, TType.LIST, 'withdrawn_digests', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.STRING, 'fleet_id', 'UTF8', None, ),  # 6
     (7, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 7
+    (8, TType.LIST, 'placements', (TType.STRUCT, [PlacementNews, None], False), None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_arbiter.py
+++ b/tests/test_arbiter.py
@@ -3,6 +3,7 @@
 from carobwood import errors
 from carobwood_daemon.membership import arbiter
 from carobwood_daemon.membership import directory
+from carobwood_daemon.routing import suspects
 import pytest
 
 OWN = directory.Vm('vm1', 'bole', '127.0.0.1:1', '', 1, False)
@@ -34,7 +35,11 @@
         known.note_vm(other, True)
         holds = arbiter.Holds(lambda: self.now)
         self.arbiter = arbiter.Arbiter(
-            holds, known, BrokenLinks(), lambda: self.now
+            holds,
+            suspects.Suspects(),
+            known,
+            BrokenLinks(),
+            lambda: self.now,
         )
 
     def is_held(self, engine):
--- a/tests/test_engine_visit.py
+++ b/tests/test_engine_visit.py
@@ -30,9 +30,11 @@
 
     def __init__(self):
         self.held = 0
+        self.on_hold = lambda: None
 
     def hold(self, *arguments):
         self.held += 1
+        self.on_hold()
 
     def release(self, *arguments):
         self.held -= 1
@@ -80,3 +82,26 @@
     assert services.arbiter.held == 0
     assert services.loads.open_requests(ENGINE) == 0
     services.suspects.check(FINGERPRINT)
+
+
+def test_a_suspect_learns_with_its_hold_of_another_copys_crash(services):
+    suspects_here = services.suspects
+    now = time.monotonic()
+    suspects_here.merge({(FINGERPRINT, 'engine-2/1'): now})
+    services.arbiter.on_hold = lambda: suspects_here.merge(
+        {(FINGERPRINT, 'engine-1/1'): now}
+    )
+    visit = engine_visit.Visit(services, ENGINE, WORK)
+    with pytest.raises(errors.RequestCrashesEndpoints):
+        visit.enter(1.0)
+    assert services.arbiter.held == 0
+
+
+def test_news_of_a_cleared_strike_does_not_bring_it_back(services):
+    strike = {(FINGERPRINT, 'engine-2/1'): time.monotonic()}
+    services.suspects.merge(strike)
+    services.suspects.clear(FINGERPRINT)
+    services.suspects.merge(strike)
+    assert not services.suspects.is_suspect(FINGERPRINT)
+    services.suspects.merge({(FINGERPRINT, 'engine-3/1'): time.monotonic()})
+    assert services.suspects.is_suspect(FINGERPRINT)
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -165,6 +165,20 @@
   1: required string endpoint_id
   2: required string holder
   3: required bool release
+  4: list<Strike> strikes
+}
+
+struct ApartReply {
+  1: required bool granted
+  2: required list<Strike> strikes
+}
+
+// Pieces of prompts that a VM sent to an endpoint lately.
+struct PlacementNews {
+  1: required string endpoint_id
+  2: required i64 incarnation
+  3: required binary pieces
+  4: required i32 age_ms
 }
 
 struct GossipMessage {
@@ -175,6 +189,7 @@
   5: required list<string> withdrawn_digests
   6: required string fleet_id
   7: list<Strike> strikes
+  8: list<PlacementNews> placements
 }
 
 service FleetLink {
@@ -187,6 +202,6 @@
   ReplaceReply replace_voter(1: ReplaceRequest request)
   FollowReply follow(1: FollowRequest request)
   GossipMessage gossip(1: GossipMessage message)
-  bool hold_apart(1: ApartRequest request)
+  ApartReply hold_apart(1: ApartRequest request)
   LendReply lend_tokens(1: LendRequest request)
 }
