Tell other VMs of placements and balance the homes of prefixes

Ways weighed: homes worked out from the document's customers (a customer with many prefixes would have one home); counting reported load (0.5 to 2 s late). Change: own placements go into a bounded log that gossip carries to every VM, at once for an unknown prefix, and uses again after 2 s; a VM that restarts gets them again. A cold prefix goes to the first rendezvous choice that would not hold more than 1.25 of its part of all known pieces.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -176,10 +176,12 @@
             self._voter, self._links, self._directory
         )
         self._suspects = suspect_tables.Suspects()
+        self._placements = placement_tables.Placements()
         self._gossip = gossips.Gossip(
             self._directory,
             self._withdrawals,
             self._suspects,
+            self._placements,
             self._store,
             self._links,
         )
@@ -214,7 +216,6 @@
             self._metrics = metric_clients.StatsdMetrics(settings.statsd)
         self._settlements = at_most_once.Settlements(self._proposer)
         self._loads = endpoint_loads.Loads()
-        self._placements = placement_tables.Placements()
         self._rates = prefill_rate.PrefillRates()
         self._store.on_change(self._adopt)
         self._withdrawals.on_addition(self._gate.withdraw)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -8,6 +8,7 @@
 from carobwood.gen.links import ttypes
 
 from . import directory as directories
+from . import placement_news
 from . import strikes
 
 PERIOD = 0.5
@@ -24,8 +25,11 @@
     ``REFRESH_PERIOD``. A failed call is repeated on a new connection.
     """
 
-    def __init__(self, directory, withdrawals, suspects, store, links):
+    def __init__(
+        self, directory, withdrawals, suspects, placements, store, links
+    ):
         self._directory = directory
+        self._placements = placements
         self._withdrawals = withdrawals
         self._suspects = suspects
         self._store = store
@@ -37,6 +41,7 @@
         directory.on_endpoint_change(lambda endpoint: self.spread())
         withdrawals.on_addition(lambda digests: self.spread())
         suspects.on_strike(lambda strikes: self.spread())
+        placements.on_new_prefix(self.spread)
 
     def start(self, timer):
         """Start a thread for each known peer and for later ones."""
@@ -82,7 +87,7 @@
                 raise errors.LinkRefused('the peer is of another fleet')
         self.merge(message, heard_directly=True)
         # The peer's own thread here brings it what it does not know.
-        return self.message((), ())
+        return self.message((), (), ())
 
     def merge(self, message, heard_directly):
         """Merge the content of a message."""
@@ -95,9 +100,16 @@
             self._directory.note_endpoint(endpoint_of(announcement, now))
         self._withdrawals.add(message.withdrawn_digests)
         strikes.take_over(self._suspects, message.strikes)
+        placement_news.take_over(self._placements, message.placements)
 
-    def message(self, endpoints, vms):
-        """Return a message with these endpoints and VMs, and all news."""
+    def message(self, endpoints, vms, placed):
+        """Return a message with these records, and all other news.
+
+        Args:
+            endpoints: ``Endpoint`` records that the peer lacks.
+            vms: ``Vm`` records that the peer lacks.
+            placed: ``Placement`` records that the peer lacks.
+        """
         now = time.monotonic()
         directory = self._directory
         committed = self._store.fleet.withdrawn_digests
@@ -109,8 +121,13 @@
             sorted(self._withdrawals.to_spread(committed)),
             self.fleet_id(),
             strikes.describe(self._suspects),
+            placement_news.describe(placed),
         )
 
+    def placed_since(self, position):
+        """Return the ``Page`` of own placements from a position on."""
+        return self._placements.log.read(position)
+
     @property
     def is_stopped(self):
         """Whether the threads are to end."""
@@ -144,6 +161,7 @@
         self._peer_incarnation = 0
         self._sent_by_endpoint = {}
         self._sent_vms = (frozenset(), 0.0)
+        self._placed_position = 0
         self._confirmed = frozenset()
 
     def run(self):
@@ -170,7 +188,8 @@
     def _exchange(self):
         due = self._due_endpoints()
         vms = self._due_vms()
-        message = self._gossip.message(due, vms)
+        page = self._gossip.placed_since(self._placed_position)
+        message = self._gossip.message(due, vms, page.records)
         try:
             reply = self._link.call('gossip', message, CALL_TIMEOUT)
         except errors.LinkFailed as error:
@@ -178,11 +197,13 @@
             return
         self._silent = False
         now = time.monotonic()
+        self._placed_position = page.next_position
         if reply.vm.incarnation != self._peer_incarnation:
             # A restarted VM knows nothing of what its last life was told.
             self._peer_incarnation = reply.vm.incarnation
             self._sent_by_endpoint = {}
             self._sent_vms = (frozenset(), 0.0)
+            self._placed_position = 0
             self._woken = True
         for endpoint in due:
             self._sent_by_endpoint[endpoint.id] = (endpoint, now)
--- a/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
@@ -9,6 +9,8 @@
 from . import rendezvous
 
 RECOMPUTATION_WEIGHT = 2.0
+# Pieces of an engine over the mean, up to which it gets new prefixes.
+BALANCE_FACTOR = 1.25
 REMOTE_SECONDS = 0.002
 SERVICE_SECONDS_PER_REQUEST = 0.05
 TYPICAL_PROMPT_TOKENS = 2048
@@ -124,7 +126,7 @@
         return free
 
     def _order_by_expected_time(self, found, pool, prompt):
-        credits_by_id = _credited_pieces(prompt, found)
+        credits_by_id = self._credited_pieces(prompt, found)
         seconds_per_token = self._rates.seconds_per_token(pool.id)
         candidates = []
         for endpoint in found:
@@ -142,6 +144,33 @@
             candidates.append(Candidate(endpoint, seconds, suspected))
         return _best_first(candidates)
 
+    def _credited_pieces(self, prompt, found):
+        # Without evidence, the engine that every VM would choose is taken
+        # to hold all of the prefix but the last piece, which may be
+        # partial and names the request.
+        for endpoint in found:
+            if self._placements.cached_pieces(endpoint, prompt.chain):
+                return {}
+        home = self._home(prompt, found)
+        return {home.id: max(1, len(prompt.chain) - 1)}
+
+    def _home(self, prompt, found):
+        # Rendezvous hashing with bounded loads: the first choice that
+        # would not hold much more than its part of all pieces, else the
+        # one with the fewest. Mirrokni, Thorup and Zadimoghaddam,
+        # "Consistent Hashing with Bounded Loads", 2018.
+        pieces_by_id = {
+            endpoint.id: self._placements.resident_pieces(endpoint)
+            for endpoint in found
+        }
+        total = sum(pieces_by_id.values()) + len(prompt.chain)
+        bound = BALANCE_FACTOR * total / len(found)
+        ranked = rendezvous.rank(prompt.chain[0], found)
+        for endpoint in ranked:
+            if pieces_by_id[endpoint.id] + len(prompt.chain) <= bound:
+                return endpoint
+        return min(ranked, key=lambda endpoint: pieces_by_id[endpoint.id])
+
     def _queued_tokens(self, endpoint):
         # Reported load is late, and part of it is this VM's own.
         own = self._loads.open_requests(endpoint)
@@ -161,17 +190,6 @@
         return REMOTE_SECONDS
 
 
-def _credited_pieces(prompt, found):
-    """Return pieces that engines are taken to hold without evidence.
-
-    Every VM sends a prefix to the first choice of its first piece, so
-    that engine is taken to hold all of it but the last piece, which may
-    be partial and names the request.
-    """
-    owner = rendezvous.rank(prompt.chain[0], found)[0]
-    return {owner.id: max(1, len(prompt.chain) - 1)}
-
-
 def _best_first(candidates):
     ordered = sorted(
         candidates, key=lambda c: (c.is_suspected, c.seconds, c.endpoint.id)
--- a/packages/carobwood-daemon/carobwood_daemon/routing/placements.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/placements.py
@@ -4,6 +4,8 @@
 import threading
 import time
 
+from . import placement_log
+
 MAX_PIECES_PER_ENDPOINT = 20000
 INITIAL_LIFETIME = 30.0
 MIN_LIFETIME = 1.0
@@ -11,6 +13,8 @@
 SHRINK = 0.9
 GROW = 1.1
 NEAR_END = 0.8
+# Uses of a piece that other VMs know of are told again after this time.
+RENEWAL_SECONDS = 2.0
 
 
 class _Cache:
@@ -18,26 +22,70 @@
 
     Attributes:
         used_at_by_piece: times, least recently used first.
+        told_at_by_piece: when other VMs were told of a use.
         lifetime: age up to which a piece is believed to be there.
     """
 
     def __init__(self):
         self.used_at_by_piece = collections.OrderedDict()
+        self.told_at_by_piece = {}
         self.lifetime = INITIAL_LIFETIME
 
+    def use(self, piece, used_at):
+        """Note a use of a piece."""
+        self.used_at_by_piece[piece] = used_at
+        self.used_at_by_piece.move_to_end(piece)
+        while len(self.used_at_by_piece) > MAX_PIECES_PER_ENDPOINT:
+            self._drop_oldest()
+
+    def drop_expired(self, now):
+        """Drop the pieces that are older than the lifetime."""
+        while self.used_at_by_piece:
+            oldest = next(iter(self.used_at_by_piece.values()))
+            if now - oldest <= self.lifetime:
+                return
+            self._drop_oldest()
+
+    def take_untold(self, chain, now):
+        """Return pieces whose use other VMs have to be told of."""
+        limit = now - RENEWAL_SECONDS
+        untold = tuple(
+            piece
+            for piece in chain
+            if self.told_at_by_piece.get(piece, limit) <= limit
+        )
+        self.told_at_by_piece.update(dict.fromkeys(untold, now))
+        return untold
+
+    def _drop_oldest(self):
+        piece, _ = self.used_at_by_piece.popitem(last=False)
+        self.told_at_by_piece.pop(piece, None)
+
 
 class Placements:
     """Pieces that were sent to an endpoint lately, by incarnation.
 
+    Own placements go into ``log``, and those of other VMs come in by
+    ``take_over``, so that all VMs know about the same.
+
     A new incarnation starts empty, so nothing relies on the cache of a
     dead engine. How long pieces stay is learnt for each endpoint from
     what its answers say was cached.
+
+    Attributes:
+        log: the ``PlacementLog`` of own placements.
     """
 
     def __init__(self, clock=time.monotonic):
         self._clock = clock
         self._lock = threading.Lock()
         self._caches_by_incarnation = {}
+        self._listeners = []
+        self.log = placement_log.PlacementLog()
+
+    def on_new_prefix(self, listener):
+        """Call ``listener()`` after a placement of an unknown prefix."""
+        self._listeners.append(listener)
 
     def note(self, endpoint, chain):
         """Record that an endpoint computes the pieces of a chain.
@@ -48,22 +96,43 @@
         now = self._clock()
         key = (endpoint.id, endpoint.incarnation)
         with self._lock:
-            cache = self._caches_by_incarnation.get(key)
-            if cache is None:
-                self._forget_older(endpoint)
-                cache = _Cache()
-                self._caches_by_incarnation[key] = cache
+            cache = self._cache_of(key)
             used_at = cache.used_at_by_piece
             ages = [
                 now - used_at[piece] if piece in used_at else None
                 for piece in chain
             ]
             for piece in chain:
-                used_at[piece] = now
-                used_at.move_to_end(piece)
-            while len(used_at) > MAX_PIECES_PER_ENDPOINT:
-                used_at.popitem(last=False)
-            return ages
+                cache.use(piece, now)
+            untold = cache.take_untold(chain, now)
+        if untold:
+            self.log.append(placement_log.Placement(*key, untold, now))
+        if ages[0] is None:
+            for listener in self._listeners:
+                listener()
+        return ages
+
+    def take_over(self, placement):
+        """Merge a ``Placement`` of another VM."""
+        key = (placement.endpoint_id, placement.incarnation)
+        with self._lock:
+            if self._knows_newer(key):
+                return
+            cache = self._cache_of(key)
+            for piece in placement.pieces:
+                known = cache.used_at_by_piece.get(piece, float('-inf'))
+                if known < placement.placed_at:
+                    cache.use(piece, placement.placed_at)
+
+    def resident_pieces(self, endpoint):
+        """Return how many pieces the endpoint probably holds in all."""
+        key = (endpoint.id, endpoint.incarnation)
+        with self._lock:
+            cache = self._caches_by_incarnation.get(key)
+            if cache is None:
+                return 0
+            cache.drop_expired(self._clock())
+            return len(cache.used_at_by_piece)
 
     def learn(self, endpoint, ages, cached_pieces):
         """Learn how long the endpoint keeps pieces.
@@ -113,7 +182,18 @@
         with self._lock:
             self._caches_by_incarnation.pop(key, None)
 
-    def _forget_older(self, endpoint):
-        for key in list(self._caches_by_incarnation):
-            if key[0] == endpoint.id:
-                del self._caches_by_incarnation[key]
+    def _cache_of(self, key):
+        cache = self._caches_by_incarnation.get(key)
+        if cache is None:
+            for other in list(self._caches_by_incarnation):
+                if other[0] == key[0]:
+                    del self._caches_by_incarnation[other]
+            cache = _Cache()
+            self._caches_by_incarnation[key] = cache
+        return cache
+
+    def _knows_newer(self, key):
+        return any(
+            endpoint_id == key[0] and incarnation > key[1]
+            for endpoint_id, incarnation in self._caches_by_incarnation
+        )
--- a/packages/carobwood-daemon/carobwood_daemon/routing/prefix.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/prefix.py
@@ -6,7 +6,7 @@
 
 PIECE_TOKENS = 2048
 BYTES_PER_TOKEN_ID = 4
-_DIGEST_BYTES = 12
+DIGEST_BYTES = 12
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,7 +30,7 @@
     def seed(self):
         """Return the hash that all chains of the scope start from."""
         fields = json.dumps(dataclasses.astuple(self)).encode('utf-8')
-        return hashlib.blake2b(fields, digest_size=_DIGEST_BYTES).digest()
+        return hashlib.blake2b(fields, digest_size=DIGEST_BYTES).digest()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,7 +76,7 @@
     for start in range(0, max(1, len(data)), piece_bytes):
         piece = data[start : start + piece_bytes]
         previous = hashlib.blake2b(
-            previous + piece, digest_size=_DIGEST_BYTES
+            previous + piece, digest_size=DIGEST_BYTES
         ).digest()
         hashes.append(previous)
     return tuple(hashes)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -147,3 +147,16 @@
     assert rates.seconds_per_token('engines') == pytest.approx(0.00005)
     rates.note('engines', 10, 5.0)
     assert rates.seconds_per_token('engines') == pytest.approx(0.00005)
+
+
+def test_cold_prefixes_spread_evenly_over_engines():
+    setting = Setting()
+    homes = []
+    for number in range(8):
+        text = b'%d' % number + TEXT
+        prompt = prefix.hash_text(SCOPE, text, 4)
+        homes.append(setting.order(text)[0])
+        endpoint = setting.directory.find_endpoint(homes[-1])
+        setting.placements.note(endpoint, prompt.chain)
+    counts = sorted(homes.count(home) for home in set(homes))
+    assert counts == [2, 2, 2, 2]
