Learn the life of pieces rightly, and queue fairly before busy engines

Printing each choice showed engines' knowledge vanish within a second: the router cuts texts by bytes, engines by tokens, so a whole hit looked like a lost last piece and shortened the learnt life of all pieces, down to 1 s. (2) A cold leaf under a known prefix left the engine that held the prefix at the first queue. (3) Requests went to busy engines at once, so the engine's order decided between customers, nothing was refused for its deadline, and failing engines were avoided for a fixed second. Change: an answer tells which pieces were cached for sure and which were not for sure; the engine that holds most of a prefix keeps its leaves; requests wait on the VM while it keeps an engine busy, by priority and start-time fair queueing over tokens weighted by rate; a deadline that cannot be met, a withdrawn key and a caller that has left end the wait at once; breakers with growing pauses and a budget for retries beyond the first.

--- a/bench/fake_engine.py
+++ b/bench/fake_engine.py
@@ -23,6 +23,8 @@
     b'[{"index": 0, "delta": {"content": "%s"}}]}\n\n'
 )
 POISON = 'poison-this-engine'
+HOLD = 'hold'
+HOLD_POLL_SECONDS = 0.01
 
 
 class PrefixCache:
@@ -138,6 +140,8 @@
         with self.prefill_lock:
             with self.lock:
                 self.waiting -= 1
+            while self.fault == HOLD:
+                time.sleep(HOLD_POLL_SECONDS)
             hits = self.cache.lookup(chain)
             cached = min(tokens, hits * PIECE_TOKENS)
             missing = tokens - cached
--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -34,11 +34,14 @@
 from .replication import proposer as proposers
 from .replication import state_store
 from .replication import voter as voters
+from .routing import admission
+from .routing import breakers
 from .routing import chooser
 from .routing import loads as endpoint_loads
 from .routing import placements as placement_tables
 from .routing import policies
 from .routing import prefill_rate
+from .routing import retry_budget
 from .routing import suspects as suspect_tables
 
 OPERATOR_THREADS = 16
@@ -216,6 +219,7 @@
             self._metrics = metric_clients.StatsdMetrics(settings.statsd)
         self._settlements = at_most_once.Settlements(self._proposer)
         self._loads = endpoint_loads.Loads()
+        self._breakers = breakers.Breakers()
         self._rates = prefill_rate.PrefillRates()
         self._store.on_change(self._adopt)
         self._withdrawals.on_addition(self._gate.withdraw)
@@ -276,12 +280,16 @@
                 self._directory,
                 self._store,
                 self._loads,
+                self._breakers,
                 self._placements,
                 self._rates,
                 settings.data_centre,
                 policies.POLICIES_BY_NAME[settings.choice](),
             ),
             loads=self._loads,
+            breakers=self._breakers,
+            admission=admission.Admission(self._loads),
+            retry_budget=retry_budget.RetryBudget(),
             placements=self._placements,
             rates=self._rates,
             suspects=self._suspects,
--- a/packages/carobwood-daemon/carobwood_daemon/entry/at_most_once.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/at_most_once.py
@@ -106,6 +106,7 @@
                 raise errors.EndpointFailed(error.detail) from error
             finally:
                 answer.close()
+        self._services.breakers.note_success(endpoint)
         passed = headers.answer_headers(answer.headers)
         self._services.settlements.settle(
             claim, answer.status, passed, answer_body
@@ -123,7 +124,7 @@
             try:
                 return endpoint, upstream.open_connection(endpoint.address)
             except errors.EndpointUnreachable as error:
-                self._services.loads.suspect(endpoint, error.code)
+                self._services.breakers.note_failure(endpoint, error.code)
         raise errors.NoEndpoint(f'no endpoint of {pool.id} can be reached')
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/attempts.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/attempts.py
@@ -15,9 +15,9 @@
             that may have run goes before one that has not.
     """
 
-    def __init__(self, endpoints, loads, deadline_seconds, limit):
+    def __init__(self, endpoints, breakers, deadline_seconds, limit):
         self._endpoints = list(endpoints)[:limit]
-        self._loads = loads
+        self._breakers = breakers
         self._due_at = time.monotonic() + deadline_seconds
         self.last_error = errors.NoEndpoint('no endpoint could be tried')
 
@@ -44,7 +44,7 @@
 
     def note(self, endpoint, error):
         """Note that an endpoint failed."""
-        self._loads.suspect(endpoint, error.code)
+        self._breakers.note_failure(endpoint, error.code)
         ran_before = self.last_error.outcome is errors.Outcome.UNKNOWN
         if error.outcome is errors.Outcome.UNKNOWN or not ran_before:
             self.last_error = error
--- a/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
@@ -29,6 +29,9 @@
         allowance: the ``Allowance``.
         chooser: the ``Chooser``.
         loads: the ``Loads``.
+        breakers: the ``Breakers``.
+        admission: the ``Admission``.
+        retry_budget: the ``RetryBudget``.
         placements: the ``Placements``.
         rates: the ``PrefillRates``.
         suspects: the ``Suspects``.
@@ -48,6 +51,9 @@
     allowance: object
     chooser: object
     loads: object
+    breakers: object
+    admission: object
+    retry_budget: object
     placements: object
     rates: object
     suspects: object
--- a/packages/carobwood-daemon/carobwood_daemon/entry/credentials.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/credentials.py
@@ -92,6 +92,15 @@
             )
         return Caller(customer, digest)
 
+    def refuse_withdrawn(self, digest):
+        """Refuse a request whose key was withdrawn while it waited.
+
+        Raises:
+            KeyRefused: the key must not work any more.
+        """
+        if self.is_withdrawn(digest):
+            raise errors.KeyRefused('the key was withdrawn meanwhile')
+
     def is_withdrawn(self, digest):
         """Tell whether a key must not work any more."""
         if digest in self._withdrawals.digests:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
@@ -1,11 +1,13 @@
 """One request's stay on one engine."""
 
+import math
 import secrets
 import time
 
 from carobwood import errors
 
 from ..membership import probe
+from ..routing import placements
 from ..routing import prefix
 
 HOLDER_BYTES = 8
@@ -35,20 +37,31 @@
         self._is_inside = False
         self._has_begun = False
 
-    def enter(self, timeout):
-        """Count the request in; a suspect first waits to be alone.
+    def enter(self):
+        """Count the request in.
 
         Until ``begin`` it cannot be blamed for a crash of the engine.
+        """
+        self._start_prefill()
+        self._is_inside = True
+
+    def enter_apart(self, timeout):
+        """Count a suspect in once no other suspect runs there.
 
         Raises:
-            Saturated: a suspect had no engine to itself in time.
-            EndpointUnreachable: the engine died before a suspect came.
+            Saturated: it had no engine to itself in time.
+            EndpointUnreachable: the engine died before it came.
             RequestCrashesEndpoints: another copy crashed it meanwhile.
         """
-        if self._services.suspects.is_suspect(self._fingerprint):
-            self._enter_apart(timeout)
-        self._start_prefill()
-        self._is_inside = True
+        holder = secrets.token_hex(HOLDER_BYTES)
+        self._services.arbiter.hold(self.endpoint, holder, timeout)
+        try:
+            self._check_apart()
+        except errors.RequestRefused:
+            self._services.arbiter.release(self.endpoint, holder)
+            raise
+        self._holder = holder
+        self.enter()
 
     def begin(self):
         """Note that the engine accepted a connection for the request.
@@ -68,9 +81,10 @@
 
     def learn(self, usage):
         """Learn from the engine's account of the request."""
-        pieces = usage.cached_tokens // prefix.PIECE_TOKENS
         services = self._services
-        services.placements.learn(self.endpoint, self._ages, pieces)
+        services.placements.learn(
+            self.endpoint, self._ages, self._cached_extent(usage)
+        )
         if self._was_alone and self._first_token_seconds is not None:
             services.rates.note(
                 self._work.pool.id,
@@ -78,9 +92,20 @@
                 self._first_token_seconds,
             )
 
+    def _cached_extent(self, usage):
+        estimated = max(1, self._work.prompt.tokens)
+        # Tokens of the engine in one of the router's pieces.
+        piece = prefix.PIECE_TOKENS * max(1, usage.prompt_tokens) / estimated
+        cached = usage.cached_tokens
+        # The engine may hold up to one of its own pieces more of what it
+        # counts as not cached, as far as the prompts agree.
+        missing_from = math.ceil((cached + prefix.PIECE_TOKENS) / piece) - 1
+        return placements.CachedExtent(int(cached / piece), missing_from)
+
     def succeed(self):
         """Count the request out after a whole answer."""
         self._services.suspects.clear(self._fingerprint)
+        self._services.breakers.note_success(self.endpoint)
         self.leave()
 
     def leave(self):
@@ -103,7 +128,7 @@
         tried again or its caller hears of the failure.
         """
         services = self._services
-        services.loads.suspect(self.endpoint, error.code)
+        services.breakers.note_failure(self.endpoint, error.code)
         broke_off = isinstance(
             error, (errors.EndpointFailed, errors.StreamBroken)
         )
@@ -115,23 +140,13 @@
                 services.gossip.confirm(strike, SPREAD_TIMEOUT)
         self.leave()
 
-    def _enter_apart(self, timeout):
-        holder = secrets.token_hex(HOLDER_BYTES)
-        self._services.arbiter.hold(self.endpoint, holder, timeout)
-        try:
-            self._check_apart()
-        except errors.RequestRefused:
-            self._services.arbiter.release(self.endpoint, holder)
-            raise
-        self._holder = holder
-
     def _check_apart(self):
         # The last holder may have been another copy of this request.
         self._services.suspects.check(self._fingerprint)
         # Something between the two ends may accept connections for a
         # dead engine, and a second strike must not come from that.
         if not probe.is_alive(self.endpoint, PROBE_TIMEOUT):
-            self._services.loads.suspect(self.endpoint, 'dead')
+            self._services.breakers.note_failure(self.endpoint, 'dead')
             raise errors.EndpointUnreachable('it does not answer its probe')
 
     def _start_prefill(self):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/exchange.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/exchange.py
@@ -1,6 +1,8 @@
 """One request of a caller and the answer to it."""
 
+import os
 import secrets
+import socket
 import threading
 
 import cherrypy
@@ -62,6 +64,25 @@
         self._gate.enter()
         self._entered = True
 
+    def refuse_left(self):
+        """Refuse a request whose caller no longer waits for it.
+
+        Raises:
+            CallerLeft: the caller has closed its connection.
+        """
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        fd = self._connection.conn.socket.fileno()
+        try:
+            # Below TLS: its end, too, ends the connection.
+            with socket.socket(fileno=os.dup(fd)) as copy:
+                is_closed = copy.recv(1, flags) == b''
+        except BlockingIOError:
+            return
+        except OSError:
+            is_closed = True
+        if is_closed:
+            raise errors.CallerLeft('the caller closed its connection')
+
     def finish(self, outcome):
         """Count the request out, once."""
         with self._finish_lock:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -1,11 +1,13 @@
 """Calls to language models."""
 
+import random
 import time
 
 import msgspec
 
 from carobwood import errors
 
+from ..routing import admission
 from ..routing import rendezvous
 
 from . import engine_visit
@@ -16,6 +18,7 @@
 from . import upstream
 
 MAX_ATTEMPTS = 3
+RETRY_PAUSE = (0.01, 0.05)
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 _RETRYABLE = (
@@ -71,18 +74,22 @@
         self._work = work
         self._reservation = reservation
         self._is_settled = False
+        customer = exchange.caller.customer
+        self._turn = admission.Turn(
+            customer.id,
+            customer.rate_tokens_per_second,
+            route.priority,
+            time.monotonic() + route.deadline_seconds,
+        )
 
     def start(self):
         """Run the request and return the answer's body."""
-        due_at = time.monotonic() + self._route.deadline_seconds
+        self._services.retry_budget.note_request()
         tried = set()
         failure = None
-        while len(tried) < MAX_ATTEMPTS:
-            seconds = due_at - time.monotonic()
+        while True:
             try:
-                endpoint = self.next_engine(tried)
-                tried.add(endpoint.id)
-                return self._try(endpoint, seconds)
+                return self._try(self._enter_next(tried))
             except _RETRYABLE as error:
                 failure = _graver(failure, error)
             except errors.RequestRefused as error:
@@ -90,34 +97,103 @@
                     # An earlier try may have run.
                     error.outcome = failure.outcome
                 raise
-            if due_at <= time.monotonic():
-                break
-        raise failure
+            if not self._may_retry(len(tried)):
+                raise failure
+
+    def enter_other(self, tried):
+        """Enter the best engine that was not tried, without a queue.
 
-    def next_engine(self, tried):
-        """Return the best engine that was not tried yet.
+        Streams that were cut go on at once: they are already paid for.
+
+        Returns:
+            The ``Visit``.
 
         Raises:
-            NoEndpoint: all were tried, or none is known.
-            RequestCrashesEndpoints: it must not be tried again.
+            RequestRefused: no engine may take it.
         """
-        fingerprint = self._work.fingerprint
-        self._services.suspects.check(fingerprint)
+        if self._services.suspects.is_suspect(self._work.fingerprint):
+            return self._enter_apart(tried, self.deadline_seconds)
+        return self._count_in(self._untried(tried)[0].endpoint)
+
+    @property
+    def _seconds_left(self):
+        return self._turn.due_at - time.monotonic()
+
+    def _may_retry(self, tries):
+        if tries >= MAX_ATTEMPTS or self._seconds_left <= 0:
+            return False
+        if tries == 1:
+            return True
+        if not self._services.retry_budget.take():
+            return False
+        # Jitter keeps requests that failed together from coming back so.
+        time.sleep(random.uniform(*RETRY_PAUSE))
+        return True
+
+    def _enter_next(self, tried):
+        self._services.suspects.check(self._work.fingerprint)
+        if self._services.suspects.is_suspect(self._work.fingerprint):
+            visit = self._enter_apart(tried, self._seconds_left)
+        else:
+            visit = self._services.admission.admit(
+                self._turn, lambda: self._wish(tried), self._count_in
+            )
+        tried.add(visit.endpoint.id)
+        return visit
+
+    def _enter_apart(self, tried, timeout):
+        # All VMs choose alike, so that copies crash one engine.
+        engines = [c.endpoint for c in self._untried(tried)]
+        key = self._work.fingerprint.encode('ascii')
+        endpoint = rendezvous.rank(key, engines)[0]
+        tried.add(endpoint.id)
+        visit = engine_visit.Visit(self._services, endpoint, self._work)
+        visit.enter_apart(timeout)
+        return visit
+
+    def _count_in(self, endpoint):
+        visit = engine_visit.Visit(self._services, endpoint, self._work)
+        visit.enter()
+        return visit
+
+    def _wish(self, tried):
+        # Asked again while the request waits in the queue.
+        self._services.gatekeeper.refuse_withdrawn(
+            self._exchange.caller.key_digest
+        )
+        self._exchange.refuse_left()
+        pool_id = self._work.pool.id
+        bound = self._work.pool.max_in_flight_per_endpoint
+        candidates = self._untried(tried)
+        open_requests = self._services.loads.open_requests
+        free = [c for c in candidates if open_requests(c.endpoint) < bound]
+        best = (free or candidates)[0]
+        seconds = best.seconds
+        seconds_per_token = self._services.rates.seconds_per_token(pool_id)
+        if not self._services.rates.is_known(pool_id):
+            # Nothing is refused on a guess.
+            seconds = seconds_per_token = 0.0
+        return admission.Wish(
+            best.endpoint,
+            best.missing_tokens,
+            seconds,
+            seconds_per_token,
+            bound,
+        )
+
+    def _untried(self, tried):
+        self._services.suspects.check(self._work.fingerprint)
         with self._exchange.trace.hop('choice'):
-            engines = self._services.chooser.order_engines(
+            candidates = self._services.chooser.order_engines(
                 self._services.environment,
                 self._work.pool,
                 self._work.model,
                 self._work.prompt,
             )
-        fresh = [engine for engine in engines if engine.id not in tried]
+        fresh = [c for c in candidates if c.endpoint.id not in tried]
         if not fresh:
             raise errors.NoEndpoint('every engine was tried')
-        if self._services.suspects.is_suspect(fingerprint):
-            # All VMs choose alike, so that copies crash one engine.
-            key = fingerprint.encode('ascii')
-            return rendezvous.rank(key, fresh)[0]
-        return fresh[0]
+        return fresh
 
     @property
     def deadline_seconds(self):
@@ -161,19 +237,17 @@
             self._route.stall_seconds,
         )
 
-    def open_answer(self, endpoint, seconds, last_event_id=-1):
-        """Run the request on an engine.
+    def open_answer(self, visit, seconds, last_event_id=-1):
+        """Run the request on the engine that a visit has entered.
 
         Returns:
-            The ``Visit`` and the ``Answer``; the visit ends with
-            ``Visit.leave``.
+            The ``Answer``; the visit goes on until ``Visit.leave``.
 
         Raises:
             EndpointUnreachable, EndpointFailed, EndpointTimeout,
             AnswerMismatch: the engine did not answer.
         """
-        visit = engine_visit.Visit(self._services, endpoint, self._work)
-        visit.enter(seconds)
+        endpoint = visit.endpoint
         try:
             connection = upstream.open_connection(endpoint.address)
             visit.begin()
@@ -187,7 +261,7 @@
         except BaseException:
             visit.leave()
             raise
-        return visit, answer
+        return answer
 
     def _check_answer(self, answer):
         if answer.status >= 500:
@@ -199,8 +273,8 @@
             answer.close()
             raise errors.AnswerMismatch('the answer is of other weights')
 
-    def _try(self, endpoint, seconds):
-        visit, answer = self.open_answer(endpoint, seconds)
+    def _try(self, visit):
+        answer = self.open_answer(visit, self._seconds_left)
         if answer.status == 200 and self._work.is_stream:
             return self._stream(visit, answer)
         try:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -77,17 +77,17 @@
 
     def _resume_once(self):
         try:
-            endpoint = self._run.next_engine(self._failed_ids)
+            visit = self._run.enter_other(self._failed_ids)
         except errors.NoEndpoint:
             # Engines that failed a moment ago may serve again.
             self._failed_ids.clear()
             return False
         except errors.RequestRefused:
             return False
-        self._failed_ids.add(endpoint.id)
+        self._failed_ids.add(visit.endpoint.id)
         try:
-            visit, answer = self._run.open_answer(
-                endpoint, self._run.deadline_seconds, self._events.last_id
+            answer = self._run.open_answer(
+                visit, self._run.deadline_seconds, self._events.last_id
             )
         except errors.CarobwoodError:
             return False
--- a/packages/carobwood-daemon/carobwood_daemon/entry/service_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/service_calls.py
@@ -26,7 +26,7 @@
             )
         tries = attempts.Attempts(
             endpoints,
-            self._services.loads,
+            self._services.breakers,
             route.deadline_seconds,
             MAX_ATTEMPTS,
         )
@@ -47,6 +47,7 @@
     def _relay(self, exchange, endpoint, connection, call):
         with exchange.trace.hop('endpoint', endpoint=endpoint.id):
             answer = upstream.send(connection, call)
+        self._services.breakers.note_success(endpoint)
         passed = headers.answer_headers(answer.headers)
         has_body = (
             exchange.method != 'HEAD'
--- a/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
@@ -22,13 +22,18 @@
 
     Attributes:
         endpoint: the ``Endpoint``.
-        seconds: expected seconds until the first token.
-        is_suspected: whether it failed a moment ago.
+        cost: what choices are compared by, in seconds.
+        is_avoided: whether its breaker is open.
+        missing_tokens: tokens of the prompt that it probably lacks.
+        seconds: expected seconds until the first token, apart from
+            requests that wait on this VM.
     """
 
     endpoint: object
-    seconds: float
-    is_suspected: bool
+    cost: float
+    is_avoided: bool
+    missing_tokens: int = 0
+    seconds: float = 0.0
 
 
 class Chooser:
@@ -39,6 +44,7 @@
         directory,
         store,
         loads,
+        breakers,
         placements,
         rates,
         data_centre,
@@ -47,6 +53,7 @@
         self._directory = directory
         self._store = store
         self._loads = loads
+        self._breakers = breakers
         self._placements = placements
         self._rates = rates
         self._policy = policy
@@ -75,23 +82,29 @@
         ]
 
     def order_engines(self, environment, pool, model, prompt):
-        """Return engines for a prompt, the best first.
+        """Return a ``Candidate`` for each engine, the best first.
 
         Raises:
             NoEndpoint: none may take it.
         """
         found = self.eligible(environment, pool, model.weights_version)
-        found = self._within_bounds(found, pool)
+        if not found:
+            raise errors.NoEndpoint(f'no endpoint of {pool.id} is known')
+        candidates = self._candidates(found, pool, prompt)
         match self._policy:
             case policies.RoundRobin(numbers=numbers):
-                found.sort(key=lambda endpoint: endpoint.id)
-                start = next(numbers) % len(found)
-                return found[start:] + found[:start]
+                candidates.sort(key=lambda c: c.endpoint.id)
+                start = next(numbers) % len(candidates)
+                return candidates[start:] + candidates[:start]
             case policies.LeastLoaded():
-                return sorted(found, key=self._known_requests)
+                return sorted(
+                    candidates, key=lambda c: self._known_requests(c.endpoint)
+                )
             case policies.PrefixHash():
-                return rendezvous.rank(prompt.chain[0], found)
-        return self._order_by_expected_time(found, pool, prompt)
+                by_id = {c.endpoint.id: c for c in candidates}
+                ranked = rendezvous.rank(prompt.chain[0], found)
+                return [by_id[endpoint.id] for endpoint in ranked]
+        return _best_first(candidates)
 
     def missing_tokens(self, endpoint, prompt):
         """Return tokens of a prompt that an engine probably lacks."""
@@ -110,11 +123,11 @@
                 endpoint,
                 self._known_requests(endpoint) * SERVICE_SECONDS_PER_REQUEST
                 + self._distance(endpoint),
-                self._loads.is_suspected(endpoint),
+                self._breakers.is_open(endpoint),
             )
             for endpoint in found
         ]
-        return _best_first(candidates)
+        return [candidate.endpoint for candidate in _best_first(candidates)]
 
     def _within_bounds(self, found, pool):
         if not found:
@@ -125,34 +138,46 @@
             raise errors.Saturated(f'all endpoints of {pool.id} are full')
         return free
 
-    def _order_by_expected_time(self, found, pool, prompt):
+    def _candidates(self, found, pool, prompt):
         credits_by_id = self._credited_pieces(prompt, found)
         seconds_per_token = self._rates.seconds_per_token(pool.id)
         candidates = []
         for endpoint in found:
             credited = credits_by_id.get(endpoint.id, 0)
-            missing = min(
-                self.missing_tokens(endpoint, prompt),
-                prompt.tokens - credited * prefix.PIECE_TOKENS,
-            )
+            lacking = self.missing_tokens(endpoint, prompt)
+            likely = prompt.tokens - credited * prefix.PIECE_TOKENS
+            missing = max(0, min(lacking, likely))
+            queued = self._queued_tokens(endpoint)
+            waiting = self._loads.waiting_tokens(endpoint)
+            distance = self._distance(endpoint)
             # Tokens computed again delay the requests behind, too.
-            tokens = max(
-                0, missing
-            ) * RECOMPUTATION_WEIGHT + self._queued_tokens(endpoint)
-            seconds = tokens * seconds_per_token + self._distance(endpoint)
-            suspected = self._loads.is_suspected(endpoint)
-            candidates.append(Candidate(endpoint, seconds, suspected))
-        return _best_first(candidates)
+            weighted = missing * RECOMPUTATION_WEIGHT + queued + waiting
+            candidates.append(
+                Candidate(
+                    endpoint,
+                    weighted * seconds_per_token + distance,
+                    self._breakers.is_open(endpoint),
+                    lacking,
+                    (lacking + queued) * seconds_per_token + distance,
+                )
+            )
+        return candidates
 
     def _credited_pieces(self, prompt, found):
-        # Without evidence, the engine that every VM would choose is taken
-        # to hold all of the prefix but the last piece, which may be
-        # partial and names the request.
-        for endpoint in found:
-            if self._placements.cached_pieces(endpoint, prompt.chain):
-                return {}
-        home = self._home(prompt, found)
-        return {home.id: max(1, len(prompt.chain) - 1)}
+        # One engine is taken to hold all of the prefix but the last piece,
+        # which may be partial and names the request: among those that
+        # hold most of it the first in rendezvous order, or, if none holds
+        # any, the prefix's home. So nested prefixes stay together.
+        usual = max(1, len(prompt.chain) - 1)
+        held_by_id = {
+            endpoint.id: self._placements.cached_pieces(endpoint, prompt.chain)
+            for endpoint in found
+        }
+        most = max(held_by_id.values())
+        if most == 0:
+            return {self._home(prompt, found).id: usual}
+        holders = [e for e in found if held_by_id[e.id] == most]
+        return {rendezvous.rank(prompt.chain[0], holders)[0].id: usual}
 
     def _home(self, prompt, found):
         # Rendezvous hashing with bounded loads: the first choice that
@@ -191,7 +216,6 @@
 
 
 def _best_first(candidates):
-    ordered = sorted(
-        candidates, key=lambda c: (c.is_suspected, c.seconds, c.endpoint.id)
+    return sorted(
+        candidates, key=lambda c: (c.is_avoided, c.cost, c.endpoint.id)
     )
-    return [candidate.endpoint for candidate in ordered]
--- a/packages/carobwood-daemon/carobwood_daemon/routing/loads.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/loads.py
@@ -1,24 +1,23 @@
-"""Requests that this VM keeps open on endpoints, and suspicions."""
+"""Requests that this VM keeps open on endpoints or lets wait."""
 
 import collections
 import contextlib
 import threading
-import time
-
-from carobwood import events
-
-SUSPICION_SECONDS = 1.0
 
 
 class Loads:
-    """Counts own requests by endpoint and marks failing endpoints."""
+    """Counts own requests and their prompt tokens by endpoint."""
 
-    def __init__(self, clock=time.monotonic):
-        self._clock = clock
+    def __init__(self):
         self._lock = threading.Lock()
         self._open_by_endpoint = collections.Counter()
         self._prefill_by_endpoint = collections.Counter()
-        self._suspected_until = {}
+        self._waiting_by_endpoint = collections.Counter()
+        self._listeners = []
+
+    def on_release(self, listener):
+        """Call ``listener()`` when an endpoint has less to do."""
+        self._listeners.append(listener)
 
     @contextlib.contextmanager
     def track(self, endpoint):
@@ -38,6 +37,7 @@
         """Count a request out."""
         with self._lock:
             self._open_by_endpoint[endpoint.id] -= 1
+        self._tell()
 
     def open_requests(self, endpoint):
         """Return how many own requests are open on an endpoint."""
@@ -52,21 +52,26 @@
         """Note that these tokens are computed or given up."""
         with self._lock:
             self._prefill_by_endpoint[endpoint.id] -= tokens
+        self._tell()
 
     def prefill_tokens(self, endpoint):
         """Return tokens that own requests make the endpoint compute."""
         return self._prefill_by_endpoint[endpoint.id]
 
-    def suspect(self, endpoint, reason):
-        """Avoid an endpoint for a moment."""
-        until = self._clock() + SUSPICION_SECONDS
+    def start_wait(self, endpoint, tokens):
+        """Note tokens of a request that waits for the endpoint."""
         with self._lock:
-            self._suspected_until[endpoint.id] = until
-        events.emit(
-            events.ENDPOINT_SUSPECTED, endpoint=endpoint.id, reason=reason
-        )
-
-    def is_suspected(self, endpoint):
-        """Tell whether an endpoint failed a moment ago."""
-        until = self._suspected_until.get(endpoint.id)
-        return until is not None and self._clock() < until
+            self._waiting_by_endpoint[endpoint.id] += tokens
+
+    def end_wait(self, endpoint, tokens):
+        """Note that the request no longer waits."""
+        with self._lock:
+            self._waiting_by_endpoint[endpoint.id] -= tokens
+
+    def waiting_tokens(self, endpoint):
+        """Return tokens of own requests that wait for the endpoint."""
+        return self._waiting_by_endpoint[endpoint.id]
+
+    def _tell(self):
+        for listener in self._listeners:
+            listener()
--- a/packages/carobwood-daemon/carobwood_daemon/routing/placements.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/placements.py
@@ -1,6 +1,7 @@
 """What each endpoint's cache probably holds."""
 
 import collections
+import dataclasses
 import threading
 import time
 
@@ -62,6 +63,22 @@
         self.told_at_by_piece.pop(piece, None)
 
 
+@dataclasses.dataclass(frozen=True)
+class CachedExtent:
+    """What an answer tells of the pieces that were cached.
+
+    Engines cut prompts into pieces by tokens and routers cut texts by
+    bytes, so between the two numbers nothing is known.
+
+    Attributes:
+        cached_pieces: leading pieces that were cached for sure.
+        missing_from: first piece that was not cached for sure.
+    """
+
+    cached_pieces: int
+    missing_from: int
+
+
 class Placements:
     """Pieces that were sent to an endpoint lately, by incarnation.
 
@@ -134,14 +151,13 @@
             cache.drop_expired(self._clock())
             return len(cache.used_at_by_piece)
 
-    def learn(self, endpoint, ages, cached_pieces):
+    def learn(self, endpoint, ages, extent):
         """Learn how long the endpoint keeps pieces.
 
         Args:
             endpoint: the ``Endpoint``.
             ages: what ``note`` returned for the request.
-            cached_pieces: leading pieces that the answer says were
-                cached.
+            extent: the ``CachedExtent`` that the answer tells.
         """
         key = (endpoint.id, endpoint.incarnation)
         with self._lock:
@@ -151,12 +167,13 @@
             for position, age in enumerate(ages):
                 if age is None:
                     return
-                if position >= cached_pieces:
+                if position >= extent.missing_from:
                     if age < cache.lifetime:
                         shorter = max(MIN_LIFETIME, age * SHRINK)
                         cache.lifetime = shorter
                     return
-                if age > cache.lifetime * NEAR_END:
+                is_sure = position < extent.cached_pieces
+                if is_sure and age > cache.lifetime * NEAR_END:
                     longer = max(cache.lifetime, age) * GROW
                     cache.lifetime = min(MAX_LIFETIME, longer)
 
--- a/packages/carobwood-daemon/carobwood_daemon/routing/prefill_rate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/prefill_rate.py
@@ -22,6 +22,10 @@
         """Return the average of a pool, or the initial guess."""
         return self._seconds_by_pool.get(pool_id, INITIAL_SECONDS_PER_TOKEN)
 
+    def is_known(self, pool_id):
+        """Tell whether a pool's average was measured."""
+        return pool_id in self._seconds_by_pool
+
     def note(self, pool_id, missing_tokens, seconds):
         """Learn from a first token that came after ``seconds``."""
         if missing_tokens < MIN_TOKENS:
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -173,6 +173,21 @@
     retry_after = 1
 
 
+class CallerLeft(RequestRefused):
+    """The caller closed its connection before anything ran."""
+
+    code = 'caller_left'
+    status = 499
+
+
+class DeadlineUnreachable(RequestRefused):
+    """No endpoint can start the answer within the route's deadline."""
+
+    code = 'deadline_unreachable'
+    status = 503
+    retry_after = 1
+
+
 class RequestCrashesEndpoints(RequestRefused):
     """Two endpoints crashed while they ran the request."""
 
--- a/tests/test_engine_visit.py
+++ b/tests/test_engine_visit.py
@@ -6,7 +6,9 @@
 from carobwood import document
 from carobwood import errors
 from carobwood_daemon.entry import engine_visit
+from carobwood_daemon.entry import event_stream
 from carobwood_daemon.membership import directory
+from carobwood_daemon.routing import breakers
 from carobwood_daemon.routing import loads
 from carobwood_daemon.routing import placements
 from carobwood_daemon.routing import prefill_rate
@@ -45,6 +47,7 @@
     return types.SimpleNamespace(
         suspects=suspects.Suspects(),
         loads=loads.Loads(),
+        breakers=breakers.Breakers(),
         placements=placements.Placements(),
         arbiter=Arbiter(),
         rates=prefill_rate.PrefillRates(),
@@ -54,7 +57,7 @@
 
 def test_a_crash_before_the_connection_is_no_strike(services):
     visit = engine_visit.Visit(services, ENGINE, WORK)
-    visit.enter(1.0)
+    visit.enter()
     services.suspects.note_crash(ENGINE)
     assert not services.suspects.is_suspect(FINGERPRINT)
     visit.leave()
@@ -63,7 +66,7 @@
 
 def test_a_crash_after_the_connection_is_a_strike(services):
     visit = engine_visit.Visit(services, ENGINE, WORK)
-    visit.enter(1.0)
+    visit.enter()
     visit.begin()
     services.suspects.note_crash(ENGINE)
     assert services.suspects.is_suspect(FINGERPRINT)
@@ -78,7 +81,7 @@
     services.suspects.merge({(FINGERPRINT, 'engine-2/1'): time.monotonic()})
     visit = engine_visit.Visit(services, ENGINE, WORK)
     with pytest.raises(errors.EndpointUnreachable):
-        visit.enter(1.0)
+        visit.enter_apart(1.0)
     assert services.arbiter.held == 0
     assert services.loads.open_requests(ENGINE) == 0
     services.suspects.check(FINGERPRINT)
@@ -93,7 +96,7 @@
     )
     visit = engine_visit.Visit(services, ENGINE, WORK)
     with pytest.raises(errors.RequestCrashesEndpoints):
-        visit.enter(1.0)
+        visit.enter_apart(1.0)
     assert services.arbiter.held == 0
 
 
@@ -105,3 +108,29 @@
     assert not services.suspects.is_suspect(FINGERPRINT)
     services.suspects.merge({(FINGERPRINT, 'engine-3/1'): time.monotonic()})
     assert services.suspects.is_suspect(FINGERPRINT)
+
+
+@pytest.mark.parametrize('engine_bytes_per_token', [3.0, 4.0, 6.0])
+def test_a_whole_hit_shortens_no_life_whatever_the_size_of_tokens(
+    services, engine_bytes_per_token
+):
+    # The text shares 5.4 of the router's pieces with the one before it.
+    text = b'x' * 33000
+    scope = prefix.Scope('production', 'c', 'm', '1', '')
+    before = prefix.hash_text(scope, text + b'a' * 900, 3)
+    after = prefix.hash_text(scope, text + b'b' * 900, 3)
+    services.placements.note(ENGINE, before.chain)
+    work = types.SimpleNamespace(
+        fingerprint=FINGERPRINT, prompt=after, pool=WORK.pool
+    )
+    visit = engine_visit.Visit(services, ENGINE, work)
+    visit.enter()
+    tokens = int(33900 / engine_bytes_per_token)
+    shared = int(33000 / engine_bytes_per_token)
+    cached = shared // prefix.PIECE_TOKENS * prefix.PIECE_TOKENS
+    visit.learn(event_stream.Usage(tokens, 1, cached))
+    held = services.placements.cached_pieces(ENGINE, before.chain)
+    assert held == len(before.chain)
+    visit.learn(event_stream.Usage(tokens, 1, 0))
+    held = services.placements.cached_pieces(ENGINE, before.chain)
+    assert held == len(before.chain)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,6 +5,7 @@
 from carobwood import document
 from carobwood_daemon.membership import directory
 from carobwood_daemon.replication import state_store
+from carobwood_daemon.routing import breakers
 from carobwood_daemon.routing import chooser
 from carobwood_daemon.routing import loads
 from carobwood_daemon.routing import placements
@@ -42,11 +43,13 @@
         for number in range(4):
             self.directory.note_endpoint(_endpoint(number))
         self.loads = loads.Loads()
+        self.breakers = breakers.Breakers()
         self.placements = placements.Placements()
         self.chooser = chooser.Chooser(
             self.directory,
             state_store.StateStore(),
             self.loads,
+            self.breakers,
             self.placements,
             prefill_rate.PrefillRates(),
             'bole',
@@ -57,7 +60,7 @@
         """Return the ids of the engines, the best first."""
         prompt = prefix.hash_text(SCOPE, text, 4)
         found = self.chooser.order_engines('production', POOL, MODEL, prompt)
-        return [endpoint.id for endpoint in found]
+        return [candidate.endpoint.id for candidate in found]
 
 
 def test_all_vms_choose_alike_without_evidence():
@@ -87,7 +90,8 @@
 def test_suspected_and_other_weights_go_last_or_not_at_all():
     setting = Setting()
     first = setting.order()[0]
-    setting.loads.suspect(setting.directory.find_endpoint(first), 'test')
+    broken = setting.directory.find_endpoint(first)
+    setting.breakers.note_failure(broken, 'test')
     assert setting.order()[-1] == first
     old = dataclasses.replace(
         setting.directory.find_endpoint(first), sequence=2, weights_version='0'
@@ -134,7 +138,7 @@
     now[0] += 5
     ages = table.note(endpoint, chain)
     assert ages == [5.0] * len(chain)
-    table.learn(endpoint, ages, 0)
+    table.learn(endpoint, ages, placements.CachedExtent(0, 0))
     now[0] += 4.6
     assert table.cached_pieces(endpoint, chain) == 0
 
