Roll weights out from the document

Cause: a document with a new weights version left no eligible engine until an operator had ordered every engine by hand, and an order that could not drain its engine within 60 s was sent all the same, which cuts streams. Ways weighed: serve only the version that most engines hold (at the switch two of five engines serve); serve both versions until half of the engines serve the new one (chosen; a request hashes its prompt under both meanwhile, and a stream stays with the version that began it). Tried and changed: the first try rolled an engine back that an operator had prepared before the document (scenario red: 503 no_endpoint); only engines with weights of a former document are rolled now. It also counted withheld engines as serving. An order is finished once the engine announces its new weights. Change: the leader places orders, at most a third of a pool and two at once, never the last; 429 and 503 from the engine or the weight store put an order off; an undrained engine waits. Answers carry X-Weights-Version. The step 'every answer comes from engine-1' is replaced: with a rollout the other engine serves the new weights too. It now checks the version of every answer, five times through all VMs.

--- a/bench/fake_engine.py
+++ b/bench/fake_engine.py
@@ -90,6 +90,8 @@
             if order == self.order:
                 return True
             self.loads += 1
+            most = max(self.counters['most_loads'], self.loads)
+            self.counters['most_loads'] = most
         time.sleep(self.arguments.load_seconds)
         with self.lock:
             self.loads -= 1
--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -30,6 +30,7 @@
 from .operators import operator_app
 from .operators import porcelain
 from .orders import order_sender
+from .orders import rollout
 from .replication import data_folder
 from .replication import proposer as proposers
 from .replication import state_store
@@ -239,6 +240,12 @@
                     self._directory,
                     self._proposer,
                 ),
+                rollout.Rollout(
+                    self._voter,
+                    self._store,
+                    self._directory,
+                    self._proposer,
+                ),
             ]
 
     def _build_listeners(self):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
@@ -27,6 +27,7 @@
         self._services = services
         self._fingerprint = work.fingerprint
         self._work = work
+        self._prompt = work.prompt_for(endpoint)
         self._holder = ''
         self._ages = ()
         self._missing_tokens = 0
@@ -93,7 +94,7 @@
             )
 
     def _cached_extent(self, usage):
-        estimated = max(1, self._work.prompt.tokens)
+        estimated = max(1, self._prompt.tokens)
         # Tokens of the engine in one of the router's pieces.
         piece = prefix.PIECE_TOKENS * max(1, usage.prompt_tokens) / estimated
         cached = usage.cached_tokens
@@ -156,12 +157,12 @@
         self._was_alone = services.loads.open_requests(self.endpoint) == 0
         services.loads.enter(self.endpoint)
         self._missing_tokens = services.chooser.missing_tokens(
-            self.endpoint, self._work.prompt
+            self.endpoint, self._prompt
         )
         services.loads.start_prefill(self.endpoint, self._missing_tokens)
         self._is_computing = True
         self._ages = services.placements.note(
-            self.endpoint, self._work.prompt.chain
+            self.endpoint, self._prompt.chain
         )
         self._started_at = time.monotonic()
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/headers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/headers.py
@@ -28,6 +28,7 @@
     'Last-Modified',
     'Location',
     'Retry-After',
+    'X-Weights-Version',
 )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -49,7 +49,12 @@
         _require_method(exchange, 'POST')
         raw = exchange.read_body(self._services.max_body_bytes)
         work = model_request.check_request(
-            exchange.caller.customer_id, document, route, path, raw
+            exchange.caller.customer_id,
+            document,
+            route,
+            path,
+            raw,
+            self._find_weights,
         )
         self._services.suspects.check(work.fingerprint)
         with exchange.trace.hop('limit'):
@@ -63,6 +68,11 @@
             run.give_up()
             raise
 
+    def _find_weights(self, pool, model):
+        return self._services.chooser.weights_versions(
+            self._services.environment, pool, model
+        )
+
 
 class ModelRun:
     """One request on its way through one or more engines."""
@@ -187,8 +197,7 @@
             candidates = self._services.chooser.order_engines(
                 self._services.environment,
                 self._work.pool,
-                self._work.model,
-                self._work.prompt,
+                self._work.prompts_by_weights,
             )
         fresh = [c for c in candidates if c.endpoint.id not in tried]
         if not fresh:
@@ -212,9 +221,9 @@
 
     def charge_streamed(self, event_count):
         """Settle by the events that passed, for want of an account."""
-        self.settle(self._work.prompt.tokens + event_count)
+        self.settle(self._work.prompt_tokens + event_count)
 
-    def call(self, seconds, last_event_id=-1):
+    def call(self, endpoint, seconds, last_event_id=-1):
         """Return the ``Call`` for an engine."""
         exchange = self._exchange
         sent = headers.request_headers(exchange.received)
@@ -222,7 +231,7 @@
         sent[headers.REQUEST_ID] = exchange.request_id
         sent[headers.CUSTOMER] = exchange.caller.customer_id
         sent[headers.PRIORITY] = str(self._route.priority)
-        sent[headers.WEIGHTS_VERSION] = self._work.model.weights_version
+        sent[headers.WEIGHTS_VERSION] = endpoint.weights_version
         if last_event_id >= 0:
             sent[headers.LAST_EVENT_ID] = str(last_event_id)
         exchange.trace.propagate(sent)
@@ -251,10 +260,10 @@
         try:
             connection = upstream.open_connection(endpoint.address)
             visit.begin()
-            call = self.call(seconds, last_event_id)
+            call = self.call(endpoint, seconds, last_event_id)
             with self._exchange.trace.hop('endpoint', endpoint=endpoint.id):
                 answer = upstream.send(connection, call)
-            self._check_answer(answer)
+            _check_answer(endpoint, answer)
         except errors.CarobwoodError as error:
             visit.fail(error)
             raise
@@ -263,16 +272,6 @@
             raise
         return answer
 
-    def _check_answer(self, answer):
-        if answer.status >= 500:
-            answer.close()
-            raise errors.EndpointFailed(f'status {answer.status}')
-        weights = answer.headers.get(headers.WEIGHTS_VERSION)
-        wanted = self._work.model.weights_version
-        if answer.status == 200 and weights != wanted:
-            answer.close()
-            raise errors.AnswerMismatch('the answer is of other weights')
-
     def _try(self, visit):
         answer = self.open_answer(visit, self._seconds_left)
         if answer.status == 200 and self._work.is_stream:
@@ -289,6 +288,8 @@
         return body
 
     def _stream(self, visit, answer):
+        # What is resumed goes on with the weights that began it.
+        self._work = self._work.only_for(visit.endpoint.weights_version)
         stream = model_stream.ModelStream(
             self, self._services, self._exchange, visit, answer
         )
@@ -318,6 +319,16 @@
         )
 
 
+def _check_answer(endpoint, answer):
+    if answer.status >= 500:
+        answer.close()
+        raise errors.EndpointFailed(f'status {answer.status}')
+    weights = answer.headers.get(headers.WEIGHTS_VERSION)
+    if answer.status == 200 and weights != endpoint.weights_version:
+        answer.close()
+        raise errors.AnswerMismatch('the answer is of other weights')
+
+
 def _require_method(exchange, method):
     if exchange.method != method:
         raise errors.MethodNotAllowed(f'use {method}')
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_request.py
@@ -42,7 +42,8 @@
     Attributes:
         model: the ``Model``.
         pool: the ``Pool`` of its engines.
-        prompt: the ``Prompt``.
+        prompts_by_weights: the ``Prompt`` by the weights version that an
+            engine may have, the version in force first.
         output_tokens: most tokens that may be generated.
         is_stream: whether the answer is a stream.
         body: the body for the engine, as bytes.
@@ -51,21 +52,46 @@
 
     model: documents.Model
     pool: documents.Pool
-    prompt: prefix.Prompt
+    prompts_by_weights: dict[str, prefix.Prompt]
     output_tokens: int
     is_stream: bool
     body: bytes
     fingerprint: str
 
+    @property
+    def prompt_tokens(self):
+        """Upper bound of the prompt's tokens."""
+        return next(iter(self.prompts_by_weights.values())).tokens
+
     @property
     def reserved_tokens(self):
         """Upper bound of the tokens that the request can use."""
-        return self.prompt.tokens + self.output_tokens
+        return self.prompt_tokens + self.output_tokens
+
+    def prompt_for(self, endpoint):
+        """Return the ``Prompt`` under an engine's weights."""
+        return self.prompts_by_weights[endpoint.weights_version]
+
+    def only_for(self, weights_version):
+        """Return the work for engines with these weights alone."""
+        prompt = self.prompts_by_weights[weights_version]
+        return dataclasses.replace(
+            self, prompts_by_weights={weights_version: prompt}
+        )
 
 
-def check_request(customer_id, document, route, path, raw):
+def check_request(customer_id, document, route, path, raw, find_weights):
     """Return the ``Work`` that a request's body asks for.
 
+    Args:
+        customer_id: id of the customer.
+        document: the ``Document`` in force.
+        route: the ``Route``.
+        path: path of the request.
+        raw: body as bytes.
+        find_weights: function of a pool and a model that returns the
+            weights versions that may serve it.
+
     Raises:
         MalformedRequest: the body is wrong.
         ModelNotFound: the route serves no such model.
@@ -79,17 +105,22 @@
     # makes of repeated keys.
     fields['max_tokens'] = output_tokens
     body = msgspec.json.encode(fields)
-    scope = prefix.Scope(
-        document.environment,
-        customer_id,
-        model.id,
-        model.weights_version,
-        model.adapter,
-    )
+    pool = document.pools_by_id[model.pool]
+    prompts_by_weights = {}
+    for weights_version in find_weights(pool, model):
+        scope = prefix.Scope(
+            document.environment,
+            customer_id,
+            model.id,
+            weights_version,
+            model.adapter,
+        )
+        prompt = _hash_prompt(request, scope, model, path)
+        prompts_by_weights[weights_version] = prompt
     return Work(
         model,
-        document.pools_by_id[model.pool],
-        _hash_prompt(request, scope, model, path),
+        pool,
+        prompts_by_weights,
         output_tokens,
         request.stream,
         body,
--- a/packages/carobwood-daemon/carobwood_daemon/orders/order_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/orders/order_sender.py
@@ -17,8 +17,12 @@
 DRAIN_TIMEOUT = 60.0
 DRAIN_POLL = 0.1
 ORDER_TIMEOUT = 60.0
+ANNOUNCE_TIMEOUT = 5.0
 COMMIT_TIMEOUT = 5.0
 ORDERS_PATH = '/v1/orders'
+DEFAULT_PAUSE = 1.0
+MAX_PAUSE = 60.0
+_BUSY_STATUSES = (429, 503)
 
 
 class OrderSender(keepers.Keeper):
@@ -40,6 +44,7 @@
         self._proposer = proposer
         self._lock = threading.Lock()
         self._in_progress = set()
+        self._due_at_by_fencing = {}
         self._http = urllib3.PoolManager(retries=False)
 
     def step(self):
@@ -49,7 +54,11 @@
         for order in self._store.fleet.pending_orders():
             with self._lock:
                 known = order.fencing_number in self._in_progress
-                if known or len(self._in_progress) >= MAX_LOADS:
+                if (
+                    known
+                    or not self._is_due(order)
+                    or len(self._in_progress) >= MAX_LOADS
+                ):
                     continue
                 self._in_progress.add(order.fencing_number)
             threading.Thread(
@@ -59,6 +68,17 @@
                 daemon=True,
             ).start()
 
+    def _is_due(self, order):
+        due_at = self._due_at_by_fencing.get(order.fencing_number, 0.0)
+        return time.monotonic() >= due_at
+
+    def _defer(self, order, retry_after):
+        seconds = DEFAULT_PAUSE
+        if retry_after.isdigit():
+            seconds = min(MAX_PAUSE, int(retry_after))
+        due_at = time.monotonic() + seconds
+        self._due_at_by_fencing[order.fencing_number] = due_at
+
     def _may_send(self):
         if not self._voter.is_running:
             return False
@@ -93,7 +113,9 @@
         if order.needs_drain:
             if not self._has_other_capacity(endpoint):
                 return 'refused', 'no other endpoint of the pool would serve'
-            self._await_drained(order)
+            if not self._await_drained(order):
+                # It stays pending and withheld; nothing is cut.
+                return '', ''
         if not self._checks_fencing(endpoint):
             self._await_older_leases()
         if not self._may_send():
@@ -122,6 +144,7 @@
             else:
                 idle_sequences.clear()
             time.sleep(DRAIN_POLL)
+        return len(idle_sequences) >= 2
 
     def _checks_fencing(self, endpoint):
         document = self._store.fleet.document(endpoint.environment)
@@ -152,10 +175,26 @@
             state = self._http.request('GET', url, timeout=ORDER_TIMEOUT)
         except urllib3.exceptions.HTTPError:
             return '', ''
+        if answer.status in _BUSY_STATUSES:
+            # The weight store or the engine asks to come back later.
+            self._defer(order, answer.headers.get('Retry-After', ''))
+            return '', ''
         if answer.status == 409:
             return 'refused', 'the engine has followed a newer order'
         if answer.status != 200:
             return 'refused', f'the engine answered {answer.status}'
         if json.loads(state.data) != message:
             return 'refused', 'the engine does not show the order'
+        self._await_announced(order)
         return 'done', ''
+
+    def _await_announced(self, order):
+        # Until VMs know its weights, none could send it work.
+        deadline = time.monotonic() + ANNOUNCE_TIMEOUT
+        while time.monotonic() < deadline:
+            endpoint = self._directory.find_endpoint(order.endpoint_id)
+            if order.kind != 'load-weights' or endpoint is None:
+                return
+            if endpoint.weights_version == order.argument:
+                return
+            time.sleep(DRAIN_POLL)
--- a/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
@@ -114,6 +114,19 @@
             return None
         return _parse_cached(current.text_zlib)
 
+    def former_weights(self, environment, model_id):
+        """Return weights versions that documents asked for before.
+
+        Args:
+            environment: environment of the documents.
+            model_id: id of the model.
+
+        Returns:
+            A frozenset without the version in force.
+        """
+        history = self.history_by_environment.get(environment, ())
+        return _former_weights(history, model_id)
+
     def pending_orders(self):
         """Return the orders that are not finished, oldest first."""
         orders = self.orders_by_fencing.values()
@@ -289,3 +302,13 @@
 @functools.lru_cache(maxsize=16)
 def _parse_cached(text_zlib):
     return documents.parse_document(decompress_text(text_zlib)).unwrap()
+
+
+@functools.lru_cache(maxsize=64)
+def _former_weights(history, model_id):
+    versions = []
+    for version in history:
+        parsed = documents.parse_document(version.text).value_or(None)
+        model = parsed.models_by_id.get(model_id) if parsed else None
+        versions.append(model.weights_version if model else '')
+    return frozenset(versions[:-1]) - {'', *versions[-1:]}
--- a/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/chooser.py
@@ -59,38 +59,64 @@
         self._policy = policy
         self._data_centre = data_centre
 
-    def eligible(self, environment, pool, weights_version=''):
+    def eligible(self, environment, pool):
         """Return endpoints that may get new work.
 
         Args:
             environment: environment that they must serve.
             pool: the ``Pool``.
-            weights_version: weights that they must have, or empty.
         """
         withheld = self._store.fleet.withheld_endpoints()
         return [
             endpoint
-            for endpoint in self._directory.endpoints()
-            if endpoint.pool == pool.id
-            and endpoint.environment == environment
-            and not endpoint.leaving
-            and endpoint.id not in withheld
-            and (
-                not weights_version
-                or endpoint.weights_version == weights_version
-            )
+            for endpoint in self._present(environment, pool)
+            if endpoint.id not in withheld
+        ]
+
+    def weights_versions(self, environment, pool, model):
+        """Return weights that may serve a model now, those in force first.
+
+        Until half of the engines serve the weights that the document asks
+        for, those with weights that it asked for before go on serving.
+        """
+        wanted = model.weights_version
+        former = self._store.fleet.former_weights(environment, model.id)
+        if not former:
+            return (wanted,)
+        versions = [
+            endpoint.weights_version
+            for endpoint in self.eligible(environment, pool)
         ]
+        all_engines = len(self._present(environment, pool))
+        if 2 * versions.count(wanted) >= all_engines:
+            return (wanted,)
+        return (wanted, *sorted(former & set(versions)))
 
-    def order_engines(self, environment, pool, model, prompt):
+    def order_engines(self, environment, pool, prompts_by_weights):
         """Return a ``Candidate`` for each engine, the best first.
 
+        Args:
+            environment: environment that they must serve.
+            pool: the ``Pool``.
+            prompts_by_weights: the ``Prompt`` by the weights version that
+                an engine may have.
+
         Raises:
             NoEndpoint: none may take it.
         """
-        found = self.eligible(environment, pool, model.weights_version)
+        found = [
+            endpoint
+            for endpoint in self.eligible(environment, pool)
+            if endpoint.weights_version in prompts_by_weights
+        ]
         if not found:
             raise errors.NoEndpoint(f'no endpoint of {pool.id} is known')
-        candidates = self._candidates(found, pool, prompt)
+        candidates = []
+        for weights, prompt in prompts_by_weights.items():
+            alike = [e for e in found if e.weights_version == weights]
+            if alike:
+                candidates += self._candidates(alike, pool, prompt)
+        prompt = next(iter(prompts_by_weights.values()))
         match self._policy:
             case policies.RoundRobin(numbers=numbers):
                 candidates.sort(key=lambda c: c.endpoint.id)
@@ -129,6 +155,15 @@
         ]
         return [candidate.endpoint for candidate in _best_first(candidates)]
 
+    def _present(self, environment, pool):
+        return [
+            endpoint
+            for endpoint in self._directory.endpoints()
+            if endpoint.pool == pool.id
+            and endpoint.environment == environment
+            and not endpoint.leaving
+        ]
+
     def _within_bounds(self, found, pool):
         if not found:
             raise errors.NoEndpoint(f'no endpoint of {pool.id} is known')
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -54,6 +54,7 @@
 WITHDRAWAL_UNCOMMITTED = Event(412, 'withdrawal-uncommitted', logging.WARNING)
 OPERATOR_CHANGE = Event(420, 'operator-change', logging.INFO)
 ORDER_FINISHED = Event(421, 'order-finished', logging.INFO)
+ROLLOUT_ORDERED = Event(422, 'rollout-ordered', logging.INFO)
 
 
 def all_events():
--- a/tests/test_engine_visit.py
+++ b/tests/test_engine_visit.py
@@ -22,7 +22,7 @@
 FINGERPRINT = 'an innocent request'
 WORK = types.SimpleNamespace(
     fingerprint=FINGERPRINT,
-    prompt=prefix.Prompt(1, (b'piece',)),
+    prompt_for=lambda _: prefix.Prompt(1, (b'piece',)),
     pool=document.Pool('engines', 'engine'),
 )
 
@@ -121,7 +121,7 @@
     after = prefix.hash_text(scope, text + b'b' * 900, 3)
     services.placements.note(ENGINE, before.chain)
     work = types.SimpleNamespace(
-        fingerprint=FINGERPRINT, prompt=after, pool=WORK.pool
+        fingerprint=FINGERPRINT, prompt_for=lambda _: after, pool=WORK.pool
     )
     visit = engine_visit.Visit(services, ENGINE, work)
     visit.enter()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -14,6 +14,8 @@
 
 scenarios('features/orders.feature')
 
+WEIGHTS_VERSION = 'X-Weights-Version'
+
 
 def _place(world, engine, version, code):
     place = ('order', 'place', engine, 'load-weights', version)
@@ -102,15 +104,19 @@
     assert '"stream-resumed"' not in world.vms_by_id['vm1'].log_text()
 
 
-@then(parsers.parse('every answer comes from {engine}'))
-def _comes_from(world, engine):
+@then(parsers.parse('every answer is of weights {version} from then on'))
+def _answers_of(world, version):
+    def answered_versions():
+        answers = [world.chat(vm_id) for vm_id in world.vms_by_id]
+        for answer in answers:
+            assert answer.status == 200, answer.body
+        return {answer.headers[WEIGHTS_VERSION] for answer in answers}
+
     fleets.wait_until(
-        lambda: all(world.chat(v).status == 200 for v in world.vms_by_id),
-        'answers of the new weights',
+        lambda: answered_versions() == {version}, 'the new weights'
     )
-    counters = world.stand_in_get(engine, '/counters')
-    version = counters['headers'][-1]['X-Weights-Version']
-    assert version == '2027-01'
+    for _ in range(5):
+        assert answered_versions() == {version}
 
 
 @then(parsers.parse('{engine} still serves'))
@@ -129,3 +135,73 @@
         return True
 
     fleets.wait_until(is_listed, 'the order to be carried out')
+
+
+def _ask_all(world, count):
+    return [
+        world.pool.submit(
+            world.chat,
+            f'vm{n % 3 + 1}',
+            prompt=f'{builders.PIECE} menu {n % 7}',
+            max_tokens=40,
+        )
+        for n in range(count)
+    ]
+
+
+def _weights(world):
+    listed = world.client('endpoint', 'list', code=None) or []
+    return [info['weights_version'] for info in listed]
+
+
+@when(
+    parsers.parse(
+        'a document asks for weights {version} while callers stream on'
+    )
+)
+def _roll_out(world, version):
+    answers = _ask_all(world, 12)
+    _ask(world, version)
+    while set(_weights(world)) != {version}:
+        answers += _ask_all(world, 6)
+        answers[-1].result()
+    answers += _ask_all(world, 6)
+    world.notes['answers'] = [answer.result() for answer in answers]
+
+
+@when('the leader is killed once an engine is ordered')
+def _kill_leader(world):
+    leader = fleets.wait_until(world.leader, 'a leader')
+    fleets.wait_until(
+        lambda: world.client('order', 'list'), 'an order of the rollout'
+    )
+    world.stop_vm(leader, signal.SIGKILL)
+
+
+@then(parsers.parse('every engine holds weights {version} in the end'))
+def _all_hold(world, version):
+    fleets.wait_until(lambda: set(_weights(world)) == {version}, 'the rollout')
+
+
+@then('no caller was refused and no stream was cut or resumed')
+def _none_refused(world):
+    for answer in world.notes['answers']:
+        assert answer.status == 200, answer.body
+        assert answer.events[-1].endswith('data: [DONE]')
+        assert len(answer.words) == 40
+    for vm in world.vms_by_id.values():
+        assert '"stream-resumed"' not in vm.log_text()
+
+
+@then('no request ran on an engine while it loaded')
+def _idle_while_loading(world):
+    for engine in world.stand_ins_by_id:
+        counters = world.stand_in_get(engine, '/counters')['counters']
+        assert counters['running_at_order'] == 0
+
+
+@then('engines of both weights served meanwhile')
+def _both_served(world):
+    answers = world.notes['answers']
+    versions = {answer.headers[WEIGHTS_VERSION] for answer in answers}
+    assert versions == {'2026-11', '2027-01'}
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -59,7 +59,7 @@
     def order(self, text=TEXT):
         """Return the ids of the engines, the best first."""
         prompt = prefix.hash_text(SCOPE, text, 4)
-        found = self.chooser.order_engines('production', POOL, MODEL, prompt)
+        found = self.chooser.order_engines('production', POOL, {'1': prompt})
         return [candidate.endpoint.id for candidate in found]
 
 
