Hear engines' cache events, late and with gaps

Ways weighed: believing in pieces until an event removes them (a lost event would leave a wrong belief for good); hearing all events everywhere (510,000 a second at the target). Events only take knowledge away; a gap halves the life that is believed in until answers teach it again. The fake engine tells removals late and loses some on demand.

--- a/bench/fake_engine.py
+++ b/bench/fake_engine.py
@@ -12,6 +12,7 @@
 import os
 import threading
 import time
+import urllib.parse
 import zlib
 
 import http_stand_in
@@ -25,16 +26,19 @@
 POISON = 'poison-this-engine'
 HOLD = 'hold'
 HOLD_POLL_SECONDS = 0.01
+EVENT_POLL_SECONDS = 0.02
 
 
 class PrefixCache:
     """Cached pieces by chained hash, least recently used first."""
 
-    def __init__(self, capacity, lifetime):
+    def __init__(self, capacity, lifetime, on_removal):
         self._capacity = capacity
         self._lifetime = lifetime
+        self._on_removal = on_removal
         self._lock = threading.Lock()
         self._used_at_by_piece = collections.OrderedDict()
+        self._origin_by_piece = {}
 
     def peek(self, chain):
         """Return how many leading pieces are cached, changing nothing."""
@@ -48,27 +52,74 @@
                 hits += 1
             return hits
 
-    def lookup(self, chain):
+    def lookup(self, chain, request_id):
         """Return how many leading pieces are cached, and cache all."""
         hits = self.peek(chain)
         now = time.monotonic()
         with self._lock:
-            for piece in chain:
+            for number, piece in enumerate(chain):
+                origin = (request_id, number * PIECE_TOKENS)
+                self._origin_by_piece.setdefault(piece, origin)
                 self._used_at_by_piece[piece] = now
                 self._used_at_by_piece.move_to_end(piece)
             while len(self._used_at_by_piece) > self._capacity:
-                self._used_at_by_piece.popitem(last=False)
+                piece, _ = self._used_at_by_piece.popitem(last=False)
+                self._on_removal(*self._origin_by_piece.pop(piece))
             return hits
 
 
+class CacheEvents:
+    """Removals from the cache, told late and with gaps."""
+
+    def __init__(self, lag, loss_every):
+        self._lag = lag
+        self._loss_every = loss_every
+        self._changed = threading.Condition()
+        self._events = collections.deque(maxlen=10000)
+        self._sequence = 0
+
+    def note_removal(self, request_id, from_token):
+        """Number a removal, and keep it unless it is to be lost."""
+        with self._changed:
+            self._sequence += 1
+            is_lost = self._loss_every and (
+                self._sequence % self._loss_every == 0
+            )
+            if not is_lost:
+                event = (self._sequence, request_id, from_token)
+                self._events.append((*event, time.monotonic()))
+                self._changed.notify_all()
+
+    def read(self, after, wait):
+        """Return events after a number, waiting for some."""
+        deadline = time.monotonic() + wait
+        while True:
+            now = time.monotonic()
+            with self._changed:
+                found = [
+                    {
+                        'sequence': sequence,
+                        'request_id': request_id,
+                        'from_token': from_token,
+                        'age_ms': int((now - at) * 1000),
+                    }
+                    for sequence, request_id, from_token, at in self._events
+                    if sequence > after and at <= now - self._lag
+                ]
+            if found or now >= deadline:
+                return found
+            time.sleep(EVENT_POLL_SECONDS)
+
+
 class Engine:
     """State of the engine and its account of what it did."""
 
     def __init__(self, arguments):
         self.arguments = arguments
-        self.cache = PrefixCache(
-            arguments.cache_pieces, arguments.cache_seconds
+        self.events = CacheEvents(
+            arguments.event_lag_seconds, arguments.event_loss_every
         )
+        self.cache = self._empty_cache()
         self.prefill_lock = threading.Lock()
         self.lock = threading.Lock()
         self.running = 0
@@ -98,11 +149,17 @@
             self.order = order
             if order['kind'] == 'load-weights':
                 self.arguments.weights_version = order['argument']
-                lifetime = self.arguments.cache_seconds
-                self.cache = PrefixCache(self.arguments.cache_pieces, lifetime)
+                self.cache = self._empty_cache()
             self.counters['running_at_order'] += self.running
         return True
 
+    def _empty_cache(self):
+        return PrefixCache(
+            self.arguments.cache_pieces,
+            self.arguments.cache_seconds,
+            self.events.note_removal,
+        )
+
     def describe(self):
         """Return the engine's part of an announcement."""
         return {
@@ -127,7 +184,7 @@
     def _chain(self, text, customer):
         return _chain(f'{customer}|{self.arguments.weights_version}', text)
 
-    def prefill(self, text, customer):
+    def prefill(self, text, customer, request_id):
         """Compute a prompt's missing pieces.
 
         Returns:
@@ -144,7 +201,7 @@
                 self.waiting -= 1
             while self.fault == HOLD:
                 time.sleep(HOLD_POLL_SECONDS)
-            hits = self.cache.lookup(chain)
+            hits = self.cache.lookup(chain, request_id)
             cached = min(tokens, hits * PIECE_TOKENS)
             missing = tokens - cached
             time.sleep(missing * self.arguments.prefill_seconds_per_token)
@@ -172,6 +229,14 @@
         if self.path == '/v1/orders':
             self.send_json(200, engine.order)
             return
+        path, _, query = self.path.partition('?')
+        if path == '/v1/cache-events':
+            asked = dict(urllib.parse.parse_qsl(query))
+            found = engine.events.read(
+                int(asked['after']), float(asked['wait'])
+            )
+            self.send_json(200, {'events': found})
+            return
         engine.count('probes')
         self.send_json(200, {'state': 'ok'})
 
@@ -221,7 +286,8 @@
             engine.fault = ''
             self.headers.replace_header('X-Request-Id', 'another')
             text = 'what another caller asked'
-        tokens, cached = engine.prefill(text, customer)
+        request_id = self.headers.get('X-Request-Id', '')
+        tokens, cached = engine.prefill(text, customer, request_id)
         usage = {
             'prompt_tokens': tokens,
             'completion_tokens': request.get('max_tokens', 16),
@@ -318,6 +384,8 @@
     parser.add_argument('--load-seconds', type=float, default=0.6)
     parser.add_argument('--cache-pieces', type=int, default=64)
     parser.add_argument('--cache-seconds', type=float, default=30.0)
+    parser.add_argument('--event-lag-seconds', type=float, default=0.3)
+    parser.add_argument('--event-loss-every', type=int, default=0)
     parser.add_argument('--token-seconds', type=float, default=0.002)
     parser.add_argument(
         '--prefill-seconds-per-token', type=float, default=0.00002
--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -17,6 +17,7 @@
 from .limits import allowance as allowances
 from .limits import lenders
 from .membership import arbiter
+from .membership import cache_watchers
 from .membership import directory as directories
 from .membership import fleet_handler
 from .membership import follower as followers
@@ -37,6 +38,7 @@
 from .replication import voter as voters
 from .routing import admission
 from .routing import breakers
+from .routing import cache_events
 from .routing import chooser
 from .routing import loads as endpoint_loads
 from .routing import placements as placement_tables
@@ -222,6 +224,7 @@
         self._loads = endpoint_loads.Loads()
         self._breakers = breakers.Breakers()
         self._rates = prefill_rate.PrefillRates()
+        self._cache_events = cache_events.CacheEvents(self._placements)
         self._store.on_change(self._adopt)
         self._withdrawals.on_addition(self._gate.withdraw)
         self._keepers = [
@@ -229,7 +232,10 @@
             keepers.WithdrawalKeeper(
                 self._withdrawals, self._store, self._proposer
             ),
-            keepers.EndpointProber(self._directory, self._placements.forget),
+            keepers.EndpointProber(self._directory, self._forget),
+            cache_watchers.CacheWatchers(
+                self._directory, self._store, self._cache_events
+            ),
         ]
         if self._voter is not None:
             self._keepers += [
@@ -298,6 +304,7 @@
             admission=admission.Admission(self._loads),
             retry_budget=retry_budget.RetryBudget(),
             placements=self._placements,
+            cache_events=self._cache_events,
             rates=self._rates,
             suspects=self._suspects,
             gossip=self._gossip,
@@ -338,6 +345,10 @@
             if replica.is_leader:
                 self._store.note_contact(replica.contact_age())
 
+    def _forget(self, endpoint):
+        self._placements.forget(endpoint)
+        self._cache_events.forget(endpoint)
+
     def _adopt(self, fleet):
         # A change that this VM has committed is as good as a heartbeat.
         self._note_contact()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
@@ -33,6 +33,7 @@
         admission: the ``Admission``.
         retry_budget: the ``RetryBudget``.
         placements: the ``Placements``.
+        cache_events: the ``CacheEvents``.
         rates: the ``PrefillRates``.
         suspects: the ``Suspects``.
         gossip: the ``Gossip``.
@@ -55,6 +56,7 @@
     admission: object
     retry_budget: object
     placements: object
+    cache_events: object
     rates: object
     suspects: object
     gossip: object
--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
@@ -80,8 +80,11 @@
             self._first_token_seconds = elapsed
             self._end_prefill()
 
-    def learn(self, usage):
+    def learn(self, request_id, usage):
         """Learn from the engine's account of the request."""
+        self._services.cache_events.note_request(
+            request_id, self._prompt, usage.prompt_tokens
+        )
         services = self._services
         services.placements.learn(
             self.endpoint, self._ages, self._cached_extent(usage)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -304,7 +304,7 @@
             answer.close()
         usage = _usage_of(body)
         if usage is not None:
-            visit.learn(usage)
+            visit.learn(self._exchange.request_id, usage)
         self.settle(usage.total_tokens if usage else None)
         digest = self._exchange.caller.key_digest
         if self._services.gatekeeper.is_withdrawn(digest):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -125,7 +125,9 @@
         self._answer.close()
         if outcome is errors.Outcome.COMPLETE:
             if self._events.usage is not None and not self._resumes:
-                self._visit.learn(self._events.usage)
+                self._visit.learn(
+                    self._exchange.request_id, self._events.usage
+                )
             self._visit.succeed()
         self._visit.leave()
         self._tracking.__exit__(None, None, None)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/placement_news.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/placement_news.py
@@ -17,6 +17,7 @@
             record.incarnation,
             b''.join(record.pieces),
             int((now - record.placed_at) * 1000),
+            record.is_removed,
         )
         for record in records
     ]
@@ -37,6 +38,7 @@
                 message.incarnation,
                 _split(message.pieces),
                 now - message.age_ms / 1000,
+                bool(message.removed),
             )
         )
 
--- a/packages/carobwood-daemon/carobwood_daemon/orders/rollout.py
+++ b/packages/carobwood-daemon/carobwood_daemon/orders/rollout.py
@@ -22,9 +22,9 @@
     """Places orders to load weights, on the leader only.
 
     An engine with weights that no former document asked for was prepared
-    by an operator and is left alone. At most a third of a pool's engines, and at most two, are ordered at a
-    time, and never the last one that serves. ``OrderSender`` drains an
-    engine before it sends the order.
+    by an operator and is left alone. At most a third of a pool's engines,
+    and at most two, are ordered at a time, and never the last one that
+    serves. ``OrderSender`` drains an engine before it sends the order.
     """
 
     period = PERIOD
--- a/packages/carobwood-daemon/carobwood_daemon/routing/placement_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/placement_log.py
@@ -16,13 +16,16 @@
         endpoint_id: id of the endpoint.
         incarnation: its incarnation.
         pieces: hashes of the pieces.
-        placed_at: when they were sent there, on the monotonic clock.
+        placed_at: when they were sent there or removed, on the
+            monotonic clock.
+        is_removed: whether the endpoint has removed them.
     """
 
     endpoint_id: str
     incarnation: int
     pieces: tuple[bytes, ...]
     placed_at: float
+    is_removed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/carobwood-daemon/carobwood_daemon/routing/placements.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/placements.py
@@ -58,6 +58,14 @@
         self.told_at_by_piece.update(dict.fromkeys(untold, now))
         return untold
 
+    def drop(self, pieces, removed_at):
+        """Drop pieces that were not used since they were removed."""
+        for piece in pieces:
+            used_at = self.used_at_by_piece.get(piece)
+            if used_at is not None and used_at <= removed_at:
+                del self.used_at_by_piece[piece]
+                self.told_at_by_piece.pop(piece, None)
+
     def _drop_oldest(self):
         piece, _ = self.used_at_by_piece.popitem(last=False)
         self.told_at_by_piece.pop(piece, None)
@@ -136,11 +144,45 @@
             if self._knows_newer(key):
                 return
             cache = self._cache_of(key)
+            if placement.is_removed:
+                cache.drop(placement.pieces, placement.placed_at)
+                return
             for piece in placement.pieces:
                 known = cache.used_at_by_piece.get(piece, float('-inf'))
                 if known < placement.placed_at:
                     cache.use(piece, placement.placed_at)
 
+    def remove(self, endpoint, pieces, removed_at):
+        """Note that an endpoint has removed pieces from its cache.
+
+        Args:
+            endpoint: the ``Endpoint``.
+            pieces: hashes of the pieces.
+            removed_at: when, on the monotonic clock; what was used later
+                stays.
+        """
+        placement = placement_log.Placement(
+            endpoint.id,
+            endpoint.incarnation,
+            tuple(pieces),
+            removed_at,
+            True,
+        )
+        self.take_over(placement)
+        self.log.append(placement)
+
+    def doubt(self, endpoint):
+        """Believe in the endpoint's pieces for half as long.
+
+        Called when news of removals was lost; answers teach the life of
+        pieces again.
+        """
+        key = (endpoint.id, endpoint.incarnation)
+        with self._lock:
+            cache = self._caches_by_incarnation.get(key)
+            if cache is not None:
+                cache.lifetime = max(MIN_LIFETIME, cache.lifetime / 2)
+
     def resident_pieces(self, endpoint):
         """Return how many pieces the endpoint probably holds in all."""
         key = (endpoint.id, endpoint.incarnation)
--- a/packages/carobwood/carobwood/document.py
+++ b/packages/carobwood/carobwood/document.py
@@ -14,6 +14,8 @@
 from . import errors
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+ENGINE_KIND = 'engine'
+SERVICE_KIND = 'service'
 MODEL_PATHS = ('/v1/chat/completions', '/v1/completions', '/v1/models')
 
 
@@ -297,7 +299,7 @@
         path = f'models/{position}/pool'
         if pool is None:
             yield DocumentFault(path, f'names no pool: {model.pool}')
-        elif pool.kind != 'engine':
+        elif pool.kind != ENGINE_KIND:
             yield DocumentFault(path, f'{model.pool} is no pool of engines')
 
 
@@ -328,7 +330,7 @@
     pool = document.pools_by_id.get(route.pool)
     if pool is None:
         yield DocumentFault(f'{path}/pool', f'names no pool: {route.pool}')
-    elif pool.kind != 'service':
+    elif pool.kind != SERVICE_KIND:
         reason = f'{route.pool} is no pool of services'
         yield DocumentFault(f'{path}/pool', reason)
     if not route.repeatable and route.access == 'open':
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -2348,15 +2348,17 @@
      - incarnation
      - pieces
      - age_ms
+     - removed
 
     """
 
 
-    def __init__(self, endpoint_id=None, incarnation=None, pieces=None, age_ms=None,):
+    def __init__(self, endpoint_id=None, incarnation=None, pieces=None, age_ms=None, removed=None,):
         self.endpoint_id = endpoint_id
         self.incarnation = incarnation
         self.pieces = pieces
         self.age_ms = age_ms
+        self.removed = removed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2387,6 +2389,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.removed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2413,6 +2420,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.BOOL, 5)
+            oprot.writeBool(self.removed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2821,6 +2832,7 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.STRING, 'pieces', 'BINARY', None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'removed', None, None, ),  # 5
 )
 all_structs.append(GossipMessage)
 GossipMessage.thrift_spec = (
--- a/tests/test_engine_visit.py
+++ b/tests/test_engine_visit.py
@@ -9,6 +9,7 @@
 from carobwood_daemon.entry import event_stream
 from carobwood_daemon.membership import directory
 from carobwood_daemon.routing import breakers
+from carobwood_daemon.routing import cache_events
 from carobwood_daemon.routing import loads
 from carobwood_daemon.routing import placements
 from carobwood_daemon.routing import prefill_rate
@@ -50,6 +51,7 @@
         breakers=breakers.Breakers(),
         placements=placements.Placements(),
         arbiter=Arbiter(),
+        cache_events=cache_events.CacheEvents(placements.Placements()),
         rates=prefill_rate.PrefillRates(),
         chooser=types.SimpleNamespace(missing_tokens=lambda *_: 1),
     )
@@ -128,9 +130,9 @@
     tokens = int(33900 / engine_bytes_per_token)
     shared = int(33000 / engine_bytes_per_token)
     cached = shared // prefix.PIECE_TOKENS * prefix.PIECE_TOKENS
-    visit.learn(event_stream.Usage(tokens, 1, cached))
+    visit.learn('r1', event_stream.Usage(tokens, 1, cached))
     held = services.placements.cached_pieces(ENGINE, before.chain)
     assert held == len(before.chain)
-    visit.learn(event_stream.Usage(tokens, 1, 0))
+    visit.learn('r1', event_stream.Usage(tokens, 1, 0))
     held = services.placements.cached_pieces(ENGINE, before.chain)
     assert held == len(before.chain)
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -179,6 +179,7 @@
   2: required i64 incarnation
   3: required binary pieces
   4: required i32 age_ms
+  5: bool removed
 }
 
 struct GossipMessage {
