--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -18,6 +18,7 @@
 from .limits import lenders
 from .membership import arbiter
 from .membership import cache_watchers
+from .membership import contact_keeper
 from .membership import directory as directories
 from .membership import fleet_handler
 from .membership import follower as followers
@@ -105,6 +106,7 @@
         self._proposer.start()
         self._settlements.start()
         if self._voter is not None:
+            self._contact_keeper.load()
             self._voter.start(self._timer)
         self._link_server.start()
         self._gossip.start(self._timer)
@@ -140,6 +142,8 @@
         for keeper in self._keepers:
             keeper.stop()
         self._follower.stop()
+        if self._voter is not None:
+            self._contact_keeper.save()
         self._proposer.stop()
         if self._voter is not None:
             self._voter.stop()
@@ -238,7 +242,11 @@
             ),
         ]
         if self._voter is not None:
+            self._contact_keeper = contact_keeper.ContactKeeper(
+                self._folder, self._store
+            )
             self._keepers += [
+                self._contact_keeper,
                 keepers.Joiner(self._voter, self._directory, self._links),
                 order_sender.OrderSender(
                     self._voter,
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -70,3 +70,14 @@
     When the leader thaws
     Then all VMs hold version 2
     And the log of no VM shows two leaders in one term
+
+  Scenario: A data centre that is cut off restarts and goes on serving
+    Given a configured fleet in bole bole kirkos kirkos arada without disk on vm2 and vm4
+    And engines engine-1
+    When the links between vm1, vm2 and vm3, vm4, vm5 are cut
+    And vm1 is killed
+    And vm2 is killed
+    And vm1 starts again
+    And vm2 starts again
+    Then vm1 serves with version 1
+    And vm2 serves with version 1
