Keep placements on disk, plot, and load with faults

Cause: after a restart of all VMs at once nothing was known of engines' caches; no bench showed load with faults; no plots. Change: VMs with a disk save the latest 5,000 placements every 5 s and tell the rest after a restart (the same keeper as for the contact's age). bench/faults.py: traffic and orders through a crashed engine, a cut, a killed leader, a herd restart and a poison request; counts violations. The fault proxy and the proxied fleet moved to bench/, where both use them. PNG plots by matplotlib.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	$(PYTHON) bench/relay.py $(if $(QUICK),--quick)
 	$(PYTHON) bench/replication.py $(if $(QUICK),--quick)
 	$(PYTHON) bench/choice.py $(if $(QUICK),--quick)
+	$(if $(QUICK),,$(PYTHON) bench/faults.py)
 
 capacity: $(STAMP)
 	$(PYTHON) bench/capacity.py
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -29,6 +29,8 @@
 
 TICKS = os.sysconf('SC_CLK_TCK')
 WINDOW_SECONDS = 8.0
+# Four of the router's pieces at three bytes a token.
+PROMPT = 'x' * 24000
 
 
 class Usage:
@@ -227,6 +229,50 @@
     }
 
 
+def measure_placements():
+    """Return seconds and bytes of a VM that hears of new prefixes.
+
+    Each prompt has a prefix of its own, so that each is a placement.
+    """
+    cpu, traffic = [], []
+    with fleets.Fleet() as fleet:
+        key = relay.start_fleet(fleet, 1, vms=2)
+        sent = 0
+        for count in (50, 100, 200):
+            idle_cpu, idle_bytes = _idle_rates(fleet, ['vm2'])['vm2']
+            usage = Usage(fleet, 'vm2')
+            started = time.monotonic()
+            for number in range(sent, sent + count):
+                _ask(fleet, key, f'prefix {number} {PROMPT}')
+            sent += count
+            # The last news travels within a period of gossip.
+            time.sleep(1)
+            elapsed = time.monotonic() - started
+            seconds, size = usage.totals()
+            cpu.append((count, seconds - idle_cpu * elapsed))
+            traffic.append((count, size - idle_bytes * elapsed))
+    return {
+        'cpu_s_per_new_prefix': fit(cpu),
+        'bytes_per_new_prefix': fit(traffic),
+    }
+
+
+def _ask(fleet, key, prompt):
+    answer = fleet.http.request(
+        'POST',
+        f'http://{fleet.vms_by_id["vm1"].caller}/v1/completions',
+        body=json.dumps(
+            {'model': 'ruling-8b', 'prompt': prompt, 'max_tokens': 1}
+        ),
+        headers={
+            'Authorization': f'Bearer {key}',
+            'Content-Type': 'application/json',
+        },
+    )
+    if answer.status != 200:
+        raise RuntimeError(f'status {answer.status}: {answer.data!r}')
+
+
 def _memory(build, sizes):
     points = []
     for size in sizes:
@@ -313,6 +359,7 @@
         ('voters', measure_voters),
         ('peers', measure_peers),
         ('endpoints', measure_endpoints),
+        ('placements', measure_placements),
     ):
         if arguments.only in ('', name):
             for line, figures in measure().items():
--- a/bench/choice.py
+++ b/bench/choice.py
@@ -17,6 +17,7 @@
 import time
 
 import fleet as fleets
+import plots
 import yaml
 
 DOCUMENT = pathlib.Path(__file__).parents[1] / 'examples' / 'production.yaml'
@@ -25,6 +26,7 @@
 ORACLE = 'oracle'
 SEED = 20261204
 VMS = 3
+DATA_CENTRES = ('bole', 'kirkos', 'arada')
 PIECE_BYTES = 2048 * 4
 PREFILL_SECONDS_PER_TOKEN = 0.00005
 TOKEN_SECONDS = 0.004
@@ -85,6 +87,8 @@
     cached_tokens: int = 0
     best_cached_tokens: int = 0
     is_whole: bool = False
+    has_error_event: bool = False
+    failure: str = ''
 
 
 def arrivals(shape, seconds):
@@ -117,6 +121,17 @@
     ]
 
 
+def start_engine(fleet, engine_id, number):
+    """Start an engine of the measurement in a data centre by number."""
+    fleet.start_engine(
+        engine_id,
+        DATA_CENTRES[number % len(DATA_CENTRES)],
+        cache_pieces=CACHE_PIECES,
+        prefill_seconds_per_token=PREFILL_SECONDS_PER_TOKEN,
+        token_seconds=TOKEN_SECONDS,
+    )
+
+
 class Caller(threading.Thread):
     """Sends one arrival at its moment."""
 
@@ -164,7 +179,10 @@
         connection.close()
         if answer.status == 200:
             events = data.split(b'\n\n')
-            record.is_whole = events[-2].endswith(b'data: [DONE]')
+            record.is_whole = data.endswith(b'data: [DONE]\n\n')
+            record.has_error_event = b'\nevent: error\n' in data
+            if not record.is_whole:
+                return
             usage = json.loads(events[-3].partition(b'data: ')[2])['usage']
             record.prompt_tokens = usage['prompt_tokens']
             details = usage['prompt_tokens_details']
@@ -174,6 +192,8 @@
 class Arm:
     """One way of choosing, with a fleet of its own."""
 
+    voters = 1
+
     def __init__(self, fleet, shape, policy):
         self._fleet = fleet
         self._policy = policy
@@ -181,22 +201,16 @@
         for number in range(VMS):
             fleet.plan_vm(
                 f'vm{number}',
-                ('bole', 'kirkos', 'arada')[number],
-                has_disk=number == 0,
+                DATA_CENTRES[number],
+                has_disk=number < self.voters,
                 vm_slots=VMS,
                 log_level='error',
                 choice='expected-time' if policy == ORACLE else policy,
             )
         fleet.start_vms()
-        fleet.found('vm0', 1)
+        fleet.found('vm0', self.voters)
         for number, engine in enumerate(self._engines):
-            fleet.start_engine(
-                engine,
-                ('bole', 'kirkos', 'arada')[number % 3],
-                cache_pieces=CACHE_PIECES,
-                prefill_seconds_per_token=PREFILL_SECONDS_PER_TOKEN,
-                token_seconds=TOKEN_SECONDS,
-            )
+            start_engine(fleet, engine, number)
         self._keys = self._configure(shape)
         fleet.await_endpoints(self._engines)
         fleet.await_ready()
@@ -290,7 +304,7 @@
     for record in served:
         by_customer[record.arrival.customer].append(record.first_token_seconds)
     worst = {
-        customer: _percentile(values, 95)
+        customer: percentile(values, 95)
         for customer, values in by_customer.items()
         if customer != greedy
     }
@@ -298,9 +312,9 @@
     return {
         'served': len(served),
         'hit_rate': round(sum(r.cached_tokens for r in served) / prompt, 4),
-        'p50_ms': round(_percentile(firsts, 50) * 1000),
-        'p95_ms': round(_percentile(firsts, 95) * 1000),
-        'p99_ms': round(_percentile(firsts, 99) * 1000),
+        'p50_ms': round(percentile(firsts, 50) * 1000),
+        'p95_ms': round(percentile(firsts, 95) * 1000),
+        'p99_ms': round(percentile(firsts, 99) * 1000),
         'wasted_tokens': sum(
             max(0, record.best_cached_tokens - record.cached_tokens)
             for record in served
@@ -316,7 +330,8 @@
     }
 
 
-def _percentile(values, share):
+def percentile(values, share):
+    """Return the value that a share (in percent) stays below."""
     return statistics.quantiles(values, n=100)[share - 1]
 
 
@@ -339,6 +354,7 @@
             print(shape.name, policy, json.dumps(figures[policy]), flush=True)
         path = RESULTS / f'choice-{shape.name}.json'
         path.write_text(json.dumps(figures, indent=2) + '\n')
+        plots.plot_choice(figures, path.with_suffix('.png'))
 
 
 if __name__ == '__main__':
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -22,9 +22,16 @@
 RATE = 50.0
 
 
-def start_fleet(fleet, engines, **engine_flags):
-    """Start one daemon with engines and return a caller's key."""
-    fleet.plan_vm('vm1', 'bole', vm_slots=1, log_level='warning')
+def start_fleet(fleet, engines, vms=1, **engine_flags):
+    """Start daemons with engines and return a caller's key."""
+    for number in range(1, vms + 1):
+        fleet.plan_vm(
+            f'vm{number}',
+            'bole',
+            has_disk=number == 1,
+            vm_slots=1,
+            log_level='warning',
+        )
     fleet.start_vms()
     fleet.found('vm1', voters=1)
     for number in range(engines):
--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -26,6 +26,7 @@
 from .membership import keepers
 from .membership import link
 from .membership import link_server
+from .membership import placement_keeper
 from .membership import withdrawals as withdrawal_sets
 from .observe import metrics as metric_clients
 from .observe import tracing
@@ -105,8 +106,9 @@
         self._timer.start()
         self._proposer.start()
         self._settlements.start()
+        for keeper in self._saving_keepers:
+            keeper.load()
         if self._voter is not None:
-            self._contact_keeper.load()
             self._voter.start(self._timer)
         self._link_server.start()
         self._gossip.start(self._timer)
@@ -142,8 +144,8 @@
         for keeper in self._keepers:
             keeper.stop()
         self._follower.stop()
-        if self._voter is not None:
-            self._contact_keeper.save()
+        for keeper in self._saving_keepers:
+            keeper.save()
         self._proposer.stop()
         if self._voter is not None:
             self._voter.stop()
@@ -172,6 +174,7 @@
             self._folder is not None,
         )
         self._directory = directories.Directory(own_vm, settings.peers)
+        self._saving_keepers = []
         self._voter = None
         if self._folder is not None:
             self._voter = voters.Voter(
@@ -242,11 +245,14 @@
             ),
         ]
         if self._voter is not None:
-            self._contact_keeper = contact_keeper.ContactKeeper(
-                self._folder, self._store
-            )
+            self._saving_keepers = [
+                contact_keeper.ContactKeeper(self._folder, self._store),
+                placement_keeper.PlacementKeeper(
+                    self._folder, self._placements
+                ),
+            ]
+            self._keepers += self._saving_keepers
             self._keepers += [
-                self._contact_keeper,
                 keepers.Joiner(self._voter, self._directory, self._links),
                 order_sender.OrderSender(
                     self._voter,
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -7,10 +7,7 @@
 
 from carobwood import errors
 
-from ..routing import admission
-from ..routing import rendezvous
-
-from . import engine_visit
+from . import engine_entry
 from . import event_stream
 from . import headers
 from . import model_request
@@ -75,7 +72,11 @@
 
 
 class ModelRun:
-    """One request on its way through one or more engines."""
+    """One request on its way through one or more engines.
+
+    Attributes:
+        entry: the ``EngineEntry``.
+    """
 
     def __init__(self, services, exchange, route, work, reservation):
         self._services = services
@@ -84,13 +85,7 @@
         self._work = work
         self._reservation = reservation
         self._is_settled = False
-        customer = exchange.caller.customer
-        self._turn = admission.Turn(
-            customer.id,
-            customer.rate_tokens_per_second,
-            route.priority,
-            time.monotonic() + route.deadline_seconds,
-        )
+        self.entry = engine_entry.EngineEntry(services, exchange, route, work)
 
     def start(self):
         """Run the request and return the answer's body."""
@@ -99,7 +94,7 @@
         failure = None
         while True:
             try:
-                return self._try(self._enter_next(tried))
+                return self._try(self.entry.enter_next(tried))
             except _RETRYABLE as error:
                 failure = _graver(failure, error)
             except errors.RequestRefused as error:
@@ -110,27 +105,8 @@
             if not self._may_retry(len(tried)):
                 raise failure
 
-    def enter_other(self, tried):
-        """Enter the best engine that was not tried, without a queue.
-
-        Streams that were cut go on at once: they are already paid for.
-
-        Returns:
-            The ``Visit``.
-
-        Raises:
-            RequestRefused: no engine may take it.
-        """
-        if self._services.suspects.is_suspect(self._work.fingerprint):
-            return self._enter_apart(tried, self.deadline_seconds)
-        return self._count_in(self._untried(tried)[0].endpoint)
-
-    @property
-    def _seconds_left(self):
-        return self._turn.due_at - time.monotonic()
-
     def _may_retry(self, tries):
-        if tries >= MAX_ATTEMPTS or self._seconds_left <= 0:
+        if tries >= MAX_ATTEMPTS or self.entry.seconds_left <= 0:
             return False
         if tries == 1:
             return True
@@ -140,70 +116,6 @@
         time.sleep(random.uniform(*RETRY_PAUSE))
         return True
 
-    def _enter_next(self, tried):
-        self._services.suspects.check(self._work.fingerprint)
-        if self._services.suspects.is_suspect(self._work.fingerprint):
-            visit = self._enter_apart(tried, self._seconds_left)
-        else:
-            visit = self._services.admission.admit(
-                self._turn, lambda: self._wish(tried), self._count_in
-            )
-        tried.add(visit.endpoint.id)
-        return visit
-
-    def _enter_apart(self, tried, timeout):
-        # All VMs choose alike, so that copies crash one engine.
-        engines = [c.endpoint for c in self._untried(tried)]
-        key = self._work.fingerprint.encode('ascii')
-        endpoint = rendezvous.rank(key, engines)[0]
-        tried.add(endpoint.id)
-        visit = engine_visit.Visit(self._services, endpoint, self._work)
-        visit.enter_apart(timeout)
-        return visit
-
-    def _count_in(self, endpoint):
-        visit = engine_visit.Visit(self._services, endpoint, self._work)
-        visit.enter()
-        return visit
-
-    def _wish(self, tried):
-        # Asked again while the request waits in the queue.
-        self._services.gatekeeper.refuse_withdrawn(
-            self._exchange.caller.key_digest
-        )
-        self._exchange.refuse_left()
-        pool_id = self._work.pool.id
-        bound = self._work.pool.max_in_flight_per_endpoint
-        candidates = self._untried(tried)
-        open_requests = self._services.loads.open_requests
-        free = [c for c in candidates if open_requests(c.endpoint) < bound]
-        best = (free or candidates)[0]
-        seconds = best.seconds
-        seconds_per_token = self._services.rates.seconds_per_token(pool_id)
-        if not self._services.rates.is_known(pool_id):
-            # Nothing is refused on a guess.
-            seconds = seconds_per_token = 0.0
-        return admission.Wish(
-            best.endpoint,
-            best.missing_tokens,
-            seconds,
-            seconds_per_token,
-            bound,
-        )
-
-    def _untried(self, tried):
-        self._services.suspects.check(self._work.fingerprint)
-        with self._exchange.trace.hop('choice'):
-            candidates = self._services.chooser.order_engines(
-                self._services.environment,
-                self._work.pool,
-                self._work.prompts_by_weights,
-            )
-        fresh = [c for c in candidates if c.endpoint.id not in tried]
-        if not fresh:
-            raise errors.NoEndpoint('every engine was tried')
-        return fresh
-
     @property
     def deadline_seconds(self):
         """Longest time until an answer starts."""
@@ -273,7 +185,7 @@
         return answer
 
     def _try(self, visit):
-        answer = self.open_answer(visit, self._seconds_left)
+        answer = self.open_answer(visit, self.entry.seconds_left)
         if answer.status == 200 and self._work.is_stream:
             return self._stream(visit, answer)
         try:
@@ -289,7 +201,7 @@
 
     def _stream(self, visit, answer):
         # What is resumed goes on with the weights that began it.
-        self._work = self._work.only_for(visit.endpoint.weights_version)
+        self.entry.keep_weights(visit.endpoint.weights_version)
         stream = model_stream.ModelStream(
             self, self._services, self._exchange, visit, answer
         )
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -77,14 +77,13 @@
 
     def _resume_once(self):
         try:
-            visit = self._run.enter_other(self._failed_ids)
+            visit = self._run.entry.enter_other(self._failed_ids)
         except errors.NoEndpoint:
             # Engines that failed a moment ago may serve again.
             self._failed_ids.clear()
             return False
         except errors.RequestRefused:
             return False
-        self._failed_ids.add(visit.endpoint.id)
         try:
             answer = self._run.open_answer(
                 visit, self._run.deadline_seconds, self._events.last_id
--- a/packages/carobwood-daemon/carobwood_daemon/membership/contact_keeper.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/contact_keeper.py
@@ -1,19 +1,10 @@
 """How long a VM has been without a leader, over its restarts."""
 
 import math
-import time
 
 import msgspec
 
-from carobwood import errors
-from carobwood import events
-
-from . import keepers
-
-PERIOD = 0.5
-SAVE_PERIOD = 5.0
-
-_FILE = 'contact'
+from . import saving_keeper
 
 
 class ContactRecord(msgspec.Struct, frozen=True):
@@ -28,45 +19,28 @@
     age_seconds: float
 
 
-class ContactKeeper(keepers.Keeper):
+class ContactKeeper(saving_keeper.SavingKeeper):
     """Keeps the age of the last contact in the data folder.
 
     Without it, a VM that restarts would refuse all keyed requests until a
     leader is heard of, and a cut-off data centre would never serve again.
     """
 
-    period = PERIOD
+    file = 'contact'
 
     def __init__(self, folder, store):
-        super().__init__('contact')
-        self._folder = folder
+        super().__init__('contact', folder)
         self._store = store
-        self._saved_at = float('-inf')
-
-    def load(self):
-        """Take over the age that was kept, with the time between
-        two saves as a margin.
-
-        Raises:
-            LogDamaged: the file fails its checksum.
-        """
-        payload = self._folder.read(_FILE)
-        if payload is not None:
-            record = msgspec.json.decode(payload, type=ContactRecord)
-            self._store.note_contact(record.age_seconds + SAVE_PERIOD)
-
-    def step(self):
-        """Keep the age as of now: the first one at once."""
-        if time.monotonic() - self._saved_at >= SAVE_PERIOD:
-            self.save()
 
-    def save(self):
-        """Write the age; a full disk leaves the older one."""
+    def encode(self):
+        """Return the age of the contact, if there was one."""
         age = self._store.contact_age()
         if math.isinf(age):
-            return
-        try:
-            self._folder.write(_FILE, msgspec.json.encode(ContactRecord(age)))
-        except errors.DiskWriteFailed as error:
-            events.emit(events.DISK_FAILED, error=error.detail)
-        self._saved_at = time.monotonic()
+            return None
+        return msgspec.json.encode(ContactRecord(age))
+
+    def restore(self, payload):
+        """Go on with the age, plus the time between two saves."""
+        record = msgspec.json.decode(payload, type=ContactRecord)
+        age = record.age_seconds + saving_keeper.SAVE_PERIOD
+        self._store.note_contact(age)
--- a/packages/carobwood-daemon/carobwood_daemon/routing/placements.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/placements.py
@@ -2,12 +2,14 @@
 
 import collections
 import dataclasses
+import itertools
 import threading
 import time
 
 from . import placement_log
 
 MAX_PIECES_PER_ENDPOINT = 20000
+MAX_EXPORTED = 5000
 INITIAL_LIFETIME = 30.0
 MIN_LIFETIME = 1.0
 MAX_LIFETIME = 300.0
@@ -183,6 +185,33 @@
             if cache is not None:
                 cache.lifetime = max(MIN_LIFETIME, cache.lifetime / 2)
 
+    def export(self):
+        """Return the latest placements, oldest first.
+
+        Returns:
+            ``Placement`` records of pieces used in the same second, at
+            most ``MAX_EXPORTED`` pieces together.
+        """
+        found = []
+        with self._lock:
+            for key, cache in self._caches_by_incarnation.items():
+                cache.drop_expired(self._clock())
+                found += [
+                    (used_at, key, piece)
+                    for piece, used_at in cache.used_at_by_piece.items()
+                ]
+        found.sort()
+        groups = itertools.groupby(
+            found[-MAX_EXPORTED:], lambda item: (int(item[0]), item[1])
+        )
+        records = []
+        for (second, key), items in groups:
+            pieces = tuple(piece for _, _, piece in items)
+            records.append(
+                placement_log.Placement(*key, pieces, float(second))
+            )
+        return records
+
     def resident_pieces(self, endpoint):
         """Return how many pieces the endpoint probably holds in all."""
         key = (endpoint.id, endpoint.incarnation)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,8 +6,7 @@
 import json
 import pathlib
 
-import fault_proxy
-import fleet as fleets
+import proxied_fleet
 import urllib3
 import yaml
 
@@ -16,7 +15,7 @@
 OTHER_CUSTOMER = 'tussock-waitaki'
 MODEL = 'ruling-8b'
 PIECE = 'The rulebook asks for one face and a plain background. ' * 150
-VM_NETWORK = '127.0.1.'
+STREAM_WORDS = 150
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,13 +92,12 @@
     return {'Authorization': f'Bearer {secret}'}
 
 
-class World(fleets.Fleet):
-    """A fleet whose links and endpoints can pass through fault proxies.
+class World(proxied_fleet.ProxiedFleet):
+    """The fleet of a scenario.
 
     Attributes:
         key: a key of ``CUSTOMER``.
         key_id: its public name.
-        proxies_by_id: proxies before VMs' links and before endpoints.
         notes: what the steps of a scenario hand on.
     """
 
@@ -107,54 +105,13 @@
         super().__init__(folder)
         self.key = ''
         self.key_id = ''
-        self.proxies_by_id = {}
         self.notes = {}
         self.pool = concurrent.futures.ThreadPoolExecutor(64)
 
     def __exit__(self, *exception):
         super().__exit__(*exception)
-        for proxy in self.proxies_by_id.values():
-            proxy.close()
         self.pool.shutdown(wait=False)
 
-    def plan_vm(self, vm_id, data_centre, has_disk=True, **flags):
-        """Plan a VM with an address of its own and a proxy before it."""
-        port = fleets.free_port()
-        host = f'{VM_NETWORK}{len(self.vms_by_id) + 1}'
-        link = f'{host}:{port}'
-        proxy = fault_proxy.FaultProxy(link)
-        self.proxies_by_id[vm_id] = proxy
-        flags.setdefault('vm_slots', 1)
-        vm = super().plan_vm(
-            vm_id,
-            data_centre,
-            has_disk,
-            link_advertise=proxy.address,
-            **flags,
-        )
-        vm.link = link
-        return vm
-
-    def cut(self, groups, fault=fault_proxy.Fault.CUT):
-        """Cut the links between groups of VMs."""
-        rule = fault_proxy.Rule(fault)
-        for target in self.vms_by_id:
-            for source in self.vms_by_id:
-                apart = _group_of(groups, source) != _group_of(groups, target)
-                if source != target and apart:
-                    self.cut_one_way(source, target, rule)
-
-    def cut_one_way(self, source, target, rule):
-        """Set the rule from one VM to another."""
-        host = self.vms_by_id[source].link.rpartition(':')[0]
-        self.proxies_by_id[target].set_rule(rule, host)
-
-    def heal(self):
-        """Let all links pass again."""
-        for target in self.vms_by_id:
-            for source in self.vms_by_id:
-                self.cut_one_way(source, target, fault_proxy.Rule())
-
     def start_fleet(self, data_centres, diskless=(), **flags):
         """Start VMs vm1, vm2... in the data centres and found a fleet."""
         for number, name in enumerate(data_centres, 1):
@@ -177,14 +134,6 @@
         issued = self.client('key', 'issue', customer)
         return issued['secret'], issued['key_id']
 
-    def proxied_engine(self, engine_id, data_centre='bole', **flags):
-        """Start an engine behind a proxy of its own."""
-        port = fleets.free_port()
-        proxy = fault_proxy.FaultProxy(f'127.0.0.1:{port}')
-        self.proxies_by_id[engine_id] = proxy
-        flags.update(port=port, advertise=proxy.address)
-        self.start_engine(engine_id, data_centre, **flags)
-
     def request(self, vm_id, method, path, body=None, headers=None):
         """Send a caller's request and return the ``Answer``."""
         if isinstance(body, dict):
@@ -254,10 +203,3 @@
         except urllib3.exceptions.HTTPError:
             return 0, {}
         return answer.status, json.loads(answer.data)
-
-
-def _group_of(groups, vm_id):
-    for number, group in enumerate(groups):
-        if vm_id in group:
-            return number
-    return -1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -96,3 +96,24 @@
     for vm in world.vms_by_id.values():
         assert '"thread-failed"' not in vm.log_text()
         assert '"request-crashed"' not in vm.log_text()
+
+
+@then(parsers.parse('at least {count:d} engines are alive'))
+def _alive(world, count):
+    processes = world.stand_ins_by_id.values()
+    assert sum(process.poll() is None for process in processes) >= count
+
+
+@then('every stream beside it is whole')
+def _whole(world):
+    for stream in world.notes['streams']:
+        answer = stream.result()
+        assert answer.status == 200, answer.body
+        assert answer.events[-1].endswith('data: [DONE]'), answer.events[-1]
+        assert len(answer.words) == builders.STREAM_WORDS
+
+
+@then('other requests are served')
+def _others(world):
+    for vm_id in world.vms_by_id:
+        assert world.chat(vm_id, prompt='another menu').status == 200
--- a/tests/features/pairs.feature
+++ b/tests/features/pairs.feature
@@ -39,3 +39,12 @@
     And vm2 is killed
     And vm2 starts again
     Then vm2 finds every prefix in a cache
+
+  Scenario: All VMs restart at once while prefixes are spread over the engines
+    Given a configured fleet in bole kirkos arada without disk on vm3
+    And engines engine-1, engine-2, engine-3 and engine-4
+    When 8 prefixes are asked for through all VMs
+    And the placements are kept on disk
+    And all VMs are killed and start again at once
+    Then vm1 finds every prefix in a cache
+    And vm3 finds every prefix in a cache
--- a/tests/test_contact_keeper.py
+++ b/tests/test_contact_keeper.py
@@ -1,6 +1,7 @@
 """Tests of the contact's age over restarts."""
 
 from carobwood_daemon.membership import contact_keeper
+from carobwood_daemon.membership import saving_keeper
 from carobwood_daemon.replication import data_folder
 from carobwood_daemon.replication import state_store
 import pytest
@@ -18,7 +19,7 @@
     keeper.save()
     restarted, keeper = _keeper(folder)
     keeper.load()
-    expected = 100.0 + contact_keeper.SAVE_PERIOD
+    expected = 100.0 + saving_keeper.SAVE_PERIOD
     assert restarted.contact_age() == pytest.approx(expected, abs=2.0)
     folder.close()
 
--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -15,7 +15,6 @@
 
 KEY = 'order-of-the-pair'
 POISON = 'poison-this-engine'
-WORDS = 120
 
 
 def _live(world):
@@ -137,7 +136,7 @@
             world.chat,
             f'vm{n % 3 + 1}',
             prompt=f'{builders.PIECE * 2} menu {n}',
-            max_tokens=WORDS,
+            max_tokens=builders.STREAM_WORDS,
         )
         for n in range(6)
     ]
@@ -167,25 +166,19 @@
         assert answer.result().status != 200
 
 
-@then(parsers.parse('at least {count:d} engines are alive'))
-def _alive(world, count):
-    processes = world.stand_ins_by_id.values()
-    assert sum(p.poll() is None for p in processes) >= count
+@when('the placements are kept on disk')
+def _kept(world):
+    def is_kept():
+        vm_ids = ('vm1', 'vm2')
+        sizes = [
+            (world.folder / vm_id / 'placements').stat().st_size
+            for vm_id in vm_ids
+            if (world.folder / vm_id / 'placements').exists()
+        ]
+        # Eight prefixes of some pieces each, at 12 bytes a piece.
+        return len(sizes) == len(vm_ids) and min(sizes) > 8 * 3 * 12
 
-
-@then('every stream beside it is whole')
-def _whole(world):
-    for stream in world.notes['streams']:
-        answer = stream.result()
-        assert answer.status == 200, answer.body
-        assert answer.events[-1].endswith('data: [DONE]'), answer.events[-1]
-        assert len(answer.words) == WORDS
-
-
-@then('other requests are served')
-def _others(world):
-    for vm_id in world.vms_by_id:
-        assert world.chat(vm_id, prompt='another menu').status == 200
+    fleets.wait_until(is_kept, 'the files')
 
 
 def _cached_tokens(answer):
@@ -205,13 +198,13 @@
             assert world.chat(vm_id, prompt=_prefix(number)).status == 200
 
 
-@then('vm2 finds every prefix in a cache')
-def _finds(world):
-    world.await_ready(['vm2'])
+@then(parsers.parse('{vm} finds every prefix in a cache'))
+def _finds(world, vm):
+    world.await_ready([vm])
     world.await_endpoints(
-        ['engine-1', 'engine-2', 'engine-3', 'engine-4'], ['vm2']
+        ['engine-1', 'engine-2', 'engine-3', 'engine-4'], [vm]
     )
     for number in range(world.notes['count']):
-        answer = world.chat('vm2', prompt=_prefix(number))
+        answer = world.chat(vm, prompt=_prefix(number))
         assert answer.status == 200, answer.body
         assert _cached_tokens(answer) > 0, f'prefix {number}'
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -3,7 +3,9 @@
 import dataclasses
 
 from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import placement_keeper
 from carobwood_daemon.membership import placement_news
+from carobwood_daemon.replication import data_folder
 from carobwood_daemon.routing import placement_log
 from carobwood_daemon.routing import placements
 from carobwood_daemon.routing import prefix
@@ -87,3 +89,34 @@
     table.note(ENGINE, CHAIN[:2])
     table.note(ENGINE, CHAIN)
     assert len(calls) == 1
+
+
+def test_placements_survive_a_restart(tmp_path):
+    folder = data_folder.DataFolder(tmp_path)
+    before = placements.Placements()
+    before.note(ENGINE, CHAIN)
+    placement_keeper.PlacementKeeper(folder, before).save()
+    after = placements.Placements()
+    placement_keeper.PlacementKeeper(folder, after).load()
+    assert after.cached_pieces(ENGINE, CHAIN) == len(CHAIN)
+    reborn = dataclasses.replace(ENGINE, incarnation=6)
+    assert after.cached_pieces(reborn, CHAIN) == 0
+    # A peer without a disk hears of them.
+    peer = placements.Placements()
+    _pass_on(after, peer)
+    assert peer.cached_pieces(ENGINE, CHAIN) == len(CHAIN)
+    folder.close()
+
+
+def test_the_latest_placements_are_exported():
+    now = [100.0]
+    table = placements.Placements(lambda: now[0])
+    count = placements.MAX_EXPORTED // len(CHAIN) + 10
+    for number in range(count):
+        now[0] += 0.001
+        name = number.to_bytes(prefix.DIGEST_BYTES - 1, 'big')
+        table.note(ENGINE, [bytes([n]) + name for n in range(len(CHAIN))])
+    exported = [piece for r in table.export() for piece in r.pieces]
+    assert len(exported) == placements.MAX_EXPORTED
+    last = (count - 1).to_bytes(prefix.DIGEST_BYTES - 1, 'big')
+    assert b'\x00' + last in exported
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -12,15 +12,6 @@
 # Shared with the innocents' prompts, so that all meet on one engine.
 PREFIX = builders.PIECE * 2
 POISON = PREFIX + 'poison-this-engine'
-WORDS = 150
-
-
-def _alive(world):
-    return [
-        engine
-        for engine, process in world.stand_ins_by_id.items()
-        if process.poll() is None
-    ]
 
 
 def _start_innocents(world, count):
@@ -29,7 +20,7 @@
             world.chat,
             f'vm{n % len(world.vms_by_id) + 1}',
             prompt=f'{PREFIX} menu {n}',
-            max_tokens=WORDS,
+            max_tokens=builders.STREAM_WORDS,
         )
         for n in range(count)
     ]
@@ -78,11 +69,6 @@
     world.stand_ins_by_id[shared].kill()
 
 
-@then(parsers.parse('at least {count:d} engines are alive'))
-def _enough(world, count):
-    assert len(_alive(world)) >= count
-
-
 @then(parsers.parse('the request is refused with {code}'))
 def _refused(world, code):
     last = world.notes['answers'][-1]
@@ -90,21 +76,6 @@
     assert int(last.headers['Retry-After']) > 0
 
 
-@then('every stream beside it is whole')
-def _whole(world):
-    for stream in world.notes['streams']:
-        answer = stream.result()
-        assert answer.status == 200, answer.body
-        assert answer.events[-1].endswith('data: [DONE]'), answer.events[-1]
-        assert len(answer.words) == WORDS
-
-
-@then('other requests are served')
-def _others(world):
-    for vm_id in world.vms_by_id:
-        assert world.chat(vm_id, prompt='another menu').status == 200
-
-
 @then('the same requests are served again through every VM')
 def _same(world):
     for vm_id in world.vms_by_id:
