Ask engines that keep callers waiting whether they live

Cause: two new scenarios, an engine frozen by SIGSTOP and a connection that goes silent before the first word, were red: 504 endpoint_timeout at the deadline of 20 s. A frozen process keeps its connections, and only the deadline ended the wait; a second engine stood idle. Ways weighed: a fixed first-byte timeout and hedged requests (a long prefill is paid for twice). Change: an engine that keeps requests waiting for 1 s is asked on a new connection; after two silent probes its waiting requests are tried elsewhere, without strikes. TCP keepalive on connections to engines. A stream whose engine should have begun long before is given to another after half of its time. Conclusion: the promise about silent connections now holds from the first byte.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -14,6 +14,7 @@
 from .entry import credentials
 from .entry import gate as gates
 from .entry import listener
+from .entry import overdue
 from .limits import allowance as allowances
 from .limits import lenders
 from .membership import arbiter
@@ -113,6 +114,7 @@
         self._link_server.start()
         self._gossip.start(self._timer)
         self._follower.start()
+        self._overdue.start(self._timer)
         for keeper in self._keepers:
             keeper.start()
         self._timer.subscribe(gossips.PERIOD, self._note_contact)
@@ -230,6 +232,7 @@
         self._settlements = at_most_once.Settlements(self._proposer)
         self._loads = endpoint_loads.Loads()
         self._breakers = breakers.Breakers()
+        self._overdue = overdue.OverdueWatch(self._breakers)
         self._rates = prefill_rate.PrefillRates()
         self._cache_events = cache_events.CacheEvents(self._placements)
         self._store.on_change(self._adopt)
@@ -318,6 +321,7 @@
             admission=admission.Admission(self._loads),
             retry_budget=retry_budget.RetryBudget(),
             placements=self._placements,
+            overdue=self._overdue,
             cache_events=self._cache_events,
             rates=self._rates,
             suspects=self._suspects,
--- a/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
@@ -33,6 +33,7 @@
         admission: the ``Admission``.
         retry_budget: the ``RetryBudget``.
         placements: the ``Placements``.
+        overdue: the ``OverdueWatch``.
         cache_events: the ``CacheEvents``.
         rates: the ``PrefillRates``.
         suspects: the ``Suspects``.
@@ -56,6 +57,7 @@
     admission: object
     retry_budget: object
     placements: object
+    overdue: object
     cache_events: object
     rates: object
     suspects: object
--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_visit.py
@@ -38,6 +38,13 @@
         self._is_inside = False
         self._has_begun = False
 
+    @property
+    def expected_seconds(self):
+        """Seconds that the engine should need for the missing tokens."""
+        rates = self._services.rates
+        rate = rates.seconds_per_token(self._work.pool.id)
+        return self._missing_tokens * rate
+
     def enter(self):
         """Count the request in.
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -16,6 +16,8 @@
 
 MAX_ATTEMPTS = 3
 RETRY_PAUSE = (0.01, 0.05)
+# An engine this many times slower than expected is not taken for silent.
+SLOWNESS = 4.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 _RETRYABLE = (
@@ -174,7 +176,7 @@
             visit.begin()
             call = self.call(endpoint, seconds, last_event_id)
             with self._exchange.trace.hop('endpoint', endpoint=endpoint.id):
-                answer = upstream.send(connection, call)
+                answer = self._send(endpoint, connection, call)
             _check_answer(endpoint, answer)
         except errors.CarobwoodError as error:
             visit.fail(error)
@@ -184,8 +186,30 @@
             raise
         return answer
 
+    def _send(self, endpoint, connection, call):
+        watch = self._services.overdue.watch(endpoint, connection.sock)
+        with watch as wait:
+            try:
+                return upstream.send(connection, call)
+            except errors.EndpointFailed as error:
+                if not wait.is_given_up:
+                    raise
+                # A frozen engine is no reason for a strike.
+                raise errors.EndpointTimeout(
+                    'the engine does not answer its probe'
+                ) from error
+
+    def _patience(self, visit):
+        # A connection may have gone silent for good. If the engine should
+        # have begun long before, the time left serves for another try.
+        seconds = self.entry.seconds_left
+        has_time = visit.expected_seconds * SLOWNESS < seconds / 2
+        if self._work.is_stream and has_time:
+            return seconds / 2
+        return seconds
+
     def _try(self, visit):
-        answer = self.open_answer(visit, self.entry.seconds_left)
+        answer = self.open_answer(visit, self._patience(visit))
         if answer.status == 200 and self._work.is_stream:
             return self._stream(visit, answer)
         try:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -18,6 +18,16 @@
 from . import headers
 
 CONNECT_TIMEOUT = 1.0
+KEEPALIVE_SECONDS = 2
+KEEPALIVE_PROBES = 3
+# Keepalive finds connections that something between the ends has lost.
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+]
 
 # Failures of a connection that urllib3 and http.client let through.
 _BREAKS = (
@@ -122,7 +132,7 @@
         parsed.host,
         parsed.port,
         timeout=CONNECT_TIMEOUT,
-        socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
+        socket_options=SOCKET_OPTIONS,
     )
     try:
         connection.connect()
--- a/tests/features/streams.feature
+++ b/tests/features/streams.feature
@@ -58,3 +58,17 @@
     And a caller streams an answer of 40 words
     Then the stream is complete and in order
     And the words are those that the engine gives directly
+
+  Scenario: A frozen engine keeps no caller waiting until the deadline
+    Given a configured fleet of 1 VMs
+    And engines engine-1 and engine-2
+    When the engine that holds a prompt is frozen
+    And a caller streams an answer of 40 words
+    Then the stream is complete and in order
+    And the daemon logged the event endpoint-overdue
+
+  Scenario: A connection that goes silent before the first word costs one try
+    Given a configured fleet of 1 VMs
+    And engines engine-1 and engine-2
+    When the connection of a waiting request goes silent
+    Then the stream is complete and in order
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import signal
 
 import builders
 import fault_proxy
@@ -161,3 +162,38 @@
     assert (answer.status, answer.outcome) == (200, 'complete'), answer.body
     content = json.loads(answer.body)['choices'][0]['message']['content']
     assert len(content.split()) == 10
+
+
+@when('the engine that holds a prompt is frozen')
+def _freeze(world):
+    assert world.chat(max_tokens=5).status == 200
+    world.stand_ins_by_id[_used_engine(world)].send_signal(signal.SIGSTOP)
+
+
+def _used_engine(world):
+    def requests(engine):
+        counters = world.stand_in_get(engine, '/counters')['counters']
+        return counters.get('requests', 0)
+
+    return max(('engine-1', 'engine-2'), key=requests)
+
+
+@when('the connection of a waiting request goes silent')
+def _silent_wait(world):
+    world.notes['count'] = 20
+    for engine in ('engine-1', 'engine-2'):
+        world.set_fault(engine, 'hold')
+    pending = world.pool.submit(world.chat, max_tokens=20)
+
+    def is_running():
+        used = _used_engine(world)
+        counters = world.stand_in_get(used, '/counters')['counters']
+        return counters.get('requests', 0)
+
+    fleets.wait_until(is_running, 'the request to run')
+    proxy = world.proxies_by_id[_used_engine(world)]
+    proxy.set_rule(fault_proxy.Rule(fault_proxy.Fault.SILENT_OLD))
+    proxy.set_rule(fault_proxy.Rule())
+    for engine in ('engine-1', 'engine-2'):
+        world.set_fault(engine, '')
+    world.notes['answer'] = pending.result()
