--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,16 +21,25 @@
 import replication
 import urllib3
 
+from carobwood import document
 from carobwood_daemon.membership import directory
 from carobwood_daemon.replication import claims
 from carobwood_daemon.replication import commands
 from carobwood_daemon.replication import fleet_state
+from carobwood_daemon.replication import state_store
+from carobwood_daemon.routing import breakers
+from carobwood_daemon.routing import chooser
+from carobwood_daemon.routing import loads
 from carobwood_daemon.routing import placements
+from carobwood_daemon.routing import policies
+from carobwood_daemon.routing import prefill_rate
+from carobwood_daemon.routing import prefix
 
 TICKS = os.sysconf('SC_CLK_TCK')
 WINDOW_SECONDS = 8.0
 # Four of the router's pieces at three bytes a token.
 PROMPT = 'x' * 24000
+CHOICES = 200
 
 
 class Usage:
@@ -257,6 +266,50 @@
     }
 
 
+def measure_choice():
+    """Return processor seconds of a choice by the engines known."""
+    points = []
+    pool = document.Pool('engines', document.ENGINE_KIND)
+    prompt = prefix.hash_text(
+        prefix.Scope('production', 'customer', 'model', '1', ''),
+        PROMPT.encode('utf-8'),
+        3,
+    )
+    for count in (20, 60, 180):
+        known = directory.Directory(
+            directory.Vm('vm1', 'bole', '127.0.0.1:1', '', 1, False), ()
+        )
+        table = placements.Placements()
+        for number in range(count):
+            engine = directory.Endpoint(
+                f'engine-{number}',
+                1,
+                1,
+                '',
+                'bole',
+                'engines',
+                'production',
+                '1',
+            )
+            known.note_endpoint(engine)
+            table.note(engine, [secrets.token_bytes(prefix.DIGEST_BYTES)])
+        choose = chooser.Chooser(
+            known,
+            state_store.StateStore(),
+            loads.Loads(),
+            breakers.Breakers(),
+            table,
+            prefill_rate.PrefillRates(),
+            'bole',
+            policies.ExpectedTime(),
+        )
+        started = time.process_time()
+        for _ in range(CHOICES):
+            choose.order_engines('production', pool, {'1': prompt})
+        points.append((count, (time.process_time() - started) / CHOICES))
+    return {'cpu_s_per_choice_per_engine': fit(points)}
+
+
 def _ask(fleet, key, prompt):
     answer = fleet.http.request(
         'POST',
@@ -354,6 +407,7 @@
     arguments = parser.parse_args()
     for name, measure in (
         ('memory', measure_memory),
+        ('choice', measure_choice),
         ('requests', measure_requests),
         ('changes', measure_changes),
         ('voters', measure_voters),
