Run the tests in two workers

Change: pytest-xdist with two workers, a file on one worker; each worker has a range of ports of its own. Conclusion: open until measured.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 STAMP := $(VENV)/.installed
 
 SHELL := bash
+# Files of tests side by side; each has ports of its own, up to 4.
+WORKERS ?= 2
 .PHONY: demo test lint format bench capacity generate clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(PACKAGES:%=%/pyproject.toml)
@@ -17,7 +19,7 @@
 	$(PYTHON) examples/demo.py
 
 test: $(STAMP)
-	$(PYTHON) -m pytest -q tests
+	$(PYTHON) -m pytest -q -n $(WORKERS) --dist loadfile --durations=10 tests
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check $(SOURCES)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures and steps that all scenarios share."""
 
+import os
 import pathlib
 import signal
 import sys
@@ -17,6 +18,13 @@
 import builders  # noqa: E402 (needs the paths above)
 import fleet as fleets  # noqa: E402 (needs the paths above)
 
+WORKER_PORTS = 5000
+WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
+
+# Processes of tests that run side by side must not choose the same port.
+FIRST_PORT = fleets.PORTS[0] + WORKER * WORKER_PORTS
+fleets.PORTS = (FIRST_PORT, FIRST_PORT + WORKER_PORTS)
+
 DATA_CENTRES = ('bole', 'kirkos', 'arada', 'yeka')
 
 
