--- a/tests/test_engine_visit.py
+++ b/tests/test_engine_visit.py
@@ -121,7 +121,10 @@
     scope = prefix.Scope('production', 'c', 'm', '1', '')
     before = prefix.hash_text(scope, text + b'a' * 900, 3)
     after = prefix.hash_text(scope, text + b'b' * 900, 3)
+    now = [100.0]
+    services.placements = placements.Placements(lambda: now[0])
     services.placements.note(ENGINE, before.chain)
+    now[0] += 5.0
     work = types.SimpleNamespace(
         fingerprint=FINGERPRINT, prompt_for=lambda _: after, pool=WORK.pool
     )
@@ -131,8 +134,7 @@
     shared = int(33000 / engine_bytes_per_token)
     cached = shared // prefix.PIECE_TOKENS * prefix.PIECE_TOKENS
     visit.learn('r1', event_stream.Usage(tokens, 1, cached))
-    held = services.placements.cached_pieces(ENGINE, before.chain)
-    assert held == len(before.chain)
-    visit.learn('r1', event_stream.Usage(tokens, 1, 0))
+    # A wrongly shortened life would end before the age that was hit.
+    now[0] += 5.0
     held = services.placements.cached_pieces(ENGINE, before.chain)
     assert held == len(before.chain)
