Log waits for a place, pauses of endpoints and failed control calls; export spans

Three had none: a request that waits for a place (and how its wait ends), an endpoint that is left out for a moment, and a control call that is refused or not confirmed. Spans of relayed requests were started but exported nowhere; they now go where CAROBWOOD_TRACE_EXPORT and CAROBWOOD_TRACE_TARGET say, also from the platform, with a hop for the wait for a place, and the trace goes on to the endpoint. The default stays none.

The samples of the reading time are taken where a place is chosen, no longer where candidates are listed, so that a line of the log takes no sample.

The fixture of two test files stood twice; it is in conftest now.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/errand.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/errand.py
@@ -29,12 +29,13 @@
 class Errand:
     """The tries of one request and the answer that comes of them."""
 
-    def __init__(self, parts, selector, caller, request):
+    def __init__(self, parts, selector, caller, request, trace):
         self._parts = parts
         self._selector = selector
         self._caller = caller
         self._request = request
-        self._visit = visits.Visit(parts, caller, request)
+        self._trace = trace
+        self._visit = visits.Visit(parts, caller, request, trace)
         self._excluded = set()
         # Tries that failed after the request may have run.
         self._runs = 0
@@ -46,7 +47,7 @@
         self._first_seconds = 0.0
         self._splitter = event_splitter.EventSplitter()
 
-    def run(self, trace):
+    def run(self):
         """Try endpoints until one has answered.
 
         Raises:
@@ -55,7 +56,7 @@
         while True:
             place = self._take_place()
             try:
-                with trace.hop('endpoint', endpoint=place.endpoint.id):
+                with self._trace.hop('endpoint', endpoint=place.endpoint.id):
                     if self._try(place):
                         return
             finally:
@@ -66,9 +67,10 @@
         if request.seconds_left < MIN_SECONDS:
             raise self._final(errors.DeadlineUnreachable('no time is left'))
         try:
-            return self._selector.await_place(
-                request, self._excluded, self._caller
-            )
+            with self._trace.hop('place'):
+                return self._selector.await_place(
+                    request, self._excluded, self._caller
+                )
         except errors.CallerLeft:
             raise
         except errors.CarobwoodError as error:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
@@ -117,6 +117,17 @@
         with self._lock:
             self._peers_by_vm[vm_id] = (self._clock(), loads_by_endpoint)
 
+    def news_age(self):
+        """Return the seconds since the oldest news that still counts."""
+        now = self._clock()
+        with self._lock:
+            ages = [
+                now - heard_at for heard_at, _ in self._peers_by_vm.values()
+            ]
+        return max(
+            (age for age in ages if age <= PEER_NEWS_SECONDS), default=0.0
+        )
+
     def own(self):
         """Return this VM's loads by endpoint id."""
         with self._lock:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/health.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/health.py
@@ -8,6 +8,7 @@
 import threading
 
 from carobwood import clocks
+from carobwood import events
 
 # Weight of the newest result in the failure rate.
 NEWEST_WEIGHT = 0.25
@@ -68,17 +69,20 @@
                 now + pause,
                 pause,
             )
+        self._log_pause(endpoint, 'unreachable', pause, known, now)
 
     def note_refused(self, endpoint):
         """Leave an endpoint out until its queue may have moved on."""
         now = self._clock()
         with self._lock:
+            known = self._of(endpoint)
             self._evidence_by_endpoint[endpoint.id] = _Evidence(
                 endpoint.incarnation,
                 self._rate(endpoint, now),
                 now,
                 now + REFUSED_SECONDS,
             )
+        self._log_pause(endpoint, 'refused', REFUSED_SECONDS, known, now)
 
     def failure_rate(self, endpoint):
         """Return the decaying share of failed requests."""
@@ -89,6 +93,18 @@
         known = self._of(endpoint)
         return known is not None and self._clock() < known.avoided_until
 
+    @staticmethod
+    def _log_pause(endpoint, cause, seconds, known, now):
+        events.emit(
+            events.ENDPOINT_PAUSED,
+            endpoint=endpoint.id,
+            incarnation=endpoint.incarnation,
+            cause=cause,
+            seconds=seconds,
+            failure_rate=round(known.failure_rate, 3) if known else 0.0,
+            evidence_age=round(now - known.noted_at, 3) if known else None,
+        )
+
     def _of(self, endpoint):
         known = self._evidence_by_endpoint.get(endpoint.id)
         if known is None or known.incarnation != endpoint.incarnation:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -45,9 +45,9 @@
                 request = self._admission.admit(caller, arrived_at)
             self._parts.retries.note_request(request.service)
             errand = errands.Errand(
-                self._parts, self._selector, caller, request
+                self._parts, self._selector, caller, request, trace
             )
-            errand.run(trace)
+            errand.run()
         except errors.CallerLeft as error:
             caller.break_off()
             self._log(events.CALLER_LEFT, caller, request, error)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -3,7 +3,9 @@
 import dataclasses
 import hashlib
 
+from carobwood import clocks
 from carobwood import errors
+from carobwood import events
 
 from . import fleet_loads
 from . import placement
@@ -21,6 +23,8 @@
 MIN_SAVED_TOKENS = 2000
 # Requests that one endpoint of a plain service takes without a profile.
 PLAIN_SLOTS = 6
+# Endpoints named in a line of the log, which must stay short.
+MAX_LOGGED_ENDPOINTS = 16
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -92,7 +96,9 @@
             if endpoint.id not in excluded
             and not parts.health.is_avoided(endpoint)
         ]
-        candidates = self._candidates(request, endpoints)
+        loads_by_id = parts.loads.total()
+        parts.reading.note(loads_by_id)
+        candidates = self._candidates(request, endpoints, loads_by_id)
         choice = placement.choose(candidates, request.demand)
         if choice is None:
             return None
@@ -115,11 +121,9 @@
             if endpoint.pool == service
         ]
 
-    def _candidates(self, request, endpoints):
+    def _candidates(self, request, endpoints, loads_by_id):
         configuration = self._parts.state.configuration
         service = configuration.services_by_name.get(request.service)
-        loads_by_id = self._parts.loads.total()
-        self._parts.reading.note(loads_by_id)
         if service is None or service.engine is None:
             return [
                 self._plain_candidate(endpoint, loads_by_id)
@@ -279,10 +283,24 @@
         ticket = waiting.enter(*order, request.due_at)
         if ticket is None:
             raise errors.Saturated('too many requests wait')
+        self._log_waiting(request, excluded, ticket)
+        began_at = clocks.now()
+        outcome = 'broken-off'
         try:
-            return self._wait(request, excluded, caller, ticket)
+            place = self._wait(request, excluded, caller, ticket)
+            outcome = 'placed'
+            return place
+        except errors.CarobwoodError as error:
+            outcome = error.code
+            raise
         finally:
             waiting.leave(ticket)
+            events.emit(
+                events.WAIT_ENDED,
+                request_id=request.hints.request_id,
+                outcome=outcome,
+                seconds=round(clocks.now() - began_at, 4),
+            )
 
     def _wait(self, request, excluded, caller, ticket):
         waiting = self._parts.waiting
@@ -296,6 +314,47 @@
             if not waiting.pause(ticket):
                 raise errors.Saturated('no place came free in time')
 
+    def _log_waiting(self, request, excluded, ticket):
+        parts = self._parts
+        endpoints = self._endpoints(request.service)
+        loads_by_id = parts.loads.total()
+        fit_ids = {
+            candidate.endpoint.id
+            for candidate in self._candidates(request, endpoints, loads_by_id)
+        }
+        events.emit(
+            events.REQUEST_WAITING,
+            request_id=request.hints.request_id,
+            service=request.service,
+            priority=request.priority,
+            tokens=request.demand.total_tokens,
+            waiting=parts.waiting.count(request.service),
+            until=round(parts.waiting.seconds_left(ticket), 3),
+            heard=round(parts.loads.news_age(), 2),
+            tried=sorted(excluded),
+            paused=[
+                endpoint.id
+                for endpoint in endpoints
+                if parts.health.is_avoided(endpoint)
+            ],
+            # Engines that load weights or have old ones.
+            changing=[
+                endpoint.id
+                for endpoint in endpoints
+                if endpoint.id not in fit_ids
+            ],
+            loads={
+                endpoint.id: _brief(loads_by_id.get(endpoint.id))
+                for endpoint in endpoints[:MAX_LOGGED_ENDPOINTS]
+            },
+        )
+
+
+def _brief(load):
+    """Return a load for the log: requests, tokens held, tokens unread."""
+    load = load or fleet_loads.Load()
+    return [load.running, load.memory_tokens, load.unread_tokens]
+
 
 def _inputs(chosen, candidates):
     """Return what decided on a candidate, for the log."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/visit.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/visit.py
@@ -33,10 +33,11 @@
 class Visit:
     """Sends a request to an endpoint and waits for its answer."""
 
-    def __init__(self, parts, caller, request):
+    def __init__(self, parts, caller, request, trace):
         self._parts = parts
         self._caller = caller
         self._request = request
+        self._trace = trace
 
     def run(self, place, resume_id, patience):
         """Return the endpoint's ``Answer``.
@@ -78,11 +79,16 @@
             urgency=request.priority if place.salt else None,
             resume_id=resume_id or request.hints.resume_id,
         )
+        traced = {}
+        self._trace.propagate(traced)
         headers = [
             (name, value)
             for name, value in self._caller.passed_headers()
-            if name != 'authorization' and not dialect.is_reserved(name)
+            if name != 'authorization'
+            and name not in traced
+            and not dialect.is_reserved(name)
         ]
+        headers += traced.items()
         headers += dialect.describe_dispatch(dispatch)
         return upstream.Call(
             self._caller.method,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/waiting.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/waiting.py
@@ -66,6 +66,10 @@
             if self._tickets_by_service:
                 self._changed.notify_all()
 
+    def seconds_left(self, ticket):
+        """Return the seconds until a waiting request is refused."""
+        return ticket.gives_up_at - self._clock()
+
     def count(self, service):
         """Return how many requests wait for a service."""
         return len(self._tickets_by_service.get(service, ()))
@@ -129,7 +133,7 @@
             False once the request is to be refused.
         """
         with self._changed:
-            left = ticket.gives_up_at - self._clock()
+            left = self.seconds_left(ticket)
             if left <= 0:
                 return False
             self._changed.wait(min(left, RECHECK_SECONDS))
--- a/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
@@ -3,9 +3,10 @@
 import dataclasses
 
 from carobwood import addresses
+from carobwood import errors
 
+from . import settings
 from .relay import quota
-from .settings import ReplicaOptions
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +32,41 @@
     quota_tolerance: quota.Tolerance
 
 
+@dataclasses.dataclass(frozen=True)
+class TraceSettings:
+    """Where the spans of requests go.
+
+    Attributes:
+        export: ``none``, ``file`` or ``otlp``.
+        target: path of the file, or URL of the collector.
+    """
+
+    export: str = 'none'
+    target: str = ''
+
+
+def read_trace_settings(environ):
+    """Return the ``TraceSettings`` of the environment's variables.
+
+    Args:
+        environ: values by name; see docs/configuration.md.
+
+    Raises:
+        SettingsInvalid: an unknown way to export, or no target for it.
+    """
+    prefix = settings.ENVIRONMENT_PREFIX
+    read = TraceSettings(
+        environ.get(f'{prefix}TRACE_EXPORT', 'none'),
+        environ.get(f'{prefix}TRACE_TARGET', ''),
+    )
+    if read.export not in settings.TRACE_EXPORTS:
+        fault = f'{prefix}TRACE_EXPORT {read.export!r}: unknown'
+        raise errors.SettingsInvalid([fault])
+    if read.export != 'none' and not read.target:
+        raise errors.SettingsInvalid([f'{prefix}TRACE_TARGET: is required'])
+    return read
+
+
 @dataclasses.dataclass(frozen=True)
 class RelaySettings:
     """Checked settings of a VM that relays or controls.
@@ -51,6 +87,7 @@
             VM is no longer ready.
         replica_options: how a replica runs.
         bounds: what the fleet promises.
+        trace: where the spans of requests go.
     """
 
     vm_id: str
@@ -65,5 +102,6 @@
     metrics_listen: addresses.Address | None
     link_secret: bytes = dataclasses.field(repr=False)
     balancer_seconds: float
-    replica_options: ReplicaOptions
+    replica_options: settings.ReplicaOptions
     bounds: Bounds
+    trace: TraceSettings = TraceSettings()
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -89,6 +89,9 @@
         self._make_control_api = make_control_api
         self._timer = timers.Timer()
         self._metrics = metric_clients.PrometheusMetrics()
+        self._tracer = tracing.make_tracer(
+            settings.trace.export, settings.trace.target, settings.vm_id
+        )
         self._gate = gates.Gate(RELAY_THREADS)
         self._links = link.Links(
             settings.link_secret, settings.link_listen.host
@@ -175,6 +178,7 @@
         self._link_server.stop()
         self._links.close()
         self._timer.stop()
+        self._tracer.shut_down()
         if self._folder is not None:
             self._folder.close()
 
@@ -371,7 +375,7 @@
             suspects=self._suspects,
             pool=self._pool,
             gate=self._gate,
-            tracer=tracing.Tracer(),
+            tracer=self._tracer,
             metrics=self._metrics,
         )
         return relay.Relay(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,7 @@
 
 import builders  # noqa: E402 (needs the paths above)
 import fleet as fleets  # noqa: E402 (needs the paths above)
+import relay_stand_ins  # noqa: E402 (needs the paths above)
 
 WORKER_PORTS = 5000
 WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
@@ -36,6 +37,20 @@
         yield empty
 
 
+@pytest.fixture(scope='module')
+def _relay_setting(tmp_path_factory):
+    made = relay_stand_ins.RelaySetting(tmp_path_factory.mktemp('fleet'))
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+def relay_setting(_relay_setting):
+    """Give the relay VMs and engines that the tests of a file share."""
+    _relay_setting.forget()
+    return _relay_setting
+
+
 def names(text):
     """Split a list such as ``vm1 and vm2``."""
     return text.replace(',', ' ').replace(' and ', ' ').split()
--- a/tests/relay_stand_ins.py
+++ b/tests/relay_stand_ins.py
@@ -170,7 +170,15 @@
 class RelayFleet:
     """Control and entry VMs in this process, on loopback."""
 
-    def __init__(self, folder, controls=3, entries=1, seconds=8.0, missing=()):
+    def __init__(
+        self,
+        folder,
+        controls=3,
+        entries=1,
+        seconds=8.0,
+        missing=(),
+        trace=relay_settings.TraceSettings(),
+    ):
         """Start the VMs.
 
         Args:
@@ -179,6 +187,7 @@
             entries: number of entry VMs.
             seconds: time for a stop.
             missing: numbers of control VMs that are not started.
+            trace: where the VMs' spans go.
         """
         count = 2 * controls + 3 * entries
         ports = [fleets.free_port() for _ in range(count)]
@@ -189,6 +198,7 @@
         self._links = links
         self._seeds = seeds
         self._seconds = seconds
+        self._trace = trace
         self.vms = []
         self.control_ports = rest[:controls]
         self.entry_ports = rest[controls : controls + entries]
@@ -251,6 +261,7 @@
                 10.0,
                 quota.Tolerance(8, 0, 0),
             ),
+            'trace': self._trace,
         }
         return relay_vm.RelayVm(
             relay_settings.RelaySettings(**{**fields, **changes}),
--- a/tests/test_platform_control_api.py
+++ b/tests/test_platform_control_api.py
@@ -3,6 +3,7 @@
 import json
 
 from carobwood import errors
+from carobwood import events
 from carobwood_daemon.relay import gateway
 from carobwood_platform import control_api
 import pytest
@@ -116,3 +117,27 @@
     assert _ask(unsure, 'GET', '/v1/config') == 503
     assert _ask(StandInControl(), 'POST', '/v1/version-put', b'{') == 400
     assert _ask(StandInControl(), 'GET', '/v1/nothing') == 404
+
+
+@pytest.mark.parametrize(
+    ('failure', 'status'),
+    [
+        (errors.ConfigurationInvalid(['no routes']), 400),
+        (errors.ChangeUncertain('no quorum'), 503),
+    ],
+)
+def test_a_call_that_fails_is_told_in_the_log(monkeypatch, failure, status):
+    lines = []
+    monkeypatch.setattr(
+        events, 'emit', lambda event, **fields: lines.append((event, fields))
+    )
+    assert _ask(StandInControl(failure), 'PUT', '/v1/config') == status
+    [(event, fields)] = lines
+    assert event is events.CONTROL_CALL_FAILED
+    assert fields == {
+        'method': 'PUT',
+        'path': '/v1/config',
+        'status': status,
+        'code': failure.code,
+        'detail': failure.detail,
+    }
--- a/tests/test_relay_health.py
+++ b/tests/test_relay_health.py
@@ -2,6 +2,7 @@
 
 import relay_builders as build
 
+from carobwood import events
 from carobwood_daemon.relay import health
 
 
@@ -68,3 +69,22 @@
     reborn = build.endpoint(incarnation=2)
     assert not evidence.is_avoided(reborn)
     assert evidence.failure_rate(reborn) == 0.0
+
+
+def test_each_pause_is_told_with_its_cause_and_evidence(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        events, 'emit', lambda event, **fields: lines.append((event, fields))
+    )
+    clock, evidence, endpoint = _health()
+    evidence.note_result(endpoint, True)
+    clock.pass_seconds(2.0)
+    evidence.note_refused(endpoint)
+    evidence.note_unreachable(endpoint)
+    assert [event for event, _ in lines] == 2 * [events.ENDPOINT_PAUSED]
+    refused, unreachable = (fields for _, fields in lines)
+    assert refused['cause'] == 'refused'
+    assert refused['evidence_age'] == 2.0
+    assert refused['failure_rate'] == health.NEWEST_WEIGHT
+    assert unreachable['cause'] == 'unreachable'
+    assert unreachable['seconds'] == health.UNREACHABLE_SECONDS
--- /dev/null
+++ b/tests/test_relay_traces.py
@@ -0,0 +1,62 @@
+"""Tests of the spans of relayed requests, and of where they go."""
+
+import json
+
+from carobwood import errors
+from carobwood_daemon import relay_settings
+import pytest
+import relay_stand_ins as stand_ins
+
+
+def test_spans_of_each_hop_are_exported_and_hold_no_key(tmp_path):
+    target = tmp_path / 'spans.json'
+    trace = relay_settings.TraceSettings('file', str(target))
+    fleet = stand_ins.RelayFleet(tmp_path, controls=1, trace=trace)
+    engine = stand_ins.StandInEngine('engine-0', 'engines')
+    try:
+        body = stand_ins.build.configuration_body(1)
+        fleet.control('PUT', '/v1/config', body)
+        path = f'/v1/instances/{engine.name}'
+        fleet.control('PUT', path, engine.heartbeat())
+        stand_ins.await_reply(
+            lambda: fleet.ask('/checks/x', Traceparent='forged'),
+            lambda reply: reply.status == 200,
+        )
+    finally:
+        fleet.stop()
+        engine.stop()
+    spans = [json.loads(line) for line in target.read_text().splitlines()]
+    names_by_trace = {}
+    for span in spans:
+        trace_id = span['context']['trace_id'].removeprefix('0x')
+        names_by_trace.setdefault(trace_id, set()).add(span['name'])
+    # The last one is that of the request that was served.
+    version, trace_id, _, _ = engine.requests[-1]['traceparent'].split('-')
+    assert version == '00'
+    hops = {'relay', 'admission', 'place', 'endpoint'}
+    assert names_by_trace[trace_id] == hops
+    assert stand_ins.build.KEY not in target.read_text()
+
+
+def test_settings_of_spans_come_from_the_environment():
+    found = relay_settings.read_trace_settings(
+        {
+            'CAROBWOOD_TRACE_EXPORT': 'otlp',
+            'CAROBWOOD_TRACE_TARGET': 'http://10.0.0.9:4318/v1/traces',
+        }
+    )
+    assert found.export == 'otlp'
+    assert found.target == 'http://10.0.0.9:4318/v1/traces'
+    assert relay_settings.read_trace_settings({}).export == 'none'
+
+
+@pytest.mark.parametrize(
+    'environ',
+    [
+        {'CAROBWOOD_TRACE_EXPORT': 'paper'},
+        {'CAROBWOOD_TRACE_EXPORT': 'file'},
+    ],
+)
+def test_wrong_settings_of_spans_are_refused(environ):
+    with pytest.raises(errors.SettingsInvalid):
+        relay_settings.read_trace_settings(environ)
