Fetch the longest part that is held, and keep short parts too

Two reasons in the log: a store that holds the first part but not the second was not named (seen: 2,330 tokens at 10.5 s), and prompts below 2,000 shared tokens were never saved (514 sends).

Change: the source is whoever holds the longest leading parts beyond those of the chosen engine; what a store lacks is saved also after a fetch and from 100 tokens on, which take an engine 2.5 ms to read.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -19,7 +19,7 @@
 # takes an engine longer than a round of gossip.
 SPREAD_TOKENS = 2000
 # Shorter prompts are read in less time than it takes to bring them.
-MIN_SAVED_TOKENS = 2000
+MIN_SAVED_TOKENS = 100
 # Requests that one endpoint of a plain service takes without a profile.
 PLAIN_SLOTS = 6
 # Endpoints named in a line of the log, which must stay short.
@@ -247,18 +247,23 @@
         shared = request.hints.parts[:-1]
         if not shared:
             return Source()
+        tokens = sum(part.tokens for part in shared)
+        lacking = tokens - chosen.cached_tokens
+        if not lacking:
+            return Source()
         holder = _holder(chosen, candidates)
+        held_by_engine = holder.cached_tokens if holder else 0
         store = self._parts.stores.find()
         if store is None:
-            return Source(holder)
-        held = store.count_held(salt, [part.id for part in shared])
-        if held == len(shared):
-            return Source(holder or store.address)
-        tokens = sum(part.tokens for part in shared)
-        is_read_first = not holder and chosen.cached_tokens < tokens
-        if is_read_first and tokens >= MIN_SAVED_TOKENS:
-            return Source('', store.address)
-        return Source(holder)
+            return Source(holder.endpoint.address if holder else '')
+        count = store.count_held(salt, [part.id for part in shared])
+        held_by_store = sum(part.tokens for part in shared[:count])
+        save_to = ''
+        if held_by_store < tokens and tokens >= MIN_SAVED_TOKENS:
+            save_to = store.address
+        if held_by_store > max(held_by_engine, chosen.cached_tokens):
+            return Source(store.address, save_to)
+        return Source(holder.endpoint.address if holder else '', save_to)
 
     def await_place(self, request, excluded, caller):
         """Take a place, after a wait if the request fits nowhere yet.
@@ -376,20 +381,18 @@
 
 
 def _holder(chosen, candidates):
-    """Return the address of an engine to fetch cached parts from."""
+    """Return the candidate to fetch cached parts from, or None."""
     holders = [
         candidate
         for candidate in candidates
         if candidate.cached_tokens > chosen.cached_tokens
         and candidate.weights_version == chosen.weights_version
     ]
-    if not holders:
-        return ''
-    best = max(
+    return max(
         holders,
         key=lambda candidate: (
             candidate.cached_tokens,
             candidate.endpoint.data_centre == chosen.endpoint.data_centre,
         ),
+        default=None,
     )
-    return best.endpoint.address
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -129,3 +129,56 @@
     assert fields['cause'] == 'unreachable'
     assert fields['seconds'] == health.UNREACHABLE_SECONDS
     assert waits['paused'] == ['engine-1']
+
+
+def _candidate(name, cached):
+    return build.candidate(name, cached_tokens=cached, weights_version=1)
+
+
+def _source(chosen, others, held_by_store, parts=((2500, 'aa'), (3700, 'bb'))):
+    nothing = types.SimpleNamespace
+    store = nothing(
+        address='store:1',
+        count_held=lambda salt, ids: len(
+            [part_id for part_id in ids if part_id in held_by_store]
+        ),
+    )
+    hints = messages.RoutingHints(
+        'r-1',
+        parts=tuple(
+            messages.PromptPart(name, tokens) for tokens, name in parts
+        )
+        + (messages.PromptPart('own', 40),),
+    )
+    made = selector.Selector(
+        nothing(stores=nothing(find=lambda: store)),
+    )
+    return made._source(nothing(hints=hints), chosen, [chosen, *others], 'v1')
+
+
+def test_what_a_store_holds_of_the_start_is_fetched():
+    found = _source(_candidate('engine-1', 0), [], {'aa'})
+    assert found == selector.Source('store:1', 'store:1')
+
+
+def test_the_longest_start_is_fetched():
+    holder = _candidate('engine-2', 6200)
+    found = _source(_candidate('engine-1', 0), [holder], {'aa'})
+    assert found == selector.Source(holder.endpoint.address, 'store:1')
+    holder = _candidate('engine-2', 2500)
+    found = _source(_candidate('engine-1', 0), [holder], {'aa', 'bb'})
+    assert found == selector.Source('store:1', '')
+
+
+def test_what_the_engine_holds_itself_is_not_fetched():
+    holder = _candidate('engine-2', 6200)
+    found = _source(_candidate('engine-1', 6200), [holder], set())
+    assert found == selector.Source('', '')
+    found = _source(_candidate('engine-1', 2500), [], {'aa'})
+    assert found == selector.Source('', 'store:1')
+
+
+def test_short_parts_are_kept_too():
+    parts = ((120, 'aa'), (80, 'bb'))
+    found = _source(_candidate('engine-1', 0), [], set(), parts)
+    assert found == selector.Source('', 'store:1')
