Try: fetch from the store where it holds as much as an engine

Cause looked for: fetches that miss, since an engine may have dropped what it is believed to hold, and a store drops little.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -261,7 +261,8 @@
         save_to = ''
         if held_by_store < tokens and tokens >= MIN_SAVED_TOKENS:
             save_to = store.address
-        if held_by_store > max(held_by_engine, chosen.cached_tokens):
+        is_longer = held_by_store > chosen.cached_tokens
+        if is_longer and held_by_store >= held_by_engine:
             return Source(store.address, save_to)
         return Source(holder.endpoint.address if holder else '', save_to)
 
