--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -256,7 +256,8 @@
         count = store.count_held(salt, [part.id for part in shared])
         held_by_store = sum(part.tokens for part in shared[:count])
         save_to = ''
-        if held_by_store < tokens >= MIN_SAVED_TOKENS:
+        is_read = chosen.cached_tokens < tokens
+        if is_read and held_by_store < tokens >= MIN_SAVED_TOKENS:
             save_to = store.address
         if held_by_store > max(held_by_engine, chosen.cached_tokens):
             return Source(store.address, save_to)
