--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_keeper.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_keeper.py
@@ -45,7 +45,10 @@
     def encode(self):
         """Return the endpoints with their ages, or None if unchanged."""
         endpoints = self._directory.endpoints()
-        told = {(e.id, e.incarnation, e.leaving) for e in endpoints}
+        told = {
+            (e.id, e.incarnation, e.address, e.weights_version, e.leaving)
+            for e in endpoints
+        }
         if told == self._saved:
             return None
         self._saved = told
--- a/packages/carobwood-daemon/carobwood_daemon/relay/errand.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/errand.py
@@ -8,6 +8,7 @@
 
 from . import caller as callers
 from . import event_splitter
+from . import evidence
 from . import upstream
 from . import visit as visits
 
@@ -36,6 +37,7 @@
         self._request = request
         self._trace = trace
         self._visit = visits.Visit(parts, caller, request, trace)
+        self._evidence = evidence.Evidence(parts, request)
         self._excluded = set()
         # Tries that failed after the request may have run.
         self._runs = 0
@@ -90,11 +92,10 @@
             self._note_answered(place, answer)
             return True
         except errors.EndpointUnreachable as error:
-            self._parts.health.note_unreachable(place.endpoint)
-            self._parts.pool.drop(place.endpoint.address)
+            self._evidence.note_unreachable(place)
             self._give_up_or_go_on(place, error)
         except errors.EndpointNotRun as error:
-            self._note_not_run(place, error.head)
+            self._evidence.note_not_run(place, error.head)
             self._give_up_or_go_on(place, error)
         except (
             errors.EndpointFailed,
@@ -103,7 +104,7 @@
         ) as error:
             self._runs += 1
             self._failure = error
-            self._note_failed(place, error)
+            self._evidence.note_failed(place, error)
             self._give_up_or_go_on(place, error)
         finally:
             self._parts.suspects.leave(place.endpoint, fingerprint)
@@ -237,10 +238,7 @@
                 raise errors.EndpointTimeout('the endpoint went silent')
 
     def _note_answered(self, place, answer):
-        failed = answer.head.status >= 500
-        self._parts.health.note_result(place.endpoint, failed)
-        self._parts.suspects.clear(self._request.fingerprint)
-        self._note_version(place, answer.head)
+        self._evidence.note_answered(place, answer.head)
         seconds = clocks.now() - self._request.arrived_at
         self._parts.metrics.timing('request', seconds)
         self._parts.metrics.timing('first-byte', self._first_seconds)
@@ -255,43 +253,6 @@
             seconds=round(seconds, 4),
         )
 
-    def _note_not_run(self, place, head):
-        self._note_version(place, head)
-        is_other = head.endpoint_id not in ('', place.endpoint.id)
-        if head.status == 421 and is_other:
-            # Another endpoint has its address, so it is gone.
-            self._parts.directory.drop_endpoint(place.endpoint)
-            return
-        if head.status != 421:
-            self._parts.health.note_refused(place.endpoint)
-
-    def _note_failed(self, place, error):
-        endpoint = place.endpoint
-        self._parts.health.note_result(endpoint, True)
-        if not isinstance(error, errors.EndpointFailed):
-            return
-        if self._has_crashed(endpoint):
-            self._parts.health.note_unreachable(endpoint)
-            self._parts.pool.drop(endpoint.address)
-            crash = f'{endpoint.id}/{endpoint.incarnation}'
-            self._parts.suspects.merge(
-                {(self._request.fingerprint, crash): clocks.now()}
-            )
-
-    def _has_crashed(self, endpoint):
-        try:
-            probe = self._parts.pool.take(endpoint.address, False)
-        except errors.EndpointUnreachable:
-            return True
-        self._parts.pool.give_back(endpoint.address, probe, None)
-        return False
-
-    def _note_version(self, place, head):
-        if head.weights_version:
-            self._parts.weights.note_version(
-                place.endpoint, head.weights_version
-            )
-
     def _log_sent(self, place):
         events.emit(
             events.REQUEST_SENT,
--- a/tests/test_endpoint_keeper.py
+++ b/tests/test_endpoint_keeper.py
@@ -36,3 +36,24 @@
     known.note_endpoint(build.endpoint('engine-1', sequence=2))
     assert keeper.encode() is None
     folder.close()
+
+
+def test_new_weights_and_addresses_are_written(tmp_path):
+    folder = data_folder.DataFolder(tmp_path)
+    known, keeper = _keeper(folder)
+    known.note_endpoint(build.endpoint('engine-1', weights_version='1'))
+    keeper.save()
+    for sequence, changes in (
+        (2, {'weights_version': '2'}),
+        (3, {'weights_version': '2', 'address': '10.0.0.9:1'}),
+    ):
+        known.note_endpoint(
+            build.endpoint('engine-1', sequence=sequence, **changes)
+        )
+        keeper.save()
+        restarted, reader = _keeper(folder)
+        reader.load()
+        [found] = restarted.endpoints()
+        assert found.weights_version == changes['weights_version']
+        assert found.address == changes.get('address', found.address)
+    folder.close()
