Commit who holds the orders to engines, and wait only for another holder

Cause: a new leader let a lease pass (3.3 s) before its first order, in case an older one had given some.

Ruled out: the election (1.5 s after the start, of which a voter must stay silent for 0.8 s, since it may have heard a leader before it was killed).

Change: whoever wants to give orders commits first that it holds them, which counts only if the holder before is the one that it knew, and releases them once its last order lies a lease back. A new leader waits only if the replicated state names another VM.

--- a/packages/carobwood-daemon/carobwood_daemon/orders/weights_rollout.py
+++ b/packages/carobwood-daemon/carobwood_daemon/orders/weights_rollout.py
@@ -5,8 +5,8 @@
 down when too many run at once.
 
 Only the leader of the replicated state gives orders, under its term as
-the fence, after any older leader's orders must have ended, and only
-while a quorum confirms that it leads.
+the fence, in its turn (see ``turn``), and only while a quorum confirms
+that it leads.
 """
 
 import dataclasses
@@ -31,8 +31,6 @@
 RETRY_SECONDS = 1.0
 # A load that has not ended by then is left to a later order.
 LOAD_SECONDS = 6.0
-# Time to be sure that an older leader's last order has arrived.
-TAKEOVER_MARGIN = 1.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,11 +82,14 @@
 
     period = PERIOD
 
-    def __init__(self, voter, state, directory, weights, dialect, options):
+    def __init__(
+        self, voter, turn, state, directory, weights, dialect, options
+    ):
         """Create the rollout.
 
         Args:
             voter: the ``Voter``.
+            turn: the ``OrdersTurn``.
             state: the ``RelayState``.
             directory: the ``Directory``.
             weights: the ``EngineWeights``.
@@ -97,6 +98,7 @@
         """
         super().__init__('weights-rollout')
         self._voter = voter
+        self._turn = turn
         self._state = state
         self._directory = directory
         self._weights = weights
@@ -110,18 +112,24 @@
     def step(self):
         """Start the loads that are due."""
         configuration = self._state.configuration
-        if configuration is None or not self._may_order():
+        if configuration is None:
             return
+        is_due = False
         for service in configuration.services:
             if service.engine is None:
                 continue
             for model in service.engine.models:
-                self._roll(service.name, model)
+                is_due = self._roll(service.name, model) or is_due
+        with self._lock:
+            is_idle = not is_due and not self._loading
+        if is_idle:
+            self._turn.release()
 
     def _roll(self, service, model):
+        """Start loads that are due; return whether there are any."""
         wanted = self._weights.wanted(model)
         if not wanted:
-            return
+            return False
         engines = [
             EngineStatus(
                 endpoint,
@@ -131,7 +139,10 @@
             for endpoint in self._directory.present_endpoints()
             if endpoint.pool == service and not self._is_paused(endpoint)
         ]
-        for endpoint in choose_loads(engines, wanted):
+        chosen = choose_loads(engines, wanted)
+        if not chosen or not self._turn.take():
+            return bool(chosen)
+        for endpoint in chosen:
             with self._lock:
                 self._loading.add(self._key(endpoint))
             threading.Thread(
@@ -140,6 +151,7 @@
                 name=f'load-{endpoint.id}',
                 daemon=True,
             ).start()
+        return True
 
     def _load(self, endpoint, model):
         term = self._voter.replica.term
@@ -182,7 +194,7 @@
         return version
 
     def _order(self, endpoint, model, version, term, report):
-        if not self._may_order() or self._voter.replica.term != term:
+        if not self._turn.is_held() or self._voter.replica.term != term:
             raise errors.EngineCallFailed('this VM no longer gives orders')
         order = messages.WeightsOrder(
             endpoint.id,
@@ -195,6 +207,7 @@
             # Long runs would keep the engine from its load for seconds.
             messages.RunPolicy.GO_ON,
         )
+        self._turn.note_order()
         self._dialect.order_weights(order, CALL_SECONDS)
         events.emit(
             events.WEIGHTS_ORDERED,
@@ -205,15 +218,6 @@
             term=term,
         )
 
-    def _may_order(self):
-        if not self._voter.is_running:
-            return False
-        replica = self._voter.replica
-        if not replica.holds_lease():
-            return False
-        quiet = self._options.takeover_seconds * TAKEOVER_MARGIN
-        return clocks.now() - replica.leading_since > quiet
-
     def _announce(self, endpoint, term, version, is_loading):
         with self._lock:
             self._number += 1
@@ -238,11 +242,8 @@
 
     Attributes:
         vm_id: name of this VM, the holder of its orders.
-        takeover_seconds: time that a new leader lets pass before its
-            first order.
         spread: called without arguments to tell the other VMs at once.
     """
 
     vm_id: str
-    takeover_seconds: float
     spread: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -26,6 +26,7 @@
 from .membership import withdrawals as withdrawal_sets
 from .observe import metrics as metric_clients
 from .observe import tracing
+from .orders import turn
 from .orders import weights_rollout
 from .relay import admission
 from .relay import control
@@ -307,13 +308,18 @@
             made.append(
                 weights_rollout.WeightsRollout(
                     self._voter,
+                    turn.OrdersTurn(
+                        self._voter,
+                        self._store,
+                        self._settings.vm_id,
+                        self._settings.bounds.lease_seconds,
+                    ),
                     self._state,
                     self._directory,
                     self._weights,
                     self._dialect,
                     weights_rollout.RolloutOptions(
                         self._settings.vm_id,
-                        self._settings.bounds.lease_seconds,
                         self._gossip.spread,
                     ),
                 )
--- a/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
@@ -157,6 +157,24 @@
     version: int
 
 
+class HoldOrders(Command, frozen=True, tag=True):
+    """Take or release the right to give orders to engines.
+
+    It counts only if nothing newer did and the holder is as expected.
+
+    Attributes:
+        holder: the VM that may give orders from now on, or empty.
+        term: term in which the VM leads that asks.
+        number: grows with each such command of the VM in the term.
+        expected_holder: who holds them now, or empty.
+    """
+
+    holder: str
+    term: int
+    number: int
+    expected_holder: str
+
+
 class OpenClaim(Command, frozen=True, tag=True):
     """Claim the only run of a request that may not be repeated.
 
@@ -210,6 +228,7 @@
     | PutConfiguration
     | ReadConfiguration
     | NameWeights
+    | HoldOrders
     | OpenClaim
     | SettleClaim
     | ReleaseClaim
--- a/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
@@ -79,6 +79,20 @@
         return self.kind != 'load-adapter'
 
 
+class OrdersHold(msgspec.Struct, frozen=True):
+    """Who may give orders to engines.
+
+    Attributes:
+        holder: the VM, or empty if none may.
+        term: term in which this was asked for.
+        number: number of the command within the term.
+    """
+
+    holder: str = ''
+    term: int = 0
+    number: int = 0
+
+
 class FleetState(msgspec.Struct, frozen=True, dict=True):
     """An immutable version of the fleet's configuration.
 
@@ -93,6 +107,7 @@
         results_by_operation: results of recent operations.
         configuration: the operators' configuration with its own number.
         weights_by_model: version of the weights that engines shall have.
+        orders_hold: who may give orders to engines.
     """
 
     version: int = 0
@@ -107,6 +122,7 @@
         0, b''
     )
     weights_by_model: dict[str, int] = {}
+    orders_hold: OrdersHold = OrdersHold()
 
     def current(self, environment):
         """Return the ``DocumentVersion`` in force, or None."""
@@ -192,6 +208,8 @@
                 return self._put_configuration(command), applied
             case commands.NameWeights(model=model, version=version):
                 return self._name_weights(model, version), applied
+            case commands.HoldOrders():
+                return self._hold_orders(command), applied
         return self, applied
 
     def _with(self, **changes):
@@ -305,6 +323,14 @@
         weights = {**self.weights_by_model, model: version}
         return self._with(weights_by_model=weights)
 
+    def _hold_orders(self, command):
+        held = self.orders_hold
+        is_newer = (command.term, command.number) > (held.term, held.number)
+        if not is_newer or command.expected_holder != held.holder:
+            return self
+        hold = OrdersHold(command.holder, command.term, command.number)
+        return self._with(orders_hold=hold)
+
     def _forget_vm(self, vm_id, applied):
         if vm_id not in self.vms_by_id:
             return self, commands.Absent(vm_id)
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -80,6 +80,7 @@
 WEIGHTS_ORDERED = Event(432, 'weights-ordered', logging.INFO)
 WEIGHTS_ORDER_FAILED = Event(433, 'weights-order-failed', logging.WARNING)
 WEIGHTS_MISMATCH = Event(436, 'weights-mismatch', logging.WARNING)
+ORDERS_HELD = Event(437, 'orders-held', logging.INFO)
 CONTROL_CALL = Event(434, 'control-call', logging.INFO)
 CONTROL_CALL_FAILED = Event(435, 'control-call-failed', logging.WARNING)
 SETTINGS_RELOADED = Event(440, 'settings-reloaded', logging.INFO)
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -33,6 +33,7 @@
             commands.OpenClaim(f'c{number}', 'c', name, 'd', 100),
             commands.SettleClaim(f'c{number - 3}', 'c', name, 201, (), b'a'),
             commands.ReleaseClaim(f'c{number - 2}', 'c', name),
+            commands.HoldOrders(name, source.randrange(4), number, ''),
             commands.PutDocument(
                 operation,
                 'production',
--- /dev/null
+++ b/tests/test_turn.py
@@ -0,0 +1,178 @@
+"""Tests of whose turn it is to give orders, in simulated time."""
+
+import random
+
+from carobwood import clocks
+from carobwood import errors
+from carobwood_daemon.orders import turn
+from carobwood_daemon.replication import commands
+from carobwood_daemon.replication import state_store
+import pytest
+import relay_builders as build
+
+LEASE = 3.0
+
+
+class Fleet:
+    """A replicated state that one VM leads at a time."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.store = state_store.StateStore()
+        self.leader = ''
+        self.term = 0
+        self.loses_next = False
+
+    def elect(self, vm_id):
+        """Let a VM lead in a new term."""
+        self.leader = vm_id
+        self.term += 1
+        self.led_since = self.clock.now
+
+    def vm(self, vm_id):
+        """Return the ``OrdersTurn`` of a VM."""
+        return turn.OrdersTurn(Voter(self, vm_id), self.store, vm_id, LEASE)
+
+
+class Voter:
+    """The voter, and its replica, of one VM."""
+
+    is_running = True
+
+    def __init__(self, fleet, vm_id):
+        self._fleet = fleet
+        self._vm_id = vm_id
+        self.replica = self
+
+    @property
+    def term(self):
+        """The present term."""
+        return self._fleet.term
+
+    @property
+    def leading_since(self):
+        """When the leader began to lead."""
+        return self._fleet.led_since
+
+    def holds_lease(self):
+        """Tell whether this VM leads."""
+        return self._fleet.leader == self._vm_id
+
+    def propose(self, payloads, timeout):
+        """Commit commands, or lose them."""
+        del timeout
+        if not self.holds_lease():
+            raise errors.NotLeader('')
+        if self._fleet.loses_next:
+            self._fleet.loses_next = False
+            raise errors.ChangeUncertain('lost')
+        store = self._fleet.store
+        for payload in payloads:
+            command = commands.decode_command(payload)
+            fleet, _ = store.fleet.apply(store.version + 1, command)
+            store.offer(fleet, ((fleet.version, payload),))
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    """Give a fleet that nobody leads yet."""
+    clock = build.Clock()
+    monkeypatch.setattr(clocks, 'now', clock)
+    return Fleet(clock)
+
+
+def test_a_new_leader_orders_at_once_if_nobody_has(fleet):
+    first, second = fleet.vm('core-1'), fleet.vm('core-2')
+    fleet.elect('core-1')
+    # The first leader dies before it has ordered anything.
+    assert not second.take()
+    fleet.elect('core-2')
+    assert second.take()
+    assert not first.is_held()
+
+
+def test_a_new_leader_waits_while_an_older_holder_may_have_ordered(fleet):
+    first, second = fleet.vm('core-1'), fleet.vm('core-2')
+    fleet.elect('core-1')
+    assert first.take()
+    fleet.elect('core-2')
+    assert not second.take()
+    fleet.clock.pass_seconds(LEASE)
+    assert not second.take()
+    fleet.clock.pass_seconds(LEASE * turn.TAKEOVER_MARGIN - LEASE + 0.01)
+    assert second.take()
+    assert not first.is_held()
+
+
+def test_a_holder_that_has_released_need_not_be_waited_for(fleet):
+    first, second = fleet.vm('core-1'), fleet.vm('core-2')
+    fleet.elect('core-1')
+    assert first.take()
+    first.note_order()
+    first.release()
+    assert first.is_held()
+    fleet.clock.pass_seconds(LEASE * turn.TAKEOVER_MARGIN + 0.01)
+    first.release()
+    assert not first.is_held()
+    fleet.elect('core-2')
+    assert second.take()
+
+
+def test_a_vm_that_leads_again_goes_on_at_once(fleet):
+    first = fleet.vm('core-1')
+    fleet.elect('core-1')
+    assert first.take()
+    fleet.elect('core-1')
+    assert not first.is_held()
+    assert fleet.vm('core-1').take()
+
+
+def test_nothing_is_held_unless_it_is_committed(fleet):
+    first = fleet.vm('core-1')
+    fleet.elect('core-1')
+    fleet.loses_next = True
+    with pytest.raises(errors.ChangeUncertain):
+        first.take()
+    assert not first.is_held()
+    assert first.take()
+
+
+def test_a_late_release_does_not_end_a_newer_hold(fleet):
+    first = fleet.vm('core-1')
+    fleet.elect('core-1')
+    assert first.take()
+    hold = fleet.store.fleet.orders_hold
+    late = commands.HoldOrders('', hold.term, hold.number, 'core-1')
+    state, _ = fleet.store.fleet.apply(99, late)
+    assert state.orders_hold == hold
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_two_vms_never_order_within_a_lease(fleet, seed):
+    source = random.Random(seed)
+    names = ['core-1', 'core-2', 'core-3']
+    turns = {name: fleet.vm(name) for name in names}
+    orders = []
+    fleet.elect('core-1')
+    for _ in range(2000):
+        fleet.clock.pass_seconds(source.expovariate(4.0))
+        if source.random() < 0.1:
+            # An older leader's lease ends before another one leads.
+            fleet.clock.pass_seconds(0.8)
+            fleet.elect(source.choice(names))
+        if source.random() < 0.05:
+            name = source.choice(names)
+            turns[name] = fleet.vm(name)
+        fleet.loses_next = source.random() < 0.1
+        name = source.choice(names)
+        try:
+            if source.random() < 0.3:
+                turns[name].release()
+            elif turns[name].take():
+                turns[name].note_order()
+                orders.append((fleet.clock.now, name))
+        except errors.CarobwoodError:
+            continue
+    assert len({name for _, name in orders}) == 3
+    for (before, holder), (after, other) in zip(orders, orders[1:]):
+        assert holder == other or after - before >= LEASE
