--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -28,6 +28,7 @@
 from .membership import link
 from .membership import link_server
 from .membership import placement_keeper
+from .membership import standing
 from .membership import withdrawals as withdrawal_sets
 from .observe import metrics as metric_clients
 from .observe import tracing
@@ -117,7 +118,7 @@
         self._overdue.start(self._timer)
         for keeper in self._keepers:
             keeper.start()
-        self._timer.subscribe(gossips.PERIOD, self._note_contact)
+        self._timer.subscribe(gossips.PERIOD, self._standing.note_contact)
         self._build_listeners()
         for server in self._listeners:
             server.start()
@@ -200,9 +201,13 @@
             self._store,
             self._links,
         )
-        self._gossip.fleet_id = self._fleet_id
+        self._standing = standing.Standing(self._voter, self._store)
+        self._gossip.fleet_id = self._standing.fleet_id
         self._follower = followers.Follower(
-            self._store, self._directory, self._links, self._is_member
+            self._store,
+            self._directory,
+            self._links,
+            self._standing.is_member,
         )
         self._gossip.on_newer_version = self._follower.note_newer
         self._holds = arbiter.Holds()
@@ -348,29 +353,13 @@
             self._links,
         )
 
-    def _fleet_id(self):
-        return self._voter.fleet_id if self._voter is not None else ''
-
-    def _is_member(self):
-        if self._voter is None or not self._voter.is_running:
-            return False
-        replica = self._voter.replica
-        in_contact = replica.contact_age() < followers.STALE_CONTACT
-        return replica.is_member and in_contact
-
-    def _note_contact(self):
-        if self._voter is not None and self._voter.is_running:
-            replica = self._voter.replica
-            if replica.is_leader:
-                self._store.note_contact(replica.contact_age())
-
     def _forget(self, endpoint):
         self._placements.forget(endpoint)
         self._cache_events.forget(endpoint)
 
     def _adopt(self, fleet):
         # A change that this VM has committed is as good as a heartbeat.
-        self._note_contact()
+        self._standing.note_contact()
         self._gate.withdraw(fleet.withdrawn_digests)
         document = fleet.document(self._settings.environment)
         if document is not None:
--- a/tests/relay_stand_ins.py
+++ b/tests/relay_stand_ins.py
@@ -76,7 +76,11 @@
         """Log nothing."""
 
     def do_GET(self):  # noqa: N802 (named by http.server)
-        """Serve a report or a request."""
+        """Serve a report, cache events or a request."""
+        if self.path.startswith('/v1/kv-events?'):
+            body = {'boot_epoch': 1, 'next': 1, 'lost': False, 'events': []}
+            self._answer(200, json.dumps(body).encode())
+            return
         if self.path == '/v1/report':
             body = {
                 'models': [
