Let a probe find an endpoint again, not a caller's request

Change: an endpoint that could not be reached gets no request until a probe has reached it (after 0.1 s, then twice as long each time, up to 2 s; if no probe comes back within a second more, requests go there again). Requests wait 0.15 s for a connection instead of 0.35 s, as a wrong belief now costs 0.1 s; probes and the question whether an engine has crashed wait 0.35 s as before.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/evidence.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/evidence.py
@@ -13,6 +13,8 @@
 from carobwood import errors
 from carobwood import events
 
+from . import probation
+
 # Time for an engine to tell its weights while a request waits for it.
 REPORT_SECONDS = 0.3
 
@@ -87,7 +89,9 @@
 
     def _has_crashed(self, endpoint):
         try:
-            probe = self._parts.pool.take(endpoint.address, False)
+            probe = self._parts.pool.take(
+                endpoint.address, False, probation.PROBE_SECONDS
+            )
         except errors.EndpointUnreachable:
             return True
         self._parts.pool.give_back(endpoint.address, probe, None)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/knowledge.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/knowledge.py
@@ -8,6 +8,7 @@
 
 from . import engine_weights
 from . import fleet_loads
+from . import health
 from . import kv_stores
 from . import news
 from . import quota
@@ -29,6 +30,7 @@
         waiting: the ``WaitingRoom``.
         placements: the ``Placements``.
         suspects: the ``Suspects``.
+        health: the ``Health``.
         pool: the ``UpstreamPool``.
         stores: the ``KvStores``.
         news: the ``RelayNews``, which other VMs are told.
@@ -43,6 +45,7 @@
     waiting: waiting.WaitingRoom
     placements: placement_tables.Placements
     suspects: suspect_tables.Suspects
+    health: health.Health
     pool: upstream.UpstreamPool
     stores: kv_stores.KvStores
     news: news.RelayNews
@@ -83,6 +86,7 @@
         room,
         placement_tables.Placements(),
         suspect_tables.Suspects(),
+        health.Health(),
         upstream.UpstreamPool(),
         kv_stores.KvStores(dialect),
         news.RelayNews(loads, limits, weights, takes_callers, room.wake),
--- a/packages/carobwood-daemon/carobwood_daemon/relay/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/upstream.py
@@ -23,7 +23,7 @@
 
 # Links take milliseconds; an endpoint that takes longer is lost or its
 # first packet was, and another endpoint is sooner.
-CONNECT_SECONDS = 0.35
+CONNECT_SECONDS = 0.15
 # Sent bytes that are not acknowledged within this time end a connection.
 UNACKNOWLEDGED_MS = 1500
 KEEPALIVE_SECONDS = 1
@@ -220,9 +220,14 @@
         self._lock = threading.Lock()
         self._kept_by_address = {}
 
-    def take(self, address, may_be_kept=True):
+    def take(self, address, may_be_kept=True, timeout=CONNECT_SECONDS):
         """Return an ``Upstream``, a kept one if there is a sound one.
 
+        Args:
+            address: ``host:port`` of the endpoint.
+            may_be_kept: whether it may be one that was used before.
+            timeout: seconds for a new connection.
+
         Raises:
             EndpointUnreachable: no connection came about.
         """
@@ -234,7 +239,7 @@
                 kept.is_fresh = False
                 return kept
             kept.close()
-        return _connect(address)
+        return _connect(address, timeout)
 
     def give_back(self, address, upstream, idle_seconds):
         """Keep a connection whose answer was read to its end."""
@@ -286,12 +291,12 @@
         return None
 
 
-def _connect(address):
+def _connect(address, timeout):
     parsed = addresses.parse_address(address)
     connection = urllib3_connection.HTTPConnection(
         parsed.host,
         parsed.port,
-        timeout=CONNECT_SECONDS,
+        timeout=timeout,
         socket_options=SOCKET_OPTIONS,
     )
     try:
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -9,7 +9,6 @@
 from .relay import control
 from .relay import fleet_loads
 from .relay import gateway
-from .relay import health
 from .relay import http_server
 from .relay import parts as relay_parts
 from .relay import relay
@@ -108,7 +107,7 @@
             spread_loads=gossip.spread_near,
             placements=known.placements,
             stores=known.stores,
-            health=health.Health(),
+            health=known.health,
             waiting=known.waiting,
             retries=retries.RetryAllowance(
                 bounds.retry_ratio,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -29,6 +29,7 @@
 from .orders import weights_rollout
 from .relay import engine_caches
 from .relay import knowledge
+from .relay import probation
 from .replication import data_folder
 from .replication import proposer as proposers
 from .replication import state_store
@@ -251,6 +252,13 @@
                     self._answers,
                 )
             )
+            made.append(
+                probation.Probation(
+                    self._known.health,
+                    self._known.pool,
+                    self._known.waiting.wake,
+                )
+            )
             made.append(
                 engine_caches.EngineCaches(
                     self._settings.vm_id,
@@ -289,7 +297,9 @@
     def _answers(self, endpoint):
         """Tell whether a silent endpoint accepts a connection."""
         try:
-            self._known.pool.take(endpoint.address, False).close()
+            self._known.pool.take(
+                endpoint.address, False, probation.PROBE_SECONDS
+            ).close()
         except errors.EndpointUnreachable as error:
             events.emit(
                 events.ENDPOINT_UNREACHED,
--- a/tests/test_relay_health.py
+++ b/tests/test_relay_health.py
@@ -29,31 +29,75 @@
     assert evidence.failure_rate(endpoint) < before
 
 
-def test_an_unreachable_endpoint_is_left_out_for_a_while():
+def test_an_unreachable_endpoint_is_left_out_until_a_probe_reaches_it():
     clock, evidence, endpoint = _health()
     evidence.note_unreachable(endpoint)
     assert evidence.is_avoided(endpoint)
-    clock.pass_seconds(health.UNREACHABLE_SECONDS + 0.01)
+    assert evidence.take_due_for_probe() == []
+    clock.pass_seconds(health.FIRST_PAUSE_SECONDS + 0.01)
+    assert evidence.take_due_for_probe() == [endpoint]
+    assert evidence.take_due_for_probe() == []
+    assert evidence.is_avoided(endpoint)
+    evidence.note_reachable(endpoint)
     assert not evidence.is_avoided(endpoint)
+    assert evidence.take_due_for_probe() == []
 
 
-def test_an_endpoint_that_stays_away_is_tried_less_and_less():
+def test_requests_find_out_if_no_probe_comes_back():
     clock, evidence, endpoint = _health()
-    pauses = []
-    for _ in range(6):
+    evidence.note_unreachable(endpoint)
+    wait = health.FIRST_PAUSE_SECONDS + health.PROBE_GRACE_SECONDS
+    clock.pass_seconds(wait - 0.01)
+    assert evidence.is_avoided(endpoint)
+    clock.pass_seconds(0.02)
+    assert not evidence.is_avoided(endpoint)
+
+
+def test_requests_that_fail_side_by_side_make_one_pause():
+    clock, evidence, endpoint = _health()
+    for _ in range(5):
         evidence.note_unreachable(endpoint)
+    clock.pass_seconds(health.FIRST_PAUSE_SECONDS + 0.01)
+    assert evidence.take_due_for_probe() == [endpoint]
+
+
+def test_an_endpoint_that_stays_away_is_probed_less_and_less():
+    clock, evidence, endpoint = _health()
+    evidence.note_unreachable(endpoint)
+    pauses = []
+    for _ in range(7):
         began_at = clock.now
-        while evidence.is_avoided(endpoint):
+        while not evidence.take_due_for_probe():
+            assert evidence.is_avoided(endpoint)
             clock.pass_seconds(0.05)
         pauses.append(clock.now - began_at)
+        evidence.note_still_unreachable(endpoint)
     assert pauses == sorted(pauses)
-    assert pauses[-1] < health.MAX_UNREACHABLE_SECONDS + 0.1
-    evidence.note_result(endpoint, False)
+    assert pauses[-1] < health.MAX_PAUSE_SECONDS + 0.1
+    evidence.note_reachable(endpoint)
     evidence.note_unreachable(endpoint)
-    clock.pass_seconds(health.UNREACHABLE_SECONDS + 0.05)
+    clock.pass_seconds(health.FIRST_PAUSE_SECONDS + 0.05)
+    assert evidence.take_due_for_probe() == [endpoint]
+
+
+def test_an_answer_ends_the_pause():
+    _, evidence, endpoint = _health()
+    evidence.note_unreachable(endpoint)
+    evidence.note_result(endpoint, True)
+    assert evidence.is_avoided(endpoint)
+    evidence.note_result(endpoint, False)
     assert not evidence.is_avoided(endpoint)
 
 
+def test_a_refusal_does_not_end_the_pause():
+    clock, evidence, endpoint = _health()
+    evidence.note_unreachable(endpoint)
+    evidence.note_refused(endpoint)
+    clock.pass_seconds(health.REFUSED_SECONDS + 0.05)
+    assert evidence.is_avoided(endpoint)
+    assert evidence.take_due_for_probe() == [endpoint]
+
+
 def test_a_refusal_says_nothing_of_failures():
     clock, evidence, endpoint = _health()
     evidence.note_refused(endpoint)
@@ -87,4 +131,4 @@
     assert refused['evidence_age'] == 2.0
     assert refused['failure_rate'] == health.NEWEST_WEIGHT
     assert unreachable['cause'] == 'unreachable'
-    assert unreachable['seconds'] == health.UNREACHABLE_SECONDS
+    assert unreachable['seconds'] == health.FIRST_PAUSE_SECONDS
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -127,7 +127,7 @@
     (paused, fields), (_, waits), _ = lines
     assert paused is events.ENDPOINT_PAUSED
     assert fields['cause'] == 'unreachable'
-    assert fields['seconds'] == health.UNREACHABLE_SECONDS
+    assert fields['seconds'] == health.FIRST_PAUSE_SECONDS
     assert waits['paused'] == ['engine-1']
 
 
