Let an entry VM that starts learn configuration and endpoints at once

Ruled out: the start itself (0.04 s apart) and the disk (configuration in force at core-yeka-1 before it listens).

Change: a VM that knows nothing asks up to three VMs each 0.1 s, for 6 s at most; a request that comes before the configuration waits for it, 0.5 s or 0.4 of its time at most, and is answered at once after that; the first configuration makes an entry VM ask all for endpoints.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/follower.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/follower.py
@@ -4,6 +4,7 @@
 import random
 import threading
 
+from carobwood import clocks
 from carobwood import errors
 from carobwood import events
 from carobwood.gen.links import ttypes
@@ -16,6 +17,13 @@
 HINT_GRACE = 0.05
 RETRY_SECONDS = 0.2
 STALE_CONTACT = 3.0
+# A VM that knows nothing yet serves nobody, so it asks again soon, and a
+# few VMs at a time, as all of them may start at once.
+FIRST_RETRY_SECONDS = 0.1
+FIRST_ANSWER_SECONDS = 0.2
+FIRST_SOURCES = 3
+# After that the fleet is taken for new, and there is nothing to know.
+FIRST_SECONDS = 6.0
 
 
 class Follower:
@@ -75,7 +83,9 @@
         Returns:
             Whether any peer answered within ``timeout`` seconds.
         """
-        addresses = self._directory.peer_addresses()
+        return self._ask_all(self._directory.peer_addresses(), timeout)
+
+    def _ask_all(self, addresses, timeout):
         replies = queue.Queue()
         for address in addresses:
             threading.Thread(
@@ -102,7 +112,7 @@
             replies.put(None)
 
     def _run(self):
-        self.catch_up()
+        self._learn_first()
         while not self._stopped.is_set():
             if self._is_member():
                 self._stopped.wait(RETRY_SECONDS)
@@ -111,6 +121,17 @@
             if address is None or not self._follow(address):
                 self._stopped.wait(RETRY_SECONDS)
 
+    def _learn_first(self):
+        ends_at = clocks.now() + FIRST_SECONDS
+        self.catch_up(FIRST_ANSWER_SECONDS)
+        while not self._store.version and clocks.now() < ends_at:
+            if self._stopped.wait(FIRST_RETRY_SECONDS) or self._is_member():
+                return
+            addresses = self._directory.peer_addresses()
+            count = min(FIRST_SOURCES, len(addresses))
+            chosen = self._random.sample(addresses, count)
+            self._ask_all(chosen, FIRST_ANSWER_SECONDS)
+
     def _run_hints(self):
         while not self._stopped.is_set():
             with self._hinted:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
@@ -14,6 +14,10 @@
 
 # Behind all that routes and customers are given.
 LAST_PRIORITY = 9
+# A VM that starts hears the configuration in less time, if any VM has it.
+CONFIGURATION_SECONDS = 0.5
+# Part of a request's time that it may wait for this.
+CONFIGURATION_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -108,7 +112,7 @@
         """
         configuration = self._state.configuration
         if configuration is None:
-            raise errors.ConfigurationMissing('no configuration yet')
+            configuration = self._await_configuration(caller)
         route = configuration.find_route(caller.host, caller.path)
         if route is None:
             raise errors.RouteNotFound('no route for the host and path')
@@ -131,6 +135,23 @@
         self._suspects.check(request.fingerprint)
         return self._spend(request)
 
+    def _await_configuration(self, caller):
+        hints = self._dialect.parse_hints(caller.headers)
+        seconds = CONFIGURATION_SECONDS
+        if hints.deadline is not None:
+            seconds = min(seconds, CONFIGURATION_SHARE * hints.deadline)
+        began_at = clocks.now()
+        configuration = self._state.await_configuration(seconds)
+        events.emit(
+            events.CONFIGURATION_AWAITED,
+            request_id=hints.request_id,
+            seconds=round(clocks.now() - began_at, 4),
+            version=configuration.version if configuration else 0,
+        )
+        if configuration is None:
+            raise errors.ConfigurationMissing('no configuration yet')
+        return configuration
+
     def give_back(self, request):
         """Return the units of a request that has not run."""
         if request.customer is not None:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/state.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/state.py
@@ -1,5 +1,6 @@
 """The configuration and the weights in force on this VM."""
 
+import threading
 import zlib
 
 from carobwood import errors
@@ -18,12 +19,24 @@
         self._weights = weights
         self._listeners = []
         self.configuration = None
+        self._first_listeners = []
+        self._is_configured = threading.Event()
         store.on_change(self._adopt)
 
     def on_change(self, listener):
         """Call ``listener(configuration)`` after each newer one."""
         self._listeners.append(listener)
 
+    def on_first(self, listener):
+        """Call ``listener()`` after the first configuration."""
+        self._first_listeners.append(listener)
+
+    def await_configuration(self, seconds):
+        """Return the configuration, or None if none comes in time."""
+        if self.configuration is None:
+            self._is_configured.wait(seconds)
+        return self.configuration
+
     def _adopt(self, fleet):
         self._weights.note_wanted(fleet.weights_by_model)
         held = fleet.configuration
@@ -44,6 +57,9 @@
         self.configuration = configuration
         for listener in self._listeners:
             listener(configuration)
+        self._is_configured.set()
+        while self._first_listeners:
+            self._first_listeners.pop()()
         events.emit(
             events.CONFIGURATION_IN_FORCE,
             version=configuration.version,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -212,6 +212,9 @@
         self._gossip.fleet_id = self._standing.fleet_id
         if self._voter is not None:
             self._store.on_change(lambda fleet: self._gossip.spread())
+        else:
+            # Whoever tells the configuration can tell the endpoints.
+            self._known.state.on_first(self._gossip.spread)
         self._directory.on_endpoint_change(self._known.note_endpoint)
         self._follower = followers.Follower(
             self._store,
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from carobwood import errors
 from carobwood.gen.links import ttypes
 from carobwood_daemon.membership import directory
 from carobwood_daemon.membership import follower
@@ -100,3 +101,50 @@
     assert store.wait_beyond(6, 20) == 7
     following.stop()
     links.released.set()
+
+
+class StartingLinks:
+    """Two VMs that do not listen yet, and one that does by and by."""
+
+    def __init__(self, refusals):
+        self.refusals = refusals
+        self.asked = []
+
+    def to(self, address):
+        """Return the link to an address."""
+        return StartingLink(self, address)
+
+
+class StartingLink:
+    """A link that answers once enough calls were refused."""
+
+    def __init__(self, links, address):
+        self._links = links
+        self._address = address
+
+    def call(self, method, request, timeout):
+        """Answer a poll."""
+        self._links.asked.append(self._address)
+        if len(self._links.asked) <= self._links.refusals:
+            raise errors.LinkFailed(f'{self._address}: refused')
+        payload = commands.encode(commands.RegisterVm('vm1', 'bole'))
+        news = [ttypes.VersionedCommand(7, payload)]
+        return ttypes.FollowReply('f', 7, news, None, 0)
+
+
+def test_a_vm_that_knows_nothing_asks_several_vms_again_and_again(
+    monkeypatch,
+):
+    # Not one VM at a time: each round asks as many as it may.
+    monkeypatch.setattr(follower, 'FIRST_SECONDS', 60.0)
+    peers = tuple(f'127.0.0.1:{number}' for number in range(1, 9))
+    own = directory.Vm('vm4', 'bole', '127.0.0.1:9', '', 1, False)
+    store = state_store.StateStore()
+    links = StartingLinks(len(peers) + 2 * follower.FIRST_SOURCES)
+    following = follower.Follower(
+        store, directory.Directory(own, peers), links, lambda: False
+    )
+    following._learn_first()
+    assert store.version == 7
+    assert set(links.asked[: len(peers)]) == set(peers)
+    assert len(links.asked) <= len(peers) + 3 * follower.FIRST_SOURCES
