--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -23,7 +23,7 @@
     holder = build.candidate(
         'holder',
         cached_tokens=6300,
-        load=fleet_loads.Load(6, 40_000, 40_000),
+        load=fleet_loads.Load(6, 20_000, 20_000),
     )
     assert _chosen(build.candidate('other'), holder) == 'other'
 
