--- /dev/null
+++ b/packages/carobwood-client/carobwood_client/exit_codes.py
@@ -0,0 +1,9 @@
+"""Exit codes of the command line, which its help explains."""
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_UNCERTAIN = 4
+EXIT_NOT_EVERYWHERE = 5
+EXIT_UNREACHABLE = 6
