List what is known red: six times the rate over a restart of all VMs

Cause: in the 0.1 s until VMs that start have heard of each other, nothing but the demand bounds what they admit together.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,6 +30,25 @@
 DATA_CENTRES = ('bole', 'kirkos', 'arada', 'yeka')
 
 
+KNOWN_RED = ROOT.parent / 'KNOWN-RED.txt'
+RED_PREFIX = 'test: tests/'
+
+
+def pytest_collection_modifyitems(items):
+    """Run the tests that are known to be red, and pass over their failure."""
+    lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
+    known = {
+        line.removeprefix(RED_PREFIX)
+        for line in lines
+        if line.startswith(RED_PREFIX)
+    }
+    for item in items:
+        if item.nodeid.removeprefix('tests/') in known:
+            item.add_marker(
+                pytest.mark.xfail(reason='KNOWN-RED.txt', strict=True)
+            )
+
+
 @pytest.fixture
 def world(tmp_path):
     """Give an empty ``World`` whose processes end with the scenario."""
--- a/tests/test_past_spending.py
+++ b/tests/test_past_spending.py
@@ -116,9 +116,12 @@
             self.refused += UNITS
 
 
-@pytest.mark.parametrize('seed', range(4))
-@pytest.mark.parametrize('factor', [1.0, 1.7, 3.0])
-def test_a_restart_of_all_vms_keeps_the_limit_of_a_window(seed, factor):
+@pytest.mark.parametrize(
+    ('factor', 'seed'),
+    [(factor, seed) for factor in (1.0, 1.7, 3.0) for seed in range(4)]
+    + [(6.0, 0), (6.0, 1)],
+)
+def test_a_restart_of_all_vms_keeps_the_limit_of_a_window(factor, seed):
     fleet = Fleet(seed)
     fleet.run(factor)
     assert fleet.worst_window() <= BOUND
