--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -141,7 +141,7 @@
         for task in self._periodic_tasks:
             task.start()
         self._timer.subscribe(
-            gossips.PERIOD_SECONDS, self._membership_status.note_contact
+            gossips.CHECK_PERIOD_SECONDS, self._membership_status.note_contact
         )
         self._build_listeners()
         for server in self._listeners:
--- a/packages/carobwood-daemon/carobwood_daemon/limits/rate_limiter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/rate_limiter.py
@@ -10,8 +10,8 @@
 
 import dataclasses
 import threading
-import time
 
+from carobwood import clocks
 from carobwood import errors
 
 from . import token_bucket
@@ -66,7 +66,7 @@
     Buckets start empty, so that a restart never admits a second burst.
     """
 
-    def __init__(self, vm_slots, token_borrower=None, clock=time.monotonic):
+    def __init__(self, vm_slots, token_borrower=None, clock=clocks.now):
         """Create the rate limiter without any buckets.
 
         Args:
--- a/packages/carobwood-daemon/carobwood_daemon/limits/token_borrower.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/token_borrower.py
@@ -4,8 +4,8 @@
 import queue
 import random
 import threading
-import time
 
+from carobwood import clocks
 from carobwood import errors
 from carobwood.gen.links import ttypes
 
@@ -35,7 +35,7 @@
     the rate limit allows, never more.
     """
 
-    def __init__(self, directory, links, clock=time.monotonic):
+    def __init__(self, directory, links, clock=clocks.now):
         self._directory = directory
         self._links = links
         self._clock = clock
--- a/packages/carobwood-daemon/carobwood_daemon/limits/token_bucket.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/token_bucket.py
@@ -1,6 +1,6 @@
 """Token bucket on the monotonic clock."""
 
-import time
+from carobwood import clocks
 
 
 class TokenBucket:
@@ -13,7 +13,7 @@
         capacity: maximum number of tokens in the bucket.
     """
 
-    def __init__(self, rate, capacity, clock=time.monotonic):
+    def __init__(self, rate, capacity, clock=clocks.now):
         self.rate = rate
         self.capacity = capacity
         self._clock = clock
--- a/packages/carobwood-daemon/carobwood_daemon/membership/cache_update_messages.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/cache_update_messages.py
@@ -3,8 +3,7 @@
 See ``cache_update_log.CacheUpdate``.
 """
 
-import time
-
+from carobwood import clocks
 from carobwood.gen.links import ttypes
 
 from ..routing import cache_update_log
@@ -13,7 +12,7 @@
 
 def to_thrift(records):
     """Convert ``CacheUpdate`` records to thrift messages."""
-    now = time.monotonic()
+    now = clocks.now()
     return [
         ttypes.PlacementNews(
             record.endpoint_id,
@@ -26,14 +25,15 @@
     ]
 
 
-def merge_thrift(prefix_cache_index, messages):
+def merge_thrift(prefix_cache_index, messages, source):
     """Merge placements that another VM sent.
 
     Args:
         prefix_cache_index: the ``PrefixCacheIndex``.
         messages: thrift ``PlacementNews`` messages, or None.
+        source: source under which they are logged.
     """
-    now = time.monotonic()
+    now = clocks.now()
     for message in messages or ():
         prefix_cache_index.merge(
             cache_update_log.CacheUpdate(
@@ -42,7 +42,8 @@
                 _split_digests(message.pieces),
                 now - message.age_ms / 1000,
                 bool(message.removed),
-            )
+            ),
+            source,
         )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_locks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_locks.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+from carobwood import clocks
 from carobwood import errors
 from carobwood.gen.links import ttypes
 
@@ -31,7 +32,7 @@
     VM that holds it does not block the endpoint forever.
     """
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock=clocks.now):
         self._clock = clock
         self._lock = threading.Lock()
         self._locks_by_endpoint = {}
@@ -97,7 +98,7 @@
         crash_suspects,
         directory,
         links,
-        clock=time.monotonic,
+        clock=clocks.now,
     ):
         self._lock_table = lock_table
         self._crash_suspects = crash_suspects
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -1,11 +1,12 @@
-"""Gossip between VMs, with one thread for each peer.
+"""Gossip between VMs over a tree, whose cost a VM does not grow with it.
 
-A message carries records of VMs, endpoints, withdrawn keys, crashes and
-placements that the peer may lack, and those of further payload sources. The
-reply carries withdrawn keys and records of the payload sources only.
+A member sends what it knows first to its aggregator and gets in return what
+the rest of the fleet knows; see ``topology``. Aggregators send each other
+what their members know. Messages carry the records that the receiver lacks,
+and the reports of further topics.
 """
 
-import dataclasses
+import concurrent.futures
 import threading
 
 from carobwood import clocks
@@ -13,46 +14,35 @@
 from carobwood import events
 from carobwood.gen.links import ttypes
 
-from . import cache_update_messages
+from ..routing import cache_update_log
+
 from . import directory as directories
+from . import gossip_peers
+from . import gossip_records
 from . import strike_messages
-
-# Default time between two exchanges with a peer.
-PERIOD_SECONDS = 0.5
-# Minimum time between two announcements of an endpoint that differ only in
-# load: if it announces itself to this VM, and if it does to another one.
-REFRESH_PERIOD_SECONDS = 2.0
-RELAY_PERIOD_SECONDS = 3.0
-# Time between two messages with all VMs; new ones are sent at once.
-VMS_PERIOD_SECONDS = 10.0
-CALL_TIMEOUT_SECONDS = 1.0
-# Bound of the strikes that are remembered as sent to a peer, greater than
-# the number of strikes that are live at one time.
-MAX_SENT_STRIKES = 20000
-
-
-@dataclasses.dataclass(frozen=True)
-class Periods:
-    """Periods of the exchange with a peer, in seconds.
-
-    Attributes:
-        near_seconds: period for peers with which state has to agree closely.
-        far_seconds: period for all others; changes are still sent at once.
-        is_near: function that tells from a peer's thrift message whether
-            ``near_seconds`` applies to the peer.
-    """
-
-    near_seconds: float = PERIOD_SECONDS
-    far_seconds: float = PERIOD_SECONDS
-    is_near: object = lambda message: True
+from . import topology
+
+# Period of the search for new peers and of the check for silent members.
+CHECK_PERIOD_SECONDS = 0.5
+# Period of a member, scaled by the number of members of its aggregator so
+# that the load of the aggregator stays bounded.
+MEMBER_PERIOD_SECONDS = 0.01
+MIN_PERIOD_SECONDS = 0.1
+MAX_PERIOD_SECONDS = 0.4
+# Calls in progress while a record is sent to all VMs.
+BROADCAST_THREADS = 8
+BROADCAST_CALL_SECONDS = 1.0
+# Stands for the age of a contact that never was.
+NO_CONTACT = -1
 
 
 class Gossip:
-    """Exchanges VMs, endpoints, withdrawals and crashes with every peer.
+    """Exchanges VMs, endpoints, withdrawals, crashes and cache updates.
 
-    Changes are sent at once. Announcements of an endpoint that differ only
-    in load are sent every ``REFRESH_PERIOD_SECONDS``. A failed call is
-    repeated on a new connection.
+    Attributes:
+        fleet_id: function that returns the id of the fleet, or ''.
+        on_newer_version: called with a link address and a version of the
+            replicated state that the VM there has and this one lacks.
     """
 
     def __init__(
@@ -64,7 +54,7 @@
         store,
         links,
         topics=(),
-        periods=None,
+        sources=(),
     ):
         """Prepare the exchange.
 
@@ -75,38 +65,48 @@
             prefix_cache_index: the ``PrefixCacheIndex``.
             store: the ``StateStore``.
             links: the ``Links``.
-            topics: sources of further payload: objects with
-                ``add_to_message(message, is_reply)``, which adds records to a
-                thrift message, and ``merge_message(message)``, which merges
-                those of a received message.
-            periods: the ``Periods``.
+            topics: further payload; see ``relay.gossip_topic``.
+            sources: further records; see ``gossip_records.RecordSource``.
         """
-        self.periods = periods or Periods()
+        self.fleet_id = lambda: ''
+        self.on_newer_version = lambda address, version: None
         self._topics = tuple(topics)
         self._directory = directory
-        self._prefix_cache_index = prefix_cache_index
         self._withdrawals = withdrawals
         self._crash_suspects = crash_suspects
         self._store = store
         self._links = links
+        self._records = gossip_records.RecordExchange(
+            directory, crash_suspects, prefix_cache_index, sources
+        )
         self._lock = threading.Lock()
         self._peers_by_address = {}
+        self._uplink = gossip_peers.Uplink(self, directory, links)
         self._stopped = False
-        self.fleet_id = lambda: ''
-        self.on_newer_version = lambda address, version: None
+        self._is_aggregator = True
         directory.on_endpoint_change(lambda endpoint: self.push())
         withdrawals.on_addition(lambda digests: self.push())
         crash_suspects.on_strike(lambda strikes: self.push())
-        prefix_cache_index.on_new_prefix(self.push_near)
+
+    @property
+    def is_stopped(self):
+        """Whether the threads have to stop."""
+        return self._stopped
+
+    @property
+    def mesh_period(self):
+        """Seconds between two messages to another aggregator."""
+        return self._member_period()
 
     def start(self, timer):
-        """Start a thread for each peer, also for those found later.
+        """Start the exchange with the aggregators.
 
         Args:
-            timer: the ``Timer`` that triggers the search for new peers.
+            timer: the ``Timer`` for the search for new peers.
         """
-        self._ensure_peers()
-        timer.subscribe(PERIOD_SECONDS, self._ensure_peers)
+        self._check_peers()
+        self._uplink.start()
+        timer.subscribe(CHECK_PERIOD_SECONDS, self._check_peers)
 
     def stop(self):
         """Stop all threads."""
@@ -115,323 +115,243 @@
 
     def push(self):
         """Start an exchange with all peers now, not at the next period."""
-        with self._lock:
-            peers = list(self._peers_by_address.values())
-        for peer in peers:
-            peer.wake()
-
-    def push_near(self):
-        """Start an exchange with the near peers now; see ``Periods``."""
-        with self._lock:
-            peers = list(self._peers_by_address.values())
-        for peer in peers:
-            if peer.is_near:
-                peer.wake()
+        self._uplink.wake()
+        self._wake_peers()
 
     def confirm(self, record, timeout):
-        """Wait until all peers have acknowledged a record.
+        """Send an urgent record to all VMs and wait for their replies.
 
         Args:
             record: digest of a withdrawn key, or the (fingerprint, crash)
                 pair of a strike.
-            timeout: seconds to wait for all peers together.
+            timeout: seconds to wait for all VMs together.
 
         Returns:
-            Addresses of the peers that have acknowledged it in time.
+            Link addresses of the VMs that have received it in time.
         """
-        deadline = clocks.now() + timeout
-        with self._lock:
-            peers = dict(self._peers_by_address)
-        confirmed = set()
-        for address, peer in peers.items():
-            wait = max(0.0, deadline - clocks.now())
-            if peer.await_confirmed(record, wait):
-                confirmed.add(address)
-        return confirmed
+        message = self._make_message(
+            ttypes.SenderRole.BROADCASTER, self._broadcast_records(record)
+        )
+        executor = concurrent.futures.ThreadPoolExecutor(BROADCAST_THREADS)
+        addresses_by_call = {
+            executor.submit(self._send, address, message): address
+            for address in self._live_addresses()
+        }
+        done, _ = concurrent.futures.wait(addresses_by_call, timeout)
+        executor.shutdown(wait=False, cancel_futures=True)
+        return {addresses_by_call[call] for call in done if call.result()}
 
     def receive(self, message):
-        """Merge a peer's message and return the reply.
+        """Merge another VM's message and return the reply.
 
         Raises:
-            LinkRefused: the peer belongs to another fleet.
+            LinkRefused: the VM belongs to another fleet.
         """
         if message.fleet_id and self.fleet_id():
             if message.fleet_id != self.fleet_id():
                 raise errors.LinkRefused('the peer belongs to another fleet')
-        self.merge(message, is_from_sender=True)
-        # The reply carries no records that are tracked for each peer: the
-        # thread of this VM that serves the peer sends those.
-        return self.build_message((), (), (), (), is_reply=True)
-
-    def merge(self, message, is_from_sender):
-        """Merge the content of a message.
+        reply = self._make_reply()
+        is_member = message.role == ttypes.SenderRole.MEMBER
+        reply.accepted = not is_member or self._is_aggregator
+        source = cache_update_log.Source(message.vm.vm_id, not is_member)
+        if message.role != ttypes.SenderRole.BROADCASTER:
+            is_accepted_member = is_member and reply.accepted
+            self._note_sender(message, source, is_accepted_member)
+        self._withdrawals.add(message.withdrawn_digests)
+        self._records.merge(message.records, source)
+        is_peer = message.role == ttypes.SenderRole.AGGREGATOR
+        if is_peer and self._is_aggregator:
+            for topic in self._topics:
+                topic.merge_group(message)
+        if is_member:
+            self._answer_member(message, reply)
+        return reply
+
+    def make_message(self, role, position, receiver_id='', sends_all=False):
+        """Return a message for an aggregator, and the position after it.
 
         Args:
-            message: the thrift ``GossipMessage``.
-            is_from_sender: whether the VM that it describes sent it.
+            role: the ``SenderRole`` of this VM.
+            position: ``LogPosition`` in this VM's logs from which the
+                receiver lacks records, or None if it lacks all.
+            receiver_id: id of the aggregator, or empty if unknown.
+            sends_all: whether the aggregator may lack records that this VM
+                has got from other aggregators.
         """
-        sender = directories.vm_from_thrift(message.vm)
-        self._directory.merge_vm(sender, is_from_sender, message.version)
-        if is_from_sender:
-            # A new peer gets its thread now instead of at the next period,
-            # so that a VM that has just started gets all records at once.
-            self._ensure_peers()
-        if message.version > self._store.version:
-            self.on_newer_version(sender.link_address, message.version)
-        for vm in message.vms:
-            self._directory.merge_vm(directories.vm_from_thrift(vm), False)
-        now = clocks.now()
-        for announcement in message.announcements:
-            self._directory.merge_endpoint(
-                endpoint_from_thrift(announcement, now)
-            )
-        self._withdrawals.add(message.withdrawn_digests)
-        strike_messages.merge_thrift(self._crash_suspects, message.strikes)
-        cache_update_messages.merge_thrift(
-            self._prefix_cache_index, message.placements
+        is_member = role == ttypes.SenderRole.MEMBER
+
+        def is_wanted(source):
+            if source.vm_id and source.vm_id == receiver_id:
+                return False
+            if source == cache_update_log.MEMBERS_ONLY:
+                return False
+            return sends_all or not (is_member and source.is_aggregator)
+
+        def is_update_wanted(source):
+            if source.is_aggregator:
+                return sends_all and source.vm_id != receiver_id
+            return True
+
+        records, next_position = self._records.read(
+            position, is_wanted, is_update_wanted
         )
+        message = self._make_message(role, records)
         for topic in self._topics:
-            topic.merge_message(message)
+            topic.add_report(message)
+        return message, next_position
 
-    def build_message(
-        self, endpoints, vms, placements, strikes, is_reply=False
-    ):
-        """Return a thrift message for a peer.
+    def merge_reply(self, reply, address):
+        """Merge the reply of an aggregator to a message of this VM.
 
         Args:
-            endpoints: ``Endpoint`` records that the peer lacks.
-            vms: ``Vm`` records that the peer lacks.
-            placements: ``CacheUpdate`` records that the peer lacks.
-            strikes: thrift strikes that the peer lacks.
-            is_reply: whether it is the reply to a message of the peer.
-                Payload sources may leave records out of a reply, because
-                this VM's own messages to the peer carry all of them.
+            reply: the ``GossipReply``.
+            address: link address of the aggregator.
         """
-        now = clocks.now()
-        directory = self._directory
-        committed = self._store.fleet.withdrawn_digests
-        message = ttypes.GossipMessage(
-            directories.vm_to_thrift(directory.own_vm),
-            self._store.version,
-            [directories.vm_to_thrift(vm) for vm in vms],
-            [endpoint_to_thrift(endpoint, now) for endpoint in endpoints],
-            sorted(self._withdrawals.to_gossip(committed)),
-            self.fleet_id(),
-            list(strikes),
-            cache_update_messages.to_thrift(placements),
-        )
-        for topic in self._topics:
-            topic.add_to_message(message, is_reply)
-        return message
+        source = cache_update_log.Source(reply.vm.vm_id, True)
+        self._note_sender(reply, source)
+        self._withdrawals.add(reply.withdrawn_digests)
+        self._records.merge(reply.records, source)
+        if reply.contact_age_ms >= 0:
+            self._store.record_contact(reply.contact_age_ms / 1000)
 
-    def strikes_except(self, known):
-        """Return the live strikes as thrift, except some.
+    def merge_summary(self, message, reply):
+        """Merge what an aggregator that this VM is a member of has summed.
 
         Args:
-            known: (fingerprint, crash) pairs that are left out.
+            message: the message that this VM had sent.
+            reply: the ``GossipReply``.
         """
-        return strike_messages.to_thrift(self._crash_suspects, known)
+        self._directory.confirm_all_except(set(reply.silent_endpoints or ()))
+        for topic in self._topics:
+            topic.merge_summary(message, reply)
 
-    def placements_since(self, position):
-        """Return the ``LogPage`` of this VM's placements from a position."""
-        return self._prefix_cache_index.log.read(position)
+    def refreshed_endpoints(self):
+        """Return announcements of the endpoints that announce to this VM."""
+        now = clocks.now()
+        return [
+            gossip_records.endpoint_to_thrift(endpoint, now)
+            for endpoint in self._directory.endpoints()
+            if self._directory.announces_to_this_vm(endpoint)
+        ]
+
+    def _answer_member(self, message, reply):
+        def is_wanted(source):
+            return source.vm_id != message.vm.vm_id
+
+        reply.records, reply.position = self._records.read(
+            message.position, is_wanted, is_wanted
+        )
+        if not reply.accepted:
+            return
+        reply.silent_endpoints = [
+            endpoint.id for endpoint in self._directory.silent_endpoints()
+        ]
+        period = self._member_period()
+        reply.period_ms = int(1000 * period)
+        for topic in self._topics:
+            has_changed = topic.merge_member(message)
+            if has_changed and period == MIN_PERIOD_SECONDS:
+                # A small fleet can afford to send each change at once.
+                self._wake_peers()
+            topic.add_summary(reply, message)
 
-    @property
-    def is_stopped(self):
-        """Whether the threads have to stop."""
-        return self._stopped
+    def _wake_peers(self):
+        with self._lock:
+            peers = list(self._peers_by_address.values())
+        for peer in peers:
+            peer.wake()
 
-    @property
-    def directory(self):
-        """The ``Directory`` whose records are exchanged."""
-        return self._directory
-
-    def _ensure_peers(self):
-        for address in self._directory.peer_addresses():
-            with self._lock:
-                if address in self._peers_by_address or self._stopped:
-                    continue
-                peer = Peer(self, self._links.to(address))
-                self._peers_by_address[address] = peer
-            peer.start()
+    def _member_period(self):
+        period = self._directory.member_count() * MEMBER_PERIOD_SECONDS
+        return min(MAX_PERIOD_SECONDS, max(MIN_PERIOD_SECONDS, period))
 
+    def _note_sender(self, message, source, is_member=False):
+        vm = directories.vm_from_thrift(message.vm)
+        with self._records.merging_from(source):
+            self._directory.note_message(vm, message.version, is_member)
+        if message.version > self._store.version:
+            self.on_newer_version(vm.link_address, message.version)
 
-class Peer(threading.Thread):
-    """Thread that exchanges messages with one other VM.
+    def _make_message(self, role, records):
+        return ttypes.GossipMessage(
+            directories.vm_to_thrift(self._directory.own_vm),
+            self._store.version,
+            self.fleet_id(),
+            role,
+            self._withdrawn_digests(),
+            records,
+        )
 
-    It remembers what the peer has acknowledged and sends only the rest.
+    def _make_reply(self):
+        age = self._store.contact_age()
+        return ttypes.GossipReply(
+            directories.vm_to_thrift(self._directory.own_vm),
+            self._store.version,
+            self.fleet_id(),
+            NO_CONTACT if age == float('inf') else int(1000 * age),
+            self._withdrawn_digests(),
+            True,
+            ttypes.Records(),
+        )
 
-    Attributes:
-        is_near: whether the peer is a near one; see ``Periods``.
-    """
+    def _withdrawn_digests(self):
+        committed = self._store.fleet.withdrawn_digests
+        return sorted(self._withdrawals.to_gossip(committed))
 
-    def __init__(self, gossip, link):
-        super().__init__(name=f'gossip-{link.address}', daemon=True)
-        self._gossip = gossip
-        self._link = link
-        self.is_near = True
-        self._changed = threading.Condition()
-        self._is_woken = False
-        self._is_silent = False
-        self._peer_incarnation = 0
-        self._sent_by_endpoint = {}
-        self._sent_vms = (frozenset(), 0.0)
-        self._placement_position = 0
-        self._confirmed = frozenset()
-        self._sent_strikes = frozenset()
-
-    def run(self):
-        """Exchange messages every period until stopped."""
-        while not self._gossip.is_stopped:
-            self._exchange()
-            with self._changed:
-                self._changed.wait_for(lambda: self._is_woken, self._period())
-                self._is_woken = False
-
-    def _period(self):
-        periods = self._gossip.periods
-        return periods.near_seconds if self.is_near else periods.far_seconds
-
-    def wake(self):
-        """Start the next exchange now."""
-        with self._changed:
-            self._is_woken = True
-            self._changed.notify_all()
-
-    def await_confirmed(self, record, timeout):
-        """Wait until the peer has acknowledged a record.
+    def _broadcast_records(self, record):
+        strikes = [
+            strike
+            for strike in strike_messages.to_thrift(self._crash_suspects)
+            if (strike.fingerprint, strike.crash) == record
+        ]
+        return ttypes.Records(strikes=strikes)
 
-        Args:
-            record: digest of a withdrawn key, or the (fingerprint, crash)
-                pair of a strike.
-            timeout: seconds to wait.
+    def _live_addresses(self):
+        now = clocks.now()
+        return [
+            vm.link_address
+            for vm in self._directory.vms()[1:]
+            if not vm.is_silent(now)
+        ]
+
+    def _send(self, address, message):
+        """Send a message without waiting longer than a call may take.
 
         Returns:
-            Whether it has acknowledged the record.
+            Whether the VM has replied.
         """
-        with self._changed:
-            return self._changed.wait_for(
-                lambda: record in self._confirmed, timeout
-            )
-
-    def _exchange(self):
-        due = self._due_endpoints()
-        vms = self._due_vms()
-        page = self._gossip.placements_since(self._placement_position)
-        strikes = self._gossip.strikes_except(self._sent_strikes)
-        message = self._gossip.build_message(due, vms, page.records, strikes)
         try:
-            reply = self._link.call('gossip', message, CALL_TIMEOUT_SECONDS)
-        except errors.LinkFailed as error:
-            self._note_failure(error)
-            return
-        if self._is_silent:
-            events.emit(events.VM_REGAINED, vm=reply.vm.vm_id)
-        self._is_silent = False
-        self.is_near = self._gossip.periods.is_near(reply)
-        now = clocks.now()
-        self._placement_position = page.next_position
-        if reply.vm.incarnation != self._peer_incarnation:
-            # The peer was restarted and has lost what it had acknowledged.
-            self._peer_incarnation = reply.vm.incarnation
-            self._sent_by_endpoint = {}
-            self._sent_vms = (frozenset(), 0.0)
-            self._placement_position = 0
-            self._sent_strikes = frozenset()
-            strikes = ()
-            self._is_woken = True
-        for endpoint in due:
-            self._sent_by_endpoint[endpoint.id] = (endpoint, now)
-        if vms:
-            self._sent_vms = (frozenset(vm.id for vm in vms), now)
-        self._note_sent_strikes(strikes)
-        with self._changed:
-            self._confirmed = (
-                frozenset(message.withdrawn_digests) | self._sent_strikes
+            self._links.to(address).call(
+                'gossip', message, BROADCAST_CALL_SECONDS
             )
-            self._changed.notify_all()
-        self._gossip.merge(reply, is_from_sender=True)
-
-    def _note_sent_strikes(self, strikes):
-        sent = {(strike.fingerprint, strike.crash) for strike in strikes}
-        kept = self._sent_strikes
-        if len(kept) > MAX_SENT_STRIKES:
-            # They are all sent once more, which is idempotent.
-            kept = frozenset()
-        self._sent_strikes = kept | sent
-
-    def _note_failure(self, error):
-        if not self._is_silent:
+        except errors.LinkFailed as error:
             events.emit(events.VM_SILENT, reason=error.detail)
-        self._is_silent = True
+            return False
+        return True
 
-    def _due_endpoints(self):
+    def _check_peers(self):
+        """Start and stop the exchange with aggregators as they change."""
         now = clocks.now()
-        due = []
-        for endpoint in self._gossip.directory.endpoints():
-            sent, sent_at = self._sent_by_endpoint.get(
-                endpoint.id, (None, 0.0)
+        own_vm, vms = self._directory.own_vm, self._directory.vms()
+        self._is_aggregator = topology.is_aggregator(own_vm, vms, now)
+        self._directory.review_vms(self._is_aggregator)
+        self._records.review(self._is_aggregator)
+        wanted = set()
+        has_no_uplink = topology.needs_no_uplink(own_vm, vms, now)
+        if has_no_uplink and not self._stopped:
+            wanted.update(
+                topology.mesh_addresses(
+                    own_vm, vms, self._directory.seeds, now
+                )
             )
-            if sent is not None and sent.order == endpoint.order:
-                continue
-            changed = sent is None or _must_send(sent, endpoint)
-            period = REFRESH_PERIOD_SECONDS
-            if not self._gossip.directory.announces_to_this_vm(endpoint):
-                # The VM that the endpoint announces itself to sends the
-                # record to the peer sooner, so this VM seldom has to.
-                period = RELAY_PERIOD_SECONDS
-            if changed or now - sent_at >= period:
-                due.append(endpoint)
-        return due
-
-    def _due_vms(self):
-        vms = self._gossip.directory.vms()[1:]
-        sent_ids, sent_at = self._sent_vms
-        is_known = {vm.id for vm in vms} <= sent_ids
-        if is_known and clocks.now() - sent_at < VMS_PERIOD_SECONDS:
-            return []
-        return vms
-
-
-def endpoint_from_thrift(announcement, now):
-    """Return the ``Endpoint`` that a thrift announcement describes."""
-    return directories.Endpoint(
-        announcement.endpoint_id,
-        announcement.incarnation,
-        announcement.sequence,
-        announcement.address,
-        announcement.data_centre,
-        announcement.pool,
-        announcement.environment,
-        announcement.weights_version or '',
-        announcement.leaving,
-        announcement.running,
-        announcement.waiting,
-        now - announcement.age_ms / 1000,
-    )
-
-
-def endpoint_to_thrift(endpoint, now):
-    """Return the thrift announcement of an ``Endpoint``."""
-    return ttypes.Announcement(
-        endpoint.id,
-        endpoint.incarnation,
-        endpoint.sequence,
-        endpoint.address,
-        endpoint.data_centre,
-        endpoint.pool,
-        endpoint.environment,
-        endpoint.weights_version,
-        endpoint.leaving,
-        endpoint.running,
-        endpoint.waiting,
-        int((now - endpoint.last_seen_at) * 1000),
-    )
-
-
-def _must_send(sent, endpoint):
-    return (
-        sent.incarnation != endpoint.incarnation
-        or sent.leaving != endpoint.leaving
-        or sent.weights_version != endpoint.weights_version
-    )
+        with self._lock:
+            for address in set(self._peers_by_address) - wanted:
+                self._peers_by_address.pop(address).stop()
+            started = [
+                gossip_peers.AggregatorPeer(self, self._links.to(address))
+                for address in wanted - set(self._peers_by_address)
+            ]
+            for peer in started:
+                self._peers_by_address[peer.address] = peer
+        for peer in started:
+            peer.start()
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
@@ -0,0 +1,235 @@
+"""Threads that exchange gossip with aggregators, one for each."""
+
+import threading
+import time
+
+from carobwood import clocks
+from carobwood import errors
+from carobwood import events
+from carobwood.gen.links import ttypes
+
+from . import topology
+
+CALL_TIMEOUT_SECONDS = 1.0
+# Period of an uplink before its aggregator has named one.
+INITIAL_PERIOD_SECONDS = 0.1
+# Period at which a VM that needs no uplink checks whether it does.
+IDLE_PERIOD_SECONDS = 0.5
+# Minimum time between two exchanges, also if more is to be sent.
+MIN_PAUSE_SECONDS = 0.03
+# Time for which an address that has failed or refused is not tried again.
+AVOID_SECONDS = 2.0
+# Period at which a member looks for a better aggregator.
+REVIEW_PERIOD_SECONDS = 2.0
+# Time between two messages to an aggregator that does not answer.
+SILENT_PERIOD_SECONDS = 1.0
+# Time between two announcements of an endpoint of which nothing has changed.
+REFRESH_PERIOD_SECONDS = 2.0
+
+
+class GossipThread(threading.Thread):
+    """A thread that exchanges messages periodically or when woken."""
+
+    def __init__(self, name, gossip):
+        super().__init__(name=name, daemon=True)
+        self._gossip = gossip
+        self._is_stopped = False
+        self._changed = threading.Condition()
+        self._is_woken = False
+        self._is_silent = False
+        self._refreshed_at = float('-inf')
+        self.period = INITIAL_PERIOD_SECONDS
+
+    def run(self):
+        """Exchange messages until stopped."""
+        while not self._gossip.is_stopped and not self._is_stopped:
+            try:
+                self.exchange()
+            except Exception as error:
+                events.emit(
+                    events.THREAD_FAILED, thread=self.name, error=repr(error)
+                )
+            self._pause()
+
+    def wake(self):
+        """Start the next exchange now."""
+        with self._changed:
+            self._is_woken = True
+            self._changed.notify_all()
+
+    def stop(self):
+        """End the thread after its current exchange."""
+        self._is_stopped = True
+        self.wake()
+
+    def exchange(self):
+        """Send one message and merge the reply."""
+        raise NotImplementedError
+
+    def _pause(self):
+        time.sleep(MIN_PAUSE_SECONDS)
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._is_woken, self.period - MIN_PAUSE_SECONDS
+            )
+            self._is_woken = False
+
+    def _add_refreshed_endpoints(self, message):
+        """Add the endpoints that announce to this VM, from time to time."""
+        now = clocks.now()
+        if now - self._refreshed_at >= REFRESH_PERIOD_SECONDS:
+            self._refreshed_at = now
+            message.records.announcements += self._gossip.refreshed_endpoints()
+
+    def _note_failure(self, error):
+        if not self._is_silent:
+            events.emit(events.VM_SILENT, reason=error.detail)
+        self._is_silent = True
+
+    def _note_reply(self, reply):
+        if self._is_silent:
+            events.emit(events.VM_REGAINED, vm=reply.vm.vm_id)
+        self._is_silent = False
+
+
+class AggregatorPeer(GossipThread):
+    """Sends another aggregator the records and sums of this VM's group.
+
+    Attributes:
+        address: link address of the other aggregator.
+    """
+
+    def __init__(self, gossip, link):
+        super().__init__(f'gossip-{link.address}', gossip)
+        self.address = str(link.address)
+        self._link = link
+        self._vm_id = ''
+        self._position = None
+        self._incarnation = 0
+
+    def exchange(self):
+        """Send the records that the other aggregator lacks."""
+        message, next_position = self._gossip.make_message(
+            ttypes.SenderRole.AGGREGATOR, self._position, self._vm_id
+        )
+        self._add_refreshed_endpoints(message)
+        try:
+            reply = self._link.call('gossip', message, CALL_TIMEOUT_SECONDS)
+        except errors.LinkFailed as error:
+            self._note_failure(error)
+            self.period = SILENT_PERIOD_SECONDS
+            return
+        self._note_reply(reply)
+        self.period = self._gossip.mesh_period
+        self._position = next_position
+        self._vm_id = reply.vm.vm_id
+        if reply.vm.incarnation != self._incarnation:
+            # The other VM was restarted and has lost what it was sent.
+            if self._incarnation:
+                self._position = None
+                self._is_woken = True
+            self._incarnation = reply.vm.incarnation
+        self._gossip.merge_reply(reply, self.address)
+
+
+class Uplink(GossipThread):
+    """Exchanges messages with the aggregator that this VM is a member of.
+
+    While this VM is an aggregator itself, the thread is idle.
+    """
+
+    def __init__(self, gossip, directory, links):
+        super().__init__('gossip-uplink', gossip)
+        self._directory = directory
+        self._links = links
+        self._address = None
+        self._vm_id = ''
+        self._incarnation = 0
+        self._reviewed_at = float('-inf')
+        self._avoided_until_by_address = {}
+        self._sent_position = None
+        self._received_position = None
+
+    def exchange(self):
+        """Exchange messages with the best aggregator."""
+        self._review_address()
+        if self._address is None:
+            self.period = IDLE_PERIOD_SECONDS
+            return
+        message, next_position = self._gossip.make_message(
+            ttypes.SenderRole.MEMBER,
+            self._sent_position,
+            self._vm_id,
+            self._sends_all(),
+        )
+        message.position = self._received_position
+        self._add_refreshed_endpoints(message)
+        link = self._links.to(self._address)
+        try:
+            reply = link.call('gossip', message, CALL_TIMEOUT_SECONDS)
+        except errors.LinkFailed as error:
+            self._note_failure(error)
+            self._leave()
+            return
+        self._note_reply(reply)
+        if reply.vm.incarnation != self._incarnation:
+            if self._incarnation:
+                # The aggregator was restarted; it gets all records again.
+                next_position = None
+            self._incarnation = reply.vm.incarnation
+        self._vm_id = reply.vm.vm_id
+        self._sent_position = next_position
+        self._received_position = reply.position
+        self._gossip.merge_reply(reply, self._address)
+        if not reply.accepted:
+            self._leave()
+            return
+        self.period = reply.period_ms / 1000
+        self._gossip.merge_summary(message, reply)
+
+    def _review_address(self):
+        now = clocks.now()
+        if now - self._reviewed_at < REVIEW_PERIOD_SECONDS:
+            return
+        self._reviewed_at = now
+        own_vm, vms = self._directory.own_vm, self._directory.vms()
+        if topology.needs_no_uplink(own_vm, vms, now):
+            self._move_to(None)
+            return
+        for address in topology.uplink_addresses(
+            own_vm, vms, self._directory.seeds, now
+        ):
+            if now >= self._avoided_until_by_address.get(address, 0.0):
+                self._move_to(address)
+                return
+        # All have failed lately, so all are tried again.
+        self._avoided_until_by_address.clear()
+        self._reviewed_at = float('-inf')
+        self._move_to(None)
+
+    def _sends_all(self):
+        """Return whether the aggregator may lack what others have sent.
+
+        Aggregators with a disk get all records from each other. One without
+        a disk may have been restarted, and know of no other aggregator.
+        """
+        return not any(
+            vm.has_disk and vm.link_address == self._address
+            for vm in self._directory.vms()
+        )
+
+    def _move_to(self, address):
+        if address == self._address:
+            return
+        self._address = address
+        self._vm_id = ''
+        self._incarnation = 0
+        self._sent_position = None
+        self._received_position = None
+        self.wake()
+
+    def _leave(self):
+        now = clocks.now()
+        self._avoided_until_by_address[self._address] = now + AVOID_SECONDS
+        self._reviewed_at = float('-inf')
+        self.period = MIN_PAUSE_SECONDS
--- a/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
@@ -18,7 +18,7 @@
 
 from carobwood import errors
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
 _MAGIC = b'CBWL'
--- a/packages/carobwood-daemon/carobwood_daemon/membership/prefix_cache_persister.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/prefix_cache_persister.py
@@ -4,10 +4,10 @@
 blocks of prompts, because a request with them was sent there.
 """
 
-import time
-
 import msgspec
 
+from carobwood import clocks
+
 from ..routing import cache_update_log
 
 from . import persister
@@ -49,7 +49,7 @@
 
     def encode(self):
         """Return the encoded placements with their ages."""
-        now = time.monotonic()
+        now = clocks.now()
         records = [
             CacheUpdateRecord(
                 placement.endpoint_id,
@@ -63,7 +63,7 @@
 
     def restore(self, payload):
         """Add the stored placements and queue them for gossip."""
-        now = time.monotonic()
+        now = clocks.now()
         for record in _decoder.decode(payload):
             placement = cache_update_log.CacheUpdate(
                 record.endpoint_id,
@@ -71,5 +71,4 @@
                 record.pieces,
                 now - record.age_seconds,
             )
-            self._prefix_cache_index.merge(placement)
-            self._prefix_cache_index.log.append(placement)
+            self._prefix_cache_index.merge(placement, cache_update_log.OWN)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
@@ -23,6 +23,9 @@
 # Age of the last contact with a leader above which a VM counts as cut off
 # from it.
 STALE_CONTACT_SECONDS = 3.0
+# Age of the last contact up to which gossip keeps this VM informed of newer
+# versions, so that it does not poll.
+GOSSIP_CONTACT_SECONDS = 1.5
 # A VM that has no state yet cannot serve requests, so it retries soon. It
 # polls only a few VMs at a time, because all VMs may start at once.
 BOOTSTRAP_RETRY_SECONDS = 0.1
@@ -36,11 +39,11 @@
 class StatePoller:
     """Keeps the store at the highest version that any VM holds.
 
-    At start, all peers are polled at once. After that, one source at a
-    time is long-polled, preferably a VM with a data folder. If it fails or
-    has itself lost contact with the leader, another source is selected.
-    When gossip reports that a VM holds a newer version, a second thread
-    fetches it from there, so that a source that hangs delays nothing.
+    At start, all peers are polled at once. After that, gossip reports when
+    a VM holds a newer version, and a thread fetches it from there. While
+    gossip brings no contact with the leader, a second thread long-polls one
+    source at a time, preferably a VM with a data folder. If it fails or has
+    itself lost contact with the leader, another source is selected.
     """
 
     def __init__(self, store, directory, links, is_member):
@@ -121,13 +124,16 @@
     def _run(self):
         self._bootstrap()
         while not self._stopped.is_set():
-            if self._is_member():
+            if self._is_member() or self._is_informed():
                 self._stopped.wait(RETRY_SECONDS)
                 continue
             address = self._choose_source()
             if address is None or not self._follow(address):
                 self._stopped.wait(RETRY_SECONDS)
 
+    def _is_informed(self):
+        return self._store.contact_age() < GOSSIP_CONTACT_SECONDS
+
     def _bootstrap(self):
         ends_at = clocks.now() + BOOTSTRAP_SECONDS
         self.catch_up(BOOTSTRAP_REPLY_SECONDS)
@@ -135,6 +141,7 @@
             if (
                 self._stopped.wait(BOOTSTRAP_RETRY_SECONDS)
                 or self._is_member()
+                or self._is_informed()
             ):
                 return
             addresses = self._directory.peer_addresses()
@@ -170,24 +177,26 @@
         return self._random.choice(addresses) if addresses else None
 
     def _follow(self, address):
-        while not self._stopped.is_set() and not self._is_member():
-            try:
-                reply = self._poll(address, LONG_POLL_SECONDS)
-            except errors.LinkFailed as error:
-                self._is_source_lost = True
-                events.emit(
-                    events.SOURCE_LOST, address=address, reason=error.detail
-                )
-                return False
-            if self._is_source_lost:
-                self._is_source_lost = False
-                events.emit(events.SOURCE_REGAINED, address=address)
-            self._apply(reply)
-            # Two VMs without contact to a leader must not go on polling
-            # only each other.
-            if not 0 <= reply.contact_age_ms <= STALE_CONTACT_SECONDS * 1000:
-                return False
-        return True
+        """Long-poll a VM once.
+
+        Returns:
+            Whether it answered and has had contact with a leader lately.
+        """
+        try:
+            reply = self._poll(address, LONG_POLL_SECONDS)
+        except errors.LinkFailed as error:
+            self._is_source_lost = True
+            events.emit(
+                events.SOURCE_LOST, address=address, reason=error.detail
+            )
+            return False
+        if self._is_source_lost:
+            self._is_source_lost = False
+            events.emit(events.SOURCE_REGAINED, address=address)
+        self._apply(reply)
+        # Two VMs without contact to a leader must not go on polling
+        # only each other.
+        return 0 <= reply.contact_age_ms <= STALE_CONTACT_SECONDS * 1000
 
     def _poll(self, address, wait):
         request = ttypes.FollowRequest(self._store.version, int(wait * 1000))
--- a/packages/carobwood-daemon/carobwood_daemon/membership/strike_messages.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/strike_messages.py
@@ -4,8 +4,7 @@
 flight on an endpoint when the endpoint crashed.
 """
 
-import time
-
+from carobwood import clocks
 from carobwood.gen.links import ttypes
 
 
@@ -16,7 +15,7 @@
         crash_suspects: the ``CrashSuspects``.
         known: (fingerprint, crash) pairs that are left out.
     """
-    now = time.monotonic()
+    now = clocks.now()
     return [
         ttypes.Strike(*pair, int((now - struck_at) * 1000))
         for pair, struck_at in crash_suspects.strikes().items()
@@ -31,7 +30,7 @@
         crash_suspects: the ``CrashSuspects``.
         messages: thrift ``Strike`` messages, or None.
     """
-    now = time.monotonic()
+    now = clocks.now()
     crash_suspects.merge(
         {
             (strike.fingerprint, strike.crash): now - strike.age_ms / 1000
--- a/packages/carobwood-daemon/carobwood_daemon/membership/withdrawals.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/withdrawals.py
@@ -4,10 +4,10 @@
 """
 
 import threading
-import time
 
 import msgspec
 
+from carobwood import clocks
 from carobwood import errors
 from carobwood import events
 
@@ -54,7 +54,7 @@
             if not fresh:
                 return fresh
             self._digests = self._digests | fresh
-            now = time.monotonic()
+            now = clocks.now()
             self._added_at_by_digest.update(dict.fromkeys(fresh, now))
             self._store()
         events.emit(events.KEY_WITHDRAWN, keys=[d[:16] for d in fresh])
@@ -69,7 +69,7 @@
             committed: digests that the replicated state holds.
         """
         with self._lock:
-            limit = time.monotonic() - GOSSIP_SECONDS
+            limit = clocks.now() - GOSSIP_SECONDS
             added = self._added_at_by_digest
             recent = {d for d, added_at in added.items() if added_at > limit}
             return (self._digests - committed) | recent
--- a/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from carobwood import addresses
+from carobwood import clocks
 from carobwood import document as documents
 from carobwood import errors
 from carobwood import events
@@ -289,7 +290,7 @@
     def vms(self):
         """Return the VMs that are registered or known by gossip."""
         registered = self._context.store.fleet.vms_by_id
-        now = time.monotonic()
+        now = clocks.now()
         roles_by_vm_id = self._replica_roles()
         infos = []
         known_by_id = {vm.id: vm for vm in self._context.directory.vms()}
--- a/packages/carobwood-daemon/carobwood_daemon/relay/cache_event_poller.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/cache_event_poller.py
@@ -41,17 +41,33 @@
         self._pause = pause
         self._boot_epoch = None
         self._position = 0
-        self._stopped = threading.Event()
+        self._lock = threading.Lock()
+        self._stopped = None
 
     def start(self):
-        """Start the polling thread."""
-        threading.Thread(
-            target=self._run, name=f'cache-{self.address}', daemon=True
-        ).start()
+        """Start the polling thread unless it runs."""
+        with self._lock:
+            if self._stopped is not None:
+                return
+            self._stopped = threading.Event()
+            threading.Thread(
+                target=self._run,
+                args=(self._stopped,),
+                name=f'cache-{self.address}',
+                daemon=True,
+            ).start()
 
     def stop(self):
         """End the polling thread after its current poll."""
-        self._stopped.set()
+        with self._lock:
+            if self._stopped is not None:
+                self._stopped.set()
+            self._stopped = None
+
+    @property
+    def is_running(self):
+        """Whether the polling thread has been started and not stopped."""
+        return self._stopped is not None
 
     def poll(self):
         """Poll once and return whether the cache answered."""
@@ -76,8 +92,8 @@
         self._listener.set_availability(True, '')
         return True
 
-    def _run(self):
-        while not self._stopped.is_set():
+    def _run(self, stopped):
+        while not stopped.is_set():
             try:
                 seconds = self._pause if self.poll() else RETRY_SECONDS
             except Exception as error:
@@ -87,4 +103,4 @@
                     error=repr(error),
                 )
                 seconds = RETRY_SECONDS
-            self._stopped.wait(seconds)
+            stopped.wait(seconds)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/engine_cache_monitors.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/engine_cache_monitors.py
@@ -8,15 +8,14 @@
 the prefix is prefilled again or a fetch of it fails. Once the eviction is
 known, the prefix is fetched from a store or goes to its affinity engine.
 
-Each engine is polled by the few VMs that rank highest for it in rendezvous
-hash order; they send the evictions to the other VMs with the placements.
+Each engine is polled by the few VMs of its data centre that rank highest for
+it in rendezvous hash order; they send the evictions to the other VMs with the
+placements.
 Events only remove recorded placements. After a lost event the placement
 remains until it expires, and a late event does not remove a placement that
 was used since.
 """
 
-import dataclasses
-
 from carobwood import clocks
 from carobwood import events
 
@@ -33,7 +32,7 @@
 MAX_EVENT_DELAY_SECONDS = 0.4
 # Pause between two polls, so that one poll returns several events: each poll
 # costs CPU time on the VM and on the engine.
-POLL_PAUSE_SECONDS = 0.2
+POLL_PAUSE_SECONDS = 0.6
 
 
 class EngineCacheMonitor:
@@ -82,40 +81,27 @@
         events.emit(event, endpoint=self._endpoint.id, reason=reason)
 
 
-@dataclasses.dataclass(frozen=True)
-class _RankedVm:
-    """A VM as an item of the rendezvous ranking, which needs an ``id``."""
-
-    id: str
-
-
 class EngineCacheMonitors(periodic_tasks.PeriodicTask):
     """Polls the engines for which this VM ranks among the first."""
 
     def __init__(
         self,
-        vm_id,
         configuration_store,
         directory,
-        gossip_topic,
         dialect,
         prefix_cache_index,
     ):
         """Create the task.
 
         Args:
-            vm_id: id of this VM.
             configuration_store: has the ``configuration`` in force, or None.
             directory: the ``Directory``.
-            gossip_topic: its ``entry_vm_ids()`` returns the other entry VMs.
             dialect: the ``Dialect``.
             prefix_cache_index: the ``PrefixCacheIndex``.
         """
         super().__init__('engine-caches')
-        self._vm_id = vm_id
         self._configuration_store = configuration_store
         self._directory = directory
-        self._gossip_topic = gossip_topic
         self._dialect = dialect
         self._prefix_cache_index = prefix_cache_index
         self._monitors_by_key = {}
@@ -148,10 +134,7 @@
             for service in configuration.services
             if service.engine is not None
         }
-        vms = [_RankedVm(self._vm_id)]
-        vms += [
-            _RankedVm(vm_id) for vm_id in self._gossip_topic.entry_vm_ids()
-        ]
+        vms = self._directory.entry_vms()
         return [
             endpoint
             for endpoint in self._directory.serving_endpoints()
@@ -159,5 +142,7 @@
         ]
 
     def _ranks_first(self, endpoint, vms):
-        ranked = rendezvous.rank(endpoint.id.encode('utf-8'), vms)
-        return self._vm_id in [vm.id for vm in ranked[:VMS_PER_ENGINE]]
+        near = [vm for vm in vms if vm.data_centre == endpoint.data_centre]
+        ranked = rendezvous.rank(endpoint.id.encode('utf-8'), near or vms)
+        own_id = self._directory.own_vm.id
+        return own_id in [vm.id for vm in ranked[:VMS_PER_ENGINE]]
--- a/packages/carobwood-daemon/carobwood_daemon/relay/engine_weights.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/engine_weights.py
@@ -44,6 +44,14 @@
         self._states_by_endpoint = {}
         self._target_by_model = {}
         self._target_set_at_by_model = {}
+        self._listeners = []
+
+    def on_report(self, listener):
+        """Call ``listener(endpoint_id)`` after each newer report.
+
+        Only reports of the order holder count.
+        """
+        self._listeners.append(listener)
 
     def raise_targets(self, weights_by_model):
         """Raise the target versions to those in the replicated state."""
@@ -101,7 +109,9 @@
                 report_number=report_number,
                 loading_until=until,
             )
-            return True
+        for listener in self._listeners:
+            listener(endpoint_id)
+        return True
 
     def version(self, endpoint):
         """Return the weights version of an engine, or 0 if unknown."""
@@ -117,10 +127,9 @@
             return False
         return self._clock() < state.loading_until
 
-    def states(self):
-        """Return (endpoint id, ``WeightsState``) pairs of all engines."""
-        with self._lock:
-            return list(self._states_by_endpoint.items())
+    def state(self, endpoint_id):
+        """Return the ``WeightsState`` of an engine, or None if unknown."""
+        return self._states_by_endpoint.get(endpoint_id)
 
     def _state_of(self, endpoint_id, incarnation):
         """Return the state to update, or None for an older incarnation."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
@@ -2,7 +2,8 @@
 
 Load reports of engines arrive late. Each VM therefore counts the requests
 that it has sent itself and adds what the other entry VMs report to have
-sent.
+sent. A member gets one sum over all others from its aggregator, which adds
+the reports of its members and the sums of the other aggregators.
 """
 
 import dataclasses
@@ -17,6 +18,10 @@
 # Age from which a VM's last load report is ignored, because the VM has
 # stopped reporting.
 PEER_REPORT_MAX_AGE_SECONDS = 1.5
+# Age up to which the sum of all reports is used again.
+SUM_MAX_AGE_SECONDS = 0.05
+# Reporter of the sum over all other VMs that a member gets.
+AGGREGATOR = '*'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,6 +95,21 @@
         self._loads.subtract(self._endpoint_id, remaining)
 
 
+@dataclasses.dataclass(frozen=True)
+class _LoadReport:
+    """The last load report of another VM.
+
+    Attributes:
+        received_at: when this VM received it.
+        is_from_member: whether it belongs to this VM's own group.
+        loads_by_endpoint: ``Load`` by endpoint id.
+    """
+
+    received_at: float
+    is_from_member: bool
+    loads_by_endpoint: dict[str, Load]
+
+
 class FleetLoads:
     """Loads of all endpoints: local counts and the reports of peers."""
 
@@ -98,6 +118,9 @@
         self._lock = threading.Lock()
         self._local_by_endpoint = {}
         self._reports_by_vm = {}
+        self._summed_at = float('-inf')
+        self._sum_by_endpoint = {}
+        self._summed_reports = {}
 
     def reserve(self, endpoint_id, load):
         """Add a load that this VM sends to an endpoint.
@@ -120,18 +143,31 @@
             else:
                 self._local_by_endpoint[endpoint_id] = remaining
 
-    def set_peer_loads(self, vm_id, loads_by_endpoint):
-        """Replace the last load report of another VM."""
+    def set_peer_loads(self, vm_id, loads_by_endpoint, is_from_member=False):
+        """Replace the last load report of another VM.
+
+        Args:
+            vm_id: id of the VM, or ``AGGREGATOR``.
+            loads_by_endpoint: ``Load`` by endpoint id.
+            is_from_member: whether this VM aggregates the report.
+
+        Returns:
+            Whether the loads differ from those of the previous report.
+        """
+        report = _LoadReport(self._clock(), is_from_member, loads_by_endpoint)
         with self._lock:
-            self._reports_by_vm[vm_id] = (self._clock(), loads_by_endpoint)
+            previous = self._reports_by_vm.get(vm_id)
+            self._reports_by_vm[vm_id] = report
+        known = previous.loads_by_endpoint if previous else {}
+        return known != loads_by_endpoint
 
     def oldest_report_age(self):
         """Return the age in seconds of the oldest report still in use."""
         now = self._clock()
         with self._lock:
             ages = [
-                now - received_at
-                for received_at, _ in self._reports_by_vm.values()
+                now - report.received_at
+                for report in self._reports_by_vm.values()
             ]
         return max(
             (age for age in ages if age <= PEER_REPORT_MAX_AGE_SECONDS),
@@ -143,16 +179,49 @@
         with self._lock:
             return dict(self._local_by_endpoint)
 
+    def group_loads(self):
+        """Return the loads of this VM and its members by endpoint id."""
+        with self._lock:
+            return self._sum(lambda report: report.is_from_member)
+
+    def loads_of_others(self, member_id):
+        """Return the loads of all VMs but a member, by endpoint id.
+
+        The sum over all VMs may be ``SUM_MAX_AGE_SECONDS`` old, so that an
+        aggregator does not compute it anew for each of its members.
+        """
+        with self._lock:
+            now = self._clock()
+            if now - self._summed_at > SUM_MAX_AGE_SECONDS:
+                self._summed_at = now
+                self._sum_by_endpoint = self._sum(lambda report: True)
+                self._summed_reports = dict(self._reports_by_vm)
+            totals = dict(self._sum_by_endpoint)
+            report = self._summed_reports.get(member_id)
+        if report is not None:
+            age = self._summed_at - report.received_at
+            for endpoint_id, load in report.loads_by_endpoint.items():
+                remaining = totals[endpoint_id].minus(load.after_prefill(age))
+                totals[endpoint_id] = remaining
+                if remaining == Load():
+                    del totals[endpoint_id]
+        return totals
+
     def total_loads(self):
         """Return the loads of all VMs by endpoint id."""
-        now = self._clock()
         with self._lock:
-            totals = dict(self._local_by_endpoint)
-            for received_at, loads_by_endpoint in self._reports_by_vm.values():
-                age = now - received_at
-                if age > PEER_REPORT_MAX_AGE_SECONDS:
-                    continue
-                for endpoint_id, load in loads_by_endpoint.items():
+            return self._sum(lambda report: True)
+
+    def _sum(self, is_wanted):
+        """Return local loads plus those of recent reports that are wanted."""
+        now = self._clock()
+        totals = dict(self._local_by_endpoint)
+        for vm_id, report in list(self._reports_by_vm.items()):
+            age = now - report.received_at
+            if age > PEER_REPORT_MAX_AGE_SECONDS:
+                del self._reports_by_vm[vm_id]
+            elif is_wanted(report):
+                for endpoint_id, load in report.loads_by_endpoint.items():
                     current = totals.get(endpoint_id, Load())
                     totals[endpoint_id] = current.plus(load.after_prefill(age))
         return totals
--- a/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
@@ -11,6 +11,11 @@
 as the reports are recent; such requests get the lowest priority. A VM
 that is cut off from the control VMs uses only the part of each limit
 that corresponds to the VMs from which it receives reports.
+
+While a customer is beyond its rate, all VMs would admit its requests as soon
+as the bucket refills, until they hear of each other. Each VM therefore
+assumes that the others have admitted as much since their last reports as it
+has itself, in proportion to the usage that they had reported.
 """
 
 import collections
@@ -33,6 +38,10 @@
 # reported late, and units that starting VMs admit before they receive the
 # usage of the others.
 USABLE_TOLERANCE_SHARE = 0.5
+# Seconds until the usage that a VM admits is known to all others.
+UNSEEN_SECONDS = 0.5
+# Seconds over which a VM compares its own usage with that of the others.
+RATIO_SECONDS = 1.5
 # Seconds within which a restarted VM receives the usage of the others.
 WARM_UP_SECONDS = 1.0
 # Seconds before a VM's stop whose usage it may not have reported.
@@ -62,8 +71,10 @@
 
     Attributes:
         verdict: the ``Verdict``.
-        level: units in the token bucket before the request.
-        recent: units admitted in the window before the request.
+        level: units in the token bucket before the request, less those
+            that others are assumed to have admitted unreported.
+        recent: units admitted in the window before the request, those
+            included.
         bound: units that the window may hold; 0 for a request beyond the
             rate while a restarted VM does not use the tolerance.
         retry_after: seconds after which a refused request would be
@@ -111,11 +122,13 @@
         recent: units within the last window.
         units_by_second: ``recent`` split by second, the latest second
             first.
+        acknowledged: units of ``total`` that an aggregator has counted.
     """
 
     total: int
     recent: int
     units_by_second: tuple[int, ...] = ()
+    acknowledged: int = 0
 
 
 class _CustomerQuota:
@@ -198,6 +211,21 @@
         self.local_entries.append((now, units))
         self.local_total += units
 
+    def unseen(self, now, other_vm_count):
+        """Return the units that others may have admitted but not reported.
+
+        Args:
+            now: the current time.
+            other_vm_count: number of other VMs that report.
+        """
+        own_units = _units_since(self.local_entries, now - RATIO_SECONDS)
+        if own_units <= 0:
+            return 0.0
+        all_units = _units_since(self.fleet_entries, now - RATIO_SECONDS)
+        ratio = min(other_vm_count, (all_units - own_units) / own_units)
+        unconfirmed = _units_since(self.local_entries, now - UNSEEN_SECONDS)
+        return max(0.0, ratio * unconfirmed)
+
     def set_limits(self, customer):
         """Apply the customer's rate and burst if they have changed."""
         if (customer.rate, customer.burst) != (self.rate, self.burst):
@@ -220,19 +248,31 @@
         return window
 
 
+def _units_since(entries, started_at):
+    """Return the units of (time, units) pairs after a time."""
+    units = 0
+    for consumed_at, consumed in reversed(entries):
+        if consumed_at < started_at:
+            break
+        units += consumed
+    return units
+
+
 @dataclasses.dataclass(frozen=True)
 class _UsageReport:
-    """The last usage report of another VM.
+    """The last usage report of another VM, or of a group of VMs.
 
     Attributes:
         incarnation: incarnation of that VM.
         received_at: when this VM received the report.
         by_customer: ``Usage`` by customer name.
+        vm_count: number of entry VMs whose usage it holds, without this VM.
     """
 
     incarnation: int
     received_at: float
     by_customer: dict[str, Usage]
+    vm_count: int
 
     def increase_since(self, previous):
         """Return the units admitted since the previous report.
@@ -288,12 +328,19 @@
         self._is_control_reachable = True
         self._starts_with_full_buckets = starts_with_full_buckets
         self._strict_until = 0.0
+        self._first_window_ends_at = 0.0
         self._warm_up_ends_at = 0.0
         self._long_running_vms = set()
+        # (time, number) pairs: how many VMs reported lately, with falling
+        # numbers, so that the first pair holds the maximum.
+        self._reporting_counts = collections.deque()
+        self._known_vm_count = None
+        self._acknowledged_by_customer = {}
         # (VM id, incarnation) pairs whose usage is already counted.
         self._counted_incarnations = set()
         if not starts_with_full_buckets:
             self._strict_until = clock() + tolerance.window
+            self._first_window_ends_at = self._strict_until
             self._warm_up_ends_at = clock() + WARM_UP_SECONDS
 
     def set_limits(self, customers):
@@ -318,6 +365,14 @@
         """Record whether this VM is in contact with the control VMs."""
         self._is_control_reachable = is_control_reachable
 
+    def set_known_vm_count(self, count):
+        """Set the number of live entry VMs, this one included.
+
+        It bounds the number that the reports add up to: a VM that moves to
+        another aggregator is for a while in the reports of both.
+        """
+        self._known_vm_count = count
+
     def admit(self, name, units):
         """Decide on a request and consume its units if it is admitted.
 
@@ -335,7 +390,9 @@
             if customer_quota is None:
                 return QuotaDecision(Verdict.WITHIN_RATE)
             self._advance(customer_quota, now)
-            level, recent = customer_quota.level, customer_quota.recent
+            unseen = self._unseen(customer_quota, now)
+            level = customer_quota.level - unseen
+            recent = customer_quota.recent + unseen
             bound = self._limit_share(now) * self._tolerance.bound(
                 customer_quota.rate, customer_quota.burst
             )
@@ -366,6 +423,17 @@
                 Verdict.WITHIN_TOLERANCE, level, recent, bound
             )
 
+    def _unseen(self, customer_quota, now):
+        """Return the units that others may have admitted but not reported.
+
+        In the first window after a restart, what the others have reported
+        does not tell how the requests are spread now.
+        """
+        if now < self._first_window_ends_at or not self._reporting_counts:
+            return 0.0
+        other_vm_count = self._reporting_counts[-1][1] - 1
+        return customer_quota.unseen(now, other_vm_count)
+
     def refund(self, name, units):
         """Return the units of an admitted request that has not run."""
         now = self._clock()
@@ -388,29 +456,46 @@
                     customer_quota.local_total,
                     recent,
                     customer_quota.local_units_by_second(now),
+                    self._acknowledged_by_customer.get(name, 0),
                 )
             return usage_by_customer
 
-    def merge_usage(self, vm_id, incarnation, usage_by_customer):
+    def acknowledge(self, usage_by_customer):
+        """Record that an aggregator has counted a report of this VM."""
+        with self._lock:
+            self._acknowledged_by_customer.update(
+                (name, usage.total)
+                for name, usage in usage_by_customer.items()
+            )
+
+    def merge_usage(
+        self, vm_id, incarnation, usage_by_customer, vm_count=1, age=0.0
+    ):
         """Count what another VM has admitted since its last report.
 
         Reports of an older incarnation are ignored.
 
         Args:
-            vm_id: the reporting VM.
+            vm_id: the reporting VM, or the aggregator of a group.
             incarnation: its incarnation.
             usage_by_customer: its ``Usage`` by customer name.
+            vm_count: number of entry VMs whose usage the report holds,
+                without this VM.
+            age: age of the report in seconds.
         """
         now = self._clock()
         with self._lock:
             previous = self._reports_by_vm.get(vm_id)
             if previous is not None and previous.incarnation > incarnation:
                 return
-            report = _UsageReport(incarnation, now, usage_by_customer)
+            report = _UsageReport(
+                incarnation, now - age, usage_by_customer, vm_count
+            )
             self._reports_by_vm[vm_id] = report
             if self._quotas_by_customer:
                 self._counted_incarnations.add((vm_id, incarnation))
             self._track_long_running(vm_id, report)
+            self._count_reporting(now)
             for name, units in report.increase_since(previous).items():
                 customer_quota = self._quotas_by_customer.get(name)
                 if customer_quota is not None and units:
@@ -474,12 +559,28 @@
 
     def _limit_share(self, now):
         """Return the part of each limit that this VM may use."""
-        reporting = 1  # This VM counts itself.
-        silent = 0
-        for report in self._reports_by_vm.values():
-            silence = now - report.received_at
-            reporting += silence < SILENT_AFTER_SECONDS
-            silent += SILENT_AFTER_SECONDS <= silence < GONE_AFTER_SECONDS
+        reporting = self._count_reporting(now)
+        silent = self._reporting_counts[0][1] - reporting
         if self._is_control_reachable:
             return (reporting + SILENT_WEIGHT * silent) / (reporting + silent)
         return reporting / (reporting + silent)
+
+    def _count_reporting(self, now):
+        """Return how many VMs report, and remember the highest number.
+
+        VMs may report through another VM than before, so a group whose
+        reports have stopped does not tell how many VMs are silent.
+        """
+        reporting = 1  # This VM counts itself.
+        for report in self._reports_by_vm.values():
+            if now - report.received_at < SILENT_AFTER_SECONDS:
+                reporting += report.vm_count
+        if self._known_vm_count is not None:
+            reporting = max(1, min(reporting, self._known_vm_count))
+        counts = self._reporting_counts
+        while counts and counts[-1][1] <= reporting:
+            counts.pop()
+        counts.append((now, reporting))
+        while counts[0][0] < now - GONE_AFTER_SECONDS:
+            counts.popleft()
+        return reporting
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -11,7 +11,6 @@
 from . import endpoint_health
 from . import engine_weights
 from . import fleet_loads
-from . import gossip_topic
 from . import kv_stores
 from . import past_usage
 from . import quota
@@ -36,8 +35,6 @@
         pool: the ``ConnectionPool``.
         kv_stores: the ``KvStores``.
         past_usage_table: the ``PastUsageTable``.
-        gossip_topic: the ``RelayGossipTopic``, which exchanges loads, usage
-            and weights with other VMs.
         metrics: the ``PrometheusMetrics``.
     """
 
@@ -53,7 +50,6 @@
     pool: endpoint_connections.ConnectionPool
     kv_stores: kv_stores.KvStores
     past_usage_table: past_usage.PastUsageTable
-    gossip_topic: gossip_topic.RelayGossipTopic
     metrics: metric_clients.PrometheusMetrics
 
     def update_endpoint(self, endpoint):
@@ -91,7 +87,6 @@
     relay_configuration.add_change_listener(
         lambda configuration: fleet_quota.set_limits(configuration.customers)
     )
-    takes_callers = settings.caller_listen is not None
     return SharedComponents(
         store,
         relay_configuration,
@@ -105,13 +100,5 @@
         endpoint_connections.ConnectionPool(),
         kv_stores.KvStores(dialect),
         past_usage_table,
-        gossip_topic.RelayGossipTopic(
-            loads,
-            fleet_quota,
-            past_usage_table,
-            weights,
-            takes_callers,
-            queue.notify_all,
-        ),
         metric_clients.PrometheusMetrics(),
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -95,7 +95,6 @@
             RELAY_THREADS,
         )
         store = self._shared.configuration_store
-        store.add_change_listener(self._shared.kv_stores.apply_configuration)
         store.add_change_listener(
             lambda configuration: server.set_limits(
                 configuration.limits.header_bytes,
@@ -117,7 +116,7 @@
             engine_weights=shared.engine_weights,
             loads=shared.loads,
             prefill_shares=fleet_loads.PrefillShares(),
-            push_loads=gossip.push_near,
+            push_loads=gossip.push,
             prefix_cache_index=shared.prefix_cache_index,
             kv_stores=shared.kv_stores,
             health=shared.health,
@@ -126,7 +125,7 @@
                 fleet_limits.retry_ratio,
                 fleet_limits.retry_slack,
                 fleet_limits.retry_window_seconds,
-                shared.gossip_topic.entry_vm_count,
+                lambda: len(directory.entry_vms()),
             ),
             crash_suspects=shared.crash_suspects,
             pool=shared.pool,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -34,8 +34,10 @@
 from .orders import weights_rollout
 from .relay import endpoint_prober
 from .relay import engine_cache_monitors
+from .relay import gossip_topic
 from .relay import shared_components
 from .relay import usage_persister
+from .relay import weights_records
 from .replication import data_folder
 from .replication import proposer as proposers
 from .replication import replica_runner as replica_runners
@@ -43,11 +45,6 @@
 
 # Thread switch interval of the Python interpreter, whose default is 5 ms.
 SWITCH_INTERVAL_SECONDS = 0.0005
-# Gossip period between two entry VMs. It is shorter because they need each
-# other's loads and usage soon.
-ENTRY_GOSSIP_PERIOD_SECONDS = 0.4
-# Gossip period between all other pairs of VMs.
-GOSSIP_PERIOD_SECONDS = 1.0
 # Period of closing expired connections to endpoints.
 POOL_CLEANUP_PERIOD_SECONDS = 1.0
 # Period of checking the contact with the control VMs.
@@ -205,6 +202,7 @@
             '',
             incarnations.new_incarnation(),
             self._data_folder is not None,
+            settings.caller_listen is not None,
         )
         self._directory = directories.Directory(own_vm, settings.seeds)
         self._replica_runner = None
@@ -223,6 +221,14 @@
 
     def _build_membership(self):
         settings = self._settings
+        topic = gossip_topic.RelayGossipTopic(
+            self._directory,
+            self._shared.loads,
+            self._shared.quota,
+            self._shared.past_usage_table,
+            settings.fleet_limits.quota_tolerance.window,
+            self._shared.wait_queue.notify_all,
+        )
         self._gossip = gossips.Gossip(
             self._directory,
             withdrawal_sets.Withdrawals(),
@@ -230,11 +236,10 @@
             self._shared.prefix_cache_index,
             self._store,
             self._links,
-            topics=(self._shared.gossip_topic,),
-            periods=gossips.Periods(
-                ENTRY_GOSSIP_PERIOD_SECONDS,
-                GOSSIP_PERIOD_SECONDS,
-                self._are_both_entry_vms,
+            topics=(topic,),
+            sources=(
+                weights_records.WeightsRecords(self._shared.engine_weights),
+                self._shared.kv_stores,
             ),
         )
         self._membership_status = membership_status.MembershipStatus(
@@ -250,6 +255,9 @@
                 self._gossip.push
             )
         self._directory.on_endpoint_change(self._shared.update_endpoint)
+        self._shared.configuration_store.add_change_listener(
+            self._shared.kv_stores.apply_configuration
+        )
         self._state_poller = state_poller.StatePoller(
             self._store,
             self._directory,
@@ -303,10 +311,8 @@
             )
             all_tasks.append(
                 engine_cache_monitors.EngineCacheMonitors(
-                    self._settings.vm_id,
                     self._shared.configuration_store,
                     self._directory,
-                    self._shared.gossip_topic,
                     self._dialect,
                     self._shared.prefix_cache_index,
                 )
@@ -353,10 +359,6 @@
             return False
         return True
 
-    def _are_both_entry_vms(self, message):
-        is_entry_vm = self._settings.caller_listen is not None
-        return is_entry_vm and bool(message.takes_callers)
-
     def _update_contact(self):
         self._membership_status.note_contact()
         age = self._store.contact_age()
--- a/packages/carobwood-daemon/carobwood_daemon/routing/cache_events.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/cache_events.py
@@ -11,8 +11,8 @@
 import collections
 import dataclasses
 import threading
-import time
 
+from carobwood import clocks
 from carobwood import events
 
 from . import prefix
@@ -58,7 +58,7 @@
 class CacheEvents:
     """Applies engines' cache removal events to the ``PrefixCacheIndex``."""
 
-    def __init__(self, prefix_cache_index, clock=time.monotonic):
+    def __init__(self, prefix_cache_index, clock=clocks.now):
         self._prefix_cache_index = prefix_cache_index
         self._clock = clock
         self._lock = threading.Lock()
--- a/packages/carobwood-daemon/carobwood_daemon/routing/cache_update_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/cache_update_log.py
@@ -1,13 +1,33 @@
-"""Log of this VM's recent placements, which gossip sends to other VMs."""
+"""Log of recent cache updates, which gossip sends to other VMs."""
 
 import collections
 import dataclasses
+import itertools
 import threading
 
 MAX_RECORDS = 2048
 MAX_RECORDS_PER_PAGE = 256
 
 
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """Where a VM has learnt of a record.
+
+    Attributes:
+        vm_id: id of the VM that sent it; empty for this VM itself.
+        is_aggregator: whether that VM passes on the records of others.
+    """
+
+    vm_id: str = ''
+    is_aggregator: bool = False
+
+
+OWN = Source()
+# Source of what an aggregator learns itself and tells only its members,
+# because the other aggregators learn it themselves.
+MEMBERS_ONLY = Source(is_aggregator=True)
+
+
 @dataclasses.dataclass(frozen=True)
 class CacheUpdate:
     """Prompt blocks that an endpoint cached, or removed from its cache.
@@ -52,20 +72,41 @@
 
     def __init__(self):
         self._lock = threading.Lock()
+        # (source, record) pairs.
         self._records = collections.deque(maxlen=MAX_RECORDS)
         self._end_position = 0
 
-    def append(self, record):
-        """Append a ``CacheUpdate``, dropping the oldest if the log is full."""
+    def append(self, record, source=OWN):
+        """Append a ``CacheUpdate``, dropping the oldest if the log is full.
+
+        Args:
+            record: the ``CacheUpdate``.
+            source: its ``Source``.
+        """
         with self._lock:
-            self._records.append(record)
+            self._records.append((source, record))
             self._end_position += 1
 
-    def read(self, position):
-        """Return the ``LogPage`` of records that starts at a position."""
+    def read(self, position, is_wanted=lambda source: True):
+        """Return the ``LogPage`` of records that starts at a position.
+
+        Args:
+            position: the position.
+            is_wanted: function of a ``Source``: whether its records are
+                included.
+        """
         with self._lock:
             first_position = self._end_position - len(self._records)
             skipped = max(0, position - first_position)
-            records = list(self._records)[skipped:]
-        records = tuple(records[:MAX_RECORDS_PER_PAGE])
-        return LogPage(records, first_position + skipped + len(records))
+            if skipped >= len(self._records):
+                return LogPage((), self._end_position)
+            pairs = list(itertools.islice(self._records, skipped, None))
+        wanted = []
+        count = 0
+        for source, record in pairs:
+            if len(wanted) == MAX_RECORDS_PER_PAGE:
+                break
+            count += 1
+            if is_wanted(source):
+                wanted.append(record)
+        return LogPage(tuple(wanted), first_position + skipped + count)
--- a/packages/carobwood-daemon/carobwood_daemon/routing/crash_suspects.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/crash_suspects.py
@@ -13,8 +13,8 @@
 
 import collections
 import threading
-import time
 
+from carobwood import clocks
 from carobwood import errors
 from carobwood import events
 
@@ -26,7 +26,7 @@
 class CrashSuspects:
     """Strikes by request fingerprint, which gossip replicates to all VMs."""
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock=clocks.now):
         self._clock = clock
         self._lock = threading.Condition()
         self._strikes_by_fingerprint = collections.OrderedDict()
--- a/packages/carobwood-daemon/carobwood_daemon/routing/prefix_cache_index.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/prefix_cache_index.py
@@ -8,7 +8,8 @@
 import dataclasses
 import itertools
 import threading
-import time
+
+from carobwood import clocks
 
 from . import cache_update_log
 
@@ -24,9 +25,9 @@
 LIFETIME_INCREASE_FACTOR = 1.1
 # Only cached blocks older than this fraction of the lifetime increase it.
 MIN_AGE_FRACTION = 0.8
-# Minimum time between two log records for the same block, if the block stays
-# in use.
-RENEWAL_SECONDS = 2.0
+# A use of a block is logged again after this fraction of the lifetime, so
+# that the block does not expire on other VMs while it stays in use.
+RENEWAL_FRACTION = 1 / 3
 
 
 class _Cache:
@@ -63,7 +64,7 @@
 
     def take_unlogged(self, block_hashes, now):
         """Return the blocks to be logged and mark them as logged."""
-        limit = now - RENEWAL_SECONDS
+        limit = now - RENEWAL_FRACTION * self.lifetime
         unlogged = tuple(
             block
             for block in block_hashes
@@ -73,12 +74,19 @@
         return unlogged
 
     def drop(self, blocks, removed_at):
-        """Drop removed blocks, except those used after the removal."""
+        """Drop removed blocks, except those used after the removal.
+
+        Returns:
+            The blocks that were dropped.
+        """
+        dropped = []
         for block in blocks:
             used_at = self.used_at_by_block.get(block)
             if used_at is not None and used_at <= removed_at:
                 del self.used_at_by_block[block]
                 self.logged_at_by_block.pop(block, None)
+                dropped.append(block)
+        return tuple(dropped)
 
     def _drop_oldest(self):
         block, _ = self.used_at_by_block.popitem(last=False)
@@ -111,16 +119,17 @@
     estimated for each endpoint from the number of cached tokens that its
     responses report. Records of this VM are appended to ``log``, and records
     of other VMs are merged with ``merge``, so that the indexes of all
-    VMs converge.
+    VMs converge. Merged records are appended as well, so that this VM can
+    pass them on, but only if they tell it something new.
 
     The cache of a new incarnation starts empty, because a restarted engine
     has lost its cache.
 
     Attributes:
-        log: the ``CacheUpdateLog`` with the records of this VM.
+        log: the ``CacheUpdateLog``.
     """
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock=clocks.now):
         self._clock = clock
         self._lock = threading.Lock()
         self._caches_by_incarnation = {}
@@ -161,23 +170,37 @@
                 listener()
         return ages
 
-    def merge(self, placement):
+    def merge(self, placement, source=cache_update_log.OWN):
         """Merge a ``CacheUpdate`` of another VM or of the data folder.
 
         Records of incarnations older than the newest known one are ignored.
+
+        Args:
+            placement: the ``CacheUpdate``.
+            source: source under which news is logged; see
+                ``CacheUpdateLog.append``.
         """
+        news = self._merge(placement)
+        if news:
+            self.log.append(
+                dataclasses.replace(placement, block_hashes=news), source
+            )
+
+    def _merge(self, placement):
+        """Merge a ``CacheUpdate`` and return the blocks that it is news of."""
         key = (placement.endpoint_id, placement.incarnation)
+        recorded_at = placement.recorded_at
         with self._lock:
             if self._has_newer_incarnation(key):
-                return
+                return ()
             cache = self._get_or_create_cache(key)
             if placement.is_removed:
-                cache.drop(placement.block_hashes, placement.recorded_at)
-                return
+                return cache.drop(placement.block_hashes, recorded_at)
             for block in placement.block_hashes:
                 used_at = cache.used_at_by_block.get(block, float('-inf'))
-                if used_at < placement.recorded_at:
-                    cache.use(block, placement.recorded_at)
+                if used_at < recorded_at:
+                    cache.use(block, recorded_at)
+            return cache.take_unlogged(placement.block_hashes, recorded_at)
 
     def has_block(self, endpoint, block):
         """Return whether an endpoint likely has a block in its cache."""
@@ -199,7 +222,7 @@
             removed_at,
             True,
         )
-        self.merge(placement)
+        self._merge(placement)
         self.log.append(placement)
 
     def halve_lifetime(self, endpoint):
--- a/packages/carobwood-daemon/carobwood_daemon/routing/rendezvous.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/rendezvous.py
@@ -25,6 +25,11 @@
     )
 
 
+def rank_names(key, names):
+    """Return names in the key's order of preference; see ``rank``."""
+    return sorted(names, key=lambda name: _weight(key, name), reverse=True)
+
+
 def _weight(key, endpoint_id):
     data = key + endpoint_id.encode('utf-8')
     return hashlib.blake2b(data, digest_size=8).digest()
--- a/packages/carobwood/carobwood/gen/links/FleetLink.py
+++ b/packages/carobwood/carobwood/gen/links/FleetLink.py
@@ -1845,7 +1845,7 @@
                 break
             if fid == 0:
                 if ftype == TType.STRUCT:
-                    self.success = GossipMessage()
+                    self.success = GossipReply()
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
@@ -1881,7 +1881,7 @@
         return not (self == other)
 all_structs.append(gossip_result)
 gossip_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [GossipMessage, None], None, ),  # 0
+    (0, TType.STRUCT, 'success', [GossipReply, None], None, ),  # 0
 )
 
 
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -34,6 +34,24 @@
     }
 
 
+class SenderRole(object):
+    MEMBER = 1
+    AGGREGATOR = 2
+    BROADCASTER = 3
+
+    _VALUES_TO_NAMES = {
+        1: "MEMBER",
+        2: "AGGREGATOR",
+        3: "BROADCASTER",
+    }
+
+    _NAMES_TO_VALUES = {
+        "MEMBER": 1,
+        "AGGREGATOR": 2,
+        "BROADCASTER": 3,
+    }
+
+
 class VmDescriptor(object):
     """
     Attributes:
@@ -43,17 +61,19 @@
      - operator_address
      - incarnation
      - has_disk
+     - takes_callers
 
     """
 
 
-    def __init__(self, vm_id=None, data_centre=None, link_address=None, operator_address=None, incarnation=None, has_disk=None,):
+    def __init__(self, vm_id=None, data_centre=None, link_address=None, operator_address=None, incarnation=None, has_disk=None, takes_callers=None,):
         self.vm_id = vm_id
         self.data_centre = data_centre
         self.link_address = link_address
         self.operator_address = operator_address
         self.incarnation = incarnation
         self.has_disk = has_disk
+        self.takes_callers = takes_callers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -94,6 +114,11 @@
                     self.has_disk = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.takes_callers = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -128,6 +153,10 @@
             oprot.writeFieldBegin('has_disk', TType.BOOL, 6)
             oprot.writeBool(self.has_disk)
             oprot.writeFieldEnd()
+        if self.takes_callers is not None:
+            oprot.writeFieldBegin('takes_callers', TType.BOOL, 7)
+            oprot.writeBool(self.takes_callers)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2724,16 +2753,16 @@
      - customer
      - total
      - recent
-     - by_second
+     - acknowledged
 
     """
 
 
-    def __init__(self, customer=None, total=None, recent=None, by_second=None,):
+    def __init__(self, customer=None, total=None, recent=None, acknowledged=None,):
         self.customer = customer
         self.total = total
         self.recent = recent
-        self.by_second = by_second
+        self.acknowledged = acknowledged
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2760,13 +2789,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.by_second = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readI64()
-                        self.by_second.append(_elem47)
-                    iprot.readListEnd()
+                if ftype == TType.I64:
+                    self.acknowledged = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2791,12 +2815,9 @@
             oprot.writeFieldBegin('recent', TType.I64, 3)
             oprot.writeI64(self.recent)
             oprot.writeFieldEnd()
-        if self.by_second is not None:
-            oprot.writeFieldBegin('by_second', TType.LIST, 4)
-            oprot.writeListBegin(TType.I64, len(self.by_second))
-            for iter48 in self.by_second:
-                oprot.writeI64(iter48)
-            oprot.writeListEnd()
+        if self.acknowledged is not None:
+            oprot.writeFieldBegin('acknowledged', TType.I64, 4)
+            oprot.writeI64(self.acknowledged)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2866,16 +2887,16 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.seconds_by_customer = {}
-                    (_ktype50, _vtype51, _size49) = iprot.readMapBegin()
-                    for _i53 in range(_size49):
-                        _key54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val55 = []
-                        (_etype59, _size56) = iprot.readListBegin()
-                        for _i60 in range(_size56):
-                            _elem61 = iprot.readI64()
-                            _val55.append(_elem61)
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = []
+                        (_etype52, _size49) = iprot.readListBegin()
+                        for _i53 in range(_size49):
+                            _elem54 = iprot.readI64()
+                            _val48.append(_elem54)
                         iprot.readListEnd()
-                        self.seconds_by_customer[_key54] = _val55
+                        self.seconds_by_customer[_key47] = _val48
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2904,11 +2925,11 @@
         if self.seconds_by_customer is not None:
             oprot.writeFieldBegin('seconds_by_customer', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.seconds_by_customer))
-            for kiter62, viter63 in self.seconds_by_customer.items():
-                oprot.writeString(kiter62.encode('utf-8') if sys.version_info[0] == 2 else kiter62)
-                oprot.writeListBegin(TType.I64, len(viter63))
-                for iter64 in viter63:
-                    oprot.writeI64(iter64)
+            for kiter55, viter56 in self.seconds_by_customer.items():
+                oprot.writeString(kiter55.encode('utf-8') if sys.version_info[0] == 2 else kiter55)
+                oprot.writeListBegin(TType.I64, len(viter56))
+                for iter57 in viter56:
+                    oprot.writeI64(iter57)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
@@ -2938,40 +2959,26 @@
         return not (self == other)
 
 
-class GossipMessage(object):
+class GroupReport(object):
     """
     Attributes:
-     - vm
-     - version
-     - vms
-     - announcements
-     - withdrawn_digests
-     - fleet_id
-     - strikes
-     - placements
-     - weights
-     - loads
+     - aggregator_id
+     - incarnation
+     - number
+     - age_ms
+     - vm_count
      - spending
-     - takes_callers
-     - past_spending
 
     """
 
 
-    def __init__(self, vm=None, version=None, vms=None, announcements=None, withdrawn_digests=None, fleet_id=None, strikes=None, placements=None, weights=None, loads=None, spending=None, takes_callers=None, past_spending=None,):
-        self.vm = vm
-        self.version = version
-        self.vms = vms
-        self.announcements = announcements
-        self.withdrawn_digests = withdrawn_digests
-        self.fleet_id = fleet_id
-        self.strikes = strikes
-        self.placements = placements
-        self.weights = weights
-        self.loads = loads
+    def __init__(self, aggregator_id=None, incarnation=None, number=None, age_ms=None, vm_count=None, spending=None,):
+        self.aggregator_id = aggregator_id
+        self.incarnation = incarnation
+        self.number = number
+        self.age_ms = age_ms
+        self.vm_count = vm_count
         self.spending = spending
-        self.takes_callers = takes_callers
-        self.past_spending = past_spending
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2983,121 +2990,38 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.vm = VmDescriptor()
-                    self.vm.read(iprot)
+                if ftype == TType.STRING:
+                    self.aggregator_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                    self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.LIST:
-                    self.vms = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = VmDescriptor()
-                        _elem70.read(iprot)
-                        self.vms.append(_elem70)
-                    iprot.readListEnd()
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.announcements = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = Announcement()
-                        _elem76.read(iprot)
-                        self.announcements.append(_elem76)
-                    iprot.readListEnd()
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.LIST:
-                    self.withdrawn_digests = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem82)
-                    iprot.readListEnd()
+                if ftype == TType.I32:
+                    self.vm_count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.STRING:
-                    self.fleet_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.LIST:
-                    self.strikes = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = Strike()
-                        _elem88.read(iprot)
-                        self.strikes.append(_elem88)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.LIST:
-                    self.placements = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = PlacementNews()
-                        _elem94.read(iprot)
-                        self.placements.append(_elem94)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.LIST:
-                    self.weights = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = WeightsNews()
-                        _elem100.read(iprot)
-                        self.weights.append(_elem100)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.LIST:
-                    self.loads = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = LoadNews()
-                        _elem106.read(iprot)
-                        self.loads.append(_elem106)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 11:
                 if ftype == TType.LIST:
                     self.spending = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = SpendingNews()
-                        _elem112.read(iprot)
-                        self.spending.append(_elem112)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 12:
-                if ftype == TType.BOOL:
-                    self.takes_callers = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.LIST:
-                    self.past_spending = []
-                    (_etype116, _size113) = iprot.readListBegin()
-                    for _i117 in range(_size113):
-                        _elem118 = PastSpendingNews()
-                        _elem118.read(iprot)
-                        self.past_spending.append(_elem118)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = SpendingNews()
+                        _elem63.read(iprot)
+                        self.spending.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3110,102 +3034,135 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('GossipMessage')
-        if self.vm is not None:
-            oprot.writeFieldBegin('vm', TType.STRUCT, 1)
-            self.vm.write(oprot)
-            oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 2)
-            oprot.writeI64(self.version)
-            oprot.writeFieldEnd()
-        if self.vms is not None:
-            oprot.writeFieldBegin('vms', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter119 in self.vms:
-                iter119.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.announcements is not None:
-            oprot.writeFieldBegin('announcements', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter120 in self.announcements:
-                iter120.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.withdrawn_digests is not None:
-            oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter121 in self.withdrawn_digests:
-                oprot.writeString(iter121.encode('utf-8') if sys.version_info[0] == 2 else iter121)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.fleet_id is not None:
-            oprot.writeFieldBegin('fleet_id', TType.STRING, 6)
-            oprot.writeString(self.fleet_id.encode('utf-8') if sys.version_info[0] == 2 else self.fleet_id)
+        oprot.writeStructBegin('GroupReport')
+        if self.aggregator_id is not None:
+            oprot.writeFieldBegin('aggregator_id', TType.STRING, 1)
+            oprot.writeString(self.aggregator_id.encode('utf-8') if sys.version_info[0] == 2 else self.aggregator_id)
             oprot.writeFieldEnd()
-        if self.strikes is not None:
-            oprot.writeFieldBegin('strikes', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter122 in self.strikes:
-                iter122.write(oprot)
-            oprot.writeListEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.placements is not None:
-            oprot.writeFieldBegin('placements', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter123 in self.placements:
-                iter123.write(oprot)
-            oprot.writeListEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
             oprot.writeFieldEnd()
-        if self.weights is not None:
-            oprot.writeFieldBegin('weights', TType.LIST, 9)
-            oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter124 in self.weights:
-                iter124.write(oprot)
-            oprot.writeListEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
-        if self.loads is not None:
-            oprot.writeFieldBegin('loads', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter125 in self.loads:
-                iter125.write(oprot)
-            oprot.writeListEnd()
+        if self.vm_count is not None:
+            oprot.writeFieldBegin('vm_count', TType.I32, 5)
+            oprot.writeI32(self.vm_count)
             oprot.writeFieldEnd()
         if self.spending is not None:
-            oprot.writeFieldBegin('spending', TType.LIST, 11)
+            oprot.writeFieldBegin('spending', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter126 in self.spending:
-                iter126.write(oprot)
+            for iter64 in self.spending:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.takes_callers is not None:
-            oprot.writeFieldBegin('takes_callers', TType.BOOL, 12)
-            oprot.writeBool(self.takes_callers)
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.aggregator_id is None:
+            raise TProtocolException(message='Required field aggregator_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.vm_count is None:
+            raise TProtocolException(message='Required field vm_count is unset!')
+        if self.spending is None:
+            raise TProtocolException(message='Required field spending is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoreNews(object):
+    """
+    Attributes:
+     - address
+     - digest
+     - present
+
+    """
+
+
+    def __init__(self, address=None, digest=None, present=None,):
+        self.address = address
+        self.digest = digest
+        self.present = present
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.present = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreNews')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
-        if self.past_spending is not None:
-            oprot.writeFieldBegin('past_spending', TType.LIST, 13)
-            oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter127 in self.past_spending:
-                iter127.write(oprot)
-            oprot.writeListEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.present is not None:
+            oprot.writeFieldBegin('present', TType.BOOL, 3)
+            oprot.writeBool(self.present)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.vm is None:
-            raise TProtocolException(message='Required field vm is unset!')
-        if self.version is None:
-            raise TProtocolException(message='Required field version is unset!')
-        if self.vms is None:
-            raise TProtocolException(message='Required field vms is unset!')
-        if self.announcements is None:
-            raise TProtocolException(message='Required field announcements is unset!')
-        if self.withdrawn_digests is None:
-            raise TProtocolException(message='Required field withdrawn_digests is unset!')
-        if self.fleet_id is None:
-            raise TProtocolException(message='Required field fleet_id is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        if self.present is None:
+            raise TProtocolException(message='Required field present is unset!')
         return
 
     def __repr__(self):
@@ -3218,8 +3175,928 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(VmDescriptor)
-VmDescriptor.thrift_spec = (
+
+
+class RosterEntry(object):
+    """
+    Attributes:
+     - vm_id
+     - version
+
+    """
+
+
+    def __init__(self, vm_id=None, version=None,):
+        self.vm_id = vm_id
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RosterEntry')
+        if self.vm_id is not None:
+            oprot.writeFieldBegin('vm_id', TType.STRING, 1)
+            oprot.writeString(self.vm_id.encode('utf-8') if sys.version_info[0] == 2 else self.vm_id)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm_id is None:
+            raise TProtocolException(message='Required field vm_id is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Roster(object):
+    """
+    Attributes:
+     - aggregator_id
+     - incarnation
+     - number
+     - members
+     - peers
+
+    """
+
+
+    def __init__(self, aggregator_id=None, incarnation=None, number=None, members=None, peers=None,):
+        self.aggregator_id = aggregator_id
+        self.incarnation = incarnation
+        self.number = number
+        self.members = members
+        self.peers = peers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.aggregator_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = RosterEntry()
+                        _elem70.read(iprot)
+                        self.members.append(_elem70)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = RosterEntry()
+                        _elem76.read(iprot)
+                        self.peers.append(_elem76)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Roster')
+        if self.aggregator_id is not None:
+            oprot.writeFieldBegin('aggregator_id', TType.STRING, 1)
+            oprot.writeString(self.aggregator_id.encode('utf-8') if sys.version_info[0] == 2 else self.aggregator_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter77 in self.members:
+                iter77.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.peers))
+            for iter78 in self.peers:
+                iter78.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.aggregator_id is None:
+            raise TProtocolException(message='Required field aggregator_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        if self.peers is None:
+            raise TProtocolException(message='Required field peers is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Records(object):
+    """
+    Attributes:
+     - vms
+     - announcements
+     - strikes
+     - weights
+     - placements
+     - rosters
+     - stores
+
+    """
+
+
+    def __init__(self, vms=None, announcements=None, strikes=None, weights=None, placements=None, rosters=None, stores=None,):
+        self.vms = vms
+        self.announcements = announcements
+        self.strikes = strikes
+        self.weights = weights
+        self.placements = placements
+        self.rosters = rosters
+        self.stores = stores
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.vms = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = VmDescriptor()
+                        _elem84.read(iprot)
+                        self.vms.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.announcements = []
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = Announcement()
+                        _elem90.read(iprot)
+                        self.announcements.append(_elem90)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.strikes = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Strike()
+                        _elem96.read(iprot)
+                        self.strikes.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.weights = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = WeightsNews()
+                        _elem102.read(iprot)
+                        self.weights.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.placements = []
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = PlacementNews()
+                        _elem108.read(iprot)
+                        self.placements.append(_elem108)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.rosters = []
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = Roster()
+                        _elem114.read(iprot)
+                        self.rosters.append(_elem114)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.stores = []
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = StoreNews()
+                        _elem120.read(iprot)
+                        self.stores.append(_elem120)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Records')
+        if self.vms is not None:
+            oprot.writeFieldBegin('vms', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.vms))
+            for iter121 in self.vms:
+                iter121.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.announcements is not None:
+            oprot.writeFieldBegin('announcements', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.announcements))
+            for iter122 in self.announcements:
+                iter122.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.strikes is not None:
+            oprot.writeFieldBegin('strikes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.strikes))
+            for iter123 in self.strikes:
+                iter123.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.weights is not None:
+            oprot.writeFieldBegin('weights', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.weights))
+            for iter124 in self.weights:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.placements is not None:
+            oprot.writeFieldBegin('placements', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.placements))
+            for iter125 in self.placements:
+                iter125.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rosters is not None:
+            oprot.writeFieldBegin('rosters', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.rosters))
+            for iter126 in self.rosters:
+                iter126.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.stores is not None:
+            oprot.writeFieldBegin('stores', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.stores))
+            for iter127 in self.stores:
+                iter127.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LogPosition(object):
+    """
+    Attributes:
+     - log_id
+     - records
+     - placements
+
+    """
+
+
+    def __init__(self, log_id=None, records=None, placements=None,):
+        self.log_id = log_id
+        self.records = records
+        self.placements = placements
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.log_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.records = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.placements = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogPosition')
+        if self.log_id is not None:
+            oprot.writeFieldBegin('log_id', TType.I64, 1)
+            oprot.writeI64(self.log_id)
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.I64, 2)
+            oprot.writeI64(self.records)
+            oprot.writeFieldEnd()
+        if self.placements is not None:
+            oprot.writeFieldBegin('placements', TType.I64, 3)
+            oprot.writeI64(self.placements)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.log_id is None:
+            raise TProtocolException(message='Required field log_id is unset!')
+        if self.records is None:
+            raise TProtocolException(message='Required field records is unset!')
+        if self.placements is None:
+            raise TProtocolException(message='Required field placements is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GossipMessage(object):
+    """
+    Attributes:
+     - vm
+     - version
+     - fleet_id
+     - role
+     - withdrawn_digests
+     - records
+     - loads
+     - group
+     - position
+
+    """
+
+
+    def __init__(self, vm=None, version=None, fleet_id=None, role=None, withdrawn_digests=None, records=None, loads=None, group=None, position=None,):
+        self.vm = vm
+        self.version = version
+        self.fleet_id = fleet_id
+        self.role = role
+        self.withdrawn_digests = withdrawn_digests
+        self.records = records
+        self.loads = loads
+        self.group = group
+        self.position = position
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.vm = VmDescriptor()
+                    self.vm.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.fleet_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.role = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.withdrawn_digests = []
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem133)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.records = Records()
+                    self.records.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = LoadNews()
+                        _elem139.read(iprot)
+                        self.loads.append(_elem139)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.group = GroupReport()
+                    self.group.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.position = LogPosition()
+                    self.position.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GossipMessage')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRUCT, 1)
+            self.vm.write(oprot)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.fleet_id is not None:
+            oprot.writeFieldBegin('fleet_id', TType.STRING, 3)
+            oprot.writeString(self.fleet_id.encode('utf-8') if sys.version_info[0] == 2 else self.fleet_id)
+            oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.I32, 4)
+            oprot.writeI32(self.role)
+            oprot.writeFieldEnd()
+        if self.withdrawn_digests is not None:
+            oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
+            for iter140 in self.withdrawn_digests:
+                oprot.writeString(iter140.encode('utf-8') if sys.version_info[0] == 2 else iter140)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.STRUCT, 6)
+            self.records.write(oprot)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter141 in self.loads:
+                iter141.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRUCT, 8)
+            self.group.write(oprot)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.STRUCT, 9)
+            self.position.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm is None:
+            raise TProtocolException(message='Required field vm is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.fleet_id is None:
+            raise TProtocolException(message='Required field fleet_id is unset!')
+        if self.role is None:
+            raise TProtocolException(message='Required field role is unset!')
+        if self.withdrawn_digests is None:
+            raise TProtocolException(message='Required field withdrawn_digests is unset!')
+        if self.records is None:
+            raise TProtocolException(message='Required field records is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GossipReply(object):
+    """
+    Attributes:
+     - vm
+     - version
+     - fleet_id
+     - contact_age_ms
+     - withdrawn_digests
+     - accepted
+     - records
+     - position
+     - silent_endpoints
+     - period_ms
+     - loads
+     - groups
+     - own_units
+     - past_spending
+
+    """
+
+
+    def __init__(self, vm=None, version=None, fleet_id=None, contact_age_ms=None, withdrawn_digests=None, accepted=None, records=None, position=None, silent_endpoints=None, period_ms=None, loads=None, groups=None, own_units=None, past_spending=None,):
+        self.vm = vm
+        self.version = version
+        self.fleet_id = fleet_id
+        self.contact_age_ms = contact_age_ms
+        self.withdrawn_digests = withdrawn_digests
+        self.accepted = accepted
+        self.records = records
+        self.position = position
+        self.silent_endpoints = silent_endpoints
+        self.period_ms = period_ms
+        self.loads = loads
+        self.groups = groups
+        self.own_units = own_units
+        self.past_spending = past_spending
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.vm = VmDescriptor()
+                    self.vm.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.fleet_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.contact_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.withdrawn_digests = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.accepted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.records = Records()
+                    self.records.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.position = LogPosition()
+                    self.position.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.silent_endpoints = []
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem153)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.period_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = LoadNews()
+                        _elem159.read(iprot)
+                        self.loads.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.groups = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = GroupReport()
+                        _elem165.read(iprot)
+                        self.groups.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.MAP:
+                    self.own_units = {}
+                    (_ktype167, _vtype168, _size166) = iprot.readMapBegin()
+                    for _i170 in range(_size166):
+                        _key171 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val172 = iprot.readI64()
+                        self.own_units[_key171] = _val172
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.past_spending = []
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = PastSpendingNews()
+                        _elem178.read(iprot)
+                        self.past_spending.append(_elem178)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GossipReply')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRUCT, 1)
+            self.vm.write(oprot)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.fleet_id is not None:
+            oprot.writeFieldBegin('fleet_id', TType.STRING, 3)
+            oprot.writeString(self.fleet_id.encode('utf-8') if sys.version_info[0] == 2 else self.fleet_id)
+            oprot.writeFieldEnd()
+        if self.contact_age_ms is not None:
+            oprot.writeFieldBegin('contact_age_ms', TType.I64, 4)
+            oprot.writeI64(self.contact_age_ms)
+            oprot.writeFieldEnd()
+        if self.withdrawn_digests is not None:
+            oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
+            for iter179 in self.withdrawn_digests:
+                oprot.writeString(iter179.encode('utf-8') if sys.version_info[0] == 2 else iter179)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.accepted is not None:
+            oprot.writeFieldBegin('accepted', TType.BOOL, 6)
+            oprot.writeBool(self.accepted)
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.STRUCT, 7)
+            self.records.write(oprot)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.STRUCT, 8)
+            self.position.write(oprot)
+            oprot.writeFieldEnd()
+        if self.silent_endpoints is not None:
+            oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
+            for iter180 in self.silent_endpoints:
+                oprot.writeString(iter180.encode('utf-8') if sys.version_info[0] == 2 else iter180)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.period_ms is not None:
+            oprot.writeFieldBegin('period_ms', TType.I32, 10)
+            oprot.writeI32(self.period_ms)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter181 in self.loads:
+                iter181.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.groups is not None:
+            oprot.writeFieldBegin('groups', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.groups))
+            for iter182 in self.groups:
+                iter182.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.own_units is not None:
+            oprot.writeFieldBegin('own_units', TType.MAP, 13)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
+            for kiter183, viter184 in self.own_units.items():
+                oprot.writeString(kiter183.encode('utf-8') if sys.version_info[0] == 2 else kiter183)
+                oprot.writeI64(viter184)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.past_spending is not None:
+            oprot.writeFieldBegin('past_spending', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
+            for iter185 in self.past_spending:
+                iter185.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm is None:
+            raise TProtocolException(message='Required field vm is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.fleet_id is None:
+            raise TProtocolException(message='Required field fleet_id is unset!')
+        if self.contact_age_ms is None:
+            raise TProtocolException(message='Required field contact_age_ms is unset!')
+        if self.withdrawn_digests is None:
+            raise TProtocolException(message='Required field withdrawn_digests is unset!')
+        if self.accepted is None:
+            raise TProtocolException(message='Required field accepted is unset!')
+        if self.records is None:
+            raise TProtocolException(message='Required field records is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(VmDescriptor)
+VmDescriptor.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'vm_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
@@ -3227,6 +4104,7 @@
     (4, TType.STRING, 'operator_address', 'UTF8', None, ),  # 4
     (5, TType.I64, 'incarnation', None, None, ),  # 5
     (6, TType.BOOL, 'has_disk', None, None, ),  # 6
+    (7, TType.BOOL, 'takes_callers', None, None, ),  # 7
 )
 all_structs.append(LogEntry)
 LogEntry.thrift_spec = (
@@ -3441,7 +4319,7 @@
     (1, TType.STRING, 'customer', 'UTF8', None, ),  # 1
     (2, TType.I64, 'total', None, None, ),  # 2
     (3, TType.I64, 'recent', None, None, ),  # 3
-    (4, TType.LIST, 'by_second', (TType.I64, None, False), None, ),  # 4
+    (4, TType.I64, 'acknowledged', None, None, ),  # 4
 )
 all_structs.append(PastSpendingNews)
 PastSpendingNews.thrift_spec = (
@@ -3451,22 +4329,86 @@
     (3, TType.I64, 'age_ms', None, None, ),  # 3
     (4, TType.MAP, 'seconds_by_customer', (TType.STRING, 'UTF8', TType.LIST, (TType.I64, None, False), False), None, ),  # 4
 )
+all_structs.append(GroupReport)
+GroupReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'aggregator_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.I32, 'vm_count', None, None, ),  # 5
+    (6, TType.LIST, 'spending', (TType.STRUCT, [SpendingNews, None], False), None, ),  # 6
+)
+all_structs.append(StoreNews)
+StoreNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
+    (3, TType.BOOL, 'present', None, None, ),  # 3
+)
+all_structs.append(RosterEntry)
+RosterEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+)
+all_structs.append(Roster)
+Roster.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'aggregator_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.LIST, 'members', (TType.STRUCT, [RosterEntry, None], False), None, ),  # 4
+    (5, TType.LIST, 'peers', (TType.STRUCT, [RosterEntry, None], False), None, ),  # 5
+)
+all_structs.append(Records)
+Records.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'vms', (TType.STRUCT, [VmDescriptor, None], False), None, ),  # 1
+    (2, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 2
+    (3, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 3
+    (4, TType.LIST, 'weights', (TType.STRUCT, [WeightsNews, None], False), None, ),  # 4
+    (5, TType.LIST, 'placements', (TType.STRUCT, [PlacementNews, None], False), None, ),  # 5
+    (6, TType.LIST, 'rosters', (TType.STRUCT, [Roster, None], False), None, ),  # 6
+    (7, TType.LIST, 'stores', (TType.STRUCT, [StoreNews, None], False), None, ),  # 7
+)
+all_structs.append(LogPosition)
+LogPosition.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'log_id', None, None, ),  # 1
+    (2, TType.I64, 'records', None, None, ),  # 2
+    (3, TType.I64, 'placements', None, None, ),  # 3
+)
 all_structs.append(GossipMessage)
 GossipMessage.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'vm', [VmDescriptor, None], None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
-    (3, TType.LIST, 'vms', (TType.STRUCT, [VmDescriptor, None], False), None, ),  # 3
-    (4, TType.LIST, 'announcements', (TType.STRUCT, [Announcement, None], False), None, ),  # 4
+    (3, TType.STRING, 'fleet_id', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'role', None, None, ),  # 4
+    (5, TType.LIST, 'withdrawn_digests', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.STRUCT, 'records', [Records, None], None, ),  # 6
+    (7, TType.LIST, 'loads', (TType.STRUCT, [LoadNews, None], False), None, ),  # 7
+    (8, TType.STRUCT, 'group', [GroupReport, None], None, ),  # 8
+    (9, TType.STRUCT, 'position', [LogPosition, None], None, ),  # 9
+)
+all_structs.append(GossipReply)
+GossipReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'vm', [VmDescriptor, None], None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'fleet_id', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'contact_age_ms', None, None, ),  # 4
     (5, TType.LIST, 'withdrawn_digests', (TType.STRING, 'UTF8', False), None, ),  # 5
-    (6, TType.STRING, 'fleet_id', 'UTF8', None, ),  # 6
-    (7, TType.LIST, 'strikes', (TType.STRUCT, [Strike, None], False), None, ),  # 7
-    (8, TType.LIST, 'placements', (TType.STRUCT, [PlacementNews, None], False), None, ),  # 8
-    (9, TType.LIST, 'weights', (TType.STRUCT, [WeightsNews, None], False), None, ),  # 9
-    (10, TType.LIST, 'loads', (TType.STRUCT, [LoadNews, None], False), None, ),  # 10
-    (11, TType.LIST, 'spending', (TType.STRUCT, [SpendingNews, None], False), None, ),  # 11
-    (12, TType.BOOL, 'takes_callers', None, None, ),  # 12
-    (13, TType.LIST, 'past_spending', (TType.STRUCT, [PastSpendingNews, None], False), None, ),  # 13
+    (6, TType.BOOL, 'accepted', None, None, ),  # 6
+    (7, TType.STRUCT, 'records', [Records, None], None, ),  # 7
+    (8, TType.STRUCT, 'position', [LogPosition, None], None, ),  # 8
+    (9, TType.LIST, 'silent_endpoints', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.I32, 'period_ms', None, None, ),  # 10
+    (11, TType.LIST, 'loads', (TType.STRUCT, [LoadNews, None], False), None, ),  # 11
+    (12, TType.LIST, 'groups', (TType.STRUCT, [GroupReport, None], False), None, ),  # 12
+    (13, TType.MAP, 'own_units', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
+    (14, TType.LIST, 'past_spending', (TType.STRUCT, [PastSpendingNews, None], False), None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,5 +1,6 @@
 """Sends at least 200 malformed requests and documents; no VM may crash."""
 
+import errno
 import json
 import pathlib
 import random
@@ -84,12 +85,23 @@
 ]
 
 
+def _end_sending(connection):
+    try:
+        connection.shutdown(socket.SHUT_WR)
+    except OSError as error:
+        # A reset that has come before the call leaves the socket not
+        # connected.
+        if error.errno != errno.ENOTCONN:
+            raise
+        raise ConnectionResetError('the VM closed the connection') from error
+
+
 def _send_raw(address, data):
     host, _, port = address.partition(':')
     with socket.create_connection((host, int(port)), 10) as connection:
         try:
             connection.sendall(data)
-            connection.shutdown(socket.SHUT_WR)
+            _end_sending(connection)
             response = b''
             while True:
                 part = connection.recv(65536)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -4,7 +4,9 @@
 import pathlib
 import re
 
+from carobwood.gen.links import ttypes
 from carobwood_daemon.membership import directory
+import relay_builders as builders
 
 PACKAGES = pathlib.Path(__file__).parents[1] / 'packages'
 # Modules that may read the wall clock: for incarnations, which are corrected
@@ -24,7 +26,7 @@
 
 def test_a_vm_exceeds_its_earlier_incarnation_after_a_clock_step_back():
     known_fleet = _directory()
-    known_fleet.merge_vm(dataclasses.replace(OWN, incarnation=500), False)
+    known_fleet.merge_vm(dataclasses.replace(OWN, incarnation=500))
     assert known_fleet.own_vm.incarnation == 501
 
 
@@ -66,8 +68,46 @@
 
 def test_an_older_incarnation_of_a_vm_does_not_replace_it():
     known_fleet = _directory()
-    known_fleet.merge_vm(dataclasses.replace(OTHER, incarnation=200), True, 9)
-    known_fleet.merge_vm(OTHER, True, 3)
+    known_fleet.note_message(dataclasses.replace(OTHER, incarnation=200), 9)
+    known_fleet.note_message(OTHER, 3)
+    known_fleet.merge_vm(OTHER)
     known = known_fleet.vms()[1]
     assert (known.incarnation, known.version) == (200, 9)
     assert known_fleet.peer_addresses() == ['127.0.0.1:2']
+
+
+def test_an_older_roster_never_replaces_a_newer_one():
+    known_fleet = _directory()
+    newer = ttypes.Roster('vm2', 100, 2, [ttypes.RosterEntry('vm3', 1)], [])
+    known_fleet.merge_roster(newer)
+    known_fleet.merge_roster(ttypes.Roster('vm2', 100, 1, [], []))
+    known_fleet.merge_roster(ttypes.Roster('vm2', 99, 7, [], []))
+    assert known_fleet.find_roster('vm2') == newer
+
+
+def test_a_vm_on_the_roster_of_a_silent_aggregator_is_silent():
+    clock = builders.Clock()
+    known_fleet = directory.Directory(OWN, (), clock)
+    member = directory.Vm('vm3', 'bole', '127.0.0.1:3', '', 100, False)
+    known_fleet.note_message(OTHER, 0)
+    known_fleet.merge_vm(member)
+    known_fleet.merge_roster(
+        ttypes.Roster('vm2', 100, 1, [ttypes.RosterEntry('vm3', 5)], [])
+    )
+    [found] = [vm for vm in known_fleet.vms() if vm.id == 'vm3']
+    assert not found.is_silent(clock.now)
+    clock.advance(directory.VM_SILENCE_SECONDS + 0.1)
+    [found] = [vm for vm in known_fleet.vms() if vm.id == 'vm3']
+    assert found.is_silent(clock.now)
+
+
+def test_a_lost_vm_without_a_disk_is_forgotten_in_the_end():
+    clock = builders.Clock()
+    known_fleet = directory.Directory(OWN, (), clock)
+    member = directory.Vm('vm3', 'bole', '127.0.0.1:3', '', 100, False)
+    known_fleet.note_message(OTHER, 0)
+    known_fleet.note_message(member, 0, is_member=True)
+    known_fleet.review_vms(is_aggregator=True)
+    clock.advance(directory.VM_FORGET_SECONDS + 1)
+    known_fleet.review_vms(is_aggregator=True)
+    assert [vm.id for vm in known_fleet.vms()] == ['vm1', 'vm2']
--- a/tests/test_endpoint_locks.py
+++ b/tests/test_endpoint_locks.py
@@ -34,7 +34,7 @@
         self.now = 100.0
         vm_directory = directory.Directory(OWN, (), lambda: self.now)
         other = directory.Vm('vm2', 'bole', '127.0.0.1:2', '', 1, False)
-        vm_directory.merge_vm(other, True)
+        vm_directory.note_message(other, 0)
         locks = endpoint_locks.EndpointLockTable(lambda: self.now)
         self.endpoint_locks = endpoint_locks.EndpointLocks(
             locks,
--- a/tests/test_engine_cache_monitors.py
+++ b/tests/test_engine_cache_monitors.py
@@ -91,7 +91,7 @@
     ]
 
 
-def _assigned_ids(vm_id, others, engines):
+def _assigned_ids(own_vm, vms, engines):
     """Return the ids of the engines that a VM polls."""
     stub = types.SimpleNamespace
     configuration = stub(
@@ -101,32 +101,53 @@
         ]
     )
     monitors = engine_cache_monitors.EngineCacheMonitors(
-        vm_id,
         stub(configuration=configuration),
-        stub(serving_endpoints=lambda: engines),
-        stub(entry_vm_ids=lambda: others),
+        stub(
+            own_vm=own_vm,
+            entry_vms=lambda: vms,
+            serving_endpoints=lambda: engines,
+        ),
         None,
         None,
     )
     return {endpoint.id for endpoint in monitors._assigned_engines()}
 
 
-@pytest.mark.parametrize('vms', [1, 7, 58])
-def test_each_engine_is_polled_by_few_vms(vms):
-    names = [f'front-{number}' for number in range(vms)]
+def _entry_vms(count, data_centre='bole'):
+    return [
+        types.SimpleNamespace(id=f'front-{n}', data_centre=data_centre)
+        for n in range(count)
+    ]
+
+
+@pytest.mark.parametrize('count', [1, 7, 58])
+def test_each_engine_is_polled_by_few_vms(count):
+    vms = _entry_vms(count)
     engines = [builders.endpoint(f'engine-{n}') for n in range(30)]
     engines.append(builders.endpoint('orders-1', pool='orders'))
     counts = dict.fromkeys([engine.id for engine in engines], 0)
-    for name in names:
-        others = [other for other in names if other != name]
-        for engine_id in _assigned_ids(name, others, engines):
+    for vm in vms:
+        for engine_id in _assigned_ids(vm, vms, engines):
             counts[engine_id] += 1
-    expected = min(vms, engine_cache_monitors.VMS_PER_ENGINE)
+    expected = min(count, engine_cache_monitors.VMS_PER_ENGINE)
     assert counts.pop('orders-1') == 0
     assert set(counts.values()) == {expected}
 
 
 def test_the_engines_of_a_lost_vm_are_polled_by_others():
     engines = [builders.endpoint(f'engine-{n}') for n in range(30)]
-    assigned_ids = _assigned_ids('front-0', ['front-1'], engines)
+    vms = _entry_vms(2)
+    assigned_ids = _assigned_ids(vms[0], vms, engines)
     assert assigned_ids == {engine.id for engine in engines}
+
+
+def test_an_engine_is_polled_from_its_own_data_centre():
+    engines = [builders.endpoint(f'engine-{n}') for n in range(30)]
+    near = _entry_vms(2)
+    far = [
+        types.SimpleNamespace(id=f'far-{n}', data_centre='yeka')
+        for n in range(10)
+    ]
+    assert _assigned_ids(far[0], near + far, engines) == set()
+    assert len(_assigned_ids(near[0], near + far, engines)) == 30
+    assert _assigned_ids(far[0], far, engines)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,22 +1,25 @@
-"""Tests of the gossip between VMs."""
+"""Tests of the exchange of gossip with one aggregator."""
 
 from carobwood import errors
 from carobwood import events
 from carobwood.gen.links import ttypes
 from carobwood_daemon.membership import directory
 from carobwood_daemon.membership import gossip
+from carobwood_daemon.membership import gossip_peers
 from carobwood_daemon.membership import withdrawals
 from carobwood_daemon.replication import state_store
 from carobwood_daemon.routing import crash_suspects
 from carobwood_daemon.routing import prefix_cache_index
+import pytest
 
 OWN = directory.Vm('vm1', 'bole', '127.0.0.1:1', '', 1, False)
+AGGREGATOR = '127.0.0.1:2'
 
 
 class FakeLink:
-    """A link to a peer that records messages and answers them."""
+    """A link to an aggregator that records messages and answers them."""
 
-    address = '127.0.0.1:2'
+    address = AGGREGATOR
 
     def __init__(self):
         self.messages = []
@@ -30,74 +33,107 @@
             raise errors.LinkFailed('the link is broken')
         self.messages.append(message)
         vm = ttypes.VmDescriptor(
-            'vm2', 'bole', self.address, '', self.incarnation, False
+            'vm2', 'bole', self.address, '', self.incarnation, True
+        )
+        return ttypes.GossipReply(
+            vm, 0, '', -1, [], True, ttypes.Records(), period_ms=100
         )
-        return ttypes.GossipMessage(vm, 0, [], [], [], '', [], [])
 
 
 class FakeLinks:
-    """Links whose connections are never opened."""
+    """Links that all lead to one aggregator."""
+
+    def __init__(self, link):
+        self._link = link
 
     def to(self, address):
-        """Return a link that answers."""
-        return FakeLink()
+        """Return the link to the aggregator."""
+        return self._link
 
 
-def _gossip(known_suspects):
-    return gossip.Gossip(
-        directory.Directory(OWN, ()),
+def _make_thread(kind, known_suspects, link):
+    """Return the thread that exchanges gossip, of a VM that knows a seed."""
+    known_fleet = directory.Directory(OWN, (AGGREGATOR,))
+    vm_gossip = gossip.Gossip(
+        known_fleet,
         withdrawals.Withdrawals(),
         known_suspects,
         prefix_cache_index.PrefixCacheIndex(),
         state_store.StateStore(),
-        FakeLinks(),
+        FakeLinks(link),
     )
+    if kind == 'aggregator':
+        return gossip_peers.AggregatorPeer(vm_gossip, link)
+    return gossip_peers.Uplink(vm_gossip, known_fleet, FakeLinks(link))
 
 
 def _strikes(message):
-    return {(s.fingerprint, s.crash) for s in message.strikes}
+    return {(s.fingerprint, s.crash) for s in message.records.strikes}
+
+
+both_kinds = pytest.mark.parametrize('kind', ['aggregator', 'member'])
 
 
-def test_a_strike_is_sent_to_a_peer_once():
+@both_kinds
+def test_a_strike_is_sent_to_an_aggregator_once(kind):
     known_suspects = crash_suspects.CrashSuspects()
     link = FakeLink()
-    peer = gossip.Peer(_gossip(known_suspects), link)
-    peer._exchange()
+    thread = _make_thread(kind, known_suspects, link)
+    thread.exchange()
     known_suspects.merge({('f1', 'engine-1/1'): 1e12})
-    peer._exchange()
+    thread.exchange()
     known_suspects.merge({('f2', 'engine-1/1'): 1e12})
-    peer._exchange()
+    thread.exchange()
     assert [_strikes(m) for m in link.messages] == [
         set(),
         {('f1', 'engine-1/1')},
         {('f2', 'engine-1/1')},
     ]
-    assert peer.await_confirmed(('f1', 'engine-1/1'), 0)
-    assert peer.await_confirmed(('f2', 'engine-1/1'), 0)
 
 
-def test_a_restarted_peer_is_sent_all_strikes_again():
+@both_kinds
+def test_a_strike_is_sent_again_after_a_failed_call(kind):
     known_suspects = crash_suspects.CrashSuspects()
+    link = FakeLink()
+    thread = _make_thread(kind, known_suspects, link)
+    thread.exchange()
     known_suspects.merge({('f1', 'engine-1/1'): 1e12})
+    link.fails = True
+    thread.exchange()
+    link.fails = False
+    # A member first looks for an aggregator that has not failed.
+    sent_count = len(link.messages)
+    while len(link.messages) == sent_count:
+        thread.exchange()
+    assert _strikes(link.messages[-1]) == {('f1', 'engine-1/1')}
+
+
+@both_kinds
+def test_a_restarted_aggregator_is_sent_all_strikes_again(kind):
+    known_suspects = crash_suspects.CrashSuspects()
     link = FakeLink()
-    peer = gossip.Peer(_gossip(known_suspects), link)
-    peer._exchange()
-    peer._exchange()
+    thread = _make_thread(kind, known_suspects, link)
+    known_suspects.merge({('f1', 'engine-1/1'): 1e12})
+    thread.exchange()
+    thread.exchange()
     link.incarnation = 8
-    peer._exchange()
-    peer._exchange()
+    thread.exchange()
+    thread.exchange()
     assert ('f1', 'engine-1/1') in _strikes(link.messages[-1])
     assert not _strikes(link.messages[-2])
 
 
-def test_the_loss_and_the_return_of_a_peer_are_logged_once(monkeypatch):
+@both_kinds
+def test_the_loss_and_the_return_of_an_aggregator_are_logged_once(
+    kind, monkeypatch
+):
     logged = []
     monkeypatch.setattr(
         events, 'emit', lambda event, **fields: logged.append(event.name)
     )
     link = FakeLink()
-    peer = gossip.Peer(_gossip(crash_suspects.CrashSuspects()), link)
+    thread = _make_thread(kind, crash_suspects.CrashSuspects(), link)
     for link.fails in (False, True, True, False, False):
-        peer._exchange()
+        thread.exchange()
     peer_events = [name for name in logged if name != 'vm-seen']
     assert peer_events == ['vm-silent', 'vm-regained']
--- a/tests/test_kv_stores.py
+++ b/tests/test_kv_stores.py
@@ -1,10 +1,16 @@
 """Tests of the recorded contents of KV cache stores."""
 
+import types
+
 from carobwood import errors
+from carobwood_daemon.relay import block_digests
 from carobwood_daemon.relay import kv_stores
 from carobwood_daemon.relay import messages
 
 
+ADDRESS = '10.0.0.1:1'
+
+
 def _added(salt, segment_id):
     return messages.CacheEvent(True, salt, segment_id)
 
@@ -31,7 +37,7 @@
 def _polled(*batches):
     """Return a dialect and a store that has polled all its batches."""
     dialect = FakeDialect(*batches)
-    store = kv_stores.KvStore('10.0.0.1:1', dialect)
+    store = kv_stores.KvStore(ADDRESS, dialect, lambda block_id: None)
     for _ in batches:
         store.poller.poll()
     return dialect, store
@@ -72,3 +78,66 @@
     assert not store.poller.poll()
     assert not store.is_up
     assert store.count_leading('v1', ['a']) == 0
+
+
+def _configuration():
+    services = [types.SimpleNamespace(store_address=ADDRESS)]
+    return types.SimpleNamespace(services=services)
+
+
+def _make_stores(is_aggregator):
+    stores = kv_stores.KvStores(FakeDialect())
+    stores.apply_configuration(_configuration())
+    stores.review(is_aggregator)
+    return stores
+
+
+def test_a_member_learns_of_a_store_from_its_aggregator():
+    aggregator = kv_stores.KvStores(FakeDialect())
+    changed = []
+    aggregator.on_change(changed.append)
+    aggregator.apply_configuration(_configuration())
+    [store] = aggregator._stores_by_address.values()
+    store.apply(_batch(3, _added('v1', 'a'), _added('v1', 'b')))
+    store.set_availability(True, '')
+    store.apply(_batch(4, messages.CacheEvent(False, 'v1', 'b')))
+    member = _make_stores(is_aggregator=False)
+    assert member.find_available() is None
+    member.merge([aggregator.to_thrift(block_id) for block_id in changed])
+    assert member.find_available().count_leading('v1', ['a', 'b']) == 1
+
+
+def test_a_member_drops_all_blocks_of_a_store_that_has_restarted():
+    aggregator = kv_stores.KvStores(FakeDialect())
+    aggregator.apply_configuration(_configuration())
+    [store] = aggregator._stores_by_address.values()
+    store.set_availability(True, '')
+    store.apply(_batch(3, _added('v1', 'a')))
+    member = _make_stores(is_aggregator=False)
+    changed = []
+    aggregator.on_change(changed.append)
+    member.merge(
+        [
+            aggregator.to_thrift(kv_stores.BlockId(ADDRESS)),
+            aggregator.to_thrift(
+                kv_stores.BlockId(
+                    ADDRESS, block_digests.block_digest('v1', 'a')
+                )
+            ),
+        ]
+    )
+    assert member.find_available().count_leading('v1', ['a']) == 1
+    store.apply(_batch(1, boot_epoch=2))
+    member.merge([aggregator.to_thrift(block_id) for block_id in changed])
+    assert member.find_available().count_leading('v1', ['a']) == 0
+
+
+def test_only_an_aggregator_polls_stores():
+    member = _make_stores(is_aggregator=False)
+    aggregator = _make_stores(is_aggregator=True)
+    [member_store] = member._stores_by_address.values()
+    [aggregator_store] = aggregator._stores_by_address.values()
+    assert not member_store.poller.is_running
+    assert aggregator_store.poller.is_running
+    aggregator.review(False)
+    assert not aggregator_store.poller.is_running
--- a/tests/test_prefix_cache_index.py
+++ b/tests/test_prefix_cache_index.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from carobwood import clocks
 from carobwood_daemon.membership import cache_update_messages
 from carobwood_daemon.membership import directory
 from carobwood_daemon.membership import prefix_cache_persister
@@ -14,13 +15,14 @@
 ENGINE = directory.Endpoint(
     'engine-1', 5, 1, '', 'bole', 'engines', 'production', '1'
 )
+SENDER = cache_update_log.Source('vm2')
 BLOCK_HASHES = tuple(bytes([n]) * prefix.DIGEST_BYTES for n in range(4))
 
 
 def _replicate(sender, receiver, position=0):
     page = sender.log.read(position)
     cache_update_messages.merge_thrift(
-        receiver, cache_update_messages.to_thrift(page.records)
+        receiver, cache_update_messages.to_thrift(page.records), SENDER
     )
     return page.next_position
 
@@ -36,7 +38,38 @@
         BLOCK_HASHES
     )
     assert receiver.count_blocks(ENGINE) == len(BLOCK_HASHES)
-    assert receiver.log.read(0).records == ()
+    own_page = receiver.log.read(
+        0, lambda source: source == cache_update_log.OWN
+    )
+    assert own_page.records == ()
+
+
+def test_a_merged_placement_is_passed_on_once():
+    sender, receiver = (
+        prefix_cache_index.PrefixCacheIndex(),
+        prefix_cache_index.PrefixCacheIndex(),
+    )
+    sender.record_use(ENGINE, BLOCK_HASHES)
+    for _ in range(3):
+        _replicate(sender, receiver)
+    page = receiver.log.read(0, lambda source: source == SENDER)
+    assert [r.block_hashes for r in page.records] == [BLOCK_HASHES]
+
+
+def test_a_merged_removal_is_passed_on_once():
+    sender, receiver = (
+        prefix_cache_index.PrefixCacheIndex(),
+        prefix_cache_index.PrefixCacheIndex(),
+    )
+    sender.record_use(ENGINE, BLOCK_HASHES)
+    position = _replicate(sender, receiver)
+    sender.remove(ENGINE, BLOCK_HASHES[1:], clocks.now())
+    for _ in range(3):
+        _replicate(sender, receiver, position)
+    page = receiver.log.read(1)
+    assert [(r.block_hashes, r.is_removed) for r in page.records] == [
+        (BLOCK_HASHES[1:], True)
+    ]
 
 
 def test_a_late_record_does_not_restore_an_old_incarnation():
@@ -58,7 +91,10 @@
     index.record_use(ENGINE, BLOCK_HASHES)
     index.record_use(ENGINE, BLOCK_HASHES)
     assert len(index.log.read(0).records) == 1
-    now[0] += prefix_cache_index.RENEWAL_SECONDS
+    now[0] += (
+        prefix_cache_index.RENEWAL_FRACTION
+        * prefix_cache_index.INITIAL_LIFETIME_SECONDS
+    )
     index.record_use(ENGINE, BLOCK_HASHES[:2])
     assert index.log.read(1).records[0].block_hashes == BLOCK_HASHES[:2]
 
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -10,6 +10,7 @@
   4: required string operator_address
   5: required i64 incarnation
   6: bool has_disk
+  7: bool takes_callers
 }
 
 struct LogEntry {
@@ -214,19 +215,20 @@
   5: required i32 streams
 }
 
-// Rate-limit units that the sending VM has admitted for a customer.
+// Rate-limit units that a VM, or a group of VMs, has admitted for a customer.
 struct SpendingNews {
   1: required string customer
-  // Units since the VM started.
+  // Units since the incarnation of the reporting VM started.
   2: required i64 total
-  // Units within the last window of the limits.
+  // Units within the last window of the limits; only in reports of groups.
   3: required i64 recent
-  // Units for each second of that window, the latest second first.
-  4: list<i64> by_second
+  // Units of total that an earlier report of the same incarnation held and
+  // that an aggregator has acknowledged; only in reports of members.
+  4: i64 acknowledged
 }
 
-// What an incarnation of an entry VM had admitted in its last seconds. The
-// incarnation seems to have ended.
+// What an incarnation of an aggregator had counted for its members in its
+// last seconds. The incarnation seems to have ended.
 struct PastSpendingNews {
   1: required string vm_id
   2: required i64 incarnation
@@ -235,20 +237,106 @@
   4: required map<string, list<i64>> seconds_by_customer
 }
 
+// Usage of a VM's group: of its members and of the VM itself.
+struct GroupReport {
+  1: required string aggregator_id
+  2: required i64 incarnation
+  // Grows with each report of the incarnation.
+  3: required i64 number
+  4: required i32 age_ms
+  // Number of VMs in the group that take callers.
+  5: required i32 vm_count
+  6: required list<SpendingNews> spending
+}
+
+// Block of a KV cache store, as the aggregator that polls the store knows it.
+// An empty digest stands for the store itself: whether it answers.
+struct StoreNews {
+  1: required string address
+  2: required binary digest
+  3: required bool present
+}
+
+struct RosterEntry {
+  1: required string vm_id
+  // Latest version of the replicated state that the VM reported.
+  2: required i64 version
+}
+
+// The VMs that an aggregator hears itself.
+struct Roster {
+  1: required string aggregator_id
+  2: required i64 incarnation
+  // Grows with each roster of the incarnation.
+  3: required i64 number
+  4: required list<RosterEntry> members
+  // Other aggregators.
+  5: required list<RosterEntry> peers
+}
+
+struct Records {
+  1: list<VmDescriptor> vms
+  2: list<Announcement> announcements
+  3: list<Strike> strikes
+  4: list<WeightsNews> weights
+  5: list<PlacementNews> placements
+  6: list<Roster> rosters
+  7: list<StoreNews> stores
+}
+
+// Position in the logs of records of one process.
+struct LogPosition {
+  // Names the logs; a restarted process has others.
+  1: required i64 log_id
+  2: required i64 records
+  3: required i64 placements
+}
+
+enum SenderRole {
+  // Reports to the receiver, which aggregates its reports.
+  MEMBER = 1
+  // Aggregates the reports of its own members, as the receiver does.
+  AGGREGATOR = 2
+  // Sends a few urgent records only.
+  BROADCASTER = 3
+}
+
 struct GossipMessage {
   1: required VmDescriptor vm
   2: required i64 version
-  3: required list<VmDescriptor> vms
-  4: required list<Announcement> announcements
+  3: required string fleet_id
+  4: required SenderRole role
+  5: required list<string> withdrawn_digests
+  6: required Records records
+  // Sums over the sender's group.
+  7: list<LoadNews> loads
+  8: GroupReport group
+  // Position in the receiver's logs; not set by aggregators, which are sent
+  // records in messages of their own.
+  9: LogPosition position
+}
+
+struct GossipReply {
+  1: required VmDescriptor vm
+  2: required i64 version
+  3: required string fleet_id
+  // As in FollowReply.
+  4: required i64 contact_age_ms
   5: required list<string> withdrawn_digests
-  6: required string fleet_id
-  7: list<Strike> strikes
-  8: list<PlacementNews> placements
-  9: list<WeightsNews> weights
-  10: list<LoadNews> loads
-  11: list<SpendingNews> spending
-  12: bool takes_callers
-  13: list<PastSpendingNews> past_spending
+  // Whether the receiver takes the sender as a member; if not, only the
+  // records are set.
+  6: required bool accepted
+  7: required Records records
+  8: LogPosition position
+  9: list<string> silent_endpoints
+  // Time until the member's next message.
+  10: i32 period_ms
+  // Sums over all other VMs of the fleet.
+  11: list<LoadNews> loads
+  12: list<GroupReport> groups
+  // Units of the member itself within the report of the receiver's group.
+  13: map<string, i64> own_units
+  14: list<PastSpendingNews> past_spending
 }
 
 service FleetLink {
@@ -260,7 +348,7 @@
   JoinReply join(1: JoinRequest request)
   ReplaceReply replace_voter(1: ReplaceRequest request)
   FollowReply follow(1: FollowRequest request)
-  GossipMessage gossip(1: GossipMessage message)
+  GossipReply gossip(1: GossipMessage message)
   ApartReply hold_apart(1: ApartRequest request)
   LendReply lend_tokens(1: LendRequest request)
 }
