Bound what an engine may send, and skip late answers of other requests

Cause: a late answer of another request ended the request as a crash, since the connection lacked the method that skips it; interim responses, heads and events without end were read without a bound; a byte now and then kept a stalled stream from being resumed; an unregistered status was no response; thrift's records of handler faults were dropped with those of refusals. Change: BoundedReader bounds the head and a late body by time and size, a whole body and an event by size; only complete events count as progress.

--- a/packages/carobwood-daemon/carobwood_daemon/observe/logs.py
+++ b/packages/carobwood-daemon/carobwood_daemon/observe/logs.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from carobwood import errors
 from carobwood import events
 
 # Lines that may wait to be written: several seconds of a busy VM's output.
@@ -39,14 +40,29 @@
 
 
 class _ThriftExceptionFilter(std_logging.Filter):
-    """Drops thrift's log records of exceptions that a handler raised.
+    """Drops thrift's log records of refusals, and shortens its others.
 
     Handlers raise typed errors to refuse requests, and thrift would log
-    each with a traceback.
+    each with a traceback. Any other exception is a fault.
     """
 
     def filter(self, record):
-        return 'exception in handler' not in record.getMessage()
+        if 'exception in handler' not in record.getMessage():
+            return True
+        error = record.exc_info[1] if record.exc_info else None
+        if isinstance(error, errors.CarobwoodError):
+            return False
+        event = events.THREAD_FAILED
+        record.msg = json.dumps(
+            {
+                'event': event.number,
+                'name': event.name,
+                'thread': 'link',
+                'error': repr(error),
+            }
+        )
+        record.args = ()
+        return True
 
 
 class BoundedHandler(std_logging.Handler):
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/bounded_reader.py
@@ -0,0 +1,67 @@
+"""Reads from a socket with a bound on time and size.
+
+A peer that sends a byte now and then resets the timeout of each read, and
+one that sends without end never lets a read time out.
+"""
+
+import io
+
+from carobwood import clocks
+
+
+class BoundedReader(io.RawIOBase):
+    """Raw reader of a socket whose next bytes may be bounded.
+
+    Without a bound, reads use the socket's own timeout.
+    """
+
+    def __init__(self, sock):
+        """Create the reader of a connected socket, which it does not own."""
+        super().__init__()
+        self._socket = sock
+        self._ends_at = None
+        self._bytes_left = 0
+
+    def bound(self, seconds, size):
+        """Bound all following reads together.
+
+        Args:
+            seconds: time within which they must end.
+            size: number of bytes that they may read.
+        """
+        self._ends_at = clocks.now() + seconds
+        self._bytes_left = size
+
+    def release(self):
+        """End the bound."""
+        self._ends_at = None
+
+    def readable(self):
+        """Return True; see ``io.RawIOBase``."""
+        return True
+
+    def readinto(self, buffer):
+        """Read into a buffer; see ``io.RawIOBase``.
+
+        Raises:
+            OSError: the connection failed, or the bound is exceeded.
+        """
+        if self._ends_at is None:
+            return self._receive(buffer)
+        seconds_left = self._ends_at - clocks.now()
+        if seconds_left <= 0:
+            raise TimeoutError('the bytes did not end within the time')
+        if self._bytes_left <= 0:
+            raise OSError('the bytes did not end within the size')
+        timeout = self._socket.gettimeout()
+        if timeout is None or timeout > seconds_left:
+            self._socket.settimeout(seconds_left)
+        count = self._receive(memoryview(buffer)[: self._bytes_left])
+        self._bytes_left -= count or 0
+        return count
+
+    def _receive(self, buffer):
+        try:
+            return self._socket.recv_into(buffer)
+        except BlockingIOError:
+            return None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/caller_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/caller_request.py
@@ -1,5 +1,7 @@
 """A caller's request and the client connection that it arrived on."""
 
+import http
+
 from carobwood import errors
 
 from . import endpoint_connections
@@ -26,6 +28,14 @@
 )
 
 
+def reason_phrase(status):
+    """Return the reason phrase of a status, empty if it is unregistered."""
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return ''
+
+
 class CallerRequest:
     """A request as cheroot has parsed it, and the means to respond to it.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 import http.client
+import io
 import select
 import socket
 import threading
@@ -22,6 +23,8 @@
 
 from ..entry import response_body
 
+from . import bounded_reader
+
 # A connection is made within milliseconds. If it takes longer, the endpoint
 # is down or the first packet was lost, and another endpoint responds sooner.
 CONNECT_TIMEOUT_SECONDS = 0.15
@@ -49,6 +52,9 @@
 ]
 # What making a connection, and reading from or writing to it, can raise.
 _CONNECT_FAILURES = (OSError, urllib3.exceptions.HTTPError)
+# Bounds of a response's head, interim responses included.
+MAX_HEAD_SECONDS = 5.0
+MAX_HEAD_BYTES = 256 * 1024
 _IO_FAILURES = (http.client.HTTPException, OSError, ValueError, EOFError)
 
 
@@ -102,7 +108,8 @@
         self._socket = sock
         # One buffered reader serves all responses, since a reader per
         # response would lose the bytes that it has buffered beyond it.
-        self._reader = sock.makefile('rb')
+        self._bounds = bounded_reader.BoundedReader(sock)
+        self._reader = io.BufferedReader(self._bounds)
         self._body = None
         self._closes_after_response = False
         # Error of an earlier read, which later reads raise again. The
@@ -168,12 +175,15 @@
             )
         try:
             self._socket.settimeout(timeout)
+            self._bounds.bound(MAX_HEAD_SECONDS, MAX_HEAD_BYTES)
             response.begin()
         except _IO_FAILURES as error:
             response.fp = None
             raise errors.EndpointFailed(
                 f'reading the response failed: {error!r}'
             ) from error
+        finally:
+            self._bounds.release()
         self._body = response_body.open_body(response)
         self._closes_after_response = response.will_close
         # Detached, so that the response does not close the reader when it
@@ -209,6 +219,24 @@
                 f'reading the body failed: {error!r}'
             ) from error
 
+    def skip_body(self, seconds, max_bytes):
+        """Read the rest of a body that belongs to no request.
+
+        Args:
+            seconds: time within which the body must end.
+            max_bytes: size that the rest may have.
+
+        Raises:
+            EndpointFailed: the connection failed before the body's end, or
+                the body exceeds the bounds.
+        """
+        self._bounds.bound(seconds, max_bytes)
+        try:
+            while not self.is_complete and self.read_available(seconds):
+                pass
+        finally:
+            self._bounds.release()
+
     def wait(self, caller_socket, timeout):
         """Wait until the endpoint sends or the caller disconnects.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
@@ -6,6 +6,11 @@
 
 import re
 
+from carobwood import errors
+
+# Bound of an incomplete event, which is kept in memory.
+MAX_EVENT_BYTES = 1024 * 1024
+
 _EVENT_END = b'\n\n'
 _ID_LINE = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
@@ -25,9 +30,15 @@
         self._buffer = b''
 
     def feed(self, data):
-        """Add bytes and return the events that are complete, unchanged."""
+        """Add bytes and return the events that are complete, unchanged.
+
+        Raises:
+            EndpointFailed: an event exceeds ``MAX_EVENT_BYTES``.
+        """
         buffer = self._buffer + data
         end = buffer.rfind(_EVENT_END)
+        if len(buffer) - max(0, end) > MAX_EVENT_BYTES:
+            raise errors.EndpointFailed('an event exceeds the size limit')
         if end < 0:
             self._buffer = buffer
             return b''
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -1,6 +1,5 @@
 """Relays a caller's request: admission, forwarding, error response."""
 
-import http
 import math
 
 from carobwood import clocks
@@ -88,7 +87,7 @@
             seconds = math.ceil(error.retry_after)
             headers.append(('Retry-After', str(seconds)))
         body = caller_request.encode_error_body(error, request_id)
-        reason = http.HTTPStatus(error.status).phrase
+        reason = caller_request.reason_phrase(error.status)
         try:
             caller.send_response(error.status, reason, headers, body)
         except errors.CallerLeft:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -5,8 +5,6 @@
 endpoint after the last complete event that the caller has received.
 """
 
-import http
-
 from carobwood import clocks
 from carobwood import errors
 from carobwood import events
@@ -30,6 +28,8 @@
 STALL_TIMEOUT_SECONDS = 1.0
 # Timeout of each read of a body once its connection has become readable.
 BODY_READ_TIMEOUT_SECONDS = 2.0
+# Bound of a body that is read whole before it is sent to the caller.
+MAX_BODY_BYTES = 32 * 1024 * 1024
 # A request with less time left than this is not sent.
 MIN_ATTEMPT_SECONDS = 0.01
 
@@ -66,6 +66,8 @@
         self._longest_pause = 0.0
         # Monotonic time of the last write of a stream, or 0.0.
         self._last_write_at = 0.0
+        # When the last complete event of the current attempt arrived.
+        self._last_event_at = 0.0
         # Seconds from arrival until the response to the caller starts.
         self._first_byte_seconds = 0.0
         self._splitter = event_splitter.EventSplitter()
@@ -230,22 +232,27 @@
         self._note_first_byte()
         self._caller.send_response(
             response.head.status,
-            http.HTTPStatus(response.head.status).phrase,
+            caller_request.reason_phrase(response.head.status),
             _end_to_end_headers(response.headers),
             body,
         )
 
     def _read_body(self, response):
         chunks = []
+        size = 0
         while not response.upstream.is_complete:
             self._await_bytes(response.upstream, self._request.seconds_left)
             chunk = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
             if not chunk:
                 break
             chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                raise errors.EndpointFailed('the body exceeds the size limit')
         return b''.join(chunks)
 
     def _forward_stream(self, response):
+        self._last_event_at = clocks.now()
         try:
             while not response.upstream.is_complete:
                 self._await_bytes(response.upstream, self._stall_timeout())
@@ -264,19 +271,25 @@
             self._start_stream(response)
 
     def _stall_timeout(self):
-        """Return the seconds to wait for the next bytes of a stream."""
+        """Return the seconds to wait for the next bytes of a stream.
+
+        Only complete events count as progress: an endpoint that stalls may
+        go on sending a byte now and then.
+        """
         seconds_left = self._request.seconds_left
         if not self._request.route.is_resumable:
             return seconds_left
+        stalled = clocks.now() - self._last_event_at
         if not self._caller.has_started_response:
-            return min(seconds_left, FIRST_EVENT_TIMEOUT_SECONDS)
+            return min(seconds_left, FIRST_EVENT_TIMEOUT_SECONDS - stalled)
         if self._failed_runs + 1 >= self._request.route.max_attempts:
             return seconds_left
-        return min(seconds_left, STALL_TIMEOUT_SECONDS)
+        return min(seconds_left, STALL_TIMEOUT_SECONDS - stalled)
 
     def _forward_events(self, response, data):
         if not data:
             return
+        self._last_event_at = clocks.now()
         if not self._caller.has_started_response:
             self._start_stream(response)
         self._caller.write(data)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -145,7 +145,7 @@
                     EndpointResponse(head, headers, connection)
                 )
             # A late response to an earlier request on this connection.
-            connection.read_all(READ_TIMEOUT_SECONDS, MAX_LATE_BODY_BYTES)
+            connection.skip_body(READ_TIMEOUT_SECONDS, MAX_LATE_BODY_BYTES)
         raise errors.AnswerMismatch(
             'the responses carry the ids of other requests'
         )
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -130,6 +130,13 @@
         elif action == 'silent':
             self.connection.recv(1)
             self.close_connection = True
+        elif action == 'unregistered-status':
+            self._send_response(599, b'odd', self._signature_headers())
+        elif action == 'late-answer':
+            late = dict(self._signature_headers())
+            late['X-Carobwood-Request-Id'] = 'r-0'
+            self._send_response(200, b'of another request', late)
+            self._send_response(200, b'whole', self._signature_headers())
         elif action == 'unsigned':
             self._send_response(200, b'not an engine')
         elif action == 'whole':
@@ -170,9 +177,21 @@
                 self.connection.recv(1)
                 self.close_connection = True
                 return
+            if action == 'trickle-after-2' and number == 3 and first == 1:
+                self._trickle()
+                return
             self._send_chunk(b'id: %d\ndata: %d\n\n' % (number, number))
         self.wfile.write(b'0\r\n\r\n')
 
+    def _trickle(self):
+        """Send a byte of an event now and then until the caller leaves."""
+        never_set = threading.Event()
+        try:
+            while not never_set.wait(0.1):
+                self._send_chunk(b':')
+        except OSError:
+            self.close_connection = True
+
     def _send_chunk(self, data):
         self.wfile.write(b'%x\r\n%s\r\n' % (len(data), data))
 
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -228,3 +228,77 @@
         address = '127.0.0.1:%d' % unused.getsockname()[1]
         with pytest.raises(errors.EndpointUnreachable):
             endpoint_connections.ConnectionPool().acquire(address)
+
+
+LATE_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate'
+
+
+def test_a_late_response_is_skipped_before_the_next_one():
+    server = ScriptedServer(LATE_RESPONSE + RESPONSE, closes_connection=False)
+    connection, _, _ = _send_and_read_head(
+        endpoint_connections.ConnectionPool(), server
+    )
+    connection.skip_body(TIMEOUT_SECONDS, 100)
+    status, _ = connection.read_head('POST', TIMEOUT_SECONDS)
+    assert (status, _read_body(connection)) == (200, b'ok')
+
+
+class EndlessServer:
+    """Sends a head, and then the same bytes until the caller closes.
+
+    Attributes:
+        is_closed: set once the caller has closed the connection.
+    """
+
+    def __init__(self, head, repeated, pause=0.0):
+        self.is_closed = threading.Event()
+        self._head = head
+        self._repeated = repeated
+        self._pause = pause
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        connection, _ = self._listener.accept()
+        connection.recv(4096)
+        try:
+            connection.sendall(self._head)
+            while not self.is_closed.wait(self._pause):
+                connection.sendall(self._repeated)
+        except OSError:
+            self.is_closed.set()
+
+
+@pytest.mark.parametrize(
+    ('head', 'repeated', 'pause'),
+    [
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n', 0.0),
+        (b'HTTP/1.1 200 OK\r\n', b'X: ' + b'x' * 60000, 0.0),
+        (b'', b'\0' * 4096, 0.0),
+        (b'HTTP/1.1 200 OK\r\nX: ', b'x', 0.01),
+    ],
+)
+def test_a_head_without_end_is_given_up(monkeypatch, head, repeated, pause):
+    monkeypatch.setattr(endpoint_connections, 'MAX_HEAD_SECONDS', 0.2)
+    server = EndlessServer(head, repeated, pause)
+    connection = endpoint_connections.ConnectionPool().acquire(server.address)
+    connection.send(REQUEST, TIMEOUT_SECONDS)
+    with pytest.raises(errors.EndpointFailed):
+        connection.read_head('POST', TIMEOUT_SECONDS)
+    connection.close()
+    assert server.is_closed.wait(TIMEOUT_SECONDS)
+
+
+@pytest.mark.parametrize(
+    ('repeated', 'pause'), [(b'x' * 4096, 0.0), (b'x', 0.01)]
+)
+def test_a_late_body_without_end_is_given_up(repeated, pause):
+    server = EndlessServer(b'HTTP/1.1 200 OK\r\n\r\n', repeated, pause)
+    connection, _, _ = _send_and_read_head(
+        endpoint_connections.ConnectionPool(), server
+    )
+    with pytest.raises(errors.EndpointFailed):
+        connection.skip_body(0.2, 1024 * 1024)
+    connection.close()
+    assert server.is_closed.wait(TIMEOUT_SECONDS)
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -1,6 +1,8 @@
 """Tests of the splitting of a byte stream into events."""
 
+from carobwood import errors
 from carobwood_daemon.relay import event_splitter
+import pytest
 
 STREAM = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n'
 
@@ -27,3 +29,10 @@
     splitter.feed(STREAM + b': end')
     assert splitter.flush() == b': end'
     assert splitter.flush() == b''
+
+
+def test_an_event_without_end_is_refused():
+    splitter = event_splitter.EventSplitter()
+    with pytest.raises(errors.EndpointFailed):
+        for _ in range(100):
+            splitter.feed(b'x' * 65536)
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -34,6 +34,31 @@
     assert int(resumed[0]['x-carobwood-deadline-ms']) > 4000
 
 
+def test_trickling_stalled_stream_is_resumed_at_another_engine(shared_fleet):
+    # The engine goes on sending bytes, but no event.
+    reply = shared_fleet.fleet.ask(
+        '/captions/trickle-after-2', X_Carobwood_Deadline_Ms='15000'
+    )
+    assert (reply.status, reply.body) == (200, COMPLETE_STREAM)
+    resumed = [
+        headers
+        for headers in shared_fleet.engine_requests
+        if 'last-event-id' in headers
+    ]
+    assert [headers['last-event-id'] for headers in resumed] == ['2']
+    assert int(resumed[0]['x-carobwood-deadline-ms']) > 4000
+
+
+def test_late_answer_of_another_request_is_skipped(shared_fleet):
+    reply = shared_fleet.fleet.ask('/orders/late-answer')
+    assert (reply.status, reply.body) == (200, b'whole')
+
+
+def test_unregistered_status_is_passed_on(shared_fleet):
+    reply = shared_fleet.fleet.ask('/orders/unregistered-status')
+    assert (reply.status, reply.body) == (599, b'odd')
+
+
 def test_broken_stream_on_unresumable_route_is_aborted(shared_fleet):
     reply = shared_fleet.fleet.ask('/checks/reset-after-2')
     assert reply.status == 0
