--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
@@ -186,6 +186,7 @@
         self._directory = directory
         self._links = links
         self._address = None
+        self._is_accepted = False
         self._vm_id = ''
         self._incarnation = 0
         self._reviewed_at = float('-inf')
@@ -229,6 +230,14 @@
         if not reply.accepted:
             self._leave()
             return
+        if not self._is_accepted:
+            self._is_accepted = True
+            events.emit(
+                events.AGGREGATOR_JOINED,
+                vm=reply.vm.vm_id,
+                data_centre=reply.vm.data_centre,
+                period=reply.period_ms / 1000,
+            )
         self.period = reply.period_ms / 1000
         self._gossip.merge_summary(message, reply)
 
@@ -261,6 +270,7 @@
         if address == self._address:
             return
         self._address = address
+        self._is_accepted = False
         self._vm_id = ''
         self._incarnation = 0
         self._sent_position = None
