--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -209,13 +209,8 @@
             topic.add_report(message)
         return message, next_position
 
-    def merge_reply(self, reply, address):
-        """Merge the reply of an aggregator to a message of this VM.
-
-        Args:
-            reply: the ``GossipReply``.
-            address: link address of the aggregator.
-        """
+    def merge_reply(self, reply):
+        """Merge the ``GossipReply`` of an aggregator."""
         source = cache_update_log.Source(reply.vm.vm_id, True)
         self._note_sender(reply, source)
         self._withdrawals.add(reply.withdrawn_digests)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
@@ -133,7 +133,7 @@
                 self._position = None
                 self._is_woken = True
             self._incarnation = reply.vm.incarnation
-        self._gossip.merge_reply(reply, self.address)
+        self._gossip.merge_reply(reply)
 
 
 class MemberNotifier(threading.Thread):
@@ -226,7 +226,7 @@
         self._vm_id = reply.vm.vm_id
         self._sent_position = next_position
         self._received_position = reply.position
-        self._gossip.merge_reply(reply, self._address)
+        self._gossip.merge_reply(reply)
         if not reply.accepted:
             self._leave()
             return
