--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import enum
 import http.client
 
 READ_BYTES = 64 * 1024
@@ -13,13 +14,33 @@
 _CRLF = b'\r\n'
 
 
+class Framing(enum.Enum):
+    """How the end of a body is found (RFC 9112, 6.3).
+
+    Attributes:
+        LENGTH: after the number of bytes that the head declares.
+        CHUNKED: after the last chunk.
+        UNTIL_CLOSE: where the connection closes. A body that was
+            truncated without a reset looks complete.
+    """
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    UNTIL_CLOSE = 'until-close'
+
+
 class ResponseBody(abc.ABC):
     """The body of a response.
 
     Reads raise ``OSError``, ``ValueError`` or
     ``http.client.HTTPException`` if the body is truncated or malformed.
+
+    Attributes:
+        framing: the ``Framing`` of the body.
     """
 
+    framing = None
+
     def __init__(self, reader):
         self._reader = reader
 
@@ -44,6 +65,8 @@
 class UntilEndBody(ResponseBody):
     """A body that ends when the connection closes."""
 
+    framing = Framing.UNTIL_CLOSE
+
     def read_available(self):
         """See ``ResponseBody``."""
         return self._reader.read1(READ_BYTES)
@@ -52,6 +75,8 @@
 class LengthBody(ResponseBody):
     """A body whose length is declared by ``Content-Length``."""
 
+    framing = Framing.LENGTH
+
     def __init__(self, reader, length):
         super().__init__(reader)
         self._remaining = length
@@ -79,6 +104,8 @@
     stream of small chunks takes few reads.
     """
 
+    framing = Framing.CHUNKED
+
     def __init__(self, reader):
         super().__init__(reader)
         self._buffer = b''
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -193,6 +193,11 @@
             name.lower(): value for name, value in response.getheaders()
         }
 
+    @property
+    def framing(self):
+        """The ``Framing`` of the body."""
+        return self._body.framing
+
     @property
     def is_complete(self):
         """Whether the end of the body is known without another read."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -70,6 +70,8 @@
         self._last_event_at = 0.0
         # Seconds from arrival until the response to the caller starts.
         self._first_byte_seconds = 0.0
+        # Size of what followed the last complete event of a stream.
+        self._unfinished_bytes = 0
         self._splitter = event_splitter.EventSplitter()
 
     def run(self):
@@ -262,7 +264,9 @@
                 if not data:
                     break
                 self._forward_events(response, self._splitter.feed(data))
-            self._forward_events(response, self._splitter.flush())
+            remaining = self._splitter.flush()
+            self._unfinished_bytes = len(remaining)
+            self._forward_events(response, remaining)
         except BaseException:
             self._splitter.discard_partial()
             response.upstream.close()
@@ -330,6 +334,8 @@
             request_id=self._request.metadata.request_id,
             endpoint=assignment.endpoint.id,
             status=response.head.status,
+            framing=response.upstream.framing.value,
+            unfinished=self._unfinished_bytes,
             first=round(self._first_byte_seconds, 4),
             pause=round(self._longest_pause, 4),
             seconds=round(seconds, 4),
