--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -33,7 +33,10 @@
     ``/…/stall-after-2`` sends nothing after two events until the connection
     ends, ``/…/full`` rejects the request without running it,
     ``/…/unsigned`` sends a response without a signature, ``/…/silent``
-    sends no response, ``/…/whole`` sends a response of a declared length,
+    sends no response, ``/…/unframed`` sends a stream that ends with the
+    connection, ``/…/unframed-cut-after-N`` one that ends with it inside the
+    event after N events, ``/…/chunked-cut-after-N`` one whose last chunk
+    ends inside that event, ``/…/whole`` sends a response of a declared length,
     and any other path a complete event stream. A stream resumes after the
     event that ``Last-Event-Id`` names, and then it is complete.
 
@@ -86,6 +89,7 @@
 
     protocol_version = 'HTTP/1.1'
     engine = None
+    _is_chunked = True
 
     def log_message(self, *arguments):
         """Log nothing."""
@@ -160,14 +164,24 @@
         self.wfile.write(body)
 
     def _send_events(self, action):
+        cut_after = action.partition('-cut-after-')[2]
+        self._is_chunked = not action.startswith('unframed')
         self.send_response(200)
         for name, value in self._signature_headers().items():
             self.send_header(name, value)
         self.send_header('Content-Type', 'text/event-stream')
-        self.send_header('Transfer-Encoding', 'chunked')
+        if self._is_chunked:
+            self.send_header('Transfer-Encoding', 'chunked')
+        else:
+            self.send_header('Connection', 'close')
+            self.close_connection = True
         self.end_headers()
         first = int(self.headers.get('Last-Event-Id', 0)) + 1
+        cut_at = int(cut_after) + 1 if cut_after and first == 1 else 0
         for number in range(first, STREAM_EVENT_COUNT + 1):
+            if number == cut_at:
+                self._send_piece(b'id: %d\ndata: par' % number)
+                break
             if action == 'reset-after-2' and number == 3 and first == 1:
                 self._send_chunk(b'id: 3\ndata: par')
                 self.connection.shutdown(socket.SHUT_RDWR)
@@ -180,8 +194,9 @@
             if action == 'trickle-after-2' and number == 3 and first == 1:
                 self._trickle()
                 return
-            self._send_chunk(b'id: %d\ndata: %d\n\n' % (number, number))
-        self.wfile.write(b'0\r\n\r\n')
+            self._send_piece(b'id: %d\ndata: %d\n\n' % (number, number))
+        if self._is_chunked:
+            self.wfile.write(b'0\r\n\r\n')
 
     def _trickle(self):
         """Send a byte of an event now and then until the caller leaves."""
@@ -192,6 +207,12 @@
         except OSError:
             self.close_connection = True
 
+    def _send_piece(self, data):
+        if self._is_chunked:
+            self._send_chunk(data)
+        else:
+            self.wfile.write(data)
+
     def _send_chunk(self, data):
         self.wfile.write(b'%x\r\n%s\r\n' % (len(data), data))
 
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -1,5 +1,6 @@
 """Tests of failing endpoints, with VMs that run in this process."""
 
+import pytest
 import relay_test_fleet
 
 COMPLETE_STREAM = b''.join(
@@ -65,6 +66,30 @@
     assert len(shared_fleet.engine_requests) == 1
 
 
+def test_stream_that_ends_with_its_connection_is_complete(shared_fleet):
+    reply = shared_fleet.fleet.ask('/checks/unframed')
+    assert (reply.status, reply.body) == (200, COMPLETE_STREAM)
+
+
+@pytest.mark.parametrize('framing', ['unframed', 'chunked'])
+@pytest.mark.parametrize('events', [0, 2])
+def test_stream_that_ends_inside_an_event_is_resumed(
+    shared_fleet, framing, events
+):
+    reply = shared_fleet.fleet.ask(f'/captions/{framing}-cut-after-{events}')
+    assert (reply.status, reply.body) == (200, COMPLETE_STREAM)
+    assert len(shared_fleet.engine_requests) == 2
+
+
+@pytest.mark.parametrize('framing', ['unframed', 'chunked'])
+def test_stream_that_ends_inside_an_event_does_not_look_complete(
+    shared_fleet, framing
+):
+    reply = shared_fleet.fleet.ask(f'/checks/{framing}-cut-after-2')
+    assert reply.status == 0
+    assert len(shared_fleet.engine_requests) == 1
+
+
 def test_request_rejected_by_endpoint_is_answered_with_503(shared_fleet):
     reply = shared_fleet.fleet.ask('/orders/full')
     assert reply.status == 503
