Treat a stream that ends inside an event as broken off

The engine's response had neither a length nor chunks, the engine crashed, and the end of its connection was taken for the end of the body. The forwarder then flushed the unfinished event to the caller and ended the response as complete.

The splitter alone knows whether a stream is complete: it now refuses to end inside an event, however the body is framed, so that the stream is resumed where it may be, and else closed without its last chunk. An event may end with CR LF, which the splitter did not know and buffered to the end. A stream that ends with its connection before any event is broken off too.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
@@ -1,7 +1,8 @@
 """Splits the bytes of an event stream into complete events.
 
 The format is that of server-sent events (WHATWG HTML, 9.2): an empty line
-ends an event, and a line ``id:`` gives its id.
+ends an event, a line ``id:`` gives its id, and a line that begins with a
+colon is a comment.
 """
 
 import re
@@ -11,7 +12,12 @@
 # Bound of an incomplete event, which is kept in memory.
 MAX_EVENT_BYTES = 1024 * 1024
 
-_EVENT_END = b'\n\n'
+# A line ends with LF or CR LF.
+_EVENT_END = re.compile(rb'\r?\n\r?\n')
+MAX_EVENT_END_BYTES = 4
+# What may follow the last event of a complete stream: comments, of which the
+# last one may lack its line end, and empty lines.
+_COMMENTS = re.compile(rb'(?:(?::[^\r\n]*)?\r?\n)*(?::[^\r\n]*)?\r?')
 _ID_LINE = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
 
@@ -36,13 +42,12 @@
             EndpointFailed: an event exceeds ``MAX_EVENT_BYTES``.
         """
         buffer = self._buffer + data
-        end = buffer.rfind(_EVENT_END)
-        if len(buffer) - max(0, end) > MAX_EVENT_BYTES:
+        end = 0
+        first_new = max(0, len(self._buffer) - MAX_EVENT_END_BYTES + 1)
+        for match in _EVENT_END.finditer(buffer, first_new):
+            end = match.end()
+        if len(buffer) - end > MAX_EVENT_BYTES:
             raise errors.EndpointFailed('an event exceeds the size limit')
-        if end < 0:
-            self._buffer = buffer
-            return b''
-        end += len(_EVENT_END)
         complete, self._buffer = buffer[:end], buffer[end:]
         ids = _ID_LINE.findall(complete)
         if ids:
@@ -50,7 +55,17 @@
         return complete
 
     def flush(self):
-        """Return the buffered bytes at the end of the stream."""
+        """Return the bytes after the last event, at the end of the stream.
+
+        Raises:
+            EndpointFailed: the stream ends inside an event, so that it was
+                broken off, however the body is framed.
+        """
+        if not _COMMENTS.fullmatch(self._buffer):
+            raise errors.EndpointFailed(
+                f'the stream ended inside an event, {len(self._buffer)} '
+                'bytes after the last complete one'
+            )
         remaining, self._buffer = self._buffer, b''
         return remaining
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -9,6 +9,8 @@
 from carobwood import errors
 from carobwood import events
 
+from ..entry import response_body
+
 from . import caller_request
 from . import endpoint_connections
 from . import event_splitter
@@ -70,8 +72,6 @@
         self._last_event_at = 0.0
         # Seconds from arrival until the response to the caller starts.
         self._first_byte_seconds = 0.0
-        # Size of what followed the last complete event of a stream.
-        self._unfinished_bytes = 0
         self._splitter = event_splitter.EventSplitter()
 
     def run(self):
@@ -256,17 +256,7 @@
     def _forward_stream(self, response):
         self._last_event_at = clocks.now()
         try:
-            while not response.upstream.is_complete:
-                self._await_bytes(response.upstream, self._stall_timeout())
-                data = response.upstream.read_available(
-                    BODY_READ_TIMEOUT_SECONDS
-                )
-                if not data:
-                    break
-                self._forward_events(response, self._splitter.feed(data))
-            remaining = self._splitter.flush()
-            self._unfinished_bytes = len(remaining)
-            self._forward_events(response, remaining)
+            self._forward_until_end(response)
         except BaseException:
             self._splitter.discard_partial()
             response.upstream.close()
@@ -274,6 +264,23 @@
         if not self._caller.has_started_response:
             self._start_stream(response)
 
+    def _forward_until_end(self, response):
+        has_events = False
+        while not response.upstream.is_complete:
+            self._await_bytes(response.upstream, self._stall_timeout())
+            data = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
+            if not data:
+                break
+            complete = self._splitter.feed(data)
+            has_events = has_events or bool(complete)
+            self._forward_events(response, complete)
+        remaining = self._splitter.flush()
+        if not has_events and _ends_with_connection(response):
+            raise errors.EndpointFailed(
+                'the connection ended before the first event'
+            )
+        self._forward_events(response, remaining)
+
     def _stall_timeout(self):
         """Return the seconds to wait for the next bytes of a stream.
 
@@ -335,7 +342,6 @@
             endpoint=assignment.endpoint.id,
             status=response.head.status,
             framing=response.upstream.framing.value,
-            unfinished=self._unfinished_bytes,
             first=round(self._first_byte_seconds, 4),
             pause=round(self._longest_pause, 4),
             seconds=round(seconds, 4),
@@ -364,6 +370,10 @@
         )
 
 
+def _ends_with_connection(response):
+    return response.upstream.framing is response_body.Framing.UNTIL_CLOSE
+
+
 def _end_to_end_headers(headers):
     return [
         (name, value)
