End a broken-off response without chunks by a reset

Found while looking for the cause of the truncated streams elsewhere: a caller of HTTP/1.0 gets no chunks, so the end of its connection is the end of the body, and a stream that we broke off looked complete. Both listeners had it: the relay's abort_response and, for a streamed body that raises, the listener of the callers' own interface.

The connection class that both share now ends such a response with a reset.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -5,7 +5,10 @@
 """
 
 import json
+import os
 import re
+import socket
+import struct
 
 from cheroot import server as cheroot_server
 from cheroot import wsgi as cheroot_wsgi
@@ -16,6 +19,8 @@
 STREAM_KEY = 'carobwood.stream'
 MAX_HEADER_BYTES = 32 * 1024
 
+# SO_LINGER, on, with a timeout of 0 seconds.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _UNREPEATABLE_HEADERS = frozenset(
     (
         b'Authorization',
@@ -138,6 +143,34 @@
 
     RequestHandlerClass = StrictRequest
 
+    _ends_with_reset = False
+
+    def abort(self, request):
+        """Make an unfinished response look unfinished to the caller.
+
+        A caller of HTTP/1.0 gets no chunks: the end of the connection would
+        be the end of the body, so the connection ends with a reset.
+
+        Args:
+            request: the ``cheroot.server.HTTPRequest`` whose response is
+                unfinished.
+        """
+        if request.sent_headers and not request.chunked_write:
+            self._ends_with_reset = True
+
+    def close(self):
+        """Close the connection, with a reset after ``abort``."""
+        if self._ends_with_reset:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+            # The descriptor itself is closed, since cheroot's writer keeps
+            # the socket object open.
+            os.close(self.socket.detach())
+            # Tells cheroot that there is nothing to shut down.
+            self.linger = True
+        super().close()
+
 
 class Gateway(cheroot_wsgi.Gateway_10):
     """Passes the connection to the application and closes its stream.
@@ -150,6 +183,9 @@
         """Serve the request and close the stream that it returned, if any."""
         try:
             super().respond()
+        except Exception:
+            self.req.conn.abort(self.req)
+            raise
         finally:
             stream = self.env.get(STREAM_KEY)
             if stream is not None:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/caller_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/caller_request.py
@@ -167,9 +167,11 @@
     def abort_response(self):
         """Close the connection such that the response is incomplete.
 
-        The final chunk of a chunked response is not sent, so that the
-        caller can tell a truncated response from a complete one.
+        The final chunk of a chunked response is not sent, and a response
+        without chunks ends with a reset, so that the caller can tell a
+        truncated response from a complete one.
         """
+        self._parsed.conn.abort(self._parsed)
         self._parsed.chunked_write = False
         self._parsed.close_connection = True
         self._parsed.sent_headers = True
--- a/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
@@ -35,7 +35,7 @@
     header_reader = RelayHeaderReader()
 
 
-class RelayConnection(cheroot_server.HTTPConnection):
+class RelayConnection(strict_request.StrictConnection):
     """A connection whose requests are ``RelayRequest``."""
 
     RequestHandlerClass = RelayRequest
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -1,6 +1,9 @@
 """Tests of failing endpoints, with VMs that run in this process."""
 
+import socket
+
 import pytest
+import relay_builders as builders
 import relay_test_fleet
 
 COMPLETE_STREAM = b''.join(
@@ -102,6 +105,41 @@
     assert len(shared_fleet.engine_requests) == 1
 
 
+def test_broken_stream_to_an_http_1_0_caller_ends_with_a_reset(shared_fleet):
+    # Without chunks, a normal end of the connection would be the stream's.
+    with _send_http_1_0(shared_fleet, '/checks/reset-after-2') as caller:
+        with pytest.raises(ConnectionResetError):
+            while caller.recv(65536):
+                pass
+
+
+def test_whole_stream_to_an_http_1_0_caller_ends_without_a_reset(
+    shared_fleet,
+):
+    received = b''
+    with _send_http_1_0(shared_fleet, '/checks/x') as caller:
+        while data := caller.recv(65536):
+            received += data
+    assert received.endswith(COMPLETE_STREAM)
+
+
+def _send_http_1_0(shared_fleet, path):
+    caller = socket.create_connection(
+        ('127.0.0.1', shared_fleet.fleet.entry_ports[0]),
+        timeout=relay_test_fleet.WAIT_SECONDS,
+    )
+    caller.sendall(
+        f'POST {path} HTTP/1.0\r\nHost: {builders.HOST}\r\n'
+        f'Authorization: Bearer {builders.KEY}\r\n'
+        f'X-Carobwood-Request-Id: r-1\r\n'
+        f'X-Carobwood-Model: {builders.MODEL}\r\n'
+        'X-Carobwood-Token-Counts: 100,10\r\n'
+        'X-Carobwood-Prompt-Prefix: aa:60,bb:40\r\n'
+        'Content-Length: 0\r\n\r\n'.encode()
+    )
+    return caller
+
+
 def test_request_rejected_by_endpoint_is_answered_with_503(shared_fleet):
     reply = shared_fleet.fleet.ask('/orders/full')
     assert reply.status == 503
