--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -32,6 +32,8 @@
 BODY_READ_TIMEOUT_SECONDS = 2.0
 # Bound of a body that is read whole before it is sent to the caller.
 MAX_BODY_BYTES = 32 * 1024 * 1024
+# Leading characters of a fingerprint that are logged.
+LOGGED_FINGERPRINT_CHARS = 16
 # A request with less time left than this is not sent.
 MIN_ATTEMPT_SECONDS = 0.01
 
@@ -68,6 +70,8 @@
         self._longest_pause = 0.0
         # Monotonic time of the last write of a stream, or 0.0.
         self._last_write_at = 0.0
+        # When the first complete event of the current attempt arrived.
+        self._first_event_at = None
         # When the last complete event of the current attempt arrived.
         self._last_event_at = 0.0
         # Seconds from arrival until the response to the caller starts.
@@ -119,6 +123,7 @@
             CarobwoodError: the attempt failed and no retry is allowed.
         """
         self._log_sent(assignment)
+        self._first_event_at = None
         fingerprint = self._request.fingerprint
         self._context.crash_suspects.add_running(
             assignment.endpoint, fingerprint
@@ -144,7 +149,8 @@
         ) as error:
             self._failed_runs += 1
             self._run_error = error
-            self._recorder.note_failed(assignment, error)
+            has_crashed = self._recorder.note_failed(assignment, error)
+            self._log_crash(assignment, has_crashed)
             self._raise_unless_retryable(assignment, error)
         finally:
             self._context.crash_suspects.remove_running(
@@ -265,17 +271,14 @@
             self._start_stream(response)
 
     def _forward_until_end(self, response):
-        has_events = False
         while not response.upstream.is_complete:
             self._await_bytes(response.upstream, self._stall_timeout())
             data = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
             if not data:
                 break
-            complete = self._splitter.feed(data)
-            has_events = has_events or bool(complete)
-            self._forward_events(response, complete)
+            self._forward_events(response, self._splitter.feed(data))
         remaining = self._splitter.flush()
-        if not has_events and _ends_with_connection(response):
+        if self._first_event_at is None and _ends_with_connection(response):
             raise errors.EndpointFailed(
                 'the connection ended before the first event'
             )
@@ -301,6 +304,8 @@
         if not data:
             return
         self._last_event_at = clocks.now()
+        if self._first_event_at is None:
+            self._first_event_at = self._last_event_at
         if not self._caller.has_started_response:
             self._start_stream(response)
         self._caller.write(data)
@@ -360,6 +365,20 @@
             **assignment.decision_inputs,
         )
 
+    def _log_crash(self, assignment, has_crashed):
+        if not has_crashed:
+            return
+        segments = self._request.metadata.prompt_segments
+        events.emit(
+            events.ENDPOINT_CRASHED,
+            request_id=self._request.metadata.request_id,
+            endpoint=assignment.endpoint.id,
+            incarnation=assignment.endpoint.incarnation,
+            fingerprint=self._request.fingerprint[:LOGGED_FINGERPRINT_CHARS],
+            segments=[segment.id for segment in segments[:-1]],
+            was_answering=self._first_event_at is not None,
+        )
+
     def _log_failed(self, assignment, error):
         events.emit(
             events.ATTEMPT_FAILED,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -78,17 +78,22 @@
         Args:
             assignment: the ``Assignment`` that the request was sent to.
             error: the ``CarobwoodError`` of the attempt.
+
+        Returns:
+            Whether the endpoint has crashed.
         """
         endpoint = assignment.endpoint
         self._context.health.note_result(endpoint, True)
         if not isinstance(error, errors.EndpointFailed):
-            return
-        if self._has_crashed(endpoint):
-            self.note_unreachable(assignment)
-            crash = f'{endpoint.id}/{endpoint.incarnation}'
-            self._context.crash_suspects.merge(
-                {(self._request.fingerprint, crash): clocks.now()}
-            )
+            return False
+        if not self._has_crashed(endpoint):
+            return False
+        self.note_unreachable(assignment)
+        crash = f'{endpoint.id}/{endpoint.incarnation}'
+        self._context.crash_suspects.merge(
+            {(self._request.fingerprint, crash): clocks.now()}
+        )
+        return True
 
     def _refresh_weights(self, assignment):
         """Ask the engine for its weights version.
