Add a failing test of a prompt segment that crashes engines

Two entry VMs and two stand-in engines that crash on a segment and come back; requests with it differ in all but the segments that they share.

--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -48,6 +48,8 @@
         orders: bodies of the orders that it has received.
         requests: headers of the requests that it has received, by name in
             lower case.
+        crashing_segment: id of the prompt segment that crashes it as soon as
+            it begins to answer a request that has the segment.
         address: ``host:port`` that it listens on.
     """
 
@@ -57,16 +59,29 @@
         self.version = 1
         self.orders = []
         self.requests = []
-        self.breaks_once = False
+        self.crashing_segment = ''
+        self._server = None
+        self._serve(0)
+        self.address = '127.0.0.1:%d' % self._server.server_address[1]
+
+    def _serve(self, port):
         self._server = http.server.ThreadingHTTPServer(
-            ('127.0.0.1', 0), type('Handler', (_Handler,), {'engine': self})
+            ('127.0.0.1', port), type('Handler', (_Handler,), {'engine': self})
         )
         self._server.daemon_threads = True
-        self.address = '127.0.0.1:%d' % self._server.server_address[1]
         threading.Thread(
             target=self._server.serve_forever, daemon=True
         ).start()
 
+    @property
+    def is_serving(self):
+        """Whether it accepts connections."""
+        return self._server.socket.fileno() >= 0
+
+    def restart(self):
+        """Serve again at the same address after a crash."""
+        self._serve(self._server.server_address[1])
+
     def announcement(self, sequence=1, state='ready'):
         """Return the announcement that the engine sends to control VMs."""
         return {
@@ -129,6 +144,10 @@
         self.engine.requests.append(
             {name.lower(): value for name, value in self.headers.items()}
         )
+        if self._is_crashing():
+            self.engine.stop()
+            self.close_connection = True
+            return
         action = self.path.rpartition('/')[2]
         if action == 'full':
             self._send_response(503, b'', {'X-Carobwood-Not-Run': '1'})
@@ -149,6 +168,11 @@
         else:
             self._send_events(action)
 
+    def _is_crashing(self):
+        prompt = self.headers.get('X-Carobwood-Prompt-Prefix', '')
+        segments = [entry.partition(':')[0] for entry in prompt.split(',')]
+        return self.engine.crashing_segment in segments[:-1]
+
     def _signature_headers(self):
         return {
             'X-Carobwood-Request-Id': self.headers['X-Carobwood-Request-Id'],
