Refuse prompts with a segment that crashes engine after engine

The cause: strikes count for the fingerprint of a request, and no two of these requests are alike; nothing counted what they share.

segment_suspects, a module without input and output, keeps strikes of the shared segments of each prompt that a crashed engine had not begun to answer. A whole answer voids them, at all VMs. The segments that explain most crashes are culprits from three crashes and three different requests on, over more than a second, once the evidence is a second old; what was in flight beside a culprit is explained by it. Requests that have all segments of a culprit are refused at once, also while they wait, and one VM tries one after 30 s. Strikes travel in the table and messages that there are.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
@@ -1,6 +1,7 @@
 """Admission of callers' requests, before anything is sent upstream."""
 
 import dataclasses
+import functools
 import hashlib
 
 from carobwood import clocks
@@ -11,6 +12,7 @@
 from . import messages
 from . import placement
 from . import quota
+from ..routing import segment_suspects
 
 # Priority behind all that the configuration gives to routes and customers.
 LOWEST_PRIORITY = 9
@@ -78,6 +80,14 @@
         """Name of the customer, or an empty string."""
         return self.customer.name if self.customer else ''
 
+    @functools.cached_property
+    def segment_keys(self):
+        """Keys of the shared segments of the prompt."""
+        return frozenset(
+            segment_suspects.segment_key(self.metadata.model, segment.id)
+            for segment in self.metadata.prompt_segments[:-1]
+        )
+
     @property
     def demand(self):
         """The ``Demand`` that the request puts on an engine."""
@@ -100,6 +110,7 @@
         dialect,
         fleet_quota,
         crash_suspects,
+        prompt_segment_suspects,
         choose_service,
     ):
         """Create the admission.
@@ -110,6 +121,7 @@
             dialect: the ``Dialect``.
             fleet_quota: the ``FleetQuota``.
             crash_suspects: the ``CrashSuspects``.
+            prompt_segment_suspects: the ``SegmentSuspects``.
             choose_service: called with a ``Route``; returns one of its
                 ``WeightedService`` records.
         """
@@ -117,6 +129,7 @@
         self._dialect = dialect
         self._fleet_quota = fleet_quota
         self._crash_suspects = crash_suspects
+        self._segment_suspects = prompt_segment_suspects
         self._choose_service = choose_service
 
     def admit(self, caller, arrived_at):
@@ -155,6 +168,7 @@
             _fingerprint(caller, customer, body),
         )
         self._crash_suspects.refuse_if_crashing(request.fingerprint)
+        self._segment_suspects.check(request.segment_keys)
         return self._consume_quota(request)
 
     def _await_configuration(self, caller):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -34,6 +34,8 @@
         retry_budget: the ``FleetRetryBudget``: bound on retries.
         crash_suspects: the ``CrashSuspects``: requests that may crash
             endpoints.
+        segment_suspects: the ``SegmentSuspects``: prompt segments that crash
+            endpoints.
         pool: the ``ConnectionPool``: idle connections to endpoints.
         gate: the ``RequestGate``: limit of requests in flight on this VM.
         tracer: the ``Tracer``.
@@ -56,6 +58,7 @@
     wait_queue: object
     retry_budget: object
     crash_suspects: object
+    segment_suspects: object
     pool: object
     gate: object
     tracer: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -32,6 +32,9 @@
 BODY_READ_TIMEOUT_SECONDS = 2.0
 # Bound of a body that is read whole before it is sent to the caller.
 MAX_BODY_BYTES = 32 * 1024 * 1024
+# Time from the first event of an answer after which a crash of the endpoint
+# is not put down to the request.
+CRASH_DELAY_SECONDS = 0.25
 # Leading characters of a fingerprint that are logged.
 LOGGED_FINGERPRINT_CHARS = 16
 # A request with less time left than this is not sent.
@@ -70,6 +73,8 @@
         self._longest_pause = 0.0
         # Monotonic time of the last write of a stream, or 0.0.
         self._last_write_at = 0.0
+        # When the current attempt began.
+        self._sent_at = 0.0
         # When the first complete event of the current attempt arrived.
         self._first_event_at = None
         # When the last complete event of the current attempt arrived.
@@ -104,6 +109,7 @@
                 )
             )
         try:
+            self._context.segment_suspects.check(request.segment_keys)
             with self._trace.span('place'):
                 return self._selector.await_assignment(
                     request, self._excluded_ids, self._caller
@@ -122,7 +128,9 @@
         Raises:
             CarobwoodError: the attempt failed and no retry is allowed.
         """
+        self._check_segments()
         self._log_sent(assignment)
+        self._sent_at = clocks.now()
         self._first_event_at = None
         fingerprint = self._request.fingerprint
         self._context.crash_suspects.add_running(
@@ -149,8 +157,8 @@
         ) as error:
             self._failed_runs += 1
             self._run_error = error
-            has_crashed = self._recorder.note_failed(assignment, error)
-            self._log_crash(assignment, has_crashed)
+            if self._recorder.note_failed(assignment, error):
+                self._note_crash(assignment)
             self._raise_unless_retryable(assignment, error)
         finally:
             self._context.crash_suspects.remove_running(
@@ -158,6 +166,29 @@
             )
         return False
 
+    def _check_segments(self):
+        """Refuse the request if its segments became culprits meanwhile."""
+        try:
+            self._context.segment_suspects.check_before_send(
+                self._request.segment_keys
+            )
+        except errors.RequestCrashesEndpoints as error:
+            raise self._final_error(error) from error
+
+    def _note_crash(self, assignment):
+        """Record which segments may have crashed the endpoint."""
+        answering = None
+        if self._first_event_at is not None:
+            answering = clocks.now() - self._first_event_at
+        self._log_crash(assignment, answering)
+        if answering is None or answering < CRASH_DELAY_SECONDS:
+            self._context.segment_suspects.record_crash(
+                assignment.endpoint,
+                self._request.fingerprint,
+                self._request.segment_keys,
+                self._sent_at,
+            )
+
     def _response_timeout(self):
         """Return the seconds to wait for the head of the response."""
         request = self._request
@@ -337,6 +368,10 @@
 
     def _note_answered(self, assignment, response):
         self._recorder.note_answered(assignment, response.head)
+        if response.head.status < 300:
+            self._context.segment_suspects.record_answer(
+                self._request.segment_keys
+            )
         seconds = clocks.now() - self._request.arrived_at
         self._context.metrics.timing('request', seconds)
         self._context.metrics.timing('first-byte', self._first_byte_seconds)
@@ -365,9 +400,7 @@
             **assignment.decision_inputs,
         )
 
-    def _log_crash(self, assignment, has_crashed):
-        if not has_crashed:
-            return
+    def _log_crash(self, assignment, answering):
         segments = self._request.metadata.prompt_segments
         events.emit(
             events.ENDPOINT_CRASHED,
@@ -376,7 +409,7 @@
             incarnation=assignment.endpoint.incarnation,
             fingerprint=self._request.fingerprint[:LOGGED_FINGERPRINT_CHARS],
             segments=[segment.id for segment in segments[:-1]],
-            was_answering=self._first_event_at is not None,
+            answering=None if answering is None else round(answering, 4),
         )
 
     def _log_failed(self, assignment, error):
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -14,6 +14,8 @@
 from .relay import relay
 from .relay import relay_context
 from .relay import selector
+from .routing import rendezvous
+from .routing import segment_suspects
 
 # Limits of worker threads, and so of requests handled at once, per server.
 RELAY_THREADS = 160
@@ -106,6 +108,10 @@
     def _make_relay(self, directory, gossip):
         fleet_limits = self._settings.fleet_limits
         shared = self._shared
+        suspects = segment_suspects.SegmentSuspects(
+            shared.crash_suspects,
+            lambda key: _is_first_entry_vm(key, directory),
+        )
         context = relay_context.RelayContext(
             data_centre=self._settings.data_centre,
             weights_change_seconds=fleet_limits.weights_change_seconds,
@@ -128,6 +134,7 @@
                 lambda: len(directory.entry_vms()),
             ),
             crash_suspects=shared.crash_suspects,
+            segment_suspects=suspects,
             pool=shared.pool,
             gate=self._gate,
             tracer=self._tracer,
@@ -140,6 +147,7 @@
                 self._dialect,
                 shared.quota,
                 shared.crash_suspects,
+                suspects,
                 _choose_share,
             ),
             selector.Selector(context),
@@ -173,3 +181,9 @@
     """Return a ``WeightedService`` of a route, at random by weight."""
     weights = [share.weight for share in route.weighted_services]
     return random.choices(route.weighted_services, weights)[0]
+
+
+def _is_first_entry_vm(key, directory):
+    """Return whether a key ranks this VM first among the entry VMs."""
+    ranked = rendezvous.rank(key, directory.entry_vms())
+    return bool(ranked) and ranked[0].id == directory.own_vm.id
--- a/packages/carobwood-daemon/carobwood_daemon/routing/crash_suspects.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/crash_suspects.py
@@ -8,7 +8,8 @@
 that were in flight on them are still answered.
 
 Requests are identified by fingerprints, and crashes by the id and
-incarnation of the endpoint.
+incarnation of the endpoint. The table also holds the strikes of prompt
+segments, see ``segment_suspects``.
 """
 
 import collections
@@ -21,6 +22,13 @@
 MAX_STRIKES = 2
 STRIKE_LIFETIME_SECONDS = 120.0
 MAX_FINGERPRINTS = 10000
+# Prefix of the fingerprints of prompt segments.
+SEGMENT_PREFIX = 'segment/'
+# Longer than the delay of a trial, so that a trial that crashes an endpoint
+# adds to the strikes that led to it.
+SEGMENT_STRIKE_LIFETIME_SECONDS = 1800.0
+# Prefix of a crash that an answer has voided for a segment.
+VOID_PREFIX = 'answered/'
 
 
 class CrashSuspects:
@@ -133,6 +141,7 @@
                 strikes=[
                     f'{fingerprint[:16]} {crash}'
                     for fingerprint, crash in added
+                    if not crash.startswith(VOID_PREFIX)
                 ],
             )
             for listener in self._listeners:
@@ -153,17 +162,17 @@
             Dict from (fingerprint, crash) pairs to times on the monotonic
             clock.
         """
-        expiry_limit = self._clock() - STRIKE_LIFETIME_SECONDS
+        now = self._clock()
         with self._lock:
             return {
                 (fingerprint, crash): struck_at
                 for fingerprint, known in self._strikes_by_fingerprint.items()
                 for crash, struck_at in known.items()
-                if struck_at > expiry_limit
+                if struck_at > now - _lifetime(fingerprint)
             }
 
     def _unexpired_strikes(self, fingerprint):
-        expiry_limit = self._clock() - STRIKE_LIFETIME_SECONDS
+        expiry_limit = self._clock() - _lifetime(fingerprint)
         with self._lock:
             known = self._strikes_by_fingerprint.get(fingerprint, {})
             return {
@@ -171,3 +180,10 @@
                 for crash, struck_at in known.items()
                 if struck_at > expiry_limit
             }
+
+
+def _lifetime(fingerprint):
+    """Return the seconds after which strikes expire."""
+    if fingerprint.startswith(SEGMENT_PREFIX):
+        return SEGMENT_STRIKE_LIFETIME_SECONDS
+    return STRIKE_LIFETIME_SECONDS
--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -6,9 +6,9 @@
 import relay_test_fleet
 
 CRASHING_SEGMENT = 'dd'
-# Requests that may still reach engines once five have crashed.
-MAX_REQUESTS_AFTER_FIVE_CRASHES = 3
-REQUESTS_AFTER_FIVE_CRASHES = 12
+# Requests that may still reach engines once the VMs had time to agree.
+MAX_LATER_REQUESTS = 3
+LATER_REQUESTS = 12
 
 
 @pytest.fixture
@@ -60,31 +60,40 @@
     ]
 
 
-def _crash_engines(test_fleet, caller, count):
-    """Let requests with the segment crash engines, which then restart."""
-    for number in range(count):
-        reply = caller.ask(('aa', CRASHING_SEGMENT), number % 2)
-        assert reply.status != 200
-        for engine in test_fleet.engines:
-            if not engine.is_serving:
-                engine.restart()
-        # Requests that share all but the segment are answered.
-        for vm_number in range(2):
-            caller.await_answer(('aa', 'ee'), vm_number)
+def _ask_until_refused(test_fleet, caller):
+    """Let requests with the segment crash engines until both VMs refuse."""
+    for vm_number in range(2):
+        relay_test_fleet.await_reply(
+            lambda: _crash_engine(test_fleet, caller, vm_number),
+            lambda reply: b'request_crashes_endpoints' in reply.body,
+        )
+
+
+def _crash_engine(test_fleet, caller, vm_number):
+    reply = caller.ask(('aa', CRASHING_SEGMENT), vm_number)
+    assert reply.status != 200
+    _restart_engines(test_fleet)
+    # Requests that share all but the segment are answered.
+    for number in range(2):
+        caller.await_answer(('aa', 'ee'), number)
+    return reply
+
+
+def _restart_engines(test_fleet):
+    for engine in test_fleet.engines:
+        if not engine.is_serving:
+            engine.restart()
 
 
 def test_a_segment_that_crashes_engines_stops_reaching_them(fleet):
     caller = Caller(fleet)
-    _crash_engines(fleet, caller, 5)
+    _ask_until_refused(fleet, caller)
     fleet.clear_requests()
-    for number in range(REQUESTS_AFTER_FIVE_CRASHES):
+    for number in range(LATER_REQUESTS):
         reply = caller.ask(('aa', CRASHING_SEGMENT), number % 2)
         assert reply.status != 200
-        for engine in fleet.engines:
-            if not engine.is_serving:
-                engine.restart()
-    reached = _crashing_requests(fleet)
-    assert len(reached) <= MAX_REQUESTS_AFTER_FIVE_CRASHES
+        _restart_engines(fleet)
+    assert len(_crashing_requests(fleet)) <= MAX_LATER_REQUESTS
     # A request with the segment is refused at once, without a wait.
     assert reply.status == 503
     assert int(reply.headers['retry-after']) >= 1
@@ -92,12 +101,10 @@
 
 def test_requests_beside_a_crashing_segment_are_served(fleet):
     caller = Caller(fleet)
-    _crash_engines(fleet, caller, 5)
-    for number in range(REQUESTS_AFTER_FIVE_CRASHES):
+    _ask_until_refused(fleet, caller)
+    for number in range(LATER_REQUESTS):
         caller.ask(('aa', CRASHING_SEGMENT), number % 2)
-        for engine in fleet.engines:
-            if not engine.is_serving:
-                engine.restart()
+        _restart_engines(fleet)
     for vm_number in range(2):
         assert caller.ask(('aa', 'ee'), vm_number).status == 200
         assert caller.ask(('aa',), vm_number).status == 200
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -46,6 +46,7 @@
             platform_dialect,
             fleet_quota,
             types.SimpleNamespace(refuse_if_crashing=lambda fingerprint: None),
+            types.SimpleNamespace(check=lambda segments: None),
             lambda route: route.weighted_services[0],
         )
 
