Send nothing new to engines that say they leave or want no requests

An engine that is leaving says so in its answers, often before any announcement; one that rejects a request may say for how long.

platform/ names the headers and parses them; endpoint_availability, apart from input and output, decides how long they count: the incarnation, at least 60 s, for leaving; the time asked for, bounded, plus a random part, for a rejection. The selector asks it in one place for candidates and the queue alike. A request that no endpoint takes in time is refused at once, with the time in Retry-After.

Not built: news of leaving engines to other VMs (each has its own evidence, and announcements); a slow start after the time ends.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/messages.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/messages.py
@@ -82,6 +82,17 @@
     resume_id: str = ''
 
 
+@dataclasses.dataclass(frozen=True)
+class RetryAfter:
+    """How long an endpoint asks not to be sent requests.
+
+    Attributes:
+        seconds: the time, not negative, or None if it cannot be read.
+    """
+
+    seconds: float | None
+
+
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
     """Status and headers of an endpoint's response.
@@ -99,6 +110,8 @@
         closes_connection: whether the endpoint closes the connection after the
             response.
         is_event_stream: whether the body is a stream of events.
+        is_leaving: whether the endpoint says that it is shutting down.
+        retry_after: the ``RetryAfter``, or None if it asks for nothing.
     """
 
     status: int
@@ -110,6 +123,8 @@
     idle_timeout: float | None
     closes_connection: bool
     is_event_stream: bool
+    is_leaving: bool = False
+    retry_after: RetryAfter | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -29,6 +29,8 @@
             which prompt prefix.
         kv_stores: the ``KvStores``: contents of the KV cache stores.
         health: the ``EndpointHealth``: failures of endpoints.
+        availability: the ``EndpointAvailability``: what endpoints say about
+            the work that they take.
         wait_queue: the ``WaitQueue``: the queue of requests that fit on no
             endpoint yet.
         retry_budget: the ``FleetRetryBudget``: bound on retries.
@@ -55,6 +57,7 @@
     prefix_cache_index: object
     kv_stores: object
     health: object
+    availability: object
     wait_queue: object
     retry_budget: object
     crash_suspects: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -86,7 +86,7 @@
                 self._outgoing_request(assignment, resume_id),
                 SEND_TIMEOUT_SECONDS,
             )
-            return self._await_response(connection, timeout)
+            return self._await_response(connection, assignment, timeout)
         except BaseException:
             connection.close()
             raise
@@ -125,7 +125,7 @@
             request.body,
         )
 
-    def _await_response(self, connection, timeout):
+    def _await_response(self, connection, assignment, timeout):
         for _ in range(1 + MAX_LATE_RESPONSES):
             match connection.wait(self._caller.socket, timeout):
                 case endpoint_connections.WaitResult.CALLER_LEFT:
@@ -140,6 +140,8 @@
                 self._caller.method, READ_TIMEOUT_SECONDS
             )
             head = self._context.dialect.parse_response_head(status, headers)
+            if head.endpoint_id in ('', assignment.endpoint.id):
+                self._context.availability.note_head(assignment.endpoint, head)
             if head.request_id in ('', self._request.metadata.request_id):
                 return self._check_response(
                     EndpointResponse(head, headers, connection)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -111,6 +111,7 @@
             for endpoint in self._endpoints(request.service)
             if endpoint.id not in excluded
             and not context.health.is_ejected(endpoint)
+            and not context.availability.seconds_until_available(endpoint)
         ]
         loads_by_id = context.loads.total_loads()
         context.prefill_shares.add_sample(loads_by_id)
@@ -135,6 +136,7 @@
             endpoint
             for endpoint in self._context.directory.serving_endpoints()
             if endpoint.pool == service
+            and not self._context.availability.is_leaving(endpoint)
         ]
 
     def _candidates(self, request, endpoints, loads_by_id):
@@ -334,6 +336,9 @@
         is_exhausted = not self.has_untried_endpoint(request, excluded)
         if is_exhausted and (excluded or self._context.is_discovery_done()):
             raise errors.NoEndpoint('the service has no untried endpoint')
+        self._refuse_if_unavailable(
+            request, excluded, wait_queue.max_wait(request.deadline_at)
+        )
         entry = wait_queue.enqueue(*queue_key, request.deadline_at)
         if entry is None:
             raise errors.Saturated('the wait queue of the service is full')
@@ -367,11 +372,40 @@
                 assignment = self.try_assign(request, excluded)
                 if assignment is not None:
                     return assignment
+            self._refuse_if_unavailable(
+                request, excluded, wait_queue.seconds_left(entry)
+            )
             if not wait_queue.wait_for_change(entry):
                 raise errors.Saturated(
                     'no endpoint had capacity within the maximum wait'
                 )
 
+    def _refuse_if_unavailable(self, request, excluded, max_wait):
+        """Refuse a request if no endpoint takes requests in time.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            excluded: ids of endpoints that it must not go to.
+            max_wait: seconds that the request may still wait.
+
+        Raises:
+            Saturated: all endpoints have asked for no requests for longer.
+        """
+        seconds = min(
+            (
+                self._context.availability.seconds_until_available(endpoint)
+                for endpoint in self._endpoints(request.service)
+                if endpoint.id not in excluded
+            ),
+            default=0.0,
+        )
+        if seconds > max_wait:
+            raise errors.Saturated(
+                'every endpoint has asked for no requests for longer than '
+                'this one may wait',
+                seconds,
+            )
+
     def _log_waiting(self, request, excluded, entry):
         context = self._context
         endpoints = self._endpoints(request.service)
@@ -394,6 +428,7 @@
                 endpoint.id
                 for endpoint in endpoints
                 if context.health.is_ejected(endpoint)
+                or context.availability.seconds_until_available(endpoint)
             ],
             # Engines that are loading weights or have outdated ones.
             changing=[
--- a/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
@@ -75,6 +75,10 @@
         """Return how many requests are queued for a service."""
         return len(self._entries_by_service.get(service, ()))
 
+    def max_wait(self, deadline_at):
+        """Return the seconds for which a request may be queued from now."""
+        return max(0.0, deadline_at - self._clock()) * MAX_WAIT_FRACTION
+
     def enqueue(self, service, priority, soft_deadline_at, deadline_at):
         """Queue a request.
 
@@ -88,7 +92,7 @@
             The ``QueueEntry``, or None if the service's queue is full.
         """
         now = self._clock()
-        max_wait = max(0.0, deadline_at - now) * MAX_WAIT_FRACTION
+        max_wait = self.max_wait(deadline_at)
         with self._changed:
             entries = self._entries_by_service.setdefault(service, set())
             if len(entries) >= MAX_WAITING:
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -48,6 +48,9 @@
         orders: bodies of the orders that it has received.
         requests: headers of the requests that it has received, by name in
             lower case.
+        is_leaving: whether it says in its answers that it is leaving.
+        retry_after: value of the header of its rejections, or empty. It
+            rejects all requests while it is set.
         crashing_segment: id of the prompt segment that crashes it as soon as
             it begins to answer a request that has the segment.
         address: ``host:port`` that it listens on.
@@ -60,6 +63,8 @@
         self.orders = []
         self.requests = []
         self.crashing_segment = ''
+        self.is_leaving = False
+        self.retry_after = ''
         self._server = None
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
@@ -149,8 +154,11 @@
             self.close_connection = True
             return
         action = self.path.rpartition('/')[2]
-        if action == 'full':
-            self._send_response(503, b'', {'X-Carobwood-Not-Run': '1'})
+        if action == 'full' or self.engine.retry_after:
+            headers = {'X-Carobwood-Not-Run': '1'}
+            if self.engine.retry_after:
+                headers['Retry-After'] = self.engine.retry_after
+            self._send_response(503, b'', headers)
         elif action == 'silent':
             self.connection.recv(1)
             self.close_connection = True
@@ -174,11 +182,14 @@
         return self.engine.crashing_segment in segments[:-1]
 
     def _signature_headers(self):
-        return {
+        headers = {
             'X-Carobwood-Request-Id': self.headers['X-Carobwood-Request-Id'],
             'X-Carobwood-Response-Stamp': self.engine.name,
             'X-Carobwood-Weight-Versions': str(self.engine.version),
         }
+        if self.engine.is_leaving:
+            headers['Server-Leaving'] = '1'
+        return headers
 
     def _send_response(self, status, body, headers=None):
         self.send_response(status)
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -121,6 +121,37 @@
     )
 
 
+@pytest.mark.parametrize(
+    'text, seconds',
+    [
+        ('3', 3.0),
+        (' 0 ', 0.0),
+        ('9' * 30, 1e30),
+        ('-1', None),
+        ('1.5', None),
+        ('²', None),
+        ('soon', None),
+        ('Fri, 04 Dec 2026 15:00:00 GMT', None),
+        ('', None),
+    ],
+)
+def test_the_time_of_a_rejection_is_parsed(text, seconds):
+    head = DIALECT.parse_response_head(503, {'retry-after': text})
+    assert head.retry_after == messages.RetryAfter(seconds)
+
+
+def test_a_rejection_without_a_time_asks_for_nothing():
+    assert DIALECT.parse_response_head(503, {}).retry_after is None
+
+
+@pytest.mark.parametrize(
+    'text, is_leaving', [('1', True), ('0', False), ('', False)]
+)
+def test_an_answer_tells_whether_the_engine_is_leaving(text, is_leaving):
+    head = DIALECT.parse_response_head(200, {'server-leaving': text})
+    assert head.is_leaving is is_leaving
+
+
 def test_a_response_tells_whether_the_request_has_not_run():
     not_run = DIALECT.parse_response_head(503, {'x-carobwood-not-run': '1'})
     assert not_run.has_not_run and not not_run.is_signed
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -7,6 +7,7 @@
 
 from carobwood import errors
 from carobwood import events
+from carobwood_daemon.relay import endpoint_availability
 from carobwood_daemon.relay import endpoint_health
 from carobwood_daemon.relay import engine_weights
 from carobwood_daemon.relay import fleet_loads
@@ -33,6 +34,9 @@
         self.loads = fleet_loads.FleetLoads(self.clock)
         self.reservation = self.loads.reserve(self.endpoint.id, FULL_LOAD)
         self.queue = wait_queue.WaitQueue(self.clock)
+        self.availability = endpoint_availability.EndpointAvailability(
+            self.clock, lambda limit: 0.0
+        )
         self.caller = types.SimpleNamespace(
             has_disconnected=lambda: on_recheck(self)
         )
@@ -42,6 +46,7 @@
                 data_centre='bole',
                 directory=stub(serving_endpoints=lambda: [self.endpoint]),
                 health=endpoint_health.EndpointHealth(self.clock),
+                availability=self.availability,
                 is_discovery_done=lambda: True,
                 loads=self.loads,
                 prefix_cache_index=stub(record_use=lambda *arguments: None),
@@ -95,6 +100,66 @@
     return False
 
 
+def _rejection(seconds):
+    return messages.ResponseHead(
+        503,
+        '',
+        'r-1',
+        True,
+        False,
+        0,
+        None,
+        False,
+        False,
+        retry_after=messages.RetryAfter(seconds),
+    )
+
+
+def test_a_request_that_no_endpoint_takes_in_time_is_refused_at_once():
+    harness = SelectorHarness(lambda harness: False)
+    harness.reservation.release()
+    harness.availability.note_head(harness.endpoint, _rejection(30.0))
+    began_at = harness.clock.now
+    with pytest.raises(errors.Saturated) as refusal:
+        harness.await_assignment()
+    assert refusal.value.retry_after == 30.0
+    assert harness.clock.now == began_at
+
+
+def test_a_queued_request_is_refused_when_the_last_endpoint_closes():
+    def close(harness):
+        harness.availability.note_head(harness.endpoint, _rejection(30.0))
+        return False
+
+    with pytest.raises(errors.Saturated) as refusal:
+        SelectorHarness(close).await_assignment()
+    assert refusal.value.retry_after == 30.0
+
+
+def test_a_request_waits_for_an_endpoint_that_opens_in_time():
+    def pass_time(harness):
+        harness.clock.now += 0.1
+        return False
+
+    harness = SelectorHarness(pass_time)
+    harness.reservation.release()
+    harness.availability.note_head(harness.endpoint, _rejection(0.15))
+    began_at = harness.clock.now
+    assert harness.await_assignment().endpoint is harness.endpoint
+    assert harness.clock.now >= began_at + 0.15
+
+
+def test_a_leaving_endpoint_counts_as_none():
+    harness = SelectorHarness(lambda harness: False)
+    harness.reservation.release()
+    head = messages.ResponseHead(
+        200, '', 'r-1', False, True, 0, None, False, False, is_leaving=True
+    )
+    harness.availability.note_head(harness.endpoint, head)
+    with pytest.raises(errors.NoEndpoint):
+        harness.await_assignment()
+
+
 def test_a_wait_that_ends_with_an_assignment_is_logged(lines):
     harness = SelectorHarness(_free_capacity)
     assert harness.await_assignment().endpoint is harness.endpoint
