--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -13,6 +13,7 @@
 from carobwood import events
 
 from . import block_digests
+from . import cache_transfers
 from . import fleet_loads
 from . import placement
 from ..routing import rendezvous
@@ -23,9 +24,6 @@
 # Fraction of the time allowed for a weights change after which engines with
 # an older version get no requests.
 OLD_WEIGHTS_MAX_FRACTION = 0.85
-# Shorter shared prefixes are not saved to a store: their prefill takes less
-# time than fetching them.
-MIN_STORE_SAVE_TOKENS = 100
 # Concurrent requests on an endpoint of a plain service, for which the
 # configuration gives no capacity.
 PLAIN_SERVICE_SLOTS = 6
@@ -68,19 +66,6 @@
     decision_inputs: dict
 
 
-@dataclasses.dataclass(frozen=True)
-class CacheTransfer:
-    """From where an engine fetches a cached prefix and where it saves it.
-
-    Attributes:
-        fetch_from: address of an engine or store that has it, or empty.
-        save_to: address of a store that lacks it, or empty.
-    """
-
-    fetch_from: str = ''
-    save_to: str = ''
-
-
 class Selector:
     """Assigns endpoints to requests and tracks the load in flight."""
 
@@ -259,7 +244,13 @@
         self, request, chosen, candidates, block_digests, reservation
     ):
         salt = self._salt(request, chosen.endpoint)
-        transfer = self._cache_transfer(request, chosen, candidates, salt)
+        transfer = cache_transfers.choose(
+            request.metadata.prompt_segments[:-1],
+            chosen,
+            candidates,
+            self._context.kv_stores.find_available(),
+            salt,
+        )
         return Assignment(
             chosen.endpoint,
             reservation,
@@ -275,35 +266,6 @@
             | _decision_inputs(chosen, candidates),
         )
 
-    def _cache_transfer(self, request, chosen, candidates, salt):
-        """Return the ``CacheTransfer`` for what the chosen engine lacks."""
-        shared_segments = request.metadata.prompt_segments[:-1]
-        if not shared_segments:
-            return CacheTransfer()
-        tokens = sum(segment.tokens for segment in shared_segments)
-        peer = _best_peer(chosen, candidates)
-        tokens_at_peer = peer.cached_tokens if peer else 0
-        store = self._context.kv_stores.find_available()
-        if store is None:
-            return CacheTransfer(peer.endpoint.address if peer else '')
-        count = store.count_leading(
-            salt, [segment.id for segment in shared_segments]
-        )
-        tokens_in_store = sum(
-            segment.tokens for segment in shared_segments[:count]
-        )
-        save_to = ''
-        is_incomplete = chosen.cached_tokens < tokens
-        if is_incomplete and tokens_in_store < tokens >= MIN_STORE_SAVE_TOKENS:
-            save_to = store.address
-        if tokens_in_store > max(tokens_at_peer, chosen.cached_tokens):
-            return CacheTransfer(store.address, save_to)
-        if not peer and tokens_in_store:
-            # The engine may have evicted segments that are recorded as
-            # cached there. It fetches only segments that it lacks.
-            return CacheTransfer(store.address, save_to)
-        return CacheTransfer(peer.endpoint.address if peer else '', save_to)
-
     def await_assignment(self, request, excluded, caller):
         """Assign an endpoint, queueing the request if none has capacity.
 
@@ -474,24 +436,3 @@
         'cached': chosen.cached_tokens,
         'home': chosen.has_affinity,
     }
-
-
-def _best_peer(chosen, candidates):
-    """Return the candidate to fetch the cached prefix from, or None.
-
-    It has more of the prefix than the chosen one, under the same weights.
-    """
-    peers = [
-        candidate
-        for candidate in candidates
-        if candidate.cached_tokens > chosen.cached_tokens
-        and candidate.weights_version == chosen.weights_version
-    ]
-    return max(
-        peers,
-        key=lambda candidate: (
-            candidate.cached_tokens,
-            candidate.endpoint.data_centre == chosen.endpoint.data_centre,
-        ),
-        default=None,
-    )
