--- a/packages/carobwood-daemon/carobwood_daemon/routing/segment_suspects.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/segment_suspects.py
@@ -30,7 +30,7 @@
 MIN_CRASHES = 3
 # Time from the first of these crashes to the last. Engines that lose power
 # together crash together, with the same segments in flight on all of them.
-MIN_SPAN_SECONDS = 1.0
+MIN_SPAN_SECONDS = 0.5
 # Time from the last crash until a request is tried; doubles with each
 # crash beyond ``MIN_CRASHES``.
 FIRST_TRIAL_DELAY_SECONDS = 30.0
@@ -41,7 +41,7 @@
 # Age from which a strike counts. Until then the strikes of other VMs, and
 # answers that void it, may be on their way: a segment in flight beside a
 # culprit would have more strikes than the culprit.
-SETTLE_SECONDS = 1.0
+SETTLE_SECONDS = 0.6
 # Interval in which culprits are determined anew.
 REFRESH_SECONDS = 0.25
 
