Refuse queued requests at once when their segment is blocked

A request that waited for capacity was refused only once it was assigned, so it was held although the answer was known. The queue asks with each recheck; the test fails without it.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -283,6 +283,8 @@
                 them have been tried.
             Saturated: the queue is full, or no endpoint had capacity
                 within the maximum wait.
+            RequestCrashesEndpoints: endpoints crashed on a segment of the
+                prompt while it waited.
             CallerLeft: the caller disconnected during the wait.
         """
         wait_queue = self._context.wait_queue
@@ -330,6 +332,7 @@
                 raise errors.CallerLeft(
                     'the caller disconnected while its request was queued'
                 )
+            self._context.segment_suspects.check(request.segment_keys)
             if wait_queue.is_first(entry):
                 assignment = self.try_assign(request, excluded)
                 if assignment is not None:
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -30,6 +30,8 @@
                 capacity; returns whether the caller has disconnected.
         """
         self.clock = builders.Clock()
+        # Check of the segments of a prompt; a test replaces it.
+        self.check = lambda keys: None
         self.endpoint = builders.endpoint(pool='orders')
         self.loads = fleet_loads.FleetLoads(self.clock)
         self.reservation = self.loads.reserve(self.endpoint.id, FULL_LOAD)
@@ -47,6 +49,7 @@
                 directory=stub(serving_endpoints=lambda: [self.endpoint]),
                 health=endpoint_health.EndpointHealth(self.clock),
                 availability=self.availability,
+                segment_suspects=stub(check=lambda keys: self.check(keys)),
                 is_discovery_done=lambda: True,
                 loads=self.loads,
                 prefix_cache_index=stub(record_use=lambda *arguments: None),
@@ -63,6 +66,7 @@
             service='orders',
             customer=None,
             priority=2,
+            segment_keys=frozenset(),
             demand=placement.Demand(0, 0, 0),
             soft_deadline_at=self.clock.now + 0.1,
             deadline_at=self.clock.now + 0.6,
@@ -149,6 +153,18 @@
     assert harness.clock.now >= began_at + 0.15
 
 
+def test_a_queued_request_is_refused_when_its_segment_is():
+    def refuse(keys):
+        raise errors.RequestCrashesEndpoints('a segment crashes', 30.0)
+
+    def block(harness):
+        harness.check = refuse
+        return False
+
+    with pytest.raises(errors.RequestCrashesEndpoints):
+        SelectorHarness(block).await_assignment()
+
+
 def test_a_leaving_endpoint_counts_as_none():
     harness = SelectorHarness(lambda harness: False)
     harness.reservation.release()
