Ignore strikes of segments that cannot be read, with a log line

A malformed strike from another VM would have raised ValueError in every request of this one while it was in the table. The five cases fail without this.

--- a/packages/carobwood-daemon/carobwood_daemon/routing/segment_suspects.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/segment_suspects.py
@@ -18,6 +18,7 @@
 
 import dataclasses
 import hashlib
+import re
 import threading
 
 from carobwood import clocks
@@ -37,7 +38,6 @@
 MAX_TRIAL_DELAY_SECONDS = 480.0
 # Time to the next trial if the last one has had no result.
 TRIAL_TIMEOUT_SECONDS = 30.0
-
 # Age from which a strike counts. Until then the strikes of other VMs, and
 # answers that void it, may be on their way: a segment in flight beside a
 # culprit would have more strikes than the culprit.
@@ -45,8 +45,11 @@
 # Interval in which culprits are determined anew.
 REFRESH_SECONDS = 0.25
 
+# Endpoint, fingerprint and milliseconds in flight, as a strike names them.
+_CRASH = re.compile(r'(?P<endpoint>.+)/(?P<request>[0-9a-f]+)/(?P<ms>\d{1,9})')
 _DIGEST_BYTES = 8
 _FINGERPRINT_CHARS = 16
+_MAX_LOGGED_CHARS = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -295,10 +298,17 @@
         return True
 
     def _note_strikes(self, strikes):
-        if any(
-            key.startswith(crash_suspects.SEGMENT_PREFIX) for key, _ in strikes
-        ):
+        for segment, crash in strikes:
+            if not segment.startswith(crash_suspects.SEGMENT_PREFIX):
+                continue
             self._has_strikes = True
+            crash = crash.removeprefix(crash_suspects.VOID_PREFIX)
+            if not _CRASH.fullmatch(crash):
+                events.emit(
+                    events.STRIKE_IGNORED,
+                    segment=segment[:_MAX_LOGGED_CHARS],
+                    crash=crash[:_MAX_LOGGED_CHARS],
+                )
 
     def _live_crashes(self, segment):
         known = {
@@ -320,13 +330,19 @@
             and not crash.startswith(crash_suspects.VOID_PREFIX)
             and (segment, crash_suspects.VOID_PREFIX + crash) not in strikes
             and struck_at <= now - SETTLE_SECONDS
+            and _CRASH.fullmatch(crash)
         ]
 
 
 def _parse_strike(segment, crash, struck_at):
-    endpoint, request, in_flight_ms = crash.rsplit('/', 2)
-    sent_at = struck_at - int(in_flight_ms) / 1000
-    return SegmentStrike(segment, endpoint, request, sent_at, struck_at)
+    fields = _CRASH.fullmatch(crash)
+    return SegmentStrike(
+        segment,
+        fields['endpoint'],
+        fields['request'],
+        struck_at - int(fields['ms']) / 1000,
+        struck_at,
+    )
 
 
 def _log_changes(known, found):
--- a/tests/test_segment_suspects.py
+++ b/tests/test_segment_suspects.py
@@ -6,6 +6,7 @@
 import relay_builders as builders
 
 from carobwood import errors
+from carobwood import events
 from carobwood_daemon.routing import crash_suspects
 from carobwood_daemon.routing import segment_suspects
 
@@ -40,7 +41,7 @@
         """Record three crashes, each with another request in flight."""
         for number in range(3):
             self.clock.now += 2.0
-            self.crash(f'request-{number}', *segments)
+            self.crash(f'{number:04x}', *segments)
 
     def culprits(self):
         """Return the culprits once all strikes count."""
@@ -102,7 +103,7 @@
 
 def test_requests_in_flight_at_one_crash_make_no_culprit(vm):
     for number in range(8):
-        vm.crash(f'request-{number}', RULEBOOK, in_flight=0.1 * number + 0.05)
+        vm.crash(f'{number:04x}', RULEBOOK, in_flight=0.1 * number + 0.05)
         vm.clock.now += 0.005
     assert vm.culprits() == []
 
@@ -111,33 +112,49 @@
     # As in a power failure, with a much used segment in flight on each.
     for number, engine in enumerate(ENGINES):
         for copy in range(3):
-            vm.crash(f'request-{number}-{copy}', RULEBOOK, engine=engine)
+            vm.crash(f'{number}a{copy}', RULEBOOK, engine=engine)
         vm.clock.now += 0.1
     assert vm.culprits() == []
     # One of them crashes again, with no answer in between.
     vm.clock.now += 0.1
-    vm.crash('request-6', COUNTRIES[0], engine=ENGINES[0])
+    vm.crash('0066', COUNTRIES[0], engine=ENGINES[0])
     assert vm.culprits() == []
 
 
 def test_repeats_of_one_request_make_no_culprit(vm):
     for _ in range(5):
         vm.clock.now += 2.0
-        vm.crash('request', RULEBOOK, COUNTRIES[0])
+        vm.crash('abcd', RULEBOOK, COUNTRIES[0])
     assert vm.culprits() == []
 
 
 def test_a_segment_in_flight_beside_a_culprit_is_no_culprit(vm):
     for number in range(6):
         vm.clock.now += 2.0
-        vm.crash(f'bad-{number}', RULEBOOK, CRASHING)
+        vm.crash(f'bad{number}', RULEBOOK, CRASHING)
         if number % 2:
-            vm.crash(f'sound-{number}', RULEBOOK, COUNTRIES[0])
+            vm.crash(f'{number:05x}', RULEBOOK, COUNTRIES[0])
     vm.suspects.record_answer([RULEBOOK])
     [culprit] = vm.culprits()
     assert culprit.segments == {CRASHING}
 
 
+@pytest.mark.parametrize(
+    'crash', ['', 'engine-1/1', 'engine-1/1/ab/soon', 'answered/', 'e/ab/1/']
+)
+def test_unreadable_strikes_of_other_vms_are_ignored_and_logged(
+    vm, monkeypatch, crash
+):
+    logged = []
+    monkeypatch.setattr(
+        events, 'emit', lambda event, **fields: logged.append(event)
+    )
+    vm.table.merge({(CRASHING, crash): vm.clock.now})
+    assert logged.count(events.STRIKE_IGNORED) == 1
+    vm.clock.now += segment_suspects.SETTLE_SECONDS
+    assert not vm.is_refused(CRASHING)
+
+
 def test_a_trial_is_due_on_one_vm_and_once(vm):
     vm.crash_thrice(CRASHING)
     vm.clock.now += segment_suspects.FIRST_TRIAL_DELAY_SECONDS + 0.1
@@ -156,7 +173,7 @@
     delay = segment_suspects.FIRST_TRIAL_DELAY_SECONDS
     vm.clock.now += delay + 0.1
     vm.suspects.check_before_send([CRASHING])
-    vm.crash('trial', CRASHING)
+    vm.crash('0077', CRASHING)
     vm.clock.now += 2 * delay - 0.3
     assert vm.is_refused(CRASHING)
     vm.clock.now += 0.6
@@ -281,7 +298,7 @@
             Run(
                 vm,
                 self._random.choice(up),
-                f'request-{self._count:09}',
+                f'{self._count:09x}',
                 segments,
                 self._now,
                 self._now + prefill,
