Determine culprits anew only while strikes settle or expire

Now it is done until the last strike has settled, then every 10 s. The test counts the determinations; a VM on which no request came meanwhile still sees them.

--- a/packages/carobwood-daemon/carobwood_daemon/routing/segment_suspects.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/segment_suspects.py
@@ -42,8 +42,10 @@
 # answers that void it, may be on their way: a segment in flight beside a
 # culprit would have more strikes than the culprit.
 SETTLE_SECONDS = 0.6
-# Interval in which culprits are determined anew.
+# Interval in which culprits are determined anew while strikes settle.
 REFRESH_SECONDS = 0.25
+# The same interval otherwise, when strikes only expire.
+IDLE_REFRESH_SECONDS = 10.0
 
 # Endpoint, fingerprint and milliseconds in flight, as a strike names them.
 _CRASH = re.compile(r'(?P<endpoint>.+)/(?P<request>[0-9a-f]+)/(?P<ms>\d{1,9})')
@@ -204,8 +206,9 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._tried_at_by_key = {}
-        self._has_strikes = False
-        self._found_at = 0.0
+        # When a strike or the void of one was noted last, or None.
+        self._noted_at = None
+        self._found_at = float('-inf')
         self._culprits = []
         strike_table.on_strike(self._note_strikes)
 
@@ -243,8 +246,7 @@
         """Return the present ``Culprit`` records."""
         now = self._clock()
         with self._lock:
-            is_recent = now - self._found_at < REFRESH_SECONDS
-            if is_recent or not self._has_strikes:
+            if not self._is_refresh_due(now):
                 return self._culprits
             self._found_at = now
         found = find_culprits(self._settled_strikes(now))
@@ -278,6 +280,13 @@
                     max(1.0, seconds),
                 )
 
+    def _is_refresh_due(self, now):
+        if self._noted_at is None:
+            return False
+        is_settled = self._found_at > self._noted_at + SETTLE_SECONDS
+        interval = IDLE_REFRESH_SECONDS if is_settled else REFRESH_SECONDS
+        return now - self._found_at >= interval
+
     def _is_trial_due(self, culprit):
         now = self._clock()
         if now < culprit.trial_at or not self._is_trial_vm(culprit.key):
@@ -301,7 +310,7 @@
         for segment, crash in strikes:
             if not segment.startswith(crash_suspects.SEGMENT_PREFIX):
                 continue
-            self._has_strikes = True
+            self._noted_at = self._clock()
             crash = crash.removeprefix(crash_suspects.VOID_PREFIX)
             if not _CRASH.fullmatch(crash):
                 events.emit(
--- a/tests/test_segment_suspects.py
+++ b/tests/test_segment_suspects.py
@@ -70,6 +70,32 @@
     assert vm.is_refused(RULEBOOK, CRASHING)
 
 
+def test_culprits_are_not_determined_anew_while_nothing_changes(
+    vm, monkeypatch
+):
+    counts = []
+    find = segment_suspects.find_culprits
+    monkeypatch.setattr(
+        segment_suspects,
+        'find_culprits',
+        lambda strikes: counts.append(len(strikes)) or find(strikes),
+    )
+    vm.crash_thrice(RULEBOOK, CRASHING)
+    # A request for each tenth of a second, most of them long after.
+    for _ in range(200):
+        vm.clock.now += 0.1
+        vm.is_refused(RULEBOOK)
+    assert len(counts) <= 6
+    assert vm.is_refused(RULEBOOK, CRASHING)
+
+
+def test_strikes_that_no_request_followed_count_later(vm):
+    vm.crash_thrice(RULEBOOK, CRASHING)
+    assert not vm.is_refused(RULEBOOK, CRASHING)
+    vm.clock.now += 3 * segment_suspects.SETTLE_SECONDS
+    assert vm.is_refused(RULEBOOK, CRASHING)
+
+
 def test_a_request_with_only_some_of_the_suspected_segments_is_not_refused(
     vm,
 ):
