Log the rate limits that engines name in their answers

The collected logs had no line about a limit, so a limit that is not read, one that each VM keeps alone and one that is forgotten looked alike. The adapter reads the header into a typed RateLimit, and event 326 says when an endpoint names a limit, another one, or none any more. Nothing acts on it yet.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/messages.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/messages.py
@@ -93,6 +93,18 @@
     seconds: float | None
 
 
+@dataclasses.dataclass(frozen=True)
+class RateLimit:
+    """How many requests an endpoint takes from all VMs together.
+
+    Attributes:
+        per_second: requests per second, not negative, or None if the value
+            cannot be read.
+    """
+
+    per_second: float | None
+
+
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
     """Status and headers of an endpoint's response.
@@ -112,6 +124,7 @@
         is_event_stream: whether the body is a stream of events.
         is_leaving: whether the endpoint says that it is shutting down.
         retry_after: the ``RetryAfter``, or None if it asks for nothing.
+        rate_limit: the ``RateLimit``, or None if the endpoint names none.
     """
 
     status: int
@@ -125,6 +138,7 @@
     is_event_stream: bool
     is_leaving: bool = False
     retry_after: RetryAfter | None = None
+    rate_limit: RateLimit | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -31,6 +31,8 @@
         health: the ``EndpointHealth``: failures of endpoints.
         availability: the ``EndpointAvailability``: what endpoints say about
             the work that they take.
+        rate_limits: the ``EndpointRateLimits``: how many requests endpoints
+            take from all VMs together.
         wait_queue: the ``WaitQueue``: the queue of requests that fit on no
             endpoint yet.
         retry_budget: the ``FleetRetryBudget``: bound on retries.
@@ -58,6 +60,7 @@
     kv_stores: object
     health: object
     availability: object
+    rate_limits: object
     wait_queue: object
     retry_budget: object
     crash_suspects: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -142,6 +142,7 @@
             head = self._context.dialect.parse_response_head(status, headers)
             if head.endpoint_id in ('', assignment.endpoint.id):
                 self._context.availability.note_head(assignment.endpoint, head)
+                self._context.rate_limits.note_head(assignment.endpoint, head)
             if head.request_id in ('', self._request.metadata.request_id):
                 return self._check_response(
                     EndpointResponse(head, headers, connection)
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -7,6 +7,7 @@
 import pathlib
 import socket
 import threading
+import time
 
 from carobwood import addresses
 from carobwood_daemon.relay import quota
@@ -51,6 +52,9 @@
         is_leaving: whether it says in its answers that it is leaving.
         retry_after: value of the header of its rejections, or empty. It
             rejects all requests while it is set.
+        rate_limit: requests per second that it names in its answers, or
+            empty.
+        received_at: monotonic times at which it has received requests.
         crashing_segment: id of the prompt segment that crashes it as soon as
             it begins to answer a request that has the segment.
         address: ``host:port`` that it listens on.
@@ -65,6 +69,8 @@
         self.crashing_segment = ''
         self.is_leaving = False
         self.retry_after = ''
+        self.rate_limit = ''
+        self.received_at = []
         self._server = None
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
@@ -149,6 +155,7 @@
         self.engine.requests.append(
             {name.lower(): value for name, value in self.headers.items()}
         )
+        self.engine.received_at.append(time.monotonic())
         if self._is_crashing():
             self.engine.stop()
             self.close_connection = True
@@ -189,6 +196,8 @@
         }
         if self.engine.is_leaving:
             headers['Server-Leaving'] = '1'
+        if self.engine.rate_limit:
+            headers['Server-Limit'] = self.engine.rate_limit
         return headers
 
     def _send_response(self, status, body, headers=None):
@@ -469,6 +478,7 @@
         """Clear the recorded requests of all endpoints."""
         for endpoint in (*self.engines, self.plain_endpoint):
             endpoint.requests.clear()
+            endpoint.received_at.clear()
 
     @property
     def engine_requests(self):
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -152,6 +152,31 @@
     assert head.is_leaving is is_leaving
 
 
+@pytest.mark.parametrize(
+    'text, per_second',
+    [
+        ('1.5', 1.5),
+        ('0', 0.0),
+        (' 0.2 ', 0.2),
+        ('.5', 0.5),
+        ('900000', 900000.0),
+        ('-1', None),
+        ('nan', None),
+        ('1e400', None),
+        ('9' * 400, None),
+        ('', None),
+        ('soon', None),
+    ],
+)
+def test_an_answer_names_the_rate_limit_of_the_engine(text, per_second):
+    head = DIALECT.parse_response_head(200, {'server-limit': text})
+    assert head.rate_limit == messages.RateLimit(per_second)
+
+
+def test_an_answer_may_name_no_rate_limit():
+    assert DIALECT.parse_response_head(200, {}).rate_limit is None
+
+
 def test_a_response_tells_whether_the_request_has_not_run():
     not_run = DIALECT.parse_response_head(503, {'x-carobwood-not-run': '1'})
     assert not_run.has_not_run and not not_run.is_signed
