Hold all VMs together to the rate limit that an engine names

Callers saw: an engine in need that named a limit got its old load, 30 requests in 4 s where 14 were allowed, and stayed in need.

Cause: the limit was read nowhere. Class of fault: an instruction of an endpoint that concerns the fleet, taken for the knowledge of one VM or of none.

Change: each request to an incarnation that has named a limit takes a permit, first attempts, retries and resumed streams alike, as all of them pass the selector. One VM grants them: control VMs first, by rendezvous hashing. It grants three quarters of the limit, so two that both believe to be the grantor keep 1.5 times the limit together, begins without permits, and tells VMs that get none when to ask again. An engine that takes nothing is tried 0.2 times a second, so the end of its need is learned; then the rate doubles each second, so the VMs do not return at once. Gossip tells VMs of a limit before they send. An answer that was overtaken ends no limit. Requests go to other engines first, and one that no engine takes in time is refused at once with the wait as Retry-After.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -14,6 +14,7 @@
 from .entry import hang_detector
 from .entry import listener
 from .entry import request_gate
+from .limits import endpoint_permits
 from .limits import rate_limiter
 from .limits import token_borrower
 from .membership import cache_watchers
@@ -252,6 +253,7 @@
             self._rate_limiter,
             self._lock_table,
             self._crash_suspects,
+            endpoint_permits.PermitTable(),
         )
         self._link_server = link_server.LinkServer(
             settings.link_listen, settings.link_secret, handler
--- a/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -5,6 +5,7 @@
 from carobwood import errors
 from carobwood.gen.links import ttypes
 
+from ..limits import permit_client
 from ..replication import commands
 
 from . import strike_messages
@@ -25,6 +26,7 @@
         rate_limiter,
         lock_table,
         crash_suspects,
+        permit_table,
     ):
         self._replica_runner = replica_runner
         self._store = store
@@ -32,6 +34,7 @@
         self._rate_limiter = rate_limiter
         self._lock_table = lock_table
         self._crash_suspects = crash_suspects
+        self._permit_table = permit_table
 
     def request_vote(self, request):
         """See ``Replica.handle_vote``."""
@@ -144,6 +147,10 @@
         lent = self._rate_limiter.lend(request.customer_id, request.tokens)
         return ttypes.LendReply(lent)
 
+    def take_permit(self, request):
+        """Grant a permit; see ``endpoint_permits.PermitTable``."""
+        return permit_client.handle_request(self._permit_table, request)
+
     def _contact_age_ms(self):
         age = self._store.contact_age()
         return NO_CONTACT if math.isinf(age) else int(age * 1000)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
@@ -231,7 +231,7 @@
 
         Records that no longer exist are left out and dropped from the log.
         """
-        records = ttypes.Records([], [], [], [], [], [], [])
+        records = ttypes.Records([], [], [], [], [], [], [], [])
         now = clocks.now()
         strikes = {}
         if any(isinstance(key, StrikeKey) for key in keys):
--- a/packages/carobwood-daemon/carobwood_daemon/membership/link.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link.py
@@ -32,13 +32,20 @@
         self._lock = threading.Lock()
         self._idle = []
 
-    def call(self, method, message, timeout=CALL_TIMEOUT_SECONDS):
+    def call(
+        self,
+        method,
+        message,
+        timeout=CALL_TIMEOUT_SECONDS,
+        connect_timeout=CONNECT_TIMEOUT_SECONDS,
+    ):
         """Call a method of ``FleetLink``.
 
         Args:
             method: the method's name.
             message: its thrift argument.
             timeout: seconds that each socket operation may wait.
+            connect_timeout: the same for those of a new connection.
 
         Returns:
             The thrift reply.
@@ -46,7 +53,7 @@
         Raises:
             LinkFailed: no reply arrived; the call may have taken effect.
         """
-        connection = self._acquire()
+        connection = self._acquire(connect_timeout)
         try:
             connection.transport.set_timeout(timeout)
             reply = getattr(connection.client, method)(message)
@@ -69,7 +76,7 @@
         for connection in idle:
             connection.transport.close()
 
-    def _acquire(self):
+    def _acquire(self, connect_timeout):
         now = self._clock()
         with self._lock:
             while self._idle:
@@ -77,7 +84,9 @@
                 if now - connection.used_at < IDLE_LIMIT_SECONDS:
                     return connection
                 connection.transport.close()
-        return _Connection(self.address, self._secret, self._source)
+        return _Connection(
+            self.address, self._secret, self._source, connect_timeout
+        )
 
     def _release(self, connection):
         connection.used_at = self._clock()
@@ -128,9 +137,9 @@
         used_at: time of the end of its last call, in seconds.
     """
 
-    def __init__(self, address, secret, source):
+    def __init__(self, address, secret, source, connect_timeout):
         self.transport = link_transport.connect(
-            address, secret, CONNECT_TIMEOUT_SECONDS, source
+            address, secret, connect_timeout, source
         )
         protocol = TCompactProtocol.TCompactProtocolAccelerated(self.transport)
         self.client = FleetLink.Client(protocol)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from carobwood import clocks
 from carobwood import errors
 
 from . import endpoint_connections
@@ -81,12 +82,15 @@
         # retried; it gets a new connection.
         may_reuse = self._request.route.is_idempotent
         connection = pool.acquire(assignment.endpoint.address, may_reuse)
+        sent_at = clocks.now()
         try:
             connection.send(
                 self._outgoing_request(assignment, resume_id),
                 SEND_TIMEOUT_SECONDS,
             )
-            return self._await_response(connection, assignment, timeout)
+            return self._await_response(
+                connection, assignment, sent_at, timeout
+            )
         except BaseException:
             connection.close()
             raise
@@ -125,7 +129,7 @@
             request.body,
         )
 
-    def _await_response(self, connection, assignment, timeout):
+    def _await_response(self, connection, assignment, sent_at, timeout):
         for _ in range(1 + MAX_LATE_RESPONSES):
             match connection.wait(self._caller.socket, timeout):
                 case endpoint_connections.WaitResult.CALLER_LEFT:
@@ -140,10 +144,10 @@
                 self._caller.method, READ_TIMEOUT_SECONDS
             )
             head = self._context.dialect.parse_response_head(status, headers)
+            is_own = head.request_id in ('', self._request.metadata.request_id)
             if head.endpoint_id in ('', assignment.endpoint.id):
-                self._context.availability.note_head(assignment.endpoint, head)
-                self._context.rate_limits.note_head(assignment.endpoint, head)
-            if head.request_id in ('', self._request.metadata.request_id):
+                self._note_head(assignment, head, sent_at if is_own else None)
+            if is_own:
                 return self._check_response(
                     EndpointResponse(head, headers, connection)
                 )
@@ -153,6 +157,11 @@
             'the responses carry the ids of other requests'
         )
 
+    def _note_head(self, assignment, head, sent_at):
+        endpoint = assignment.endpoint
+        self._context.availability.note_head(endpoint, head)
+        self._context.rate_limits.note_head(endpoint, head, sent_at)
+
     def _check_response(self, response):
         head = response.head
         # 421 (Misdirected Request): another endpoint than the addressed
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -96,16 +96,42 @@
             for endpoint in self._endpoints(request.service)
             if endpoint.id not in excluded
             and not context.health.is_ejected(endpoint)
-            and not context.availability.seconds_until_available(endpoint)
+            and not self._seconds_until_open(endpoint)
         ]
         loads_by_id = context.loads.total_loads()
         context.prefill_shares.add_sample(loads_by_id)
         candidates = self._candidates(request, endpoints, loads_by_id)
-        choice = placement.choose(candidates, request.demand)
+        choice = self._choose_permitted(candidates, request.demand)
         if choice is None:
             return None
         return self._assign(request, choice, candidates)
 
+    def _choose_permitted(self, candidates, demand):
+        """Choose a candidate, with a permit if its requests need one.
+
+        Endpoints that have named a rate limit come last.
+        """
+        rate_limits = self._context.rate_limits
+        preferred = [
+            candidate
+            for candidate in candidates
+            if not rate_limits.is_spared(candidate.endpoint)
+        ]
+        for group in (preferred, candidates):
+            remaining = list(group)
+            while choice := placement.choose(remaining, demand):
+                if rate_limits.acquire(choice.candidate.endpoint):
+                    return choice
+                remaining.remove(choice.candidate)
+        return None
+
+    def _seconds_until_open(self, endpoint):
+        """Return the seconds until an endpoint takes requests of this VM."""
+        return max(
+            self._context.availability.seconds_until_available(endpoint),
+            self._context.rate_limits.seconds_until_next(endpoint),
+        )
+
     def release(self, assignment):
         """Release the capacity that an assignment reserves."""
         assignment.reservation.release()
@@ -354,11 +380,12 @@
             max_wait: seconds that the request may still wait.
 
         Raises:
-            Saturated: all endpoints have asked for no requests for longer.
+            Saturated: all endpoints have asked for no requests for longer,
+                or have a rate limit that leaves none for this VM.
         """
         seconds = min(
             (
-                self._context.availability.seconds_until_available(endpoint)
+                self._seconds_until_open(endpoint)
                 for endpoint in self._endpoints(request.service)
                 if endpoint.id not in excluded
             ),
@@ -366,8 +393,8 @@
         )
         if seconds > max_wait:
             raise errors.Saturated(
-                'every endpoint has asked for no requests for longer than '
-                'this one may wait',
+                'no endpoint takes requests of this VM for longer than this '
+                'one may wait',
                 seconds,
             )
 
@@ -395,6 +422,12 @@
                 if context.health.is_ejected(endpoint)
                 or context.availability.seconds_until_available(endpoint)
             ],
+            # Engines that name a rate limit.
+            limited=[
+                endpoint.id
+                for endpoint in endpoints
+                if context.rate_limits.is_limited(endpoint)
+            ],
             # Engines that are loading weights or have outdated ones.
             changing=[
                 endpoint.id
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -9,6 +9,7 @@
 from . import configuration_store
 from . import endpoint_connections
 from . import endpoint_health
+from . import endpoint_rate_limits
 from . import engine_weights
 from . import fleet_loads
 from . import kv_stores
@@ -32,6 +33,7 @@
         prefix_cache_index: the ``PrefixCacheIndex``.
         crash_suspects: the ``CrashSuspects``.
         health: the ``EndpointHealth``.
+        rate_limits: the ``EndpointRateLimits``.
         pool: the ``ConnectionPool``.
         kv_stores: the ``KvStores``.
         past_usage_table: the ``PastUsageTable``.
@@ -47,6 +49,7 @@
     prefix_cache_index: prefix_cache_index.PrefixCacheIndex
     crash_suspects: crash_suspects.CrashSuspects
     health: endpoint_health.EndpointHealth
+    rate_limits: endpoint_rate_limits.EndpointRateLimits
     pool: endpoint_connections.ConnectionPool
     kv_stores: kv_stores.KvStores
     past_usage_table: past_usage.PastUsageTable
@@ -64,14 +67,16 @@
         self.wait_queue.notify_all()
 
 
-def make_shared_components(settings, dialect, store):
+def make_shared_components(settings, dialect, store, request_permit):
     """Return the ``SharedComponents`` of a VM that has just started.
 
     Args:
         settings: the ``RelaySettings``.
         dialect: the ``Dialect`` of the platform.
         store: the ``StateStore`` with the replicated state of the fleet.
+        request_permit: see ``EndpointRateLimits``.
     """
+    metrics = metric_clients.PrometheusMetrics()
     weights = engine_weights.EngineWeights()
     loads = fleet_loads.FleetLoads()
     past_usage_table = past_usage.PastUsageTable(
@@ -97,8 +102,9 @@
         prefix_cache_index.PrefixCacheIndex(),
         crash_suspects.CrashSuspects(),
         endpoint_health.EndpointHealth(),
+        endpoint_rate_limits.EndpointRateLimits(request_permit, metrics.count),
         endpoint_connections.ConnectionPool(),
         kv_stores.KvStores(dialect),
         past_usage_table,
-        metric_clients.PrometheusMetrics(),
+        metrics,
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -8,7 +8,6 @@
 from .relay import admission
 from .relay import control_operations
 from .relay import endpoint_availability
-from .relay import endpoint_rate_limits
 from .relay import fleet_loads
 from .relay import fleet_retry_budget
 from .relay import gateway
@@ -129,7 +128,7 @@
             kv_stores=shared.kv_stores,
             health=shared.health,
             availability=endpoint_availability.EndpointAvailability(),
-            rate_limits=endpoint_rate_limits.EndpointRateLimits(),
+            rate_limits=shared.rate_limits,
             wait_queue=shared.wait_queue,
             retry_budget=fleet_retry_budget.FleetRetryBudget(
                 fleet_limits.retry_ratio,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -15,6 +15,8 @@
 
 from . import relay_servers
 from .entry import request_gate
+from .limits import endpoint_permits
+from .limits import permit_client
 from .limits import rate_limiter
 from .membership import directory as directories
 from .membership import endpoint_locks
@@ -35,6 +37,7 @@
 from .relay import endpoint_prober
 from .relay import engine_cache_monitors
 from .relay import gossip_topic
+from .relay import rate_limit_records
 from .relay import shared_components
 from .relay import usage_persister
 from .relay import weights_records
@@ -86,8 +89,14 @@
         if settings.data_folder:
             self._data_folder = data_folder.DataFolder(settings.data_folder)
         self._build_replication()
+        self._permit_table = endpoint_permits.PermitTable()
         self._shared = shared_components.make_shared_components(
-            settings, dialect, self._store
+            settings,
+            dialect,
+            self._store,
+            permit_client.PermitClient(
+                self._permit_table, self._directory, self._links
+            ).request,
         )
         self._build_membership()
         self._persisters = self._make_persisters()
@@ -239,6 +248,7 @@
             topics=(topic,),
             sources=(
                 weights_records.WeightsRecords(self._shared.engine_weights),
+                rate_limit_records.RateLimitRecords(self._shared.rate_limits),
                 self._shared.kv_stores,
             ),
         )
@@ -272,6 +282,7 @@
             rate_limiter.RateLimiter(1),
             endpoint_locks.EndpointLockTable(),
             self._shared.crash_suspects,
+            self._permit_table,
         )
         self._link_server = link_server.LinkServer(
             settings.link_listen, settings.link_secret, handler
--- a/packages/carobwood/carobwood/gen/links/FleetLink.py
+++ b/packages/carobwood/carobwood/gen/links/FleetLink.py
@@ -107,6 +107,14 @@
         """
         pass
 
+    def take_permit(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -467,6 +475,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "lend_tokens failed: unknown result")
 
+    def take_permit(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_take_permit(request)
+        return self.recv_take_permit()
+
+    def send_take_permit(self, request):
+        self._oprot.writeMessageBegin('take_permit', TMessageType.CALL, self._seqid)
+        args = take_permit_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_take_permit(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = take_permit_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "take_permit failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -483,6 +523,7 @@
         self._processMap["gossip"] = Processor.process_gossip
         self._processMap["hold_apart"] = Processor.process_hold_apart
         self._processMap["lend_tokens"] = Processor.process_lend_tokens
+        self._processMap["take_permit"] = Processor.process_take_permit
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -758,6 +799,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_take_permit(self, seqid, iprot, oprot):
+        args = take_permit_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = take_permit_result()
+        try:
+            result.success = self._handler.take_permit(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("take_permit", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -2133,5 +2197,130 @@
 lend_tokens_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [LendReply, None], None, ),  # 0
 )
+
+
+class take_permit_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = PermitRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('take_permit_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(take_permit_args)
+take_permit_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [PermitRequest, None], None, ),  # 1
+)
+
+
+class take_permit_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = PermitReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('take_permit_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(take_permit_result)
+take_permit_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [PermitReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -2636,6 +2636,322 @@
         return not (self == other)
 
 
+class RateLimitNews(object):
+    """
+    Attributes:
+     - endpoint_id
+     - incarnation
+     - per_second
+     - age_ms
+
+    """
+
+
+    def __init__(self, endpoint_id=None, incarnation=None, per_second=None, age_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.per_second = per_second
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLimitNews')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 3)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint_id is None:
+            raise TProtocolException(message='Required field endpoint_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.per_second is None:
+            raise TProtocolException(message='Required field per_second is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitRequest(object):
+    """
+    Attributes:
+     - endpoint_id
+     - incarnation
+     - vm_id
+     - age_ms
+     - per_second
+
+    """
+
+
+    def __init__(self, endpoint_id=None, incarnation=None, vm_id=None, age_ms=None, per_second=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.vm_id = vm_id
+        self.age_ms = age_ms
+        self.per_second = per_second
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.vm_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitRequest')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.vm_id is not None:
+            oprot.writeFieldBegin('vm_id', TType.STRING, 3)
+            oprot.writeString(self.vm_id.encode('utf-8') if sys.version_info[0] == 2 else self.vm_id)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 5)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint_id is None:
+            raise TProtocolException(message='Required field endpoint_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.vm_id is None:
+            raise TProtocolException(message='Required field vm_id is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitReply(object):
+    """
+    Attributes:
+     - granted
+     - over
+     - wait_ms
+     - age_ms
+     - per_second
+
+    """
+
+
+    def __init__(self, granted=None, over=None, wait_ms=None, age_ms=None, per_second=None,):
+        self.granted = granted
+        self.over = over
+        self.wait_ms = wait_ms
+        self.age_ms = age_ms
+        self.per_second = per_second
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.over = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitReply')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 1)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.over is not None:
+            oprot.writeFieldBegin('over', TType.BOOL, 2)
+            oprot.writeBool(self.over)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 5)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.granted is None:
+            raise TProtocolException(message='Required field granted is unset!')
+        if self.over is None:
+            raise TProtocolException(message='Required field over is unset!')
+        if self.wait_ms is None:
+            raise TProtocolException(message='Required field wait_ms is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadNews(object):
     """
     Attributes:
@@ -3388,11 +3704,12 @@
      - placements
      - rosters
      - stores
+     - rate_limits
 
     """
 
 
-    def __init__(self, vms=None, announcements=None, strikes=None, weights=None, placements=None, rosters=None, stores=None,):
+    def __init__(self, vms=None, announcements=None, strikes=None, weights=None, placements=None, rosters=None, stores=None, rate_limits=None,):
         self.vms = vms
         self.announcements = announcements
         self.strikes = strikes
@@ -3400,6 +3717,7 @@
         self.placements = placements
         self.rosters = rosters
         self.stores = stores
+        self.rate_limits = rate_limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3487,6 +3805,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.rate_limits = []
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = RateLimitNews()
+                        _elem126.read(iprot)
+                        self.rate_limits.append(_elem126)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3500,50 +3829,57 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter121 in self.vms:
-                iter121.write(oprot)
+            for iter127 in self.vms:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter122 in self.announcements:
-                iter122.write(oprot)
+            for iter128 in self.announcements:
+                iter128.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter123 in self.strikes:
-                iter123.write(oprot)
+            for iter129 in self.strikes:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter124 in self.weights:
-                iter124.write(oprot)
+            for iter130 in self.weights:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.placements is not None:
             oprot.writeFieldBegin('placements', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter125 in self.placements:
-                iter125.write(oprot)
+            for iter131 in self.placements:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rosters is not None:
             oprot.writeFieldBegin('rosters', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rosters))
-            for iter126 in self.rosters:
-                iter126.write(oprot)
+            for iter132 in self.rosters:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stores is not None:
             oprot.writeFieldBegin('stores', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stores))
-            for iter127 in self.stores:
-                iter127.write(oprot)
+            for iter133 in self.stores:
+                iter133.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rate_limits is not None:
+            oprot.writeFieldBegin('rate_limits', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
+            for iter134 in self.rate_limits:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3709,10 +4045,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem133)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3725,11 +4061,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = LoadNews()
-                        _elem139.read(iprot)
-                        self.loads.append(_elem139)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = LoadNews()
+                        _elem146.read(iprot)
+                        self.loads.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3774,8 +4110,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter140 in self.withdrawn_digests:
-                oprot.writeString(iter140.encode('utf-8') if sys.version_info[0] == 2 else iter140)
+            for iter147 in self.withdrawn_digests:
+                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
@@ -3785,8 +4121,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter141 in self.loads:
-                iter141.write(oprot)
+            for iter148 in self.loads:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
@@ -3897,10 +4233,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem147)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3924,10 +4260,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.silent_endpoints = []
-                    (_etype151, _size148) = iprot.readListBegin()
-                    for _i152 in range(_size148):
-                        _elem153 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent_endpoints.append(_elem153)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3939,44 +4275,44 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = LoadNews()
-                        _elem159.read(iprot)
-                        self.loads.append(_elem159)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = LoadNews()
+                        _elem166.read(iprot)
+                        self.loads.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = GroupReport()
-                        _elem165.read(iprot)
-                        self.groups.append(_elem165)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = GroupReport()
+                        _elem172.read(iprot)
+                        self.groups.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.own_units = {}
-                    (_ktype167, _vtype168, _size166) = iprot.readMapBegin()
-                    for _i170 in range(_size166):
-                        _key171 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val172 = iprot.readI64()
-                        self.own_units[_key171] = _val172
+                    (_ktype174, _vtype175, _size173) = iprot.readMapBegin()
+                    for _i177 in range(_size173):
+                        _key178 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val179 = iprot.readI64()
+                        self.own_units[_key178] = _val179
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.past_spending = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = PastSpendingNews()
-                        _elem178.read(iprot)
-                        self.past_spending.append(_elem178)
+                    (_etype183, _size180) = iprot.readListBegin()
+                    for _i184 in range(_size180):
+                        _elem185 = PastSpendingNews()
+                        _elem185.read(iprot)
+                        self.past_spending.append(_elem185)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4009,8 +4345,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter179 in self.withdrawn_digests:
-                oprot.writeString(iter179.encode('utf-8') if sys.version_info[0] == 2 else iter179)
+            for iter186 in self.withdrawn_digests:
+                oprot.writeString(iter186.encode('utf-8') if sys.version_info[0] == 2 else iter186)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepted is not None:
@@ -4028,8 +4364,8 @@
         if self.silent_endpoints is not None:
             oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
-            for iter180 in self.silent_endpoints:
-                oprot.writeString(iter180.encode('utf-8') if sys.version_info[0] == 2 else iter180)
+            for iter187 in self.silent_endpoints:
+                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.period_ms is not None:
@@ -4039,30 +4375,30 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter181 in self.loads:
-                iter181.write(oprot)
+            for iter188 in self.loads:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter182 in self.groups:
-                iter182.write(oprot)
+            for iter189 in self.groups:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own_units is not None:
             oprot.writeFieldBegin('own_units', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
-            for kiter183, viter184 in self.own_units.items():
-                oprot.writeString(kiter183.encode('utf-8') if sys.version_info[0] == 2 else kiter183)
-                oprot.writeI64(viter184)
+            for kiter190, viter191 in self.own_units.items():
+                oprot.writeString(kiter190.encode('utf-8') if sys.version_info[0] == 2 else kiter190)
+                oprot.writeI64(viter191)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.past_spending is not None:
             oprot.writeFieldBegin('past_spending', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter185 in self.past_spending:
-                iter185.write(oprot)
+            for iter192 in self.past_spending:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4304,6 +4640,32 @@
     (5, TType.I64, 'weights_version', None, None, ),  # 5
     (6, TType.BOOL, 'loading', None, None, ),  # 6
 )
+all_structs.append(RateLimitNews)
+RateLimitNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.DOUBLE, 'per_second', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(PermitRequest)
+PermitRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'vm_id', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'per_second', None, None, ),  # 5
+)
+all_structs.append(PermitReply)
+PermitReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+    (2, TType.BOOL, 'over', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'per_second', None, None, ),  # 5
+)
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
     None,  # 0
@@ -4371,6 +4733,7 @@
     (5, TType.LIST, 'placements', (TType.STRUCT, [PlacementNews, None], False), None, ),  # 5
     (6, TType.LIST, 'rosters', (TType.STRUCT, [Roster, None], False), None, ),  # 6
     (7, TType.LIST, 'stores', (TType.STRUCT, [StoreNews, None], False), None, ),  # 7
+    (8, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimitNews, None], False), None, ),  # 8
 )
 all_structs.append(LogPosition)
 LogPosition.thrift_spec = (
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -7,8 +7,10 @@
 
 from carobwood import errors
 from carobwood import events
+from carobwood_daemon.limits import endpoint_permits
 from carobwood_daemon.relay import endpoint_availability
 from carobwood_daemon.relay import endpoint_health
+from carobwood_daemon.relay import endpoint_rate_limits
 from carobwood_daemon.relay import engine_weights
 from carobwood_daemon.relay import fleet_loads
 from carobwood_daemon.relay import messages
@@ -39,6 +41,12 @@
         self.availability = endpoint_availability.EndpointAvailability(
             self.clock, lambda limit: 0.0
         )
+        # Called with an endpoint and a statement; a test replaces it.
+        self.request_permit = None
+        self.rate_limits = endpoint_rate_limits.EndpointRateLimits(
+            lambda *arguments: self.request_permit(*arguments),
+            clock=self.clock,
+        )
         self.caller = types.SimpleNamespace(
             has_disconnected=lambda: on_recheck(self)
         )
@@ -49,6 +57,7 @@
                 directory=stub(serving_endpoints=lambda: [self.endpoint]),
                 health=endpoint_health.EndpointHealth(self.clock),
                 availability=self.availability,
+                rate_limits=self.rate_limits,
                 segment_suspects=stub(check=lambda keys: self.check(keys)),
                 is_discovery_done=lambda: True,
                 loads=self.loads,
@@ -224,3 +233,77 @@
     assert ejection['cause'] == 'unreachable'
     assert ejection['seconds'] == endpoint_health.FIRST_PROBE_DELAY_SECONDS
     assert wait['paused'] == ['engine-1']
+
+
+def _name_limit(harness, per_second=1.0):
+    head = messages.ResponseHead(
+        200,
+        '',
+        'r-1',
+        False,
+        True,
+        0,
+        None,
+        False,
+        False,
+        rate_limit=messages.RateLimit(per_second),
+    )
+    harness.rate_limits.note_head(harness.endpoint, head, harness.clock.now)
+
+
+def _deny(harness, wait):
+    harness.request_permit = lambda endpoint, statement: (
+        endpoint_permits.PermitDecision(False, False, wait, statement)
+    )
+
+
+def test_a_request_that_gets_no_permit_in_time_is_refused_at_once(lines):
+    harness = SelectorHarness(_pass_time)
+    _free_capacity(harness)
+    _name_limit(harness)
+    _deny(harness, 3.0)
+    began_at = harness.clock.now
+    with pytest.raises(errors.Saturated) as raised:
+        harness.await_assignment()
+    assert raised.value.retry_after == 3.0
+    assert harness.clock.now == began_at
+
+
+def test_a_request_waits_for_a_permit_that_comes_in_time(lines):
+    def grant_later(harness):
+        harness.clock.advance(0.1)
+        harness.request_permit = lambda endpoint, statement: (
+            endpoint_permits.PermitDecision(True, False, 0.0, statement)
+        )
+        return False
+
+    harness = SelectorHarness(grant_later)
+    _free_capacity(harness)
+    _name_limit(harness)
+    _deny(harness, 0.1)
+    assert harness.await_assignment().endpoint is harness.endpoint
+
+
+def test_an_engine_that_names_a_limit_is_used_last_and_tried_sometimes():
+    harness = SelectorHarness(_pass_time)
+    _free_capacity(harness)
+    other = builders.endpoint('engine-2', pool='orders')
+    context = harness.selector._context
+    context.directory.serving_endpoints = lambda: [harness.endpoint, other]
+    _name_limit(harness)
+    asked = []
+
+    def grant(endpoint, statement):
+        asked.append(endpoint.id)
+        return endpoint_permits.PermitDecision(True, False, 0.0, statement)
+
+    harness.request_permit = grant
+    for _ in range(4):
+        chosen = harness.selector.try_assign(harness.request, ())
+        assert chosen.endpoint is other
+    assert asked == []
+    # The other endpoint has become the more loaded one.
+    harness.clock.advance(endpoint_rate_limits.TRIAL_AFTER_SECONDS)
+    chosen = harness.selector.try_assign(harness.request, ())
+    assert chosen.endpoint is harness.endpoint
+    assert asked == [harness.endpoint.id]
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -205,6 +205,38 @@
   6: required bool loading
 }
 
+// Rate limit that an endpoint has named in an answer.
+struct RateLimitNews {
+  1: required string endpoint_id
+  2: required i64 incarnation
+  // Requests per second from all VMs together.
+  3: required double per_second
+  4: required i64 age_ms
+}
+
+// Asks for the permit to send an endpoint one request.
+struct PermitRequest {
+  1: required string endpoint_id
+  2: required i64 incarnation
+  3: required string vm_id
+  // Age of the newest answer in which the endpoint spoke of its rate limit.
+  4: required i64 age_ms
+  // Requests per second from all VMs together; not set if the endpoint named
+  // no limit any more.
+  5: optional double per_second
+}
+
+struct PermitReply {
+  1: required bool granted
+  // Whether requests to the endpoint need no permit any more.
+  2: required bool over
+  // Time after which the VM may ask again.
+  3: required i32 wait_ms
+  // The newest answer that the replying VM knows of, as in the request.
+  4: required i64 age_ms
+  5: optional double per_second
+}
+
 // Load that the sending VM has in flight on an endpoint.
 struct LoadNews {
   1: required string endpoint_id
@@ -282,6 +314,7 @@
   5: list<PlacementNews> placements
   6: list<Roster> rosters
   7: list<StoreNews> stores
+  8: list<RateLimitNews> rate_limits
 }
 
 // Position in the logs of records of one process.
@@ -351,4 +384,5 @@
   GossipReply gossip(1: GossipMessage message)
   ApartReply hold_apart(1: ApartRequest request)
   LendReply lend_tokens(1: LendRequest request)
+  PermitReply take_permit(1: PermitRequest request)
 }
