--- a/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
@@ -36,6 +36,8 @@
         running: number of requests that it runs.
         waiting: number of requests that it queues.
         last_seen_at: time of the announcement by ``clocks.now``, in seconds.
+        software_version: version of the software that it runs, or empty if
+            it announces none.
     """
 
     id: str
@@ -50,6 +52,7 @@
     running: int = 0
     waiting: int = 0
     last_seen_at: float = 0.0
+    software_version: str = ''
 
     @property
     def order(self):
@@ -500,6 +503,7 @@
             endpoint=endpoint.id,
             incarnation=endpoint.incarnation,
             address=endpoint.address,
+            software=endpoint.software_version,
         )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_persister.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_persister.py
@@ -27,6 +27,7 @@
     weights_version: str
     leaving: bool
     age_seconds: float
+    software_version: str = ''
 
 
 _decoder = msgspec.msgpack.Decoder(list[EndpointRecord])
@@ -73,6 +74,7 @@
                     endpoint.weights_version,
                     endpoint.leaving,
                     now - endpoint.last_seen_at,
+                    endpoint.software_version,
                 )
                 for endpoint in endpoints
             ]
@@ -94,5 +96,6 @@
                     record.weights_version,
                     record.leaving,
                     last_seen_at=now - record.age_seconds,
+                    software_version=record.software_version,
                 )
             )
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
@@ -280,6 +280,7 @@
         announcement.running,
         announcement.waiting,
         now - announcement.age_ms / 1000,
+        announcement.software_version or '',
     )
 
 
@@ -298,4 +299,5 @@
         endpoint.running,
         endpoint.waiting,
         int((now - endpoint.last_seen_at) * 1000),
+        endpoint.software_version,
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/messages.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/messages.py
@@ -37,6 +37,8 @@
         output_tokens: most tokens that may be generated.
         resume_id: id of the last event that the caller has received of
             the stream that it resumes, or empty.
+        resumed_request_id: id of the request that brought the first event
+            of that stream, or empty.
     """
 
     request_id: str = ''
@@ -47,6 +49,7 @@
     prompt_tokens: int | None = None
     output_tokens: int = 0
     resume_id: str = ''
+    resumed_request_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -1816,11 +1816,12 @@
      - running
      - waiting
      - age_ms
+     - software_version
 
     """
 
 
-    def __init__(self, endpoint_id=None, incarnation=None, sequence=None, address=None, data_centre=None, pool=None, environment=None, weights_version=None, leaving=None, running=None, waiting=None, age_ms=None,):
+    def __init__(self, endpoint_id=None, incarnation=None, sequence=None, address=None, data_centre=None, pool=None, environment=None, weights_version=None, leaving=None, running=None, waiting=None, age_ms=None, software_version=None,):
         self.endpoint_id = endpoint_id
         self.incarnation = incarnation
         self.sequence = sequence
@@ -1833,6 +1834,7 @@
         self.running = running
         self.waiting = waiting
         self.age_ms = age_ms
+        self.software_version = software_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1903,6 +1905,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1961,6 +1968,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 12)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 13)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4588,6 +4599,7 @@
     (10, TType.I32, 'running', None, None, ),  # 10
     (11, TType.I32, 'waiting', None, None, ),  # 11
     (12, TType.I32, 'age_ms', None, None, ),  # 12
+    (13, TType.STRING, 'software_version', 'UTF8', None, ),  # 13
 )
 all_structs.append(LendRequest)
 LendRequest.thrift_spec = (
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -46,6 +46,7 @@
         name: id of the endpoint.
         service: name of the service that it belongs to.
         version: version of the weights that it has loaded.
+        software_version: version of its software.
         orders: bodies of the orders that it has received.
         requests: headers of the requests that it has received, by name in
             lower case.
@@ -64,6 +65,7 @@
         self.name = name
         self.service = service
         self.version = 1
+        self.software_version = 'v1'
         self.orders = []
         self.requests = []
         self.crashing_segment = ''
@@ -103,6 +105,7 @@
             'models': [{'name': builders.MODEL, 'version': self.version}],
             'seq_no': sequence,
             'born': 1_700_000_000_000,
+            'version': self.software_version,
         }
 
     def stop(self):
@@ -340,6 +343,18 @@
         self.vms[number] = self._make_control_vm(number, 'new-disk', False)
         self.vms[number].start()
 
+    def kill_entry_vms(self):
+        """Replace the entry VMs by new ones without memory, at once."""
+        first = len(self.control_ports)
+        count = len(self.entry_ports)
+        for vm in self.vms[first:]:
+            vm.stop()
+        self.vms[first:] = [
+            self._make_entry_vm(first, number) for number in range(count)
+        ]
+        for vm in self.vms[first:]:
+            vm.start()
+
     def _make_control_vm(self, number, disk, is_first_start):
         folder = self._folder / f'core-{number}' / disk
         return self._make_vm(
@@ -435,7 +450,7 @@
 
 
 class RelayTestFleet:
-    """A fleet of five VMs, with two engines and a plain endpoint.
+    """A fleet of five VMs, with a few engines and a plain endpoint.
 
     Attributes:
         fleet: the ``RelayFleet``.
@@ -443,11 +458,17 @@
         plain_endpoint: the endpoint of the service ``orders``.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, software_versions=('v1', 'v1')):
+        """Start the fleet with one engine for each of some versions."""
         self.fleet = RelayFleet(folder, control_vm_count=3, entry_vm_count=2)
         self.engines = [
-            FakeEngine(f'engine-{number}', 'engines') for number in range(2)
+            FakeEngine(f'engine-{number}', 'engines')
+            for number in range(len(software_versions))
         ]
+        for engine, version in zip(
+            self.engines, software_versions, strict=True
+        ):
+            engine.software_version = version
         self.plain_endpoint = FakeEngine('orders-0', 'orders')
         self.configure(1)
         for endpoint in (*self.engines, self.plain_endpoint):
--- a/tests/test_platform_control_api.py
+++ b/tests/test_platform_control_api.py
@@ -83,6 +83,8 @@
         {'address': 'somewhere'},
         {'seq_no': '4'},
         {'born': 1.5},
+        {'version': 2},
+        {'version': ''},
         {'service': None},
         {'models': [{'name': 'ruling'}]},
     ],
@@ -95,7 +97,15 @@
 
 
 def test_a_heartbeat_without_a_required_field_is_refused():
-    for missing in ('state', 'address', 'seq_no', 'born', 'service', 'zone'):
+    for missing in (
+        'state',
+        'address',
+        'seq_no',
+        'born',
+        'service',
+        'zone',
+        'version',
+    ):
         body = {
             name: value for name, value in HEARTBEAT.items() if name != missing
         }
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -150,6 +150,8 @@
   10: required i32 running
   11: required i32 waiting
   12: required i32 age_ms
+  // Version of the software that the endpoint runs.
+  13: string software_version
 }
 
 struct LendRequest {
