--- a/packages/carobwood-daemon/carobwood_daemon/limits/permit_client.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/permit_client.py
@@ -1,21 +1,13 @@
 """Requests for permits to the VMs that grant them."""
 
-import threading
-
 from carobwood import clocks
 from carobwood import errors
-from carobwood import events
 from carobwood.gen.links import ttypes
 
 from ..routing import rendezvous
 
 from . import endpoint_permits
 
-# A permit that took longer to arrive is not used, as the VM may have been
-# paused meanwhile.
-MAX_CALL_SECONDS = 0.15
-# Time for which a VM that did not answer is not asked.
-AVOID_SECONDS = 2.0
 # VMs that are asked for one permit, at most.
 MAX_GRANTORS = 2
 
@@ -27,21 +19,17 @@
     they are loaded less, and by rendezvous hashing among themselves.
     """
 
-    def __init__(self, permit_table, directory, links, clock=clocks.now):
+    def __init__(self, permit_table, vm_calls, clock=clocks.now):
         """Create the client.
 
         Args:
             permit_table: the ``PermitTable`` of this VM.
-            directory: the ``Directory``.
-            links: the ``Links``.
+            vm_calls: the ``VmCalls``.
             clock: function that returns the monotonic time in seconds.
         """
         self._permit_table = permit_table
-        self._directory = directory
-        self._links = links
+        self._vm_calls = vm_calls
         self._clock = clock
-        self._lock = threading.Lock()
-        self._avoided_until_by_id = {}
 
     def request(self, endpoint, statement):
         """Ask for a permit to send one request to an endpoint.
@@ -56,7 +44,7 @@
         Raises:
             LinkFailed: no VM that grants permits has answered in time.
         """
-        own_id = self._directory.own_vm.id
+        own_id = self._vm_calls.own_vm.id
         for vm in self._grantors(endpoint):
             if vm.id == own_id:
                 return self._permit_table.request(
@@ -64,58 +52,35 @@
                 )
             try:
                 return self._call(vm, endpoint, statement)
-            except errors.LinkFailed as error:
-                self._avoid(vm)
-                events.emit(
-                    events.PERMIT_CALL_FAILED,
-                    endpoint=endpoint.id,
-                    vm=vm.id,
-                    reason=error.detail,
-                )
+            except errors.LinkFailed:
+                continue
         raise errors.LinkFailed('no VM grants permits')
 
     def _grantors(self, endpoint):
-        now = self._clock()
-        with self._lock:
-            avoided_until_by_id = dict(self._avoided_until_by_id)
-        live = [
-            vm
-            for vm in self._directory.vms()
-            if not vm.is_silent(now)
-            and avoided_until_by_id.get(vm.id, now) <= now
-        ]
-        ranked = rendezvous.rank(endpoint.id.encode('utf-8'), live)
+        ranked = rendezvous.rank(
+            endpoint.id.encode('utf-8'), self._vm_calls.available_vms()
+        )
         ranked.sort(key=lambda vm: vm.takes_callers)
         return ranked[:MAX_GRANTORS]
 
     def _call(self, vm, endpoint, statement):
-        started_at = self._clock()
         request = ttypes.PermitRequest(
             endpoint.id,
             endpoint.incarnation,
-            self._directory.own_vm.id,
-            int(1000 * (started_at - statement.said_at)),
+            self._vm_calls.own_vm.id,
+            int(1000 * (self._clock() - statement.said_at)),
             statement.per_second,
         )
-        reply = self._links.to(vm.link_address).call(
-            'take_permit', request, MAX_CALL_SECONDS, MAX_CALL_SECONDS
-        )
-        now = self._clock()
-        if now - started_at > MAX_CALL_SECONDS:
-            raise errors.LinkFailed(f'{vm.id}: the permit came too late')
+        reply = self._vm_calls.call(vm, 'take_permit', request)
         return endpoint_permits.PermitDecision(
             reply.granted,
             reply.over,
             reply.wait_ms / 1000,
             endpoint_permits.LimitStatement(
-                reply.per_second, now - reply.age_ms / 1000
+                reply.per_second, self._clock() - reply.age_ms / 1000
             ),
         )
 
-    def _avoid(self, vm):
-        with self._lock:
-            self._avoided_until_by_id[vm.id] = self._clock() + AVOID_SECONDS
-
 
 def handle_request(permit_table, request):
     """Decide on a ``PermitRequest`` that another VM has sent.
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/vm_calls.py
@@ -0,0 +1,92 @@
+"""Short calls to other VMs, on the path of a caller's request."""
+
+import threading
+
+from carobwood import clocks
+from carobwood import errors
+from carobwood import events
+
+# Longest time for a call. A reply that took longer is not used, as this VM
+# may have been paused meanwhile.
+MAX_CALL_SECONDS = 0.15
+# Time for which a VM that did not answer is not called.
+AVOID_SECONDS = 2.0
+
+
+class VmCalls:
+    """Calls VMs, and avoids those that have not answered lately."""
+
+    def __init__(self, directory, links, clock=clocks.now):
+        """Create the caller.
+
+        Args:
+            directory: the ``Directory``.
+            links: the ``Links``.
+            clock: function that returns the monotonic time in seconds.
+        """
+        self._directory = directory
+        self._links = links
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._avoided_until_by_id = {}
+
+    @property
+    def own_vm(self):
+        """The ``Vm`` that describes this VM."""
+        return self._directory.own_vm
+
+    def available_vms(self):
+        """Return the VMs that are alive and not avoided, this one first."""
+        now = self._clock()
+        with self._lock:
+            avoided_until_by_id = dict(self._avoided_until_by_id)
+        return [
+            vm
+            for vm in self._directory.vms()
+            if not vm.is_silent(now)
+            and avoided_until_by_id.get(vm.id, now) <= now
+        ]
+
+    def available_control_vms(self):
+        """Return the other VMs of these that take no callers."""
+        return [
+            vm
+            for vm in self.available_vms()
+            if not vm.takes_callers and vm.id != self.own_vm.id
+        ]
+
+    def call(self, vm, method, message):
+        """Call a method of ``FleetLink`` on a VM.
+
+        Args:
+            vm: the ``Vm``.
+            method: the method's name.
+            message: its thrift argument.
+
+        Returns:
+            The thrift reply.
+
+        Raises:
+            LinkFailed: no reply arrived within ``MAX_CALL_SECONDS``; the
+                call may have taken effect.
+        """
+        started_at = self._clock()
+        try:
+            reply = self._links.to(vm.link_address).call(
+                method, message, MAX_CALL_SECONDS, MAX_CALL_SECONDS
+            )
+        except errors.LinkFailed as error:
+            with self._lock:
+                self._avoided_until_by_id[vm.id] = (
+                    self._clock() + AVOID_SECONDS
+                )
+            events.emit(
+                events.VM_CALL_FAILED,
+                vm=vm.id,
+                method=method,
+                reason=error.detail,
+            )
+            raise
+        if self._clock() - started_at > MAX_CALL_SECONDS:
+            raise errors.LinkFailed(f'{vm.id} {method}: the reply is too old')
+        return reply
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -30,6 +30,7 @@
 from .membership import periodic_tasks
 from .membership import prefix_cache_persister
 from .membership import state_poller
+from .membership import vm_calls
 from .membership import withdrawals as withdrawal_sets
 from .observe import tracing
 from .orders import orders_lock
@@ -95,7 +96,8 @@
             dialect,
             self._store,
             permit_client.PermitClient(
-                self._permit_table, self._directory, self._links
+                self._permit_table,
+                vm_calls.VmCalls(self._directory, self._links),
             ).request,
         )
         self._build_membership()
--- a/tests/test_endpoint_rate_limits.py
+++ b/tests/test_endpoint_rate_limits.py
@@ -11,6 +11,7 @@
 from carobwood_daemon.limits import endpoint_permits
 from carobwood_daemon.limits import permit_client
 from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import vm_calls
 from carobwood_daemon.relay import endpoint_rate_limits
 from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import rate_limit_records
@@ -199,10 +200,13 @@
         others = [_vm(name, False) for name in names]
         self.client = permit_client.PermitClient(
             endpoint_permits.PermitTable(clock),
-            types.SimpleNamespace(
-                own_vm=self.own_vm, vms=lambda: [self.own_vm, *others]
+            vm_calls.VmCalls(
+                types.SimpleNamespace(
+                    own_vm=self.own_vm, vms=lambda: [self.own_vm, *others]
+                ),
+                self,
+                clock,
             ),
-            self,
             clock,
         )
         for vm in (self.own_vm, *others):
