--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -30,6 +30,7 @@
 from .membership import periodic_tasks
 from .membership import prefix_cache_persister
 from .membership import state_poller
+from .membership import stream_origin_links
 from .membership import withdrawals as withdrawal_sets
 from .observe import metrics as metric_clients
 from .observe import tracing
@@ -51,6 +52,8 @@
 from .routing import prefill_time
 from .routing import prefix_cache_index
 from .routing import retry_budget
+from .routing import software_versions
+from .routing import stream_origins
 
 # Requests that the operators' listener serves at once.
 OPERATOR_THREADS = 16
@@ -254,6 +257,11 @@
             self._lock_table,
             self._crash_suspects,
             endpoint_permits.PermitTable(),
+            stream_origin_links.StreamOriginKeeper(
+                stream_origins.StreamOriginTable(),
+                software_versions.SoftwareVersionHistory(self._directory),
+                self._directory.own_vm.incarnation,
+            ),
         )
         self._link_server = link_server.LinkServer(
             settings.link_listen, settings.link_secret, handler
--- a/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -27,6 +27,7 @@
         lock_table,
         crash_suspects,
         permit_table,
+        stream_origin_keeper,
     ):
         self._replica_runner = replica_runner
         self._store = store
@@ -35,6 +36,7 @@
         self._lock_table = lock_table
         self._crash_suspects = crash_suspects
         self._permit_table = permit_table
+        self._stream_origin_keeper = stream_origin_keeper
 
     def request_vote(self, request):
         """See ``Replica.handle_vote``."""
@@ -151,6 +153,14 @@
         """Grant a permit; see ``endpoint_permits.PermitTable``."""
         return permit_client.handle_request(self._permit_table, request)
 
+    def record_streams(self, report):
+        """See ``stream_origin_links.StreamOriginKeeper``."""
+        return self._stream_origin_keeper.record_streams(report)
+
+    def find_stream(self, query):
+        """See ``stream_origin_links.StreamOriginKeeper``."""
+        return self._stream_origin_keeper.find_stream(query)
+
     def _contact_age_ms(self):
         age = self._store.contact_age()
         return NO_CONTACT if math.isinf(age) else int(age * 1000)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/vm_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/vm_calls.py
@@ -35,6 +35,10 @@
         """The ``Vm`` that describes this VM."""
         return self._directory.own_vm
 
+    def known_vms(self):
+        """Return all known VMs, silent ones included, this one first."""
+        return self._directory.vms()
+
     def available_vms(self):
         """Return the VMs that are alive and not avoided, this one first."""
         now = self._clock()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
@@ -40,6 +40,8 @@
         units: units that it takes from the customer's limit.
         fingerprint: digest of method, target, customer and body.
         is_within_rate: whether its customer's rate limit covers it.
+        software_version: the only software version of an endpoint that may
+            run it, or None for any.
     """
 
     metadata: messages.RequestMetadata
@@ -52,6 +54,7 @@
     units: int
     fingerprint: str
     is_within_rate: bool = True
+    software_version: str | None = None
 
     @property
     def priority(self):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -55,6 +55,7 @@
         try:
             with trace.span('admission'):
                 request = self._admission.admit(caller, arrived_at)
+            request = self._context.stream_resumption.resolve(request)
             self._context.retry_budget.note_request(request.service)
             forwarder = request_forwarder.RequestForwarder(
                 self._context, self._selector, caller, request, trace
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -40,6 +40,8 @@
             endpoints.
         segment_suspects: the ``SegmentSuspects``: prompt segments that crash
             endpoints.
+        stream_resumption: the ``StreamResumption``: at which software version
+            a stream goes on.
         pool: the ``ConnectionPool``: idle connections to endpoints.
         gate: the ``RequestGate``: limit of requests in flight on this VM.
         tracer: the ``Tracer``.
@@ -65,6 +67,7 @@
     retry_budget: object
     crash_suspects: object
     segment_suspects: object
+    stream_resumption: object
     pool: object
     gate: object
     tracer: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -5,6 +5,8 @@
 endpoint after the last complete event that the caller has received.
 """
 
+import dataclasses
+
 from carobwood import clocks
 from carobwood import errors
 from carobwood import events
@@ -82,6 +84,8 @@
         # Seconds from arrival until the response to the caller starts.
         self._first_byte_seconds = 0.0
         self._splitter = event_splitter.EventSplitter()
+        # The assignment of the current attempt.
+        self._assignment = None
 
     def run(self):
         """Attempt the request until an endpoint has responded to it.
@@ -130,6 +134,7 @@
         """
         self._check_segments()
         self._log_sent(assignment)
+        self._assignment = assignment
         self._sent_at = clocks.now()
         self._first_event_at = None
         fingerprint = self._request.fingerprint
@@ -351,6 +356,12 @@
 
     def _start_stream(self, response):
         self._note_first_byte()
+        endpoint = self._assignment.endpoint
+        self._context.stream_resumption.record(self._request, endpoint)
+        # Later attempts must go on at the same software version.
+        self._request = dataclasses.replace(
+            self._request, software_version=endpoint.software_version
+        )
         self._caller.start_stream(
             200, 'OK', _end_to_end_headers(response.headers)
         )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -77,7 +77,7 @@
         """Return whether the service has an endpoint not yet excluded."""
         return any(
             endpoint.id not in excluded
-            for endpoint in self._endpoints(request.service)
+            for endpoint in self._endpoints(request)
         )
 
     def try_assign(self, request, excluded):
@@ -93,7 +93,7 @@
         context = self._context
         endpoints = [
             endpoint
-            for endpoint in self._endpoints(request.service)
+            for endpoint in self._endpoints(request)
             if endpoint.id not in excluded
             and not context.health.is_ejected(endpoint)
             and not self._seconds_until_open(endpoint)
@@ -142,11 +142,13 @@
         assignment.reservation.release_prefill()
         self._context.wait_queue.notify_all()
 
-    def _endpoints(self, service):
+    def _endpoints(self, request):
+        version = request.software_version
         return [
             endpoint
             for endpoint in self._context.directory.serving_endpoints()
-            if endpoint.pool == service
+            if endpoint.pool == request.service
+            and version in (None, endpoint.software_version)
             and not self._context.availability.is_leaving(endpoint)
         ]
 
@@ -386,7 +388,7 @@
         seconds = min(
             (
                 self._seconds_until_open(endpoint)
-                for endpoint in self._endpoints(request.service)
+                for endpoint in self._endpoints(request)
                 if endpoint.id not in excluded
             ),
             default=0.0,
@@ -400,7 +402,7 @@
 
     def _log_waiting(self, request, excluded, entry):
         context = self._context
-        endpoints = self._endpoints(request.service)
+        endpoints = self._endpoints(request)
         loads_by_id = context.loads.total_loads()
         eligible_ids = {
             candidate.endpoint.id
@@ -428,6 +430,7 @@
                 for endpoint in endpoints
                 if context.rate_limits.is_limited(endpoint)
             ],
+            software=request.software_version,
             # Engines that are loading weights or have outdated ones.
             changing=[
                 endpoint.id
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -15,6 +15,7 @@
 from . import kv_stores
 from . import past_usage
 from . import quota
+from . import stream_resumption
 from . import wait_queue
 
 
@@ -38,6 +39,7 @@
         kv_stores: the ``KvStores``.
         past_usage_table: the ``PastUsageTable``.
         metrics: the ``PrometheusMetrics``.
+        stream_resumption: the ``StreamResumption``.
     """
 
     store: object
@@ -54,6 +56,7 @@
     kv_stores: kv_stores.KvStores
     past_usage_table: past_usage.PastUsageTable
     metrics: metric_clients.PrometheusMetrics
+    stream_resumption: stream_resumption.StreamResumption
 
     def update_endpoint(self, endpoint):
         """Record the weights that an endpoint announces.
@@ -67,7 +70,9 @@
         self.wait_queue.notify_all()
 
 
-def make_shared_components(settings, dialect, store, request_permit):
+def make_shared_components(
+    settings, dialect, store, request_permit, resumption
+):
     """Return the ``SharedComponents`` of a VM that has just started.
 
     Args:
@@ -75,6 +80,7 @@
         dialect: the ``Dialect`` of the platform.
         store: the ``StateStore`` with the replicated state of the fleet.
         request_permit: see ``EndpointRateLimits``.
+        resumption: the ``StreamResumption``.
     """
     metrics = metric_clients.PrometheusMetrics()
     weights = engine_weights.EngineWeights()
@@ -107,4 +113,5 @@
         kv_stores.KvStores(dialect),
         past_usage_table,
         metrics,
+        resumption,
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -138,6 +138,7 @@
             ),
             crash_suspects=shared.crash_suspects,
             segment_suspects=suspects,
+            stream_resumption=shared.stream_resumption,
             pool=shared.pool,
             gate=self._gate,
             tracer=self._tracer,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -30,6 +30,7 @@
 from .membership import periodic_tasks
 from .membership import prefix_cache_persister
 from .membership import state_poller
+from .membership import stream_origin_links
 from .membership import vm_calls
 from .membership import withdrawals as withdrawal_sets
 from .observe import tracing
@@ -40,12 +41,15 @@
 from .relay import gossip_topic
 from .relay import rate_limit_records
 from .relay import shared_components
+from .relay import stream_resumption
 from .relay import usage_persister
 from .relay import weights_records
 from .replication import data_folder
 from .replication import proposer as proposers
 from .replication import replica_runner as replica_runners
 from .replication import state_store
+from .routing import software_versions
+from .routing import stream_origins
 
 # Thread switch interval of the Python interpreter, whose default is 5 ms.
 SWITCH_INTERVAL_SECONDS = 0.0005
@@ -90,15 +94,15 @@
         if settings.data_folder:
             self._data_folder = data_folder.DataFolder(settings.data_folder)
         self._build_replication()
+        calls = vm_calls.VmCalls(self._directory, self._links)
+        self._build_stream_resumption(calls)
         self._permit_table = endpoint_permits.PermitTable()
         self._shared = shared_components.make_shared_components(
             settings,
             dialect,
             self._store,
-            permit_client.PermitClient(
-                self._permit_table,
-                vm_calls.VmCalls(self._directory, self._links),
-            ).request,
+            permit_client.PermitClient(self._permit_table, calls).request,
+            self._stream_resumption,
         )
         self._build_membership()
         self._persisters = self._make_persisters()
@@ -136,6 +140,12 @@
         self._state_poller.start()
         for task in self._periodic_tasks:
             task.start()
+        if self._settings.caller_listen is not None:
+            self._stream_reporter.start()
+        self._timer.subscribe(
+            software_versions.SAMPLE_PERIOD_SECONDS,
+            self._software_versions.sample,
+        )
         self._timer.subscribe(
             CONTACT_CHECK_PERIOD_SECONDS, self._update_contact
         )
@@ -184,6 +194,7 @@
             server.stop()
         for task in self._periodic_tasks:
             task.stop()
+        self._stream_reporter.stop()
         self._state_poller.stop()
         self._proposer.stop()
         self._gossip.stop()
@@ -230,6 +241,23 @@
             self._replica_runner, self._links, self._directory
         )
 
+    def _build_stream_resumption(self, calls):
+        self._software_versions = software_versions.SoftwareVersionHistory(
+            self._directory
+        )
+        # On an entry VM the streams that began there, on a control VM those
+        # that entry VMs have reported.
+        self._stream_origins = stream_origins.StreamOriginTable()
+        self._stream_resumption = stream_resumption.StreamResumption(
+            self._stream_origins,
+            stream_origin_links.StreamOriginFinder(calls),
+            self._software_versions,
+        )
+        self._stream_reporter = stream_origin_links.StreamOriginReporter(
+            self._stream_origins, calls
+        )
+        self._stream_resumption.on_record(self._stream_reporter.wake)
+
     def _build_membership(self):
         settings = self._settings
         topic = gossip_topic.RelayGossipTopic(
@@ -285,6 +313,11 @@
             endpoint_locks.EndpointLockTable(),
             self._shared.crash_suspects,
             self._permit_table,
+            stream_origin_links.StreamOriginKeeper(
+                self._stream_origins,
+                self._software_versions,
+                self._directory.own_vm.incarnation,
+            ),
         )
         self._link_server = link_server.LinkServer(
             settings.link_listen, settings.link_secret, handler
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -170,6 +170,14 @@
     retry_after = 1
 
 
+class StreamVersionUnknown(RequestRefused):
+    """It is not known which software version began the resumed stream."""
+
+    code = 'stream_version_unknown'
+    status = 503
+    retry_after = 1
+
+
 class EndpointUnreachable(RequestRefused):
     """No connection to an endpoint could be opened; nothing was sent."""
 
--- a/packages/carobwood/carobwood/gen/links/FleetLink.py
+++ b/packages/carobwood/carobwood/gen/links/FleetLink.py
@@ -115,6 +115,22 @@
         """
         pass
 
+    def record_streams(self, report):
+        """
+        Parameters:
+         - report
+
+        """
+        pass
+
+    def find_stream(self, query):
+        """
+        Parameters:
+         - query
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -507,6 +523,70 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "take_permit failed: unknown result")
 
+    def record_streams(self, report):
+        """
+        Parameters:
+         - report
+
+        """
+        self.send_record_streams(report)
+        return self.recv_record_streams()
+
+    def send_record_streams(self, report):
+        self._oprot.writeMessageBegin('record_streams', TMessageType.CALL, self._seqid)
+        args = record_streams_args()
+        args.report = report
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_record_streams(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = record_streams_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "record_streams failed: unknown result")
+
+    def find_stream(self, query):
+        """
+        Parameters:
+         - query
+
+        """
+        self.send_find_stream(query)
+        return self.recv_find_stream()
+
+    def send_find_stream(self, query):
+        self._oprot.writeMessageBegin('find_stream', TMessageType.CALL, self._seqid)
+        args = find_stream_args()
+        args.query = query
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_find_stream(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = find_stream_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "find_stream failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -524,6 +604,8 @@
         self._processMap["hold_apart"] = Processor.process_hold_apart
         self._processMap["lend_tokens"] = Processor.process_lend_tokens
         self._processMap["take_permit"] = Processor.process_take_permit
+        self._processMap["record_streams"] = Processor.process_record_streams
+        self._processMap["find_stream"] = Processor.process_find_stream
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -822,6 +904,52 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_record_streams(self, seqid, iprot, oprot):
+        args = record_streams_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = record_streams_result()
+        try:
+            result.success = self._handler.record_streams(args.report)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("record_streams", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_find_stream(self, seqid, iprot, oprot):
+        args = find_stream_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = find_stream_result()
+        try:
+            result.success = self._handler.find_stream(args.query)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("find_stream", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -2322,5 +2450,255 @@
 take_permit_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [PermitReply, None], None, ),  # 0
 )
+
+
+class record_streams_args(object):
+    """
+    Attributes:
+     - report
+
+    """
+
+
+    def __init__(self, report=None,):
+        self.report = report
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.report = StreamReport()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('record_streams_args')
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 1)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(record_streams_args)
+record_streams_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'report', [StreamReport, None], None, ),  # 1
+)
+
+
+class record_streams_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = StreamReportReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('record_streams_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(record_streams_result)
+record_streams_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [StreamReportReply, None], None, ),  # 0
+)
+
+
+class find_stream_args(object):
+    """
+    Attributes:
+     - query
+
+    """
+
+
+    def __init__(self, query=None,):
+        self.query = query
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.query = StreamQuery()
+                    self.query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('find_stream_args')
+        if self.query is not None:
+            oprot.writeFieldBegin('query', TType.STRUCT, 1)
+            self.query.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(find_stream_args)
+find_stream_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'query', [StreamQuery, None], None, ),  # 1
+)
+
+
+class find_stream_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = StreamReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('find_stream_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(find_stream_result)
+find_stream_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [StreamReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -2963,6 +2963,431 @@
         return not (self == other)
 
 
+class StreamNews(object):
+    """
+    Attributes:
+     - customer
+     - request_id
+     - service_name
+     - software_version
+     - age_ms
+
+    """
+
+
+    def __init__(self, customer=None, request_id=None, service_name=None, software_version=None, age_ms=None,):
+        self.customer = customer
+        self.request_id = request_id
+        self.service_name = service_name
+        self.software_version = software_version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.customer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamNews')
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.STRING, 1)
+            oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 4)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 5)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.customer is None:
+            raise TProtocolException(message='Required field customer is unset!')
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.software_version is None:
+            raise TProtocolException(message='Required field software_version is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamReport(object):
+    """
+    Attributes:
+     - streams
+
+    """
+
+
+    def __init__(self, streams=None,):
+        self.streams = streams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.streams = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = StreamNews()
+                        _elem47.read(iprot)
+                        self.streams.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamReport')
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.streams))
+            for iter48 in self.streams:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.streams is None:
+            raise TProtocolException(message='Required field streams is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamReportReply(object):
+    """
+    Attributes:
+     - incarnation
+
+    """
+
+
+    def __init__(self, incarnation=None,):
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamReportReply')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamQuery(object):
+    """
+    Attributes:
+     - customer
+     - request_id
+     - service_name
+
+    """
+
+
+    def __init__(self, customer=None, request_id=None, service_name=None,):
+        self.customer = customer
+        self.request_id = request_id
+        self.service_name = service_name
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.customer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamQuery')
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.STRING, 1)
+            oprot.writeString(self.customer.encode('utf-8') if sys.version_info[0] == 2 else self.customer)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.customer is None:
+            raise TProtocolException(message='Required field customer is unset!')
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamReply(object):
+    """
+    Attributes:
+     - versions
+     - covered_ms
+     - service_name
+     - software_version
+
+    """
+
+
+    def __init__(self, versions=None, covered_ms=None, service_name=None, software_version=None,):
+        self.versions = versions
+        self.covered_ms = covered_ms
+        self.service_name = service_name
+        self.software_version = software_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.versions.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.covered_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamReply')
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.versions))
+            for iter55 in self.versions:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.covered_ms is not None:
+            oprot.writeFieldBegin('covered_ms', TType.I64, 2)
+            oprot.writeI64(self.covered_ms)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 4)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.versions is None:
+            raise TProtocolException(message='Required field versions is unset!')
+        if self.covered_ms is None:
+            raise TProtocolException(message='Required field covered_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadNews(object):
     """
     Attributes:
@@ -3214,16 +3639,16 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.seconds_by_customer = {}
-                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
-                    for _i46 in range(_size42):
-                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val48 = []
-                        (_etype52, _size49) = iprot.readListBegin()
-                        for _i53 in range(_size49):
-                            _elem54 = iprot.readI64()
-                            _val48.append(_elem54)
+                    (_ktype57, _vtype58, _size56) = iprot.readMapBegin()
+                    for _i60 in range(_size56):
+                        _key61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val62 = []
+                        (_etype66, _size63) = iprot.readListBegin()
+                        for _i67 in range(_size63):
+                            _elem68 = iprot.readI64()
+                            _val62.append(_elem68)
                         iprot.readListEnd()
-                        self.seconds_by_customer[_key47] = _val48
+                        self.seconds_by_customer[_key61] = _val62
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3252,11 +3677,11 @@
         if self.seconds_by_customer is not None:
             oprot.writeFieldBegin('seconds_by_customer', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.seconds_by_customer))
-            for kiter55, viter56 in self.seconds_by_customer.items():
-                oprot.writeString(kiter55.encode('utf-8') if sys.version_info[0] == 2 else kiter55)
-                oprot.writeListBegin(TType.I64, len(viter56))
-                for iter57 in viter56:
-                    oprot.writeI64(iter57)
+            for kiter69, viter70 in self.seconds_by_customer.items():
+                oprot.writeString(kiter69.encode('utf-8') if sys.version_info[0] == 2 else kiter69)
+                oprot.writeListBegin(TType.I64, len(viter70))
+                for iter71 in viter70:
+                    oprot.writeI64(iter71)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
@@ -3344,11 +3769,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.spending = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = SpendingNews()
-                        _elem63.read(iprot)
-                        self.spending.append(_elem63)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = SpendingNews()
+                        _elem77.read(iprot)
+                        self.spending.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3385,8 +3810,8 @@
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter64 in self.spending:
-                iter64.write(oprot)
+            for iter78 in self.spending:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3622,22 +4047,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = RosterEntry()
-                        _elem70.read(iprot)
-                        self.members.append(_elem70)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = RosterEntry()
+                        _elem84.read(iprot)
+                        self.members.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = RosterEntry()
-                        _elem76.read(iprot)
-                        self.peers.append(_elem76)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = RosterEntry()
+                        _elem90.read(iprot)
+                        self.peers.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3666,15 +4091,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter77 in self.members:
-                iter77.write(oprot)
+            for iter91 in self.members:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter78 in self.peers:
-                iter78.write(oprot)
+            for iter92 in self.peers:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3742,88 +4167,88 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.vms = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = VmDescriptor()
-                        _elem84.read(iprot)
-                        self.vms.append(_elem84)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = VmDescriptor()
+                        _elem98.read(iprot)
+                        self.vms.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype88, _size85) = iprot.readListBegin()
-                    for _i89 in range(_size85):
-                        _elem90 = Announcement()
-                        _elem90.read(iprot)
-                        self.announcements.append(_elem90)
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = Announcement()
+                        _elem104.read(iprot)
+                        self.announcements.append(_elem104)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = Strike()
-                        _elem96.read(iprot)
-                        self.strikes.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Strike()
+                        _elem110.read(iprot)
+                        self.strikes.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = WeightsNews()
-                        _elem102.read(iprot)
-                        self.weights.append(_elem102)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = WeightsNews()
+                        _elem116.read(iprot)
+                        self.weights.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.placements = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = PlacementNews()
-                        _elem108.read(iprot)
-                        self.placements.append(_elem108)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = PlacementNews()
+                        _elem122.read(iprot)
+                        self.placements.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.rosters = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = Roster()
-                        _elem114.read(iprot)
-                        self.rosters.append(_elem114)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = Roster()
+                        _elem128.read(iprot)
+                        self.rosters.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.stores = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = StoreNews()
-                        _elem120.read(iprot)
-                        self.stores.append(_elem120)
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = StoreNews()
+                        _elem134.read(iprot)
+                        self.stores.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = RateLimitNews()
-                        _elem126.read(iprot)
-                        self.rate_limits.append(_elem126)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = RateLimitNews()
+                        _elem140.read(iprot)
+                        self.rate_limits.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3840,57 +4265,57 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter127 in self.vms:
-                iter127.write(oprot)
+            for iter141 in self.vms:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter128 in self.announcements:
-                iter128.write(oprot)
+            for iter142 in self.announcements:
+                iter142.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter129 in self.strikes:
-                iter129.write(oprot)
+            for iter143 in self.strikes:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter130 in self.weights:
-                iter130.write(oprot)
+            for iter144 in self.weights:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.placements is not None:
             oprot.writeFieldBegin('placements', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter131 in self.placements:
-                iter131.write(oprot)
+            for iter145 in self.placements:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rosters is not None:
             oprot.writeFieldBegin('rosters', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rosters))
-            for iter132 in self.rosters:
-                iter132.write(oprot)
+            for iter146 in self.rosters:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stores is not None:
             oprot.writeFieldBegin('stores', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stores))
-            for iter133 in self.stores:
-                iter133.write(oprot)
+            for iter147 in self.stores:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter134 in self.rate_limits:
-                iter134.write(oprot)
+            for iter148 in self.rate_limits:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4056,10 +4481,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem140)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4072,11 +4497,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = LoadNews()
-                        _elem146.read(iprot)
-                        self.loads.append(_elem146)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = LoadNews()
+                        _elem160.read(iprot)
+                        self.loads.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4121,8 +4546,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter147 in self.withdrawn_digests:
-                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
+            for iter161 in self.withdrawn_digests:
+                oprot.writeString(iter161.encode('utf-8') if sys.version_info[0] == 2 else iter161)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
@@ -4132,8 +4557,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter148 in self.loads:
-                iter148.write(oprot)
+            for iter162 in self.loads:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
@@ -4244,10 +4669,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem154)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem168)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4271,10 +4696,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.silent_endpoints = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent_endpoints.append(_elem160)
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4286,44 +4711,44 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = LoadNews()
-                        _elem166.read(iprot)
-                        self.loads.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = LoadNews()
+                        _elem180.read(iprot)
+                        self.loads.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = GroupReport()
-                        _elem172.read(iprot)
-                        self.groups.append(_elem172)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = GroupReport()
+                        _elem186.read(iprot)
+                        self.groups.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.own_units = {}
-                    (_ktype174, _vtype175, _size173) = iprot.readMapBegin()
-                    for _i177 in range(_size173):
-                        _key178 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val179 = iprot.readI64()
-                        self.own_units[_key178] = _val179
+                    (_ktype188, _vtype189, _size187) = iprot.readMapBegin()
+                    for _i191 in range(_size187):
+                        _key192 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val193 = iprot.readI64()
+                        self.own_units[_key192] = _val193
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.past_spending = []
-                    (_etype183, _size180) = iprot.readListBegin()
-                    for _i184 in range(_size180):
-                        _elem185 = PastSpendingNews()
-                        _elem185.read(iprot)
-                        self.past_spending.append(_elem185)
+                    (_etype197, _size194) = iprot.readListBegin()
+                    for _i198 in range(_size194):
+                        _elem199 = PastSpendingNews()
+                        _elem199.read(iprot)
+                        self.past_spending.append(_elem199)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4356,8 +4781,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter186 in self.withdrawn_digests:
-                oprot.writeString(iter186.encode('utf-8') if sys.version_info[0] == 2 else iter186)
+            for iter200 in self.withdrawn_digests:
+                oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepted is not None:
@@ -4375,8 +4800,8 @@
         if self.silent_endpoints is not None:
             oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
-            for iter187 in self.silent_endpoints:
-                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
+            for iter201 in self.silent_endpoints:
+                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.period_ms is not None:
@@ -4386,30 +4811,30 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter188 in self.loads:
-                iter188.write(oprot)
+            for iter202 in self.loads:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter189 in self.groups:
-                iter189.write(oprot)
+            for iter203 in self.groups:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own_units is not None:
             oprot.writeFieldBegin('own_units', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
-            for kiter190, viter191 in self.own_units.items():
-                oprot.writeString(kiter190.encode('utf-8') if sys.version_info[0] == 2 else kiter190)
-                oprot.writeI64(viter191)
+            for kiter204, viter205 in self.own_units.items():
+                oprot.writeString(kiter204.encode('utf-8') if sys.version_info[0] == 2 else kiter204)
+                oprot.writeI64(viter205)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.past_spending is not None:
             oprot.writeFieldBegin('past_spending', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter192 in self.past_spending:
-                iter192.write(oprot)
+            for iter206 in self.past_spending:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4678,6 +5103,40 @@
     (4, TType.I64, 'age_ms', None, None, ),  # 4
     (5, TType.DOUBLE, 'per_second', None, None, ),  # 5
 )
+all_structs.append(StreamNews)
+StreamNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'customer', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'software_version', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'age_ms', None, None, ),  # 5
+)
+all_structs.append(StreamReport)
+StreamReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'streams', (TType.STRUCT, [StreamNews, None], False), None, ),  # 1
+)
+all_structs.append(StreamReportReply)
+StreamReportReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+)
+all_structs.append(StreamQuery)
+StreamQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'customer', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+)
+all_structs.append(StreamReply)
+StreamReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'versions', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.I64, 'covered_ms', None, None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'software_version', 'UTF8', None, ),  # 4
+)
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
     None,  # 0
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -2,7 +2,9 @@
 
 import json
 
+from carobwood import clocks
 from carobwood_daemon.membership import directory
+from carobwood_daemon.relay import admission
 from carobwood_daemon.relay import configuration
 from carobwood_daemon.relay import fleet_loads
 from carobwood_daemon.relay import placement
@@ -53,6 +55,23 @@
     return quota.QuotaTolerance(**{**fields, **changes})
 
 
+def admitted_request(metadata, route, seconds_left=10.0, **changes):
+    """Return an admitted request of the customer ``bole``."""
+    now = clocks.now()
+    fields = {
+        'metadata': metadata,
+        'route': route,
+        'service': 'engines',
+        'customer': customer(),
+        'body': None,
+        'arrived_at': now,
+        'deadline_at': now + seconds_left,
+        'units': 1,
+        'fingerprint': '',
+    }
+    return admission.AdmittedRequest(**{**fields, **changes})
+
+
 def endpoint(name='engine-1', **changes):
     """Return an endpoint as its announcement describes it."""
     fields = {
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -73,6 +73,7 @@
         self.request = stub(
             metadata=messages.RequestMetadata('r-1'),
             service='orders',
+            software_version=None,
             customer=None,
             priority=2,
             segment_keys=frozenset(),
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -239,6 +239,42 @@
   5: optional double per_second
 }
 
+// A stream whose first event has gone to its caller.
+struct StreamNews {
+  1: required string customer
+  // Id of the request that brought the first event.
+  2: required string request_id
+  3: required string service_name
+  // Version of the software of the endpoint that wrote the event.
+  4: required string software_version
+  5: required i64 age_ms
+}
+
+struct StreamReport {
+  1: required list<StreamNews> streams
+}
+
+struct StreamReportReply {
+  // Incarnation of the replying VM, which forgets streams when it restarts.
+  1: required i64 incarnation
+}
+
+struct StreamQuery {
+  1: required string customer
+  2: required string request_id
+  3: required string service_name
+}
+
+struct StreamReply {
+  // Software versions of the service that the replying VM has seen lately.
+  1: required list<string> versions
+  // Time for which it has looked.
+  2: required i64 covered_ms
+  // Where the stream began; not set if that is not known.
+  3: optional string service_name
+  4: optional string software_version
+}
+
 // Load that the sending VM has in flight on an endpoint.
 struct LoadNews {
   1: required string endpoint_id
@@ -387,4 +423,6 @@
   ApartReply hold_apart(1: ApartRequest request)
   LendReply lend_tokens(1: LendRequest request)
   PermitReply take_permit(1: PermitRequest request)
+  StreamReportReply record_streams(1: StreamReport report)
+  StreamReply find_stream(1: StreamQuery query)
 }
