Call a VM again if an idle connection to it was reset

A call that fails before its time is up is now repeated once on a new connection. The test failed before.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/vm_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/vm_calls.py
@@ -9,6 +9,8 @@
 # Longest time for a call. A reply that took longer is not used, as this VM
 # may have been paused meanwhile.
 MAX_CALL_SECONDS = 0.15
+# Least time for a second call after one that failed at once.
+MIN_RETRY_SECONDS = 0.03
 # Time for which a VM that did not answer is not called.
 AVOID_SECONDS = 2.0
 
@@ -76,9 +78,7 @@
         """
         started_at = self._clock()
         try:
-            reply = self._links.to(vm.link_address).call(
-                method, message, MAX_CALL_SECONDS, MAX_CALL_SECONDS
-            )
+            reply = self._call_with_retry(vm, method, message, started_at)
         except errors.LinkFailed as error:
             with self._lock:
                 self._avoided_until_by_id[vm.id] = (
@@ -94,3 +94,20 @@
         if self._clock() - started_at > MAX_CALL_SECONDS:
             raise errors.LinkFailed(f'{vm.id} {method}: the reply is too old')
         return reply
+
+    def _call_with_retry(self, vm, method, message, started_at):
+        """Call a VM, and again if an idle connection has been reset.
+
+        The methods are idempotent, or cost no more than an unused permit.
+        """
+        link = self._links.to(vm.link_address)
+        try:
+            return link.call(
+                method, message, MAX_CALL_SECONDS, MAX_CALL_SECONDS
+            )
+        except errors.LinkFailed:
+            left = MAX_CALL_SECONDS - (self._clock() - started_at)
+            if left < MIN_RETRY_SECONDS:
+                raise
+            # The failure has closed the other idle connections.
+            return link.call(method, message, left, left)
--- a/tests/test_endpoint_rate_limits.py
+++ b/tests/test_endpoint_rate_limits.py
@@ -195,6 +195,7 @@
         self.clock = clock
         self.called = []
         self.silent = set()
+        self.reset_once = set()
         self.call_seconds = 0.0
         self.own_vm = _vm('front-0', True)
         others = [_vm(name, False) for name in names]
@@ -221,7 +222,11 @@
     def _answer(self, name):
         self.called.append(name)
         self.clock.advance(self.call_seconds)
+        if name in self.reset_once:
+            self.reset_once.remove(name)
+            raise errors.LinkFailed('the connection was reset')
         if name in self.silent:
+            self.clock.advance(vm_calls.MAX_CALL_SECONDS)
             raise errors.LinkFailed(name)
         return ttypes.PermitReply(True, False, 0, 0, 1.0)
 
@@ -244,6 +249,17 @@
     assert first.called[2] == first.called[3] != first.called[0]
 
 
+def test_a_vm_is_called_again_if_an_idle_connection_was_reset():
+    clock = builders.Clock()
+    statement = endpoint_permits.LimitStatement(1.0, clock.now)
+    grantors = Grantors(clock, ['core-0', 'core-1'])
+    grantors.reset_once = {'core-0', 'core-1'}
+    for _ in range(2):
+        grantors.client.request(builders.endpoint(), statement)
+    assert len(set(grantors.called)) == 1
+    assert len(grantors.called) == 3
+
+
 def test_a_permit_that_arrives_late_is_not_used():
     clock = builders.Clock()
     statement = endpoint_permits.LimitStatement(1.0, clock.now)
