Find the newest configuration when the aggregator is cut off

Cause, from the log lines of each poll in a trial copy: the entry VM polled, every 0.2 s, only the aggregator that was cut off. It takes its sources from the VMs that seem to be alive; the aggregator tells that, and it does not hear the others. Only after 3 s without contact did it ask all.

Change: while gossip brings no contact with a leader for 1.0 s, the VM polls three VMs with a data folder at once, whether they seem alive or not, and long-polls the one with the freshest contact. Contact that its own polls bring does not end this. Directory.live_disk_addresses has no caller left and goes.

The test of a hanging source now states that gossip brings no contact, as a long poll follows a short one; it checks the same.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -242,6 +242,7 @@
             self._directory,
             self._links,
             self._membership_status.is_member,
+            self._gossip.contact_age,
         )
         self._gossip.on_newer_version = self._state_poller.fetch_newer
         self._lock_table = endpoint_locks.EndpointLockTable()
--- a/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
@@ -179,19 +179,6 @@
         with self._lock:
             self._seeds = tuple(sorted(set(self._seeds) | set(seeds)))
 
-    def live_disk_addresses(self):
-        """Return the ``disk_addresses`` of VMs that are not silent.
-
-        If all of them are silent, all are returned.
-        """
-        now = self._clock()
-        live = [
-            vm.link_address
-            for vm in self.vms()[1:]
-            if vm.has_disk and not vm.is_silent(now)
-        ]
-        return live or self.disk_addresses()
-
     def vms(self):
         """Return all known VMs, this one first."""
         with self._lock:
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -89,6 +89,8 @@
         )
         self._stopped = False
         self._is_aggregator = True
+        # Time of the last contact with a leader that a reply has told of.
+        self._contact_at = float('-inf')
         withdrawals.on_addition(lambda digests: self.push())
 
     @property
@@ -216,7 +218,16 @@
         self._withdrawals.add(reply.withdrawn_digests)
         self._records.merge(reply.records, source)
         if reply.contact_age_ms >= 0:
-            self._store.record_contact(reply.contact_age_ms / 1000)
+            age = reply.contact_age_ms / 1000
+            self._contact_at = max(self._contact_at, clocks.now() - age)
+            self._store.record_contact(age)
+
+    def contact_age(self):
+        """Return the age of the last contact with a leader that was told.
+
+        It is infinite before the first one.
+        """
+        return clocks.now() - self._contact_at
 
     def merge_summary(self, message, reply):
         """Merge what an aggregator that this VM is a member of has summed.
--- a/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
@@ -20,12 +20,18 @@
 # progress usually delivers it by then.
 HINT_DELAY_SECONDS = 0.05
 RETRY_SECONDS = 0.2
+# VMs that are polled at once in the search for a source, and the time for
+# which each further reply is awaited.
+SEARCH_SOURCES = 3
+SEARCH_REPLY_SECONDS = 0.2
+# Age of a source's last contact above which it is not long-polled.
+SOURCE_CONTACT_SECONDS = 1.0
 # Age of the last contact with a leader above which a VM counts as cut off
 # from it.
 STALE_CONTACT_SECONDS = 3.0
-# Age of the last contact up to which gossip keeps this VM informed of newer
-# versions, so that it does not poll.
-GOSSIP_CONTACT_SECONDS = 1.5
+# Age of the last contact that gossip has brought, up to which it keeps this
+# VM informed of newer versions, so that it does not poll.
+GOSSIP_CONTACT_SECONDS = 1.0
 # A VM that has no state yet cannot serve requests, so it retries soon. It
 # polls only a few VMs at a time, because all VMs may start at once.
 BOOTSTRAP_RETRY_SECONDS = 0.1
@@ -41,12 +47,31 @@
 
     At start, all peers are polled at once. After that, gossip reports when
     a VM holds a newer version, and a thread fetches it from there. While
-    gossip brings no contact with the leader, a second thread long-polls one
-    source at a time, preferably a VM with a data folder. If it fails or has
-    itself lost contact with the leader, another source is selected.
+    gossip brings no contact with the leader, as when the aggregator of this
+    VM is cut off from it, a second thread polls a few VMs with a data folder
+    at once and then long-polls the one that had contact last, until that
+    fails or has lost contact, too. It does not rely on which VMs seem to be
+    alive, as the aggregator tells that.
     """
 
-    def __init__(self, store, directory, links, is_member):
+    def __init__(
+        self, store, directory, links, is_member, gossip_contact_age=None
+    ):
+        """Prepare the threads.
+
+        Args:
+            store: the ``StateStore``.
+            directory: the ``Directory``.
+            links: the ``Links``.
+            is_member: function that returns whether Raft replicates the
+                state to this VM.
+            gossip_contact_age: function that returns the age of the last
+                contact with a leader of which gossip told, or None for any
+                contact.
+        """
+        self._gossip_contact_age = gossip_contact_age or store.contact_age
+        # The source that is long-polled.
+        self._source = None
         self._store = store
         self._directory = directory
         self._links = links
@@ -93,9 +118,14 @@
         Returns:
             Whether any peer answered within ``timeout`` seconds.
         """
-        return self._poll_all(self._directory.peer_addresses(), timeout)
+        return bool(self._poll_all(self._directory.peer_addresses(), timeout))
 
     def _poll_all(self, addresses, timeout):
+        """Poll VMs at once and apply the replies.
+
+        Returns:
+            (address, reply) pairs of those that answered.
+        """
         replies = queue.Queue()
         for address in addresses:
             threading.Thread(
@@ -104,35 +134,38 @@
                 name='catch-up',
                 daemon=True,
             ).start()
-        answered = False
+        answered = []
         for _ in addresses:
             try:
-                reply = replies.get(timeout=timeout)
+                address, reply = replies.get(timeout=timeout)
             except queue.Empty:
                 break
             if reply is not None:
-                answered = True
+                answered.append((address, reply))
                 self._apply(reply)
         return answered
 
     def _poll_into(self, address, replies):
         try:
-            replies.put(self._poll(address, 0.0))
+            replies.put((address, self._poll(address, 0.0)))
         except errors.LinkFailed:
-            replies.put(None)
+            replies.put((address, None))
 
     def _run(self):
         self._bootstrap()
         while not self._stopped.is_set():
             if self._is_member() or self._is_informed():
+                self._source = None
                 self._stopped.wait(RETRY_SECONDS)
                 continue
-            address = self._choose_source()
-            if address is None or not self._follow(address):
+            if self._source is None:
+                self._source = self._find_source()
+            if self._source is None or not self._follow(self._source):
+                self._source = None
                 self._stopped.wait(RETRY_SECONDS)
 
     def _is_informed(self):
-        return self._store.contact_age() < GOSSIP_CONTACT_SECONDS
+        return self._gossip_contact_age() < GOSSIP_CONTACT_SECONDS
 
     def _bootstrap(self):
         ends_at = clocks.now() + BOOTSTRAP_SECONDS
@@ -168,13 +201,28 @@
                     events.SOURCE_LOST, address=address, reason=error.detail
                 )
 
-    def _choose_source(self):
-        addresses = self._directory.live_disk_addresses()
+    def _find_source(self):
+        """Poll a few VMs at once and apply what they hold.
+
+        Returns:
+            Address of the VM that had contact with a leader last, or None if
+            none had lately.
+        """
+        addresses = self._directory.disk_addresses()
         if self._store.contact_age() > STALE_CONTACT_SECONDS:
             addresses = self._directory.peer_addresses()
         own = self._directory.own_vm.link_address
         addresses = [a for a in addresses if a != own]
-        return self._random.choice(addresses) if addresses else None
+        count = min(SEARCH_SOURCES, len(addresses))
+        replies = self._poll_all(
+            self._random.sample(addresses, count), SEARCH_REPLY_SECONDS
+        )
+        contacts = [
+            (reply.contact_age_ms, address)
+            for address, reply in replies
+            if _has_contact(reply)
+        ]
+        return min(contacts)[1] if contacts else None
 
     def _follow(self, address):
         """Long-poll a VM once.
@@ -196,7 +244,7 @@
         self._apply(reply)
         # Two VMs without contact to a leader must not go on polling
         # only each other.
-        return 0 <= reply.contact_age_ms <= STALE_CONTACT_SECONDS * 1000
+        return _has_contact(reply)
 
     def _poll(self, address, wait):
         request = ttypes.FollowRequest(self._store.version, int(wait * 1000))
@@ -218,3 +266,8 @@
             self._store.record_contact(reply.contact_age_ms / 1000)
         if self._store.version > before:
             events.emit(events.VERSION_FOLLOWED, version=self._store.version)
+
+
+def _has_contact(reply):
+    """Return whether the VM has had contact with a leader lately."""
+    return 0 <= reply.contact_age_ms <= SOURCE_CONTACT_SECONDS * 1000
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -303,6 +303,7 @@
             self._directory,
             self._links,
             self._membership_status.is_member,
+            self._gossip.contact_age,
         )
         self._gossip.on_newer_version = self._state_poller.fetch_newer
         handler = fleet_handler.FleetHandler(
--- a/tests/test_state_poller.py
+++ b/tests/test_state_poller.py
@@ -97,7 +97,12 @@
     store = state_store.StateStore()
     links = HangingLinks()
     poller = state_poller.StatePoller(
-        store, directory.Directory(own, (LOST,)), links, lambda: False
+        store,
+        directory.Directory(own, (LOST,)),
+        links,
+        lambda: False,
+        # The poll that hangs is a long poll, which follows a short one.
+        gossip_contact_age=lambda: float('inf'),
     )
     poller.start()
     assert links.is_polled.wait(20)
@@ -158,3 +163,104 @@
     assert store.version == 7
     assert set(links.asked[: len(peers)]) == set(peers)
     assert len(links.asked) <= len(peers) + 3 * state_poller.BOOTSTRAP_SOURCES
+
+
+class CutOffLinks:
+    """Links to two VMs: one is cut off from the leader, the other is not.
+
+    Attributes:
+        polls: (address, wait in ms) of each poll, in order.
+        is_done: set after ``count`` polls.
+    """
+
+    def __init__(self, count):
+        self.polls = []
+        self.is_done = threading.Event()
+        self._count = count
+
+    def to(self, address):
+        """Return the link to an address."""
+        return CutOffLink(self, address)
+
+    def note(self, address, wait_ms):
+        """Record a poll."""
+        self.polls.append((address, wait_ms))
+        if len(self.polls) >= self._count:
+            self.is_done.set()
+
+
+class CutOffLink:
+    """A link whose VM had its last contact with the leader 2 s ago or now."""
+
+    def __init__(self, links, address):
+        self._links = links
+        self._address = address
+
+    def call(self, method, request, timeout):
+        """Answer a poll."""
+        self._links.note(self._address, request.wait_ms)
+        age = 2000 if self._address == LOST else 0
+        return ttypes.FollowReply('f', 1, [], None, age)
+
+
+def _poll_beside_a_cut_off_vm(monkeypatch, count):
+    monkeypatch.setattr(state_poller, 'RETRY_SECONDS', 0.001)
+    monkeypatch.setattr(state_poller, 'BOOTSTRAP_SECONDS', 0.0)
+    own = directory.Vm('vm4', 'bole', '127.0.0.1:9', '', 1, False)
+    links = CutOffLinks(count)
+    poller = state_poller.StatePoller(
+        state_store.StateStore(),
+        directory.Directory(own, (LOST, GOOD)),
+        links,
+        lambda: False,
+        gossip_contact_age=lambda: float('inf'),
+    )
+    poller.start()
+    is_done = links.is_done.wait(20)
+    poller.stop()
+    assert is_done
+    # The first two polls are those of the start, of both VMs at once.
+    return links.polls[2:]
+
+
+def test_a_vm_does_not_rely_on_its_aggregator_for_who_is_alive(monkeypatch):
+    # Guards against a late configuration: the aggregator that is cut off was
+    # the only control VM that seemed to be alive, and so the only source.
+    monkeypatch.setattr(state_poller, 'RETRY_SECONDS', 0.001)
+    monkeypatch.setattr(state_poller, 'BOOTSTRAP_SECONDS', 0.0)
+    monkeypatch.setattr(state_poller, 'STALE_CONTACT_SECONDS', 1000.0)
+    own = directory.Vm('vm4', 'bole', '127.0.0.1:9', '', 1, False)
+    known = directory.Directory(own, ())
+    known.note_message(directory.Vm('core-1', 'bole', LOST, '', 1, True), 1)
+    known.merge_vm(directory.Vm('core-2', 'bole', GOOD, '', 1, True))
+    monkeypatch.setattr(known, 'peer_addresses', lambda: [LOST])
+    links = CutOffLinks(20)
+    poller = state_poller.StatePoller(
+        state_store.StateStore(),
+        known,
+        links,
+        lambda: False,
+        gossip_contact_age=lambda: float('inf'),
+    )
+    poller.start()
+    assert links.is_done.wait(20)
+    poller.stop()
+    assert GOOD in {address for address, _ in links.polls}
+
+
+def test_a_vm_goes_on_polling_while_gossip_brings_no_contact(monkeypatch):
+    # Guards against a late configuration: a VM whose aggregator is cut off
+    # polled once, took itself for informed and paused.
+    monkeypatch.setattr(state_poller, 'GOSSIP_CONTACT_SECONDS', 1000.0)
+    polls = _poll_beside_a_cut_off_vm(monkeypatch, 20)
+    assert GOOD in {address for address, _ in polls}
+
+
+def test_a_vm_holds_no_long_poll_at_a_source_without_contact(monkeypatch):
+    polls = _poll_beside_a_cut_off_vm(monkeypatch, 40)
+    assert all(wait == 0 for address, wait in polls if address == LOST)
+    # Having answered once, it is asked again only after another source.
+    addresses = [address for address, _ in polls]
+    pairs = list(zip(addresses, addresses[1:], strict=False))
+    assert (LOST, LOST) not in pairs
+    assert pairs.count((GOOD, GOOD)) > len(pairs) / 2
