Tell other VMs of endpoints that say they are leaving

Each VM knew only what answers had told itself, and went on sending to an engine that had told another VM that it leaves, until an announcement came, which some engines never send. The fact now spreads by gossip at once, with the answer's age and the announcement that it supersedes. The test fails without the record source: VM 1 goes on sending to the engine for as long as the test waits.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
@@ -22,6 +22,10 @@
 from . import strike_messages
 
 
+# Fields of the thrift ``Records``.
+RECORD_KINDS = 9
+
+
 @dataclasses.dataclass(frozen=True)
 class VmKey:
     """Key of the descriptor of a VM."""
@@ -231,7 +235,7 @@
 
         Records that no longer exist are left out and dropped from the log.
         """
-        records = ttypes.Records([], [], [], [], [], [], [], [])
+        records = ttypes.Records(*([] for _ in range(RECORD_KINDS)))
         now = clocks.now()
         strikes = {}
         if any(isinstance(key, StrikeKey) for key in keys):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_availability.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_availability.py
@@ -6,7 +6,8 @@
 in which the engine takes requests again.
 
 An endpoint that says that it is leaving gets nothing new from this VM from
-the head of that answer on. One that rejects a request and says for how long
+the head of that answer on, and from the others as soon as gossip has told
+them. One that rejects a request and says for how long
 gets nothing for that time, and the VMs return to it spread over a moment.
 Both hold for one incarnation of the endpoint.
 """
@@ -38,11 +39,11 @@
 
     Attributes:
         order: order of its newest announcement at that time.
-        until: time until which no announcement takes it back.
+        said_at: time of the answer by ``clocks.now``, in seconds.
     """
 
     order: tuple[int, int]
-    until: float
+    said_at: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +74,11 @@
         # Both by id, with the incarnation that they hold for.
         self._leaving_by_id = {}
         self._unavailable_by_id = {}
+        self._listeners = []
+
+    def on_leaving(self, listener):
+        """Call ``listener(endpoint_id)`` when an endpoint begins to leave."""
+        self._listeners.append(listener)
 
     def note_head(self, endpoint, head):
         """Record what the head of an answer says.
@@ -82,18 +88,38 @@
             head: the ``ResponseHead``.
         """
         if head.is_leaving:
-            self._note_leaving(endpoint)
+            self._note_leaving(
+                endpoint.id, Leaving(endpoint.order, self._clock()), 'answer'
+            )
         if head.retry_after and head.status == UNAVAILABLE_STATUS:
             self._note_unavailable(endpoint, head.retry_after.seconds)
 
     def is_leaving(self, endpoint):
         """Return whether an endpoint gets no new requests any more."""
         match self._find(self._leaving_by_id, endpoint):
-            case Leaving(order, until):
-                is_kept = endpoint.order > order and self._clock() >= until
-                return not is_kept
+            case Leaving(order, said_at):
+                is_past = self._clock() - said_at >= LEAVING_SECONDS
+                return not (is_past and endpoint.order > order)
         return False
 
+    def merge_leaving(self, endpoint_id, leaving):
+        """Record that an endpoint has told another VM that it is leaving.
+
+        Args:
+            endpoint_id: id of the endpoint.
+            leaving: the ``Leaving``.
+        """
+        if self._clock() - leaving.said_at < LEAVING_SECONDS:
+            self._note_leaving(endpoint_id, leaving, 'vm')
+
+    def leaving_news(self, endpoint_id):
+        """Return the ``Leaving`` that other VMs should know, or None."""
+        _, leaving = self._leaving_by_id.get(endpoint_id, (None, None))
+        if leaving is None:
+            return None
+        age = self._clock() - leaving.said_at
+        return leaving if age < LEAVING_SECONDS else None
+
     def seconds_until_available(self, endpoint):
         """Return the seconds until it may get requests, 0.0 for now."""
         match self._find(self._unavailable_by_id, endpoint):
@@ -101,16 +127,27 @@
                 return max(0.0, until - self._clock())
         return 0.0
 
-    def _note_leaving(self, endpoint):
-        fact = Leaving(endpoint.order, self._clock() + LEAVING_SECONDS)
+    def _note_leaving(self, endpoint_id, leaving, source):
+        incarnation = leaving.order[0]
         with self._lock:
-            if self._find(self._leaving_by_id, endpoint) is None:
-                events.emit(
-                    events.ENDPOINT_SAYS_LEAVING,
-                    endpoint=endpoint.id,
-                    incarnation=endpoint.incarnation,
-                )
-            self._leaving_by_id[endpoint.id] = (endpoint.incarnation, fact)
+            known_incarnation, _ = self._leaving_by_id.get(
+                endpoint_id, (0, None)
+            )
+            if incarnation < known_incarnation:
+                return
+            is_new = incarnation > known_incarnation
+            if is_new or source == 'answer':
+                self._leaving_by_id[endpoint_id] = (incarnation, leaving)
+        if not is_new:
+            return
+        events.emit(
+            events.ENDPOINT_SAYS_LEAVING,
+            endpoint=endpoint_id,
+            incarnation=incarnation,
+            source=source,
+        )
+        for listener in self._listeners:
+            listener(endpoint_id)
 
     def _note_unavailable(self, endpoint, asked):
         seconds = _bounded(asked)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -7,6 +7,7 @@
 from ..routing import prefix_cache_index
 
 from . import configuration_store
+from . import endpoint_availability
 from . import endpoint_connections
 from . import endpoint_health
 from . import endpoint_rate_limits
@@ -34,6 +35,7 @@
         prefix_cache_index: the ``PrefixCacheIndex``.
         crash_suspects: the ``CrashSuspects``.
         health: the ``EndpointHealth``.
+        availability: the ``EndpointAvailability``.
         rate_limits: the ``EndpointRateLimits``.
         pool: the ``ConnectionPool``.
         kv_stores: the ``KvStores``.
@@ -51,6 +53,7 @@
     prefix_cache_index: prefix_cache_index.PrefixCacheIndex
     crash_suspects: crash_suspects.CrashSuspects
     health: endpoint_health.EndpointHealth
+    availability: endpoint_availability.EndpointAvailability
     rate_limits: endpoint_rate_limits.EndpointRateLimits
     pool: endpoint_connections.ConnectionPool
     kv_stores: kv_stores.KvStores
@@ -108,6 +111,7 @@
         prefix_cache_index.PrefixCacheIndex(),
         crash_suspects.CrashSuspects(),
         endpoint_health.EndpointHealth(),
+        endpoint_availability.EndpointAvailability(),
         endpoint_rate_limits.EndpointRateLimits(request_permit, metrics.count),
         endpoint_connections.ConnectionPool(),
         kv_stores.KvStores(dialect),
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -7,7 +7,6 @@
 
 from .relay import admission
 from .relay import control_operations
-from .relay import endpoint_availability
 from .relay import fleet_loads
 from .relay import fleet_retry_budget
 from .relay import gateway
@@ -127,7 +126,7 @@
             prefix_cache_index=shared.prefix_cache_index,
             kv_stores=shared.kv_stores,
             health=shared.health,
-            availability=endpoint_availability.EndpointAvailability(),
+            availability=shared.availability,
             rate_limits=shared.rate_limits,
             wait_queue=shared.wait_queue,
             retry_budget=fleet_retry_budget.FleetRetryBudget(
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -39,6 +39,7 @@
 from .relay import endpoint_prober
 from .relay import engine_cache_monitors
 from .relay import gossip_topic
+from .relay import leaving_records
 from .relay import rate_limit_records
 from .relay import shared_components
 from .relay import stream_resumption
@@ -279,6 +280,7 @@
             sources=(
                 weights_records.WeightsRecords(self._shared.engine_weights),
                 rate_limit_records.RateLimitRecords(self._shared.rate_limits),
+                leaving_records.LeavingRecords(self._shared.availability),
                 self._shared.kv_stores,
             ),
         )
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -2745,6 +2745,104 @@
         return not (self == other)
 
 
+class LeavingNews(object):
+    """
+    Attributes:
+     - endpoint_id
+     - incarnation
+     - sequence
+     - age_ms
+
+    """
+
+
+    def __init__(self, endpoint_id=None, incarnation=None, sequence=None, age_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingNews')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint_id is None:
+            raise TProtocolException(message='Required field endpoint_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PermitRequest(object):
     """
     Attributes:
@@ -4141,11 +4239,12 @@
      - rosters
      - stores
      - rate_limits
+     - leaving
 
     """
 
 
-    def __init__(self, vms=None, announcements=None, strikes=None, weights=None, placements=None, rosters=None, stores=None, rate_limits=None,):
+    def __init__(self, vms=None, announcements=None, strikes=None, weights=None, placements=None, rosters=None, stores=None, rate_limits=None, leaving=None,):
         self.vms = vms
         self.announcements = announcements
         self.strikes = strikes
@@ -4154,6 +4253,7 @@
         self.rosters = rosters
         self.stores = stores
         self.rate_limits = rate_limits
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4252,6 +4352,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = LeavingNews()
+                        _elem146.read(iprot)
+                        self.leaving.append(_elem146)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4265,57 +4376,64 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter141 in self.vms:
-                iter141.write(oprot)
+            for iter147 in self.vms:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter142 in self.announcements:
-                iter142.write(oprot)
+            for iter148 in self.announcements:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter143 in self.strikes:
-                iter143.write(oprot)
+            for iter149 in self.strikes:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter144 in self.weights:
-                iter144.write(oprot)
+            for iter150 in self.weights:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.placements is not None:
             oprot.writeFieldBegin('placements', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter145 in self.placements:
-                iter145.write(oprot)
+            for iter151 in self.placements:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rosters is not None:
             oprot.writeFieldBegin('rosters', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rosters))
-            for iter146 in self.rosters:
-                iter146.write(oprot)
+            for iter152 in self.rosters:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stores is not None:
             oprot.writeFieldBegin('stores', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stores))
-            for iter147 in self.stores:
-                iter147.write(oprot)
+            for iter153 in self.stores:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter148 in self.rate_limits:
-                iter148.write(oprot)
+            for iter154 in self.rate_limits:
+                iter154.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter155 in self.leaving:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4481,10 +4599,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem154)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4497,11 +4615,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = LoadNews()
-                        _elem160.read(iprot)
-                        self.loads.append(_elem160)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = LoadNews()
+                        _elem167.read(iprot)
+                        self.loads.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4546,8 +4664,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter161 in self.withdrawn_digests:
-                oprot.writeString(iter161.encode('utf-8') if sys.version_info[0] == 2 else iter161)
+            for iter168 in self.withdrawn_digests:
+                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
@@ -4557,8 +4675,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter162 in self.loads:
-                iter162.write(oprot)
+            for iter169 in self.loads:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
@@ -4669,10 +4787,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem168)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4696,10 +4814,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.silent_endpoints = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent_endpoints.append(_elem174)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4711,44 +4829,44 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = LoadNews()
-                        _elem180.read(iprot)
-                        self.loads.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = LoadNews()
+                        _elem187.read(iprot)
+                        self.loads.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = GroupReport()
-                        _elem186.read(iprot)
-                        self.groups.append(_elem186)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = GroupReport()
+                        _elem193.read(iprot)
+                        self.groups.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.own_units = {}
-                    (_ktype188, _vtype189, _size187) = iprot.readMapBegin()
-                    for _i191 in range(_size187):
-                        _key192 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val193 = iprot.readI64()
-                        self.own_units[_key192] = _val193
+                    (_ktype195, _vtype196, _size194) = iprot.readMapBegin()
+                    for _i198 in range(_size194):
+                        _key199 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val200 = iprot.readI64()
+                        self.own_units[_key199] = _val200
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.past_spending = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = PastSpendingNews()
-                        _elem199.read(iprot)
-                        self.past_spending.append(_elem199)
+                    (_etype204, _size201) = iprot.readListBegin()
+                    for _i205 in range(_size201):
+                        _elem206 = PastSpendingNews()
+                        _elem206.read(iprot)
+                        self.past_spending.append(_elem206)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4781,8 +4899,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter200 in self.withdrawn_digests:
-                oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
+            for iter207 in self.withdrawn_digests:
+                oprot.writeString(iter207.encode('utf-8') if sys.version_info[0] == 2 else iter207)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepted is not None:
@@ -4800,8 +4918,8 @@
         if self.silent_endpoints is not None:
             oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
-            for iter201 in self.silent_endpoints:
-                oprot.writeString(iter201.encode('utf-8') if sys.version_info[0] == 2 else iter201)
+            for iter208 in self.silent_endpoints:
+                oprot.writeString(iter208.encode('utf-8') if sys.version_info[0] == 2 else iter208)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.period_ms is not None:
@@ -4811,30 +4929,30 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter202 in self.loads:
-                iter202.write(oprot)
+            for iter209 in self.loads:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter203 in self.groups:
-                iter203.write(oprot)
+            for iter210 in self.groups:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own_units is not None:
             oprot.writeFieldBegin('own_units', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
-            for kiter204, viter205 in self.own_units.items():
-                oprot.writeString(kiter204.encode('utf-8') if sys.version_info[0] == 2 else kiter204)
-                oprot.writeI64(viter205)
+            for kiter211, viter212 in self.own_units.items():
+                oprot.writeString(kiter211.encode('utf-8') if sys.version_info[0] == 2 else kiter211)
+                oprot.writeI64(viter212)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.past_spending is not None:
             oprot.writeFieldBegin('past_spending', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter206 in self.past_spending:
-                iter206.write(oprot)
+            for iter213 in self.past_spending:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5085,6 +5203,14 @@
     (3, TType.DOUBLE, 'per_second', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(LeavingNews)
+LeavingNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(PermitRequest)
 PermitRequest.thrift_spec = (
     None,  # 0
@@ -5205,6 +5331,7 @@
     (6, TType.LIST, 'rosters', (TType.STRUCT, [Roster, None], False), None, ),  # 6
     (7, TType.LIST, 'stores', (TType.STRUCT, [StoreNews, None], False), None, ),  # 7
     (8, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimitNews, None], False), None, ),  # 8
+    (9, TType.LIST, 'leaving', (TType.STRUCT, [LeavingNews, None], False), None, ),  # 9
 )
 all_structs.append(LogPosition)
 LogPosition.thrift_spec = (
--- a/tests/test_leaving_and_refusing_endpoints.py
+++ b/tests/test_leaving_and_refusing_endpoints.py
@@ -31,15 +31,16 @@
     )
 
 
-def _ask_later(fleet, count=12):
+def _ask_later(fleet, count=12, number=0):
     fleet.clear_requests()
     return [
         fleet.fleet.ask(
             '/checks/x',
-            X_Carobwood_Request_Id=f'later-{number}',
-            X_Carobwood_Prompt_Prefix=f'l{number}:6000,own:40',
+            number=number,
+            X_Carobwood_Request_Id=f'later-{request}',
+            X_Carobwood_Prompt_Prefix=f'l{request}:6000,own:40',
         )
-        for number in range(count)
+        for request in range(count)
     ]
 
 
@@ -71,3 +72,24 @@
         assert reply.status == 503
         assert int(reply.headers['retry-after']) > 30
     assert fleet.engine_requests == []
+
+
+def test_the_other_vms_learn_of_a_leaving_engine_without_sending(fleet):
+    leaving = fleet.engines[0]
+    leaving.is_leaving = True
+    _ask_both_engines(fleet)
+    # No answer tells VM 1, so only VM 0 can.
+    leaving.is_leaving = False
+
+    def ask_other_vm():
+        fleet.clear_requests()
+        return _ask_later(fleet, number=1)
+
+    # Gossip needs a moment; then VM 1 has no more requests for the engine.
+    relay_test_fleet.await_reply(
+        ask_other_vm, lambda replies: leaving.requests == []
+    )
+    for _ in range(3):
+        replies = ask_other_vm()
+        assert {reply.status for reply in replies} == {200}
+        assert leaving.requests == []
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -216,6 +216,15 @@
   4: required i64 age_ms
 }
 
+// An endpoint has said in an answer that it is leaving.
+struct LeavingNews {
+  1: required string endpoint_id
+  2: required i64 incarnation
+  // Number of its newest announcement at that time.
+  3: required i64 sequence
+  4: required i64 age_ms
+}
+
 // Asks for the permit to send an endpoint one request.
 struct PermitRequest {
   1: required string endpoint_id
@@ -353,6 +362,7 @@
   6: list<Roster> rosters
   7: list<StoreNews> stores
   8: list<RateLimitNews> rate_limits
+  9: list<LeavingNews> leaving
 }
 
 // Position in the logs of records of one process.
