Let the stand-in engines accept many connections at once

The log says ConnectTimeoutError at 127.0.0.1 for several requests at the same moment, which ejects the engine, as it should. The stand-in listens with a backlog of 5; a stalled listener with 5 times out 10 of 16 connects at once within 0.15 s, one with 128 none.

--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -78,7 +78,7 @@
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
 
     def _serve(self, port):
-        self._server = http.server.ThreadingHTTPServer(
+        self._server = _Server(
             ('127.0.0.1', port), type('Handler', (_Handler,), {'engine': self})
         )
         self._server.daemon_threads = True
@@ -114,6 +114,14 @@
         self._server.server_close()
 
 
+class _Server(http.server.ThreadingHTTPServer):
+    """A server that accepts many connections at the same moment."""
+
+    # With the default of 5, the kernel drops connections beyond and the
+    # caller's next try comes after a second.
+    request_queue_size = 128
+
+
 class _Handler(http.server.BaseHTTPRequestHandler):
     """Handles one connection to a fake engine."""
 
