--- a/packages/carobwood-daemon/carobwood_daemon/relay/gossip_topic.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/gossip_topic.py
@@ -15,7 +15,7 @@
 
 from . import fleet_loads
 from . import group_usage
-from . import quota
+from . import usage_reports
 
 # Minimum time between two records of a group's usage for restarts.
 PAST_USAGE_PERIOD_SECONDS = 0.5
@@ -241,7 +241,7 @@
             report.aggregator_id,
             report.incarnation,
             {
-                entry.customer: quota.Usage(
+                entry.customer: usage_reports.Usage(
                     entry.total - own_units.get(entry.customer, 0),
                     max(
                         0,
@@ -341,7 +341,7 @@
 
 def _usage_from_thrift(report):
     return {
-        entry.customer: quota.Usage(
+        entry.customer: usage_reports.Usage(
             entry.total, entry.recent, (), entry.acknowledged or 0
         )
         for entry in report.spending
--- a/packages/carobwood-daemon/carobwood_daemon/relay/group_usage.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/group_usage.py
@@ -14,7 +14,7 @@
 
 from carobwood import clocks
 
-from . import quota
+from . import usage_reports
 
 # Time without a report after which a member no longer belongs to the group.
 MEMBER_TIMEOUT_SECONDS = 1.5
@@ -90,7 +90,7 @@
         Args:
             vm_id: id of the member, or of this VM itself.
             incarnation: its incarnation; reports of older ones are ignored.
-            usage_by_customer: its ``quota.Usage`` by customer name.
+            usage_by_customer: its ``Usage`` by customer name.
         """
         now = self._clock()
         with self._lock:
@@ -112,11 +112,11 @@
                     self._count(name, units, now)
 
     def usage(self):
-        """Return the ``quota.Usage`` of the group by customer name."""
+        """Return the ``Usage`` of the group by customer name."""
         now = self._clock()
         with self._lock:
             return {
-                name: quota.Usage(
+                name: usage_reports.Usage(
                     total, self._windows_by_customer[name].sum(now)
                 )
                 for name, total in self._total_by_customer.items()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
@@ -12,10 +12,8 @@
 that is cut off from the control VMs uses only the part of each limit
 that corresponds to the VMs from which it receives reports.
 
-While a customer is beyond its rate, all VMs would admit its requests as soon
-as the bucket refills, until they hear of each other. Each VM therefore
-assumes that the others have admitted as much since their last reports as it
-has itself, in proportion to the usage that they had reported.
+Units that the others may have admitted without having reported them yet are
+estimated; see ``customer_quota``.
 """
 
 import collections
@@ -26,6 +24,9 @@
 from carobwood import clocks
 from carobwood import events
 
+from . import customer_quota as customer_quotas
+from . import usage_reports
+
 # Seconds without a report after which a VM's usage counts as unknown.
 SILENT_AFTER_SECONDS = 1.5
 # Seconds without a report after which a VM no longer has a share of the
@@ -38,12 +39,6 @@
 # reported late, and units that starting VMs admit before they receive the
 # usage of the others.
 USABLE_TOLERANCE_SHARE = 0.5
-# Seconds until the usage that a VM admits is known to all others.
-UNSEEN_SECONDS = 0.5
-# Limit of what is assumed, as a multiple of the reported usage of that time.
-MAX_UNSEEN_FACTOR = 2.0
-# Seconds over which a VM compares its own usage with that of the others.
-RATIO_SECONDS = 1.5
 # Seconds within which a restarted VM receives the usage of the others.
 WARM_UP_SECONDS = 1.0
 # Seconds before a VM's stop whose usage it may not have reported.
@@ -115,192 +110,6 @@
         return limit + USABLE_TOLERANCE_SHARE * excess
 
 
-@dataclasses.dataclass(frozen=True)
-class Usage:
-    """Units that a VM has admitted for a customer.
-
-    Attributes:
-        total: units since the start of the VM.
-        recent: units within the last window.
-        units_by_second: ``recent`` split by second, the latest second
-            first.
-        acknowledged: units of ``total`` that an aggregator has counted.
-    """
-
-    total: int
-    recent: int
-    units_by_second: tuple[int, ...] = ()
-    acknowledged: int = 0
-
-
-class _CustomerQuota:
-    """Token bucket and sliding window of one customer.
-
-    Attributes:
-        rate: units per second that refill the bucket.
-        burst: capacity of the bucket in units.
-        level: units in the bucket; negative after usage beyond the rate.
-        refilled_at: time of the last refill.
-        local_total: units that this VM has admitted since its start.
-        local_entries: (time, units) pairs of this VM in the window.
-        fleet_entries: (time, units) pairs of all VMs in the window.
-        recent: sum of the units in ``fleet_entries``.
-    """
-
-    def __init__(self, customer, level, now):
-        self.rate = customer.rate
-        self.burst = customer.burst
-        self.level = level
-        self.refilled_at = now
-        self.local_total = 0
-        self.local_entries = collections.deque()
-        self.fleet_entries = collections.deque()
-        self.recent = 0
-
-    def advance(self, now, window, share, is_warmed_up):
-        """Refill the bucket and drop entries that have left the window.
-
-        Args:
-            now: the current time.
-            window: length of the window in seconds.
-            share: part of the rate that this VM may use.
-            is_warmed_up: whether the warm-up after a restart is over. Until
-                then the level may exceed the burst.
-        """
-        accrued = self.rate * share * max(0.0, now - self.refilled_at)
-        self.level += accrued
-        if is_warmed_up:
-            self.level = min(self.burst, self.level)
-        self.refilled_at = now
-        for entries in (self.fleet_entries, self.local_entries):
-            while entries and entries[0][0] < now - window:
-                _, units = entries.popleft()
-                if entries is self.fleet_entries:
-                    self.recent -= units
-
-    def consume(self, now, units):
-        """Take units out of the bucket and add them to the window."""
-        self.level -= units
-        self.fleet_entries.append((now, units))
-        self.recent += units
-
-    def consume_past(self, reported_at, units_by_second):
-        """Consume units that were admitted before a report.
-
-        Args:
-            reported_at: time of the report.
-            units_by_second: units in each second before the report, the
-                latest second first.
-        """
-        for age, units in enumerate(units_by_second):
-            self.consume(reported_at - age, units)
-        # ``advance`` drops entries from the front, so they must be ordered
-        # by time.
-        self.fleet_entries = collections.deque(sorted(self.fleet_entries))
-
-    def local_units_by_second(self, now):
-        """Return the units admitted here per second, the latest first."""
-        units_by_age = collections.Counter()
-        for consumed_at, units in self.local_entries:
-            units_by_age[int(now - consumed_at)] += units
-        ages = [age for age, units in units_by_age.items() if units]
-        count = max(ages, default=-1) + 1
-        return tuple(units_by_age[age] for age in range(count))
-
-    def consume_locally(self, now, units):
-        """Consume units for a request that this VM admits."""
-        self.consume(now, units)
-        self.local_entries.append((now, units))
-        self.local_total += units
-
-    def unseen(self, now, other_vm_count):
-        """Return the units that others may have admitted but not reported.
-
-        Args:
-            now: the current time.
-            other_vm_count: number of other VMs that report.
-        """
-        own_units = _units_since(self.local_entries, now - RATIO_SECONDS)
-        if own_units <= 0:
-            return 0.0
-        all_units = _units_since(self.fleet_entries, now - RATIO_SECONDS)
-        other_units = max(0, all_units - own_units)
-        ratio = min(other_vm_count, other_units / own_units)
-        unconfirmed = _units_since(self.local_entries, now - UNSEEN_SECONDS)
-        # A few large requests of this VM do not tell much of the others.
-        usual = other_units * UNSEEN_SECONDS / RATIO_SECONDS
-        return min(ratio * unconfirmed, MAX_UNSEEN_FACTOR * usual)
-
-    def set_limits(self, customer):
-        """Apply the customer's rate and burst if they have changed."""
-        if (customer.rate, customer.burst) != (self.rate, self.burst):
-            self.level = min(self.level, customer.burst)
-        self.rate = customer.rate
-        self.burst = customer.burst
-
-    def seconds_until_freed(self, now, window, excess):
-        """Return the seconds until the window has dropped enough units.
-
-        Args:
-            now: the current time.
-            window: length of the window in seconds.
-            excess: units that must leave the window.
-        """
-        for consumed_at, units in self.fleet_entries:
-            excess -= units
-            if excess <= 0:
-                return max(0.0, consumed_at + window - now)
-        return window
-
-
-def _units_since(entries, started_at):
-    """Return the units of (time, units) pairs after a time."""
-    units = 0
-    for consumed_at, consumed in reversed(entries):
-        if consumed_at < started_at:
-            break
-        units += consumed
-    return units
-
-
-@dataclasses.dataclass(frozen=True)
-class _UsageReport:
-    """The last usage report of another VM, or of a group of VMs.
-
-    Attributes:
-        incarnation: incarnation of that VM.
-        received_at: when this VM received the report.
-        by_customer: ``Usage`` by customer name.
-        vm_count: number of entry VMs whose usage it holds, without this VM.
-    """
-
-    incarnation: int
-    received_at: float
-    by_customer: dict[str, Usage]
-    vm_count: int
-
-    def increase_since(self, previous):
-        """Return the units admitted since the previous report.
-
-        Args:
-            previous: the VM's previous ``_UsageReport``, or None. Without
-                one of the same incarnation, all units of the window count.
-
-        Returns:
-            Units by customer name; negative after a refund, or if an older
-            report arrives after a newer one.
-        """
-        if previous is None or previous.incarnation != self.incarnation:
-            return {
-                name: usage.recent for name, usage in self.by_customer.items()
-            }
-        counted = previous.by_customer
-        return {
-            name: usage.total - counted.get(name, Usage(0, 0)).total
-            for name, usage in self.by_customer.items()
-        }
-
-
 class FleetQuota:
     """Rate limits of all customers that have one.
 
@@ -358,7 +167,7 @@
                     continue
                 customer_quota = self._quotas_by_customer.get(customer.name)
                 if customer_quota is None:
-                    customer_quota = _CustomerQuota(
+                    customer_quota = customer_quotas.CustomerQuota(
                         customer, self._initial_level(customer), now
                     )
                 self._advance(customer_quota, now)
@@ -457,7 +266,7 @@
                 recent = sum(
                     units for _, units in customer_quota.local_entries
                 )
-                usage_by_customer[name] = Usage(
+                usage_by_customer[name] = usage_reports.Usage(
                     customer_quota.local_total,
                     recent,
                     customer_quota.local_units_by_second(now),
@@ -493,7 +302,7 @@
             previous = self._reports_by_vm.get(vm_id)
             if previous is not None and previous.incarnation > incarnation:
                 return
-            report = _UsageReport(
+            report = usage_reports.UsageReport(
                 incarnation, now - age, usage_by_customer, vm_count
             )
             self._reports_by_vm[vm_id] = report
--- a/tests/test_group_usage.py
+++ b/tests/test_group_usage.py
@@ -1,7 +1,7 @@
 """Tests of the usage of a group of VMs."""
 
 from carobwood_daemon.relay import group_usage
-from carobwood_daemon.relay import quota
+from carobwood_daemon.relay import usage_reports
 import relay_builders as builders
 
 
@@ -10,7 +10,7 @@
 
 
 def _usage(total, acknowledged=0):
-    return {'bole': quota.Usage(total, 0, (), acknowledged)}
+    return {'bole': usage_reports.Usage(total, 0, (), acknowledged)}
 
 
 def test_the_total_adds_what_members_have_admitted():
@@ -18,7 +18,7 @@
     group.add_report('vm1', 1, _usage(300))
     group.add_report('vm2', 1, _usage(100))
     group.add_report('vm1', 1, _usage(350))
-    assert group.usage()['bole'] == quota.Usage(450, 450)
+    assert group.usage()['bole'] == usage_reports.Usage(450, 450)
 
 
 def test_a_member_that_moves_is_counted_once():
@@ -62,7 +62,7 @@
     assert group.units_by_second()['bole'][0] == 100
     assert group.units_by_second()['bole'][5] == 300
     clock.advance(4.0)
-    assert group.usage()['bole'] == quota.Usage(400, 100)
+    assert group.usage()['bole'] == usage_reports.Usage(400, 100)
 
 
 def test_members_that_no_longer_report_are_not_counted():
--- a/tests/test_past_spending.py
+++ b/tests/test_past_spending.py
@@ -10,6 +10,7 @@
 from carobwood_daemon.relay import past_usage
 from carobwood_daemon.relay import quota
 from carobwood_daemon.relay import usage_persister
+from carobwood_daemon.relay import usage_reports
 from carobwood_daemon.replication import data_folder
 import pytest
 import relay_builders as builders
@@ -198,7 +199,7 @@
         builders.tolerance(), True, builders.Clock()
     )
     fleet_quota.set_limits([builders.customer()])
-    fleet_quota.merge_usage('vm2', 1, {'bole': quota.Usage(300, 300)})
+    fleet_quota.merge_usage('vm2', 1, {'bole': usage_reports.Usage(300, 300)})
     fleet_quota.merge_past_usage('vm2', 1, 1.0, {'bole': (100, 200)})
     fleet_quota.merge_past_usage('vm3', 1, 1.0, {'bole': (200,)})
     fleet_quota.merge_past_usage('vm3', 1, 2.0, {'bole': (200,)})
--- a/tests/test_relay_quota.py
+++ b/tests/test_relay_quota.py
@@ -3,6 +3,7 @@
 import relay_builders as builders
 
 from carobwood_daemon.relay import quota
+from carobwood_daemon.relay import usage_reports
 
 
 def _make_quota(clock, starts_with_full_buckets=True, **changes):
@@ -58,9 +59,11 @@
 def test_usage_of_other_vms_counts_against_the_limit():
     clock = builders.Clock()
     fleet_quota = _make_quota(clock)
-    fleet_quota.merge_usage('vm2', 1, {'bole': quota.Usage(50_000, 0)})
+    fleet_quota.merge_usage('vm2', 1, {'bole': usage_reports.Usage(50_000, 0)})
     assert _verdict(fleet_quota, 100) is quota.Verdict.WITHIN_RATE
-    fleet_quota.merge_usage('vm2', 1, {'bole': quota.Usage(70_000, 20_000)})
+    fleet_quota.merge_usage(
+        'vm2', 1, {'bole': usage_reports.Usage(70_000, 20_000)}
+    )
     assert _verdict(fleet_quota, 100) is quota.Verdict.REFUSED
 
 
@@ -68,15 +71,17 @@
     clock = builders.Clock()
     fleet_quota = _make_quota(clock)
     for total in (0, 400, 400, 200, 400):
-        fleet_quota.merge_usage('vm2', 1, {'bole': quota.Usage(total, total)})
+        fleet_quota.merge_usage(
+            'vm2', 1, {'bole': usage_reports.Usage(total, total)}
+        )
     assert fleet_quota.admit('bole', 1).level == 600
 
 
 def test_usage_of_a_new_incarnation_adds_to_that_of_the_previous_one():
     clock = builders.Clock()
     fleet_quota = _make_quota(clock)
-    fleet_quota.merge_usage('vm2', 1, {'bole': quota.Usage(300, 300)})
-    fleet_quota.merge_usage('vm2', 2, {'bole': quota.Usage(200, 200)})
+    fleet_quota.merge_usage('vm2', 1, {'bole': usage_reports.Usage(300, 300)})
+    fleet_quota.merge_usage('vm2', 2, {'bole': usage_reports.Usage(200, 200)})
     assert fleet_quota.admit('bole', 1).level == 500
 
 
@@ -88,7 +93,7 @@
 
 def _merge_usage_of_others(fleet_quota, total, recent):
     for name in ('vm2', 'vm3'):
-        usage = {'bole': quota.Usage(total, recent)}
+        usage = {'bole': usage_reports.Usage(total, recent)}
         fleet_quota.merge_usage(name, 1, usage)
 
 
@@ -140,7 +145,7 @@
     fleet_quota = _make_quota(builders.Clock())
     fleet_quota.admit('bole', 900)
     fleet_quota.refund('bole', 900)
-    assert fleet_quota.usage()['bole'] == quota.Usage(0, 0)
+    assert fleet_quota.usage()['bole'] == usage_reports.Usage(0, 0)
     assert fleet_quota.admit('bole', 1).level == 1000
 
 
