Split the waiting for an endpoint from its selection

The order of waiting requests, their refusal and the log line stand in assignment_queue.py; the selector chooses. No change of behaviour.

--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -0,0 +1,188 @@
+"""Assigns endpoints to requests, and makes requests wait for capacity.
+
+A request waits only as long as it may still be served; see ``wait_queue``.
+One that no endpoint takes in that time is refused at once.
+"""
+
+from carobwood import clocks
+from carobwood import errors
+from carobwood import events
+
+from . import fleet_loads
+
+# Endpoints whose load is written to one log line; keeps the line short.
+MAX_LOGGED_ENDPOINTS = 16
+
+
+class AssignmentQueue:
+    """Assigns endpoints to requests in the order of the wait queue."""
+
+    def __init__(self, context, selector):
+        """Create the queue.
+
+        Args:
+            context: the ``RelayContext``.
+            selector: the ``Selector``.
+        """
+        self._context = context
+        self._selector = selector
+
+    def await_assignment(self, request, excluded, caller):
+        """Assign an endpoint, queueing the request if none has capacity.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            excluded: ids of endpoints that it must not go to.
+            caller: tells by ``has_disconnected()`` whether the caller
+                disconnected.
+
+        Returns:
+            An ``Assignment``.
+
+        Raises:
+            NoEndpoint: no endpoint of the service is known, or all of
+                them have been tried.
+            Saturated: the queue is full, or no endpoint had capacity
+                within the maximum wait.
+            RequestCrashesEndpoints: endpoints crashed on a segment of the
+                prompt while it waited.
+            CallerLeft: the caller disconnected during the wait.
+        """
+        wait_queue = self._context.wait_queue
+        queue_key = (
+            request.service,
+            request.priority,
+            request.soft_deadline_at,
+        )
+        if not wait_queue.must_queue(*queue_key):
+            assignment = self._selector.try_assign(request, excluded)
+            if assignment is not None:
+                return assignment
+        is_exhausted = not self._selector.has_untried_endpoint(
+            request, excluded
+        )
+        if is_exhausted and (excluded or self._context.is_discovery_done()):
+            raise errors.NoEndpoint('the service has no untried endpoint')
+        self._refuse_if_unavailable(
+            request, excluded, wait_queue.max_wait(request.deadline_at)
+        )
+        entry = wait_queue.enqueue(*queue_key, request.deadline_at)
+        if entry is None:
+            raise errors.Saturated('the wait queue of the service is full')
+        self._log_waiting(request, excluded, entry)
+        began_at = clocks.now()
+        outcome = 'broken-off'
+        try:
+            assignment = self._wait_in_queue(request, excluded, caller, entry)
+            outcome = 'placed'
+            return assignment
+        except errors.CarobwoodError as error:
+            outcome = error.code
+            raise
+        finally:
+            wait_queue.remove(entry)
+            events.emit(
+                events.WAIT_ENDED,
+                request_id=request.metadata.request_id,
+                outcome=outcome,
+                seconds=round(clocks.now() - began_at, 4),
+            )
+
+    def _wait_in_queue(self, request, excluded, caller, entry):
+        wait_queue = self._context.wait_queue
+        while True:
+            if caller.has_disconnected():
+                raise errors.CallerLeft(
+                    'the caller disconnected while its request was queued'
+                )
+            self._context.segment_suspects.check(request.segment_keys)
+            if wait_queue.is_first(entry):
+                assignment = self._selector.try_assign(request, excluded)
+                if assignment is not None:
+                    return assignment
+            self._refuse_if_unavailable(
+                request, excluded, wait_queue.seconds_left(entry)
+            )
+            if not wait_queue.wait_for_change(entry):
+                raise errors.Saturated(
+                    'no endpoint had capacity within the maximum wait'
+                )
+
+    def _refuse_if_unavailable(self, request, excluded, max_wait):
+        """Refuse a request if no endpoint takes requests in time.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            excluded: ids of endpoints that it must not go to.
+            max_wait: seconds that the request may still wait.
+
+        Raises:
+            Saturated: all endpoints have asked for no requests for longer,
+                or have a rate limit that leaves none for this VM.
+        """
+        seconds = min(
+            (
+                self._selector.seconds_until_open(endpoint)
+                for endpoint in self._selector.endpoints(request)
+                if endpoint.id not in excluded
+            ),
+            default=0.0,
+        )
+        if seconds > max_wait:
+            raise errors.Saturated(
+                'no endpoint takes requests of this VM for longer than this '
+                'one may wait',
+                seconds,
+            )
+
+    def _log_waiting(self, request, excluded, entry):
+        context = self._context
+        endpoints = self._selector.endpoints(request)
+        loads_by_id = context.loads.total_loads()
+        eligible_ids = self._selector.eligible_ids(
+            request, endpoints, loads_by_id
+        )
+        events.emit(
+            events.REQUEST_WAITING,
+            request_id=request.metadata.request_id,
+            service=request.service,
+            priority=request.priority,
+            tokens=request.demand.total_tokens,
+            waiting=context.wait_queue.count(request.service),
+            until=round(context.wait_queue.seconds_left(entry), 3),
+            heard=round(context.loads.oldest_report_age(), 2),
+            tried=sorted(excluded),
+            paused=[
+                endpoint.id
+                for endpoint in endpoints
+                if context.health.is_ejected(endpoint)
+                or context.availability.seconds_until_available(endpoint)
+            ],
+            # Engines that name a rate limit.
+            limited=[
+                endpoint.id
+                for endpoint in endpoints
+                if context.rate_limits.is_limited(endpoint)
+            ],
+            software=request.software_version,
+            # Engines that are loading weights or have outdated ones.
+            changing=[
+                endpoint.id
+                for endpoint in endpoints
+                if endpoint.id not in eligible_ids
+            ],
+            loads={
+                endpoint.id: _load_summary(loads_by_id.get(endpoint.id))
+                for endpoint in endpoints[:MAX_LOGGED_ENDPOINTS]
+            },
+        )
+
+
+def _load_summary(load):
+    """Return a load for the log.
+
+    Returns:
+        [requests, KV cache tokens, tokens still to be prefilled].
+    """
+    load = load or fleet_loads.Load()
+    return [load.running, load.kv_cache_tokens, load.prefill_tokens]
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -13,6 +13,7 @@
 
 from ..entry import response_body
 
+from . import assignment_queue
 from . import caller_request
 from . import endpoint_connections
 from . import event_splitter
@@ -58,6 +59,9 @@
         """
         self._context = context
         self._selector = selector
+        self._assignment_queue = assignment_queue.AssignmentQueue(
+            context, selector
+        )
         self._caller = caller
         self._request = request
         self._trace = trace
@@ -115,7 +119,7 @@
         try:
             self._context.segment_suspects.check(request.segment_keys)
             with self._trace.span('place'):
-                return self._selector.await_assignment(
+                return self._assignment_queue.await_assignment(
                     request, self._excluded_ids, self._caller
                 )
         except errors.CallerLeft:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -1,4 +1,4 @@
-"""Selection of an endpoint for a request, with a queue for overload.
+"""Selection of an endpoint for a request.
 
 The selector collects what this VM knows of each endpoint (load in flight,
 health, weights version, cached prompt segments), lets ``placement`` choose,
@@ -8,10 +8,6 @@
 
 import dataclasses
 
-from carobwood import clocks
-from carobwood import errors
-from carobwood import events
-
 from . import block_digests
 from . import cache_transfers
 from . import fleet_loads
@@ -27,8 +23,6 @@
 # Concurrent requests on an endpoint of a plain service, for which the
 # configuration gives no capacity.
 PLAIN_SERVICE_SLOTS = 6
-# Endpoints whose load is written to one log line; keeps the line short.
-MAX_LOGGED_ENDPOINTS = 16
 # Leading bytes of a block digest that are logged; enough to tell the blocks
 # in one day's log apart.
 LOGGED_DIGEST_BYTES = 4
@@ -76,8 +70,7 @@
     def has_untried_endpoint(self, request, excluded):
         """Return whether the service has an endpoint not yet excluded."""
         return any(
-            endpoint.id not in excluded
-            for endpoint in self._endpoints(request)
+            endpoint.id not in excluded for endpoint in self.endpoints(request)
         )
 
     def try_assign(self, request, excluded):
@@ -93,10 +86,10 @@
         context = self._context
         endpoints = [
             endpoint
-            for endpoint in self._endpoints(request)
+            for endpoint in self.endpoints(request)
             if endpoint.id not in excluded
             and not context.health.is_ejected(endpoint)
-            and not self._seconds_until_open(endpoint)
+            and not self.seconds_until_open(endpoint)
         ]
         loads_by_id = context.loads.total_loads()
         context.prefill_shares.add_sample(loads_by_id)
@@ -125,7 +118,7 @@
                 remaining.remove(choice.candidate)
         return None
 
-    def _seconds_until_open(self, endpoint):
+    def seconds_until_open(self, endpoint):
         """Return the seconds until an endpoint takes requests of this VM."""
         return max(
             self._context.availability.seconds_until_available(endpoint),
@@ -142,7 +135,8 @@
         assignment.reservation.release_prefill()
         self._context.wait_queue.notify_all()
 
-    def _endpoints(self, request):
+    def endpoints(self, request):
+        """Return the endpoints that may take a request, now or later."""
         version = request.software_version
         return [
             endpoint
@@ -152,6 +146,13 @@
             and not self._context.availability.is_leaving(endpoint)
         ]
 
+    def eligible_ids(self, request, endpoints, loads_by_id):
+        """Return the ids of endpoints whose weights allow a request now."""
+        return {
+            candidate.endpoint.id
+            for candidate in self._candidates(request, endpoints, loads_by_id)
+        }
+
     def _candidates(self, request, endpoints, loads_by_id):
         configuration = self._context.configuration_store.configuration
         service = configuration.services_by_name.get(request.service)
@@ -294,165 +295,6 @@
             | _decision_inputs(chosen, candidates),
         )
 
-    def await_assignment(self, request, excluded, caller):
-        """Assign an endpoint, queueing the request if none has capacity.
-
-        Args:
-            request: the ``AdmittedRequest``.
-            excluded: ids of endpoints that it must not go to.
-            caller: tells by ``has_disconnected()`` whether the caller
-                disconnected.
-
-        Returns:
-            An ``Assignment``.
-
-        Raises:
-            NoEndpoint: no endpoint of the service is known, or all of
-                them have been tried.
-            Saturated: the queue is full, or no endpoint had capacity
-                within the maximum wait.
-            RequestCrashesEndpoints: endpoints crashed on a segment of the
-                prompt while it waited.
-            CallerLeft: the caller disconnected during the wait.
-        """
-        wait_queue = self._context.wait_queue
-        queue_key = (
-            request.service,
-            request.priority,
-            request.soft_deadline_at,
-        )
-        if not wait_queue.must_queue(*queue_key):
-            assignment = self.try_assign(request, excluded)
-            if assignment is not None:
-                return assignment
-        is_exhausted = not self.has_untried_endpoint(request, excluded)
-        if is_exhausted and (excluded or self._context.is_discovery_done()):
-            raise errors.NoEndpoint('the service has no untried endpoint')
-        self._refuse_if_unavailable(
-            request, excluded, wait_queue.max_wait(request.deadline_at)
-        )
-        entry = wait_queue.enqueue(*queue_key, request.deadline_at)
-        if entry is None:
-            raise errors.Saturated('the wait queue of the service is full')
-        self._log_waiting(request, excluded, entry)
-        began_at = clocks.now()
-        outcome = 'broken-off'
-        try:
-            assignment = self._wait_in_queue(request, excluded, caller, entry)
-            outcome = 'placed'
-            return assignment
-        except errors.CarobwoodError as error:
-            outcome = error.code
-            raise
-        finally:
-            wait_queue.remove(entry)
-            events.emit(
-                events.WAIT_ENDED,
-                request_id=request.metadata.request_id,
-                outcome=outcome,
-                seconds=round(clocks.now() - began_at, 4),
-            )
-
-    def _wait_in_queue(self, request, excluded, caller, entry):
-        wait_queue = self._context.wait_queue
-        while True:
-            if caller.has_disconnected():
-                raise errors.CallerLeft(
-                    'the caller disconnected while its request was queued'
-                )
-            self._context.segment_suspects.check(request.segment_keys)
-            if wait_queue.is_first(entry):
-                assignment = self.try_assign(request, excluded)
-                if assignment is not None:
-                    return assignment
-            self._refuse_if_unavailable(
-                request, excluded, wait_queue.seconds_left(entry)
-            )
-            if not wait_queue.wait_for_change(entry):
-                raise errors.Saturated(
-                    'no endpoint had capacity within the maximum wait'
-                )
-
-    def _refuse_if_unavailable(self, request, excluded, max_wait):
-        """Refuse a request if no endpoint takes requests in time.
-
-        Args:
-            request: the ``AdmittedRequest``.
-            excluded: ids of endpoints that it must not go to.
-            max_wait: seconds that the request may still wait.
-
-        Raises:
-            Saturated: all endpoints have asked for no requests for longer,
-                or have a rate limit that leaves none for this VM.
-        """
-        seconds = min(
-            (
-                self._seconds_until_open(endpoint)
-                for endpoint in self._endpoints(request)
-                if endpoint.id not in excluded
-            ),
-            default=0.0,
-        )
-        if seconds > max_wait:
-            raise errors.Saturated(
-                'no endpoint takes requests of this VM for longer than this '
-                'one may wait',
-                seconds,
-            )
-
-    def _log_waiting(self, request, excluded, entry):
-        context = self._context
-        endpoints = self._endpoints(request)
-        loads_by_id = context.loads.total_loads()
-        eligible_ids = {
-            candidate.endpoint.id
-            for candidate in self._candidates(request, endpoints, loads_by_id)
-        }
-        events.emit(
-            events.REQUEST_WAITING,
-            request_id=request.metadata.request_id,
-            service=request.service,
-            priority=request.priority,
-            tokens=request.demand.total_tokens,
-            waiting=context.wait_queue.count(request.service),
-            until=round(context.wait_queue.seconds_left(entry), 3),
-            heard=round(context.loads.oldest_report_age(), 2),
-            tried=sorted(excluded),
-            paused=[
-                endpoint.id
-                for endpoint in endpoints
-                if context.health.is_ejected(endpoint)
-                or context.availability.seconds_until_available(endpoint)
-            ],
-            # Engines that name a rate limit.
-            limited=[
-                endpoint.id
-                for endpoint in endpoints
-                if context.rate_limits.is_limited(endpoint)
-            ],
-            software=request.software_version,
-            # Engines that are loading weights or have outdated ones.
-            changing=[
-                endpoint.id
-                for endpoint in endpoints
-                if endpoint.id not in eligible_ids
-            ],
-            loads={
-                endpoint.id: _load_summary(loads_by_id.get(endpoint.id))
-                for endpoint in endpoints[:MAX_LOGGED_ENDPOINTS]
-            },
-        )
-
-
-def _load_summary(load):
-    """Return a load for the log.
-
-    Returns:
-        [requests, KV cache tokens, tokens still to be prefilled].
-    """
-    load = load or fleet_loads.Load()
-    return [load.running, load.kv_cache_tokens, load.prefill_tokens]
-
 
 def _segment_summaries(request, block_digests):
     """Return [abbreviated digest, tokens] of each shared segment."""
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -8,6 +8,7 @@
 from carobwood import errors
 from carobwood import events
 from carobwood_daemon.limits import endpoint_permits
+from carobwood_daemon.relay import assignment_queue
 from carobwood_daemon.relay import endpoint_availability
 from carobwood_daemon.relay import endpoint_health
 from carobwood_daemon.relay import endpoint_rate_limits
@@ -51,24 +52,24 @@
             has_disconnected=lambda: on_recheck(self)
         )
         stub = types.SimpleNamespace
-        self.selector = selector.Selector(
-            stub(
-                data_centre='bole',
-                directory=stub(serving_endpoints=lambda: [self.endpoint]),
-                health=endpoint_health.EndpointHealth(self.clock),
-                availability=self.availability,
-                rate_limits=self.rate_limits,
-                segment_suspects=stub(check=lambda keys: self.check(keys)),
-                is_discovery_done=lambda: True,
-                loads=self.loads,
-                prefix_cache_index=stub(record_use=lambda *arguments: None),
-                prefill_shares=fleet_loads.PrefillShares(self.clock),
-                configuration_store=stub(
-                    configuration=stub(services_by_name={})
-                ),
-                wait_queue=self.queue,
-                engine_weights=engine_weights.EngineWeights(),
-            )
+        self.context = stub(
+            data_centre='bole',
+            directory=stub(serving_endpoints=lambda: [self.endpoint]),
+            health=endpoint_health.EndpointHealth(self.clock),
+            availability=self.availability,
+            rate_limits=self.rate_limits,
+            segment_suspects=stub(check=lambda keys: self.check(keys)),
+            is_discovery_done=lambda: True,
+            loads=self.loads,
+            prefix_cache_index=stub(record_use=lambda *arguments: None),
+            prefill_shares=fleet_loads.PrefillShares(self.clock),
+            configuration_store=stub(configuration=stub(services_by_name={})),
+            wait_queue=self.queue,
+            engine_weights=engine_weights.EngineWeights(),
+        )
+        self.selector = selector.Selector(self.context)
+        self.assignment_queue = assignment_queue.AssignmentQueue(
+            self.context, self.selector
         )
         self.request = stub(
             metadata=messages.RequestMetadata('r-1'),
@@ -84,7 +85,7 @@
 
     def await_assignment(self):
         """Assign an endpoint to the request, queueing it if necessary."""
-        return self.selector.await_assignment(
+        return self.assignment_queue.await_assignment(
             self.request, {'gone'}, self.caller
         )
 
@@ -226,7 +227,7 @@
 def test_an_ejected_endpoint_is_logged_with_the_cause(lines):
     harness = SelectorHarness(_pass_time)
     _free_capacity(harness)
-    harness.selector._context.health.note_unreachable(harness.endpoint)
+    harness.context.health.note_unreachable(harness.endpoint)
     with pytest.raises(errors.Saturated):
         harness.await_assignment()
     (ejection_event, ejection), (_, wait), _ = lines
@@ -289,7 +290,7 @@
     harness = SelectorHarness(_pass_time)
     _free_capacity(harness)
     other = builders.endpoint('engine-2', pool='orders')
-    context = harness.selector._context
+    context = harness.context
     context.directory.serving_endpoints = lambda: [harness.endpoint, other]
     _name_limit(harness)
     asked = []
