--- a/tests/permit_simulation.py
+++ b/tests/permit_simulation.py
@@ -68,18 +68,7 @@
         rate_limit = None
         if self.limit is not None:
             rate_limit = messages.RateLimit(self.limit)
-        return messages.ResponseHead(
-            200,
-            '',
-            '',
-            False,
-            True,
-            0,
-            None,
-            False,
-            True,
-            rate_limit=rate_limit,
-        )
+        return builders.response_head(rate_limit=rate_limit)
 
 
 class Simulation:
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -7,6 +7,7 @@
 from carobwood_daemon.relay import admission
 from carobwood_daemon.relay import configuration
 from carobwood_daemon.relay import fleet_loads
+from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import placement
 from carobwood_daemon.relay import quota
 
@@ -72,6 +73,22 @@
     return admission.AdmittedRequest(**{**fields, **changes})
 
 
+def response_head(status=200, **changes):
+    """Return the head of a signed answer of an engine."""
+    fields = {
+        'status': status,
+        'endpoint_id': '',
+        'request_id': 'r-1',
+        'has_not_run': False,
+        'is_signed': True,
+        'weights_version': 0,
+        'idle_timeout': None,
+        'closes_connection': False,
+        'is_event_stream': False,
+    }
+    return messages.ResponseHead(**{**fields, **changes})
+
+
 def endpoint(name='engine-1', **changes):
     """Return an endpoint as its announcement describes it."""
     fields = {
--- a/tests/test_endpoint_availability.py
+++ b/tests/test_endpoint_availability.py
@@ -23,9 +23,7 @@
 
     def answer(self, status=200, endpoint=ENGINE, **fields):
         """Note the head of an answer of an engine."""
-        head = messages.ResponseHead(
-            status, '', 'r-1', False, True, 0, None, False, False, **fields
-        )
+        head = builders.response_head(status, **fields)
         self.table.note_head(endpoint, head)
 
     def refuse(self, seconds, endpoint=ENGINE):
--- a/tests/test_endpoint_rate_limits.py
+++ b/tests/test_endpoint_rate_limits.py
@@ -40,18 +40,7 @@
     def answer(self, per_second, sent_seconds_ago=0.0, names_limit=True):
         """Note the head of an answer to a request sent some time ago."""
         rate_limit = messages.RateLimit(per_second) if names_limit else None
-        head = messages.ResponseHead(
-            200,
-            '',
-            '',
-            False,
-            True,
-            0,
-            None,
-            False,
-            True,
-            rate_limit=rate_limit,
-        )
+        head = builders.response_head(rate_limit=rate_limit)
         sent_at = self.clock.now - sent_seconds_ago
         self.limits.note_head(self.endpoint, head, sent_at)
 
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -116,16 +116,10 @@
 
 
 def _rejection(seconds):
-    return messages.ResponseHead(
+    return builders.response_head(
         503,
-        '',
-        'r-1',
-        True,
-        False,
-        0,
-        None,
-        False,
-        False,
+        has_not_run=True,
+        is_signed=False,
         retry_after=messages.RetryAfter(seconds),
     )
 
@@ -179,9 +173,7 @@
 def test_a_leaving_endpoint_counts_as_none():
     harness = SelectorHarness(lambda harness: False)
     harness.reservation.release()
-    head = messages.ResponseHead(
-        200, '', 'r-1', False, True, 0, None, False, False, is_leaving=True
-    )
+    head = builders.response_head(is_leaving=True)
     harness.availability.note_head(harness.endpoint, head)
     with pytest.raises(errors.NoEndpoint):
         harness.await_assignment()
@@ -238,18 +230,7 @@
 
 
 def _name_limit(harness, per_second=1.0):
-    head = messages.ResponseHead(
-        200,
-        '',
-        'r-1',
-        False,
-        True,
-        0,
-        None,
-        False,
-        False,
-        rate_limit=messages.RateLimit(per_second),
-    )
+    head = builders.response_head(rate_limit=messages.RateLimit(per_second))
     harness.rate_limits.note_head(harness.endpoint, head, harness.clock.now)
 
 
