--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,10 +20,14 @@
 import fleet as fleets
 import proxy_overhead
 import replication
+from thrift.protocol import TCompactProtocol
+from thrift import TSerialization
 import urllib3
 
 from carobwood import document
+from carobwood.gen.links import ttypes
 from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import stream_origin_links
 from carobwood_daemon.replication import claims
 from carobwood_daemon.replication import commands
 from carobwood_daemon.replication import fleet_state
@@ -35,6 +39,7 @@
 from carobwood_daemon.routing import prefill_time
 from carobwood_daemon.routing import prefix
 from carobwood_daemon.routing import prefix_cache_index
+from carobwood_daemon.routing import stream_origins
 
 CLOCK_TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
 SAMPLING_SECONDS = 8.0
@@ -417,6 +422,42 @@
     }
 
 
+def _build_streams(count):
+    table = stream_origins.StreamOriginTable()
+    for number in range(count):
+        table.add(
+            stream_origins.StreamKey(
+                f'customer-{number % 5}', f'{number:016x}'
+            ),
+            stream_origins.StreamOrigin('engines', 'v1.2'),
+        )
+    return table
+
+
+def measure_streams():
+    """Return bytes and processor time of a stream that is reported."""
+    byte_points, time_points = [], []
+    for count in (10, 100, 1000):
+        table = _build_streams(count)
+        report = ttypes.StreamReport(
+            stream_origin_links.to_thrift(table.records_after(0, count))
+        )
+        encoded = TSerialization.serialize(
+            report, TCompactProtocol.TCompactProtocolAcceleratedFactory()
+        )
+        byte_points.append((count, len(encoded)))
+        keeper = stream_origin_links.StreamOriginKeeper(
+            stream_origins.StreamOriginTable(), None, 1
+        )
+        started = time.process_time()
+        keeper.record_streams(report)
+        time_points.append((count, time.process_time() - started))
+    return {
+        'bytes_per_stream': fit_line(byte_points),
+        'keeper_cpu_s_per_stream': fit_line(time_points),
+    }
+
+
 def measure_memory():
     """Return the memory in bytes of each kind of record."""
     return {
@@ -428,6 +469,9 @@
         'bytes_per_endpoint': _measure_memory(
             _build_endpoints, (500, 1000, 4000)
         ),
+        'bytes_per_stream': _measure_memory(
+            _build_streams, (1000, 4000, 16000)
+        ),
     }
 
 
@@ -445,6 +489,7 @@
         ('peers', measure_peers),
         ('endpoints', measure_endpoints),
         ('placements', measure_placements),
+        ('streams', measure_streams),
     ):
         if arguments.only in ('', name):
             for metric, figures in measure().items():
--- a/packages/carobwood-daemon/carobwood_daemon/membership/stream_origin_links.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/stream_origin_links.py
@@ -10,6 +10,7 @@
 restarted, or has become one of the two, gets those of the last minute again.
 """
 
+import dataclasses
 import threading
 
 from carobwood import errors
@@ -30,6 +31,19 @@
 MAX_BATCH = 1000
 
 
+@dataclasses.dataclass(frozen=True)
+class _Progress:
+    """What a keeper has been sent.
+
+    Attributes:
+        incarnation: the keeper's incarnation, or 0 if it is not known.
+        number: number of the last record that was sent to it.
+    """
+
+    incarnation: int = 0
+    number: int = 0
+
+
 class StreamOriginReporter(threading.Thread):
     """Sends the streams that begin on this VM to its keepers."""
 
@@ -45,9 +59,7 @@
         self._vm_calls = vm_calls
         self._has_news = threading.Event()
         self._is_stopped = threading.Event()
-        # Number of the last record that each incarnation of a keeper has.
-        self._sent_by_incarnation = {}
-        self._incarnations_by_id = {}
+        self._progress_by_id = {}
 
     def run(self):
         """Send records until stopped."""
@@ -87,22 +99,17 @@
         return ranked[:KEEPER_COUNT]
 
     def _send_to(self, vm):
-        incarnation = self._incarnations_by_id.get(vm.id, 0)
-        sent = self._sent_by_incarnation.get((vm.id, incarnation), 0)
-        records = self._table.records_after(sent, MAX_BATCH)
+        progress = self._progress_by_id.get(vm.id, _Progress())
+        records = self._table.records_after(progress.number, MAX_BATCH)
         reply = self._vm_calls.call(
-            vm, 'record_streams', ttypes.StreamReport(_to_thrift(records))
+            vm, 'record_streams', ttypes.StreamReport(to_thrift(records))
         )
-        if records:
-            sent = records[-1].number
-        if reply.incarnation != incarnation:
-            # It has started since, so it lacks what was sent before.
-            self._sent_by_incarnation.pop((vm.id, incarnation), None)
-            self._incarnations_by_id[vm.id] = reply.incarnation
-            if incarnation:
-                sent = 0
-        self._sent_by_incarnation[(vm.id, reply.incarnation)] = sent
-        if self._table.records_after(sent, 1):
+        number = records[-1].number if records else progress.number
+        if progress.incarnation not in (0, reply.incarnation):
+            # It has been restarted, so it lacks what was sent before.
+            number = 0
+        self._progress_by_id[vm.id] = _Progress(reply.incarnation, number)
+        if self._table.records_after(number, 1):
             self._has_news.set()
 
 
@@ -191,7 +198,8 @@
         )
 
 
-def _to_thrift(records):
+def to_thrift(records):
+    """Return the thrift ``StreamNews`` of ``StreamRecord`` objects."""
     now = stream_origins.clocks.now()
     return [
         ttypes.StreamNews(
