--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_availability.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_availability.py
@@ -7,10 +7,10 @@
 
 An endpoint that says that it is leaving gets nothing new from this VM from
 the head of that answer on, and from the others as soon as gossip has told
-them. One that rejects a request and says for how long
-gets nothing for that time. The VMs return to it one after the other, each
-with a single request, and with more once that has been taken.
-Both hold for one incarnation of the endpoint.
+them. One that rejects a request and says for how long gets nothing for that
+time. The VMs return to it one after the other, each with a single request,
+and with more once that has been taken. Both hold for one incarnation of the
+endpoint.
 """
 
 import dataclasses
