Conclude the only version of a stream from the timeout of its route

A stream without a record was refused until a majority of the control VMs had looked for a minute, though a caller gives up a stream and its resumptions by twice the route's timeout (8 to 30 s on the users' routes). Versions seen within the last minute still count against it.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/stream_resumption.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/stream_resumption.py
@@ -3,8 +3,8 @@
 A caller that lost its connection comes back with the last event that it has
 and the request that brought the first one, mostly to another VM. The stream
 goes on only at the software version that began it. If that is not known, one
-version can be concluded only if no other has served for as long as a stream
-may be resumed. Otherwise the request is refused at once: a text of two halves
+version can be concluded only if no other has served since the stream can have
+begun. Otherwise the request is refused at once: a text of two halves
 looks whole to the caller.
 """
 
@@ -26,6 +26,9 @@
 START_SEARCH_COUNT = 10
 # Time after its start for which this holds.
 START_SECONDS = 2.0
+# Greatest age of a stream that is resumed, as a multiple of the route's
+# timeout: a caller gives up a stream and all its resumptions by then.
+MAX_AGE_IN_TIMEOUTS = 2.0
 # Fraction of the remaining time that the searches may take.
 SEARCH_SHARE = 0.3
 
@@ -123,6 +126,7 @@
             self._history.view(request.service),
             views,
             self._finder.count_control_vms(),
+            MAX_AGE_IN_TIMEOUTS * request.route.timeout,
         )
         if version is None:
             return None, 'unknown'
@@ -154,20 +158,21 @@
         }
 
 
-def conclude_version(own_view, views, control_vm_count):
+def conclude_version(own_view, views, control_vm_count, max_age):
     """Return the only version that can have begun a stream, or None.
 
-    A majority of the control VMs must have looked for as long as a stream
-    may be resumed: one that has just started, or is cut off with this VM, may
-    have missed a version.
+    A majority of the control VMs must have looked since the stream can have
+    begun: one that has just started, or is cut off with this VM, may have
+    missed a version.
 
     Args:
         own_view: the ``VersionView`` of this VM.
         views: those of control VMs.
         control_vm_count: number of known control VMs.
+        max_age: greatest age of the stream in seconds.
     """
-    lifetime = software_versions.LIFETIME_SECONDS
-    covered = [view for view in views if view.seconds >= lifetime]
+    needed = min(max_age, software_versions.LIFETIME_SECONDS)
+    covered = [view for view in views if view.seconds >= needed]
     if 2 * len(covered) <= control_vm_count:
         return None
     versions = own_view.versions.union(*(view.versions for view in views))
