--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -14,6 +14,7 @@
 from ..entry import response_body
 
 from . import assignment_queue
+from . import attempt_log
 from . import caller_request
 from . import endpoint_connections
 from . import event_splitter
@@ -38,8 +39,6 @@
 # Time from the first event of an answer after which a crash of the endpoint
 # is not put down to the request.
 CRASH_DELAY_SECONDS = 0.25
-# Leading characters of a fingerprint that are logged.
-LOGGED_FINGERPRINT_CHARS = 16
 # A request with less time left than this is not sent.
 MIN_ATTEMPT_SECONDS = 0.01
 
@@ -137,7 +136,7 @@
             CarobwoodError: the attempt failed and no retry is allowed.
         """
         self._check_segments()
-        self._log_sent(assignment)
+        attempt_log.log_sent(self._request, assignment, self._splitter.last_id)
         self._assignment = assignment
         self._sent_at = clocks.now()
         self._first_event_at = None
@@ -189,7 +188,7 @@
         answering = None
         if self._first_event_at is not None:
             answering = clocks.now() - self._first_event_at
-        self._log_crash(assignment, answering)
+        attempt_log.log_crash(self._request, assignment, answering)
         if answering is None or answering < CRASH_DELAY_SECONDS:
             self._context.segment_suspects.record_crash(
                 assignment.endpoint,
@@ -218,7 +217,7 @@
     def _raise_unless_retryable(self, assignment, error):
         """Raise the final error unless another attempt is allowed."""
         request = self._request
-        self._log_failed(assignment, error)
+        attempt_log.log_failed(request, assignment, error)
         if not isinstance(error, errors.EndpointNotRun):
             self._excluded_ids.add(assignment.endpoint.id)
         if self._failed_runs:
@@ -402,43 +401,6 @@
             seconds=round(seconds, 4),
         )
 
-    def _log_sent(self, assignment):
-        events.emit(
-            events.REQUEST_SENT,
-            request_id=self._request.metadata.request_id,
-            endpoint=assignment.endpoint.id,
-            weights=assignment.weights_version,
-            software=assignment.endpoint.software_version,
-            resumes=self._request.metadata.resumed_request_id,
-            after=self._splitter.last_id or self._request.metadata.resume_id,
-            fetch_from=assignment.fetch_from,
-            save_to=assignment.save_to,
-            left=round(self._request.seconds_left, 3),
-            heard=round(clocks.now() - assignment.endpoint.last_seen_at, 2),
-            **assignment.decision_inputs,
-        )
-
-    def _log_crash(self, assignment, answering):
-        segments = self._request.metadata.prompt_segments
-        events.emit(
-            events.ENDPOINT_CRASHED,
-            request_id=self._request.metadata.request_id,
-            endpoint=assignment.endpoint.id,
-            incarnation=assignment.endpoint.incarnation,
-            fingerprint=self._request.fingerprint[:LOGGED_FINGERPRINT_CHARS],
-            segments=[segment.id for segment in segments[:-1]],
-            answering=None if answering is None else round(answering, 4),
-        )
-
-    def _log_failed(self, assignment, error):
-        events.emit(
-            events.ATTEMPT_FAILED,
-            request_id=self._request.metadata.request_id,
-            endpoint=assignment.endpoint.id,
-            code=error.code,
-            detail=error.detail,
-        )
-
 
 def _ends_with_connection(response):
     return response.upstream.framing is response_body.Framing.UNTIL_CLOSE
