Log each endpoint that tells a control VM that it leaves

No line told which VM an engine had told, nor whether that VM knew the engine, so the three hypotheses of the timeline could not be told apart. No logic is changed.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
@@ -110,7 +110,9 @@
         Args:
             endpoint: the ``Endpoint``.
         """
-        self._directory.merge_endpoint(endpoint, is_direct=True)
+        is_news = self._directory.merge_endpoint(endpoint, is_direct=True)
+        if endpoint.leaving:
+            _log_leaving('announce-leaving', endpoint, is_news)
         if endpoint.weights_version:
             self._weights.record_version(
                 endpoint, int(endpoint.weights_version)
@@ -124,9 +126,28 @@
         """
         endpoint = self._directory.find_endpoint(endpoint_id)
         if endpoint is None:
-            return
-        self._directory.merge_endpoint(
-            dataclasses.replace(
-                endpoint, sequence=FINAL_SEQUENCE, leaving=True
+            events.emit(
+                events.CONTROL_CALL,
+                verb='retire',
+                endpoint=endpoint_id,
+                is_known=False,
             )
+            return
+        retired = dataclasses.replace(
+            endpoint, sequence=FINAL_SEQUENCE, leaving=True
         )
+        is_news = self._directory.merge_endpoint(retired)
+        _log_leaving('retire', retired, is_news)
+
+
+def _log_leaving(verb, endpoint, is_news):
+    """Log that an endpoint has told this VM that it leaves."""
+    events.emit(
+        events.CONTROL_CALL,
+        verb=verb,
+        endpoint=endpoint.id,
+        incarnation=endpoint.incarnation,
+        sequence=endpoint.sequence,
+        is_known=True,
+        is_news=is_news,
+    )
