--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -11,6 +11,8 @@
 from carobwood_daemon.membership import gossip
 from carobwood_daemon.membership import gossip_peers
 from carobwood_daemon.membership import withdrawals
+from carobwood_daemon.relay import control_operations
+from carobwood_daemon.relay import engine_weights
 from carobwood_daemon.relay import fleet_loads
 from carobwood_daemon.relay import gossip_topic
 from carobwood_daemon.relay import past_usage
@@ -31,6 +33,7 @@
 
     Attributes:
         address: its link address.
+        control: the operations that endpoints call on it.
         calls: number of calls that it has made.
         served: number of calls that it has served.
         sent_bytes: size of the messages and replies that it has sent.
@@ -71,6 +74,9 @@
             FakeLinks(fleet, self),
             topics=(topic,),
         )
+        self.control = control_operations.ControlOperations(
+            None, self.directory, None, engine_weights.EngineWeights()
+        )
         self.calls = 0
         self.served = 0
         self.sent_bytes = 0
