Acknowledge a leaving engine only once enough control VMs have saved it

Callers saw: requests still reached engines that had said they were leaving (DRAIN). Cause: a control VM answered 200 as soon as its own memory held the news. Class of fault: an acknowledgement that promises more than one process holds. Change: the VM sends the announcement to all control VMs, which save it before they reply. Leaving is monotone, so no consensus is needed. A failed save is no longer taken for a saved one. Ruled out: a commit to the replicated log (no acknowledgement during an election, larger state for a fact that needs no order).

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_persister.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_persister.py
@@ -80,6 +80,10 @@
             ]
         )
 
+    def note_unsaved(self):
+        """See ``Persister``."""
+        self._saved_summary = None
+
     def restore(self, payload):
         """Add the stored endpoints to the directory."""
         now = clocks.now()
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -43,6 +43,8 @@
         fleet_id: function that returns the id of the fleet, or ''.
         on_newer_version: called with a link address and a version of the
             replicated state that the VM there has and this one lacks.
+        save_endpoints: function that saves the known endpoints on the disk of
+            this VM, if it has one; returns whether they are saved.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         """
         self.fleet_id = lambda: ''
         self.on_newer_version = lambda address, version: None
+        self.save_endpoints = lambda: True
         self._topics = tuple(topics)
         self._directory = directory
         self._withdrawals = withdrawals
@@ -149,6 +152,27 @@
         executor.shutdown(wait=False, cancel_futures=True)
         return {addresses_by_call[call] for call in done if call.result()}
 
+    def send_endpoint(self, endpoint, vm):
+        """Send the announcement of an endpoint to a VM, which saves it.
+
+        Args:
+            endpoint: the ``Endpoint``.
+            vm: the ``Vm``.
+
+        Returns:
+            Whether the VM has replied that it has saved it.
+        """
+        if vm.id == self._directory.own_vm.id:
+            return self.save_endpoints()
+        announcement = gossip_records.endpoint_to_thrift(
+            endpoint, clocks.now()
+        )
+        message = self._make_message(
+            ttypes.SenderRole.BROADCASTER,
+            ttypes.Records(announcements=[announcement]),
+        )
+        return self._send(vm.link_address, message)
+
     def receive(self, message):
         """Merge another VM's message and return the reply.
 
@@ -169,6 +193,8 @@
         self._records.merge(message.records, source)
         if message.role == ttypes.SenderRole.BROADCASTER:
             self._uplink.wake()
+            if message.records.announcements:
+                reply.accepted = self.save_endpoints()
         is_peer = message.role == ttypes.SenderRole.AGGREGATOR
         if is_peer and self._is_aggregator:
             for topic in self._topics:
@@ -352,16 +378,16 @@
         """Send a message without waiting longer than a call may take.
 
         Returns:
-            Whether the VM has replied.
+            Whether the VM has accepted it.
         """
         try:
-            self._links.to(address).call(
+            reply = self._links.to(address).call(
                 'gossip', message, BROADCAST_CALL_SECONDS
             )
         except errors.LinkFailed as error:
             events.emit(events.VM_SILENT, reason=error.detail)
             return False
-        return True
+        return reply.accepted
 
     def _check_peers(self):
         """Start and stop the exchange with aggregators as they change."""
--- a/packages/carobwood-daemon/carobwood_daemon/membership/persister.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/persister.py
@@ -1,6 +1,7 @@
 """Base of the tasks that persist part of a VM's state."""
 
 import abc
+import threading
 import time
 
 from carobwood import errors
@@ -10,6 +11,8 @@
 
 CHECK_PERIOD_SECONDS = 0.5
 SAVE_PERIOD_SECONDS = 5.0
+# Longest wait for another save to end, which a slow disk may hold up.
+SAVE_WAIT_SECONDS = 0.5
 
 
 class Persister(periodic_tasks.PeriodicTask):
@@ -30,6 +33,7 @@
         super().__init__(name)
         self._folder = folder
         self._saved_at = float('-inf')
+        self._lock = threading.Lock()
 
     def load(self):
         """Restore what an earlier process saved, if it did.
@@ -47,19 +51,36 @@
             self.save()
 
     def save(self):
-        """Write the file.
+        """Write the file unless it holds the state already.
 
         If the write fails, as on a full disk, the error is logged and the
         older file stays.
+
+        Returns:
+            Whether the file holds the state.
         """
+        if not self._lock.acquire(timeout=SAVE_WAIT_SECONDS):
+            return False
+        try:
+            return self._write()
+        finally:
+            self._lock.release()
+
+    def _write(self):
         payload = self.encode()
         if payload is None:
-            return
+            return True
+        self._saved_at = time.monotonic()
         try:
             self._folder.write(self.file, payload)
         except errors.DiskWriteFailed as error:
             events.emit(events.DISK_FAILED, error=error.detail)
-        self._saved_at = time.monotonic()
+            self.note_unsaved()
+            return False
+        return True
+
+    def note_unsaved(self):
+        """Learn that the state that ``encode`` returned was not written."""
 
     @abc.abstractmethod
     def encode(self):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
@@ -27,7 +27,7 @@
     endpoints go to the directory.
     """
 
-    def __init__(self, proposer, directory, dialect, weights):
+    def __init__(self, proposer, directory, dialect, weights, confirm_leaving):
         """Create the operations.
 
         Args:
@@ -35,11 +35,13 @@
             directory: the ``Directory`` of VMs and endpoints.
             dialect: the ``Dialect``, the protocol adapter of the platform.
             weights: the ``EngineWeights``.
+            confirm_leaving: see ``LeavingConfirmation.confirm``.
         """
         self._proposer = proposer
         self._directory = directory
         self._dialect = dialect
         self._weights = weights
+        self._confirm_leaving = confirm_leaving
 
     def put_configuration(self, content):
         """Put a configuration in force unless a newer one is in force.
@@ -109,6 +111,9 @@
 
         Args:
             endpoint: the ``Endpoint``.
+
+        Raises:
+            LeavingUnconfirmed: it leaves, and the fleet may forget that.
         """
         is_news = self._directory.merge_endpoint(endpoint, is_direct=True)
         if endpoint.leaving:
@@ -117,12 +122,17 @@
             self._weights.record_version(
                 endpoint, int(endpoint.weights_version)
             )
+        if endpoint.leaving:
+            self._confirm_leaving(endpoint)
 
     def retire_endpoint(self, endpoint_id):
         """Mark an endpoint as leaving until it is started again.
 
         Args:
             endpoint_id: id of the endpoint; an unknown one is ignored.
+
+        Raises:
+            LeavingUnconfirmed: the fleet may forget it.
         """
         endpoint = self._directory.find_endpoint(endpoint_id)
         if endpoint is None:
@@ -138,6 +148,7 @@
         )
         is_news = self._directory.merge_endpoint(retired)
         _log_leaving('retire', retired, is_news)
+        self._confirm_leaving(retired)
 
 
 def _log_leaving(verb, endpoint, is_news):
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -5,6 +5,7 @@
 
 from carobwood import clocks
 
+from .membership import leaving_confirmation
 from .relay import admission
 from .relay import control_operations
 from .relay import fleet_loads
@@ -76,8 +77,17 @@
             ),
         ]
         if settings.control_listen is not None:
+            confirmation = leaving_confirmation.LeavingConfirmation(
+                directory,
+                gossip.send_endpoint,
+                settings.replica_options.tolerated_losses,
+            )
             operations = control_operations.ControlOperations(
-                proposer, directory, self._dialect, self._shared.engine_weights
+                proposer,
+                directory,
+                self._dialect,
+                self._shared.engine_weights,
+                confirmation.confirm,
             )
             api = make_control_api(operations)
             apis.append((settings.control_listen, api, CONTROL_THREADS))
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -330,10 +330,12 @@
     def _make_persisters(self):
         if self._data_folder is None:
             return []
+        endpoints = endpoint_persister.EndpointPersister(
+            self._data_folder, self._directory
+        )
+        self._gossip.save_endpoints = endpoints.save
         return [
-            endpoint_persister.EndpointPersister(
-                self._data_folder, self._directory
-            ),
+            endpoints,
             prefix_cache_persister.PrefixCachePersister(
                 self._data_folder, self._shared.prefix_cache_index
             ),
--- a/packages/carobwood-daemon/carobwood_daemon/settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/settings.py
@@ -51,6 +51,11 @@
     target_voters: int
     replace_after: float = 0.0
 
+    @property
+    def tolerated_losses(self):
+        """Voters that may be lost while a majority remains."""
+        return (self.target_voters - 1) // 2
+
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -371,6 +371,15 @@
     retry_after = 1
 
 
+class LeavingUnconfirmed(CarobwoodError):
+    """Too few VMs have saved that an endpoint leaves; it must tell again."""
+
+    code = 'leaving_unconfirmed'
+    status = 503
+    outcome = Outcome.UNKNOWN
+    retry_after = 1
+
+
 class ReplacementRefused(RequestRefused):
     """The voter cannot be replaced now."""
 
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -10,6 +10,7 @@
 from carobwood_daemon.membership import directory
 from carobwood_daemon.membership import gossip
 from carobwood_daemon.membership import gossip_peers
+from carobwood_daemon.membership import leaving_confirmation
 from carobwood_daemon.membership import withdrawals
 from carobwood_daemon.relay import control_operations
 from carobwood_daemon.relay import engine_weights
@@ -26,6 +27,8 @@
 
 STEP_SECONDS = 0.05
 WINDOW_SECONDS = 8.0
+# Control VMs that may be lost at the same time.
+TOLERATED_LOSSES = 1
 
 
 class GossipVm:
@@ -74,8 +77,15 @@
             FakeLinks(fleet, self),
             topics=(topic,),
         )
+        confirmation = leaving_confirmation.LeavingConfirmation(
+            self.directory, self.gossip.send_endpoint, TOLERATED_LOSSES
+        )
         self.control = control_operations.ControlOperations(
-            None, self.directory, None, engine_weights.EngineWeights()
+            None,
+            self.directory,
+            None,
+            engine_weights.EngineWeights(),
+            confirmation.confirm,
         )
         self.calls = 0
         self.served = 0
--- a/tests/test_endpoint_persister.py
+++ b/tests/test_endpoint_persister.py
@@ -1,5 +1,6 @@
 """Tests that the known endpoints are persisted over restarts."""
 
+from carobwood import errors
 import relay_builders as builders
 
 from carobwood_daemon.membership import directory
@@ -63,3 +64,23 @@
         assert found.weights_version == changes['weights_version']
         assert found.address == changes.get('address', found.address)
     folder.close()
+
+
+def test_endpoints_that_a_full_disk_refused_are_written_later(
+    tmp_path, monkeypatch
+):
+    folder = data_folder.DataFolder(tmp_path)
+    known_fleet, task = _directory_and_task(folder)
+    known_fleet.merge_endpoint(builders.endpoint('engine-1'))
+
+    def refuse(name, payload):
+        raise errors.DiskWriteFailed('the disk is full')
+
+    with monkeypatch.context() as patch:
+        patch.setattr(folder, 'write', refuse)
+        assert not task.save()
+    assert task.save()
+    restarted, reader = _directory_and_task(folder)
+    reader.load()
+    assert [endpoint.id for endpoint in restarted.endpoints()] == ['engine-1']
+    folder.close()
--- a/tests/test_leaving_announcements.py
+++ b/tests/test_leaving_announcements.py
@@ -5,11 +5,17 @@
 """
 
 import dataclasses
+import shutil
 
 from carobwood import errors
+from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_persister
+from carobwood_daemon.membership import leaving_confirmation
+from carobwood_daemon.replication import data_folder
 import gossip_fleet
 import pytest
 import relay_builders as builders
+import relay_test_fleet
 
 # Time in which no entry VM sends requests to an endpoint any more after it
 # was told that its leaving is known.
@@ -93,3 +99,85 @@
     restarted = fleet.start(FIRST)
     with pytest.raises(errors.CarobwoodError):
         restarted.control.retire_endpoint(endpoint.id)
+
+
+def _control_vm(number, data_centre):
+    return directory.Vm(f'core-{number}', data_centre, '', '', 1, True)
+
+
+def _confirmation(vms, saving_ids):
+    """Return a confirmation whose VMs save only if their ids are named."""
+    fleet_directory = directory.Directory(vms[0], ())
+    for vm in vms[1:]:
+        fleet_directory.merge_vm(vm)
+    return leaving_confirmation.LeavingConfirmation(
+        fleet_directory,
+        lambda endpoint, vm: vm.id in saving_ids,
+        gossip_fleet.TOLERATED_LOSSES,
+    )
+
+
+@pytest.mark.parametrize(
+    ('data_centres', 'saving', 'is_confirmed'),
+    [
+        # One VM alone is lost with what it has saved.
+        (('a', 'b', 'c'), (0,), False),
+        (('a', 'b', 'c'), (0, 2), True),
+        # The VM that is told need not be one of them.
+        (('a', 'b', 'c'), (1, 2), True),
+        # Both are lost with their data centre.
+        (('a', 'a', 'b'), (0, 1), False),
+        (('a', 'a', 'b'), (0, 2), True),
+        (('a', 'a', 'a'), (0, 1), True),
+        # There is no other VM.
+        (('a',), (0,), True),
+        (('a',), (), False),
+    ],
+)
+def test_a_leaving_is_acknowledged_once_it_outlives_the_tolerated_losses(
+    data_centres, saving, is_confirmed
+):
+    vms = [_control_vm(*entry) for entry in enumerate(data_centres)]
+    confirmation = _confirmation(vms, {f'core-{n}' for n in saving})
+    endpoint = builders.endpoint(leaving=True)
+    if is_confirmed:
+        confirmation.confirm(endpoint)
+    else:
+        with pytest.raises(errors.LeavingUnconfirmed):
+            confirmation.confirm(endpoint)
+
+
+def test_a_vm_that_knows_only_its_seeds_does_not_acknowledge_alone():
+    own_vm = _control_vm(0, 'a')
+    confirmation = leaving_confirmation.LeavingConfirmation(
+        directory.Directory(own_vm, ('10.0.0.1:1', '10.0.0.2:1')),
+        lambda endpoint, vm: True,
+        gossip_fleet.TOLERATED_LOSSES,
+    )
+    with pytest.raises(errors.LeavingUnconfirmed):
+        confirmation.confirm(builders.endpoint(leaving=True))
+
+
+def test_an_acknowledged_leaving_is_on_the_disks_of_two_vms(tmp_path):
+    fleet = relay_test_fleet.RelayTestFleet(tmp_path / 'fleet')
+    leaving = fleet.engines[0]
+    try:
+        reply = fleet.announce(leaving, 2, 'draining')
+        shutil.copytree(tmp_path / 'fleet', tmp_path / 'copy')
+    finally:
+        fleet.stop()
+    assert reply.status == 200
+    saved = [
+        _find_saved_endpoint(path, leaving.name)
+        for path in tmp_path.glob('copy/core-*/disk')
+    ]
+    assert sum(endpoint.leaving for endpoint in saved if endpoint) >= 2
+
+
+def _find_saved_endpoint(path, endpoint_id):
+    """Return an endpoint that a VM has saved, or None."""
+    folder = data_folder.DataFolder(path)
+    restored = directory.Directory(_control_vm(0, 'a'), ())
+    endpoint_persister.EndpointPersister(folder, restored).load()
+    folder.close()
+    return restored.find_endpoint(endpoint_id)
