Do not acknowledge the end of an engine that the control VM does not know

Callers saw: requests still reached engines that had said they were leaving (DRAIN). Cause: retire_endpoint returned for an unknown id, so the engine was told 200 and told nobody else; a VM that has just started knows no engine, and some engines only ever send their end. With an older incarnation known, that one was marked. Change: an unknown engine is answered 503 (endpoint_unknown), so that it tells another VM; an end may name its incarnation; one of an earlier incarnation changes nothing; an engine that was removed already is acknowledged.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
@@ -459,6 +459,19 @@
                     endpoint, last_seen_at=self._clock()
                 )
 
+    def has_ended(self, endpoint_id, incarnation=None):
+        """Tell whether an endpoint was removed and has not started again.
+
+        Args:
+            endpoint_id: id of the endpoint.
+            incarnation: its incarnation, or None for the latest one.
+        """
+        with self._lock:
+            ended, _ = self._tombstones_by_id.get(endpoint_id, (0, 0))
+            if incarnation is not None:
+                return incarnation <= ended
+            return bool(ended) and endpoint_id not in self._endpoints_by_id
+
     def drop_endpoint(self, endpoint):
         """Remove an endpoint that did not answer a probe.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
@@ -125,23 +125,28 @@
         if endpoint.leaving:
             self._confirm_leaving(endpoint)
 
-    def retire_endpoint(self, endpoint_id):
+    def retire_endpoint(self, endpoint_id, incarnation=None):
         """Mark an endpoint as leaving until it is started again.
 
         Args:
-            endpoint_id: id of the endpoint; an unknown one is ignored.
+            endpoint_id: id of the endpoint.
+            incarnation: the incarnation that ends, or None for the known one.
 
         Raises:
+            EndpointUnknown: this VM does not know the endpoint, and another
+                one may; it must tell that one.
             LeavingUnconfirmed: the fleet may forget it.
         """
         endpoint = self._directory.find_endpoint(endpoint_id)
-        if endpoint is None:
-            events.emit(
-                events.CONTROL_CALL,
-                verb='retire',
-                endpoint=endpoint_id,
-                is_known=False,
-            )
+        ended = incarnation
+        if endpoint is not None and ended is None:
+            ended = endpoint.incarnation
+        if self._directory.has_ended(endpoint_id, ended):
+            return
+        if endpoint is None or endpoint.incarnation < ended:
+            raise errors.EndpointUnknown('this VM does not know the endpoint')
+        if endpoint.incarnation > ended:
+            # It has started again since.
             return
         retired = dataclasses.replace(
             endpoint, sequence=FINAL_SEQUENCE, leaving=True
@@ -159,6 +164,5 @@
         endpoint=endpoint.id,
         incarnation=endpoint.incarnation,
         sequence=endpoint.sequence,
-        is_known=True,
         is_news=is_news,
     )
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -371,6 +371,15 @@
     retry_after = 1
 
 
+class EndpointUnknown(CarobwoodError):
+    """An endpoint ends that this VM does not know; it must tell another VM."""
+
+    code = 'endpoint_unknown'
+    status = 503
+    outcome = Outcome.UNKNOWN
+    retry_after = 1
+
+
 class LeavingUnconfirmed(CarobwoodError):
     """Too few VMs have saved that an endpoint leaves; it must tell again."""
 
--- a/tests/test_leaving_announcements.py
+++ b/tests/test_leaving_announcements.py
@@ -101,6 +101,30 @@
         restarted.control.retire_endpoint(endpoint.id)
 
 
+def test_the_end_of_an_unknown_incarnation_is_not_acknowledged(monkeypatch):
+    fleet, endpoint = _fleet_with_endpoint(monkeypatch)
+    control = fleet.vms_by_id[FIRST].control
+    with pytest.raises(errors.EndpointUnknown):
+        control.retire_endpoint(endpoint.id, endpoint.incarnation + 1)
+    fleet.run(DRAIN_SECONDS)
+    assert len(_serving_vm_ids(fleet, endpoint)) == 8
+
+
+def test_the_end_of_an_earlier_incarnation_ends_no_later_one(monkeypatch):
+    fleet, endpoint = _fleet_with_endpoint(monkeypatch)
+    control = fleet.vms_by_id[FIRST].control
+    control.retire_endpoint(endpoint.id, endpoint.incarnation - 1)
+    fleet.run(DRAIN_SECONDS)
+    assert len(_serving_vm_ids(fleet, endpoint)) == 8
+
+
+def test_the_end_of_a_removed_endpoint_is_acknowledged(monkeypatch):
+    fleet, endpoint = _fleet_with_endpoint(monkeypatch)
+    vm = fleet.vms_by_id[FIRST]
+    vm.directory.drop_endpoint(vm.directory.find_endpoint(endpoint.id))
+    vm.control.retire_endpoint(endpoint.id)
+
+
 def _control_vm(number, data_centre):
     return directory.Vm(f'core-{number}', data_centre, '', '', 1, True)
 
--- a/tests/test_platform_control_api.py
+++ b/tests/test_platform_control_api.py
@@ -168,3 +168,21 @@
         'code': failure.code,
         'detail': failure.detail,
     }
+
+
+@pytest.mark.parametrize(
+    ('body', 'incarnation'),
+    [(b'', None), (b'{}', None), ({'born': 1700000000000}, 1700000000000)],
+)
+def test_the_end_of_an_endpoint_may_name_its_incarnation(body, incarnation):
+    control = StandInControl()
+    path = '/v1/instances/i-1'
+    assert _request_status(control, 'DELETE', path, body) == 200
+    assert control.calls == [('retire_endpoint', 'i-1', incarnation)]
+
+
+def test_the_end_of_an_endpoint_with_an_invalid_incarnation_is_rejected():
+    control = StandInControl()
+    path = '/v1/instances/i-1'
+    assert _request_status(control, 'DELETE', path, {'born': 'x'}) == 400
+    assert control.calls == []
