Look at the endpoint again at the instant of sending

Callers saw: requests reached engines that had said they were leaving (DRAIN). Cause: an endpoint was chosen, then a connection made or a permit awaited, and the request sent without another look; news that came in between had no effect. Change: after the connection is there, an endpoint that leaves, has ended or has started anew gets nothing (endpoint_left); the request goes to another one without taking from the retry budget, as nothing was sent. Measured: the new test failed before (the leaving engine got the request).

--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -155,6 +155,8 @@
         except errors.EndpointUnreachable as error:
             self._recorder.note_unreachable(assignment)
             self._raise_unless_retryable(assignment, error)
+        except errors.EndpointLeft as error:
+            self._raise_unless_retryable(assignment, error)
         except errors.EndpointNotRun as error:
             self._recorder.note_not_run(assignment, error.head)
             self._raise_unless_retryable(assignment, error)
@@ -230,9 +232,12 @@
             and not request.route.is_resumable
         ):
             raise error
-        # After a failed connection no endpoint has received the request, so
-        # that sending it again does not count against the retry budget.
-        needs_budget = not isinstance(error, errors.EndpointUnreachable)
+        # No endpoint has received the request then, so that sending it again
+        # does not count against the retry budget.
+        is_unsent = isinstance(
+            error, errors.EndpointUnreachable | errors.EndpointLeft
+        )
+        needs_budget = not is_unsent
         if needs_budget and not self._context.retry_budget.try_spend(
             request.service
         ):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -65,6 +65,8 @@
         Raises:
             EndpointUnreachable: no connection could be made; nothing was
                 sent.
+            EndpointLeft: the endpoint began to leave after it was chosen;
+                nothing was sent.
             EndpointNotRun: the endpoint states that it did not run the
                 request.
             EndpointFailed: the connection failed, or the response is
@@ -84,6 +86,7 @@
         connection = pool.acquire(assignment.endpoint.address, may_reuse)
         sent_at = clocks.now()
         try:
+            self._check_serving(assignment.endpoint)
             connection.send(
                 self._outgoing_request(assignment, resume_id),
                 SEND_TIMEOUT_SECONDS,
@@ -95,6 +98,17 @@
             connection.close()
             raise
 
+    def _check_serving(self, endpoint):
+        """Check that an endpoint has not begun to leave meanwhile."""
+        found = self._context.directory.find_endpoint(endpoint.id)
+        is_serving = (
+            found is not None
+            and found.incarnation == endpoint.incarnation
+            and not found.leaving
+        )
+        if not is_serving or self._context.availability.is_leaving(endpoint):
+            raise errors.EndpointLeft('the endpoint has begun to leave')
+
     def _outgoing_request(self, assignment, resume_id):
         request = self._request
         dialect = self._context.dialect
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -121,6 +121,16 @@
         """The ``ReplicaRunner``, or None on a VM without a data folder."""
         return self._replica_runner
 
+    @property
+    def directory(self):
+        """The ``Directory`` of VMs and endpoints."""
+        return self._directory
+
+    @property
+    def pool(self):
+        """The ``ConnectionPool`` of connections to endpoints."""
+        return self._shared.pool
+
     @property
     def loads(self):
         """The ``FleetLoads``."""
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -186,6 +186,14 @@
     retry_after = 1
 
 
+class EndpointLeft(RequestRefused):
+    """The endpoint began to leave before the request was sent to it."""
+
+    code = 'endpoint_left'
+    status = 503
+    retry_after = 1
+
+
 class Saturated(RequestRefused):
     """A limit on queued or concurrent requests is reached."""
 
--- a/tests/test_leaving_and_refusing_endpoints.py
+++ b/tests/test_leaving_and_refusing_endpoints.py
@@ -1,5 +1,7 @@
 """Endpoints that leave or ask for no requests, over relay VMs."""
 
+import dataclasses
+
 import pytest
 import relay_test_fleet
 
@@ -93,3 +95,33 @@
         replies = ask_other_vm()
         assert {reply.status for reply in replies} == {200}
         assert leaving.requests == []
+
+
+def test_a_request_chosen_before_the_news_is_not_sent_after_it(
+    fleet, monkeypatch
+):
+    entry_vm = fleet.fleet.vms[len(fleet.fleet.control_ports)]
+    acquire = entry_vm.pool.acquire
+    told = []
+
+    def acquire_after_news(address, *arguments):
+        # The news comes while the connection is made.
+        connection = acquire(address, *arguments)
+        if not told:
+            told.append(address)
+            for endpoint in entry_vm.directory.endpoints():
+                if endpoint.address == address:
+                    entry_vm.directory.merge_endpoint(
+                        dataclasses.replace(
+                            endpoint,
+                            sequence=endpoint.sequence + 1,
+                            leaving=True,
+                        )
+                    )
+        return connection
+
+    monkeypatch.setattr(entry_vm.pool, 'acquire', acquire_after_news)
+    reply = fleet.fleet.ask('/checks/x')
+    assert reply.status == 200
+    by_address = {engine.address: engine for engine in fleet.engines}
+    assert by_address[told[0]].requests == []
