Reset a connection to an endpoint that is given up with a request

Callers saw: requests reached engines long after they had said they were leaving (DRAIN), and work went on that nobody waited for. Cause: a connection that was given up (timeout, caller left) was closed in order. Change: a connection whose response has not been read to its end is reset.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -12,6 +12,7 @@
 import io
 import select
 import socket
+import struct
 import threading
 
 import urllib3
@@ -50,6 +51,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 ]
+# Value of SO_LINGER with which closing a connection resets it.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # What making a connection, and reading from or writing to it, can raise.
 _CONNECT_FAILURES = (OSError, urllib3.exceptions.HTTPError)
 # Bounds of a response's head, interim responses included.
@@ -111,6 +114,8 @@
         self._bounds = bounded_reader.BoundedReader(sock)
         self._reader = io.BufferedReader(self._bounds)
         self._body = None
+        # Whether a request was sent whose response has no head yet.
+        self._awaits_head = False
         self._closes_after_response = False
         # Error of an earlier read, which later reads raise again. The
         # socket reports a reset only once and an end of file from then on,
@@ -132,6 +137,7 @@
             self._address.host, self._address.port
         )
         connection.sock = self._socket
+        self._awaits_head = True
         try:
             self._socket.settimeout(timeout)
             connection.putrequest(
@@ -185,6 +191,7 @@
         finally:
             self._bounds.release()
         self._body = response_body.open_body(response)
+        self._awaits_head = False
         self._closes_after_response = response.will_close
         # Detached, so that the response does not close the reader when it
         # is closed or collected.
@@ -287,10 +294,25 @@
         )
 
     def close(self):
-        """Close the connection, which cancels a request in flight."""
+        """Close the connection, which cancels a request in flight.
+
+        It is reset then, so that nothing of the request that a partition
+        holds up is delivered later.
+        """
+        if self._awaits_head or (self._body and not self._body.is_complete):
+            self._reset_on_close()
         self._reader.close()
         self._socket.close()
 
+    def _reset_on_close(self):
+        try:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        except OSError:
+            # The connection has ended already.
+            pass
+
     def _has_buffered_bytes(self):
         try:
             self._socket.settimeout(0)
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -302,3 +302,38 @@
         connection.skip_body(0.2, 1024 * 1024)
     connection.close()
     assert server.is_closed.wait(TIMEOUT_SECONDS)
+
+
+def test_a_connection_that_is_given_up_with_a_request_is_reset():
+    # Bytes that a partition holds up are delivered when it heals, unless
+    # their sender has reset the connection.
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = '127.0.0.1:%d' % listener.getsockname()[1]
+        connection = endpoint_connections.ConnectionPool().acquire(address)
+        peer, _ = listener.accept()
+        with peer:
+            peer.settimeout(10.0)
+            connection.send(
+                endpoint_connections.OutgoingRequest('GET', '/', (), None), 1.0
+            )
+            connection.close()
+            with pytest.raises(ConnectionResetError):
+                while peer.recv(4096):
+                    pass
+
+
+def test_a_connection_that_has_served_its_request_is_closed_in_order():
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = '127.0.0.1:%d' % listener.getsockname()[1]
+        connection = endpoint_connections.ConnectionPool().acquire(address)
+        peer, _ = listener.accept()
+        with peer:
+            peer.settimeout(10.0)
+            connection.send(
+                endpoint_connections.OutgoingRequest('GET', '/', (), None), 1.0
+            )
+            peer.recv(4096)
+            peer.sendall(b'HTTP/1.1 204 No Content\r\n\r\n')
+            assert connection.read_head('GET', 1.0)[0] == 204
+            connection.close()
+            assert peer.recv(1) == b''
