--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -325,13 +325,16 @@
 class ConnectionPool:
     """Idle connections to endpoints, by address."""
 
-    def __init__(self, clock=clocks.now):
+    def __init__(self, clock=clocks.now, on_result=None):
         """Create an empty pool.
 
         Args:
             clock: function that returns the monotonic time in seconds.
+            on_result: called with an address and whether a new connection to
+                it was made, or None.
         """
         self._clock = clock
+        self._on_result = on_result or (lambda address, is_made: None)
         self._lock = threading.Lock()
         # Lists of (expiry time, connection), most recently used last.
         self._idle_by_address = {}
@@ -360,7 +363,16 @@
                 upstream.is_new = False
                 return upstream
             upstream.close()
-        return _connect(address, timeout)
+        return self._connect(address, timeout)
+
+    def _connect(self, address, timeout):
+        try:
+            connection = _connect(address, timeout)
+        except errors.EndpointUnreachable:
+            self._on_result(address, False)
+            raise
+        self._on_result(address, True)
+        return connection
 
     def release(self, address, upstream, idle_seconds):
         """Keep a connection for reuse, or close it if it is not reusable.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -11,6 +11,7 @@
 from . import endpoint_connections
 from . import endpoint_health
 from . import endpoint_rate_limits
+from . import endpoint_reachability
 from . import engine_weights
 from . import fleet_loads
 from . import kv_stores
@@ -37,6 +38,7 @@
         health: the ``EndpointHealth``.
         availability: the ``EndpointAvailability``.
         rate_limits: the ``EndpointRateLimits``.
+        reachability: the ``EndpointReachability``.
         pool: the ``ConnectionPool``.
         kv_stores: the ``KvStores``.
         past_usage_table: the ``PastUsageTable``.
@@ -55,6 +57,7 @@
     health: endpoint_health.EndpointHealth
     availability: endpoint_availability.EndpointAvailability
     rate_limits: endpoint_rate_limits.EndpointRateLimits
+    reachability: endpoint_reachability.EndpointReachability
     pool: endpoint_connections.ConnectionPool
     kv_stores: kv_stores.KvStores
     past_usage_table: past_usage.PastUsageTable
@@ -74,7 +77,7 @@
 
 
 def make_shared_components(
-    settings, dialect, store, request_permit, resumption, count_entry_vms
+    settings, dialect, store, request_permit, resumption, directory
 ):
     """Return the ``SharedComponents`` of a VM that has just started.
 
@@ -84,7 +87,7 @@
         store: the ``StateStore`` with the replicated state of the fleet.
         request_permit: see ``EndpointRateLimits``.
         resumption: the ``StreamResumption``.
-        count_entry_vms: function that returns the number of entry VMs.
+        directory: the ``Directory`` of VMs and endpoints.
     """
     metrics = metric_clients.PrometheusMetrics()
     weights = engine_weights.EngineWeights()
@@ -96,6 +99,11 @@
         settings.fleet_limits.quota_tolerance, settings.is_first_start
     )
     queue = wait_queue.WaitQueue()
+    reachability = endpoint_reachability.EndpointReachability(
+        lambda: [
+            endpoint.address for endpoint in directory.serving_endpoints()
+        ]
+    )
     relay_configuration = configuration_store.ConfigurationStore(
         store, dialect, weights
     )
@@ -112,9 +120,12 @@
         prefix_cache_index.PrefixCacheIndex(),
         crash_suspects.CrashSuspects(),
         endpoint_health.EndpointHealth(),
-        endpoint_availability.EndpointAvailability(count_vms=count_entry_vms),
+        endpoint_availability.EndpointAvailability(
+            count_vms=lambda: len(directory.entry_vms())
+        ),
         endpoint_rate_limits.EndpointRateLimits(request_permit, metrics.count),
-        endpoint_connections.ConnectionPool(),
+        reachability,
+        endpoint_connections.ConnectionPool(on_result=reachability.note),
         kv_stores.KvStores(dialect),
         past_usage_table,
         metrics,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -104,7 +104,7 @@
             self._store,
             permit_client.PermitClient(self._permit_table, calls).request,
             self._stream_resumption,
-            lambda: len(self._directory.entry_vms()),
+            self._directory,
         )
         self._build_membership()
         self._persisters = self._make_persisters()
