--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -363,9 +363,10 @@
                 upstream.is_new = False
                 return upstream
             upstream.close()
-        return self._connect(address, timeout)
+        return self.connect(address, timeout)
 
-    def _connect(self, address, timeout):
+    def connect(self, address, timeout):
+        """Return a new connection; see ``acquire``."""
         try:
             connection = _connect(address, timeout)
         except errors.EndpointUnreachable:
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -131,6 +131,11 @@
         """The ``ConnectionPool`` of connections to endpoints."""
         return self._shared.pool
 
+    @property
+    def reachability(self):
+        """The ``EndpointReachability``."""
+        return self._shared.reachability
+
     @property
     def loads(self):
         """The ``FleetLoads``."""
