Do not take a partition for crashes of the endpoints

Callers saw: refusals (request_crashes_endpoints) for sound requests, for up to a minute and at every VM, after a VM had been partitioned from all engines with its connections reset (RECOVER matter; seen on stranded-reset). Cause: a request whose connection broke counted as the cause of a crash as soon as its endpoint accepted no new connection; in a partition that holds for all. Change: an endpoint has crashed only if another one accepts a connection at that time, or if there is no other.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -9,8 +9,15 @@
 
 An engine that rejects a request because of its weights is therefore asked
 for its weights version before the request is sent anywhere again.
+
+Load pattern: this VM is partitioned from all endpoints, and the connections of
+dozens of requests are reset. Each would look like a crash that its request has
+caused, and be refused everywhere. So an endpoint that cannot be reached counts
+as crashed only if another one can be.
 """
 
+import random
+
 from carobwood import clocks
 from carobwood import errors
 from carobwood import events
@@ -19,6 +26,8 @@
 
 # Timeout of the query for an engine's weights; a request waits for it.
 REPORT_TIMEOUT_SECONDS = 0.3
+# Other endpoints that are tried, as one may have crashed too.
+MAX_WITNESSES = 2
 
 
 class ResultRecorder:
@@ -72,8 +81,9 @@
     def note_failed(self, assignment, error):
         """Record that the request failed and that it may have run.
 
-        If the endpoint also refuses a new connection, it has crashed, and
-        the request is suspected of having caused the crash.
+        If the endpoint also refuses a new connection while another one
+        accepts one, it has crashed, and the request is suspected of having
+        caused the crash.
 
         Args:
             assignment: the ``Assignment`` that the request was sent to.
@@ -86,9 +96,11 @@
         self._context.health.note_result(endpoint, True)
         if not isinstance(error, errors.EndpointFailed):
             return False
-        if not self._has_crashed(endpoint):
+        if self._is_reachable(endpoint):
             return False
         self.note_unreachable(assignment)
+        if not self._reaches_another(endpoint):
+            return False
         crash = f'{endpoint.id}/{endpoint.incarnation}'
         self._context.crash_suspects.merge(
             {(self._request.fingerprint, crash): clocks.now()}
@@ -128,15 +140,33 @@
             != assignment.weights_version
         )
 
-    def _has_crashed(self, endpoint):
+    def _reaches_another(self, endpoint):
+        """Return whether another endpoint is reachable, or there is none."""
+        others = [
+            other
+            for other in self._context.directory.serving_endpoints()
+            if other.id != endpoint.id
+        ]
+        candidates = [
+            other
+            for other in others
+            if not self._context.health.is_ejected(other)
+        ]
+        witnesses = random.sample(
+            candidates, min(MAX_WITNESSES, len(candidates))
+        )
+        return not others or any(map(self._is_reachable, witnesses))
+
+    def _is_reachable(self, endpoint):
+        """Return whether an endpoint accepts a new connection."""
         try:
             connection = self._context.pool.acquire(
                 endpoint.address, False, endpoint_prober.PROBE_TIMEOUT_SECONDS
             )
         except errors.EndpointUnreachable:
-            return True
+            return False
         self._context.pool.release(endpoint.address, connection, None)
-        return False
+        return True
 
     def _note_version(self, assignment, head):
         if head.weights_version:
