Keep brittle engines from rejecting more than they bear

Cause of the fault it prevents: every VM may send a full engine a request that it turns away, and all together make it fall. Change: a rejection for want of room by an engine that names a bound counts as a rate limit of half of it, which all VMs keep together by permits as for Server-Limit; the grantor is told at once. A limit that comes during a ramp sets a ceiling, beyond which later ramps grow by a twentieth a second; permits end only once none was denied for 4 s. So a limit that comes and goes is found once and kept near.

--- a/packages/carobwood-daemon/carobwood_daemon/limits/endpoint_permits.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/endpoint_permits.py
@@ -38,6 +38,11 @@
 RAMP_START_PER_SECOND = 2.0
 # Time from the end of a limit until no permit is needed any more.
 RAMP_SECONDS = 4.0
+# A limit that comes during a ramp names about the rate that is borne.
+# Later ramps are fast up to this share of it, and slow beyond.
+CEILING_SHARE = 0.5
+# Growth of the rate beyond that, per second.
+CEILING_GROWTH = 1.05
 # Time without a request after which an endpoint is forgotten.
 IDLE_SECONDS = 120.0
 
@@ -81,6 +86,10 @@
         ended_at: time of the first answer that named no limit any more, or
             None while there is a limit.
         ramp_start: rate at the begin of a ramp, in permits per second.
+        ceiling: rate up to which a ramp is fast, or None if none has ended
+            early.
+        ceiling_at: time at which the last ramp has ended early.
+        denied_at: time at which a request for a permit was last denied.
         bucket: the ``TokenBucket`` of the permits.
         asked_at: time of the last request for a permit.
         return_at_by_vm: when the VMs that have to wait will ask again.
@@ -90,6 +99,9 @@
         self.statement = statement
         self.ended_at = None
         self.ramp_start = RAMP_START_PER_SECOND
+        self.ceiling = None
+        self.ceiling_at = 0.0
+        self.denied_at = float('-inf')
         self.bucket = token_bucket.TokenBucket(0.0, 0.0, clock)
         self.asked_at = 0.0
         self.return_at_by_vm = {}
@@ -99,10 +111,30 @@
         """Take over a statement that is not older than the known one."""
         self.statement = statement
         if statement.per_second is not None:
+            if self.ended_at is not None:
+                self.ceiling = CEILING_SHARE * self.bucket.rate
+                self.ceiling_at = statement.said_at
             self.ended_at = None
         elif self.ended_at is None:
             self.ended_at = statement.said_at
 
+    def is_over(self, now):
+        """Return whether requests need no permit any more."""
+        if self.ended_at is None or now - self.ended_at < RAMP_SECONDS:
+            return False
+        # With a ceiling, more requests than it lets pass would all return.
+        return self.ceiling is None or now - self.denied_at >= RAMP_SECONDS
+
+    def ramp_rate(self, now):
+        """Return the rate during a ramp, in permits per second."""
+        seconds = max(0.0, now - self.ended_at)
+        doublings = seconds / RAMP_DOUBLING_SECONDS
+        rate = self.ramp_start * math.pow(2.0, doublings)
+        if self.ceiling is None:
+            return rate
+        age = max(0.0, now - self.ceiling_at)
+        return min(rate, self.ceiling * math.pow(CEILING_GROWTH, age))
+
 
 class PermitTable:
     """Permits that this VM grants, by endpoint and incarnation.
@@ -148,8 +180,7 @@
 
     def _decide(self, account, vm_id, now):
         statement = account.statement
-        is_ended = account.ended_at is not None
-        if is_ended and now - account.ended_at >= RAMP_SECONDS:
+        if account.is_over(now):
             return PermitDecision(True, True, 0.0, statement)
         self._set_rate(account, now)
         wait = account.bucket.take(1.0)
@@ -160,6 +191,7 @@
             MAX_WAIT_SECONDS, max(wait, self._queueing(account, vm_id, now))
         )
         account.return_at_by_vm[vm_id] = now + wait
+        account.denied_at = now
         return PermitDecision(False, False, wait, statement)
 
     @staticmethod
@@ -169,9 +201,7 @@
             rate = max(MIN_PERMITS_PER_SECOND, USED_FRACTION * limit)
             account.ramp_start = max(RAMP_START_PER_SECOND, rate)
         else:
-            seconds = max(0.0, now - account.ended_at)
-            doublings = seconds / RAMP_DOUBLING_SECONDS
-            rate = account.ramp_start * math.pow(2.0, doublings)
+            rate = account.ramp_rate(now)
         account.bucket.resize(rate, BURST_PERMITS)
 
     @staticmethod
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_rate_limits.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_rate_limits.py
@@ -1,4 +1,8 @@
-"""Rate limits that endpoints name in their answers.
+"""Rate limits that endpoints name in their answers, or that they imply.
+
+An endpoint that says how many requests it can reject in a second, and rejects
+one, has a limit from then on too: a part of that number, so that not even
+rejections of all of them make it fall.
 
 From the answer that names a limit on, each request to this incarnation of the
 endpoint needs a permit from the fleet; see ``limits.endpoint_permits``. This
@@ -22,6 +26,11 @@
 RETRY_SECONDS = 0.25
 # Least time between two news to other VMs about an endpoint.
 NEWS_PERIOD_SECONDS = 1.0
+# Requests to a brittle endpoint that rejects some, as a share of rejections
+# that it bears.
+BRITTLE_SHARE = 0.5
+# Status of a rejection for want of room.
+NO_ROOM_STATUS = 503
 # Time for which a limit is news to other VMs.
 NEWS_LIFETIME_SECONDS = 10.0
 # Time without a word after which an endpoint is forgotten, if other VMs
@@ -87,13 +96,15 @@
         """
         now = self._clock()
         known = self._find(endpoint)
-        if head.rate_limit is not None:
-            per_second = head.rate_limit.per_second
+        is_limited, per_second = _read_limit(head)
+        if is_limited:
             if per_second is None:
                 self._log(endpoint.id, endpoint.incarnation, None, 'malformed')
                 return
             statement = endpoint_permits.LimitStatement(per_second, now)
             self._note(endpoint.id, endpoint.incarnation, statement, 'answer')
+            if head.brittleness is not None:
+                self._tell_grantor(endpoint, statement)
         elif known is not None and sent_at is not None:
             if sent_at > known.statement.said_at:
                 statement = endpoint_permits.LimitStatement(None, now)
@@ -176,6 +187,16 @@
         self._apply(endpoint, decision)
         return decision.is_granted
 
+    def _tell_grantor(self, endpoint, statement):
+        """Tell the VM that grants permits at once, not with the next request.
+
+        The permit that it may grant is not used.
+        """
+        try:
+            self._request_permit(endpoint, statement)
+        except errors.LinkFailed:
+            self._count('permits.failed')
+
     def _stop_asking(self, endpoint):
         with self._lock:
             known = self._find(endpoint)
@@ -257,3 +278,19 @@
             per_second=per_second,
             source=source,
         )
+
+
+def _read_limit(head):
+    """Return whether an answer limits requests, and to how many a second.
+
+    The number is None if it cannot be read.
+    """
+    limits = []
+    if head.rate_limit is not None:
+        limits.append(head.rate_limit.per_second)
+    is_rejected = head.has_not_run and head.status == NO_ROOM_STATUS
+    if head.brittleness is not None and is_rejected:
+        bound = head.brittleness.rejections_per_second
+        limits.append(None if bound is None else BRITTLE_SHARE * bound)
+    known = [limit for limit in limits if limit is not None]
+    return bool(limits), min(known) if known else None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/messages.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/messages.py
@@ -108,6 +108,18 @@
     per_second: float | None
 
 
+@dataclasses.dataclass(frozen=True)
+class Brittleness:
+    """How many requests an endpoint can reject in a second without falling.
+
+    Attributes:
+        rejections_per_second: the number, not negative, or None if the value
+            cannot be read.
+    """
+
+    rejections_per_second: float | None
+
+
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
     """Status and headers of an endpoint's response.
@@ -128,6 +140,7 @@
         is_leaving: whether the endpoint says that it is shutting down.
         retry_after: the ``RetryAfter``, or None if it asks for nothing.
         rate_limit: the ``RateLimit``, or None if the endpoint names none.
+        brittleness: the ``Brittleness``, or None if the endpoint names none.
     """
 
     status: int
@@ -142,6 +155,7 @@
     is_leaving: bool = False
     retry_after: RetryAfter | None = None
     rate_limit: RateLimit | None = None
+    brittleness: Brittleness | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/permit_simulation.py
+++ b/tests/permit_simulation.py
@@ -20,6 +20,8 @@
 # Time for which requests of a VM don't count after the answer that told it.
 TOLD_SECONDS = 0.5
 TICK_SECONDS = 0.02
+# Time in which gossip tells the other VMs of a limit.
+NEWS_SECONDS = 0.4
 # Time from a request to the head of its answer.
 ANSWER_SECONDS = 0.2
 
@@ -63,14 +65,59 @@
         self.counted = []
         self.received = []
 
-    def head(self):
-        """Return the head of an answer."""
+    def head(self, now):
+        """Return the head of an answer to a request at a time."""
+        del now
         rate_limit = None
         if self.limit is not None:
             rate_limit = messages.RateLimit(self.limit)
         return builders.response_head(rate_limit=rate_limit)
 
 
+class BrittleEngine(Engine):
+    """An engine that must not turn many requests away in a second.
+
+    Attributes:
+        rejected: times of the requests that it has turned away.
+    """
+
+    def __init__(self, capacity, rejections):
+        """Create the engine.
+
+        Args:
+            capacity: requests per second that it has room for.
+            rejections: rejections per second that it names as its bound.
+        """
+        super().__init__(None)
+        self.rejected = []
+        self._capacity = capacity
+        self._rejections = rejections
+        self._accepted = []
+
+    def head(self, now):
+        """See ``Engine``."""
+        self._accepted = [at for at in self._accepted if at > now - 1.0]
+        brittleness = messages.Brittleness(self._rejections)
+        if len(self._accepted) < self._capacity:
+            self._accepted.append(now)
+            return builders.response_head(brittleness=brittleness)
+        self.rejected.append(now)
+        return builders.response_head(
+            503, has_not_run=True, brittleness=brittleness
+        )
+
+    def seconds_over_bound(self):
+        """Return in how many spans of a second it rejected too many."""
+        falls = 0
+        ends_at = 0.0
+        for start in self.rejected:
+            within = [at for at in self.rejected if start <= at < start + 1.0]
+            if start >= ends_at and len(within) > self._rejections:
+                falls += 1
+                ends_at = start + 1.0
+        return falls
+
+
 class Simulation:
     """VMs that each have requests for one engine all the time.
 
@@ -78,10 +125,13 @@
         clock: the ``Clock``.
         engine: the ``Engine``.
         grantors: the ``Grantors``.
+        arrivals: number of requests that have arrived.
         first_grantor_by_vm: index of the table that each VM asks first.
     """
 
-    def __init__(self, vm_count, limit, requests_per_second, seed=1):
+    def __init__(
+        self, vm_count, limit, requests_per_second, seed=1, engine=None
+    ):
         """Create the VMs.
 
         Args:
@@ -89,11 +139,13 @@
             limit: limit that the engine names, or None.
             requests_per_second: requests of all VMs together.
             seed: seed of the arrivals.
+            engine: the ``Engine``, or None for one that names the limit.
         """
         self.clock = builders.Clock()
-        self.engine = Engine(limit)
+        self.engine = engine or Engine(limit)
         self.grantors = Grantors(self.clock)
         self.first_grantor_by_vm = [0] * vm_count
+        self.arrivals = 0
         self._random = random.Random(seed)
         self._arrivals_per_tick = requests_per_second * TICK_SECONDS
         self._limits_by_vm = [
@@ -102,14 +154,21 @@
             )
             for vm in range(vm_count)
         ]
+        if isinstance(self.engine, BrittleEngine):
+            for vm, limits in enumerate(self._limits_by_vm):
+                limits.on_change(self._news_function(vm))
         self._told_at_by_vm = {}
         self._answers = []
+        # (time, vm) of news that the other VMs get after a while.
+        self._news = []
 
     def run(self, seconds):
         """Let requests arrive for some seconds."""
         for _ in range(round(seconds / TICK_SECONDS)):
             self._deliver_answers()
+            self._deliver_news()
             for _ in range(self._count_arrivals()):
+                self.arrivals += 1
                 self._send(self._random.randrange(len(self._limits_by_vm)))
             self.clock.advance(TICK_SECONDS)
 
@@ -129,6 +188,20 @@
         """Number of VMs that have had an answer with the limit."""
         return len(self._told_at_by_vm)
 
+    def _news_function(self, vm):
+        return lambda endpoint_id: self._news.append((self.clock.now, vm))
+
+    def _deliver_news(self):
+        endpoint = self.engine.endpoint
+        while self._news and self._news[0][0] + NEWS_SECONDS <= self.clock.now:
+            _, vm = self._news.pop(0)
+            news = self._limits_by_vm[vm].news(endpoint.id)
+            if news is None:
+                continue
+            for other, limits in enumerate(self._limits_by_vm):
+                if other != vm:
+                    limits.merge_news(endpoint.id, *news)
+
     def _permit_function(self, vm):
         def ask(endpoint, statement):
             first = self.first_grantor_by_vm[vm]
@@ -151,7 +224,7 @@
         told_at = self._told_at_by_vm.get(vm)
         if told_at is not None and told_at + TOLD_SECONDS <= now:
             self.engine.counted.append(now)
-        self._answers.append((now, vm, self.engine.head()))
+        self._answers.append((now, vm, self.engine.head(now)))
 
     def _deliver_answers(self):
         now = self.clock.now
--- a/tests/test_endpoint_permits.py
+++ b/tests/test_endpoint_permits.py
@@ -109,3 +109,32 @@
         table.request(*ENDPOINT, 'vm-1', low).is_granted for _ in range(50)
     )
     assert granted <= endpoint_permits.BURST_PERMITS
+
+
+# Falls that are tolerated while the engines of a service are brittle; the
+# tenth of their number that comes on top is less than one for these fleets.
+MAX_FALLS = 2
+
+
+@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize('rejections', [2.0, 5.0, 10.0])
+@pytest.mark.parametrize('vm_count', VM_COUNTS)
+def test_vms_together_do_not_make_a_brittle_engine_fall(
+    vm_count, rejections, seed
+):
+    # The engine has room for 10 of 25 requests a second, for a minute.
+    engine = permit_simulation.BrittleEngine(10, rejections)
+    simulation = permit_simulation.Simulation(
+        vm_count, None, 25.0, seed, engine
+    )
+    simulation.run(60.0)
+    assert engine.seconds_over_bound() <= MAX_FALLS
+
+
+@pytest.mark.parametrize('vm_count', VM_COUNTS)
+def test_a_brittle_engine_with_room_gets_all_requests(vm_count):
+    engine = permit_simulation.BrittleEngine(30, 2.0)
+    simulation = permit_simulation.Simulation(vm_count, None, 10.0, 1, engine)
+    simulation.run(20.0)
+    assert engine.rejected == []
+    assert len(engine.received) == simulation.arrivals
--- a/tests/test_endpoint_rate_limits.py
+++ b/tests/test_endpoint_rate_limits.py
@@ -265,3 +265,18 @@
     decision = grantors.client.request(builders.endpoint(), statement)
     assert not decision.is_granted
     assert grantors.called == []
+
+
+def test_a_brittle_endpoint_is_limited_once_it_rejects_for_want_of_room():
+    harness = Harness()
+    brittleness = messages.Brittleness(4.0)
+    accepted = builders.response_head(brittleness=brittleness)
+    harness.limits.note_head(harness.endpoint, accepted, harness.clock.now)
+    assert not harness.limits.is_limited(harness.endpoint)
+    rejected = builders.response_head(
+        503, has_not_run=True, brittleness=brittleness
+    )
+    harness.limits.note_head(harness.endpoint, rejected, harness.clock.now)
+    assert harness.limits.is_limited(harness.endpoint)
+    _, statement = harness.limits.news(harness.endpoint.id)
+    assert statement.per_second == 4.0 * endpoint_rate_limits.BRITTLE_SHARE
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -187,3 +187,12 @@
         421, {'x-carobwood-instance-id': 'i-2'}
     )
     assert misdirected.endpoint_id == 'i-2' and not misdirected.has_not_run
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'), [('3', 3.0), ('0', 0.0), ('-1', None), ('x', None)]
+)
+def test_the_rejections_that_a_brittle_endpoint_bears_are_read(text, expected):
+    head = DIALECT.parse_response_head(200, {'server-brittle': text})
+    assert head.brittleness == messages.Brittleness(expected)
+    assert DIALECT.parse_response_head(200, {}).brittleness is None
