End a stream at an event that does not go on from the one before

Shown by tests: an error status, a 200 that is no event stream and a stream without a signature never reached the caller as the answer to a resumption; a stream that began anew did (events twice), and so did a response's head between events. Cause: whatever the resumed stream brought was passed on. Change: ids of events that are numbers must increase, over a resumption too, and no line of an event begins like the head of a response; otherwise the attempt has failed, and the stream is resumed elsewhere or broken off.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
@@ -11,6 +11,8 @@
 
 # Bound of an incomplete event, which is kept in memory.
 MAX_EVENT_BYTES = 1024 * 1024
+# Longer ids are not compared.
+MAX_ID_DIGITS = 20
 
 # A line ends with LF or CR LF.
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
@@ -19,6 +21,8 @@
 # last one may lack its line end, and empty lines.
 _COMMENTS = re.compile(rb'(?:(?::[^\r\n]*)?\r?\n)*(?::[^\r\n]*)?\r?')
 _ID_LINE = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
+# The first line of a response. Lines of events begin with the field's name.
+_STATUS_LINE = re.compile(rb'^HTTP/1\.[01] [0-9]', re.MULTILINE)
 
 
 class EventSplitter:
@@ -39,7 +43,9 @@
         """Add bytes and return the events that are complete, unchanged.
 
         Raises:
-            EndpointFailed: an event exceeds ``MAX_EVENT_BYTES``.
+            EndpointFailed: an event exceeds ``MAX_EVENT_BYTES``, its id is
+                not above that of the event before, or the events hold the
+                head of a response.
         """
         buffer = self._buffer + data
         end = 0
@@ -49,11 +55,27 @@
         if len(buffer) - end > MAX_EVENT_BYTES:
             raise errors.EndpointFailed('an event exceeds the size limit')
         complete, self._buffer = buffer[:end], buffer[end:]
-        ids = _ID_LINE.findall(complete)
-        if ids:
-            self.last_id = ids[-1].strip().decode('latin-1')
+        if _STATUS_LINE.search(complete):
+            raise errors.EndpointFailed('the stream holds a response head')
+        self.last_id = self._check_ids(complete)
         return complete
 
+    def _check_ids(self, events):
+        """Return the id of the last event; all must increase.
+
+        An endpoint that was asked to resume may have begun anew.
+        """
+        last_id = self.last_id
+        for match in _ID_LINE.findall(events):
+            event_id = match.strip().decode('latin-1')
+            if _is_number(event_id) and _is_number(last_id):
+                if int(event_id) <= int(last_id):
+                    raise errors.EndpointFailed(
+                        'the ids of the events do not increase'
+                    )
+            last_id = event_id
+        return last_id
+
     def flush(self):
         """Return the bytes after the last event, at the end of the stream.
 
@@ -72,3 +94,11 @@
     def discard_partial(self):
         """Drop an incomplete event before another endpoint resumes."""
         self._buffer = b''
+
+
+def _is_number(event_id):
+    return (
+        event_id.isascii()
+        and event_id.isdigit()
+        and len(event_id) <= MAX_ID_DIGITS
+    )
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -191,9 +191,30 @@
             self._send_response(200, b'not an engine')
         elif action == 'whole':
             self._send_response(200, b'whole', self._signature_headers())
+        elif action.startswith('odd-resume-'):
+            self._answer_resumption(action.removeprefix('odd-resume-'))
         else:
             self._send_events(action)
 
+    def _answer_resumption(self, answer):
+        """Break a stream off, and answer its resumption in an odd way."""
+        signature = self._signature_headers()
+        stream = {'Content-Type': 'text/event-stream'}
+        if 'Last-Event-Id' not in self.headers:
+            self._send_events('reset-after-2')
+        elif answer == 'error':
+            self._send_response(500, b'odd answer', signature)
+        elif answer == 'plain':
+            self._send_response(200, b'odd answer', signature)
+        elif answer == 'unsigned-stream':
+            self._send_response(200, b'id: 3\ndata: 3\n\n', stream)
+        elif answer == 'from-the-beginning':
+            body = b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n'
+            self._send_response(200, body, signature | stream)
+        else:
+            body = b'HTTP/1.1 500 odd answer\r\nServer: x\r\n\r\n'
+            self._send_response(200, body, signature | stream)
+
     def _is_crashing(self):
         prompt = self.headers.get('X-Carobwood-Prompt-Prefix', '')
         segments = [entry.partition(':')[0] for entry in prompt.split(',')]
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -57,3 +57,37 @@
     with pytest.raises(errors.EndpointFailed):
         for _ in range(100):
             splitter.feed(b'x' * 65536)
+
+
+@pytest.mark.parametrize(
+    'second',
+    [
+        b'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n',
+        b'id: 2\ndata: b\n\n',
+        b'id: 3\ndata: c\n\nid: 3\ndata: c\n\n',
+    ],
+)
+def test_a_stream_whose_ids_do_not_increase_is_refused(second):
+    splitter = event_splitter.EventSplitter()
+    splitter.feed(b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
+    with pytest.raises(errors.EndpointFailed):
+        splitter.feed(second)
+    assert splitter.last_id == '2'
+
+
+def test_ids_that_are_no_numbers_are_not_compared():
+    splitter = event_splitter.EventSplitter()
+    stream = b'id: b\ndata: a\n\nid: a\ndata: b\n\n'
+    assert splitter.feed(stream) == stream
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n'])
+def test_the_head_of_a_response_inside_a_stream_is_refused(line_end):
+    splitter = event_splitter.EventSplitter()
+    splitter.feed(b'id: 1\ndata: a\n\n')
+    head = (b'HTTP/1.1 500 Error\nContent-Length: 3\n\n').replace(
+        b'\n', line_end
+    )
+    with pytest.raises(errors.EndpointFailed):
+        splitter.feed(head)
+    assert splitter.feed(b'id: 2\ndata: HTTP/1.1 500 as text\n\n')
