Check the first event of a stream that a caller resumes too

Cause: the ids of events were compared with those of earlier attempts only, not with the event that the caller names. Change: the splitter begins with that id on routes that may be resumed. Measured: the new test failed before (200 with the first events again).

--- a/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
@@ -35,8 +35,14 @@
         last_id: id of the last complete event that was returned, or empty.
     """
 
-    def __init__(self):
-        self.last_id = ''
+    def __init__(self, last_id=''):
+        """Create the splitter.
+
+        Args:
+            last_id: id of the last event that the caller has received before,
+                or empty.
+        """
+        self.last_id = last_id
         self._buffer = b''
 
     def feed(self, data):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -86,7 +86,10 @@
         self._last_event_at = 0.0
         # Seconds from arrival until the response to the caller starts.
         self._first_byte_seconds = 0.0
-        self._splitter = event_splitter.EventSplitter()
+        resume_id = ''
+        if request.route.is_resumable:
+            resume_id = request.metadata.resume_id
+        self._splitter = event_splitter.EventSplitter(resume_id)
         # The assignment of the current attempt.
         self._assignment = None
 
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -54,3 +54,16 @@
     assert b'odd answer' not in body
     # The last chunk is missing, so the stream does not look complete.
     assert not body.endswith(b'0\r\n\r\n')
+
+
+def test_a_stream_that_a_caller_resumes_does_not_begin_anew(shared_fleet):
+    shared_fleet.fleet.ask('/captions/x', X_Carobwood_Request_Id='r-first')
+    shared_fleet.clear_requests()
+    reply = shared_fleet.fleet.ask(
+        '/captions/odd-resume-from-the-beginning',
+        Last_Event_Id='2',
+        Resumes='r-first',
+    )
+    assert shared_fleet.engine_requests[0]['last-event-id'] == '2'
+    assert reply.status == 502
+    assert b'data:' not in reply.body
