Believe no answer without a request's id on a kept connection

Cause: an answer that names no request counted as the answer to the newest one. Of refusals with an id, those of other requests were skipped already, and a connection whose request was refused is closed, so the same id cannot return. Change: on a connection that has carried another request, such an answer is a mismatch: the request may have run. Between VMs the id is compared too. Measured: the new test failed before (503, not run). Only requests that may be repeated use kept connections, so none could have run twice by this.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -158,7 +158,7 @@
                 self._caller.method, READ_TIMEOUT_SECONDS
             )
             head = self._context.dialect.parse_response_head(status, headers)
-            is_own = head.request_id in ('', self._request.metadata.request_id)
+            is_own = self._is_own(head, connection)
             if head.endpoint_id in ('', assignment.endpoint.id):
                 self._note_head(assignment, head, sent_at if is_own else None)
             if is_own:
@@ -171,6 +171,21 @@
             'the responses carry the ids of other requests'
         )
 
+    def _is_own(self, head, connection):
+        """Return whether a response belongs to this request.
+
+        Raises:
+            AnswerMismatch: the response does not say so, and an earlier
+                request was sent on this connection.
+        """
+        if head.request_id:
+            return head.request_id == self._request.metadata.request_id
+        if not connection.is_new:
+            raise errors.AnswerMismatch(
+                'a response on a kept connection names no request'
+            )
+        return True
+
     def _note_head(self, assignment, head, sent_at):
         endpoint = assignment.endpoint
         self._context.availability.note_head(endpoint, head)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -62,6 +62,7 @@
             NoEndpointReachable: no VM has taken it.
             ForwardedRequestFailed: the other VM has answered with an error.
             EndpointFailed: the other VM broke off; it may have run.
+            AnswerMismatch: the answer belongs to another request.
             EndpointTimeout: the other VM gave no answer in time.
             CallerLeft: the caller disconnected.
         """
@@ -108,6 +109,7 @@
         status, headers = connection.read_head(
             caller.method, READ_TIMEOUT_SECONDS
         )
+        self._check_request_id(request, status, headers)
         code = headers.get(forwarding_headers.ERROR, '')
         self._log(request, vm, code, status)
         if code:
@@ -119,6 +121,13 @@
         self._relay_response(connection, caller, request, status, headers)
         return True
 
+    def _check_request_id(self, request, status, headers):
+        head = self._context.dialect.parse_response_head(status, headers)
+        if head.request_id not in ('', request.metadata.request_id):
+            raise errors.AnswerMismatch(
+                'the other VM has answered another request'
+            )
+
     def _outgoing_request(self, caller, request, trace):
         forwarded = forwarding_headers.ForwardedRequest(
             self._context.directory.own_vm.id,
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -32,7 +32,9 @@
 
     ``/…/reset-after-2`` closes the connection after two events,
     ``/…/stall-after-2`` sends nothing after two events until the connection
-    ends, ``/…/full`` rejects the request without running it,
+    ends, ``/…/odd-resume-ANSWER`` resets after two events and answers the
+    resumption in an odd way, ``/…/full`` rejects the request without running
+    it, ``/…/refused-without-id`` does so in an answer that names no request,
     ``/…/unsigned`` sends a response without a signature, ``/…/silent``
     sends no response, ``/…/unframed`` sends a stream that ends with the
     connection, ``/…/unframed-cut-after-N`` one that ends with it inside the
@@ -187,6 +189,8 @@
             late['X-Carobwood-Request-Id'] = 'r-0'
             self._send_response(200, b'of another request', late)
             self._send_response(200, b'whole', self._signature_headers())
+        elif action == 'refused-without-id':
+            self._refuse_without_id()
         elif action == 'unsigned':
             self._send_response(200, b'not an engine')
         elif action == 'whole':
@@ -215,6 +219,13 @@
             body = b'HTTP/1.1 500 odd answer\r\nServer: x\r\n\r\n'
             self._send_response(200, body, signature | stream)
 
+    def _refuse_without_id(self):
+        """Write an earlier refusal again, which names no request."""
+        self.wfile.write(
+            b'HTTP/1.1 503 Busy\r\nX-Carobwood-Not-Run: 1\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+
     def _is_crashing(self):
         prompt = self.headers.get('X-Carobwood-Prompt-Prefix', '')
         segments = [entry.partition(':')[0] for entry in prompt.split(',')]
@@ -234,12 +245,19 @@
 
     def _send_response(self, status, body, headers=None):
         self.send_response(status)
+        if 'X-Carobwood-Request-Id' not in (headers or {}):
+            self._echo_request_id()
         for name, value in (headers or {}).items():
             self.send_header(name, value)
         self.send_header('Content-Length', str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
+    def _echo_request_id(self):
+        request_id = self.headers['X-Carobwood-Request-Id']
+        if request_id:
+            self.send_header('X-Carobwood-Request-Id', request_id)
+
     def _send_events(self, action):
         cut_after = action.partition('-cut-after-')[2]
         self._is_chunked = not action.startswith('unframed')
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -176,3 +176,20 @@
     shared_fleet.fleet.ask('/orders/unsigned')
     for vm in shared_fleet.fleet.vms:
         assert vm.loads.local_loads() == {}
+
+
+def test_a_refusal_without_an_id_on_a_kept_connection_is_not_believed(
+    shared_fleet,
+):
+    # It may belong to an earlier request, and this one may run.
+    prefix = 'kept:60,own:40'
+    answered = shared_fleet.fleet.ask(
+        '/checks/x', X_Carobwood_Prompt_Prefix=prefix
+    )
+    assert answered.status == 200
+    shared_fleet.clear_requests()
+    reply = shared_fleet.fleet.ask(
+        '/captions/refused-without-id', X_Carobwood_Prompt_Prefix=prefix
+    )
+    assert reply.status == 502
+    assert b'"not-run"' not in reply.body
