Tolerate a second or so of silence of an endpoint while it has a request

Cause: 1.5 s of user timeout ended every connection to an engine that acknowledged nothing for 1.5 s, streams that may not be resumed among them. Change: 3 s while a request is in flight, 1.5 s as before on idle connections, so that those that went silent for good are found as soon. What waits for events has timeouts of its own, which are unchanged.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -29,12 +29,15 @@
 # A connection is made within milliseconds. If it takes longer, the endpoint
 # is down or the first packet was lost, and another endpoint responds sooner.
 CONNECT_TIMEOUT_SECONDS = 0.15
-# A connection is closed if sent bytes are not acknowledged in this time.
-TCP_USER_TIMEOUT_MS = 1500
+# A connection ends if sent bytes, keep-alive probes included, are not
+# acknowledged in this time. A sound endpoint may be silent for a second or so,
+# which must not end a request; an idle connection is replaced at no cost.
+USER_TIMEOUT_MS = 3000
+IDLE_USER_TIMEOUT_MS = 1500
 # Idle time before the first TCP keep-alive probe, and between two probes.
 KEEPALIVE_INTERVAL_SECONDS = 1
 # Unacknowledged probes after which a connection is closed.
-KEEPALIVE_PROBES = 2
+KEEPALIVE_PROBES = 3
 # Idle time after which a connection is not reused.
 MAX_IDLE_SECONDS = 6.0
 # Fraction of the endpoint's own idle timeout during which a connection is
@@ -45,7 +48,7 @@
 
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
@@ -122,6 +125,22 @@
         # with which a truncated body would look complete.
         self._read_error = None
 
+    @property
+    def socket(self):
+        """The connected socket."""
+        return self._socket
+
+    def set_idle(self, is_idle):
+        """Set how long the endpoint may acknowledge nothing."""
+        timeout = IDLE_USER_TIMEOUT_MS if is_idle else USER_TIMEOUT_MS
+        try:
+            self._socket.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout
+            )
+        except OSError:
+            # The connection has ended, as its next use shows.
+            pass
+
     def send(self, request, timeout):
         """Send a request.
 
@@ -360,6 +379,7 @@
             if upstream is None:
                 break
             if upstream.is_reusable():
+                upstream.set_idle(False)
                 upstream.is_new = False
                 return upstream
             upstream.close()
@@ -391,6 +411,7 @@
         if limit <= 0 or not upstream.is_reusable():
             upstream.close()
             return
+        upstream.set_idle(True)
         expires_at = self._clock() + limit
         with self._lock:
             idle = self._idle_by_address.setdefault(address, [])
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -337,3 +337,37 @@
             assert connection.read_head('GET', 1.0)[0] == 204
             connection.close()
             assert peer.recv(1) == b''
+
+
+def _user_timeout_ms(connection):
+    return connection.socket.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+    )
+
+
+def test_silence_of_a_sound_endpoint_ends_no_request_but_idle_connections():
+    # The kernel gives a connection up after this time without an
+    # acknowledgement, keep-alive probes included.
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = '127.0.0.1:%d' % listener.getsockname()[1]
+        pool = endpoint_connections.ConnectionPool()
+        connection = pool.acquire(address)
+        peer, _ = listener.accept()
+        with peer:
+            peer.settimeout(10.0)
+            connection.send(
+                endpoint_connections.OutgoingRequest('GET', '/', (), None), 1.0
+            )
+            in_use = _user_timeout_ms(connection)
+            peer.recv(4096)
+            peer.sendall(b'HTTP/1.1 204 No Content\r\n\r\n')
+            connection.read_head('GET', 1.0)
+            pool.release(address, connection, None)
+            idle = _user_timeout_ms(connection)
+            assert pool.acquire(address) is connection
+            assert _user_timeout_ms(connection) == in_use
+            connection.close()
+    # A second or so of silence is no fault, a connection that went silent
+    # for good must not be used again for long.
+    assert in_use >= 2500
+    assert idle <= 1500
