--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -57,6 +57,7 @@
             rejects all requests while it is set.
         rate_limit: requests per second that it names in its answers, or
             empty.
+        cancelled_ids: ids of silent requests whose connection has ended.
         received_at: monotonic times at which it has received requests.
         crashing_segment: id of the prompt segment that crashes it as soon as
             it begins to answer a request that has the segment.
@@ -74,6 +75,7 @@
         self.is_leaving = False
         self.retry_after = ''
         self.rate_limit = ''
+        self.cancelled_ids = []
         self.received_at = []
         self._server = None
         self._serve(0)
@@ -180,8 +182,7 @@
                 headers['Retry-After'] = self.engine.retry_after
             self._send_response(503, b'', headers)
         elif action == 'silent':
-            self.connection.recv(1)
-            self.close_connection = True
+            self._await_cancellation()
         elif action == 'unregistered-status':
             self._send_response(599, b'odd', self._signature_headers())
         elif action == 'late-answer':
@@ -219,6 +220,18 @@
             body = b'HTTP/1.1 500 odd answer\r\nServer: x\r\n\r\n'
             self._send_response(200, body, signature | stream)
 
+    def _await_cancellation(self):
+        """Send nothing until the connection ends."""
+        self.close_connection = True
+        try:
+            self.connection.recv(1)
+        except ConnectionResetError:
+            # The sender resets a connection that it gives up.
+            pass
+        self.engine.cancelled_ids.append(
+            self.headers['X-Carobwood-Request-Id']
+        )
+
     def _refuse_without_id(self):
         """Write an earlier refusal again, which names no request."""
         self.wfile.write(
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -12,6 +12,7 @@
 from carobwood_daemon.relay import admission
 from carobwood_daemon.relay import configuration_store
 from carobwood_daemon.relay import engine_weights
+from carobwood_daemon.relay import forwarding_headers
 from carobwood_daemon.relay import quota
 from carobwood_daemon.replication import commands
 from carobwood_daemon.replication import state_store
@@ -58,7 +59,7 @@
         fleet, _ = self.store.fleet.apply(version, put)
         self.store.update(fleet, ((version, commands.encode(put)),))
 
-    def admit(self, deadline_ms):
+    def admit(self, deadline_ms, forwarded=None):
         """Admit a request with a deadline in milliseconds."""
         headers = {
             'authorization': f'Bearer {builders.KEY}',
@@ -73,7 +74,7 @@
             target='/orders/x',
             read_body=lambda: BODY,
         )
-        return self.admission.admit(caller, admission.clocks.now())
+        return self.admission.admit(caller, admission.clocks.now(), forwarded)
 
 
 @pytest.fixture
@@ -135,3 +136,33 @@
     setup.configure(2)
     assert calls == [True]
     assert setup.configuration_store.configuration.version == 2
+
+
+def test_a_request_that_another_vm_has_admitted_is_not_charged_again(
+    monkeypatch,
+):
+    setup = AdmissionSetup()
+    setup.configure()
+    charged = []
+    admit = quota.FleetQuota.admit
+
+    def record(fleet_quota, name, units):
+        charged.append(units)
+        return admit(fleet_quota, name, units)
+
+    monkeypatch.setattr(quota.FleetQuota, 'admit', record)
+    forwarded = forwarding_headers.ForwardedRequest('front-1', 0.5, True)
+    request = setup.admit(60_000, forwarded)
+    assert request.is_within_rate
+    assert request.seconds_left <= 0.5
+    assert charged == []
+    setup.admit(60_000)
+    assert len(charged) == 1
+
+
+def test_a_request_beyond_the_rate_stays_so_on_another_vm():
+    setup = AdmissionSetup()
+    setup.configure()
+    forwarded = forwarding_headers.ForwardedRequest('front-1', 0.5, False)
+    request = setup.admit(60_000, forwarded)
+    assert request.priority == admission.LOWEST_PRIORITY
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -1,5 +1,7 @@
 """A VM that reaches no endpoint, while the other VMs reach them."""
 
+import http.client
+
 from carobwood import addresses
 from carobwood import errors
 from carobwood_daemon.relay import forwarding_headers
@@ -118,6 +120,46 @@
     assert reply.status == 0
 
 
+def _send_order(fleet, path, request_id):
+    """Send a request to VM 0 and return the open connection."""
+    connection = http.client.HTTPConnection(
+        '127.0.0.1', fleet.fleet.entry_ports[0], timeout=30.0
+    )
+    headers = {
+        'Host': builders.HOST,
+        'Authorization': f'Bearer {builders.KEY}',
+        'X-Carobwood-Request-Id': request_id,
+        'X-Carobwood-Deadline-Ms': '60000',
+    }
+    connection.request('POST', path, b'order', headers)
+    return connection
+
+
+def test_a_caller_that_leaves_cancels_the_request_at_the_endpoint(
+    fleet, cut_off
+):
+    _strand_vm_0(fleet, cut_off)
+    connection = _send_order(fleet, '/orders/silent', 'r-left')
+    relay_test_fleet.await_reply(
+        lambda: fleet.plain_endpoint.requests, lambda requests: requests
+    )
+    connection.close()
+    relay_test_fleet.await_reply(
+        lambda: fleet.plain_endpoint.cancelled_ids,
+        lambda cancelled_ids: cancelled_ids == ['r-left'],
+    )
+
+
+def test_events_are_forwarded_as_they_come(fleet, cut_off):
+    _strand_vm_0(fleet, cut_off)
+    connection = _send_order(fleet, '/orders/stall-after-2', 'r-events')
+    # The rest of the stream never comes.
+    events_before = b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n'
+    response = connection.getresponse()
+    assert response.read(len(events_before)) == events_before
+    connection.close()
+
+
 def test_a_request_without_the_proof_of_a_vm_is_not_run(fleet):
     vm = fleet.fleet.vms[FIRST_ENTRY_VM]
     address = addresses.parse_address(vm.directory.own_vm.forward_address)
