Tell no caller to return at once after a wait in vain

Callers saw: 503 with Retry-After 0 when their request had waited as long as it may, and came back in the same moment. Cause: the check for endpoints that asked for no requests compared 0 s with what was left of the wait, a negative time by then, and refused with 0 s. Change: only a time of the endpoint beyond the wait counts; the refusal then has the queue's own Retry-After. Seen in the log of a new test.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -132,7 +132,8 @@
             ),
             default=0.0,
         )
-        if seconds > max_wait:
+        # One that takes requests now has no room, which the wait is for.
+        if seconds > max(0.0, max_wait):
             raise errors.Saturated(
                 'no endpoint takes requests of this VM for longer than this '
                 'one may wait',
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -208,6 +208,16 @@
     assert last_fields['request_id'] == 'r-1'
 
 
+def test_a_request_that_has_waited_in_vain_is_not_told_to_return_at_once():
+    def pass_the_whole_wait(harness):
+        harness.clock.advance(60.0)
+        return False
+
+    with pytest.raises(errors.Saturated) as refusal:
+        SelectorHarness(pass_the_whole_wait).await_assignment()
+    assert refusal.value.retry_after == wait_queue.RETRY_AFTER_SECONDS
+
+
 def test_a_caller_that_disconnects_while_queued_is_logged(lines):
     with pytest.raises(errors.CallerLeft):
         SelectorHarness(lambda harness: True).await_assignment()
--- a/tests/test_relay_vm.py
+++ b/tests/test_relay_vm.py
@@ -82,6 +82,8 @@
     relay_test_fleet.await_reply(
         fetch_cache_salt, lambda value: value == 'v1/bole'
     )
+    # Other tests of the module expect the customer to share segments.
+    assert shared_fleet.configure(3).status == 200
 
 
 def test_a_configuration_without_a_newer_version_is_ignored(shared_fleet):
