Move the table of endpoints out of the directory

Change: the endpoints and their table are a module; the directory adds VMs and rosters to it. No behaviour changes.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,6 +27,7 @@
 from carobwood import document
 from carobwood.gen.links import ttypes
 from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.membership import stream_origin_links
 from carobwood_daemon.replication import claims
 from carobwood_daemon.replication import commands
@@ -307,7 +308,7 @@
         )
         cached_prefixes = prefix_cache_index.PrefixCacheIndex()
         for number in range(count):
-            engine = directory.Endpoint(
+            engine = endpoint_table.Endpoint(
                 f'engine-{number}',
                 1,
                 1,
@@ -398,7 +399,7 @@
 def _build_cached_blocks(count):
     table = prefix_cache_index.PrefixCacheIndex()
     for number in range(count // 1000):
-        endpoint = directory.Endpoint(
+        endpoint = endpoint_table.Endpoint(
             f'engine-{number}', 1, 1, '', '', 'engines', 'production'
         )
         table.record_use(
@@ -409,7 +410,7 @@
 
 def _build_endpoints(count):
     return {
-        f'engine-{n}': directory.Endpoint(
+        f'engine-{n}': endpoint_table.Endpoint(
             f'engine-{n}',
             n + 2**40,
             n + 1000,
--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_persister.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_persister.py
@@ -4,7 +4,7 @@
 
 from carobwood import clocks
 
-from . import directory
+from . import endpoint_table
 from . import persister
 
 
@@ -14,7 +14,7 @@
     Attributes:
         age_seconds: seconds since the announcement when it was stored.
 
-    The other attributes are those of ``directory.Endpoint``.
+    The other attributes are those of ``endpoint_table.Endpoint``.
     """
 
     id: str
@@ -89,7 +89,7 @@
         now = clocks.now()
         for record in _decoder.decode(payload):
             self._directory.merge_endpoint(
-                directory.Endpoint(
+                endpoint_table.Endpoint(
                     record.id,
                     record.incarnation,
                     record.sequence,
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -0,0 +1,213 @@
+"""Table of the endpoints that this VM knows of."""
+
+import dataclasses
+import threading
+
+from carobwood import clocks
+from carobwood import events
+
+# Time without an announcement after which an endpoint is probed.
+ENDPOINT_SILENCE_SECONDS = 4.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """An endpoint as described by its latest announcement.
+
+    Attributes:
+        id: name of the endpoint.
+        incarnation: number that grows with each start of the endpoint.
+        sequence: number that grows with each announcement.
+        address: ``host:port`` of its HTTP interface.
+        data_centre: data centre that it runs in.
+        pool: id of the pool that it belongs to.
+        environment: id of the environment that it belongs to.
+        weights_version: version of the weights that it has loaded; empty
+            if it is no engine.
+        leaving: whether it asks for no new requests.
+        running: number of requests that it runs.
+        waiting: number of requests that it queues.
+        last_seen_at: time of the announcement by ``clocks.now``, in seconds.
+        software_version: version of the software that it runs, or empty if
+            it announces none.
+    """
+
+    id: str
+    incarnation: int
+    sequence: int
+    address: str
+    data_centre: str
+    pool: str
+    environment: str
+    weights_version: str = ''
+    leaving: bool = False
+    running: int = 0
+    waiting: int = 0
+    last_seen_at: float = 0.0
+    software_version: str = ''
+
+    @property
+    def order(self):
+        """Key that grows with each announcement of the endpoint."""
+        return (self.incarnation, self.sequence)
+
+
+class EndpointTable:
+    """Table of endpoints, merged from gossip and announcements."""
+
+    def __init__(self, clock=clocks.now):
+        """Create an empty table.
+
+        Args:
+            clock: function that returns the monotonic time in seconds.
+        """
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._endpoints_by_id = {}
+        self._tombstones_by_id = {}
+        self._announced_here_at_by_id = {}
+        # When an aggregator named the endpoints that it does not hear.
+        self._confirmed_at = float('-inf')
+        self._unconfirmed_ids = frozenset()
+        self._endpoint_listeners = []
+
+    def on_endpoint_change(self, listener):
+        """Call ``listener(endpoint)`` after each change to gossip at once.
+
+        A change of ``running`` or ``waiting`` alone does not count.
+        """
+        self._endpoint_listeners.append(listener)
+
+    def merge_endpoint(self, endpoint, is_direct=False):
+        """Merge an announcement.
+
+        Args:
+            endpoint: the ``Endpoint``.
+            is_direct: whether the endpoint announced itself to this VM,
+                rather than to another one.
+
+        Returns:
+            Whether it was newer than the known announcement.
+        """
+        with self._lock:
+            if is_direct:
+                self._announced_here_at_by_id[endpoint.id] = self._clock()
+            known = self._endpoints_by_id.get(endpoint.id)
+            tombstone = self._tombstones_by_id.get(endpoint.id, (0, 0))
+            if endpoint.order <= tombstone:
+                return False
+            if known is not None and endpoint.order <= known.order:
+                return False
+            self._endpoints_by_id[endpoint.id] = endpoint
+            changed = known is None or _must_spread(known, endpoint)
+        if changed:
+            self._log_change(endpoint)
+            for listener in self._endpoint_listeners:
+                listener(endpoint)
+        return True
+
+    def announces_to_this_vm(self, endpoint):
+        """Tell whether an endpoint announces itself to this VM."""
+        announced_at = self._announced_here_at_by_id.get(
+            endpoint.id, float('-inf')
+        )
+        return self._clock() - announced_at < ENDPOINT_SILENCE_SECONDS
+
+    def endpoints(self):
+        """Return all known endpoints."""
+        with self._lock:
+            return list(self._endpoints_by_id.values())
+
+    def serving_endpoints(self):
+        """Return the endpoints that take work, one for each address.
+
+        A new endpoint may reuse the address of one that ended without
+        announcing it, so the one that started last at an address counts.
+        """
+        newest_by_address = {}
+        for endpoint in self.endpoints():
+            known = newest_by_address.get(endpoint.address)
+            if known is None or known.incarnation < endpoint.incarnation:
+                newest_by_address[endpoint.address] = endpoint
+        return [e for e in newest_by_address.values() if not e.leaving]
+
+    def find_endpoint(self, endpoint_id):
+        """Return an endpoint by id, or None."""
+        with self._lock:
+            return self._endpoints_by_id.get(endpoint_id)
+
+    def silent_endpoints(self):
+        """Return the endpoints whose announcements have stopped."""
+        limit = self._clock() - ENDPOINT_SILENCE_SECONDS
+        is_confirmed = self._confirmed_at >= limit
+        return [
+            endpoint
+            for endpoint in self.endpoints()
+            if endpoint.last_seen_at < limit
+            and not (is_confirmed and endpoint.id not in self._unconfirmed_ids)
+        ]
+
+    def confirm_all_except(self, silent_ids):
+        """Record that an aggregator hears all endpoints but some.
+
+        Args:
+            silent_ids: ids of the endpoints that it does not hear.
+        """
+        with self._lock:
+            self._confirmed_at = self._clock()
+            self._unconfirmed_ids = frozenset(silent_ids)
+
+    def confirm_alive(self, endpoint):
+        """Reset the silence of an endpoint that answered a probe."""
+        with self._lock:
+            if self._endpoints_by_id.get(endpoint.id) == endpoint:
+                self._endpoints_by_id[endpoint.id] = dataclasses.replace(
+                    endpoint, last_seen_at=self._clock()
+                )
+
+    def has_ended(self, endpoint_id, incarnation=None):
+        """Tell whether an endpoint was removed and has not started again.
+
+        Args:
+            endpoint_id: id of the endpoint.
+            incarnation: its incarnation, or None for the latest one.
+        """
+        with self._lock:
+            ended, _ = self._tombstones_by_id.get(endpoint_id, (0, 0))
+            if incarnation is not None:
+                return incarnation <= ended
+            return bool(ended) and endpoint_id not in self._endpoints_by_id
+
+    def drop_endpoint(self, endpoint):
+        """Remove an endpoint that did not answer a probe.
+
+        A tombstone keeps its last announcement from bringing it back.
+        """
+        with self._lock:
+            known = self._endpoints_by_id.get(endpoint.id)
+            if known is None or known.order != endpoint.order:
+                return
+            del self._endpoints_by_id[endpoint.id]
+            self._tombstones_by_id[endpoint.id] = endpoint.order
+        events.emit(events.ENDPOINT_EXPIRED, endpoint=endpoint.id)
+
+    def _log_change(self, endpoint):
+        event = events.ENDPOINT_SEEN
+        if endpoint.leaving:
+            event = events.ENDPOINT_LEAVING
+        events.emit(
+            event,
+            endpoint=endpoint.id,
+            incarnation=endpoint.incarnation,
+            address=endpoint.address,
+            software=endpoint.software_version,
+        )
+
+
+def _must_spread(known, endpoint):
+    return (
+        known.incarnation != endpoint.incarnation
+        or known.leaving != endpoint.leaving
+        or known.weights_version != endpoint.weights_version
+        or known.address != endpoint.address
+    )
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
@@ -19,6 +19,7 @@
 from . import cache_update_messages
 from . import change_log
 from . import directory as directories
+from . import endpoint_table
 from . import strike_messages
 
 
@@ -271,7 +272,7 @@
 
 def endpoint_from_thrift(announcement, now):
     """Return the ``Endpoint`` that a thrift announcement describes."""
-    return directories.Endpoint(
+    return endpoint_table.Endpoint(
         announcement.endpoint_id,
         announcement.incarnation,
         announcement.sequence,
--- a/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/porcelain.py
@@ -14,7 +14,7 @@
 from carobwood.gen.links import ttypes
 from carobwood import keys
 
-from ..membership import directory as directories
+from ..membership import endpoint_table
 from ..membership import link_transport
 from ..replication import commands
 from ..replication import fleet_state
@@ -395,7 +395,7 @@
             address = str(addresses.parse_address(message.address))
         except ValueError as error:
             raise errors.MalformedRequest(str(error)) from error
-        endpoint = directories.Endpoint(
+        endpoint = endpoint_table.Endpoint(
             message.endpoint_id,
             message.incarnation,
             message.sequence,
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -3,7 +3,7 @@
 import json
 
 from carobwood import clocks
-from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.relay import admission
 from carobwood_daemon.relay import configuration
 from carobwood_daemon.relay import fleet_loads
@@ -100,7 +100,7 @@
         'pool': 'engines',
         'environment': '',
     }
-    return directory.Endpoint(**{**fields, **changes})
+    return endpoint_table.Endpoint(**{**fields, **changes})
 
 
 def candidate(name='engine-1', **changes):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,14 +3,14 @@
 import concurrent.futures
 
 from carobwood import errors
-from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.routing import admission
 from carobwood_daemon.routing import endpoint_loads
 import fleet as fleets
 import pytest
 
 ENGINES = [
-    directory.Endpoint(
+    endpoint_table.Endpoint(
         f'engine-{n}', 1, 1, '', 'bole', 'engines', 'production', '1'
     )
     for n in range(2)
--- a/tests/test_cache_events.py
+++ b/tests/test_cache_events.py
@@ -4,14 +4,14 @@
 
 import builders
 from carobwood_daemon.membership import cache_watchers
-from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.routing import cache_events
 from carobwood_daemon.routing import prefix
 from carobwood_daemon.routing import prefix_cache_index
 import fleet as fleets
 import pytest
 
-ENGINE = directory.Endpoint(
+ENGINE = endpoint_table.Endpoint(
     'engine-1', 5, 1, '', 'bole', 'engines', 'production', '1'
 )
 BLOCK_HASHES = tuple(bytes([n]) * prefix.DIGEST_BYTES for n in range(4))
--- a/tests/test_circuit_breakers.py
+++ b/tests/test_circuit_breakers.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 
-from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.routing import circuit_breakers
 from carobwood_daemon.routing import retry_budget
 import pytest
 
-ENDPOINT = directory.Endpoint(
+ENDPOINT = endpoint_table.Endpoint(
     'engine-1', 1, 1, '', 'bole', 'engines', 'production', '1'
 )
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -6,6 +6,7 @@
 
 from carobwood.gen.links import ttypes
 from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 import relay_builders as builders
 
 PACKAGES = pathlib.Path(__file__).parents[1] / 'packages'
@@ -15,7 +16,7 @@
 
 OWN = directory.Vm('vm1', 'bole', '127.0.0.1:1', '', 100, False)
 OTHER = directory.Vm('vm2', 'bole', '127.0.0.1:2', '', 100, True)
-ENDPOINT = directory.Endpoint(
+ENDPOINT = endpoint_table.Endpoint(
     'engine-1', 5, 1, '127.0.0.1:9', 'bole', 'engines', 'production'
 )
 
--- a/tests/test_endpoint_locks.py
+++ b/tests/test_endpoint_locks.py
@@ -3,12 +3,13 @@
 from carobwood import errors
 from carobwood_daemon.membership import directory
 from carobwood_daemon.membership import endpoint_locks
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.routing import crash_suspects
 import pytest
 
 OWN = directory.Vm('vm1', 'bole', '127.0.0.1:1', '', 1, False)
 ENGINES = [
-    directory.Endpoint(
+    endpoint_table.Endpoint(
         f'engine-{number}', 1, 1, '', 'bole', 'engines', 'production', '1'
     )
     for number in range(16)
--- a/tests/test_endpoint_selector.py
+++ b/tests/test_endpoint_selector.py
@@ -4,6 +4,7 @@
 
 from carobwood import document
 from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.replication import state_store
 from carobwood_daemon.routing import circuit_breakers
 from carobwood_daemon.routing import endpoint_loads
@@ -23,7 +24,7 @@
 
 
 def _endpoint(number, **changes):
-    return directory.Endpoint(
+    return endpoint_table.Endpoint(
         f'engine-{number}',
         1,
         1,
--- a/tests/test_engine_attempt.py
+++ b/tests/test_engine_attempt.py
@@ -7,7 +7,7 @@
 from carobwood import errors
 from carobwood_daemon.entry import engine_attempt
 from carobwood_daemon.entry import event_stream
-from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.routing import cache_events
 from carobwood_daemon.routing import circuit_breakers
 from carobwood_daemon.routing import crash_suspects
@@ -17,7 +17,7 @@
 from carobwood_daemon.routing import prefix_cache_index
 import pytest
 
-ENGINE = directory.Endpoint(
+ENGINE = endpoint_table.Endpoint(
     'engine-1', 1, 1, '127.0.0.1:1', 'bole', 'engines', 'production', '1'
 )
 FINGERPRINT = 'an innocent request'
--- a/tests/test_hang_detector.py
+++ b/tests/test_hang_detector.py
@@ -3,11 +3,11 @@
 import socket
 
 from carobwood_daemon.entry import hang_detector
-from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.routing import circuit_breakers
 import pytest
 
-ENGINE = directory.Endpoint(
+ENGINE = endpoint_table.Endpoint(
     'engine-1', 1, 1, '127.0.0.1:1', 'bole', 'engines', 'production', '1'
 )
 
--- a/tests/test_prefix_cache_index.py
+++ b/tests/test_prefix_cache_index.py
@@ -4,7 +4,7 @@
 
 from carobwood import clocks
 from carobwood_daemon.membership import cache_update_messages
-from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.membership import prefix_cache_persister
 from carobwood_daemon.replication import data_folder
 from carobwood_daemon.routing import cache_update_log
@@ -12,7 +12,7 @@
 from carobwood_daemon.routing import prefix_cache_index
 import pytest
 
-ENGINE = directory.Endpoint(
+ENGINE = endpoint_table.Endpoint(
     'engine-1', 5, 1, '', 'bole', 'engines', 'production', '1'
 )
 SENDER = cache_update_log.Source('vm2')
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -6,6 +6,7 @@
 import builders
 from carobwood import document as documents
 from carobwood_daemon.membership import directory
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.orders import rollout
 from carobwood_daemon.replication import commands
 from carobwood_daemon.replication import fleet_state
@@ -44,7 +45,7 @@
         self.directory = directory.Directory(OWN, ())
         for engine_id, weights in weights_by_engine.items():
             self.directory.merge_endpoint(
-                directory.Endpoint(
+                endpoint_table.Endpoint(
                     engine_id,
                     1,
                     1,
