Do not take a VM that knows no endpoint for cut off

Cause: with no known endpoint, all known ones had failed. A VM whose last endpoint was removed while a connection to it was made forwarded its requests until it connected to one again. Change: at least one endpoint must be known.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_reachability.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_reachability.py
@@ -96,10 +96,11 @@
         known = {endpoint.address for endpoint in self._find_endpoints()}
         with self._lock:
             self._failed_addresses.add(address)
-            is_new = not self.is_cut_off and known <= self._failed_addresses
-            if is_new:
+            reaches_none = bool(known) and known <= self._failed_addresses
+            is_change = reaches_none and not self.is_cut_off
+            if is_change:
                 self._cut_off_at = self._clock()
-        if is_new:
+        if is_change:
             events.emit(events.VM_CUT_OFF, endpoints=len(known))
             self._announce(True)
 
--- a/tests/test_endpoint_reachability.py
+++ b/tests/test_endpoint_reachability.py
@@ -78,6 +78,9 @@
 
 
 def test_a_vm_that_knows_no_endpoint_is_not_cut_off():
-    table, _ = _table([])
+    table, changes = _table([])
     assert table.pop_unproven_endpoints() == []
+    # An endpoint that was removed while a connection to it was made.
+    table.note('10.0.0.9:1', False)
     assert not table.is_cut_off
+    assert changes == []
