Forward a request that may run twice again if the other VM broke off

Callers saw: 502 for requests that may be repeated, when the VM that had taken them ended. Cause: a hop that broke was final for every request. Change: such a request, of whose response nothing was sent, goes to the next VM; the final error keeps that it may have run. Measured: the test of a stream failed before (502), that of an order that runs once passed before and after.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -194,6 +194,7 @@
         if message.role == ttypes.SenderRole.BROADCASTER:
             self._uplink.wake()
             if message.records.announcements:
+                # The sender relies on them after this reply.
                 reply.accepted = self.save_endpoints()
         is_peer = message.role == ttypes.SenderRole.AGGREGATOR
         if is_peer and self._is_aggregator:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -67,18 +67,25 @@
             CallerLeft: the caller disconnected.
         """
         asked_ids = set()
+        final_error = errors.NoEndpointReachable(
+            'neither this VM nor another one reaches an endpoint'
+        )
         while len(asked_ids) < MAX_PEERS:
             vm = self._peers.choose(asked_ids)
             if vm is None:
                 break
             asked_ids.add(vm.id)
-            with trace.span('vm', vm=vm.id):
-                if self._try_vm(vm, caller, request, trace):
-                    return
+            try:
+                with trace.span('vm', vm=vm.id):
+                    if self._try_vm(vm, caller, request, trace):
+                        return
+            except errors.EndpointFailed as error:
+                if not _may_forward_again(caller, request):
+                    raise
+                self._log(request, vm, error.code)
+                final_error = error
             self._peers.avoid(vm.id)
-        raise errors.NoEndpointReachable(
-            'neither this VM nor another one reaches an endpoint'
-        )
+        raise final_error
 
     def _try_vm(self, vm, caller, request, trace):
         """Forward the request to a VM; return whether it has taken it."""
@@ -207,6 +214,11 @@
         )
 
 
+def _may_forward_again(caller, request):
+    """Return whether a request that may have run may go to another VM."""
+    return request.route.is_idempotent and not caller.has_started_response
+
+
 def _error_of(status, code, headers):
     """Return the error that another VM has answered with."""
     try:
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -132,6 +132,11 @@
         """The ``ConnectionPool`` of connections to endpoints."""
         return self._shared.pool
 
+    @property
+    def peers(self):
+        """The ``ForwardingPeers``."""
+        return self._shared.peers
+
     @property
     def reachability(self):
         """The ``EndpointReachability``."""
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -1,6 +1,9 @@
 """A VM that reaches no endpoint, while the other VMs reach them."""
 
+import dataclasses
 import http.client
+import socket
+import threading
 
 from carobwood import addresses
 from carobwood import errors
@@ -206,3 +209,48 @@
         assert reply.status == 503
         assert int(reply.headers['retry-after']) >= 1
     assert fleet.engine_requests == []
+
+
+@pytest.fixture
+def closing_address():
+    """Yield an address at which each request ends its connection."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+
+        def serve():
+            while True:
+                try:
+                    peer, _ = listener.accept()
+                except OSError:
+                    return
+                with peer:
+                    peer.recv(65536)
+
+        threading.Thread(target=serve, daemon=True).start()
+        yield '127.0.0.1:%d' % listener.getsockname()[1]
+        listener.shutdown(socket.SHUT_RDWR)
+
+
+@pytest.mark.parametrize(
+    ('path', 'status', 'runs'),
+    [('/captions/x', 200, 1), ('/orders/x', 502, 0)],
+)
+def test_only_what_may_run_twice_is_forwarded_again_after_a_vm_broke_off(
+    fleet, cut_off, monkeypatch, closing_address, path, status, runs
+):
+    _strand_vm_0(fleet, cut_off)
+    vm = fleet.fleet.vms[FIRST_ENTRY_VM]
+    choose = vm.peers.choose
+
+    def choose_closing_one_first(asked_ids):
+        if not asked_ids:
+            return dataclasses.replace(
+                vm.directory.own_vm,
+                id='front-9',
+                forward_address=closing_address,
+            )
+        return choose(asked_ids)
+
+    monkeypatch.setattr(vm.peers, 'choose', choose_closing_one_first)
+    assert fleet.fleet.ask(path).status == status
+    requests = fleet.engine_requests + fleet.plain_endpoint.requests
+    assert len(requests) == runs
