Let a VM that reaches no endpoint remove none

Cause: an endpoint whose announcements have stopped is removed if it accepts no connection; a VM that is partitioned from all endpoints thus removed all of them if announcements stopped too, and answered no_endpoint until they came again. Change: while a VM is cut off, a failed probe proves nothing.

--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -71,7 +71,12 @@
 
 
 class RelayVm:
-    """All parts of an entry VM or a control VM, built from its settings."""
+    """All parts of an entry VM or a control VM, built from its settings.
+
+    Attributes:
+        silent_endpoint_prober: the ``SilentEndpointProber`` of an entry VM,
+            or None.
+    """
 
     def __init__(self, settings, dialect, make_control_api):
         """Build the parts.
@@ -82,6 +87,7 @@
             make_control_api: called with the ``ControlOperations``; returns a
                 function from an ``ApiRequest`` to an ``ApiResponse``.
         """
+        self.silent_endpoint_prober = None
         self._settings = settings
         self._dialect = dialect
         self._timer = timers.Timer()
@@ -370,13 +376,12 @@
     def _make_periodic_tasks(self):
         all_tasks = list(self._persisters)
         if self._settings.caller_listen is not None:
-            all_tasks.append(
-                periodic_tasks.SilentEndpointProber(
-                    self._directory,
-                    self._shared.prefix_cache_index.forget,
-                    self._accepts_connection,
-                )
+            self.silent_endpoint_prober = periodic_tasks.SilentEndpointProber(
+                self._directory,
+                self._shared.prefix_cache_index.forget,
+                self._accepts_connection,
             )
+            all_tasks.append(self.silent_endpoint_prober)
             all_tasks.append(
                 endpoint_prober.EndpointProber(
                     self._shared.health,
@@ -421,7 +426,10 @@
         return all_tasks
 
     def _accepts_connection(self, endpoint):
-        """Return whether a silent endpoint accepts a connection."""
+        """Return whether a silent endpoint accepts a connection.
+
+        A VM that reaches no endpoint cannot tell, and keeps it.
+        """
         try:
             self._shared.pool.acquire(
                 endpoint.address, False, endpoint_prober.PROBE_TIMEOUT_SECONDS
@@ -432,7 +440,7 @@
                 endpoint=endpoint.id,
                 reason=error.detail,
             )
-            return False
+            return self._shared.reachability.is_cut_off
         return True
 
     def _update_contact(self):
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -7,6 +7,7 @@
 
 from carobwood import addresses
 from carobwood import errors
+from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.relay import forwarding_headers
 import pytest
 import relay_builders as builders
@@ -254,3 +255,17 @@
     assert fleet.fleet.ask(path).status == status
     requests = fleet.engine_requests + fleet.plain_endpoint.requests
     assert len(requests) == runs
+
+
+def test_a_vm_that_reaches_no_endpoint_removes_none(
+    fleet, cut_off, monkeypatch
+):
+    _strand_vm_0(fleet, cut_off)
+    vm = fleet.fleet.vms[FIRST_ENTRY_VM]
+    known = len(vm.directory.endpoints())
+    # All seem silent at once, as if no announcement had come for long.
+    monkeypatch.setattr(endpoint_table, 'ENDPOINT_SILENCE_SECONDS', -1.0)
+    monkeypatch.setattr(vm.directory, '_confirmed_at', float('-inf'))
+    assert vm.directory.silent_endpoints()
+    vm.silent_endpoint_prober.run_once()
+    assert len(vm.directory.endpoints()) == known
