--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -1,4 +1,4 @@
-"""Reusable connections to endpoints, and a pool of idle ones.
+"""Reusable connections to endpoints.
 
 A response on a reused connection could belong to an earlier request. To
 rule that out, the request id in a response is compared with that of the
@@ -13,12 +13,9 @@
 import select
 import socket
 import struct
-import threading
 
-import urllib3
 from urllib3 import connection as urllib3_connection
 
-from carobwood import addresses
 from carobwood import clocks
 from carobwood import errors
 
@@ -26,9 +23,6 @@
 
 from . import bounded_reader
 
-# A connection is made within milliseconds. If it takes longer, the endpoint
-# is down or the first packet was lost, and another endpoint responds sooner.
-CONNECT_TIMEOUT_SECONDS = 0.15
 # A connection ends if sent bytes, keep-alive probes included, are not
 # acknowledged in this time. A sound endpoint may be silent for a second or so,
 # which must not end a request; an idle connection is replaced at no cost.
@@ -38,13 +32,6 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 # Unacknowledged probes after which a connection is closed.
 KEEPALIVE_PROBES = 3
-# Idle time after which a connection is not reused.
-MAX_IDLE_SECONDS = 6.0
-# Fraction of the endpoint's own idle timeout during which a connection is
-# reused, so that the endpoint does not close it while a request is sent.
-IDLE_TIMEOUT_SHARE = 0.6
-# Idle connections that are kept per endpoint.
-MAX_IDLE_PER_ADDRESS = 16
 
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -56,12 +43,11 @@
 ]
 # Value of SO_LINGER with which closing a connection resets it.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-# What making a connection, and reading from or writing to it, can raise.
-_CONNECT_FAILURES = (OSError, urllib3.exceptions.HTTPError)
+# What reading from or writing to a connection can raise.
+_IO_FAILURES = (http.client.HTTPException, OSError, ValueError, EOFError)
 # Bounds of a response's head, interim responses included.
 MAX_HEAD_SECONDS = 5.0
 MAX_HEAD_BYTES = 256 * 1024
-_IO_FAILURES = (http.client.HTTPException, OSError, ValueError, EOFError)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -341,137 +327,6 @@
             return True
 
 
-class ConnectionPool:
-    """Idle connections to endpoints, by address."""
-
-    def __init__(self, clock=clocks.now, on_result=None):
-        """Create an empty pool.
-
-        Args:
-            clock: function that returns the monotonic time in seconds.
-            on_result: called with an address and whether a new connection to
-                it was made, or None.
-        """
-        self._clock = clock
-        self._on_result = on_result or (lambda address, is_made: None)
-        self._lock = threading.Lock()
-        # Lists of (expiry time, connection), most recently used last.
-        self._idle_by_address = {}
-
-    def acquire(
-        self, address, may_reuse=True, timeout=CONNECT_TIMEOUT_SECONDS
-    ):
-        """Return a connection, an idle one if one is reusable.
-
-        Args:
-            address: ``host:port`` of the endpoint.
-            may_reuse: whether an idle connection may be reused.
-            timeout: seconds in which a new connection must be made.
-
-        Returns:
-            The ``EndpointConnection``.
-
-        Raises:
-            EndpointUnreachable: no connection could be made.
-        """
-        while may_reuse:
-            upstream = self._take_idle(address)
-            if upstream is None:
-                break
-            if upstream.is_reusable():
-                upstream.set_idle(False)
-                upstream.is_new = False
-                return upstream
-            upstream.close()
-        return self.connect(address, timeout)
-
-    def connect(self, address, timeout):
-        """Return a new connection; see ``acquire``."""
-        try:
-            connection = _connect(address, timeout)
-        except errors.EndpointUnreachable:
-            self._on_result(address, False)
-            raise
-        self._on_result(address, True)
-        return connection
-
-    def release(self, address, upstream, idle_seconds):
-        """Keep a connection for reuse, or close it if it is not reusable.
-
-        Args:
-            address: ``host:port`` of the endpoint.
-            upstream: the ``EndpointConnection``, whose response was read to
-                its end.
-            idle_seconds: the endpoint's own idle timeout, or None if it
-                announced none.
-        """
-        limit = MAX_IDLE_SECONDS
-        if idle_seconds is not None:
-            limit = min(limit, idle_seconds * IDLE_TIMEOUT_SHARE)
-        if limit <= 0 or not upstream.is_reusable():
-            upstream.close()
-            return
-        upstream.set_idle(True)
-        expires_at = self._clock() + limit
-        with self._lock:
-            idle = self._idle_by_address.setdefault(address, [])
-            idle.append((expires_at, upstream))
-            surplus = idle[:-MAX_IDLE_PER_ADDRESS]
-            del idle[:-MAX_IDLE_PER_ADDRESS]
-        for _, oldest in surplus:
-            oldest.close()
-
-    def close_idle(self, address):
-        """Close the idle connections to an address."""
-        with self._lock:
-            idle = self._idle_by_address.pop(address, [])
-        for _, upstream in idle:
-            upstream.close()
-
-    def close_expired(self):
-        """Close the connections whose idle time has expired."""
-        now = self._clock()
-        expired = []
-        with self._lock:
-            for address, idle in list(self._idle_by_address.items()):
-                expired += [entry for entry in idle if entry[0] <= now]
-                remaining = [entry for entry in idle if entry[0] > now]
-                self._idle_by_address[address] = remaining
-                if not remaining:
-                    del self._idle_by_address[address]
-        for _, upstream in expired:
-            upstream.close()
-
-    def _take_idle(self, address):
-        now = self._clock()
-        with self._lock:
-            idle = self._idle_by_address.get(address)
-            while idle:
-                expires_at, upstream = idle.pop()
-                if expires_at > now:
-                    return upstream
-                upstream.close()
-        return None
-
-
-def _connect(address, timeout):
-    parsed = addresses.parse_address(address)
-    connection = urllib3_connection.HTTPConnection(
-        parsed.host,
-        parsed.port,
-        timeout=timeout,
-        socket_options=SOCKET_OPTIONS,
-    )
-    try:
-        connection.connect()
-    except _CONNECT_FAILURES as error:
-        connection.close()
-        raise errors.EndpointUnreachable(
-            f'connecting to the endpoint failed: {type(error).__name__}'
-        ) from error
-    return EndpointConnection(parsed, connection.sock)
-
-
 def is_closed_by_peer(sock):
     """Tell whether the peer of a socket has closed the connection."""
     try:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -7,8 +7,8 @@
 from ..routing import prefix_cache_index
 
 from . import configuration_store
+from . import connection_pool
 from . import endpoint_availability
-from . import endpoint_connections
 from . import endpoint_health
 from . import endpoint_rate_limits
 from . import endpoint_reachability
@@ -61,7 +61,7 @@
     rate_limits: endpoint_rate_limits.EndpointRateLimits
     reachability: endpoint_reachability.EndpointReachability
     peers: forwarding_peers.ForwardingPeers
-    pool: endpoint_connections.ConnectionPool
+    pool: connection_pool.ConnectionPool
     kv_stores: kv_stores.KvStores
     past_usage_table: past_usage.PastUsageTable
     metrics: metric_clients.PrometheusMetrics
@@ -131,7 +131,7 @@
         endpoint_rate_limits.EndpointRateLimits(request_permit, metrics.count),
         reachability,
         peers,
-        endpoint_connections.ConnectionPool(on_result=reachability.note),
+        connection_pool.ConnectionPool(on_result=reachability.note),
         kv_stores.KvStores(dialect),
         past_usage_table,
         metrics,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -7,8 +7,8 @@
 
 from .membership import leaving_confirmation
 from .relay import admission
+from .relay import connection_pool
 from .relay import control_operations
-from .relay import endpoint_connections
 from .relay import fleet_loads
 from .relay import fleet_retry_budget
 from .relay import forwarding_headers
@@ -191,7 +191,7 @@
             vm_forwarder.VmForwarder(
                 context,
                 shared.peers,
-                endpoint_connections.ConnectionPool(),
+                connection_pool.ConnectionPool(),
                 self._settings.link_secret,
             ),
         )
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -5,6 +5,7 @@
 import threading
 
 from carobwood import errors
+from carobwood_daemon.relay import connection_pool
 from carobwood_daemon.relay import endpoint_connections
 import pytest
 
@@ -84,7 +85,7 @@
     server = ScriptedServer(
         response, response, response, closes_connection=False
     )
-    pool = endpoint_connections.ConnectionPool()
+    pool = connection_pool.ConnectionPool()
     for _ in range(3):
         connection, status, _ = _send_and_read_head(pool, server)
         assert (status, _read_body(connection)) == (200, b'ok')
@@ -96,7 +97,7 @@
 def test_end_of_body_with_length_is_known_without_another_read():
     server = ScriptedServer(RESPONSE, closes_connection=False)
     connection, _, _ = _send_and_read_head(
-        endpoint_connections.ConnectionPool(), server
+        connection_pool.ConnectionPool(), server
     )
     assert connection.read_available(TIMEOUT_SECONDS) == b'ok'
     assert connection.is_complete
@@ -107,7 +108,7 @@
         RESPONSE + b'HTTP/1.1 200 OK\r\n', closes_connection=False
     )
     connection, _, _ = _send_and_read_head(
-        endpoint_connections.ConnectionPool(), server
+        connection_pool.ConnectionPool(), server
     )
     assert _read_body(connection) == b'ok'
     assert not connection.is_reusable()
@@ -119,7 +120,7 @@
     )
     server = ScriptedServer(late_response + RESPONSE, closes_connection=False)
     connection, _, headers = _send_and_read_head(
-        endpoint_connections.ConnectionPool(), server
+        connection_pool.ConnectionPool(), server
     )
     assert headers['id'] == '1'
     assert _read_body(connection) == b'no'
@@ -131,7 +132,7 @@
 def test_truncated_body_raises_endpoint_failed():
     server = ScriptedServer(RESPONSE[:-1])
     connection, _, _ = _send_and_read_head(
-        endpoint_connections.ConnectionPool(), server
+        connection_pool.ConnectionPool(), server
     )
     assert connection.read_available(TIMEOUT_SECONDS) == b'o'
     with pytest.raises(errors.EndpointFailed):
@@ -140,7 +141,7 @@
 
 def test_reset_during_body_raises_endpoint_failed():
     listener = socket.create_server(('127.0.0.1', 0))
-    pool = endpoint_connections.ConnectionPool()
+    pool = connection_pool.ConnectionPool()
     connection = pool.acquire('127.0.0.1:%d' % listener.getsockname()[1])
     server, _ = listener.accept()
     connection.send(REQUEST, TIMEOUT_SECONDS)
@@ -169,7 +170,7 @@
 
 def test_malformed_response_raises_endpoint_failed():
     server = ScriptedServer(b'what?\r\n\r\n')
-    connection = endpoint_connections.ConnectionPool().acquire(server.address)
+    connection = connection_pool.ConnectionPool().acquire(server.address)
     connection.send(REQUEST, TIMEOUT_SECONDS)
     with pytest.raises(errors.EndpointFailed):
         connection.read_head('POST', TIMEOUT_SECONDS)
@@ -177,7 +178,7 @@
 
 def test_connection_closed_by_endpoint_is_not_reused():
     server = ScriptedServer(RESPONSE, RESPONSE)
-    pool = endpoint_connections.ConnectionPool()
+    pool = connection_pool.ConnectionPool()
     for _ in range(2):
         connection, _, _ = _send_and_read_head(pool, server)
         _read_body(connection)
@@ -192,7 +193,7 @@
 
 def test_connection_with_zero_idle_timeout_is_not_kept():
     server = ScriptedServer(RESPONSE, closes_connection=False)
-    pool = endpoint_connections.ConnectionPool()
+    pool = connection_pool.ConnectionPool()
     connection, _, _ = _send_and_read_head(pool, server)
     _read_body(connection)
     pool.release(server.address, connection, 0.0)
@@ -201,7 +202,7 @@
 
 def test_wait_ends_when_the_caller_disconnects():
     server = ScriptedServer(RESPONSE, closes_connection=False)
-    connection = endpoint_connections.ConnectionPool().acquire(server.address)
+    connection = connection_pool.ConnectionPool().acquire(server.address)
     caller_socket, client_socket = socket.socketpair()
     client_socket.close()
     assert (
@@ -212,7 +213,7 @@
 
 def test_wait_continues_when_the_caller_sends_bytes():
     server = ScriptedServer(RESPONSE, closes_connection=False)
-    connection = endpoint_connections.ConnectionPool().acquire(server.address)
+    connection = connection_pool.ConnectionPool().acquire(server.address)
     caller_socket, client_socket = socket.socketpair()
     client_socket.sendall(b'next')
     connection.send(REQUEST, TIMEOUT_SECONDS)
@@ -227,7 +228,7 @@
         unused.bind(('127.0.0.1', 0))
         address = '127.0.0.1:%d' % unused.getsockname()[1]
         with pytest.raises(errors.EndpointUnreachable):
-            endpoint_connections.ConnectionPool().acquire(address)
+            connection_pool.ConnectionPool().acquire(address)
 
 
 LATE_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate'
@@ -236,7 +237,7 @@
 def test_a_late_response_is_skipped_before_the_next_one():
     server = ScriptedServer(LATE_RESPONSE + RESPONSE, closes_connection=False)
     connection, _, _ = _send_and_read_head(
-        endpoint_connections.ConnectionPool(), server
+        connection_pool.ConnectionPool(), server
     )
     connection.skip_body(TIMEOUT_SECONDS, 100)
     status, _ = connection.read_head('POST', TIMEOUT_SECONDS)
@@ -282,7 +283,7 @@
 def test_a_head_without_end_is_given_up(monkeypatch, head, repeated, pause):
     monkeypatch.setattr(endpoint_connections, 'MAX_HEAD_SECONDS', 0.2)
     server = EndlessServer(head, repeated, pause)
-    connection = endpoint_connections.ConnectionPool().acquire(server.address)
+    connection = connection_pool.ConnectionPool().acquire(server.address)
     connection.send(REQUEST, TIMEOUT_SECONDS)
     with pytest.raises(errors.EndpointFailed):
         connection.read_head('POST', TIMEOUT_SECONDS)
@@ -296,7 +297,7 @@
 def test_a_late_body_without_end_is_given_up(repeated, pause):
     server = EndlessServer(b'HTTP/1.1 200 OK\r\n\r\n', repeated, pause)
     connection, _, _ = _send_and_read_head(
-        endpoint_connections.ConnectionPool(), server
+        connection_pool.ConnectionPool(), server
     )
     with pytest.raises(errors.EndpointFailed):
         connection.skip_body(0.2, 1024 * 1024)
@@ -309,7 +310,7 @@
     # their sender has reset the connection.
     with socket.create_server(('127.0.0.1', 0)) as listener:
         address = '127.0.0.1:%d' % listener.getsockname()[1]
-        connection = endpoint_connections.ConnectionPool().acquire(address)
+        connection = connection_pool.ConnectionPool().acquire(address)
         peer, _ = listener.accept()
         with peer:
             peer.settimeout(10.0)
@@ -325,7 +326,7 @@
 def test_a_connection_that_has_served_its_request_is_closed_in_order():
     with socket.create_server(('127.0.0.1', 0)) as listener:
         address = '127.0.0.1:%d' % listener.getsockname()[1]
-        connection = endpoint_connections.ConnectionPool().acquire(address)
+        connection = connection_pool.ConnectionPool().acquire(address)
         peer, _ = listener.accept()
         with peer:
             peer.settimeout(10.0)
@@ -350,7 +351,7 @@
     # acknowledgement, keep-alive probes included.
     with socket.create_server(('127.0.0.1', 0)) as listener:
         address = '127.0.0.1:%d' % listener.getsockname()[1]
-        pool = endpoint_connections.ConnectionPool()
+        pool = connection_pool.ConnectionPool()
         connection = pool.acquire(address)
         peer, _ = listener.accept()
         with peer:
