--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -26,7 +26,7 @@
 RETURN_SECONDS = 0.02
 # Bound of a body that is read whole before it is sent to the caller.
 MAX_BODY_BYTES = 32 * 1024 * 1024
-# Errors with which a VM takes a request at all, so that another one may.
+# Errors of a VM that has not taken a request at all, so that another one may.
 _NOT_TAKEN_CODES = frozenset(
     error.code
     for error in (errors.NoEndpointReachable, errors.Stopping, errors.VmBusy)
