--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -256,6 +256,14 @@
         lines = self.engine_record.read_text().splitlines()
         return [line.split()[3] for line in lines]
 
+    def run_times(self):
+        """Return the monotonic time of the first run of each request."""
+        times_by_id = {}
+        for line in self.engine_record.read_text().splitlines():
+            ran_at, _, _, request_id = line.split()[:4]
+            times_by_id.setdefault(request_id, float(ran_at))
+        return times_by_id
+
     def await_ready(self, front, timeout=15.0):
         """Wait until a front says that it is ready."""
         ends_at = time.monotonic() + timeout
