Show that waiting requests lose their cache salt with their service

Cause: the selector looks up the service of a waiting request in the newest configuration. One that is no longer listed counts as a plain service, whose requests carry no cache salt.

--- a/review/standins/configurations.py
+++ b/review/standins/configurations.py
@@ -45,3 +45,49 @@
         'resumable': False,
         **fields,
     }
+
+
+def model_service(name, model):
+    """Return a service of model engines, as on the sheet of tussock-camps."""
+    return {
+        **plain_service(name, 360),
+        'engine': {
+            'slots': 64,
+            'kv_capacity': 114649,
+            'kv_token_bytes': 163840,
+            'bandwidth_mbps': 180000.0,
+            'moves': True,
+            'backups': True,
+            'stride': 4,
+            'max_inflight': 12,
+            'pin_ms': 4000.0,
+            'hold_ms': 2000.0,
+            'handle_s': 5.0,
+            'models': [{'name': model}],
+        },
+    }
+
+
+def stream_route(name, service, prefix, timeout_ms=15000):
+    """Return a route of streams to a service of model engines."""
+    return {
+        **route(name, service, 'streaming', prefix, timeout_ms),
+        'host': 'galley.example',
+        'priority': 1,
+        'sticky': True,
+        'gap_aim_ms': 300,
+    }
+
+
+def tenant(name, key, is_isolated=False):
+    """Return a tenant without a limit."""
+    return {
+        'name': name,
+        'api_keys': [key],
+        'priority': 1,
+        'unit': 'tokens',
+        'plain_tokens': 200,
+        'isolated': is_isolated,
+        'rate_per_s': 0,
+        'burst': 0,
+    }
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -32,6 +32,10 @@
         with self._lock, open(self._record_path, 'a') as file:
             print(f'{time.monotonic():.3f} {self.id} {text}', file=file)
 
+    def description(self):
+        """Return further fields of the heartbeats."""
+        return {'slots': 6}
+
     def announce(self):
         """Send heartbeats for ever, to the next control address on failure."""
         number = 0
@@ -43,11 +47,11 @@
                 'address': self.address,
                 'zone': self.zone,
                 'version': 'v1',
-                'slots': 6,
                 'state': 'ready',
                 'cold_left_ms': 0,
                 'seq_no': number,
                 'born': self.born,
+                **self.description(),
             }
             for _ in self.controls:
                 status, _ = fleet.call(
@@ -84,13 +88,17 @@
         if not request_id:
             self._answer(400, b'', {'X-Carobwood-Not-Run': '1'})
             return
+        self.run(request_id, body)
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_any
+
+    def run(self, request_id, body):
+        """Run a request and answer it."""
         self.engine.note(f'runs {request_id} {self.command} {self.path}')
         time.sleep(self.engine.work_seconds)
         answer = f'{request_id} {len(body)}'.encode()
         self._answer(200, answer, {'X-Carobwood-Response-Stamp': 'stamp'})
 
-    do_GET = do_POST = do_PUT = do_DELETE = handle_any
-
     def _answer(self, status, body, headers=None):
         self.send_response(status)
         request_id = self.headers.get('X-Carobwood-Request-Id')
@@ -114,15 +122,19 @@
     request_queue_size = 512
 
 
-def main():
-    """Announce the engine and serve its requests."""
-    engine = Engine(sys.argv[1:])
-    Handler.engine = engine
+def serve(engine, handler):
+    """Announce an engine and serve its requests with a handler class."""
+    handler.engine = engine
     host, _, port = engine.address.partition(':')
-    server = Server((host, int(port)), Handler)
+    server = Server((host, int(port)), handler)
     threading.Thread(target=engine.announce, daemon=True).start()
     server.serve_forever()
 
 
+def main():
+    """Announce the engine and serve its requests."""
+    serve(Engine(sys.argv[1:]), Handler)
+
+
 if __name__ == '__main__':
     main()
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -232,17 +232,24 @@
             machine.start()
 
     def start_engine(self, service, number, work_seconds=0.02):
-        """Start a stand-in of an engine."""
+        """Start a stand-in of an engine of a plain service."""
+        return self._start_engine('engine.py', service, number, work_seconds)
+
+    def start_model_engine(self, service, number, slots=64):
+        """Start a stand-in of a model engine."""
+        return self._start_engine('model_engine.py', service, number, slots)
+
+    def _start_engine(self, program, service, number, work):
         address = f'{self.network}.{200 + number}:{self.ports["engine"]}'
         command = [
             sys.executable,
-            str(pathlib.Path(__file__).with_name('engine.py')),
+            str(pathlib.Path(__file__).with_name(program)),
             address,
             service,
             ZONES[(number - 1) % len(ZONES)],
             f'i-{service}-{number}',
             '1.2',
-            str(work_seconds),
+            str(work),
             str(self.engine_record),
             *(core.address('control') for core in self.cores),
         ]
