Show that proper requests are denied after a route is removed

Cause: an error that comes before the body of a request is read leaves a chunked body on the connection. It is taken for the next request, whose answer, 400, the client takes for that to its next request.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,14 @@
-"""A tenant's prompt is answered from KV cache of an isolated tenant.
+"""Proper requests are answered 400 after a 404 on the same connection.
 
-Requests wait for memory of the engines of a service when a new configuration
-moves their route to another service and no longer names theirs. They are then
-sent to their engines as if these were no model engines: without a cache salt.
+A configuration removes a route. A request on it is answered 404 before its body
+is read. The front leaves a chunked body on the connection, takes it for the next
+request, and answers that with 400. The client takes this for the answer to its
+next request, a proper one, which is not read.
 """
 
+import dataclasses
 import pathlib
+import socket
 import sys
 import threading
 import time
@@ -15,24 +18,64 @@
 
 import configurations  # noqa: E402
 import fleet as fleets  # noqa: E402
-import model_client  # noqa: E402
 
-MODEL = model_client.MODEL
-SHARED_PART = model_client.Part('5c1e07a2', 6300)
-OWN_TOKENS = 8000
-# Requests that fill the memory of the only engine, and their lengths: they
-# end one after the other.
-BUSY_REQUESTS = 11
-FIRST_OUTPUT_TOKENS = 100
-MORE_OUTPUT_TOKENS = 20
-KEYS_BY_TENANT = {'plain-a': 'key-a', 'walled': 'key-w', 'plain-b': 'key-b'}
-WALLED = 'walled'
+CLIENTS = 20
+# Time between an answer and the next request of a client.
+IDLE_SECONDS = 0.8
+RUN_SECONDS = 20.0
+CHANGE_AT_SECONDS = 6.0
+DEADLINE_SECONDS = 3.0
+ROUTES = ('orders', 'status')
+# The rule: "more than 5 + one in 500 of all requests".
+ALLOWED = 5
+ALLOWED_SHARE = 1 / 500
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """A request on a route, and the status of its answer, or None."""
+
+    sent_at: float
+    request_id: str
+    route: str
+    status: int | None
+
+
+class Client(threading.Thread):
+    """A client that uses the routes in turn, on one connection."""
+
+    def __init__(self, number, address, began_at, results):
+        super().__init__(daemon=True)
+        self._number = number
+        self._address = address
+        self._began_at = began_at
+        self._results = results
+
+    def run(self):
+        """Send requests until the end."""
+        time.sleep(IDLE_SECONDS * self._number / CLIENTS)
+        connection = None
+        count = 0
+        while time.monotonic() < self._began_at + RUN_SECONDS:
+            count += 1
+            route = ROUTES[count % len(ROUTES)]
+            if connection is None:
+                connection = socket.create_connection(self._address, 1.0)
+                connection.settimeout(DEADLINE_SECONDS)
+            request_id = f'r-{self._number}-{count}'
+            sent_at = time.monotonic() - self._began_at
+            status, is_kept = _exchange(connection, request_id, route)
+            self._results.append(Result(sent_at, request_id, route, status))
+            if not is_kept:
+                connection.close()
+                connection = None
+            time.sleep(IDLE_SECONDS)
 
 
 def main():
     record = fleets.Record(HERE / 'record.txt')
     try:
-        with fleets.Fleet(record, cores=3, fronts=1) as fleet:
+        with fleets.Fleet(record, cores=3, fronts=2) as fleet:
             return run(fleet, record)
     except fleets.CannotRun as error:
         record(f'the case could not run: {error}')
@@ -43,73 +86,111 @@
     operator = fleets.Operator(record)
     fleet.start()
     fleet.await_leader()
-    services = ['galley-1', 'galley-2']
-    operator.put_until_acked(
-        fleet.cores, _configuration(1, 'galley-1', services)
-    )
-    fleet.start_model_engine('galley-1', 1)
-    fleet.start_model_engine('galley-2', 2)
-    fleet.await_ready(fleet.fronts[0])
+    operator.put_until_acked(fleet.cores, _configuration(1, ROUTES))
+    for number in (1, 2, 3):
+        fleet.start_engine('stores', number)
+    for front in fleet.fronts:
+        fleet.await_ready(front)
     time.sleep(4.0)
-    front = fleet.fronts[0]
-    threads = [
-        _send(
-            record,
-            front,
-            f'busy-{number}',
-            'plain-a',
-            FIRST_OUTPUT_TOKENS + MORE_OUTPUT_TOKENS * number,
+    began_at = time.monotonic()
+    results = []
+    clients = []
+    for number in range(CLIENTS):
+        front = fleet.fronts[number % len(fleet.fronts)]
+        host, _, port = front.address('front').partition(':')
+        clients.append(
+            Client(number, (host, int(port)), began_at, results)
         )
-        for number in range(BUSY_REQUESTS)
-    ]
-    time.sleep(1.0)
-    threads.append(_send(record, front, 'walled-1', WALLED, 40))
-    time.sleep(0.1)
-    threads.append(_send(record, front, 'other-1', 'plain-b', 40))
-    time.sleep(0.4)
+    for client in clients:
+        client.start()
     if fleets.TROUBLE:
-        operator.put_until_acked(
-            fleet.cores, _configuration(2, 'galley-2', services[1:])
-        )
-    for thread in threads:
-        thread.join()
-    return model_client.check_walls(fleet, record, {WALLED})
+        time.sleep(CHANGE_AT_SECONDS)
+        operator.put_until_acked(fleet.cores, _configuration(2, ROUTES[:1]))
+    for client in clients:
+        client.join()
+    return _check(fleet, results, record)
 
 
-def _configuration(version, service, services):
+def _configuration(version, route_names):
+    routes = [
+        configurations.route(name, 'stores', 'unsafe', f'/{name}/')
+        for name in route_names
+    ]
     return configurations.configuration(
-        version,
-        [configurations.stream_route('costing', service, '/costing/')],
-        [configurations.model_service(name, MODEL) for name in services],
-        [
-            configurations.tenant(name, key, name == WALLED)
-            for name, key in KEYS_BY_TENANT.items()
-        ],
+        version, routes, [configurations.plain_service('stores')]
     )
 
 
-def _send(record, front, request_id, tenant, output_tokens):
-    """Send a request on a thread of its own; return the thread."""
-    shared_part = SHARED_PART
-    if request_id.startswith('busy'):
-        # The requests that fill the memory share no part with the others.
-        part_id = f'91bd{request_id.encode().hex()}'
-        shared_part = model_client.Part(part_id, SHARED_PART.tokens)
-    own_part = model_client.Part(request_id.encode().hex(), OWN_TOKENS)
-    request = model_client.Request(
-        request_id,
-        tenant,
-        KEYS_BY_TENANT[tenant],
-        (shared_part, own_part),
-        output_tokens,
+def _exchange(connection, request_id, route):
+    """Send a request; return its status and whether to keep the connection."""
+    head = (
+        f'POST /{route}/1 HTTP/1.1\r\n'
+        'Host: stores.example\r\n'
+        f'X-Carobwood-Request-Id: {request_id}\r\n'
+        f'X-Carobwood-Deadline-Ms: {int(1000 * DEADLINE_SECONDS)}\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
     )
-    thread = threading.Thread(
-        target=model_client.exchange,
-        args=(record, front, request),
-        daemon=True,
+    try:
+        connection.sendall(head.encode() + b'5\r\nhello\r\n0\r\n\r\n')
+        answer = _read_answer(connection)
+    except OSError:
+        return None, False
+    if not answer:
+        return None, False
+    is_kept = b'connection: close' not in answer.lower()
+    return int(answer.split()[1]), is_kept
+
+
+def _read_answer(connection):
+    """Return the bytes of one answer, or none if the connection ended."""
+    answer = b''
+    while True:
+        head, separator, body = answer.partition(b'\r\n\r\n')
+        if separator:
+            length = _content_length(head)
+            if len(body) >= length:
+                return head + separator + body[:length]
+        data = connection.recv(1)
+        if not data:
+            return b''
+        answer += data
+
+
+def _content_length(head):
+    for line in head.lower().split(b'\r\n'):
+        name, _, value = line.partition(b':')
+        if name == b'content-length':
+            return int(value)
+    return 0
+
+
+def _check(fleet, results, record):
+    """Count the requests on the route that all configurations have."""
+    for result in sorted(results, key=lambda r: r.sent_at):
+        record(
+            f'{result.request_id} on {result.route} sent at '
+            f'{result.sent_at:.2f} s: {result.status}'
+        )
+    runs = set(fleet.run_times())
+    denied = [
+        r
+        for r in results
+        if r.route == ROUTES[0]
+        and r.status is not None
+        and 300 <= r.status < 500
+        and r.status not in (408, 421, 429)
+    ]
+    not_run = [r for r in denied if r.request_id not in runs]
+    allowed = ALLOWED + ALLOWED_SHARE * len(results)
+    record(
+        f'{len(results)} requests; {len(denied)} on {ROUTES[0]} ended with '
+        f'4xx, {len(not_run)} of them never ran; allowed: {allowed:.1f}'
     )
-    thread.start()
-    return thread
+    if len(denied) > allowed:
+        record('proper requests are denied: RULE BROKEN')
+        return 1
+    record('the rule held')
+    return 0
 
 
 if __name__ == '__main__':
