--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -239,8 +239,12 @@
         """Start a stand-in of a model engine."""
         return self._start_engine('model_engine.py', service, number, slots)
 
+    def engine_address(self, number):
+        """Return the address of an engine."""
+        return f'{self.network}.{200 + number}:{self.ports["engine"]}'
+
     def _start_engine(self, program, service, number, work):
-        address = f'{self.network}.{200 + number}:{self.ports["engine"]}'
+        address = self.engine_address(number)
         command = [
             sys.executable,
             str(pathlib.Path(__file__).with_name(program)),
