Count only entries on disk as stored, also after they were replaced

Cause: Replica.durable_index was a number beside the log. It was not lowered when a new leader replaced the entries of a deposed one. When that replica led again with a shorter log, the flusher wrote nothing and the commit rule counted its disk: one disk of three held the entry.

Change: the log derives durable_index from the entries that are not written yet. The same cause elsewhere: entries replaced during a sync counted as durable; the stored commit index and the stored base could cover entries whose replacement failed to be written. Files and messages keep their formats.

Ruled out: acknowledgement before the sync; a torn end of the file.

--- a/packages/carobwood-daemon/carobwood_daemon/replication/disk_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/disk_log.py
@@ -83,7 +83,8 @@
         self._folder = folder
         self._segment_bytes = segment_bytes
         self._staged = []
-        self._durable_position = log.Position(0, 0)
+        # The staged entries that a flush is writing.
+        self._in_flush = []
         self._last_index_by_segment = {}
         self._segment_number = 1
         self._recover()
@@ -92,6 +93,15 @@
             self._segment_path(self._segment_number)
         )
 
+    @property
+    def durable_index(self):
+        """See ``Log``."""
+        with self._lock:
+            unwritten = [e.index for e in self._in_flush + self._staged]
+            if not unwritten:
+                return self.last.index
+            return max(self._base.index, min(unwritten) - 1)
+
     def flush(self):
         """Write the staged entries as one frame and sync it.
 
@@ -99,41 +109,55 @@
         """
         with self._flush_lock:
             with self._lock:
-                staged = self._staged
+                entries = self._staged
+                self._in_flush = entries
                 self._staged = []
                 commit_index = self.commit_index
-                last = self.last
-            if not staged:
-                return self._durable_position
-            try:
-                self._append_batch(Batch(tuple(staged), commit_index))
-            except errors.DiskWriteFailed:
-                with self._lock:
-                    self._staged = staged + self._staged
-                raise
-            self._durable_position = last
-            self._last_index_by_segment[self._segment_number] = max(
-                staged[-1].index,
-                self._last_index_by_segment.get(self._segment_number, 0),
-            )
-            return last
+            if entries:
+                self._write_entries(entries, commit_index)
+            with self._lock:
+                index = self.durable_index
+                return log.Position(index, self.term_at(index))
 
     def store_commit(self):
-        """See ``Log``."""
+        """See ``Log``.
+
+        The stored index covers no entry that is not written, or a start
+        would take entries that were replaced for committed ones.
+        """
         with self._flush_lock:
-            self._append_batch(Batch((), self.commit_index))
+            commit_index = min(self.commit_index, self.durable_index)
+            self._append_batch(Batch((), commit_index))
 
     def close(self):
         """See ``Log``."""
         with self._flush_lock:
             self._segment_file.close()
 
+    def _write_entries(self, entries, commit_index):
+        try:
+            self._append_batch(Batch(tuple(entries), commit_index))
+        except errors.DiskWriteFailed:
+            with self._lock:
+                self._staged = entries + self._staged
+                self._in_flush = []
+            raise
+        with self._lock:
+            self._in_flush = []
+        self._last_index_by_segment[self._segment_number] = max(
+            entries[-1].index,
+            self._last_index_by_segment.get(self._segment_number, 0),
+        )
+
     def _stage(self, entry):
         self._staged.append(
             StoredEntry(entry.index, entry.term, entry.payload)
         )
 
     def _persist_base(self, position):
+        # A base above entries that are not written would leave the entries
+        # that they replace behind it.
+        self.flush()
         if self._synced_bytes >= self._segment_bytes:
             self._start_next_segment()
         first = self._first_segment_above(position.index)
@@ -146,7 +170,6 @@
         self._write_base(position, self._segment_number)
         self._delete_segments_below(self._segment_number)
         self.commit_index = max(self.commit_index, position.index)
-        self._durable_position = position
 
     def _start_next_segment(self):
         # The file is created and the folder synced before the lock is
@@ -229,7 +252,6 @@
             self._load_segment(number, number == written[-1])
         self._segment_number = numbers[-1] if numbers else base.first_segment
         self.commit_index = max(self.commit_index, base.index)
-        self._durable_position = self.last
         if not numbers:
             self._open_segment(self._segment_number).close()
             data_folder.sync_folder(self._folder.path)
--- a/packages/carobwood-daemon/carobwood_daemon/replication/flusher.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/flusher.py
@@ -34,14 +34,13 @@
                 if replica.stopped:
                     return
             try:
-                position = replica.log.flush()
+                replica.log.flush()
             except errors.DiskWriteFailed as error:
                 self._handle_failed_flush(error)
                 continue
             with replica.changed:
                 replica.disk_failed = False
                 if replica.is_leader:
-                    replica.durable_index = position.index
                     replica.advance_commit_index()
 
     def _needs_flush(self):
@@ -50,7 +49,7 @@
             return True
         if not replica.is_leader:
             return False
-        return replica.log.last.index > replica.durable_index
+        return replica.log.last.index > replica.log.durable_index
 
     def _handle_failed_flush(self, error):
         replica = self._replica
--- a/packages/carobwood-daemon/carobwood_daemon/replication/log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/log.py
@@ -60,6 +60,14 @@
             entry = self._entries[-1]
             return Position(entry.index, entry.term)
 
+    @property
+    @abc.abstractmethod
+    def durable_index(self):
+        """Highest index up to which storage holds the entries read here.
+
+        It falls when entries that storage holds are replaced.
+        """
+
     def term_at(self, index):
         """Return the term of an entry, or None if it is not in the log.
 
@@ -145,7 +153,8 @@
         """Make all appended entries durable.
 
         Returns:
-            Position of the last durable entry.
+            Position of the last durable entry; entries that were appended
+            meanwhile may follow it.
 
         Raises:
             DiskWriteFailed: storage reported an error; the next flush
@@ -189,6 +198,11 @@
 class MemoryLog(Log):
     """A log that is lost when the process ends."""
 
+    @property
+    def durable_index(self):
+        """See ``Log``."""
+        return self.last.index
+
     def flush(self):
         """Return the last position; nothing has to be written."""
         return self.last
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
@@ -85,7 +85,6 @@
         election_timeout_at: monotonic time of the next election timeout.
         commit_index: highest index known to be committed.
         applied_index: highest index applied to the state machine.
-        durable_index: as leader, highest index in the own durable log.
         disk_failed: whether the last flush of the log failed.
         transferring: whether leadership is being transferred; meanwhile
             proposals are refused and there is no lease.
@@ -120,7 +119,6 @@
         self.election_timeout_at = 0.0
         self.commit_index = log.base.index
         self.applied_index = log.base.index
-        self.durable_index = log.last.index
         self.disk_failed = False
         self.transferring = False
         self.progress_by_id = {}
@@ -385,7 +383,6 @@
             self._membership_by_index = {position.index: membership}
             self.commit_index = position.index
             self.applied_index = position.index
-            self.durable_index = position.index
             self.notify_all_waiting()
 
     def become_follower(self, term):
@@ -451,7 +448,7 @@
         matches = []
         for member in self.membership.voters:
             if member.replica_id == self.replica_id:
-                matches.append(self.durable_index)
+                matches.append(self.log.durable_index)
                 continue
             progress = self.progress_by_id.get(member.replica_id)
             matches.append(progress.match_index if progress else 0)
--- /dev/null
+++ b/tests/test_replica_durability.py
@@ -0,0 +1,131 @@
+"""Tests that what a replica counts as stored is on its disk."""
+
+import pytest
+import replication_builders as builders
+
+from carobwood import errors
+from carobwood_daemon.replication import data_folder
+from carobwood_daemon.replication import disk_log
+from carobwood_daemon.replication import flusher
+from carobwood_daemon.replication import log as logs
+
+OTHER = builders.MEMBERS[1]
+
+
+@pytest.fixture
+def folder(tmp_path):
+    """Return an empty data folder."""
+    opened = data_folder.DataFolder(tmp_path)
+    yield opened
+    opened.close()
+
+
+def _depose(replica, term):
+    """Replace all entries of a former leader by one of another leader."""
+    request = builders.append_request(
+        term,
+        OTHER,
+        logs.Position(1, 0),
+        builders.no_operations(2, 1, term),
+    )
+    assert replica.handle_append(request).success
+
+
+def _append(replica):
+    with replica.changed:
+        return replica.append_locked(builders.NO_OPERATION)
+
+
+def _read_back(folder):
+    log = disk_log.DiskLog(folder)
+    entries = log.entries()
+    log.close()
+    return entries
+
+
+# An acknowledged configuration was lost: a leader that had been deposed and
+# led again counted entries as stored that it had not written.
+def test_a_leader_counts_only_written_entries_after_its_own_were_replaced(
+    folder,
+):
+    log = disk_log.DiskLog(folder)
+    log.append([builders.founding_entry()] + builders.no_operations(2, 16, 1))
+    log.flush()
+    replica = builders.build_replica(log)
+    _depose(replica, 2)
+    builders.elect(replica, 3)
+    entry = _append(replica)
+    progress = replica.progress_by_id[OTHER.replica_id]
+    progress.match_index = entry.index
+    with replica.changed:
+        replica.advance_commit_index()
+    assert replica.commit_index < entry.index
+    assert entry not in _read_back(folder)
+    assert flusher.Flusher(replica)._needs_flush()
+    log.flush()
+    with replica.changed:
+        replica.advance_commit_index()
+    assert replica.commit_index == entry.index
+    assert entry in _read_back(folder)
+    log.close()
+
+
+class ReplacingLog(disk_log.DiskLog):
+    """A log whose entries are replaced while they are written."""
+
+    replacement = ()
+
+    def _append_batch(self, batch):
+        super()._append_batch(batch)
+        replacement, self.replacement = self.replacement, ()
+        if replacement:
+            self.append(replacement)
+
+
+def test_entries_that_are_replaced_during_a_write_are_not_durable(folder):
+    log = ReplacingLog(folder)
+    log.append(builders.no_operations(1, 5, 1))
+    log.replacement = builders.no_operations(3, 1, 2)
+    assert log.flush() == logs.Position(2, 1)
+    assert log.durable_index == 2
+    assert log.flush() == logs.Position(3, 2)
+    log.close()
+
+
+class FailingLog(disk_log.DiskLog):
+    """A log that fails to write entries while ``fails`` is set."""
+
+    fails = False
+
+    def _append_batch(self, batch):
+        if self.fails and batch.entries:
+            raise errors.DiskWriteFailed('no space')
+        super()._append_batch(batch)
+
+
+def test_the_stored_commit_index_never_covers_entries_not_written(folder):
+    log = FailingLog(folder)
+    log.append(builders.no_operations(1, 4, 1))
+    log.flush()
+    log.fails = True
+    log.append(builders.no_operations(2, 3, 2))
+    with pytest.raises(errors.DiskWriteFailed):
+        log.flush()
+    log.record_commit(4)
+    log.store_commit()
+    log.close()
+    reopened = disk_log.DiskLog(folder)
+    assert reopened.commit_index <= 1
+    reopened.close()
+
+
+def test_a_compaction_is_stored_only_after_the_entries_it_covers(folder):
+    log = FailingLog(folder)
+    log.append(builders.no_operations(1, 6, 1))
+    log.flush()
+    log.fails = True
+    log.append(builders.no_operations(2, 3, 2))
+    with pytest.raises(errors.DiskWriteFailed):
+        log.compact(logs.Position(3, 2))
+    log.close()
+    assert disk_log.DiskLog(folder).base == logs.Position(0, 0)
--- a/tests/test_replicator.py
+++ b/tests/test_replicator.py
@@ -2,14 +2,12 @@
 
 import threading
 
+import replication_builders as builders
+
 from carobwood.gen.links import ttypes
 from carobwood_daemon.replication import commands
-from carobwood_daemon.replication import data_folder
 from carobwood_daemon.replication import log as logs
-from carobwood_daemon.replication import replica as replicas
 from carobwood_daemon.replication import replicator
-from carobwood_daemon.replication import stable_store
-from carobwood_daemon.replication import timing
 
 OWN = commands.Member('r1', 'vm1', '10.0.0.1:1')
 OTHER = commands.Member('r2', 'vm2', '10.0.0.2:1')
@@ -49,21 +47,8 @@
 
 
 def _leader():
-    log = logs.MemoryLog()
-    change = commands.ChangeVoters((OWN, OTHER), ())
-    log.append([logs.Entry(1, 0, commands.encode(change))])
-    replica = replicas.Replica(
-        data_folder.Identity('r1', 'fleet'),
-        'vm1',
-        OWN.address,
-        log,
-        stable_store.MemoryStableStore(),
-        timing.Timing(),
-    )
-    replica.load_membership(0, replica.membership)
-    with replica.changed:
-        replica.store_hard_state(stable_store.HardState(1, 'r1'))
-        replica.become_leader()
+    replica = builders.build_replica(logs.MemoryLog(), (OWN, OTHER))
+    builders.elect(replica, 1)
     return replica
 
 
