--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
@@ -277,7 +277,7 @@
             results: their results, in the same order.
         """
         with self.changed:
-            self.applied_index = entries[-1].index
+            self.applied_index = max(self.applied_index, entries[-1].index)
             proposals = [
                 self._proposals_by_index.pop(entry.index, None)
                 for entry in entries
@@ -372,17 +372,24 @@
         return ttypes.SnapshotReply(self.term, next_offset)
 
     def install_snapshot(self, position, membership):
-        """Reset the log to a snapshot that the state machine was set to.
+        """Begin the log at a snapshot that the state machine was set to.
+
+        Entries after the snapshot are kept if the log holds the entry at
+        its position: they may have been acknowledged to a newer leader
+        while the snapshot was stored.
 
         Args:
             position: ``Position`` of the snapshot.
             membership: ``LogMembership`` in the snapshot.
         """
         with self.changed:
-            self.log.reset(position)
-            self._membership_by_index = {position.index: membership}
-            self.commit_index = position.index
-            self.applied_index = position.index
+            if self.log.term_at(position.index) == position.term:
+                self.log.compact(position)
+            else:
+                self.log.reset(position)
+            self.load_membership(position.index, membership)
+            self.commit_index = max(self.commit_index, position.index)
+            self.applied_index = max(self.applied_index, position.index)
             self.notify_all_waiting()
 
     def become_follower(self, term):
--- a/tests/replication_builders.py
+++ b/tests/replication_builders.py
@@ -83,3 +83,25 @@
         logs.Entry(first_index + number, term, NO_OPERATION)
         for number in range(count)
     ]
+
+
+def snapshot_request(term, leader, position, data=b'state'):
+    """Return a ``SnapshotRequest`` that holds a whole snapshot.
+
+    Args:
+        term: term of the leader.
+        leader: the ``Member`` that leads.
+        position: ``Position`` of the snapshot.
+        data: the encoded state.
+    """
+    return ttypes.SnapshotRequest(
+        FLEET_ID,
+        term,
+        leader.replica_id,
+        position.index,
+        position.term,
+        0,
+        data,
+        True,
+        None,
+    )
--- a/tests/test_replica_durability.py
+++ b/tests/test_replica_durability.py
@@ -129,3 +129,42 @@
         log.compact(logs.Position(3, 2))
     log.close()
     assert disk_log.DiskLog(folder).base == logs.Position(0, 0)
+
+
+# An acknowledged configuration could be lost: entries that a follower had
+# acknowledged to a new leader were dropped with a former leader's snapshot.
+def test_a_late_snapshot_keeps_the_acknowledged_entries_after_it(folder):
+    log = disk_log.DiskLog(folder)
+    replica = builders.build_replica(log)
+    committed = builders.no_operations(2, 3, 1)
+
+    def install_late(position, data):
+        # A newer leader's entries arrive while the snapshot is stored.
+        newer = builders.no_operations(5, 2, 2)
+        request = builders.append_request(
+            2, OTHER, logs.Position(1, 0), committed + newer, commit_index=5
+        )
+        assert replica.handle_append(request).last_index == 6
+        replica.install_snapshot(position, replica.membership)
+
+    replica.on_snapshot = install_late
+    replica.handle_snapshot(
+        builders.snapshot_request(1, builders.MEMBERS[2], logs.Position(4, 1))
+    )
+    assert replica.log.base == logs.Position(4, 1)
+    assert replica.log.last == logs.Position(6, 2)
+    assert replica.commit_index == 5
+    assert [e.index for e in _read_back(folder)] == [5, 6]
+    log.close()
+
+
+def test_a_snapshot_replaces_entries_that_contradict_it(folder):
+    log = disk_log.DiskLog(folder)
+    replica = builders.build_replica(log)
+    log.append(builders.no_operations(2, 8, 1))
+    log.flush()
+    replica.install_snapshot(logs.Position(4, 2), replica.membership)
+    assert log.last == logs.Position(4, 2)
+    assert log.durable_index == 4
+    assert _read_back(folder) == []
+    log.close()
