Apply what follows a command or a listener that fails

Cause, the second of two: an exception in one command, or in one part that follows the fleet's state, ended the applier's thread for good.

A batch that was interrupted is completed: nothing is applied twice or left out of the deltas. Metrics show what is committed, in force and failed.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
@@ -10,6 +10,7 @@
 from carobwood import clocks
 from carobwood import errors
 from carobwood import events
+from carobwood import threads
 from carobwood.gen.links import ttypes
 
 LONG_POLL_SECONDS = 1.0
@@ -81,13 +82,16 @@
         self._random = random.SystemRandom()
         self._stopped = threading.Event()
         self._is_source_lost = False
+        self._is_bootstrapped = False
         self._hinted = threading.Condition()
         self._hint = None
         self._threads = [
-            threading.Thread(target=target, name=name, daemon=True)
-            for target, name in (
-                (self._run, 'follower'),
-                (self._run_hints, 'follower-hints'),
+            threading.Thread(
+                target=threads.repeat, args=(step,), name=name, daemon=True
+            )
+            for step, name in (
+                (self._follow_next, 'follower'),
+                (self._fetch_next_hint, 'follower-hints'),
             )
         ]
 
@@ -153,20 +157,27 @@
         except errors.LinkFailed:
             replies.put((address, None))
 
-    def _run(self):
-        self._bootstrap()
-        while not self._stopped.is_set():
-            if self._is_member() or self._is_informed():
-                self._source = None
-                self._stopped.wait(RETRY_SECONDS)
-                continue
-            if self._source is None:
-                self._source = self._find_source()
-            if self._source is None:
-                self._stopped.wait(SEARCH_PERIOD_SECONDS)
-            elif not self._follow(self._source):
-                self._source = None
-                self._stopped.wait(RETRY_SECONDS)
+    def _follow_next(self):
+        if self._stopped.is_set():
+            return False
+        if not self._is_bootstrapped:
+            self._bootstrap()
+            self._is_bootstrapped = True
+        elif self._is_member() or self._is_informed():
+            self._source = None
+            self._stopped.wait(RETRY_SECONDS)
+        else:
+            self._follow_source()
+        return True
+
+    def _follow_source(self):
+        if self._source is None:
+            self._source = self._find_source()
+        if self._source is None:
+            self._stopped.wait(SEARCH_PERIOD_SECONDS)
+        elif not self._follow(self._source):
+            self._source = None
+            self._stopped.wait(RETRY_SECONDS)
 
     def _is_informed(self):
         return self._gossip_contact_age() < GOSSIP_CONTACT_SECONDS
@@ -186,24 +197,22 @@
             sources = self._random.sample(addresses, count)
             self._poll_all(sources, BOOTSTRAP_REPLY_SECONDS)
 
-    def _run_hints(self):
-        while not self._stopped.is_set():
-            with self._hinted:
-                self._hinted.wait_for(
-                    lambda: self._hint or self._stopped.is_set()
-                )
-                if self._stopped.is_set():
-                    return
-                (address, version), self._hint = self._hint, None
-            self._stopped.wait(HINT_DELAY_SECONDS)
-            if self._store.version >= version:
-                continue
-            try:
-                self._apply(self._poll(address, 0.0))
-            except errors.LinkFailed as error:
-                events.emit(
-                    events.SOURCE_LOST, address=address, reason=error.detail
-                )
+    def _fetch_next_hint(self):
+        with self._hinted:
+            self._hinted.wait_for(lambda: self._hint or self._stopped.is_set())
+            if self._stopped.is_set():
+                return False
+            (address, version), self._hint = self._hint, None
+        self._stopped.wait(HINT_DELAY_SECONDS)
+        if self._store.version >= version:
+            return True
+        try:
+            self._apply(self._poll(address, 0.0))
+        except errors.LinkFailed as error:
+            events.emit(
+                events.SOURCE_LOST, address=address, reason=error.detail
+            )
+        return True
 
     def _find_source(self):
         """Poll a few VMs at once and apply what they hold.
--- a/packages/carobwood-daemon/carobwood_daemon/observe/logs.py
+++ b/packages/carobwood-daemon/carobwood_daemon/observe/logs.py
@@ -11,6 +11,7 @@
 
 from carobwood import errors
 from carobwood import events
+from carobwood import threads
 
 # Lines that may wait to be written: several seconds of a busy VM's output.
 MAX_PENDING_LINES = 5000
@@ -153,6 +154,7 @@
     root = std_logging.getLogger()
     root.handlers = [handler]
     logging.set_verbosity(level)
+    threads.log_ended_threads()
     for name in ('urllib3', 'cherrypy', 'opentelemetry'):
         std_logging.getLogger(name).setLevel(std_logging.ERROR)
     return handler
--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration_store.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration_store.py
@@ -5,6 +5,7 @@
 
 from carobwood import errors
 from carobwood import events
+from carobwood import listeners
 
 
 class ConfigurationStore:
@@ -30,19 +31,24 @@
         """
         self._dialect = dialect
         self._weights = weights
-        self._listeners = []
+        self._listeners = listeners.Listeners('configuration')
         self.configuration = None
-        self._first_configuration_listeners = []
+        self._first_listeners = listeners.Listeners('first configuration')
         self._is_configured = threading.Event()
         store.add_change_listener(self._apply_fleet_state)
 
+    @property
+    def failed_listener_calls(self):
+        """Number of times that a part could not take over a configuration."""
+        return self._listeners.failed_calls
+
     def add_change_listener(self, listener):
         """Call ``listener(configuration)`` for each newer configuration."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def on_first_configuration(self, listener):
         """Call ``listener()`` once, after the first configuration."""
-        self._first_configuration_listeners.append(listener)
+        self._first_listeners.add(listener)
 
     def await_configuration(self, seconds):
         """Wait for the first configuration.
@@ -77,11 +83,10 @@
             )
             return
         self.configuration = configuration
-        for listener in self._listeners:
-            listener(configuration)
-        self._is_configured.set()
-        while self._first_configuration_listeners:
-            self._first_configuration_listeners.pop()()
+        self._listeners.notify(configuration)
+        if not self._is_configured.is_set():
+            self._is_configured.set()
+            self._first_listeners.notify()
         events.emit(
             events.CONFIGURATION_IN_FORCE,
             version=configuration.version,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -212,6 +212,7 @@
 
     def _report_metrics(self, request):
         del request
+        self._gauge_followed_state()
         return gateway.ApiResponse(
             http.HTTPStatus.OK.value,
             http.HTTPStatus.OK.phrase,
@@ -219,6 +220,22 @@
             'text/plain; version=0.0.4',
         )
 
+    def _gauge_followed_state(self):
+        shared = self._shared
+        configuration = shared.configuration_store.configuration
+        shared.metrics.gauge(
+            'configuration_committed', shared.store.fleet.configuration.version
+        )
+        shared.metrics.gauge(
+            'configuration_in_force',
+            configuration.version if configuration else 0,
+        )
+        shared.metrics.gauge(
+            'state_listener_failures',
+            shared.store.failed_listener_calls
+            + shared.configuration_store.failed_listener_calls,
+        )
+
 
 def _choose_share(route):
     """Return a ``WeightedService`` of a route, at random by weight."""
--- a/packages/carobwood-daemon/carobwood_daemon/replication/applier.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/applier.py
@@ -9,6 +9,7 @@
 
 from carobwood import errors
 from carobwood import events
+from carobwood import threads
 
 from . import commands
 from . import log as logs
@@ -57,6 +58,10 @@
         # instead of from a snapshot.
         self._kept_entries = int(snapshot_entries * KEPT_ENTRIES_SHARE)
         self._snapshot_thread = None
+        # What is applied and not yet published or answered. It is kept if
+        # a batch is interrupted by an exception.
+        self._unpublished = []
+        self._unanswered = []
         # Replicas apply the same entries at about the same time. The
         # random threshold keeps them from all writing snapshots at once.
         self._snapshot_threshold = _with_jitter(snapshot_entries)
@@ -99,17 +104,20 @@
 
     def run(self):
         """Apply committed entries until the replica stops."""
+        threads.repeat(self._apply_next)
+
+    def _apply_next(self):
         replica = self._replica
-        while True:
-            with replica.changed:
-                while not replica.stopped and (
-                    replica.applied_index >= replica.commit_index
-                ):
-                    replica.committed.wait()
-                if replica.stopped:
-                    return
-            self._apply_batch()
-            self._snapshot_if_due()
+        with replica.changed:
+            while not replica.stopped and (
+                replica.applied_index >= replica.commit_index
+            ):
+                replica.committed.wait()
+            if replica.stopped:
+                return False
+        self._apply_batch()
+        self._snapshot_if_due()
+        return True
 
     def snapshot(self):
         """Return the position of the last applied entry and a snapshot.
@@ -125,26 +133,26 @@
 
     def _apply_batch(self):
         with self._state_machine_lock:
-            entries = self._next_entries()
-            results = []
-            fleet_commands = []
-            for entry in entries:
+            for entry in self._next_entries():
                 command = commands.decode_command(entry.payload)
-                results.append(self._state_machine.apply(entry, command))
+                result = self._state_machine.apply(entry, command)
+                self._unanswered.append((entry, result))
                 if state_machines.is_fleet_command(command):
-                    fleet_commands.append((entry.index, entry.payload))
-            if fleet_commands:
+                    self._unpublished.append((entry.index, entry.payload))
+            if self._unpublished:
                 self._store_commit()
-                self._publish(self._state_machine.fleet, fleet_commands)
-        if entries:
-            self._replica.resolve_proposals(entries, results)
-        return bool(entries)
+                self._publish(self._state_machine.fleet, self._unpublished)
+                self._unpublished = []
+            answered, self._unanswered = self._unanswered, []
+        if answered:
+            self._replica.resolve_proposals(*zip(*answered))
+        return bool(answered)
 
     def _next_entries(self):
         replica = self._replica
         with replica.changed:
             entries = replica.log.read(
-                replica.applied_index + 1, MAX_BATCH_BYTES
+                self._state_machine.index + 1, MAX_BATCH_BYTES
             )
             return [e for e in entries if e.index <= replica.commit_index]
 
--- a/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
@@ -251,6 +251,13 @@
     idempotency_key: str
 
 
+class UnknownCommand(Command, frozen=True, tag=True):
+    """Stands for a command that this build cannot decode.
+
+    It is never stored or sent: the encoded command is kept as it is.
+    """
+
+
 AnyCommand = (
     NoOperation
     | ChangeVoters
@@ -374,8 +381,15 @@
 
 
 def decode_command(data):
-    """Return the decoded command."""
-    return _command_decoder.decode(data)
+    """Return the decoded command.
+
+    What is in the log of a fleet cannot be refused any more, so that a
+    command that cannot be decoded becomes an ``UnknownCommand``.
+    """
+    try:
+        return _command_decoder.decode(data)
+    except msgspec.DecodeError:
+        return UnknownCommand()
 
 
 def decode_result(data):
--- a/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carobwood import document as documents
+from carobwood import events
 
 from . import commands
 
@@ -180,13 +181,27 @@
     def apply(self, index, command):
         """Apply a committed command.
 
+        A command that cannot be applied changes only the version, on each
+        VM alike, so that the commands after it are applied.
+
         Args:
             index: log index of the command.
             command: the ``Command``.
 
         Returns:
-            The next ``FleetState`` and the command's ``Result``.
+            The next ``FleetState`` and the command's ``Result``, or None
+            if the command could not be applied.
         """
+        try:
+            return self._apply(index, command)
+        except MemoryError:
+            # Other VMs may have the memory: it must be applied later.
+            raise
+        except Exception as error:
+            emit_command_failed(index, command, repr(error))
+            return self._with(version=index), None
+
+    def _apply(self, index, command):
         operation_id = getattr(command, 'operation_id', '')
         if operation_id in self.results_by_operation:
             recorded = self.results_by_operation[operation_id]
@@ -226,6 +241,9 @@
                 return self._name_weights(model, version), applied
             case commands.HoldOrders():
                 return self._hold_orders(command), applied
+            case commands.UnknownCommand():
+                emit_command_failed(index, command, 'unknown to this build')
+                return self, None
         return self, applied
 
     def _with(self, **changes):
@@ -284,9 +302,11 @@
         )
 
     def _trim_history(self, history):
-        text_zlib = history[-1].text_zlib
-        keep = _parse_cached(text_zlib).retention.history_versions
-        return history[-keep:]
+        parsed = documents.parse_document(history[-1].text).value_or(None)
+        if parsed is None:
+            # An older build has accepted what this one refuses.
+            return history
+        return history[-parsed.retention.history_versions :]
 
     def _issue_key(self, command):
         record = KeyRecord(
@@ -360,6 +380,16 @@
         return self._with(vms_by_id=vms), applied
 
 
+def emit_command_failed(index, command, reason):
+    """Log a command of the replicated log that has no effect."""
+    events.emit(
+        events.COMMAND_FAILED,
+        log_index=index,
+        command=type(command).__name__,
+        reason=reason,
+    )
+
+
 def compress_text(text):
     """Return the compressed form of a document's text."""
     return zlib.compress(text.encode('utf-8'))
--- a/packages/carobwood-daemon/carobwood_daemon/replication/flusher.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/flusher.py
@@ -8,6 +8,7 @@
 
 from carobwood import errors
 from carobwood import events
+from carobwood import threads
 
 # Pause after a failed write to the disk.
 RETRY_PERIOD_SECONDS = 1.0
@@ -26,22 +27,25 @@
 
     def run(self):
         """Flush until the replica stops."""
+        threads.repeat(self._flush_next)
+
+    def _flush_next(self):
         replica = self._replica
-        while True:
-            with replica.changed:
-                while not replica.stopped and not self._needs_flush():
-                    replica.appended.wait()
-                if replica.stopped:
-                    return
-            try:
-                replica.log.flush()
-            except errors.DiskWriteFailed as error:
-                self._handle_failed_flush(error)
-                continue
-            with replica.changed:
-                replica.disk_failed = False
-                if replica.is_leader:
-                    replica.advance_commit_index()
+        with replica.changed:
+            while not replica.stopped and not self._needs_flush():
+                replica.appended.wait()
+            if replica.stopped:
+                return False
+        try:
+            replica.log.flush()
+        except errors.DiskWriteFailed as error:
+            self._handle_failed_flush(error)
+            return True
+        with replica.changed:
+            replica.disk_failed = False
+            if replica.is_leader:
+                replica.advance_commit_index()
+        return True
 
     def _needs_flush(self):
         replica = self._replica
--- a/packages/carobwood-daemon/carobwood_daemon/replication/leader_elector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/leader_elector.py
@@ -7,6 +7,7 @@
 from carobwood import errors
 from carobwood import events
 from carobwood.gen.links import ttypes
+from carobwood import threads
 
 from . import replica as replicas
 from . import stable_store
@@ -35,19 +36,22 @@
 
     def run(self):
         """Campaign on each election timeout until the replica stops."""
-        while True:
+        threads.repeat(self._campaign_next)
+
+    def _campaign_next(self):
+        with self._replica.changed:
+            campaign = self._wait_for_campaign()
+            if campaign is None:
+                return False
+            transfer = self._transfer_requested
+            self._transfer_requested = False
+        try:
+            self._campaign(transfer)
+        except errors.DiskWriteFailed as error:
+            events.emit(events.DISK_FAILED, error=error.detail)
             with self._replica.changed:
-                campaign = self._wait_for_campaign()
-                if campaign is None:
-                    return
-                transfer = self._transfer_requested
-                self._transfer_requested = False
-            try:
-                self._campaign(transfer)
-            except errors.DiskWriteFailed as error:
-                events.emit(events.DISK_FAILED, error=error.detail)
-                with self._replica.changed:
-                    self._replica.reset_election_timeout()
+                self._replica.reset_election_timeout()
+        return True
 
     def campaign_now(self, term):
         """Start an election at once, for a leadership transfer.
--- a/packages/carobwood-daemon/carobwood_daemon/replication/proposer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/proposer.py
@@ -8,6 +8,7 @@
 from carobwood import clocks
 from carobwood import errors
 from carobwood.gen.links import ttypes
+from carobwood import threads
 
 from . import commands
 
@@ -59,7 +60,10 @@
         """Start the worker threads."""
         for number in range(WORKER_COUNT):
             threading.Thread(
-                target=self._run, name=f'proposer-{number}', daemon=True
+                target=threads.repeat,
+                args=(self._propose_next,),
+                name=f'proposer-{number}',
+                daemon=True,
             ).start()
 
     def stop(self):
@@ -88,16 +92,16 @@
             raise errors.ChangeUncertain('no quorum confirmed in time')
         return commands.decode_result(submission.result)
 
-    def _run(self):
-        while True:
-            batch = self._next_batch()
-            if batch is None:
-                return
-            while batch and not self._try_batch(batch):
-                time.sleep(
-                    self._random.uniform(RETRY_MIN_SECONDS, RETRY_MAX_SECONDS)
-                )
-                batch = self._not_expired(batch)
+    def _propose_next(self):
+        batch = self._next_batch()
+        if batch is None:
+            return False
+        while batch and not self._try_batch(batch):
+            time.sleep(
+                self._random.uniform(RETRY_MIN_SECONDS, RETRY_MAX_SECONDS)
+            )
+            batch = self._not_expired(batch)
+        return True
 
     def _next_batch(self):
         with self._queue_changed:
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
@@ -274,7 +274,8 @@
 
         Args:
             entries: the applied entries, at least one.
-            results: their results, in the same order.
+            results: their results, in the same order; None for a command
+                that could not be applied.
         """
         with self.changed:
             self.applied_index = max(self.applied_index, entries[-1].index)
@@ -285,7 +286,7 @@
         for proposal, entry, result in zip(proposals, entries, results):
             if proposal is None:
                 continue
-            if proposal.term == entry.term:
+            if proposal.term == entry.term and result is not None:
                 proposal.result = commands.encode(result)
             proposal.done.set()
 
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replicator.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replicator.py
@@ -5,6 +5,7 @@
 from carobwood import clocks
 from carobwood import errors
 from carobwood.gen.links import ttypes
+from carobwood import threads
 
 # Payload bytes of the entries in one ``AppendRequest``.
 MAX_APPEND_BYTES = 1024 * 1024
@@ -28,22 +29,24 @@
         self._snapshot = snapshot
         self._replicators_by_key = {}
         self._thread = threading.Thread(
-            target=self._run, name='senders', daemon=True
+            target=lambda: threads.repeat(self._start_next),
+            name='senders',
+            daemon=True,
         )
 
     def start(self):
         """Start the thread that reacts to changes of role and membership."""
         self._thread.start()
 
-    def _run(self):
+    def _start_next(self):
         replica = self._replica
-        while True:
-            with replica.changed:
-                if replica.stopped:
-                    return
-                needed = self._needed_members()
-                self._start_needed(needed)
-                replica.changed.wait()
+        with replica.changed:
+            if replica.stopped:
+                return False
+            needed = self._needed_members()
+            self._start_needed(needed)
+            replica.changed.wait()
+        return True
 
     def _needed_members(self):
         replica = self._replica
@@ -100,19 +103,22 @@
 
     def run(self):
         """Send entries until the term ends or the member changes."""
-        while True:
-            with self._replica.changed:
-                progress = self._wait_for_work()
-                if progress is None:
-                    return
-                request = self._next_request(progress)
-            try:
-                if request is None:
-                    self._send_snapshot(progress)
-                else:
-                    self._send_entries(progress, request)
-            except errors.LinkFailed:
-                self._wait_before_retry()
+        threads.repeat(self._send_next)
+
+    def _send_next(self):
+        with self._replica.changed:
+            progress = self._wait_for_work()
+            if progress is None:
+                return False
+            request = self._next_request(progress)
+        try:
+            if request is None:
+                self._send_snapshot(progress)
+            else:
+                self._send_entries(progress, request)
+        except errors.LinkFailed:
+            self._wait_before_retry()
+        return True
 
     def _progress(self):
         replica = self._replica
--- a/packages/carobwood-daemon/carobwood_daemon/replication/state_machine.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/state_machine.py
@@ -60,10 +60,21 @@
             command: the decoded command of the entry.
 
         Returns:
-            The command's ``Result``.
+            The command's ``Result``, or None if it could not be applied.
         """
+        try:
+            result = self._apply(entry, command)
+        except MemoryError:
+            # Other replicas may have the memory: it must be applied later.
+            raise
+        except Exception as error:
+            fleet_state.emit_command_failed(entry.index, command, repr(error))
+            result = None
         self.index = entry.index
         self.term = entry.term
+        return result
+
+    def _apply(self, entry, command):
         match command:
             case commands.NoOperation():
                 return commands.Applied(entry.index)
--- a/packages/carobwood-daemon/carobwood_daemon/replication/state_store.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/state_store.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carobwood import clocks
+from carobwood import listeners
 
 from . import commands
 from . import fleet_state
@@ -30,7 +31,7 @@
         self._deltas = collections.deque()
         self._deltas_base_version = 0
         self._leader_contact_at = None
-        self._listeners = []
+        self._listeners = listeners.Listeners('fleet state')
 
     @property
     def fleet(self):
@@ -42,9 +43,14 @@
         """Version of the current state."""
         return self._fleet.version
 
+    @property
+    def failed_listener_calls(self):
+        """Number of times that a part could not take over a new state."""
+        return self._listeners.failed_calls
+
     def add_change_listener(self, listener):
         """Call ``listener(fleet)`` whenever the state is replaced."""
-        self._listeners.append(listener)
+        self._listeners.add(listener)
 
     def update(self, fleet, deltas):
         """Replace the current state by a newer one.
@@ -69,8 +75,7 @@
                 self._deltas_base_version = fleet.version
             self._fleet = fleet
             self._changed.notify_all()
-        for listener in self._listeners:
-            listener(fleet)
+        self._listeners.notify(fleet)
         return True
 
     def update_by_deltas(self, deltas):
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -1,6 +1,7 @@
 """Builders of test data for relayed requests."""
 
 import json
+import zlib
 
 from carobwood import clocks
 from carobwood_daemon.membership import endpoint_table
@@ -10,6 +11,7 @@
 from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import placement
 from carobwood_daemon.relay import quota
+from carobwood_daemon.replication import commands
 
 HOST = 'booths.example'
 KEY = 'key-of-bole-0001'
@@ -182,3 +184,9 @@
 def configuration_body(version=1, **changes):
     """Return an encoded configuration, as operators send it."""
     return json.dumps(configuration_fields(version, **changes)).encode()
+
+
+def put_configuration(version=1, content=None):
+    """Return the command that puts a configuration in force."""
+    content = configuration_body(version) if content is None else content
+    return commands.PutConfiguration(version, zlib.compress(content))
