--- a/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
@@ -10,8 +10,8 @@
 from carobwood import clocks
 from carobwood import errors
 from carobwood import events
-from carobwood import threads
 from carobwood.gen.links import ttypes
+from carobwood import threads
 
 LONG_POLL_SECONDS = 1.0
 CATCH_UP_TIMEOUT_SECONDS = 1.0
--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration_store.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration_store.py
@@ -72,8 +72,10 @@
         if stored.version <= current_version:
             return
         try:
-            configuration = self._dialect.parse_configuration(
-                zlib.decompress(stored.content_zlib)
+            configuration, faults = (
+                self._dialect.parse_committed_configuration(
+                    zlib.decompress(stored.content_zlib)
+                )
             )
         except errors.ConfigurationInvalid as error:
             events.emit(
@@ -82,6 +84,12 @@
                 faults=error.faults,
             )
             return
+        if faults:
+            events.emit(
+                events.CONFIGURATION_PARTLY_READ,
+                version=stored.version,
+                faults=faults,
+            )
         self.configuration = configuration
         self._listeners.notify(configuration)
         if not self._is_configured.is_set():
--- a/packages/carobwood-daemon/carobwood_daemon/relay/dialect.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/dialect.py
@@ -74,6 +74,21 @@
             ConfigurationInvalid: with a description of each fault.
         """
 
+    @abc.abstractmethod
+    def parse_committed_configuration(self, content):
+        """Return a configuration that is in force and can't be refused.
+
+        Args:
+            content: the encoded configuration, as bytes.
+
+        Returns:
+            The ``Configuration``, without the fields that are not valid,
+            and a list of their faults.
+
+        Raises:
+            ConfigurationInvalid: no build can have put it in force.
+        """
+
     @abc.abstractmethod
     def read_engine_report(self, address, timeout):
         """Request the ``EngineReport`` of an engine.
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -99,6 +99,9 @@
 CONFIGURATION_UNREADABLE = Event(
     431, 'configuration-unreadable', logging.ERROR
 )
+CONFIGURATION_PARTLY_READ = Event(
+    438, 'configuration-partly-read', logging.ERROR
+)
 WEIGHTS_ORDERED = Event(432, 'weights-ordered', logging.INFO)
 WEIGHTS_ORDER_FAILED = Event(433, 'weights-order-failed', logging.WARNING)
 WEIGHTS_MISMATCH = Event(436, 'weights-mismatch', logging.WARNING)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 
+import hypothesis
 import pytest
 from pytest_bdd import given
 from pytest_bdd import parsers
@@ -32,6 +33,15 @@
 
 DATA_CENTRES = ('bole', 'kirkos', 'arada', 'yeka')
 
+# Property tests draw the same examples in each run, unless FRESH_SEEDS is set.
+hypothesis.settings.register_profile(
+    'carobwood',
+    derandomize='FRESH_SEEDS' not in os.environ,
+    database=None,
+    deadline=None,
+)
+hypothesis.settings.load_profile('carobwood')
+
 # Lists the tests that are known to fail. A line that names a test is
 # KNOWN_RED_PREFIX, followed by the test id relative to tests/.
 KNOWN_RED = ROOT.parent / 'KNOWN-RED.txt'
