Let entries that name no service displace no endpoint

Cause: of all entries at an address, and of all with an id, the one with the latest start counted, whatever service it named; and a probe of the address kept it, as the engine answered.

Change: the endpoint table knows the services that the configuration names. Other entries are kept but displace nothing by address or by id, leave no tombstone and are dropped once silent. A silent endpoint whose address another one announces since is dropped without a probe.

A service that uses an address again still hides the former.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -69,6 +69,8 @@
         # When an aggregator named the endpoints that it does not hear.
         self._confirmed_at = float('-inf')
         self._unconfirmed_ids = frozenset()
+        # The pools that the configuration names, or None before the first.
+        self._named_pools = None
         self._endpoint_listeners = []
 
     def on_endpoint_change(self, listener):
@@ -78,6 +80,32 @@
         """
         self._endpoint_listeners.append(listener)
 
+    def set_named_pools(self, pools):
+        """Set the pools that the configuration in force names.
+
+        An endpoint of any other pool may come from another writer. It is
+        kept, as its pool may be named later, but stands for no endpoint.
+        """
+        self._named_pools = frozenset(pools)
+
+    def is_named(self, endpoint):
+        """Tell whether the configuration names an endpoint's pool.
+
+        Before the first configuration, all pools count as named.
+        """
+        pools = self._named_pools
+        return pools is None or endpoint.pool in pools
+
+    def contradicts(self, endpoint):
+        """Tell whether an announcement is not that of the known endpoint.
+
+        It has the id of an endpoint of a named pool and names none itself.
+        """
+        known = self.find_endpoint(endpoint.id)
+        return known is not None and (
+            self.is_named(known) and not self.is_named(endpoint)
+        )
+
     def merge_endpoint(self, endpoint, is_direct=False):
         """Merge an announcement.
 
@@ -89,6 +117,8 @@
         Returns:
             Whether it was newer than the known announcement.
         """
+        if self.contradicts(endpoint):
+            return False
         with self._lock:
             if is_direct:
                 self._announced_here_at_by_id[endpoint.id] = self._clock()
@@ -96,7 +126,7 @@
             tombstone = self._tombstones_by_id.get(endpoint.id, (0, 0))
             if endpoint.order <= tombstone:
                 return False
-            if known is not None and endpoint.order <= known.order:
+            if known is not None and self._is_outdated(endpoint, known):
                 return False
             self._endpoints_by_id[endpoint.id] = endpoint
             changed = known is None or _must_spread(known, endpoint)
@@ -124,12 +154,18 @@
         A new endpoint may reuse the address of one that ended without
         announcing it, so the one that started last at an address counts.
         """
+        newest = self._newest_by_address(self.endpoints())
+        return [e for e in newest.values() if not e.leaving]
+
+    def _newest_by_address(self, endpoints):
         newest_by_address = {}
-        for endpoint in self.endpoints():
+        for endpoint in endpoints:
+            if not self.is_named(endpoint):
+                continue
             known = newest_by_address.get(endpoint.address)
             if known is None or known.incarnation < endpoint.incarnation:
                 newest_by_address[endpoint.address] = endpoint
-        return [e for e in newest_by_address.values() if not e.leaving]
+        return newest_by_address
 
     def find_endpoint(self, endpoint_id):
         """Return an endpoint by id, or None."""
@@ -147,6 +183,26 @@
             and not (is_confirmed and endpoint.id not in self._unconfirmed_ids)
         ]
 
+    def find_displaced(self, silent):
+        """Return which of the silent endpoints no probe can prove alive.
+
+        Another endpoint announces that it is at their address, so that it
+        would answer, or they belong to no pool that is named.
+
+        Args:
+            silent: the endpoints whose announcements have stopped.
+        """
+        silent_ids = {endpoint.id for endpoint in silent}
+        heard = [e for e in self.endpoints() if e.id not in silent_ids]
+        newest = self._newest_by_address(heard)
+        displaced = []
+        for endpoint in silent:
+            other = newest.get(endpoint.address)
+            is_replaced = other and other.incarnation > endpoint.incarnation
+            if is_replaced or not self.is_named(endpoint):
+                displaced.append(endpoint)
+        return displaced
+
     def confirm_all_except(self, silent_ids):
         """Record that an aggregator hears all endpoints but some.
 
@@ -181,16 +237,24 @@
     def drop_endpoint(self, endpoint):
         """Remove an endpoint that did not answer a probe.
 
-        A tombstone keeps its last announcement from bringing it back.
+        A tombstone keeps its last announcement from bringing it back. There
+        is none for an endpoint of no named pool, as an endpoint of one may
+        have its id.
         """
         with self._lock:
             known = self._endpoints_by_id.get(endpoint.id)
             if known is None or known.order != endpoint.order:
                 return
             del self._endpoints_by_id[endpoint.id]
-            self._tombstones_by_id[endpoint.id] = endpoint.order
+            if self.is_named(endpoint):
+                self._tombstones_by_id[endpoint.id] = endpoint.order
         events.emit(events.ENDPOINT_EXPIRED, endpoint=endpoint.id)
 
+    def _is_outdated(self, endpoint, known):
+        if self.is_named(endpoint) and not self.is_named(known):
+            return False
+        return endpoint.order <= known.order
+
     def _log_change(self, endpoint):
         event = events.ENDPOINT_SEEN
         if endpoint.leaving:
@@ -201,6 +265,7 @@
             incarnation=endpoint.incarnation,
             address=endpoint.address,
             software=endpoint.software_version,
+            is_named=self.is_named(endpoint),
         )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/membership/periodic_tasks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/periodic_tasks.py
@@ -154,8 +154,10 @@
 
     def run_once(self):
         """Probe each endpoint whose announcements have stopped."""
-        for endpoint in self._directory.silent_endpoints():
-            if self._is_alive(endpoint):
+        silent = self._directory.silent_endpoints()
+        displaced = self._directory.find_displaced(silent)
+        for endpoint in silent:
+            if endpoint not in displaced and self._is_alive(endpoint):
                 self._directory.confirm_alive(endpoint)
             else:
                 self._directory.drop_endpoint(endpoint)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
@@ -116,6 +116,14 @@
             LeavingUnconfirmed: it leaves, and the fleet may forget that.
         """
         is_news = self._directory.merge_endpoint(endpoint, is_direct=True)
+        if self._directory.contradicts(endpoint):
+            events.emit(
+                events.ENDPOINT_CONTRADICTED,
+                endpoint=endpoint.id,
+                service=endpoint.pool,
+                address=endpoint.address,
+            )
+            return
         if endpoint.leaving:
             _log_leaving('announce-leaving', endpoint, is_news)
         if endpoint.weights_version:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -112,6 +112,11 @@
     relay_configuration = configuration_store.ConfigurationStore(
         store, dialect, weights
     )
+    relay_configuration.add_change_listener(
+        lambda configuration: directory.set_named_pools(
+            configuration.services_by_name
+        )
+    )
     relay_configuration.add_change_listener(
         lambda configuration: fleet_quota.set_limits(configuration.customers)
     )
