Read request bodies to their end before the next request

Cause: an answer that came before the body was read left a chunked body on the connection, where it was taken for the next request. cheroot skips only bodies with a length.

Change: what is left of a body is read before the head of the answer, within 16 MB and 1 s; else the connection is closed after the answer, and what the caller still sends is discarded for 1 s, so that no reset destroys the answer. Trailers and the empty line after the last chunk are read, so that idle connections hold no thread; sizes of chunks are parsed strictly; 413 by the declared length is no longer reported as 431.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -10,11 +10,14 @@
 import socket
 import struct
 
+from cheroot import makefile as cheroot_makefile
 from cheroot import server as cheroot_server
 from cheroot import wsgi as cheroot_wsgi
 
 from carobwood import errors
 
+from . import request_body
+
 CONNECTION_KEY = 'carobwood.connection'
 STREAM_KEY = 'carobwood.stream'
 MAX_HEADER_BYTES = 32 * 1024
@@ -111,6 +114,36 @@
 
     header_reader = StrictHeaderReader()
 
+    # The body, also once the gateway has replaced ``rfile``.
+    _body = None
+
+    def respond(self):
+        """Have the gateway answer; see ``cheroot.server.HTTPRequest``."""
+        if self.chunked_read:
+            limit = self.server.max_request_body_size
+            self.rfile = request_body.ChunkedBody(self.conn.rfile, limit)
+        else:
+            length = int(self.inheaders.get(b'Content-Length', 0))
+            self.rfile = cheroot_server.KnownLengthRFile(
+                self.conn.rfile, length
+            )
+        self._body = self.rfile
+        self.server.gateway(self).respond()
+        self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b'0\r\n\r\n')
+
+    def send_headers(self):
+        """Send the head of the response, after what is left of the body.
+
+        The connection is closed after the response if the body does not
+        end within the bounds of ``request_body.drain``.
+        """
+        if not request_body.drain(self._body, self.conn.rfile):
+            self.close_connection = True
+            self.conn.discards_input = True
+        super().send_headers()
+
     def simple_response(self, status, msg=''):
         """Respond to a request that does not reach the application.
 
@@ -123,6 +156,7 @@
         else:
             error = _error_from_status(str(status), str(msg))
         self.close_connection = True
+        self.conn.discards_input = True
         body = encode_error(error)
         head = (
             f'HTTP/1.1 {error.status} {error.code}\r\n'
@@ -139,12 +173,23 @@
 
 
 class StrictConnection(cheroot_server.HTTPConnection):
-    """A connection whose requests are of class ``StrictRequest``."""
+    """A connection whose requests are of class ``StrictRequest``.
+
+    Attributes:
+        discards_input: whether the caller may go on sending when the
+            connection is closed; that is read and discarded.
+    """
 
     RequestHandlerClass = StrictRequest
 
+    discards_input = False
     _ends_with_reset = False
 
+    def __init__(self, server, sock, makefile=cheroot_makefile.MakeFile):
+        """See ``cheroot.server.HTTPConnection``."""
+        super().__init__(server, sock, makefile)
+        self.rfile = request_body.ConnectionReader(sock, self.rbufsize)
+
     def abort(self, request):
         """Make an unfinished response look unfinished to the caller.
 
@@ -169,6 +214,8 @@
             os.close(self.socket.detach())
             # Tells cheroot that there is nothing to shut down.
             self.linger = True
+        elif self.discards_input:
+            request_body.discard_input(self.socket, self.rfile)
         super().close()
 
 
@@ -246,6 +293,8 @@
 def _error_from_status(status, message):
     if status.startswith('414'):
         return errors.HeadersTooLarge('the request line is too long')
+    if status.startswith('413') and 'entity' in message:
+        return errors.BodyTooLarge('the body exceeds the size limit')
     if status.startswith('413'):
         return errors.HeadersTooLarge('the headers are too long')
     if status.startswith('500'):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -19,10 +19,9 @@
 from carobwood import clocks
 from carobwood import errors
 
+from ..entry import bounded_reader
 from ..entry import response_body
 
-from . import bounded_reader
-
 # A connection ends if sent bytes, keep-alive probes included, are not
 # acknowledged in this time. A sound endpoint may be silent for a second or so,
 # which must not end a request; an idle connection is replaced at no cost.
