Refuse a response whose head is cut or of unclear length

Cause: http.client takes the end of the connection for the end of the head, and a length or an encoding that it cannot read for none.

Change: one strict response class for both readers of endpoints' answers. A head without its empty line, a length that is no number, differing lengths and unknown encodings fail the attempt.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -17,6 +17,7 @@
 
 from . import headers
 from . import response_body
+from . import response_head
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 KEEPALIVE_INTERVAL_SECONDS = 2
@@ -204,6 +205,7 @@
     )
     # The response class of urllib3 reads one chunk at a time, which is too
     # slow for streams of small events.
+    connection.response_class = response_head.StrictResponse
     raw_response = http.client.HTTPConnection.getresponse(connection)
     sock.settimeout(request.stall_seconds)
     return raw_response
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -21,6 +21,7 @@
 
 from ..entry import bounded_reader
 from ..entry import response_body
+from ..entry import response_head
 
 # A connection ends if sent bytes, keep-alive probes included, are not
 # acknowledged in this time. A sound endpoint may be silent for a second or so,
@@ -172,10 +173,10 @@
             The status, and the headers by name in lower case.
 
         Raises:
-            EndpointFailed: the connection failed, or what was received is
-                not an HTTP response.
+            EndpointFailed: the connection failed or ended in the head, or
+                what was received is not an HTTP response.
         """
-        response = http.client.HTTPResponse(self._socket, method=method)
+        response = response_head.StrictResponse(self._socket, method=method)
         response.fp.close()
         response.fp = self._reader
         if self._read_error is not None:
