Resume streams only where the software version is known to run

Cause: what a VM believes of an engine's version had no age. A probe of its address renewed it, an empty version counted as equal, and a control VM counted the time that it stood still or was cut off as time in which it had looked for versions.

Evidence: tests in test_foreign_entries, test_relay_selector and test_stream_origins fail without the change. Not seen on processes.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -260,7 +260,9 @@
             endpoint_permits.PermitTable(),
             stream_origin_links.StreamOriginKeeper(
                 stream_origins.StreamOriginTable(),
-                software_versions.SoftwareVersionHistory(self._directory),
+                software_versions.SoftwareVersionHistory(
+                    self._directory, lambda: True
+                ),
                 self._directory.own_vm.incarnation,
             ),
         )
--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -66,6 +66,8 @@
         self._endpoints_by_id = {}
         self._tombstones_by_id = {}
         self._announced_here_at_by_id = {}
+        # Times of successful probes, by announcement.
+        self._probed_at_by_order = {}
         # When an aggregator named the endpoints that it does not hear.
         self._confirmed_at = float('-inf')
         self._unconfirmed_ids = frozenset()
@@ -175,14 +177,29 @@
     def silent_endpoints(self):
         """Return the endpoints whose announcements have stopped."""
         limit = self._clock() - ENDPOINT_SILENCE_SECONDS
-        is_confirmed = self._confirmed_at >= limit
         return [
             endpoint
             for endpoint in self.endpoints()
-            if endpoint.last_seen_at < limit
-            and not (is_confirmed and endpoint.id not in self._unconfirmed_ids)
+            if self._heard_at(endpoint) < limit
+            and self._probed_at(endpoint) < limit
         ]
 
+    def announcement_age(self, endpoint):
+        """Return the seconds since an endpoint was last known to announce.
+
+        A probe is no announcement: it does not tell who has answered it.
+        """
+        return self._clock() - self._heard_at(endpoint)
+
+    def _heard_at(self, endpoint):
+        if endpoint.id in self._unconfirmed_ids:
+            return endpoint.last_seen_at
+        return max(endpoint.last_seen_at, self._confirmed_at)
+
+    def _probed_at(self, endpoint):
+        key = (endpoint.id, endpoint.order)
+        return self._probed_at_by_order.get(key, float('-inf'))
+
     def find_displaced(self, silent):
         """Return which of the silent endpoints no probe can prove alive.
 
@@ -216,10 +233,15 @@
     def confirm_alive(self, endpoint):
         """Reset the silence of an endpoint that answered a probe."""
         with self._lock:
+            now = self._clock()
+            self._probed_at_by_order = {
+                key: probed_at
+                for key, probed_at in self._probed_at_by_order.items()
+                if probed_at > now - ENDPOINT_SILENCE_SECONDS
+            }
             if self._endpoints_by_id.get(endpoint.id) == endpoint:
-                self._endpoints_by_id[endpoint.id] = dataclasses.replace(
-                    endpoint, last_seen_at=self._clock()
-                )
+                key = (endpoint.id, endpoint.order)
+                self._probed_at_by_order[key] = now
 
     def has_ended(self, endpoint_id, incarnation=None):
         """Tell whether an endpoint was removed and has not started again.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -23,6 +23,9 @@
 # Concurrent requests on an endpoint of a plain service, for which the
 # configuration gives no capacity.
 PLAIN_SERVICE_SLOTS = 6
+# Age of an announcement from which its software version is not relied on. An
+# endpoint that ends and starts again takes longer.
+MAX_VERSION_AGE_SECONDS = 1.5
 # Leading bytes of a block digest that are logged; enough to tell the blocks
 # in one day's log apart.
 LOGGED_DIGEST_BYTES = 4
@@ -143,15 +146,27 @@
 
     def endpoints(self, request):
         """Return the endpoints that may take a request, now or later."""
-        version = request.software_version
         return [
             endpoint
             for endpoint in self._context.directory.serving_endpoints()
             if endpoint.pool == request.service
-            and version in (None, endpoint.software_version)
+            and self._fits_version(request.software_version, endpoint)
             and not self._context.availability.is_leaving(endpoint)
         ]
 
+    def _fits_version(self, version, endpoint):
+        """Return whether a stream of a software version may go on there.
+
+        Endpoints do not check it. What this VM believes of one that it has
+        not heard of lately may be that of its former start.
+        """
+        if version is None:
+            return True
+        if not version or version != endpoint.software_version:
+            return False
+        age = self._context.directory.announcement_age(endpoint)
+        return age < MAX_VERSION_AGE_SECONDS
+
     def eligible_ids(self, request, endpoints, loads_by_id):
         """Return the ids of endpoints whose weights allow a request now."""
         return {
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -273,7 +273,7 @@
 
     def _build_stream_resumption(self, calls):
         self._software_versions = software_versions.SoftwareVersionHistory(
-            self._directory
+            self._directory, self._is_in_touch
         )
         # On an entry VM the streams that began there, on a control VM those
         # that entry VMs have reported.
@@ -445,5 +445,8 @@
 
     def _update_contact(self):
         self._membership_status.note_contact()
-        age = self._store.contact_age()
-        self._shared.quota.set_control_reachable(age < CUT_OFF_AFTER_SECONDS)
+        self._shared.quota.set_control_reachable(self._is_in_touch())
+
+    def _is_in_touch(self):
+        """Return whether this VM is in contact with the control VMs."""
+        return self._store.contact_age() < CUT_OFF_AFTER_SECONDS
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -23,6 +23,8 @@
 SECRET = b'secret-of-the-tests'
 # Timeout of a request, and of the wait for a wanted reply.
 WAIT_SECONDS = 60.0
+# Period of the announcements of endpoints that keep announcing.
+HEARTBEAT_SECONDS = 0.5
 # Events of a complete stream.
 STREAM_EVENT_COUNT = 5
 
@@ -524,6 +526,10 @@
     def __init__(self, folder, software_versions=('v1', 'v1')):
         """Start the fleet with one engine for each of some versions."""
         self.fleet = RelayFleet(folder, control_vm_count=3, entry_vm_count=2)
+        self._stopped = threading.Event()
+        # Numbers and states of the last announcements by endpoint name.
+        self._announced_by_name = {}
+        self._announce_lock = threading.Lock()
         self.engines = [
             FakeEngine(f'engine-{number}', 'engines')
             for number in range(len(software_versions))
@@ -553,11 +559,37 @@
         return self.fleet.control('PUT', '/v1/config', body)
 
     def announce(self, endpoint, sequence=1, state='ready'):
-        """Announce an endpoint to a control VM."""
+        """Announce an endpoint to a control VM.
+
+        Args:
+            endpoint: the ``FakeEngine``.
+            sequence: lowest number of the announcement.
+            state: its state.
+        """
+        return self._announce_next(endpoint, sequence, state)
+
+    def _announce_next(self, endpoint, sequence=1, state=None):
+        """Announce an endpoint, in its last state if none is given."""
+        with self._announce_lock:
+            last, last_state = self._announced_by_name.get(
+                endpoint.name, (0, 'ready')
+            )
+            number = max(sequence, last + 1)
+            state = state or last_state
+            self._announced_by_name[endpoint.name] = (number, state)
         path = f'/v1/instances/{endpoint.name}'
-        announcement = endpoint.announcement(sequence, state)
+        announcement = endpoint.announcement(number, state)
         return self.fleet.control('PUT', path, announcement)
 
+    def keep_announcing(self):
+        """Announce the endpoints periodically in their last states."""
+        threading.Thread(target=self._announce_all, daemon=True).start()
+
+    def _announce_all(self):
+        while not self._stopped.wait(HEARTBEAT_SECONDS):
+            for endpoint in (*self.engines, self.plain_endpoint):
+                self._announce_next(endpoint)
+
     def clear_requests(self):
         """Clear the recorded requests of all endpoints."""
         for endpoint in (*self.engines, self.plain_endpoint):
@@ -573,6 +605,7 @@
 
     def stop(self):
         """Stop all VMs and endpoints."""
+        self._stopped.set()
         self.fleet.stop()
         for endpoint in (*self.engines, self.plain_endpoint):
             endpoint.stop()
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -99,3 +99,20 @@
     assert table.merge_endpoint(
         dataclasses.replace(ENGINE, id=FOREIGN.id, address='10.0.0.3:1')
     )
+
+
+# A stream went on at another software version: the VM had not heard that its
+# engine had started again, and a probe had confirmed what it believed.
+def test_a_probe_does_not_renew_an_announcement():
+    table, clock = _table(ENGINE)
+    clock.advance(endpoint_table.ENDPOINT_SILENCE_SECONDS + 1)
+    assert _probe(table) == [ENGINE.id]
+    assert table.silent_endpoints() == []
+    age = endpoint_table.ENDPOINT_SILENCE_SECONDS + 1
+    assert table.announcement_age(ENGINE) == age
+    table.confirm_all_except(())
+    assert table.announcement_age(ENGINE) == 0.0
+    table.confirm_all_except((ENGINE.id,))
+    assert table.announcement_age(ENGINE) == age
+    clock.advance(endpoint_table.ENDPOINT_SILENCE_SECONDS + 1)
+    assert table.silent_endpoints() == [ENGINE]
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -1,5 +1,6 @@
 """Tests of queued requests and their log lines."""
 
+import dataclasses
 import types
 
 import pytest
@@ -36,7 +37,8 @@
         self.clock = builders.Clock()
         # Check of the segments of a prompt; a test replaces it.
         self.check = lambda keys: None
-        self.endpoint = builders.endpoint(pool='orders')
+        self.endpoint = builders.endpoint(pool='orders', software_version='v1')
+        self.announcement_age = 0.0
         self.loads = fleet_loads.FleetLoads(self.clock)
         self.reservation = self.loads.reserve(self.endpoint.id, FULL_LOAD)
         self.queue = wait_queue.WaitQueue(self.clock)
@@ -58,7 +60,10 @@
         stub = types.SimpleNamespace
         self.context = stub(
             data_centre='bole',
-            directory=stub(serving_endpoints=lambda: [self.endpoint]),
+            directory=stub(
+                serving_endpoints=lambda: [self.endpoint],
+                announcement_age=lambda endpoint: self.announcement_age,
+            ),
             health=endpoint_health.EndpointHealth(self.clock),
             availability=self.availability,
             rate_limits=self.rate_limits,
@@ -305,3 +310,28 @@
     chosen = harness.selector.try_assign(harness.request, ())
     assert chosen.endpoint is harness.endpoint
     assert asked == [harness.endpoint.id]
+
+
+# A stream went on at another software version, which the VM had not heard of.
+@pytest.mark.parametrize(
+    'wanted, announced, age, is_offered',
+    [
+        (None, 'v1', 60.0, True),
+        ('v1', 'v1', 0.5, True),
+        ('v1', 'v2', 0.5, False),
+        ('v1', 'v1', selector.MAX_VERSION_AGE_SECONDS, False),
+        ('v1', '', 0.5, False),
+        ('', '', 0.5, False),
+    ],
+)
+def test_a_stream_goes_on_only_where_its_version_is_known_to_run(
+    wanted, announced, age, is_offered
+):
+    harness = SelectorHarness(lambda harness: False)
+    harness.endpoint = dataclasses.replace(
+        harness.endpoint, software_version=announced
+    )
+    harness.announcement_age = age
+    harness.request.software_version = wanted
+    endpoints = harness.selector.endpoints(harness.request)
+    assert bool(endpoints) is is_offered
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -17,6 +17,8 @@
     test_fleet = relay_test_fleet.RelayTestFleet(
         tmp_path, ('v1', 'v2', 'v1', 'v2')
     )
+    # Streams go on only where a version was announced lately.
+    test_fleet.keep_announcing()
     yield test_fleet
     test_fleet.stop()
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -25,6 +25,31 @@
     )
 
 
+class TickingClock(builders.Clock):
+    """A clock whose periodic functions are called while it advances."""
+
+    def __init__(self, now=1000.0):
+        super().__init__(now)
+        self._functions = []
+
+    def on_tick(self, function):
+        """Call a function in the period in which versions are sampled."""
+        self._functions.append(function)
+
+    def advance(self, seconds):
+        """Advance the clock."""
+        ends_at = self.now + seconds
+        while self.now < ends_at:
+            step = software_versions.SAMPLE_PERIOD_SECONDS
+            self.now = min(ends_at, self.now + step)
+            for function in self._functions:
+                function()
+
+    def stand_still(self, seconds):
+        """Advance the clock without a call, as if the VM were paused."""
+        self.now += seconds
+
+
 class ControlVm:
     """A control VM that keeps streams, as a reporter or finder calls it."""
 
@@ -39,11 +64,12 @@
         self.incarnation += 1
         self.table = stream_origins.StreamOriginTable(self.clock)
         endpoints = types.SimpleNamespace(
-            on_endpoint_change=lambda listener: None
+            on_endpoint_change=lambda listener: None, endpoints=lambda: []
         )
         self.history = software_versions.SoftwareVersionHistory(
-            endpoints, self.clock
+            endpoints, lambda: True, self.clock
         )
+        self.clock.on_tick(self.history.sample)
         self.keeper = stream_origin_links.StreamOriginKeeper(
             self.table, self.history, self.incarnation
         )
@@ -60,7 +86,7 @@
 
     def __init__(self, names=('core-0', 'core-1', 'core-2')):
         # Ages are told by the clock of the process.
-        self.clock = builders.Clock(stream_origins.clocks.now())
+        self.clock = TickingClock(stream_origins.clocks.now())
         self.control_vms_by_id = {
             name: ControlVm(self.clock) for name in names
         }
@@ -206,15 +232,17 @@
 
 
 def test_a_version_counts_for_a_while_after_its_last_engine():
-    clock = builders.Clock()
+    clock = TickingClock()
     listeners = []
     known = [builders.endpoint(software_version='v1')]
     history = software_versions.SoftwareVersionHistory(
         types.SimpleNamespace(
             on_endpoint_change=listeners.append, endpoints=lambda: known
         ),
+        lambda: True,
         clock,
     )
+    clock.on_tick(history.sample)
     history.sample()
     known.clear()
     listeners[0](builders.endpoint('engine-2', software_version='v2'))
@@ -225,6 +253,38 @@
     assert history.view('engines').seconds == LIFETIME
 
 
+# Streams were taken up at another software version: a VM that had stood still
+# or was cut off had missed that engines of a new version had joined.
+def test_a_vm_that_stood_still_has_not_looked_since():
+    clock = TickingClock()
+    control_vm = ControlVm(clock)
+    clock.advance(30.0)
+    assert control_vm.history.view('engines').seconds == 30.0
+    clock.stand_still(software_versions.MAX_GAP_SECONDS + 0.1)
+    assert control_vm.history.view('engines').seconds == 0.0
+    clock.advance(1.0)
+    assert control_vm.history.view('engines').seconds <= 1.0
+
+
+def test_a_vm_that_is_cut_off_has_not_looked_meanwhile():
+    clock = TickingClock()
+    contacts = [True]
+    history = software_versions.SoftwareVersionHistory(
+        types.SimpleNamespace(
+            on_endpoint_change=lambda listener: None, endpoints=lambda: []
+        ),
+        lambda: contacts[0],
+        clock,
+    )
+    clock.on_tick(history.sample)
+    clock.advance(30.0)
+    contacts[0] = False
+    clock.advance(5.0)
+    contacts[0] = True
+    clock.advance(4.0)
+    assert history.view('engines').seconds <= 4.0
+
+
 class Finder:
     """A finder that answers from a list, and then with its last entry."""
 
