Answer what a planned stop interrupts, and refuse what it would

Cause: a stopping VM took each request until it began to drain, whatever its deadline, and closed all connections when the time had ended.

Change: a request that may outlast the stop is refused unsent, by its deadline and the slowest answer of its route lately. What is in flight 1.25 s before the end of the grace is interrupted and answered: 503 if it was not sent, else 502, outcome unknown. Refusals while the VM drains close their connections.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/request_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/request_gate.py
@@ -4,6 +4,7 @@
 import dataclasses
 import threading
 
+from carobwood import clocks
 from carobwood import errors
 
 
@@ -30,12 +31,30 @@
         self._in_flight_count = 0
         self._is_stopping = False
         self._is_draining = False
+        self._is_interrupted = False
+        self._interruptions = set()
+        self._ends_at = float('inf')
 
     @property
     def is_ready(self):
         """Whether the load balancer should send new connections."""
         return not self._is_stopping
 
+    @property
+    def is_draining(self):
+        """Whether new requests are refused."""
+        return self._is_draining
+
+    @property
+    def is_interrupted(self):
+        """Whether the time for requests in flight has ended."""
+        return self._is_interrupted
+
+    @property
+    def stop_seconds_left(self):
+        """Seconds until requests in flight are interrupted."""
+        return self._ends_at - clocks.now()
+
     @property
     def in_flight(self):
         """Number of requests in flight."""
@@ -86,13 +105,39 @@
                 if request.key_digest in digests:
                     request.withdrawn.set()
 
-    def mark_not_ready(self):
+    def mark_not_ready(self, stop_seconds=float('inf')):
         """Report not ready, but continue to accept requests.
 
         The load balancer needs time to notice that the VM is not ready.
+
+        Args:
+            stop_seconds: time until requests in flight are interrupted.
         """
+        self._ends_at = clocks.now() + stop_seconds
         self._is_stopping = True
 
+    @contextlib.contextmanager
+    def interruptible(self, interrupt):
+        """Call a function if the stop's time ends within the context."""
+        with self._changed:
+            self._interruptions.add(interrupt)
+            is_interrupted = self._is_interrupted
+        if is_interrupted:
+            interrupt()
+        try:
+            yield
+        finally:
+            with self._changed:
+                self._interruptions.discard(interrupt)
+
+    def interrupt(self):
+        """Interrupt the requests in flight, which are then answered."""
+        with self._changed:
+            self._is_interrupted = True
+            interruptions = list(self._interruptions)
+        for interrupt in interruptions:
+            interrupt()
+
     def wait_until_idle(self, timeout):
         """Wait until no request is in flight, while accepting new ones.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -45,6 +45,7 @@
             Saturated: the queue is full, or no endpoint had capacity
                 within the maximum wait.
             NoEndpointReachable: this VM reaches no endpoint.
+            Stopping: the VM stops before any had capacity.
             RequestCrashesEndpoints: endpoints crashed on a segment of the
                 prompt while it waited.
             CallerLeft: the caller disconnected during the wait.
@@ -96,6 +97,8 @@
                 raise errors.CallerLeft(
                     'the caller disconnected while its request was queued'
                 )
+            if self._context.gate.is_interrupted:
+                raise errors.Stopping('this VM is shutting down')
             self._context.segment_suspects.check(request.segment_keys)
             if wait_queue.is_first(entry):
                 assignment = self._selector.try_assign(request, excluded)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -230,7 +230,10 @@
             )
         try:
             self._socket.settimeout(timeout)
-            return self._body.read_available()
+            data = self._body.read_available()
+            if not data and self._read_error is not None:
+                raise self._read_error
+            return data
         except _IO_FAILURES as error:
             raise errors.EndpointFailed(
                 f'reading the body failed: {error!r}'
@@ -298,6 +301,18 @@
             self._socket
         )
 
+    def interrupt(self):
+        """Make the read in progress and all later ones fail.
+
+        May be called by any thread.
+        """
+        self._read_error = ConnectionAbortedError('this VM stops')
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The connection has ended already.
+            pass
+
     def close(self):
         """Close the connection, which cancels a request in flight.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -11,6 +11,7 @@
 from . import forwarding_headers
 from . import messages
 from . import request_forwarder
+from . import stop_admission
 
 # Requests of other VMs that are in flight here at most. The rest of the
 # threads is left to this VM's own callers.
@@ -65,14 +66,14 @@
         arrived_at = clocks.now()
         gate = self._context.gate
         trace = self._context.tracer.start('relay')
+        if not gate.is_ready:
+            caller.close_after_response()
         try:
             gate.admit()
         except errors.CarobwoodError as error:
             self._report_error(caller, None, error, forwarded)
             return
         try:
-            if not gate.is_ready:
-                caller.close_after_response()
             self._admit_and_run(caller, forwarded, arrived_at, trace)
         finally:
             gate.release()
@@ -83,6 +84,7 @@
         try:
             with trace.span('admission'):
                 request = self._admission.admit(caller, arrived_at, forwarded)
+                self._refuse_if_too_late(request)
             if forwarded is not None:
                 self._run_here(caller, request, trace)
             elif self._context.reachability.is_cut_off:
@@ -105,6 +107,24 @@
             )
             self._report_error(caller, request, unexpected, forwarded)
 
+    def _refuse_if_too_late(self, request):
+        """Refuse a request that may outlast the stop of this VM.
+
+        Raises:
+            Stopping: it may.
+        """
+        gate = self._context.gate
+        if gate.is_ready:
+            return
+        durations = self._context.route_durations
+        if not stop_admission.may_finish(
+            request.route,
+            durations.slowest(request.route.name),
+            request.seconds_left,
+            gate.stop_seconds_left,
+        ):
+            raise errors.Stopping('the request may outlast the stop')
+
     def _run_anywhere(self, caller, request, trace):
         """Run a request here, or through another VM if this one cannot."""
         forwarder = self._make_forwarder(caller, request, trace)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -48,6 +48,7 @@
         gate: the ``RequestGate``: limit of requests in flight on this VM.
         tracer: the ``Tracer``.
         metrics: the ``Metrics``.
+        route_durations: the ``RouteDurations``.
     """
 
     data_centre: str
@@ -75,3 +76,4 @@
     gate: object
     tracer: object
     metrics: object
+    route_durations: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -126,6 +126,8 @@
     def _reserve_assignment(self):
         request = self._request
         self._check_reachability()
+        if self._context.gate.is_interrupted:
+            raise self.final_error(errors.Stopping('this VM is shutting down'))
         if request.seconds_left < MIN_ATTEMPT_SECONDS:
             raise self.final_error(
                 errors.DeadlineUnreachable(
@@ -182,7 +184,8 @@
                 assignment, self._splitter.last_id, self._response_timeout()
             )
             self._selector.release_prefill(assignment)
-            self._forward_response(assignment, response)
+            with self._context.gate.interruptible(response.upstream.interrupt):
+                self._forward_response(assignment, response)
             self._note_answered(assignment, response)
             return True
         except errors.EndpointUnreachable as error:
@@ -200,6 +203,10 @@
         ) as error:
             self._failed_runs += 1
             self._run_error = error
+            if self._context.gate.is_interrupted:
+                raise errors.StopTimeout(
+                    'the VM stopped before the response'
+                ) from error
             if self._recorder.note_failed(assignment, error):
                 self._note_crash(assignment)
             self._raise_unless_retryable(assignment, error)
@@ -414,6 +421,7 @@
                 self._request.segment_keys
             )
         seconds = clocks.now() - self._request.arrived_at
+        self._context.route_durations.note(self._request.route.name, seconds)
         self._context.metrics.timing('request', seconds)
         self._context.metrics.timing('first-byte', self._first_byte_seconds)
         self._context.metrics.count(f'answered.{response.head.status}')
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -87,13 +87,14 @@
         sent_at = clocks.now()
         try:
             self._check_serving(assignment.endpoint)
-            connection.send(
-                self._outgoing_request(assignment, resume_id),
-                SEND_TIMEOUT_SECONDS,
-            )
-            return self._await_response(
-                connection, assignment, sent_at, timeout
-            )
+            with self._context.gate.interruptible(connection.interrupt):
+                connection.send(
+                    self._outgoing_request(assignment, resume_id),
+                    SEND_TIMEOUT_SECONDS,
+                )
+                return self._await_response(
+                    connection, assignment, sent_at, timeout
+                )
         except BaseException:
             connection.close()
             raise
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -80,6 +80,10 @@
                     if self._try_vm(vm, caller, request, trace):
                         return
             except errors.EndpointFailed as error:
+                if self._context.gate.is_interrupted:
+                    raise errors.StopTimeout(
+                        'the VM stopped before the response'
+                    ) from error
                 if not _may_forward_again(caller, request):
                     raise
                 self._log(request, vm, error.code)
@@ -97,7 +101,10 @@
             self._log(request, vm, error.code)
             return False
         try:
-            is_taken = self._exchange(connection, vm, caller, request, trace)
+            with self._context.gate.interruptible(connection.interrupt):
+                is_taken = self._exchange(
+                    connection, vm, caller, request, trace
+                )
         except BaseException:
             connection.close()
             raise
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -17,6 +17,7 @@
 from .relay import relay
 from .relay import relay_context
 from .relay import selector
+from .relay import stop_admission
 from .relay import vm_forwarder
 from .routing import rendezvous
 from .routing import segment_suspects
@@ -176,6 +177,7 @@
             gate=self._gate,
             tracer=self._tracer,
             metrics=shared.metrics,
+            route_durations=stop_admission.RouteDurations(),
         )
         return relay.Relay(
             context,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -65,6 +65,8 @@
 # Part of the stop time that is reserved for closing servers and threads after
 # the requests have finished.
 CLOSE_RESERVE_SECONDS = 1.0
+# Part of the stop time in which requests that have not finished are answered.
+ANSWER_RESERVE_SECONDS = 0.25
 # Longest time for which late requests are still accepted after the balancer
 # has taken this VM out. Requests accepted later might outlast the stop.
 LATE_REQUEST_SECONDS = 0.4
@@ -133,6 +135,11 @@
         """The ``Directory`` of VMs and endpoints."""
         return self._directory
 
+    @property
+    def gate(self):
+        """The ``RequestGate``."""
+        return self._gate
+
     @property
     def pool(self):
         """The ``ConnectionPool`` of connections to endpoints."""
@@ -203,17 +210,20 @@
         """
         started_at = clocks.now()
         events.emit(events.DAEMON_STOPPING, vm=self._settings.vm_id)
-        self._gate.mark_not_ready()
+        ends_at = started_at + self._settings.fleet_limits.shutdown_seconds
+        ends_at -= CLOSE_RESERVE_SECONDS + ANSWER_RESERVE_SECONDS
+        self._gate.mark_not_ready(ends_at - started_at)
         if self._replica_runner is not None:
             self._replica_runner.stop()
         if self._settings.caller_listen is not None:
             threading.Event().wait(self._settings.balancer_delay_seconds)
-        ends_at = started_at + self._settings.fleet_limits.shutdown_seconds
         self._gate.wait_until_idle(LATE_REQUEST_SECONDS)
-        left = ends_at - CLOSE_RESERVE_SECONDS - clocks.now()
-        drained = self._gate.drain(max(0.0, left))
+        drained = self._gate.drain(max(0.0, ends_at - clocks.now()))
         if not drained:
             events.emit(events.DRAIN_TIMED_OUT, in_flight=self._gate.in_flight)
+            # What is still in flight gets an answer that says what is known.
+            self._gate.interrupt()
+            self._gate.wait_until_idle(ANSWER_RESERVE_SECONDS)
         self._close()
         events.emit(events.DAEMON_STOPPED, vm=self._settings.vm_id)
         return drained
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -263,6 +263,13 @@
     retry_after = 1
 
 
+class StopTimeout(CarobwoodError):
+    """The VM stopped while an endpoint ran the request."""
+
+    code = 'stop_timeout'
+    status = 502
+
+
 class Stopping(RequestRefused):
     """The VM is shutting down."""
 
--- /dev/null
+++ b/tests/test_planned_stops.py
@@ -0,0 +1,186 @@
+"""Requests that arrive or run while a VM stops, over relay VMs."""
+
+import threading
+
+import pytest
+import relay_builders as builders
+import relay_test_fleet
+
+from carobwood_daemon.relay import stop_admission
+
+STOP_SECONDS = 3.0
+SLOWEST = 1.0
+PLAIN_SLOTS = 6
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Yield two entry VMs that stop within a few seconds."""
+    relay_fleet = relay_test_fleet.RelayFleet(
+        tmp_path, entry_vm_count=2, stop_seconds=STOP_SECONDS
+    )
+    relay_fleet.control('PUT', '/v1/config', builders.configuration_body())
+    yield relay_fleet
+    relay_fleet.stop()
+
+
+@pytest.fixture
+def endpoint(fleet):
+    """Yield an endpoint of the service ``orders`` that is in use."""
+    started = relay_test_fleet.FakeEngine('orders-0', 'orders')
+    fleet.control('PUT', '/v1/instances/orders-0', started.announcement())
+    for number in range(2):
+        relay_test_fleet.await_reply(
+            lambda number=number: fleet.ask('/orders/whole', number=number),
+            lambda reply: reply.status == 200,
+        )
+    started.requests.clear()
+    yield started
+    started.stop()
+
+
+class _Call(threading.Thread):
+    """A request to an entry VM that is in flight.
+
+    Attributes:
+        reply: the ``Reply`` once it has come.
+    """
+
+    def __init__(self, fleet, path, request_id):
+        super().__init__(daemon=True)
+        self.reply = None
+        self._ask = lambda: fleet.ask(
+            path,
+            X_Carobwood_Request_Id=request_id,
+            X_Carobwood_Deadline_Ms='6000',
+        )
+        self.start()
+
+    def run(self):
+        """Send the request and await its reply."""
+        self.reply = self._ask()
+
+    def await_status(self):
+        """Return the status of the reply."""
+        self.join(relay_test_fleet.WAIT_SECONDS)
+        return self.reply.status
+
+
+def _await_arrivals(endpoint, count):
+    relay_test_fleet.await_reply(
+        lambda: len(endpoint.requests), lambda found: found >= count
+    )
+
+
+def _await_drain(vm):
+    """Wait until a stopping VM takes no requests any more."""
+    relay_test_fleet.await_reply(
+        lambda: vm.gate.is_draining, lambda is_draining: is_draining
+    )
+
+
+# In a planned stop, requests were cut with no answer at the end of the grace,
+# among them some that may not be repeated.
+def test_what_still_runs_at_the_end_of_a_stop_gets_an_answer(fleet, endpoint):
+    running = [
+        _Call(fleet, '/orders/silent', f'r-{number}')
+        for number in range(PLAIN_SLOTS)
+    ]
+    _await_arrivals(endpoint, PLAIN_SLOTS)
+    waiting = _Call(fleet, '/orders/whole', 'r-waiting')
+    vm = fleet.vms[len(fleet.control_ports)]
+    relay_test_fleet.await_reply(
+        lambda: vm.gate.in_flight, lambda count: count > PLAIN_SLOTS
+    )
+    vm.stop()
+    assert [call.await_status() for call in running] == [502] * PLAIN_SLOTS
+    for call in running:
+        assert b'"outcome": "unknown"' in call.reply.body
+    # It has not been sent to an endpoint.
+    assert waiting.await_status() == 503
+    assert b'"outcome": "not-run"' in waiting.reply.body
+    assert len(endpoint.requests) == PLAIN_SLOTS
+
+
+def test_what_may_outlast_the_stop_is_refused_unsent(
+    fleet, endpoint, monkeypatch
+):
+    monkeypatch.setattr(
+        stop_admission.RouteDurations,
+        'slowest',
+        lambda durations, route_name: {'orders': 0.01}.get(route_name),
+    )
+    # Nothing is known of this route, whose requests may last 1.5 s.
+    running = _Call(fleet, '/orders/silent', 'r-1')
+    _await_arrivals(endpoint, 1)
+    vm = fleet.vms[len(fleet.control_ports)]
+    vm.gate.mark_not_ready(SLOWEST)
+    reply = fleet.ask('/lookups/whole', X_Carobwood_Deadline_Ms='60000')
+    assert reply.status == 503
+    assert reply.headers['connection'] == 'close'
+    assert b'"code": "stopping"' in reply.body
+    # This route answers within milliseconds.
+    reply = fleet.ask('/orders/whole', X_Carobwood_Deadline_Ms='60000')
+    assert reply.status == 200
+    assert reply.headers['connection'] == 'close'
+    assert len(endpoint.requests) == 2
+    vm.stop()
+    assert running.await_status() == 502
+
+
+def test_a_refusal_of_a_stopping_vm_closes_the_connection(fleet, endpoint):
+    running = _Call(fleet, '/orders/silent', 'r-1')
+    _await_arrivals(endpoint, 1)
+    vm = fleet.vms[len(fleet.control_ports)]
+    stopping = threading.Thread(target=vm.stop)
+    stopping.start()
+    _await_drain(vm)
+    reply = fleet.ask('/orders/whole')
+    assert reply.status == 503
+    assert reply.headers['connection'] == 'close'
+    assert running.await_status() == 502
+    stopping.join()
+
+
+def _route(name):
+    fields = builders.configuration_fields()['routes']
+    body = builders.configuration_body(routes=fields)
+    parsed = relay_test_fleet.dialect.PlatformDialect().parse_configuration(
+        body
+    )
+    return next(route for route in parsed.routes if route.name == name)
+
+
+@pytest.mark.parametrize(
+    'name, slowest, time_allowed, stop_seconds, is_taken',
+    [
+        ('orders', None, 3.0, 4.0, True),
+        ('orders', None, 5.0, 4.0, False),
+        ('orders', SLOWEST, 5.0, 1.9, False),
+        ('orders', SLOWEST, 5.0, 2.1, True),
+        ('lookups', SLOWEST, 5.0, 1.2, False),
+        ('lookups', SLOWEST, 5.0, 1.3, True),
+    ],
+)
+def test_only_what_is_likely_to_end_in_time_is_taken(
+    name, slowest, time_allowed, stop_seconds, is_taken
+):
+    found = stop_admission.may_finish(
+        _route(name), slowest, time_allowed, stop_seconds
+    )
+    assert found is is_taken
+
+
+def test_the_slowest_answer_is_forgotten_after_two_windows():
+    clock = builders.Clock()
+    durations = stop_admission.RouteDurations(clock)
+    assert durations.slowest('orders') is None
+    durations.note('orders', 3.0)
+    durations.note('orders', 1.0)
+    clock.advance(stop_admission.WINDOW_SECONDS)
+    durations.note('orders', 2.0)
+    assert durations.slowest('orders') == 3.0
+    clock.advance(stop_admission.WINDOW_SECONDS)
+    assert durations.slowest('orders') == 2.0
+    clock.advance(2 * stop_admission.WINDOW_SECONDS)
+    assert durations.slowest('orders') is None
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -8,6 +8,7 @@
 
 from carobwood import errors
 from carobwood import events
+from carobwood_daemon.entry import request_gate
 from carobwood_daemon.limits import endpoint_permits
 from carobwood_daemon.relay import assignment_queue
 from carobwood_daemon.relay import endpoint_availability
@@ -76,6 +77,7 @@
             configuration_store=stub(configuration=stub(services_by_name={})),
             wait_queue=self.queue,
             engine_weights=engine_weights.EngineWeights(),
+            gate=request_gate.RequestGate(100),
         )
         self.selector = selector.Selector(self.context)
         self.assignment_queue = assignment_queue.AssignmentQueue(
