Check requests again when the configuration changes under them

Cause: a waiting or retried request was of one configuration, and its service was looked up in the next one. A service that is not listed counted as a plain one, so that the request went out without salt and expected version. An engine's version was read twice.

Change: an admitted request carries its configuration; under another one it is checked again before it is assigned, and goes where its route leads now or is refused unsent. Unknown services and unknown weights versions have no candidates. Salt and expected version are of one reading.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
@@ -39,6 +39,8 @@
         deadline_at: when its final answer is due.
         units: units that it takes from the customer's limit.
         fingerprint: digest of method, target, customer and body.
+        configuration: the ``Configuration`` that the route, the service and
+            the customer are of.
         is_within_rate: whether its customer's rate limit covers it.
         software_version: the only software version of an endpoint that may
             run it, or None for any.
@@ -53,6 +55,7 @@
     deadline_at: float
     units: int
     fingerprint: str
+    configuration: configurations.Configuration = dataclasses.field(repr=False)
     is_within_rate: bool = True
     software_version: str | None = None
 
@@ -171,6 +174,7 @@
             arrived_at + _time_allowed(metadata, route, forwarded),
             _count_units(metadata, customer),
             _fingerprint(caller, customer, body),
+            configuration,
         )
         self._crash_suspects.refuse_if_crashing(request.fingerprint)
         self._segment_suspects.check(request.segment_keys)
@@ -180,6 +184,55 @@
             )
         return self._consume_quota(request)
 
+    def readmit(self, caller, request, is_bound):
+        """Check a request again that was admitted before a change.
+
+        All that its safety rests on is taken from the configuration in
+        force: route, service, customer and the customer's isolation.
+
+        Args:
+            caller: the request as it was read.
+            request: the ``AdmittedRequest``.
+            is_bound: whether it must stay with its service, as it may have
+                run there or goes on with a stream.
+
+        Returns:
+            The ``AdmittedRequest`` under the configuration in force.
+
+        Raises:
+            RequestRefused: the configuration in force does not allow it.
+        """
+        configuration = self._configuration_store.configuration
+        route = request.route
+        service = request.service
+        if not is_bound:
+            route = configuration.find_route(caller.host, caller.path)
+            if route is None:
+                raise errors.RouteNotFound(
+                    'no route matches the host and path any more'
+                )
+            names = {share.service for share in route.weighted_services}
+            if service not in names:
+                service = self._choose_service(route).service
+        events.emit(
+            events.REQUEST_READMITTED,
+            request_id=request.metadata.request_id,
+            version=configuration.version,
+            before=request.configuration.version,
+            service=service,
+            bound=is_bound,
+        )
+        return dataclasses.replace(
+            request,
+            configuration=configuration,
+            route=route,
+            service=service,
+            customer=_find_customer(configuration, route, request.metadata),
+            deadline_at=min(
+                request.deadline_at, request.arrived_at + route.timeout
+            ),
+        )
+
     def _await_configuration(self, caller):
         metadata = self._dialect.parse_request_headers(caller.headers)
         seconds = CONFIGURATION_WAIT_SECONDS
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -1,5 +1,6 @@
 """Relays a caller's request: admission, forwarding, error response."""
 
+import functools
 import math
 import threading
 
@@ -148,7 +149,12 @@
         resolved = self._context.stream_resumption.resolve(request)
         self._context.retry_budget.note_request(request.service)
         return request_forwarder.RequestForwarder(
-            self._context, self._selector, caller, resolved, trace
+            self._context,
+            self._selector,
+            caller,
+            resolved,
+            trace,
+            functools.partial(self._admission.readmit, caller),
         )
 
     def _report_error(self, caller, request, error, forwarded=None):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -46,7 +46,7 @@
 class RequestForwarder:
     """Forwards one request, with retries, and relays the response."""
 
-    def __init__(self, context, selector, caller, request, trace):
+    def __init__(self, context, selector, caller, request, trace, readmit):
         """Create the forwarder of one request.
 
         Args:
@@ -55,19 +55,18 @@
             caller: the ``CallerRequest`` that receives the response.
             request: the ``AdmittedRequest``.
             trace: the ``RequestTrace`` that records its spans.
+            readmit: called with an ``AdmittedRequest`` and whether it is
+                bound to its service; see ``Admission.readmit``.
         """
         self._context = context
         self._selector = selector
+        self._readmit = readmit
         self._assignment_queue = assignment_queue.AssignmentQueue(
             context, selector
         )
         self._caller = caller
-        self._request = request
         self._trace = trace
-        self._sender = request_sender.RequestSender(
-            context, caller, request, trace
-        )
-        self._recorder = result_recorder.ResultRecorder(context, request)
+        self._set_request(request)
         # Ids of endpoints that must not receive the request again.
         self._excluded_ids = set()
         # Failed attempts in which the endpoint may have run the request.
@@ -123,7 +122,40 @@
             finally:
                 self._selector.release(assignment)
 
+    def _set_request(self, request):
+        self._request = request
+        self._sender = request_sender.RequestSender(
+            self._context, self._caller, request, self._trace
+        )
+        self._recorder = result_recorder.ResultRecorder(self._context, request)
+
     def _reserve_assignment(self):
+        while True:
+            self._follow_configuration()
+            try:
+                return self._reserve_once()
+            except errors.ConfigurationChanged:
+                # It is checked again, and waits again if it has to.
+                continue
+
+    def _follow_configuration(self):
+        """Check the request again if the configuration has changed."""
+        request = self._request
+        if request.configuration is (
+            self._context.configuration_store.configuration
+        ):
+            return
+        is_bound = (
+            self._run_error is not None
+            or request.software_version is not None
+            or self._caller.has_started_response
+        )
+        try:
+            self._set_request(self._readmit(request, is_bound))
+        except errors.CarobwoodError as error:
+            raise self.final_error(error) from error
+
+    def _reserve_once(self):
         request = self._request
         self._check_reachability()
         if self._context.gate.is_interrupted:
@@ -140,7 +172,7 @@
                 return self._assignment_queue.await_assignment(
                     request, self._excluded_ids, self._caller
                 )
-        except errors.CallerLeft:
+        except (errors.CallerLeft, errors.ConfigurationChanged):
             raise
         except errors.NoEndpointReachable as error:
             self._check_reachability()
@@ -396,8 +428,10 @@
         endpoint = self._assignment.endpoint
         self._context.stream_resumption.record(self._request, endpoint)
         # Later attempts must go on at the same software version.
-        self._request = dataclasses.replace(
-            self._request, software_version=endpoint.software_version
+        self._set_request(
+            dataclasses.replace(
+                self._request, software_version=endpoint.software_version
+            )
         )
         self._caller.start_stream(
             200, 'OK', caller_request.end_to_end_headers(response.headers)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 
+from carobwood import errors
+
 from . import block_digests
 from . import cache_transfers
 from . import fleet_loads
@@ -85,8 +87,18 @@
 
         Returns:
             An ``Assignment``, or None if no endpoint has capacity now.
+
+        Raises:
+            ConfigurationChanged: the request was admitted under another
+                configuration.
         """
         context = self._context
+        if request.configuration is not (
+            context.configuration_store.configuration
+        ):
+            raise errors.ConfigurationChanged(
+                'the configuration has changed since the admission'
+            )
         endpoints = [
             endpoint
             for endpoint in self.endpoints(request)
@@ -175,21 +187,34 @@
         }
 
     def _candidates(self, request, endpoints, loads_by_id):
-        configuration = self._context.configuration_store.configuration
-        service = configuration.services_by_name.get(request.service)
-        if service is None or service.engine is None:
+        service = request.configuration.services_by_name.get(request.service)
+        if service is None:
+            # Not known to be a plain service: an engine would need a salt.
+            return []
+        if service.engine is None:
             return [
                 self._plain_candidate(endpoint, loads_by_id)
                 for endpoint in endpoints
             ]
         affinity_id = self._affinity_id(request, endpoints)
+        weights = self._context.engine_weights
+        # Read once: the salt and the expected version rest on it.
+        versions_by_id = {
+            endpoint.id: weights.version(endpoint) for endpoint in endpoints
+        }
         return [
             self._engine_candidate(
-                request, endpoint, service.engine, loads_by_id, affinity_id
+                request,
+                endpoint,
+                versions_by_id[endpoint.id],
+                service.engine,
+                loads_by_id,
+                affinity_id,
             )
             for endpoint in endpoints
-            if not self._context.engine_weights.is_loading(endpoint)
-            and not self._is_outdated(request, endpoint)
+            if versions_by_id[endpoint.id]
+            and not weights.is_loading(endpoint)
+            and not self._is_outdated(request, versions_by_id[endpoint.id])
         ]
 
     def _plain_candidate(self, endpoint, loads_by_id):
@@ -202,9 +227,15 @@
         )
 
     def _engine_candidate(
-        self, request, endpoint, capacity, loads_by_id, affinity_id
+        self,
+        request,
+        endpoint,
+        weights_version,
+        capacity,
+        loads_by_id,
+        affinity_id,
     ):
-        block_digests = self._block_digests(request, endpoint)
+        block_digests = self._block_digests(request, weights_version)
         cached_count = self._context.prefix_cache_index.count_cached_blocks(
             endpoint, block_digests
         )
@@ -216,11 +247,11 @@
             capacity.kv_cache_tokens,
             sum(segment.tokens for segment in shared_segments[:cached_count]),
             endpoint.id == affinity_id,
-            self._has_old_weights(request, endpoint),
+            self._has_old_weights(request, weights_version),
             self._context.health.failure_rate(endpoint),
             endpoint.data_centre != self._context.data_centre,
             self._context.prefill_shares.share(endpoint.id),
-            self._context.engine_weights.version(endpoint),
+            weights_version,
         )
 
     def _affinity_id(self, request, endpoints):
@@ -233,37 +264,33 @@
         )
         return rendezvous.rank(key, endpoints)[0].id
 
-    def _has_old_weights(self, request, endpoint):
+    def _has_old_weights(self, request, weights_version):
         weights = self._context.engine_weights
         model = request.metadata.model
-        is_old = weights.version(endpoint) < weights.target_version(model)
+        is_old = weights_version < weights.target_version(model)
         age = weights.seconds_since_target_set(model)
         return is_old and age > OLD_WEIGHTS_GRACE_SECONDS
 
-    def _is_outdated(self, request, endpoint):
+    def _is_outdated(self, request, weights_version):
         weights = self._context.engine_weights
         limit = self._context.weights_change_seconds * OLD_WEIGHTS_MAX_FRACTION
         age = weights.seconds_since_target_set(request.metadata.model)
-        return self._has_old_weights(request, endpoint) and age > limit
+        return self._has_old_weights(request, weights_version) and age > limit
 
-    def _block_digests(self, request, endpoint):
-        salt = self._salt(request, endpoint)
+    def _block_digests(self, request, weights_version):
+        salt = _salt(request, weights_version)
         return tuple(
             block_digests.block_digest(salt, segment.id)
             for segment in request.metadata.prompt_segments[:-1]
         )
 
-    def _salt(self, request, endpoint):
-        """Return the cache salt; blocks are shared only under one salt."""
-        version = self._context.engine_weights.version(endpoint)
-        customer = request.customer
-        if customer is not None and customer.is_isolated:
-            return f'v{version}/{customer.name}'
-        return f'v{version}'
-
     def _assign(self, request, choice, candidates):
         endpoint = choice.candidate.endpoint
-        block_digests = self._block_digests(request, endpoint)
+        block_digests = ()
+        if choice.candidate.kv_cache_tokens:
+            block_digests = self._block_digests(
+                request, choice.candidate.weights_version
+            )
         if block_digests:
             self._context.prefix_cache_index.record_use(
                 endpoint, block_digests
@@ -293,7 +320,7 @@
     def _engine_assignment(
         self, request, chosen, candidates, block_digests, reservation
     ):
-        salt = self._salt(request, chosen.endpoint)
+        salt = _salt(request, chosen.weights_version)
         transfer = cache_transfers.choose(
             request.metadata.prompt_segments[:-1],
             chosen,
@@ -305,7 +332,7 @@
             chosen.endpoint,
             reservation,
             salt,
-            self._context.engine_weights.version(chosen.endpoint),
+            chosen.weights_version,
             block_digests,
             transfer.fetch_from,
             transfer.save_to,
@@ -317,6 +344,14 @@
         )
 
 
+def _salt(request, weights_version):
+    """Return the cache salt; blocks are shared only under one salt."""
+    customer = request.customer
+    if customer is not None and customer.is_isolated:
+        return f'v{weights_version}/{customer.name}'
+    return f'v{weights_version}'
+
+
 def _segment_summaries(request, block_digests):
     """Return [abbreviated digest, tokens] of each shared segment."""
     return [
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -263,6 +263,16 @@
     retry_after = 1
 
 
+class ConfigurationChanged(RequestRefused):
+    """The configuration has changed since the request was admitted.
+
+    The request is checked again; no caller gets this error.
+    """
+
+    code = 'configuration_changed'
+    status = 503
+
+
 class StopTimeout(CarobwoodError):
     """The VM stopped while an endpoint ran the request."""
 
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -12,6 +12,7 @@
 from carobwood_daemon.relay import placement
 from carobwood_daemon.relay import quota
 from carobwood_daemon.replication import commands
+from carobwood_platform import dialect
 
 HOST = 'booths.example'
 KEY = 'key-of-bole-0001'
@@ -71,6 +72,9 @@
         'deadline_at': now + seconds_left,
         'units': 1,
         'fingerprint': '',
+        'configuration': dialect.PlatformDialect().parse_configuration(
+            configuration_body()
+        ),
     }
     return admission.AdmittedRequest(**{**fields, **changes})
 
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -1,6 +1,7 @@
 """Requests beside changes of the configuration, over relay VMs."""
 
 import http.client
+import threading
 
 import pytest
 import relay_builders as builders
@@ -81,3 +82,87 @@
     assert reply.status == 500
     assert reply.headers['x-carobwood-request-id'] == 'r-1'
     assert b'"outcome": "unknown"' in reply.body
+
+
+PLAIN_SLOTS = 6
+OTHER_SERVICE = {'name': 'other-orders', 'max_conns': 100}
+
+
+def _moved_routes():
+    """Return the routes with that of the orders at another service."""
+    routes = builders.configuration_fields()['routes']
+    return [
+        route | {'service': 'other-orders'}
+        if route['service'] == 'orders'
+        else route
+        for route in routes
+    ]
+
+
+def _moved_services():
+    services = builders.configuration_fields()['services']
+    return [services[0], OTHER_SERVICE]
+
+
+def _occupy(fleet):
+    """Occupy the plain endpoint for longer than the test lasts."""
+    for number in range(PLAIN_SLOTS):
+        threading.Thread(
+            target=fleet.fleet.ask,
+            args=('/orders/silent',),
+            kwargs={'X_Carobwood_Request_Id': f'busy-{number}'},
+            daemon=True,
+        ).start()
+    relay_test_fleet.await_reply(
+        lambda: len(fleet.plain_endpoint.requests),
+        lambda count: count == PLAIN_SLOTS,
+    )
+
+
+class _Waiting(threading.Thread):
+    """A request that waits for room at the plain endpoint.
+
+    Attributes:
+        reply: the ``Reply`` once it has come.
+    """
+
+    def __init__(self, fleet):
+        super().__init__(daemon=True)
+        self._fleet = fleet
+        self.reply = None
+        vm = fleet.fleet.vms[len(fleet.fleet.control_ports)]
+        self.start()
+        relay_test_fleet.await_reply(
+            lambda: vm.gate.in_flight, lambda count: count > PLAIN_SLOTS
+        )
+
+    def run(self):
+        """Send the request and await its reply."""
+        self.reply = self._fleet.fleet.ask(
+            '/orders/whole', X_Carobwood_Request_Id='waiting'
+        )
+
+
+# Waiting requests were sent on as if their service were a plain one when a
+# configuration dropped it.
+def test_a_request_that_waits_goes_where_its_route_leads_now(fleet):
+    other = relay_test_fleet.FakeEngine('other-0', 'other-orders')
+    _occupy(fleet)
+    waiting = _Waiting(fleet)
+    fleet.announce(other)
+    fleet.configure(2, routes=_moved_routes(), services=_moved_services())
+    waiting.join(relay_test_fleet.WAIT_SECONDS)
+    assert (waiting.reply.status, waiting.reply.body) == (200, b'whole')
+    ids = [r['x-carobwood-request-id'] for r in other.requests]
+    assert ids == ['waiting']
+    other.stop()
+
+
+def test_a_request_that_waits_on_a_dropped_route_is_refused_unsent(fleet):
+    _occupy(fleet)
+    waiting = _Waiting(fleet)
+    fleet.configure(2, routes=_routes_without('orders'))
+    waiting.join(relay_test_fleet.WAIT_SECONDS)
+    assert waiting.reply.status == 404
+    assert b'"outcome": "not-run"' in waiting.reply.body
+    assert len(fleet.plain_endpoint.requests) == PLAIN_SLOTS
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -25,6 +25,11 @@
 FULL_LOAD = fleet_loads.Load(running=selector.PLAIN_SERVICE_SLOTS)
 
 
+CONFIGURATION = types.SimpleNamespace(
+    services_by_name={'orders': types.SimpleNamespace(engine=None)}
+)
+
+
 class SelectorHarness:
     """A selector with one endpoint of a plain service, at full load."""
 
@@ -74,7 +79,7 @@
             loads=self.loads,
             prefix_cache_index=stub(record_use=lambda *arguments: None),
             prefill_shares=fleet_loads.PrefillShares(self.clock),
-            configuration_store=stub(configuration=stub(services_by_name={})),
+            configuration_store=stub(configuration=CONFIGURATION),
             wait_queue=self.queue,
             engine_weights=engine_weights.EngineWeights(),
             gate=request_gate.RequestGate(100),
@@ -86,6 +91,7 @@
         self.request = stub(
             metadata=messages.RequestMetadata('r-1'),
             service='orders',
+            configuration=CONFIGURATION,
             software_version=None,
             customer=None,
             priority=2,
--- /dev/null
+++ b/tests/test_request_safety.py
@@ -0,0 +1,135 @@
+"""What keeps caches of customers and weights apart, for each assignment."""
+
+import dataclasses
+import itertools
+import types
+
+import pytest
+import relay_builders as builders
+
+from carobwood import errors
+from carobwood_daemon.entry import request_gate
+from carobwood_daemon.relay import endpoint_availability
+from carobwood_daemon.relay import endpoint_health
+from carobwood_daemon.relay import endpoint_rate_limits
+from carobwood_daemon.relay import fleet_loads
+from carobwood_daemon.relay import messages
+from carobwood_daemon.relay import selector
+from carobwood_platform import dialect
+
+SEGMENTS = (
+    messages.PromptSegment('aa', 6000),
+    messages.PromptSegment('own', 40),
+)
+
+
+class Weights:
+    """Weights of one engine, whose version a test may let grow.
+
+    Attributes:
+        versions: iterator of the versions that are read.
+    """
+
+    def __init__(self, versions):
+        self.versions = versions
+
+    def version(self, endpoint):
+        """Return the next version."""
+        return next(self.versions)
+
+    def is_loading(self, endpoint):
+        """Return False."""
+        return False
+
+    def target_version(self, model):
+        """Return 0: none is wanted."""
+        return 0
+
+    def seconds_since_target_set(self, model):
+        """Return 0.0."""
+        return 0.0
+
+
+def _parse(**changes):
+    return dialect.PlatformDialect().parse_configuration(
+        builders.configuration_body(**changes)
+    )
+
+
+def _context(configuration, versions=(1,)):
+    stub = types.SimpleNamespace
+    clock = builders.Clock()
+    return stub(
+        data_centre='bole',
+        weights_change_seconds=8.0,
+        configuration_store=stub(configuration=configuration),
+        directory=stub(
+            serving_endpoints=lambda: [builders.endpoint()],
+            announcement_age=lambda endpoint: 0.0,
+        ),
+        health=endpoint_health.EndpointHealth(clock),
+        availability=endpoint_availability.EndpointAvailability(
+            clock, lambda limit: 0.0
+        ),
+        rate_limits=endpoint_rate_limits.EndpointRateLimits(
+            lambda *arguments: None, clock=clock
+        ),
+        loads=fleet_loads.FleetLoads(clock),
+        push_loads=lambda: None,
+        prefill_shares=fleet_loads.PrefillShares(clock),
+        prefix_cache_index=stub(
+            record_use=lambda *arguments: None,
+            count_cached_blocks=lambda *arguments: 0,
+        ),
+        kv_stores=stub(find_available=lambda: None),
+        engine_weights=Weights(itertools.cycle(versions)),
+        gate=request_gate.RequestGate(10),
+    )
+
+
+def _request(configuration, customer=None):
+    metadata = messages.RequestMetadata(
+        'r-1', model=builders.MODEL, prompt_segments=SEGMENTS
+    )
+    return builders.admitted_request(
+        metadata,
+        configuration.routes[0],
+        configuration=configuration,
+        customer=customer or configuration.customers[0],
+    )
+
+
+def _assign(context, request):
+    return selector.Selector(context).try_assign(request, ())
+
+
+# A prompt was answered from the cache of an isolated customer: a request was
+# sent without a salt once its service was not in the configuration any more.
+def test_a_request_of_another_configuration_is_not_assigned():
+    admitted_under = _parse()
+    without_service = _parse(
+        routes=[builders.route_fields('orders', service='orders')],
+        services=[{'name': 'orders'}],
+    )
+    request = _request(admitted_under)
+    with pytest.raises(errors.ConfigurationChanged):
+        _assign(_context(without_service), request)
+    # Nor is one whose own configuration does not name its service.
+    unnamed = dataclasses.replace(request, configuration=without_service)
+    assert _assign(_context(without_service), unnamed) is None
+
+
+def test_an_engine_whose_weights_are_unknown_is_not_assigned():
+    configuration = _parse()
+    context = _context(configuration, versions=(0,))
+    assert _assign(context, _request(configuration)) is None
+
+
+# The version of an engine was read twice, for the salt and for the version
+# that the engine has to have.
+def test_salt_and_expected_version_are_of_one_reading():
+    configuration = _parse()
+    context = _context(configuration, versions=range(1, 100))
+    assignment = _assign(context, _request(configuration))
+    assert assignment.weights_version
+    assert assignment.cache_salt == f'v{assignment.weights_version}'
