Give shared prompts another salt when a customer is isolated

Cause: the shared salt was the same before and after.

Change: the shared salt names the set of isolated customers, if there are any, so that all VMs choose the same one. Shared prompts are read again once when the set changes.

Evidence: test_an_isolated_customer_leaves_no_parts_to_the_others fails without the change (v1 for all) and passes with it.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
@@ -3,6 +3,10 @@
 import dataclasses
 import enum
 import functools
+import hashlib
+
+# Length of the key of customers that share cached prompts.
+SHARING_GROUP_BYTES = 6
 
 
 class RouteKind(enum.Enum):
@@ -186,6 +190,21 @@
             for key in customer.api_keys
         }
 
+    @functools.cached_property
+    def sharing_group(self):
+        """Key of the customers that share cached prompts, or empty for all.
+
+        It differs for each set of isolated customers: blocks that a
+        customer made before it was isolated must not be found any more.
+        """
+        isolated = sorted(c.name for c in self.customers if c.is_isolated)
+        if not isolated:
+            return ''
+        digest = hashlib.blake2b(digest_size=SHARING_GROUP_BYTES)
+        for name in isolated:
+            digest.update(name.encode('utf-8') + b'\0')
+        return digest.hexdigest()
+
     @functools.cached_property
     def _routes_by_host(self):
         routes_by_host = {}
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -349,7 +349,8 @@
     customer = request.customer
     if customer is not None and customer.is_isolated:
         return f'v{weights_version}/{customer.name}'
-    return f'v{weights_version}'
+    group = request.configuration.sharing_group
+    return f'v{weights_version}.{group}' if group else f'v{weights_version}'
 
 
 def _segment_summaries(request, block_digests):
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -133,3 +133,35 @@
     assignment = _assign(context, _request(configuration))
     assert assignment.weights_version
     assert assignment.cache_salt == f'v{assignment.weights_version}'
+
+
+def _with_isolated(*names):
+    customers = [
+        {'name': name, 'api_keys': [f'key-{name}'], 'isolated': name in names}
+        for name in ('bole', 'yeka', 'arada')
+    ]
+    return _parse(tenants=customers)
+
+
+def _salts(configuration):
+    context = _context(configuration)
+    return {
+        customer.name: _assign(
+            context, _request(configuration, customer)
+        ).cache_salt
+        for customer in configuration.customers
+    }
+
+
+# Another customer's prompt was answered from parts that a customer had made
+# before it was isolated.
+def test_an_isolated_customer_leaves_no_parts_to_the_others():
+    before = _salts(_with_isolated())
+    after = _salts(_with_isolated('bole'))
+    assert set(before.values()) == {'v1'}
+    assert after['yeka'] == after['arada'] not in before.values()
+    assert after['bole'] not in (*before.values(), after['yeka'])
+    both = _salts(_with_isolated('bole', 'yeka'))
+    assert both['arada'] not in (*before.values(), *after.values())
+    # All VMs choose the same salts.
+    assert _salts(_with_isolated('bole')) == after
