--- a/tests/replication_builders.py
+++ b/tests/replication_builders.py
@@ -22,18 +22,19 @@
     return logs.Entry(1, 0, commands.encode(change))
 
 
-def build_replica(log, members=MEMBERS, store=None):
-    """Return the replica of the first member, without its threads.
+def build_replica(log, members=MEMBERS, store=None, own=None):
+    """Return the replica of a member, without its threads.
 
     Args:
         log: the ``Log``; it gets the founding entry if it is empty.
         members: the voters.
         store: the ``StableStore``; one in memory by default.
+        own: the member; the first one by default.
     """
     if not log.last.index:
         log.append([founding_entry(members)])
         log.flush()
-    own = members[0]
+    own = own or members[0]
     replica = replicas.Replica(
         data_folder.Identity(own.replica_id, FLEET_ID),
         own.vm_id,
