Never go back to a configuration that was parsed for longer

Change: states are taken over one after the other, and the version is compared again after parsing.

Evidence: test_a_configuration_is_not_replaced_by_one_that_was_parsed_ longer failed before (version 1 in force after 2) and passes.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration_store.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration_store.py
@@ -33,6 +33,8 @@
         self._weights = weights
         self._listeners = listeners.Listeners('configuration')
         self.configuration = None
+        # Held while a state is parsed and taken over.
+        self._lock = threading.RLock()
         self._first_listeners = listeners.Listeners('first configuration')
         self._is_configured = threading.Event()
         store.add_change_listener(self._apply_fleet_state)
@@ -64,12 +66,17 @@
         return self.configuration
 
     def _apply_fleet_state(self, fleet):
+        """Take over a fleet's state, unless a newer one has been.
+
+        Several threads receive states, and a large one is parsed for long.
+        """
+        with self._lock:
+            self._take_over(fleet)
+
+    def _take_over(self, fleet):
         self._weights.raise_targets(fleet.weights_by_model)
         stored = fleet.configuration
-        current_version = (
-            self.configuration.version if self.configuration else 0
-        )
-        if stored.version <= current_version:
+        if stored.version <= self._current_version():
             return
         try:
             configuration, faults = (
@@ -90,6 +97,9 @@
                 version=stored.version,
                 faults=faults,
             )
+        current_version = self._current_version()
+        if stored.version <= current_version:
+            return
         self.configuration = configuration
         self._listeners.notify(configuration)
         if not self._is_configured.is_set():
@@ -102,3 +112,6 @@
             routes=len(configuration.routes),
             customers=len(configuration.customers),
         )
+
+    def _current_version(self):
+        return self.configuration.version if self.configuration else 0
--- a/tests/test_failing_changes.py
+++ b/tests/test_failing_changes.py
@@ -131,3 +131,43 @@
     subject.notify(5)
     assert calls == [('first', 5), ('second', 5)]
     assert not subject.failed_calls
+
+
+class _SlowDialect(dialect.PlatformDialect):
+    """A dialect at which something happens while it parses.
+
+    Attributes:
+        while_parsing: called once, at the next configuration.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.while_parsing = None
+
+    def parse_committed_configuration(self, content):
+        """Parse a configuration; see ``Dialect``."""
+        happens, self.while_parsing = self.while_parsing, None
+        if happens:
+            happens()
+        return super().parse_committed_configuration(content)
+
+
+# A VM went back to an older configuration: a snapshot was parsed while newer
+# changes were taken over.
+def test_a_configuration_is_not_replaced_by_one_that_was_parsed_longer():
+    store = state_store.StateStore()
+    slow = _SlowDialect()
+    followed = configuration_store.ConfigurationStore(
+        store, slow, engine_weights.EngineWeights()
+    )
+    seen = []
+    followed.add_change_listener(lambda new: seen.append(new.version))
+
+    def put(version):
+        command = commands.encode(relay_builders.put_configuration(version))
+        store.update_by_deltas([(version, command)])
+
+    slow.while_parsing = lambda: put(2)
+    put(1)
+    assert followed.configuration.version == 2
+    assert seen == [2]
