--- a/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -39,19 +39,19 @@
         self._stream_origin_keeper = stream_origin_keeper
 
     def request_vote(self, request):
-        """See ``Replica.handle_vote``."""
-        return self._replica().handle_vote(request)
+        """See ``ReplicaRequests.handle_vote``."""
+        return self._replica().requests.handle_vote(request)
 
     def append_entries(self, request):
-        """See ``Replica.handle_append``."""
-        reply = self._replica().handle_append(request)
+        """See ``ReplicaRequests.handle_append``."""
+        reply = self._replica().requests.handle_append(request)
         if reply.success:
             self._store.record_contact(0.0)
         return reply
 
     def install_snapshot(self, request):
-        """See ``Replica.handle_snapshot``."""
-        return self._replica().handle_snapshot(request)
+        """See ``ReplicaRequests.handle_snapshot``."""
+        return self._replica().requests.handle_snapshot(request)
 
     def transfer_leadership(self, request):
         """See ``ReplicaRunner.handle_transfer``."""
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
@@ -13,12 +13,12 @@
 from carobwood import clocks
 from carobwood import errors
 from carobwood import events
-from carobwood.gen.links import ttypes
 
 from . import commands
 from . import log as logs
 from . import log_membership
 from . import progress as progresses
+from . import replica_requests
 from . import stable_store as stable_stores
 
 
@@ -56,7 +56,7 @@
 
 
 class Replica:
-    """State of a replica and its answers to requests of other replicas.
+    """State of a replica, and what a leader does with it.
 
     ``changed`` guards every attribute and is notified when the role, the
     term or the membership changes. ``appended`` and ``committed`` share
@@ -92,6 +92,7 @@
         term_start_index: index of the first entry of the term in which
             this replica became leader.
         leading_since: monotonic time at which it became leader.
+        requests: answers the requests of other replicas.
         on_snapshot: called with the position and the data of a complete
             snapshot from the leader.
     """
@@ -126,9 +127,9 @@
         self.leading_since = 0.0
         self._proposals_by_index = {}
         self._membership_by_index = {0: log_membership.LogMembership()}
-        self._snapshot_buffer = bytearray()
         self._random = random.SystemRandom()
         self.on_snapshot = None
+        self.requests = replica_requests.ReplicaRequests(self)
         self.reset_election_timeout()
 
     @property
@@ -151,6 +152,11 @@
         """Whether the replica is the leader of its term."""
         return self.role is Role.LEADER
 
+    @property
+    def is_follower(self):
+        """Whether the replica follows a leader or waits for one."""
+        return self.role is Role.FOLLOWER
+
     @property
     def is_member(self):
         """Whether the replica is a voter or a learner."""
@@ -229,7 +235,7 @@
         self._membership_by_index = {index: membership}
         for entry in self.log.entries():
             if entry.index > index:
-                self._track_membership(entry)
+                self.track_membership(entry)
 
     def propose(self, payloads, timeout):
         """Append commands and wait until they are applied.
@@ -262,7 +268,7 @@
         """
         entry = logs.Entry(self.log.last.index + 1, self.term, payload)
         self.log.append([entry])
-        self._track_membership(entry)
+        self.track_membership(entry)
         self.appended.notify_all()
         return entry
 
@@ -296,82 +302,6 @@
         self.appended.notify_all()
         self.committed.notify_all()
 
-    def handle_vote(self, request):
-        """Answer a ``VoteRequest``.
-
-        Unless it is for a leadership transfer, the vote is refused while
-        a leader is known to be alive (leader stickiness).
-
-        Raises:
-            LinkRefused: the request is for another replica, or this one
-                has stopped.
-            DiskWriteFailed: term or vote could not be stored.
-        """
-        with self.changed:
-            if request.fleet_id != self.fleet_id:
-                return ttypes.VoteReply(self.term, False)
-            self._check_target(request)
-            if not request.transfer and self._has_live_leader():
-                return ttypes.VoteReply(self.term, False)
-            last = logs.Position(request.last_index, request.last_term)
-            if request.pre_vote:
-                granted = request.term > self.term and self._is_log_up_to_date(
-                    last
-                )
-                return ttypes.VoteReply(self.term, granted)
-            return self._decide_vote(request, last)
-
-    def handle_append(self, request):
-        """Answer an ``AppendRequest``.
-
-        Raises:
-            LinkRefused: the request is for another replica, or this one
-                has stopped.
-            DiskWriteFailed: term or entries could not be stored.
-        """
-        with self.changed:
-            self._check_target(request)
-            reply = self._accept_leader(request)
-            if reply is not None:
-                return reply
-            reply = self._check_previous(request)
-            if reply is not None:
-                return reply
-            match_index = self._store_entries(request)
-        self.log.flush()
-        with self.changed:
-            if request.term == self.term:
-                self.set_commit_index(min(request.commit_index, match_index))
-            return ttypes.AppendReply(self.term, True, match_index)
-
-    def handle_snapshot(self, request):
-        """Answer a ``SnapshotRequest``, which carries a chunk of a snapshot.
-
-        Raises:
-            LinkRefused: the request is for another replica, or this one
-                has stopped.
-            DiskWriteFailed: term or snapshot could not be stored.
-        """
-        with self.changed:
-            self._check_target(request)
-            reply = self._accept_leader(request)
-            if reply is not None:
-                return ttypes.SnapshotReply(self.term, 0)
-            if request.offset == 0:
-                self._snapshot_buffer = bytearray()
-            if request.offset != len(self._snapshot_buffer):
-                size = len(self._snapshot_buffer)
-                return ttypes.SnapshotReply(self.term, size)
-            self._snapshot_buffer += request.data
-            next_offset = len(self._snapshot_buffer)
-            if not request.done:
-                return ttypes.SnapshotReply(self.term, next_offset)
-            data = bytes(self._snapshot_buffer)
-            self._snapshot_buffer = bytearray()
-        position = logs.Position(request.last_index, request.last_term)
-        self.on_snapshot(position, data)
-        return ttypes.SnapshotReply(self.term, next_offset)
-
     def install_snapshot(self, position, membership):
         """Begin the log at a snapshot that the state machine was set to.
 
@@ -486,6 +416,20 @@
         )
         self.election_timeout_at = clocks.now() + timeout
 
+    def track_membership(self, entry):
+        """Follow an entry that was added to the log, with its membership."""
+        for index in [
+            i for i in self._membership_by_index if i >= entry.index
+        ]:
+            del self._membership_by_index[index]
+        command = commands.decode_command(entry.payload)
+        if isinstance(command, commands.ChangeVoters):
+            membership = log_membership.membership_of(command)
+            self._membership_by_index[entry.index] = membership
+            if self.is_leader:
+                self.update_tracked_members()
+                self.changed.notify_all()
+
     def _append_proposals(self, payloads):
         with self.changed:
             if not self.is_leader or self.transferring:
@@ -504,94 +448,3 @@
         for proposal in self._proposals_by_index.values():
             proposal.done.set()
         self._proposals_by_index = {}
-
-    def _track_membership(self, entry):
-        for index in [
-            i for i in self._membership_by_index if i >= entry.index
-        ]:
-            del self._membership_by_index[index]
-        command = commands.decode_command(entry.payload)
-        if isinstance(command, commands.ChangeVoters):
-            membership = log_membership.membership_of(command)
-            self._membership_by_index[entry.index] = membership
-            if self.is_leader:
-                self.update_tracked_members()
-                self.changed.notify_all()
-
-    def _has_live_leader(self):
-        if self.is_leader:
-            return True
-        since_contact = clocks.now() - self.leader_contact_at
-        return since_contact < self.timing.election_min
-
-    def _is_log_up_to_date(self, last):
-        own = self.log.last
-        return (last.term, last.index) >= (own.term, own.index)
-
-    def _check_target(self, request):
-        if self.stopped:
-            raise errors.LinkRefused('this replica has stopped')
-        # A VM that lost its disk runs a new replica. It must not vote or
-        # acknowledge entries in place of the lost one.
-        if request.target_id not in (None, '', self.replica_id):
-            raise errors.LinkRefused('the request is for another replica')
-
-    def _decide_vote(self, request, last):
-        if request.term > self.term:
-            self.become_follower(request.term)
-        can_vote = self.hard_state.voted_for in ('', request.candidate_id)
-        granted = (
-            request.term == self.term
-            and can_vote
-            and self._is_log_up_to_date(last)
-        )
-        if granted and not self.hard_state.voted_for:
-            self.store_hard_state(
-                stable_stores.HardState(self.term, request.candidate_id)
-            )
-            self.reset_election_timeout()
-        return ttypes.VoteReply(self.term, granted)
-
-    def _accept_leader(self, request):
-        if request.fleet_id != self.fleet_id or request.term < self.term:
-            return ttypes.AppendReply(self.term, False, self.log.last.index)
-        if request.term > self.term or self.role is not Role.FOLLOWER:
-            self.become_follower(request.term)
-        self.leader_id = request.leader_id
-        self.leader_contact_at = clocks.now()
-        self.reset_election_timeout()
-        return None
-
-    def _check_previous(self, request):
-        self.leader_address = request.leader_address
-        previous = request.previous_index
-        if previous <= self.log.base.index:
-            return None
-        own_term = self.log.term_at(previous)
-        if own_term == request.previous_term:
-            return None
-        # The leader continues after this index. All own entries of the
-        # conflicting term are skipped at once.
-        match_hint = min(previous - 1, self.log.last.index)
-        while match_hint > self.commit_index and (
-            self.log.term_at(match_hint) == own_term
-        ):
-            match_hint -= 1
-        return ttypes.AppendReply(self.term, False, match_hint)
-
-    def _store_entries(self, request):
-        match_index = request.previous_index + len(request.entries)
-        for position, entry in enumerate(request.entries):
-            if entry.index <= self.log.base.index:
-                continue
-            if self.log.term_at(entry.index) == entry.term:
-                continue
-            self._append_received(request.entries[position:])
-            break
-        return match_index
-
-    def _append_received(self, entries):
-        for received in entries:
-            entry = logs.Entry(received.index, received.term, received.payload)
-            self.log.append([entry])
-            self._track_membership(entry)
--- a/tests/replication_simulation.py
+++ b/tests/replication_simulation.py
@@ -116,8 +116,8 @@
         self._lose()
         replica = self._node.replica
         handlers_by_method = {
-            'append_entries': replica.handle_append,
-            'request_vote': replica.handle_vote,
+            'append_entries': replica.requests.handle_append,
+            'request_vote': replica.requests.handle_vote,
         }
         try:
             reply = handlers_by_method[method](request)
--- a/tests/test_forming.py
+++ b/tests/test_forming.py
@@ -41,11 +41,11 @@
 
 def test_vote_request_for_another_replica_is_refused():
     replica = _replica()
-    assert replica.handle_vote(_vote_request('r0')).granted
+    assert replica.requests.handle_vote(_vote_request('r0')).granted
     with pytest.raises(errors.LinkRefused):
         # The request is for the replica that the VM ran before it lost
         # its disk.
-        replica.handle_vote(_vote_request('r0-of-the-lost-disk'))
+        replica.requests.handle_vote(_vote_request('r0-of-the-lost-disk'))
 
 
 def test_append_request_for_another_replica_is_refused():
@@ -55,7 +55,7 @@
     )
     replica = _replica()
     with pytest.raises(errors.LinkRefused):
-        replica.handle_append(request)
+        replica.requests.handle_append(request)
     assert replica.log.last.index == 0
 
 
--- a/tests/test_replica_durability.py
+++ b/tests/test_replica_durability.py
@@ -28,7 +28,7 @@
         logs.Position(1, 0),
         builders.no_operations(2, 1, term),
     )
-    assert replica.handle_append(request).success
+    assert replica.requests.handle_append(request).success
 
 
 def _append(replica):
@@ -144,11 +144,11 @@
         request = builders.append_request(
             2, OTHER, logs.Position(1, 0), committed + newer, commit_index=5
         )
-        assert replica.handle_append(request).last_index == 6
+        assert replica.requests.handle_append(request).last_index == 6
         replica.install_snapshot(position, replica.membership)
 
     replica.on_snapshot = install_late
-    replica.handle_snapshot(
+    replica.requests.handle_snapshot(
         builders.snapshot_request(1, builders.MEMBERS[2], logs.Position(4, 1))
     )
     assert replica.log.base == logs.Position(4, 1)
