--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -11,14 +11,10 @@
 from carobwood import errors
 from carobwood import events
 
-from ..entry import response_body
-
 from . import assignment_queue
 from . import attempt_log
-from . import caller_request
-from . import endpoint_connections
-from . import event_splitter
 from . import request_sender
+from . import response_forwarder
 from . import result_recorder
 
 # Fraction of the remaining time that an attempt may take if another
@@ -27,15 +23,6 @@
 # Minimum response timeout of a retryable attempt, as a multiple of the
 # route's target latency.
 MIN_TIMEOUT_IN_TARGET_LATENCIES = 3.0
-# Timeout for the first event of a stream that can be resumed at another
-# endpoint. Callers abandon a stream after about two seconds of silence.
-FIRST_EVENT_TIMEOUT_SECONDS = 1.5
-# Silence within a stream after which it is resumed at another endpoint.
-STALL_TIMEOUT_SECONDS = 1.0
-# Timeout of each read of a body once its connection has become readable.
-BODY_READ_TIMEOUT_SECONDS = 2.0
-# Bound of a body that is read whole before it is sent to the caller.
-MAX_BODY_BYTES = 32 * 1024 * 1024
 # Time from the first event of an answer after which a crash of the endpoint
 # is not put down to the request.
 CRASH_DELAY_SECONDS = 0.25
@@ -73,22 +60,14 @@
         self._failed_runs = 0
         # Error of the last attempt in which the request may have run.
         self._run_error = None
-        # Longest time between two writes of a stream, in seconds.
-        self._longest_pause = 0.0
-        # Monotonic time of the last write of a stream, or 0.0.
-        self._last_write_at = 0.0
         # When the current attempt began.
         self._sent_at = 0.0
-        # When the first complete event of the current attempt arrived.
-        self._first_event_at = None
-        # When the last complete event of the current attempt arrived.
-        self._last_event_at = 0.0
-        # Seconds from arrival until the response to the caller starts.
-        self._first_byte_seconds = 0.0
         resume_id = ''
         if request.route.is_resumable:
             resume_id = request.metadata.resume_id
-        self._splitter = event_splitter.EventSplitter(resume_id)
+        self._response_forwarder = response_forwarder.ResponseForwarder(
+            caller, resume_id
+        )
         # The assignment of the current attempt.
         self._assignment = None
 
@@ -203,17 +182,25 @@
             CarobwoodError: the attempt failed and no retry is allowed.
         """
         self._check_segments()
-        attempt_log.log_sent(self._request, assignment, self._splitter.last_id)
+        attempt_log.log_sent(
+            self._request, assignment, self._response_forwarder.last_event_id
+        )
         self._assignment = assignment
         self._sent_at = clocks.now()
-        self._first_event_at = None
+        self._response_forwarder.begin(
+            response_forwarder.Attempt(
+                self._request, self._is_last_attempt, self._bind_stream
+            )
+        )
         fingerprint = self._request.fingerprint
         self._context.crash_suspects.add_running(
             assignment.endpoint, fingerprint
         )
         try:
             response = self._sender.send(
-                assignment, self._splitter.last_id, self._response_timeout()
+                assignment,
+                self._response_forwarder.last_event_id,
+                self._response_timeout(),
             )
             self._selector.release_prefill(assignment)
             with self._context.gate.interruptible(response.upstream.interrupt):
@@ -260,8 +247,8 @@
     def _note_crash(self, assignment):
         """Record which segments may have crashed the endpoint."""
         answering = None
-        if self._first_event_at is not None:
-            answering = clocks.now() - self._first_event_at
+        if self._response_forwarder.first_event_at is not None:
+            answering = clocks.now() - self._response_forwarder.first_event_at
         attempt_log.log_crash(self._request, assignment, answering)
         if answering is None or answering < CRASH_DELAY_SECONDS:
             self._context.segment_suspects.record_crash(
@@ -271,18 +258,31 @@
                 self._sent_at,
             )
 
+    @property
+    def _is_last_attempt(self):
+        return self._failed_runs + 1 >= self._request.route.max_attempts
+
+    def _bind_stream(self):
+        """Have later attempts go on at the same software version."""
+        endpoint = self._assignment.endpoint
+        self._context.stream_resumption.record(self._request, endpoint)
+        self._set_request(
+            dataclasses.replace(
+                self._request, software_version=endpoint.software_version
+            )
+        )
+
     def _response_timeout(self):
         """Return the seconds to wait for the head of the response."""
         request = self._request
         seconds_left = request.seconds_left
         route = request.route
-        if (
-            not route.is_idempotent
-            or self._failed_runs + 1 >= route.max_attempts
-        ):
+        if not route.is_idempotent or self._is_last_attempt:
             return seconds_left
         if route.is_resumable:
-            return min(seconds_left, FIRST_EVENT_TIMEOUT_SECONDS)
+            return min(
+                seconds_left, response_forwarder.FIRST_EVENT_TIMEOUT_SECONDS
+            )
         minimum = MIN_TIMEOUT_IN_TARGET_LATENCIES * route.target_latency
         return min(
             seconds_left, max(minimum, RETRYABLE_ATTEMPT_SHARE * seconds_left)
@@ -316,10 +316,7 @@
             raise self.final_error(error)
 
     def _forward_response(self, assignment, response):
-        if response.head.is_event_stream and response.head.status == 200:
-            self._forward_stream(response)
-        else:
-            self._forward_whole(response)
+        self._response_forwarder.forward(response)
         if (
             response.upstream.is_reusable()
             and not response.head.closes_connection
@@ -332,122 +329,6 @@
         else:
             response.upstream.close()
 
-    def _forward_whole(self, response):
-        try:
-            body = self._read_body(response)
-        except BaseException:
-            response.upstream.close()
-            raise
-        if self._caller.has_started_response:
-            raise errors.EndpointFailed(
-                'the endpoint did not resume the event stream'
-            )
-        self._note_first_byte()
-        self._caller.send_response(
-            response.head.status,
-            caller_request.reason_phrase(response.head.status),
-            caller_request.end_to_end_headers(response.headers),
-            body,
-        )
-
-    def _read_body(self, response):
-        chunks = []
-        size = 0
-        while not response.upstream.is_complete:
-            self._await_bytes(response.upstream, self._request.seconds_left)
-            chunk = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
-            if not chunk:
-                break
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                raise errors.EndpointFailed('the body exceeds the size limit')
-        return b''.join(chunks)
-
-    def _forward_stream(self, response):
-        self._last_event_at = clocks.now()
-        try:
-            self._forward_until_end(response)
-        except BaseException:
-            self._splitter.discard_partial()
-            response.upstream.close()
-            raise
-        if not self._caller.has_started_response:
-            self._start_stream(response)
-
-    def _forward_until_end(self, response):
-        while not response.upstream.is_complete:
-            self._await_bytes(response.upstream, self._stall_timeout())
-            data = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
-            if not data:
-                break
-            self._forward_events(response, self._splitter.feed(data))
-        remaining = self._splitter.flush()
-        if self._first_event_at is None and _ends_with_connection(response):
-            raise errors.EndpointFailed(
-                'the connection ended before the first event'
-            )
-        self._forward_events(response, remaining)
-
-    def _stall_timeout(self):
-        """Return the seconds to wait for the next bytes of a stream.
-
-        Only complete events count as progress: an endpoint that stalls may
-        go on sending a byte now and then.
-        """
-        seconds_left = self._request.seconds_left
-        if not self._request.route.is_resumable:
-            return seconds_left
-        stalled = clocks.now() - self._last_event_at
-        if not self._caller.has_started_response:
-            return min(seconds_left, FIRST_EVENT_TIMEOUT_SECONDS - stalled)
-        if self._failed_runs + 1 >= self._request.route.max_attempts:
-            return seconds_left
-        return min(seconds_left, STALL_TIMEOUT_SECONDS - stalled)
-
-    def _forward_events(self, response, data):
-        if not data:
-            return
-        self._last_event_at = clocks.now()
-        if self._first_event_at is None:
-            self._first_event_at = self._last_event_at
-        if not self._caller.has_started_response:
-            self._start_stream(response)
-        self._caller.write(data)
-        now = clocks.now()
-        if self._last_write_at:
-            pause = now - self._last_write_at
-            self._longest_pause = max(self._longest_pause, pause)
-        self._last_write_at = now
-
-    def _note_first_byte(self):
-        self._first_byte_seconds = clocks.now() - self._request.arrived_at
-
-    def _start_stream(self, response):
-        self._note_first_byte()
-        endpoint = self._assignment.endpoint
-        self._context.stream_resumption.record(self._request, endpoint)
-        # Later attempts must go on at the same software version.
-        self._set_request(
-            dataclasses.replace(
-                self._request, software_version=endpoint.software_version
-            )
-        )
-        self._caller.start_stream(
-            200, 'OK', caller_request.end_to_end_headers(response.headers)
-        )
-
-    def _await_bytes(self, connection, timeout):
-        match connection.wait(self._caller.socket, max(0.0, timeout)):
-            case endpoint_connections.WaitResult.CALLER_LEFT:
-                raise errors.CallerLeft(
-                    'the caller disconnected during the response'
-                )
-            case endpoint_connections.WaitResult.TIMED_OUT:
-                raise errors.EndpointTimeout(
-                    'the endpoint sent no further part of the body in time'
-                )
-
     def _note_answered(self, assignment, response):
         self._recorder.note_answered(assignment, response.head)
         if response.head.status < 300:
@@ -457,7 +338,9 @@
         seconds = clocks.now() - self._request.arrived_at
         self._context.route_durations.note(self._request.route.name, seconds)
         self._context.metrics.timing('request', seconds)
-        self._context.metrics.timing('first-byte', self._first_byte_seconds)
+        self._context.metrics.timing(
+            'first-byte', self._response_forwarder.first_byte_seconds
+        )
         self._context.metrics.count(f'answered.{response.head.status}')
         events.emit(
             events.REQUEST_ANSWERED,
@@ -465,11 +348,7 @@
             endpoint=assignment.endpoint.id,
             status=response.head.status,
             framing=response.upstream.framing.value,
-            first=round(self._first_byte_seconds, 4),
-            pause=round(self._longest_pause, 4),
+            first=round(self._response_forwarder.first_byte_seconds, 4),
+            pause=round(self._response_forwarder.longest_pause, 4),
             seconds=round(seconds, 4),
         )
-
-
-def _ends_with_connection(response):
-    return response.upstream.framing is response_body.Framing.UNTIL_CLOSE
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -0,0 +1,215 @@
+"""Forwards the response of an endpoint to its caller.
+
+A whole response is read before it is sent, so that another endpoint can be
+asked if it is truncated. The events of a stream are passed on as they
+arrive, and only complete ones: a stream that breaks off can be resumed.
+"""
+
+import dataclasses
+
+from carobwood import clocks
+from carobwood import errors
+
+from ..entry import response_body
+
+from . import admission
+from . import caller_request
+from . import endpoint_connections
+from . import event_splitter
+
+# Timeout for the first event of a stream that can be resumed at another
+# endpoint. Callers abandon a stream after about two seconds of silence.
+FIRST_EVENT_TIMEOUT_SECONDS = 1.5
+# Silence within a stream after which it is resumed at another endpoint.
+STALL_TIMEOUT_SECONDS = 1.0
+# Timeout of each read of a body once its connection has become readable.
+BODY_READ_TIMEOUT_SECONDS = 2.0
+# Bound of a body that is read whole before it is sent to the caller.
+MAX_BODY_BYTES = 32 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """What the response to one attempt at a request depends on.
+
+    Attributes:
+        request: the ``AdmittedRequest``.
+        is_last: whether no other attempt is allowed after it.
+        on_stream_start: called without arguments before the first event of
+            the first stream goes to the caller.
+    """
+
+    request: admission.AdmittedRequest
+    is_last: bool
+    on_stream_start: object
+
+
+class ResponseForwarder:
+    """Forwards the responses to the attempts at one request.
+
+    Attributes:
+        first_event_at: when the first complete event of the current attempt
+            arrived, or None.
+        first_byte_seconds: seconds from the request's arrival until the
+            response to the caller started.
+        longest_pause: longest time between two writes of a stream, in
+            seconds.
+    """
+
+    def __init__(self, caller, resume_id):
+        """Create the forwarder of one request's responses.
+
+        Args:
+            caller: the ``CallerRequest`` that receives the response.
+            resume_id: id of the last event that the caller has, or empty.
+        """
+        self._caller = caller
+        self._splitter = event_splitter.EventSplitter(resume_id)
+        self._attempt = None
+        self.first_event_at = None
+        self.first_byte_seconds = 0.0
+        self.longest_pause = 0.0
+        # Monotonic time of the last write of a stream, or 0.0.
+        self._last_write_at = 0.0
+        # When the last complete event of the current attempt arrived.
+        self._last_event_at = 0.0
+
+    @property
+    def last_event_id(self):
+        """Id of the last event that the caller has received, or empty."""
+        return self._splitter.last_id
+
+    def begin(self, attempt):
+        """Begin to wait for the response to an ``Attempt``."""
+        self._attempt = attempt
+        self.first_event_at = None
+
+    def forward(self, response):
+        """Forward an ``EndpointResponse`` until its end.
+
+        Raises:
+            CallerLeft: the caller disconnected.
+            EndpointFailed: the response is truncated or malformed.
+            EndpointTimeout: no further part of it came in time.
+        """
+        if response.head.is_event_stream and response.head.status == 200:
+            self._forward_stream(response)
+        else:
+            self._forward_whole(response)
+
+    def _forward_whole(self, response):
+        try:
+            body = self._read_body(response)
+        except BaseException:
+            response.upstream.close()
+            raise
+        if self._caller.has_started_response:
+            raise errors.EndpointFailed(
+                'the endpoint did not resume the event stream'
+            )
+        self._note_first_byte()
+        self._caller.send_response(
+            response.head.status,
+            caller_request.reason_phrase(response.head.status),
+            caller_request.end_to_end_headers(response.headers),
+            body,
+        )
+
+    def _read_body(self, response):
+        chunks = []
+        size = 0
+        while not response.upstream.is_complete:
+            self._await_bytes(
+                response.upstream, self._attempt.request.seconds_left
+            )
+            chunk = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
+            if not chunk:
+                break
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                raise errors.EndpointFailed('the body exceeds the size limit')
+        return b''.join(chunks)
+
+    def _forward_stream(self, response):
+        self._last_event_at = clocks.now()
+        try:
+            self._forward_until_end(response)
+        except BaseException:
+            self._splitter.discard_partial()
+            response.upstream.close()
+            raise
+        if not self._caller.has_started_response:
+            self._start_stream(response)
+
+    def _forward_until_end(self, response):
+        while not response.upstream.is_complete:
+            self._await_bytes(response.upstream, self._stall_timeout())
+            data = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
+            if not data:
+                break
+            self._forward_events(response, self._splitter.feed(data))
+        remaining = self._splitter.flush()
+        if self.first_event_at is None and _ends_with_connection(response):
+            raise errors.EndpointFailed(
+                'the connection ended before the first event'
+            )
+        self._forward_events(response, remaining)
+
+    def _stall_timeout(self):
+        """Return the seconds to wait for the next bytes of a stream.
+
+        Only complete events count as progress: an endpoint that stalls may
+        go on sending a byte now and then.
+        """
+        seconds_left = self._attempt.request.seconds_left
+        if not self._attempt.request.route.is_resumable:
+            return seconds_left
+        stalled = clocks.now() - self._last_event_at
+        if not self._caller.has_started_response:
+            return min(seconds_left, FIRST_EVENT_TIMEOUT_SECONDS - stalled)
+        if self._attempt.is_last:
+            return seconds_left
+        return min(seconds_left, STALL_TIMEOUT_SECONDS - stalled)
+
+    def _forward_events(self, response, data):
+        if not data:
+            return
+        self._last_event_at = clocks.now()
+        if self.first_event_at is None:
+            self.first_event_at = self._last_event_at
+        if not self._caller.has_started_response:
+            self._start_stream(response)
+        self._caller.write(data)
+        now = clocks.now()
+        if self._last_write_at:
+            pause = now - self._last_write_at
+            self.longest_pause = max(self.longest_pause, pause)
+        self._last_write_at = now
+
+    def _note_first_byte(self):
+        self.first_byte_seconds = (
+            clocks.now() - self._attempt.request.arrived_at
+        )
+
+    def _start_stream(self, response):
+        self._note_first_byte()
+        self._attempt.on_stream_start()
+        self._caller.start_stream(
+            200, 'OK', caller_request.end_to_end_headers(response.headers)
+        )
+
+    def _await_bytes(self, connection, timeout):
+        match connection.wait(self._caller.socket, max(0.0, timeout)):
+            case endpoint_connections.WaitResult.CALLER_LEFT:
+                raise errors.CallerLeft(
+                    'the caller disconnected during the response'
+                )
+            case endpoint_connections.WaitResult.TIMED_OUT:
+                raise errors.EndpointTimeout(
+                    'the endpoint sent no further part of the body in time'
+                )
+
+
+def _ends_with_connection(response):
+    return response.upstream.framing is response_body.Framing.UNTIL_CLOSE
