Move the periodic tasks of a relay VM out of its assembly

Change: relay_tasks.py makes the persisters, the prober, the other tasks of an entry VM and the rollout.

--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -9,18 +9,17 @@
 import threading
 
 from carobwood import clocks
-from carobwood import errors
 from carobwood import events
 from carobwood import timer as timers
 
 from . import relay_servers
+from . import relay_tasks
 from .entry import request_gate
 from .limits import endpoint_permits
 from .limits import permit_client
 from .limits import rate_limiter
 from .membership import directory as directories
 from .membership import endpoint_locks
-from .membership import endpoint_persister
 from .membership import fleet_handler
 from .membership import gossip as gossips
 from .membership import incarnations
@@ -28,23 +27,17 @@
 from .membership import link_server
 from .membership import membership_status
 from .membership import periodic_tasks
-from .membership import prefix_cache_persister
 from .membership import state_poller
 from .membership import stream_origin_links
 from .membership import vm_calls
 from .membership import withdrawals as withdrawal_sets
 from .observe import tracing
-from .orders import orders_lock
-from .orders import weights_rollout
 from .relay import cut_off_records
-from .relay import endpoint_prober
-from .relay import engine_cache_monitors
 from .relay import gossip_topic
 from .relay import leaving_records
 from .relay import rate_limit_records
 from .relay import shared_components
 from .relay import stream_resumption
-from .relay import usage_persister
 from .relay import weights_records
 from .replication import data_folder
 from .replication import proposer as proposers
@@ -369,44 +362,21 @@
     def _make_persisters(self):
         if self._data_folder is None:
             return []
-        endpoints = endpoint_persister.EndpointPersister(
-            self._data_folder, self._directory
+        persisters = relay_tasks.make_persisters(
+            self._data_folder, self._directory, self._shared
         )
-        self._gossip.save_endpoints = endpoints.save
-        return [
-            endpoints,
-            prefix_cache_persister.PrefixCachePersister(
-                self._data_folder, self._shared.prefix_cache_index
-            ),
-            usage_persister.UsagePersister(
-                self._data_folder, self._shared.past_usage_table
-            ),
-        ]
+        self._gossip.save_endpoints = persisters[0].save
+        return persisters
 
     def _make_periodic_tasks(self):
         all_tasks = list(self._persisters)
         if self._settings.caller_listen is not None:
-            self.silent_endpoint_prober = periodic_tasks.SilentEndpointProber(
-                self._directory,
-                self._shared.prefix_cache_index.forget,
-                self._accepts_connection,
+            self.silent_endpoint_prober = relay_tasks.make_silent_prober(
+                self._directory, self._shared
             )
             all_tasks.append(self.silent_endpoint_prober)
-            all_tasks.append(
-                endpoint_prober.EndpointProber(
-                    self._shared.health,
-                    self._shared.reachability,
-                    self._shared.pool,
-                    self._shared.wait_queue.notify_all,
-                )
-            )
-            all_tasks.append(
-                engine_cache_monitors.EngineCacheMonitors(
-                    self._shared.configuration_store,
-                    self._directory,
-                    self._dialect,
-                    self._shared.prefix_cache_index,
-                )
+            all_tasks += relay_tasks.make_entry_tasks(
+                self._directory, self._dialect, self._shared
             )
         if self._replica_runner is not None:
             all_tasks.append(
@@ -415,44 +385,17 @@
                 )
             )
             all_tasks.append(
-                weights_rollout.WeightsRollout(
+                relay_tasks.make_rollout(
+                    self._settings,
+                    self._dialect,
                     self._replica_runner,
-                    orders_lock.OrdersLock(
-                        self._replica_runner,
-                        self._store,
-                        self._settings.vm_id,
-                        self._settings.fleet_limits.order_lease_seconds,
-                    ),
-                    self._shared.configuration_store,
                     self._directory,
-                    self._shared.engine_weights,
-                    self._dialect,
-                    weights_rollout.RolloutOptions(
-                        self._settings.vm_id,
-                        self._gossip.push,
-                    ),
+                    self._shared,
+                    self._gossip.push,
                 )
             )
         return all_tasks
 
-    def _accepts_connection(self, endpoint):
-        """Return whether a silent endpoint accepts a connection.
-
-        A VM that reaches no endpoint cannot tell, and keeps it.
-        """
-        try:
-            self._shared.pool.acquire(
-                endpoint.address, False, endpoint_prober.PROBE_TIMEOUT_SECONDS
-            ).close()
-        except errors.EndpointUnreachable as error:
-            events.emit(
-                events.ENDPOINT_UNREACHED,
-                endpoint=endpoint.id,
-                reason=error.detail,
-            )
-            return self._shared.reachability.is_cut_off
-        return True
-
     def _update_contact(self):
         self._membership_status.note_contact()
         self._shared.quota.set_control_reachable(self._is_in_touch())
