Add one budget for the bytes of messages that a VM keeps

Change: a budget of the VM, sized from its memory limit, from which readers of others' bytes take what they keep; the first 64 KiB of each message are not counted, so that small requests go on beside large ones. The relay's parts get it; no reader uses it yet. Metrics buffered_bytes, buffered_bytes_limit and buffers_full.READER; error buffers_full (503, not run).

--- a/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
@@ -14,6 +14,7 @@
 from ..entry import server_stop
 from ..entry import stopping_connection
 from ..entry import strict_request
+from ..limits import buffer_budget
 
 from . import connection_log
 
@@ -92,7 +93,9 @@
 class HttpServer:
     """An HTTP listener whose requests are handled by a gateway."""
 
-    def __init__(self, address, gateway, max_threads, describe_vm=dict):
+    def __init__(
+        self, address, gateway, max_threads, describe_vm=dict, buffers=None
+    ):
         """Bind the listener.
 
         Args:
@@ -103,6 +106,7 @@
                 that are handled at once.
             describe_vm: function without arguments that returns fields of
                 log lines that tell what this VM is doing.
+            buffers: the ``BufferBudget`` for the bodies of requests, or None.
         """
         self._server = _Server(
             (address.host, address.port), gateway, minthreads=MIN_THREADS
@@ -120,6 +124,7 @@
         self._server.error_log = _log_error
         self._connection_log = connection_log.ConnectionLog(describe_vm)
         self._server.connection_log = self._connection_log
+        self._server.buffers = buffers or buffer_budget.unlimited()
         self._server.request_reads = request_reads.RequestReads()
         self._server.prepare()
         self._thread = threading.Thread(
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -49,6 +49,7 @@
         tracer: the ``Tracer``.
         metrics: the ``Metrics``.
         route_durations: the ``RouteDurations``.
+        buffers: the ``BufferBudget`` of this VM.
     """
 
     data_centre: str
@@ -77,3 +78,4 @@
     tracer: object
     metrics: object
     route_durations: object
+    buffers: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ..limits import buffer_budget
 from ..observe import metrics as metric_clients
 from ..routing import crash_suspects
 from ..routing import prefix_cache_index
@@ -47,6 +48,7 @@
         past_usage_table: the ``PastUsageTable``.
         metrics: the ``PrometheusMetrics``.
         stream_resumption: the ``StreamResumption``.
+        buffers: the ``BufferBudget`` of the VM.
     """
 
     store: object
@@ -68,6 +70,7 @@
     past_usage_table: past_usage.PastUsageTable
     metrics: metric_clients.PrometheusMetrics
     stream_resumption: stream_resumption.StreamResumption
+    buffers: buffer_budget.BufferBudget
 
     def update_endpoint(self, endpoint):
         """Record the weights that an endpoint announces.
@@ -92,7 +95,13 @@
 
 
 def make_shared_components(
-    settings, dialect, store, request_permit, resumption, directory
+    settings,
+    dialect,
+    store,
+    request_permit,
+    resumption,
+    directory,
+    buffers,
 ):
     """Return the ``SharedComponents`` of a VM that has just started.
 
@@ -103,8 +112,10 @@
         request_permit: see ``EndpointRateLimits``.
         resumption: the ``StreamResumption``.
         directory: the ``Directory`` of VMs and endpoints.
+        buffers: the ``BufferBudget``.
     """
     metrics = metric_clients.PrometheusMetrics()
+    buffers.set_metrics(metrics)
     weights = engine_weights.EngineWeights()
     loads = fleet_loads.FleetLoads()
     past_usage_table = past_usage.PastUsageTable(
@@ -154,4 +165,5 @@
         past_usage_table,
         metrics,
         resumption,
+        buffers,
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -106,6 +106,7 @@
                         gateway.make_api_gateway(handle),
                         threads,
                         self._describe_vm,
+                        self._shared.buffers,
                     )
                 )
         return servers
@@ -119,6 +120,7 @@
             gateway.make_relay_gateway(own_relay),
             RELAY_THREADS,
             self._describe_vm,
+            self._shared.buffers,
         )
         servers = [caller_server]
         self._follow_limits(caller_server, 0)
@@ -130,6 +132,7 @@
                 ),
                 FORWARD_THREADS,
                 self._describe_vm,
+                self._shared.buffers,
             )
             self._follow_limits(forward_server, forwarding_headers.MAX_BYTES)
             servers.append(forward_server)
@@ -183,6 +186,7 @@
             tracer=self._tracer,
             metrics=shared.metrics,
             route_durations=stop_admission.RouteDurations(),
+            buffers=shared.buffers,
         )
         return relay.Relay(
             context,
@@ -225,6 +229,9 @@
     def _report_metrics(self, request):
         del request
         self._gauge_followed_state()
+        buffers = self._shared.buffers
+        self._shared.metrics.gauge('buffered_bytes', buffers.used_bytes)
+        self._shared.metrics.gauge('buffered_bytes_limit', buffers.total_bytes)
         return gateway.ApiResponse(
             http.HTTPStatus.OK.value,
             http.HTTPStatus.OK.phrase,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
@@ -7,6 +7,7 @@
 
 from . import settings
 from . import settings_flags
+from .limits import buffer_budget
 from .relay import quota
 
 
@@ -97,6 +98,7 @@
         replica_options: options of the replica of the replicated state.
         fleet_limits: limits that the fleet must keep.
         trace: export of the requests' trace spans.
+        memory_limit_bytes: memory that this VM may use.
     """
 
     vm_id: str
@@ -115,3 +117,4 @@
     fleet_limits: FleetLimits
     trace: TraceSettings = TraceSettings()
     forward_listen: addresses.Address | None = None
+    memory_limit_bytes: int = buffer_budget.DEFAULT_MEMORY_LIMIT_BYTES
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -16,6 +16,7 @@
 from . import relay_tasks
 from .entry import request_gate
 from .entry import server_stop
+from .limits import buffer_budget
 from .limits import endpoint_permits
 from .limits import permit_client
 from .limits import rate_limiter
@@ -75,7 +76,7 @@
             or None.
     """
 
-    def __init__(self, settings, dialect, make_control_api):
+    def __init__(self, settings, dialect, make_control_api, buffers=None):
         """Build the parts.
 
         Args:
@@ -83,10 +84,15 @@
             dialect: the ``Dialect`` of the platform.
             make_control_api: called with the ``ControlOperations``; returns a
                 function from an ``ApiRequest`` to an ``ApiResponse``.
+            buffers: the ``BufferBudget`` of this VM, or None for one of the
+                size that the settings allow.
         """
         self.silent_endpoint_prober = None
         self._settings = settings
         self._dialect = dialect
+        self._buffers = buffers or buffer_budget.BufferBudget(
+            buffer_budget.budget_bytes(settings.memory_limit_bytes)
+        )
         self._timer = timers.Timer()
         self._tracer = tracing.make_tracer(
             settings.trace.export, settings.trace.target, settings.vm_id
@@ -109,6 +115,7 @@
             permit_client.PermitClient(self._permit_table, calls).request,
             self._stream_resumption,
             self._directory,
+            self._buffers,
         )
         self._build_membership()
         self._persisters = self._make_persisters()
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -202,6 +202,17 @@
     retry_after = 1
 
 
+class BuffersFull(RequestRefused):
+    """This VM has no memory left for a request's body.
+
+    The messages that it is handling have taken all that it keeps for them.
+    """
+
+    code = 'buffers_full'
+    status = 503
+    retry_after = 1
+
+
 class VmBusy(RequestRefused):
     """This VM has as many requests of other VMs in flight as it takes."""
 
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -8,6 +8,7 @@
 import threading
 
 from carobwood import addresses
+from carobwood_daemon.limits import buffer_budget
 from carobwood_daemon.relay import quota
 from carobwood_daemon import relay_settings
 from carobwood_daemon import relay_vm
@@ -168,10 +169,15 @@
             ),
             'trace': self._trace,
         }
+        vm_settings = relay_settings.RelaySettings(**{**fields, **changes})
+        buffers = buffer_budget.BufferBudget(
+            buffer_budget.budget_bytes(vm_settings.memory_limit_bytes)
+        )
         return relay_vm.RelayVm(
-            relay_settings.RelaySettings(**{**fields, **changes}),
-            dialect.PlatformDialect(),
+            vm_settings,
+            dialect.PlatformDialect(buffers),
             lambda control: control_api.ControlApi(control).handle,
+            buffers,
         )
 
     def stop(self):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -63,3 +63,8 @@
         read(yaml.safe_dump(dict(FIELDS, **{name: value})))
     except errors.SettingsInvalid:
         return
+
+
+def test_the_memory_limit_is_read_in_megabytes(read):
+    limited = yaml.safe_dump({**FIELDS, 'limits': {'memory_mb': 150}})
+    assert read(limited).memory_limit_bytes == 150 * 1024 * 1024
