Move the reports of other VMs out of the fleet's quota

Change: ReportingVms (relay/reporting_vms.py) keeps and counts the reports and says which part of a limit they leave; FleetQuota decides. No behaviour changes.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
@@ -16,7 +16,6 @@
 estimated; see ``customer_quota``.
 """
 
-import collections
 import dataclasses
 import enum
 import threading
@@ -26,16 +25,9 @@
 
 from . import customer_quota as customer_quotas
 from . import past_usage
+from . import reporting_vms
 from . import usage_reports
 
-# Seconds without a report after which a VM's usage counts as unknown.
-SILENT_AFTER_SECONDS = 1.5
-# Seconds without a report after which a VM no longer has a share of the
-# limits.
-GONE_AFTER_SECONDS = 20.0
-# Part of a silent VM's share of the limits that a VM uses while it still
-# reaches the control VMs. A VM that is cut off from them uses none of it.
-SILENT_WEIGHT = 0.5
 # Part of the tolerance that a VM uses. The rest covers usage that is
 # reported late, and units that starting VMs admit before they receive the
 # usage of the others.
@@ -144,17 +136,11 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._quotas_by_customer = {}
-        self._reports_by_vm = {}
-        self._is_control_reachable = True
+        self._reporting_vms = reporting_vms.ReportingVms()
         self._starts_with_full_buckets = starts_with_full_buckets
         self._strict_until = 0.0
         self._first_window_ends_at = 0.0
         self._warm_up_ends_at = 0.0
-        self._long_running_vms = set()
-        # (time, number) pairs: how many VMs reported lately, with falling
-        # numbers, so that the first pair holds the maximum.
-        self._reporting_counts = collections.deque()
-        self._known_vm_count = None
         self._acknowledged_by_customer = {}
         # (VM id, incarnation) pairs whose usage is already counted.
         self._counted_incarnations = set()
@@ -193,16 +179,12 @@
                 self._count_early_usage(now)
 
     def set_control_reachable(self, is_control_reachable):
-        """Record whether this VM is in contact with the control VMs."""
-        self._is_control_reachable = is_control_reachable
+        """See ``ReportingVms``."""
+        self._reporting_vms.set_control_reachable(is_control_reachable)
 
     def set_known_vm_count(self, count):
-        """Set the number of live entry VMs, this one included.
-
-        It bounds the number that the reports add up to: a VM that moves to
-        another aggregator is for a while in the reports of both.
-        """
-        self._known_vm_count = count
+        """See ``ReportingVms.set_known_count``."""
+        self._reporting_vms.set_known_count(count)
 
     def note_usage_known(self):
         """Record that the usage of the others has been merged."""
@@ -239,7 +221,9 @@
             unseen = self._unseen(customer_quota, now)
             level = customer_quota.level - unseen
             recent = customer_quota.recent + unseen
-            bound = self._limit_share(now) * self._tolerance.bound(
+            bound = self._reporting_vms.limit_share(
+                now
+            ) * self._tolerance.bound(
                 customer_quota.rate, customer_quota.burst
             )
             is_within = level > 0
@@ -275,10 +259,9 @@
         In the first window after a restart, what the others have reported
         does not tell how the requests are spread now.
         """
-        if now < self._first_window_ends_at or not self._reporting_counts:
+        if now < self._first_window_ends_at:
             return 0.0
-        other_vm_count = self._reporting_counts[-1][1] - 1
-        return customer_quota.unseen(now, other_vm_count)
+        return customer_quota.unseen(now, self._reporting_vms.other_count)
 
     def refund(self, name, units):
         """Return the units of an admitted request that has not run."""
@@ -331,16 +314,16 @@
         """
         now = self._clock()
         with self._lock:
-            previous = self._reports_by_vm.get(vm_id)
+            previous = self._reporting_vms.reports_by_vm.get(vm_id)
             if previous is not None and previous.incarnation > incarnation:
                 return
             report = usage_reports.UsageReport(
                 incarnation, now - age, usage_by_customer, vm_count
             )
-            self._reports_by_vm[vm_id] = report
+            self._reporting_vms.record(vm_id, report, now)
             self._counted_incarnations.add((vm_id, incarnation))
-            self._track_long_running(vm_id, report)
-            self._count_reporting(now)
+            if self._reporting_vms.are_mostly_long_running:
+                self._strict_until = 0.0
             for name, units in report.increase_since(previous).items():
                 customer_quota = self._quotas_by_customer.get(name)
                 if customer_quota is not None and units:
@@ -382,7 +365,7 @@
     def _count_early_usage(self, now):
         """Count the usage that was reported before the configuration."""
         oldest = now - self._tolerance.window
-        for report in self._reports_by_vm.values():
+        for report in self._reporting_vms.reports_by_vm.values():
             if report.received_at > oldest:
                 self._count_past(
                     report.received_at,
@@ -407,46 +390,10 @@
         accrued = customer.rate * self._tolerance.window
         return RESTART_BURST_SHARE * customer.burst + accrued
 
-    def _track_long_running(self, vm_id, report):
-        # A total above the units of the window shows that the VM has
-        # admitted requests for longer than a window.
-        if any(u.total > u.recent for u in report.by_customer.values()):
-            self._long_running_vms.add(vm_id)
-        if 2 * len(self._long_running_vms) > len(self._reports_by_vm):
-            self._strict_until = 0.0
-
     def _advance(self, customer_quota, now):
         customer_quota.advance(
             now,
             self._tolerance.window,
-            self._limit_share(now),
+            self._reporting_vms.limit_share(now),
             now >= self._warm_up_ends_at,
         )
-
-    def _limit_share(self, now):
-        """Return the part of each limit that this VM may use."""
-        reporting = self._count_reporting(now)
-        silent = self._reporting_counts[0][1] - reporting
-        if self._is_control_reachable:
-            return (reporting + SILENT_WEIGHT * silent) / (reporting + silent)
-        return reporting / (reporting + silent)
-
-    def _count_reporting(self, now):
-        """Return how many VMs report, and remember the highest number.
-
-        VMs may report through another VM than before, so a group whose
-        reports have stopped does not tell how many VMs are silent.
-        """
-        reporting = 1  # This VM counts itself.
-        for report in self._reports_by_vm.values():
-            if now - report.received_at < SILENT_AFTER_SECONDS:
-                reporting += report.vm_count
-        if self._known_vm_count is not None:
-            reporting = max(1, min(reporting, self._known_vm_count))
-        counts = self._reporting_counts
-        while counts and counts[-1][1] <= reporting:
-            counts.pop()
-        counts.append((now, reporting))
-        while counts[0][0] < now - GONE_AFTER_SECONDS:
-            counts.popleft()
-        return reporting
