Put a body that breaks off down to its caller, not to the endpoint

Callers saw: a chunked body to a plain service with a malformed chunk got 400 'not-run' although the service had its head and a part of it; the service's circuit breaker opened, so that requests of others found no endpoint. Cause: the body is passed on as it is read, and an error of reading it was handled like a failure of the endpoint, with the outcome of a request that was refused before it was sent. Evidence: test_malformed_bodies_do_not_count_against_the_endpoint printed 'not-run' in place of 'unknown' on the code before. Change: what breaks off while it is passed on is BodyBrokenOff (400, unknown); neither it nor the end of a stop is recorded against the endpoint.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/service_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/service_calls.py
@@ -50,6 +50,9 @@
                 return self._forward(
                     exchange, endpoint, connection, upstream_request
                 )
+            except (errors.BodyBrokenOff, errors.StopTimeout):
+                # The endpoint is not the cause.
+                raise
             except errors.EndpointFailed as error:
                 failover.record_failure(endpoint, error)
                 if exchange.content_length != 0:
@@ -156,8 +159,7 @@
         upstream_headers[headers.CUSTOMER] = exchange.caller.customer_id
     exchange.trace.propagate(upstream_headers)
     if body is None and exchange.content_length != 0:
-        # The endpoint may run the request with the part that was sent.
-        body = exchange.iterate_body(errors.StopTimeout)
+        body = _iterate_body(exchange)
         if exchange.content_length is not None:
             upstream_headers['Content-Length'] = str(exchange.content_length)
     return upstream.UpstreamRequest(
@@ -170,3 +172,17 @@
         max(0.001, seconds),
         route.stall_seconds,
     )
+
+
+def _iterate_body(exchange):
+    """Yield the parts of a body that is sent as it arrives.
+
+    Raises:
+        BodyBrokenOff: it broke off; the endpoint may run the request with
+            the part that was sent.
+        StopTimeout: the rest of it is not waited for any more.
+    """
+    try:
+        yield from exchange.iterate_body(errors.StopTimeout)
+    except (errors.MalformedRequest, errors.BodyTooLarge) as error:
+        raise errors.BodyBrokenOff(error.detail) from error
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -93,6 +93,16 @@
     status = 413
 
 
+class BodyBrokenOff(CarobwoodError):
+    """The request's body broke off or was malformed as it was passed on.
+
+    The endpoint has received a part of the request and may have run it.
+    """
+
+    code = 'body_broken_off'
+    status = 400
+
+
 class CredentialMissing(RequestRefused):
     """A request to a keyed route carries no key."""
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -185,3 +185,29 @@
         assert world.chat().code == 'no_endpoint'
         assert received.wait(fleets.START_TIMEOUT_SECONDS)
         server.shutdown()
+
+
+def _send_malformed_chunks(world):
+    """Send a body whose second chunk is malformed; return the response."""
+    host, _, port = world.vms_by_id['vm1'].caller_address.partition(':')
+    connection = http.client.HTTPConnection(host, int(port), timeout=60)
+    connection.putrequest('POST', '/echo/a')
+    for name, value in builders.bearer(world.key).items():
+        connection.putheader(name, value)
+    connection.putheader('Transfer-Encoding', 'chunked')
+    connection.endheaders(b'5\r\nfirst\r\nno-size\r\n')
+    response = connection.getresponse()
+    response.read()
+    connection.close()
+    return response
+
+
+def test_malformed_bodies_do_not_count_against_the_endpoint(echo_world):
+    for _ in range(3):
+        response = _send_malformed_chunks(echo_world)
+        assert response.status == 400
+        # The endpoint has received the head and the first chunk.
+        assert response.headers['Carobwood-Outcome'] == 'unknown'
+    response, _, size = _echo(echo_world, 'POST', True)
+    assert response.status == 200
+    assert size == BODY_MIB * len(BLOCK)
