--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -93,6 +93,16 @@
     status = 413
 
 
+class BodyBrokenOff(CarobwoodError):
+    """The request's body broke off or was malformed as it was passed on.
+
+    The endpoint has received a part of the request and may have run it.
+    """
+
+    code = 'body_broken_off'
+    status = 400
+
+
 class CredentialMissing(RequestRefused):
     """A request to a keyed route carries no key."""
 
@@ -202,6 +212,17 @@
     retry_after = 1
 
 
+class BuffersFull(RequestRefused):
+    """This VM has no memory left for a request's body.
+
+    The messages that it is handling have taken all that it keeps for them.
+    """
+
+    code = 'buffers_full'
+    status = 503
+    retry_after = 1
+
+
 class VmBusy(RequestRefused):
     """This VM has as many requests of other VMs in flight as it takes."""
 
