Skip interim responses of endpoints other than 100

What callers saw: an endpoint that sent 103 (Early Hints) before its answer; the caller got the 103 as its answer, without a body, and waited for the final one, which never came. A request ended without an answer. Cause: http.client skips 100 only and takes any other 1xx for the final response, without a body. Evidence: test_truncated_responses with a 103 before the answer, on the code before: 4 failed, 22 passed, "assert b'' == b'the whole body'"; now 26 passed. Fix: heads below 200 are read and forgotten until the final one comes, within the bounds of time and size of one head. 101 is malformed: no upgrade was asked for.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
@@ -34,7 +34,7 @@
     """A response that is refused if its head is truncated or ambiguous."""
 
     def begin(self):
-        """Read the head.
+        """Read the head, and any interim ones (1xx) before it.
 
         Raises:
             http.client.IncompleteRead: the connection ended in the head.
@@ -45,14 +45,24 @@
         lines = _HeadLines(reader)
         self.fp = lines
         try:
-            super().begin()
+            self._read_final_head(lines)
         finally:
             if self.fp is lines:
                 self.fp = reader
-        if not lines.has_ended:
-            raise http.client.IncompleteRead(b'')
         self._check_framing()
 
+    def _read_final_head(self, lines):
+        while True:
+            super().begin()
+            if not lines.has_ended:
+                raise http.client.IncompleteRead(b'')
+            if self.status == http.client.SWITCHING_PROTOCOLS:
+                raise http.client.HTTPException('no upgrade was asked for')
+            if self.status >= http.client.OK:
+                return
+            # The final head comes next: the interim one is forgotten.
+            self.headers = self.msg = None
+
     def _check_framing(self):
         encodings = self.headers.get_all('Transfer-Encoding', [])
         if encodings and [e.strip().lower() for e in encodings] != ['chunked']:
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -28,6 +28,7 @@
     + b'%x\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY)
 )
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
 
 
 def _read_by_relay(data):
@@ -81,7 +82,14 @@
 
 @pytest.mark.parametrize('read', READERS)
 @pytest.mark.parametrize(
-    'answer', [WITH_LENGTH, CHUNKED, INTERIM + WITH_LENGTH]
+    'answer',
+    [
+        WITH_LENGTH,
+        CHUNKED,
+        INTERIM + WITH_LENGTH,
+        HINTS + WITH_LENGTH,
+        HINTS + INTERIM + CHUNKED,
+    ],
 )
 # An engine stopped in the head of its answer, and clients got a 200 with an
 # empty or a short body that looked whole.
