Bound the trailer of an answer and look at the caller before each read

What callers saw: an endpoint that sent a trailer, a size line or an extension without end; the caller got no answer, also long after its deadline, and the VM went on reading after the caller had left. Cause: a read of a chunked body went on inside until bytes of the body came, so that neither the deadline nor the caller was looked at; the trailer had no bound of size or time, and all of it was copied at each read. And while bytes could be read, a wait told neither that the time had passed nor that the caller had left. The head's bound of time didn't regard the deadline. Evidence: test_endless_answers on the code before, direct: "assert not {'interim/fast': (103, b''), 'interim/slow': (103, b''), 'size-line/slow': (0, b''), 'extension/slow': (0, b''), ...}", where 0 is no answer within 30 s for a deadline of 3 s. Fix: read_available reads once. Empty bytes mean that nothing of the body has come, and has_ended tells the end. BodyReader looks at the time and the caller before each read; what has come by the deadline is read once more, since the VM itself may have been held up. The trailer has bounds (16 KiB, 1 s); past them the body has ended and is whole, since its last chunk has come (RFC 9112, section 8), so that the caller gets it, but the connection is not kept. An answer whose connection ends in the trailer is truncated, as before. Three tests read bodies by the old contract and now read until has_ended, which is as strict: a cut or malformed body must still raise.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -69,12 +69,12 @@
         self._close(errors.Outcome.PARTIAL)
 
     def _read_events(self):
-        data = self._response.read_available()
-        if not data:
+        if self._response.has_ended:
             raise errors.StreamBroken(
                 'the stream ended without its terminal event'
             )
-        return self._events.feed(data)
+        data = self._response.read_available()
+        return self._events.feed(data) if data else b''
 
     def _resume(self, error):
         self._response.close()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
@@ -8,10 +8,17 @@
 import enum
 import http.client
 
+from carobwood import clocks
+
 READ_BYTES = 64 * 1024
 MAX_CHUNK_SIZE_LINE_BYTES = 1024
+# Bounds of what may follow the last chunk. Past them, the body has ended:
+# its content is whole, and the connection is not used again.
+MAX_TRAILER_BYTES = 16 * 1024
+MAX_TRAILER_SECONDS = 1.0
 
 _CRLF = b'\r\n'
+_END_OF_TRAILER = _CRLF + _CRLF
 
 
 class Framing(enum.Enum):
@@ -46,7 +53,10 @@
 
     @property
     def has_surplus_bytes(self):
-        """Whether bytes beyond the body have been read, once it has ended."""
+        """Whether bytes beyond the body have been read, once it has ended.
+
+        They may also still come, if the end was not waited for.
+        """
         return False
 
     @property
@@ -54,11 +64,28 @@
         """Whether the end of the body has been reached for certain."""
         return False
 
+    @property
+    def has_ended(self):
+        """Whether there is nothing more to read."""
+        return self.is_complete
+
+    @property
+    def trailer_seconds_left(self):
+        """Seconds to wait for what follows the content.
+
+        None while content is missing.
+        """
+        return None
+
+    def give_up_trailer(self):
+        """Wait no longer for what follows the content."""
+
     @abc.abstractmethod
     def read_available(self):
-        """Return the bytes available, or empty bytes at the end.
+        """Read once, and return the bytes of the body that have come.
 
-        Blocks until at least one byte of the body has arrived.
+        Blocks until the read has bytes. They may be none of the body, so
+        that empty bytes do not mean its end; see ``has_ended``.
         """
 
 
@@ -67,9 +94,20 @@
 
     framing = Framing.UNTIL_CLOSE
 
+    def __init__(self, reader):
+        super().__init__(reader)
+        self._has_ended = False
+
+    @property
+    def has_ended(self):
+        """See ``ResponseBody``."""
+        return self._has_ended
+
     def read_available(self):
         """See ``ResponseBody``."""
-        return self._reader.read1(READ_BYTES)
+        data = self._reader.read1(READ_BYTES)
+        self._has_ended = not data
+        return data
 
 
 class LengthBody(ResponseBody):
@@ -101,17 +139,23 @@
     """A chunked body.
 
     Chunks that arrive together are returned as one piece, so that a
-    stream of small chunks takes few reads.
+    stream of small chunks takes few reads. The trailer is discarded. A body
+    whose connection ends in it is truncated, one whose trailer exceeds its
+    bounds is not: the last chunk has come.
     """
 
     framing = Framing.CHUNKED
 
     def __init__(self, reader):
         super().__init__(reader)
+        # Bytes of an incomplete size line, or the last bytes of the trailer,
+        # or what follows it.
         self._buffer = b''
         self._remaining = 0
-        self._has_seen_last_chunk = False
-        self._has_ended = False
+        self._trailer_bytes = 0
+        # Monotonic time until which the trailer is read, or None.
+        self._trailer_ends_at = None
+        self._is_complete = False
 
     @property
     def has_surplus_bytes(self):
@@ -121,33 +165,59 @@
     @property
     def is_complete(self):
         """See ``ResponseBody``."""
-        return self._has_ended
+        return self._is_complete
+
+    @property
+    def has_ended(self):
+        """See ``ResponseBody``."""
+        return self._is_complete or self._exceeds_trailer_bounds
+
+    @property
+    def trailer_seconds_left(self):
+        """See ``ResponseBody``."""
+        if self._trailer_ends_at is None:
+            return None
+        return max(0.0, self._trailer_ends_at - clocks.now())
+
+    def give_up_trailer(self):
+        """See ``ResponseBody``."""
+        self._trailer_ends_at = clocks.now()
+
+    @property
+    def _exceeds_trailer_bounds(self):
+        return (
+            self._trailer_bytes > MAX_TRAILER_BYTES
+            or self.trailer_seconds_left == 0.0
+        )
 
     def read_available(self):
         """See ``ResponseBody``."""
-        while not self._has_ended:
-            data = self._reader.read1(READ_BYTES)
-            if not data:
-                raise http.client.IncompleteRead(b'')
-            self._buffer += data
-            joined = b''
-            if not self._has_seen_last_chunk:
-                joined = b''.join(self._consume_chunks())
-            if self._has_seen_last_chunk:
-                self._consume_trailer()
-            if joined:
-                return joined
-        return b''
-
-    def _consume_trailer(self):
-        if self._buffer.startswith(_CRLF):
-            self._buffer = self._buffer[len(_CRLF) :]
-            self._has_ended = True
+        if self.has_ended:
+            return b''
+        data = self._reader.read1(READ_BYTES)
+        if not data:
+            raise http.client.IncompleteRead(b'')
+        if self._trailer_ends_at is not None:
+            self._consume_trailer(data)
+            return b''
+        self._buffer += data
+        return b''.join(self._consume_chunks())
+
+    def _consume_trailer(self, data):
+        self._trailer_bytes += len(data)
+        window = self._buffer + data
+        end = window.find(_END_OF_TRAILER)
+        if end < 0:
+            self._buffer = window[1 - len(_END_OF_TRAILER) :]
             return
-        _, separator, rest = self._buffer.partition(_CRLF + _CRLF)
-        if separator:
-            self._buffer = rest
-            self._has_ended = True
+        self._buffer = window[end + len(_END_OF_TRAILER) :]
+        self._is_complete = True
+
+    def _begin_trailer(self, data):
+        self._trailer_ends_at = clocks.now() + MAX_TRAILER_SECONDS
+        # The end of the size line: an empty trailer is a CRLF behind it.
+        self._buffer = _CRLF
+        self._consume_trailer(data)
 
     def _consume_chunks(self):
         buffer = self._buffer
@@ -158,8 +228,8 @@
                 if size is None:
                     break
                 if size == 0:
-                    self._has_seen_last_chunk = True
-                    break
+                    self._begin_trailer(buffer[position:])
+                    return
                 # The CRLF that follows the chunk data is counted with it.
                 self._remaining = size + len(_CRLF)
             piece = buffer[position : position + self._remaining]
--- a/packages/carobwood-daemon/carobwood_daemon/entry/service_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/service_calls.py
@@ -107,7 +107,7 @@
         if self._is_closed:
             raise StopIteration
         try:
-            data = self._response.read_available()
+            data = self._read_part()
             if not data and self._remaining:
                 raise errors.StreamBroken('the response is truncated')
         except errors.StreamBroken as error:
@@ -125,6 +125,14 @@
             self._remaining -= len(data)
         return data
 
+    def _read_part(self):
+        """Return the next bytes of the body, or none at its end."""
+        while not self._response.has_ended:
+            data = self._response.read_available()
+            if data:
+                return data
+        return b''
+
     def close(self):
         """Cancel the request because the caller has disconnected.
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -83,8 +83,15 @@
         self.status = raw_response.status
         self.headers = raw_response.headers
 
+    @property
+    def has_ended(self):
+        """Whether there is nothing more of the body to read."""
+        return self._body.has_ended
+
     def read_available(self):
-        """Return the bytes available, or empty bytes at the end.
+        """Read once, and return the bytes of the body that have come.
+
+        They may be none before the end; see ``has_ended``.
 
         Raises:
             StreamBroken: the connection failed or timed out.
@@ -92,6 +99,10 @@
         try:
             return self._body.read_available()
         except TimeoutError as error:
+            if self._body.trailer_seconds_left is not None:
+                # The last chunk has come.
+                self._body.give_up_trailer()
+                return b''
             raise errors.StreamBroken(
                 'no data within the stall timeout'
             ) from error
@@ -111,14 +122,13 @@
         """
         parts = []
         size = 0
-        while True:
+        while not self.has_ended:
             part = self.read_available()
-            if not part:
-                return b''.join(parts)
             parts.append(part)
             size += len(part)
             if size > limit:
                 raise errors.StreamBroken('the response is too large')
+        return b''.join(parts)
 
     @property
     def content_length(self):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -161,13 +161,15 @@
                 f'sending the request failed: {error!r}'
             ) from error
 
-    def read_head(self, method, timeout):
+    def read_head(self, method, timeout, seconds=MAX_HEAD_SECONDS):
         """Read the head of the next response.
 
         Args:
             method: HTTP method of the request; a response to ``HEAD`` has
                 no body.
             timeout: seconds that each read may take.
+            seconds: time within which the head must end, at most
+                ``MAX_HEAD_SECONDS``.
 
         Returns:
             The status, and the headers by name in lower case.
@@ -186,7 +188,7 @@
             )
         try:
             self._socket.settimeout(timeout)
-            self._bounds.bound(MAX_HEAD_SECONDS, MAX_HEAD_BYTES)
+            self._bounds.bound(min(seconds, MAX_HEAD_SECONDS), MAX_HEAD_BYTES)
             response.begin()
         except _IO_FAILURES as error:
             response.fp = None
@@ -212,11 +214,27 @@
 
     @property
     def is_complete(self):
-        """Whether the end of the body is known without another read."""
+        """Whether the end of the body has been reached for certain."""
         return self._body.is_complete
 
+    @property
+    def has_ended(self):
+        """Whether there is nothing more of the body to read."""
+        return self._body.has_ended
+
+    @property
+    def trailer_seconds_left(self):
+        """Seconds to wait for what follows the content, or None before."""
+        return self._body.trailer_seconds_left
+
+    def give_up_trailer(self):
+        """Wait no longer for what follows the content."""
+        self._body.give_up_trailer()
+
     def read_available(self, timeout):
-        """Return the available bytes of the body, or none at its end.
+        """Read once, and return the bytes of the body that have come.
+
+        They may be none before the end; see ``has_ended``.
 
         Args:
             timeout: seconds that each read may take.
@@ -252,14 +270,17 @@
         """
         self._bounds.bound(seconds, max_bytes)
         try:
-            while not self.is_complete and self.read_available(seconds):
-                pass
+            while not self.has_ended:
+                self.read_available(seconds)
         finally:
             self._bounds.release()
 
     def wait(self, caller_socket, timeout):
         """Wait until the endpoint sends or the caller disconnects.
 
+        A caller that has disconnected counts first: an endpoint that sends
+        without end always has bytes to read.
+
         Args:
             caller_socket: socket of the caller's connection, or None.
             timeout: seconds to wait.
@@ -267,6 +288,8 @@
         Returns:
             The ``WaitResult``.
         """
+        if caller_socket is not None and is_closed_by_peer(caller_socket):
+            return WaitResult.CALLER_LEFT
         if self._has_buffered_bytes():
             return WaitResult.READABLE
         poller = select.poll()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -145,8 +145,10 @@
         )
 
     def _await_response(self, connection, assignment, sent_at, timeout):
+        ends_at = clocks.now() + timeout
         for _ in range(1 + MAX_LATE_RESPONSES):
-            match connection.wait(self._caller.socket, timeout):
+            seconds_left = max(0.0, ends_at - clocks.now())
+            match connection.wait(self._caller.socket, seconds_left):
                 case endpoint_connections.WaitResult.CALLER_LEFT:
                     raise errors.CallerLeft(
                         'the caller disconnected before the response'
@@ -156,7 +158,9 @@
                         'the endpoint sent no response in time'
                     )
             status, headers = connection.read_head(
-                self._caller.method, READ_TIMEOUT_SECONDS
+                self._caller.method,
+                READ_TIMEOUT_SECONDS,
+                max(0.0, self._request.seconds_left),
             )
             head = self._context.dialect.parse_response_head(status, headers)
             is_own = self._is_own(head, connection)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -13,8 +13,8 @@
 from ..entry import response_body
 
 from . import admission
+from . import body_reader
 from . import caller_request
-from . import endpoint_connections
 from . import event_splitter
 
 # Timeout for the first event of a stream that can be resumed at another
@@ -116,15 +116,11 @@
         )
 
     def _read_body(self, response):
+        reader = self._open_reader(response)
         chunks = []
         size = 0
-        while not response.upstream.is_complete:
-            self._await_bytes(
-                response.upstream, self._attempt.request.seconds_left
-            )
-            chunk = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
-            if not chunk:
-                break
+        while not reader.has_ended:
+            chunk = reader.read(self._attempt.request.seconds_left)
             chunks.append(chunk)
             size += len(chunk)
             if size > MAX_BODY_BYTES:
@@ -143,11 +139,9 @@
             self._start_stream(response)
 
     def _forward_until_end(self, response):
-        while not response.upstream.is_complete:
-            self._await_bytes(response.upstream, self._stall_timeout())
-            data = response.upstream.read_available(BODY_READ_TIMEOUT_SECONDS)
-            if not data:
-                break
+        reader = self._open_reader(response)
+        while not reader.has_ended:
+            data = reader.read(self._stall_timeout())
             self._forward_events(response, self._splitter.feed(data))
         remaining = self._splitter.flush()
         if self.first_event_at is None and _ends_with_connection(response):
@@ -199,16 +193,10 @@
             200, 'OK', caller_request.end_to_end_headers(response.headers)
         )
 
-    def _await_bytes(self, connection, timeout):
-        match connection.wait(self._caller.socket, max(0.0, timeout)):
-            case endpoint_connections.WaitResult.CALLER_LEFT:
-                raise errors.CallerLeft(
-                    'the caller disconnected during the response'
-                )
-            case endpoint_connections.WaitResult.TIMED_OUT:
-                raise errors.EndpointTimeout(
-                    'the endpoint sent no further part of the body in time'
-                )
+    def _open_reader(self, response):
+        return body_reader.BodyReader(
+            response.upstream, self._caller, BODY_READ_TIMEOUT_SECONDS
+        )
 
 
 def _ends_with_connection(response):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -12,6 +12,9 @@
 from carobwood import errors
 from carobwood import events
 
+from ..entry import response_body
+
+from . import body_reader
 from . import caller_request
 from . import endpoint_connections
 from . import forwarding_headers
@@ -121,7 +124,7 @@
         )
         self._await(connection, caller, request)
         status, headers = connection.read_head(
-            caller.method, READ_TIMEOUT_SECONDS
+            caller.method, READ_TIMEOUT_SECONDS, max(0.0, request.seconds_left)
         )
         self._check_request_id(request, status, headers)
         code = headers.get(forwarding_headers.ERROR, '')
@@ -172,7 +175,8 @@
         if status == http.client.OK and is_stream:
             caller.start_stream(status, reason, end_to_end)
             for data in self._read_parts(connection, caller, request):
-                caller.write(data)
+                if data:
+                    caller.write(data)
             return
         parts = []
         size = 0
@@ -189,13 +193,13 @@
         The other VM frames all bodies, so one that ends with its connection
         has been broken off.
         """
-        while not connection.is_complete:
-            self._await(connection, caller, request)
-            data = connection.read_available(READ_TIMEOUT_SECONDS)
-            if data:
-                yield data
-            elif not connection.is_complete:
-                raise errors.EndpointFailed('the other VM broke off')
+        reader = body_reader.BodyReader(
+            connection, caller, READ_TIMEOUT_SECONDS
+        )
+        while not reader.has_ended:
+            yield reader.read(request.seconds_left)
+        if connection.framing is response_body.Framing.UNTIL_CLOSE:
+            raise errors.EndpointFailed('the other VM broke off')
 
     def _await(self, connection, caller, request):
         seconds = max(0.0, request.seconds_left)
--- a/tests/endless_endpoint.py
+++ b/tests/endless_endpoint.py
@@ -97,6 +97,14 @@
         self._stopped.set()
         self._listener.close()
 
+    def choose_answer(self, head):
+        """Return the answer to a request, and whether it is slow.
+
+        Args:
+            head: head of the request, as bytes.
+        """
+        return self.answer, self.is_slow
+
     def _accept(self):
         while True:
             try:
@@ -132,10 +140,11 @@
         lines = self.headers
         if callable(lines):
             lines = lines(head)
-        answer = self.answer.with_headers(lines)
+        answer, is_slow = self.choose_answer(head)
+        answer = answer.with_headers(lines)
         connection.sendall(answer.start)
         while not self._stopped.is_set():
-            if self.is_slow:
+            if is_slow:
                 for byte in answer.part:
                     self._stopped.wait(SLOW_PAUSE_SECONDS)
                     connection.sendall(bytes([byte]))
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,205 @@
+"""Answers of endpoints that never end, to requests of callers."""
+
+import concurrent.futures
+import contextlib
+import socket
+import threading
+
+from carobwood import errors
+import endless_endpoint
+import pytest
+import relay_test_fleet
+
+# Position of the first entry VM behind the three control VMs.
+FIRST_ENTRY_VM = 3
+DEADLINE_MS = '3000'
+# The codes of requests whose endpoint gave no whole answer.
+FAILED = (502, 504)
+WHOLE_KINDS = ('trailer', 'trailer-line')
+ANSWER_NAMES = [
+    f'{kind}/{speed}'
+    for kind in endless_endpoint.ANSWERS_BY_KIND
+    for speed in ('fast', 'slow')
+]
+WAIT_SECONDS = 30.0
+
+
+class FaultyEndpoint(endless_endpoint.EndlessEndpoint):
+    """An endpoint whose answer the end of the request's path names."""
+
+    name = 'orders-0'
+    service = 'orders'
+
+    def __init__(self):
+        super().__init__(None, headers=_sign)
+
+    def announcement(self, sequence=1, state='ready'):
+        """Return its announcement to control VMs."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'bole',
+            'state': state,
+            'seq_no': sequence,
+            'born': 1_700_000_000_000,
+            'version': 'v1',
+        }
+
+    def choose_answer(self, head):
+        """Return the answer to a request, and whether it is slow."""
+        kind, speed = head.split(b' ')[1].decode().split('/')[-2:]
+        if kind == 'sound':
+            return _SOUND, False
+        return endless_endpoint.ANSWERS_BY_KIND[kind], speed == 'slow'
+
+
+# What follows the answer is nothing of it.
+_SOUND = endless_endpoint.EndlessAnswer(
+    b'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nsound',
+    b' ',
+)
+
+
+def _sign(head):
+    lines = head.decode('latin-1').split('\r\n')
+    (request_id,) = (
+        line.partition(': ')[2]
+        for line in lines
+        if line.lower().startswith('x-carobwood-request-id:')
+    )
+    return (
+        f'X-Carobwood-Request-Id: {request_id}\r\n'
+        'X-Carobwood-Response-Stamp: orders-0\r\n'
+    ).encode()
+
+
+@pytest.fixture(scope='module')
+def endpoint():
+    """Yield the faulty endpoint."""
+    with FaultyEndpoint() as faulty_endpoint:
+        yield faulty_endpoint
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory, endpoint):
+    """Yield a fleet whose service ``orders`` has the faulty endpoint only.
+
+    Its entry VM 1 takes requests of callers, and passes those of VM 0 on.
+    """
+    test_fleet = relay_test_fleet.RelayTestFleet(
+        tmp_path_factory.mktemp('fleet')
+    )
+    test_fleet.announce(endpoint, 1000)
+    for number in range(2):
+        relay_test_fleet.await_reply(
+            lambda number=number: _ask(test_fleet, number, 'sound/fast'),
+            lambda reply: reply.body == b'sound',
+        )
+    with _cut_off(test_fleet):
+        relay_test_fleet.await_reply(
+            lambda: _ask(test_fleet, 0, 'sound/fast'),
+            lambda reply: reply.body == b'sound',
+        )
+        yield test_fleet
+    test_fleet.stop()
+
+
+@contextlib.contextmanager
+def _cut_off(test_fleet):
+    """Cut entry VM 0 off from all endpoints."""
+    vm = test_fleet.fleet.vms[FIRST_ENTRY_VM]
+
+    def refuse(address, timeout):
+        vm.reachability.note(address, False)
+        raise errors.EndpointUnreachable('cut off')
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(vm.pool, 'connect', refuse)
+        for endpoint in (*test_fleet.engines, test_fleet.plain_endpoint):
+            vm.pool.close_idle(endpoint.address)
+        yield
+
+
+def _ask(test_fleet, number, answer_name, timeout=WAIT_SECONDS):
+    return relay_test_fleet.ask(
+        test_fleet.fleet.entry_ports[number],
+        'POST',
+        f'/orders/{answer_name}',
+        b'prompt',
+        relay_test_fleet.caller_headers(
+            X_Carobwood_Request_Id='r-' + answer_name.replace('/', '-'),
+            X_Carobwood_Deadline_Ms=DEADLINE_MS,
+        ),
+        timeout=timeout,
+    )
+
+
+def _ask_until_sent(test_fleet, number, answer_name):
+    """Ask again while the endpoint gets nothing because of its failures."""
+    return relay_test_fleet.await_reply(
+        lambda: _ask(test_fleet, number, answer_name),
+        lambda reply: reply.status != 503,
+    )
+
+
+def _is_proper(answer_name, reply):
+    kind, _, _ = answer_name.partition('/')
+    if kind in WHOLE_KINDS:
+        return (reply.status, reply.body) == (200, b'{}')
+    return reply.status in FAILED
+
+
+# A faulty engine sent bytes without end, and callers got no answer.
+@pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
+def test_a_request_with_an_endless_answer_is_answered(fleet, endpoint, number):
+    endpoint.requests.clear()
+    with concurrent.futures.ThreadPoolExecutor(len(ANSWER_NAMES)) as threads:
+        replies = threads.map(
+            lambda name: _ask_until_sent(fleet, number, name), ANSWER_NAMES
+        )
+        wrong = {
+            name: (reply.status, reply.body[:200])
+            for name, reply in zip(ANSWER_NAMES, replies, strict=True)
+            if not _is_proper(name, reply)
+        }
+    assert not wrong
+    assert len(endpoint.requests) == len(ANSWER_NAMES)
+
+
+# The VM went on reading for callers that had left.
+@pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
+def test_an_endless_answer_ends_when_its_caller_leaves(
+    fleet, endpoint, number
+):
+    requests = []
+    for name in ANSWER_NAMES:
+        endpoint.requests.clear()
+        ended = endpoint.ended_connections
+        connection = _send(fleet, number, name)
+        _await(lambda: endpoint.requests)
+        connection.close()
+        requests.append((name, ended))
+        _await(lambda ended=ended: endpoint.ended_connections > ended)
+
+
+def _send(test_fleet, number, answer_name):
+    """Send a request whose deadline is beyond the test's end."""
+    headers = relay_test_fleet.caller_headers(
+        X_Carobwood_Deadline_Ms='600000', Content_Length='0'
+    )
+    lines = ''.join(f'{name}: {value}\r\n' for name, value in headers.items())
+    port = test_fleet.fleet.entry_ports[number]
+    connection = socket.create_connection(('127.0.0.1', port))
+    connection.sendall(
+        f'POST /orders/{answer_name} HTTP/1.1\r\n{lines}\r\n'.encode()
+    )
+    return connection
+
+
+def _await(is_true):
+    never_set = threading.Event()
+    for _ in range(int(WAIT_SECONDS / 0.02)):
+        if is_true():
+            return
+        never_set.wait(0.02)
+    raise AssertionError('it did not come true in time')
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -65,11 +65,8 @@
 
 def _read_body(connection):
     chunks = []
-    while not connection.is_complete:
-        chunk = connection.read_available(TIMEOUT_SECONDS)
-        if not chunk:
-            break
-        chunks.append(chunk)
+    while not connection.has_ended:
+        chunks.append(connection.read_available(TIMEOUT_SECONDS))
     return b''.join(chunks)
 
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -139,9 +139,10 @@
         raw += b'%x;ext=1\r\n%s\r\n' % (len(chunk), chunk)
     body = response_body.ChunkedBody(_Reader(raw + b'0\r\n\r\n', block_size))
     parts = []
-    while part := body.read_available():
-        parts.append(part)
+    while not body.has_ended:
+        parts.append(body.read_available())
     assert b''.join(parts) == content
+    assert body.is_complete
 
 
 @pytest.mark.parametrize(
@@ -150,8 +151,8 @@
 def test_malformed_chunks_are_no_complete_body(raw):
     body = response_body.ChunkedBody(_Reader(raw, 100))
     with pytest.raises((http.client.HTTPException, ValueError)):
-        while body.read_available():
-            pass
+        while not body.has_ended:
+            body.read_available()
 
 
 def test_spans_are_exported_to_a_collector(world):
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -42,11 +42,8 @@
     try:
         connection.read_head('POST', READ_SECONDS)
         parts = []
-        while not connection.is_complete:
-            part = connection.read_available(READ_SECONDS)
-            if not part:
-                break
-            parts.append(part)
+        while not connection.has_ended:
+            parts.append(connection.read_available(READ_SECONDS))
         return b''.join(parts)
     finally:
         connection.close()
