--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -28,6 +28,7 @@
     + b'%x\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY)
 )
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
 
 
 def _read_by_relay(data):
@@ -41,11 +42,8 @@
     try:
         connection.read_head('POST', READ_SECONDS)
         parts = []
-        while not connection.is_complete:
-            part = connection.read_available(READ_SECONDS)
-            if not part:
-                break
-            parts.append(part)
+        while not connection.has_ended:
+            parts.append(connection.read_available(READ_SECONDS))
         return b''.join(parts)
     finally:
         connection.close()
@@ -81,7 +79,14 @@
 
 @pytest.mark.parametrize('read', READERS)
 @pytest.mark.parametrize(
-    'answer', [WITH_LENGTH, CHUNKED, INTERIM + WITH_LENGTH]
+    'answer',
+    [
+        WITH_LENGTH,
+        CHUNKED,
+        INTERIM + WITH_LENGTH,
+        HINTS + WITH_LENGTH,
+        HINTS + INTERIM + CHUNKED,
+    ],
 )
 # An engine stopped in the head of its answer, and clients got a 200 with an
 # empty or a short body that looked whole.
