Take a signal that comes while the process starts

What operators saw: 10 of 62 planned stops ended with signal 15 in place of exit code 0. Callers saw nothing: a process that imports its modules serves nothing yet.

Cause: the handlers of SIGTERM and SIGINT were set after the imports and the settings. Until then the signals have their default action. A stop that was asked for within the rest of the start got its whole time only from the end of the start on, and so could outlast it.

--- a/packages/carobwood-daemon/carobwood_daemon/__main__.py
+++ b/packages/carobwood-daemon/carobwood_daemon/__main__.py
@@ -1,16 +1,22 @@
 """Command-line entry point of the daemon, ``carobwoodd``."""
 
-import logging as std_logging
-import os
-import queue
 import signal
 import sys
 
-from carobwood import errors
+from carobwood import stop_signals
 
-from . import daemon
-from . import settings
-from .observe import logs
+_SIGNALS = stop_signals.SignalQueue()
+_SIGNALS.catch(signal.SIGTERM, signal.SIGINT)
+
+import logging as std_logging  # noqa: E402
+import os  # noqa: E402
+
+from carobwood import errors  # noqa: E402
+from carobwood import events  # noqa: E402
+
+from . import daemon  # noqa: E402
+from . import settings  # noqa: E402
+from .observe import logs  # noqa: E402
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -39,24 +45,23 @@
             print(f'carobwoodd: {fault}', file=sys.stderr)
         return EXIT_USAGE
     logs.set_up(checked_settings.log_level)
+    if _SIGNALS.take() is not None:
+        events.emit(events.START_ABANDONED, vm=checked_settings.vm_id)
+        std_logging.shutdown()
+        return EXIT_OK
     return _run(checked_settings)
 
 
-def _await_signal(signals):
+def _await_signal():
     # Handlers run when the main thread runs, and a signal that another thread
     # was given does not wake it.
     while True:
-        try:
-            return signals.get(timeout=WAKE_PERIOD_SECONDS)
-        except queue.Empty:
-            continue
+        received = _SIGNALS.take(WAKE_PERIOD_SECONDS)
+        if received is not None:
+            return received.at
 
 
 def _run(checked_settings):
-    # Its ``put`` may interrupt its ``get``, unlike the methods of an event.
-    signals = queue.SimpleQueue()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda number, frame: signals.put(number))
     try:
         vm_daemon = daemon.Daemon(checked_settings)
         vm_daemon.start()
@@ -64,8 +69,7 @@
         code = getattr(error, 'code', 'start_failed')
         print(f'carobwoodd: {code}: {error}', file=sys.stderr)
         return EXIT_FAILED
-    _await_signal(signals)
-    drained = vm_daemon.stop()
+    drained = vm_daemon.stop(_await_signal())
     std_logging.shutdown()
     # Threads that still write answers would keep the process alive.
     os._exit(EXIT_OK if drained else EXIT_FAILED)
--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -163,19 +163,25 @@
             caller=str(self._settings.caller_listen),
         )
 
-    def stop(self):
+    def stop(self, asked_at=None):
         """Stop after the requests in flight, within the drain timeout.
 
         The VM reports not ready for ``balancer_delay`` seconds while it
         still serves new requests. Then it refuses new requests and waits
         up to ``drain_timeout`` seconds for those in flight.
 
+        Args:
+            asked_at: time by ``clocks.now`` at which the stop was asked
+                for, maybe during the start; None for now.
+
         Returns:
             Whether all requests in flight have finished.
         """
         events.emit(events.DAEMON_STOPPING, vm=self._settings.vm_id)
         self._gate.mark_not_ready()
-        threading.Event().wait(self._settings.balancer_delay)
+        asked_at = clocks.now() if asked_at is None else asked_at
+        served_until = asked_at + self._settings.balancer_delay
+        threading.Event().wait(max(0.0, served_until - clocks.now()))
         ends_at = clocks.now() + self._settings.drain_timeout
         drained = self._gate.drain(self._settings.drain_timeout)
         if not drained:
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -200,24 +200,30 @@
             first=self._settings.is_first_start,
         )
 
-    def stop(self):
+    def stop(self, asked_at=None):
         """Stop gracefully and let requests in flight finish.
 
         The VM first reports that it is not ready and keeps serving until
         the balancer has noticed. It then waits for the requests in flight
         for as long as the stop time of the settings allows.
 
+        Args:
+            asked_at: time by ``clocks.now`` at which the stop was asked
+                for, maybe during the start; None for now.
+
         Returns:
             Whether every request in flight has finished.
         """
         started_at = clocks.now()
+        asked_at = started_at if asked_at is None else asked_at
         events.emit(events.DAEMON_STOPPING, vm=self._settings.vm_id)
-        ends_at = started_at + self._settings.fleet_limits.shutdown_seconds
+        ends_at = asked_at + self._settings.fleet_limits.shutdown_seconds
         ends_at -= CLOSE_RESERVE_SECONDS + ANSWER_RESERVE_SECONDS
-        self._gate.mark_not_ready(ends_at - started_at)
+        self._gate.mark_not_ready(max(0.0, ends_at - started_at))
         replica_stop = self._start_replica_stop()
         if self._settings.caller_listen is not None:
-            threading.Event().wait(self._settings.balancer_delay_seconds)
+            served_until = asked_at + self._settings.balancer_delay_seconds
+            threading.Event().wait(max(0.0, served_until - clocks.now()))
         self._gate.wait_until_idle(LATE_REQUEST_SECONDS)
         drained = self._gate.drain(max(0.0, ends_at - clocks.now()))
         if not drained:
--- /dev/null
+++ b/packages/carobwood/carobwood/stop_signals.py
@@ -0,0 +1,55 @@
+"""Signals that a process keeps until its main thread takes them.
+
+A program catches them before it imports its other modules: by default they
+would end the process there and then, and imports take part of a second.
+"""
+
+import dataclasses
+import queue
+import signal
+
+from . import clocks
+
+
+@dataclasses.dataclass(frozen=True)
+class ReceivedSignal:
+    """A signal that has come.
+
+    Attributes:
+        number: its number.
+        at: time by ``clocks.now`` at which it came, in seconds.
+    """
+
+    number: int
+    at: float
+
+
+class SignalQueue:
+    """The signals that have come and were not taken yet."""
+
+    def __init__(self):
+        # Its ``put`` may interrupt its ``get``. An event, whose lock is held
+        # as its wait begins and ends, would stop the main thread for good.
+        self._queue = queue.SimpleQueue()
+
+    def catch(self, *numbers):
+        """Queue some signals from now on; the main thread calls this."""
+        for number in numbers:
+            signal.signal(number, self._put)
+
+    def take(self, timeout=0.0):
+        """Return the ``ReceivedSignal`` that came first, and forget it.
+
+        Args:
+            timeout: seconds to wait for one.
+
+        Returns:
+            The signal, or None if none has come.
+        """
+        try:
+            return self._queue.get(timeout=timeout)
+        except queue.Empty:
+            return None
+
+    def _put(self, number, frame):
+        self._queue.put(ReceivedSignal(number, clocks.now()))
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -20,7 +20,7 @@
 ALARM_SECONDS = 20
 
 serve.settings.read_settings = lambda *arguments: types.SimpleNamespace(
-    seeds=()
+    seeds=(), memory_limit_bytes=0
 )
 serve.logs.set_up = lambda level: None
 serve.RELOAD_PERIOD_SECONDS = 0.001
@@ -39,7 +39,7 @@
         return trace
 
     serve.relay_vm.RelayVm = lambda *arguments: types.SimpleNamespace(
-        start=lambda: sys.settrace(trace), stop=lambda: True
+        start=lambda: sys.settrace(trace), stop=lambda asked_at: True
     )
     signal.alarm(ALARM_SECONDS)
     serve.main()
@@ -85,7 +85,7 @@
 
 
 program.daemon.Daemon = lambda settings: types.SimpleNamespace(
-    start=start, stop=lambda: True
+    start=start, stop=lambda asked_at: True
 )
 signal.alarm(ALARM_SECONDS)
 sys.exit(program._run(None))
@@ -110,7 +110,7 @@
 
 
 program.daemon.Daemon = lambda settings: types.SimpleNamespace(
-    start=start, stop=lambda: True
+    start=start, stop=lambda asked_at: True
 )
 signal.alarm(ALARM_SECONDS)
 sys.exit(program._run(None))
