--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -1,13 +1,13 @@
 """How a cheroot server and its workers end when it stops."""
 
-import select
 import threading
 
-from cheroot import connections
 from cheroot.workers import threadpool
 
 from carobwood import clocks
 
+from . import listener_connections
+
 # Time beyond that for answers in which a server notices the stop; cheroot
 # looks for it every 0.5 s.
 CLOSE_SECONDS = 0.5
@@ -42,35 +42,6 @@
         """
 
 
-class _BacklogConnections(connections.ConnectionManager):
-    """Accepts what waits in the backlog before the listener closes."""
-
-    def stop(self):
-        """Stop the selector, accept what waits and close the listener.
-
-        The kernel resets connections that were not accepted. cheroot would
-        connect to the listener before it closes it.
-        """
-        super().stop()
-        if self.server.socket is None:
-            return
-        # A TLS handshake would be waited for.
-        if self.server.ssl_adapter is None:
-            self._accept_all()
-        self.server.socket.close()
-        self.server.socket = None
-
-    def _accept_all(self):
-        poller = select.poll()
-        poller.register(self.server.socket, select.POLLIN)
-        for _ in range(self.server.request_queue_size):
-            if not poller.poll(0):
-                return
-            connection = self._from_server_socket(self.server.socket)
-            if connection is not None:
-                self.server.process_conn(connection)
-
-
 class StoppingServer:
     """Base of a cheroot server whose requests are ``StoppingRequest``."""
 
@@ -78,7 +49,7 @@
         """Bind the listener; see ``HTTPServer``."""
         super().prepare()
         self._connections.close()
-        self._connections = _BacklogConnections(self)
+        self._connections = listener_connections.ListenerConnections(self)
 
     @property
     def can_add_keepalive_connection(self):
