Make room among idle connections as descriptors run short

What callers see: at the limit of descriptors (1,024 by default on many machines) new callers got no answer for as long as the idle connections of others stayed open, also beyond their 30 s. At a stop, a request in flight got no answer, or none that was whole.

Cause: accept raises then. While the VM serves, that ended each turn of cheroot's loop before its look for expired connections, which so were never closed; the loop spun and logged each turn. At a stop, it ended the thread that stops the listener: what it would have waited for and answered ended with the process.

Within the last quarter of the limit, and if accept fails, the connections without input that have been idle for longest are closed, and answers close theirs. The quarter is left for connections to endpoints, links and files. Event 108 tells of it, at most once a second and listener. A request that crosses the close of an idle connection can get no answer, as at its expiry.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -1,18 +1,52 @@
 """Connections of a listener that no worker serves just then.
 
-A connection takes a worker once bytes of a request have come on it.
+A connection takes a worker once bytes of a request have come on it. While
+descriptors run short, the connections that have been idle for longest make
+room, and answers close their connections.
 """
 
+import errno
+import resource
 import select
+import time
 
 from cheroot import connections
 
+from carobwood import clocks
+from carobwood import events
+
 from . import request_body
 
+# Share of the process's descriptors that is left for connections to
+# endpoints and other VMs, and for files.
+RESERVED_SHARE = 0.25
+# Share of the idle connections that are closed to make room at once.
+CLOSED_SHARE = 0.125
+# Pause while no descriptor is left and no connection is idle.
+PAUSE_SECONDS = 0.05
+# Time for which descriptors count as short, and between two log lines on it.
+SHORTAGE_SECONDS = 1.0
+# What accepting a connection raises if the process or the system is short.
+_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
 
 class ListenerConnections(connections.ConnectionManager):
     """Accepts connections and watches those that are idle."""
 
+    def __init__(self, server):
+        """See ``ConnectionManager``."""
+        super().__init__(server)
+        self._short_until = float('-inf')
+        self._logged_at = float('-inf')
+        self._closed_count = 0
+
+    @property
+    def can_add_keepalive_connection(self):
+        """Whether a connection may be kept; see ``ConnectionManager``."""
+        if clocks.now() < self._short_until:
+            return False
+        return super().can_add_keepalive_connection
+
     def stop(self):
         """Stop the selector, accept what waits and close the listener.
 
@@ -34,13 +68,13 @@
         for _ in range(self.server.request_queue_size):
             if not poller.poll(0):
                 return
-            connection = super()._from_server_socket(self.server.socket)
+            connection = self._accept(self.server.socket)
             if connection is not None:
                 self.server.process_conn(connection)
 
     def _from_server_socket(self, server_socket):
         """Accept a connection; return it if a request has begun to come."""
-        connection = super()._from_server_socket(server_socket)
+        connection = self._accept(server_socket)
         if connection is None or self._has_begun(connection):
             return connection
         self.put(connection)
@@ -52,3 +86,64 @@
             self.server.ssl_adapter is not None
             or request_body.count_unread_bytes(connection.socket) > 0
         )
+
+    def _accept(self, server_socket):
+        try:
+            connection = super()._from_server_socket(server_socket)
+        except OSError as error:
+            if error.errno not in _SHORTAGES:
+                raise
+            if not self._make_room(error.strerror):
+                time.sleep(PAUSE_SECONDS)
+            return None
+        if connection is not None and _is_reserved(connection.socket):
+            self._make_room('reserve')
+        return connection
+
+    def _make_room(self, reason):
+        """Close connections that have been idle for longest.
+
+        Returns:
+            Whether one was idle.
+        """
+        now = clocks.now()
+        self._short_until = now + SHORTAGE_SECONDS
+        idle = [
+            (connection.last_used, descriptor, connection)
+            for descriptor, connection in list(self._selector.connections)
+            if connection is not self.server and not connection.has_input
+        ]
+        idle.sort(key=lambda entry: entry[0])
+        closed = idle[: int(len(idle) * CLOSED_SHARE) + 1]
+        for _, descriptor, connection in closed:
+            self._selector.unregister(descriptor)
+            connection.close()
+        self._closed_count += len(closed)
+        self._log(reason, now)
+        return bool(closed)
+
+    def _log(self, reason, now):
+        if now - self._logged_at < SHORTAGE_SECONDS:
+            return
+        self._logged_at = now
+        events.emit(
+            events.DESCRIPTORS_SHORT,
+            port=self.server.bind_addr[1],
+            limit=_descriptor_limit(),
+            reason=reason,
+            closed=self._closed_count,
+        )
+        self._closed_count = 0
+
+
+def _descriptor_limit():
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+def _is_reserved(sock):
+    """Return whether a socket has one of the last descriptors."""
+    # The kernel gives the lowest number that is free.
+    limit = _descriptor_limit()
+    if limit == resource.RLIM_INFINITY:
+        return False
+    return sock.fileno() >= limit * (1 - RESERVED_SHARE)
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -142,6 +142,40 @@
         yield exit_stack
 
 
+# Callers that came after idle connections had used up the descriptors got no
+# answer, however long they waited; and the log grew by each turn of the loop.
+def test_a_caller_is_answered_although_idle_connections_use_up_descriptors(
+    stack,
+):
+    with _Listener(LIMIT) as listener:
+        listener.open_idle(CONNECTIONS, stack)
+        connection = stack.enter_context(
+            contextlib.closing(listener.connect('/now'))
+        )
+        assert connection.getresponse().read() == b'answer'
+        listener.stop()
+        assert listener.end() == 0
+    names = [event['name'] for event in listener.events]
+    assert 'descriptors-short' in names
+    assert len(names) < CONNECTIONS
+
+
+# A stop ended at the first connection that could not be accepted: requests in
+# flight got no answer.
+def test_a_stop_answers_although_descriptors_are_used_up(stack):
+    with _Listener(LIMIT) as listener:
+        held = stack.enter_context(
+            contextlib.closing(listener.connect('/held'))
+        )
+        listener.await_word('held')
+        listener.keep_open(stack)
+        listener.open_idle(CONNECTIONS, stack)
+        listener.stop()
+        assert held.getresponse().read() == b'answer'
+        assert listener.end() == 0
+    assert 'thread-failed' not in [event['name'] for event in listener.events]
+
+
 # Connections that a balancer opens ahead of requests took a thread each until
 # they were closed; with as many as there are threads, no request was answered.
 def test_a_caller_is_answered_beside_connections_that_send_nothing(stack):
