Bound the time, size and memory of a VM's own calls

Cause: the calls left the body to urllib3, which keeps all of it and whose timeout is one of each read. For a declared length it asks for that much memory at once: a MemoryError, which is no typed error. A poller paused and went on (so the 46 calls in 12 s of two VMs were polls with the retry pause of 0.5 s), but reported no loss; a load of weights ended without a report. The error names the bound that was passed (call_out_of_bounds); metrics calls_out_of_bounds.BOUND.

--- a/packages/carobwood-daemon/carobwood_daemon/limits/buffer_budget.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/buffer_budget.py
@@ -72,8 +72,12 @@
 
     def count_refusal(self, reader):
         """Count in the metrics that too little was left for a reader."""
+        self.count(f'buffers_full.{reader}')
+
+    def count(self, name):
+        """Count an event of a reader in the metrics."""
         if self._metrics is not None:
-            self._metrics.count(f'buffers_full.{reader}')
+            self._metrics.count(name)
 
 
 class BufferReservation:
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -599,6 +599,21 @@
     status = 502
 
 
+class CallOutOfBounds(EngineCallFailed):
+    """The answer to a VM's own call did not end within a bound.
+
+    Attributes:
+        bound: which one: ``deadline``, ``size`` (of the answer) or ``memory``
+            (that the VM has left for it).
+    """
+
+    code = 'call_out_of_bounds'
+
+    def __init__(self, bound, detail):
+        super().__init__(detail)
+        self.bound = bound
+
+
 class EngineOrderRefused(CarobwoodError):
     """An engine rejected an order.
 
