Bound the values of an answer before it is decoded

Cause: an empty list takes three bytes of JSON and some 60 of memory. And the text of a decoding error quotes all bytes of an answer that is not UTF-8; it went into the error's detail, and from there into the log. Change: a JSON text is decoded only if it has at most 300,000 values by its separators; a batch of 40,000 cache events is still read. A configuration has no such bound, since one in force can't be refused. The error of a text that is not UTF-8 says only that.

--- a/tests/test_endless_answers_to_calls.py
+++ b/tests/test_endless_answers_to_calls.py
@@ -3,6 +3,7 @@
 import http.server
 import itertools
 import threading
+import tracemalloc
 import types
 
 import endless_endpoint
@@ -18,6 +19,7 @@
 from carobwood_daemon.relay import cache_event_poller
 from carobwood_daemon.relay import engine_weights
 from carobwood_daemon.relay import messages
+from carobwood_platform import decoding
 from carobwood_platform import dialect
 
 CALL_SECONDS = 0.5
@@ -355,3 +357,50 @@
             )
         )
     engine.stop()
+
+
+def _served_poll(content):
+    """Poll for cache events that a server answers with a body."""
+    start = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(content)
+    answer = endless_endpoint.EndlessAnswer(start + content, b'x')
+    with endless_endpoint.EndlessEndpoint(answer) as endpoint:
+        platform = dialect.PlatformDialect()
+        return platform.fetch_cache_events(endpoint.address, 0, 0.1, 5.0)
+
+
+def _events_content(events_text):
+    return b'{"boot_epoch": 1, "next": 1, "events": [%s]}' % events_text
+
+
+def test_an_answer_of_many_tiny_values_does_not_grow_when_decoded():
+    content = _events_content(b'[],' * 1_300_000 + b'[]')
+    assert len(content) < dialect.MAX_CACHE_EVENTS_BYTES
+    tracemalloc.start()
+    try:
+        with pytest.raises(ValueError):
+            decoding.decode_object(content)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < endless_endpoint.MEGABYTE
+    with pytest.raises(errors.EngineCallFailed):
+        _served_poll(content)
+
+
+def test_a_large_batch_of_cache_events_is_decoded():
+    event = b'[1, "+", "salt", "0123456789abcdef0123456789abcdef", 512]'
+    batch = _served_poll(_events_content(b','.join([event] * 40_000)))
+    assert len(batch.events) == 40_000
+
+
+def test_the_error_of_an_answer_that_is_not_text_does_not_quote_it():
+    with pytest.raises(errors.EngineCallFailed) as raised:
+        _served_poll(b'\xff' * endless_endpoint.MEGABYTE)
+    assert len(raised.value.detail) < 1000
+
+
+def test_a_committed_configuration_is_read_whatever_its_size():
+    body = builders.configuration_body(1, spare=[0] * decoding.MAX_VALUES)
+    platform = dialect.PlatformDialect()
+    _, faults = platform.parse_committed_configuration(body)
+    assert faults == []
