Bound health checks and the polls of cache watchers

Cause: urllib3 kept the whole body, with a timeout of each read. Change: both use the bounded call: the health check's timeout is one of the whole check, and its answer has at most 256 KiB; the watcher's poll has one deadline of 4 s (long poll and margin, as each read had before) and 4 MiB, and the watchers of a VM share one budget. A watcher logs cache-lost with the bound that was passed, and cache-regained, once per change; before, it logged nothing.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/cache_watchers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/cache_watchers.py
@@ -8,11 +8,13 @@
 import time
 
 import msgspec
-import urllib3
 
 from carobwood import document as documents
+from carobwood import errors
 from carobwood import events
 
+from ..entry import bounded_call
+from ..limits import buffer_budget
 from ..routing import cache_events
 from ..routing import rendezvous
 
@@ -23,6 +25,7 @@
 LONG_POLL_SECONDS = 2.0
 READ_TIMEOUT_MARGIN_SECONDS = 2.0
 RETRY_SECONDS = 1.0
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Bounds the polls of a VM in a fleet of many engines. Removals from the
 # caches of the other engines come from other VMs by gossip, or are derived
 # from the cached tokens that responses report.
@@ -69,6 +72,11 @@
         self._store = store
         self._event_tracker = event_tracker
         self._watchers_by_incarnation = {}
+        self._buffers = buffer_budget.BufferBudget(
+            buffer_budget.budget_bytes(
+                buffer_budget.DEFAULT_MEMORY_LIMIT_BYTES
+            )
+        )
 
     def run_once(self):
         """Start and stop watchers as engines appear and disappear."""
@@ -79,7 +87,9 @@
                 watchers.pop(key).stop()
         for key, endpoint in wanted.items():
             if key not in watchers:
-                watchers[key] = CacheWatcher(endpoint, self._event_tracker)
+                watchers[key] = CacheWatcher(
+                    endpoint, self._event_tracker, self._buffers
+                )
                 watchers[key].start()
 
     def stop(self):
@@ -110,51 +120,69 @@
 class CacheWatcher(threading.Thread):
     """Long-polls one engine for its cache events."""
 
-    def __init__(self, endpoint, event_tracker):
+    def __init__(self, endpoint, event_tracker, buffers=None):
+        """Create the thread; it does not run yet.
+
+        Args:
+            endpoint: the ``Endpoint``.
+            event_tracker: the ``CacheEvents``.
+            buffers: the ``BufferBudget`` for the answers, or None.
+        """
         super().__init__(name=f'cache-{endpoint.id}', daemon=True)
         self._endpoint = endpoint
         self._event_tracker = event_tracker
         self._stopped = threading.Event()
-        self._http = urllib3.PoolManager(
-            retries=False,
-            timeout=urllib3.Timeout(
-                connect=RETRY_SECONDS,
-                read=LONG_POLL_SECONDS + READ_TIMEOUT_MARGIN_SECONDS,
-            ),
-        )
+        self._caller = bounded_call.HttpCaller(buffers)
+        self._is_up = True
 
     def run(self):
         """Poll until stopped or until the engine turns out to have none."""
         while not self._stopped.is_set():
             try:
-                if not self._poll():
+                has_events = self._poll()
+                self._set_availability(True, '')
+                if not has_events:
                     # This incarnation of the engine has no cache events.
                     # A new incarnation gets a watcher of its own.
                     self._stopped.wait()
-            except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
+            except (errors.EngineCallFailed, msgspec.MsgspecError) as error:
+                self._set_availability(False, str(error))
                 self._stopped.wait(RETRY_SECONDS)
             except Exception as error:
                 events.emit(
                     events.THREAD_FAILED, thread=self.name, error=repr(error)
                 )
                 self._stopped.wait(RETRY_SECONDS)
-        self._http.clear()
+        self._caller.close()
 
     def stop(self):
         """Stop the thread after its current poll."""
         self._stopped.set()
 
+    def _set_availability(self, is_up, reason):
+        if is_up == self._is_up:
+            return
+        self._is_up = is_up
+        event = events.CACHE_REGAINED if is_up else events.CACHE_LOST
+        events.emit(event, endpoint=self._endpoint.id, reason=reason)
+
     def _poll(self):
         after = self._event_tracker.last_sequence(self._endpoint)
         polled_at = time.monotonic()
-        response = self._http.request(
+        call = bounded_call.Call(
             'GET',
-            f'http://{self._endpoint.address}{EVENTS_PATH}'
-            f'?after={after}&wait={LONG_POLL_SECONDS:g}',
+            self._endpoint.address,
+            f'{EVENTS_PATH}?after={after}&wait={LONG_POLL_SECONDS:g}',
+        )
+        bounds = bounded_call.CallBounds(
+            LONG_POLL_SECONDS + READ_TIMEOUT_MARGIN_SECONDS,
+            MAX_ANSWER_BYTES,
+            RETRY_SECONDS,
         )
-        if response.status != 200:
+        answer = self._caller.call(call, bounds)
+        if answer.status != 200:
             return False
-        message = _decoder.decode(response.data)
+        message = _decoder.decode(answer.data)
         self._event_tracker.apply(
             self._endpoint,
             [
--- a/packages/carobwood-daemon/carobwood_daemon/membership/probe.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/probe.py
@@ -1,9 +1,14 @@
 """Health checks of endpoints over a new connection."""
 
-import urllib3
+import contextlib
+
+from carobwood import errors
+
+from ..entry import bounded_call
 
 HEALTH_PATH = '/health'
 PROBE_TIMEOUT_SECONDS = 1.0
+MAX_ANSWER_BYTES = 256 * 1024
 
 
 def is_healthy(endpoint, timeout=PROBE_TIMEOUT_SECONDS):
@@ -11,15 +16,16 @@
 
     Args:
         endpoint: the ``Endpoint``.
-        timeout: seconds for the connection, and for each read.
+        timeout: seconds for the whole check.
 
     Returns:
         Whether it answers ``HEALTH_PATH`` with status 200.
     """
-    url = f'http://{endpoint.address}{HEALTH_PATH}'
+    call = bounded_call.Call('GET', endpoint.address, HEALTH_PATH)
+    bounds = bounded_call.CallBounds(timeout, MAX_ANSWER_BYTES)
     try:
-        with urllib3.PoolManager(retries=False) as manager:
-            response = manager.request('GET', url, timeout=timeout)
-    except urllib3.exceptions.HTTPError:
+        with contextlib.closing(bounded_call.HttpCaller()) as caller:
+            answer = caller.call(call, bounds)
+    except errors.EngineCallFailed:
         return False
-    return response.status == 200
+    return answer.status == 200
--- a/tests/test_endless_answers_to_calls.py
+++ b/tests/test_endless_answers_to_calls.py
@@ -15,6 +15,8 @@
 from carobwood import errors
 from carobwood import events
 from carobwood_daemon.limits import buffer_budget
+from carobwood_daemon.membership import cache_watchers
+from carobwood_daemon.membership import probe
 from carobwood_daemon.orders import weights_rollout
 from carobwood_daemon.relay import cache_event_poller
 from carobwood_daemon.relay import engine_weights
@@ -404,3 +406,47 @@
     platform = dialect.PlatformDialect()
     _, faults = platform.parse_committed_configuration(body)
     assert faults == []
+
+
+def test_a_health_check_of_an_endless_answer_fails():
+    results = _results(
+        lambda address: probe.is_healthy(
+            types.SimpleNamespace(address=address), CALL_SECONDS
+        )
+    )
+    assert results == dict.fromkeys(ANSWERS, False)
+
+
+@pytest.fixture
+def short_bounds(monkeypatch):
+    """Shorten the calls of cache watchers."""
+    monkeypatch.setattr(cache_watchers, 'LONG_POLL_SECONDS', 0.1)
+    monkeypatch.setattr(
+        cache_watchers, 'READ_TIMEOUT_MARGIN_SECONDS', CALL_SECONDS
+    )
+    monkeypatch.setattr(cache_watchers, 'RETRY_SECONDS', CALL_SECONDS)
+
+
+def test_a_cache_watcher_says_once_that_an_answer_has_no_end(
+    emitted, short_bounds
+):
+    tracker = types.SimpleNamespace(last_sequence=lambda endpoint: 0)
+
+    def watch(address):
+        budget = Budget()
+        stopped = StopAfterWait()
+        endpoint = types.SimpleNamespace(id=address, address=address)
+        watcher = cache_watchers.CacheWatcher(endpoint, tracker, budget)
+        watcher._stopped = stopped
+        watcher.run()
+        watcher._stopped = StopAfterWait()
+        watcher.run()
+        assert budget.peak_bytes <= cache_watchers.MAX_ANSWER_BYTES
+        assert budget.used_bytes == 0
+        return stopped.waits
+
+    results = _results(watch)
+    pauses = [cache_watchers.RETRY_SECONDS]
+    assert results == dict.fromkeys(ANSWERS, pauses)
+    assert len(emitted.fields(events.CACHE_LOST)) == len(ANSWERS)
+    assert emitted.fields(events.THREAD_FAILED) == []
