--- a/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
@@ -334,22 +334,17 @@
             connection.send(call.body)
 
     def _read_head(self, method, allowance):
-        """Return the response once its head and all interim ones are read."""
-        while True:
-            self._socket.settimeout(allowance.seconds_left())
-            response = response_head.StrictResponse(
-                self._socket, method=method
-            )
-            response.fp.close()
-            response.fp = self._reader
-            try:
-                response.begin()
-            except BaseException:
-                response.fp = None
-                raise
-            if response.status >= http.HTTPStatus.OK:
-                return response
+        """Return the response once its head is read."""
+        self._socket.settimeout(allowance.seconds_left())
+        response = response_head.StrictResponse(self._socket, method=method)
+        response.fp.close()
+        response.fp = self._reader
+        try:
+            response.begin()
+        except BaseException:
             response.fp = None
+            raise
+        return response
 
 
 def _describe(error):
@@ -371,8 +366,8 @@
 
 def _read_all(body):
     parts = []
-    while part := body.read_available():
-        parts.append(part)
+    while not body.has_ended:
+        parts.append(body.read_available())
     return b''.join(parts)
 
 
