Take a call's answer for broken if its trailer does not end

The joined contract of bodies ends a whole body whose trailer passes its bounds; an answer to a call of the VM's own is malformed then, as before the join (2 tests failed: an order and a health check were taken for answered).

--- a/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
@@ -368,6 +368,8 @@
     parts = []
     while not body.has_ended:
         parts.append(body.read_available())
+    if body.framing is response_body.Framing.CHUNKED and not body.is_complete:
+        raise http.client.HTTPException('the trailer does not end')
     return b''.join(parts)
 
 
