Give each listener limits of heads and bodies from its start

Callers saw: other clients of a VM get no answer while one sends a request without end, and the VM runs out of memory. Cause: only the listeners for requests got limits, and only with the first configuration. cheroot's default of 0 is no limit, so the control API, readiness, metrics, and the callers' listener until then read a body, a header line or headers without end. A configured body limit of 0 was none, too. Fix: HttpServer sets limits as it is created; ServerFactory sets those of each API. A control body may have 16 MB, the platform's default for callers.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
@@ -24,6 +24,9 @@
 BACKLOG = 512
 # Timeout of each read from and write to a client connection.
 SOCKET_TIMEOUT_SECONDS = 30.0
+# Largest head and body of a request until others are set.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
 # Least time for the answers that are still being given at a stop.
 MIN_ANSWER_SECONDS = 0.5
 
@@ -126,6 +129,7 @@
         self._server.connection_log = self._connection_log
         self._server.buffers = buffers or buffer_budget.unlimited()
         self._server.request_reads = request_reads.RequestReads()
+        self.set_limits(MAX_HEAD_BYTES, MAX_BODY_BYTES)
         self._server.prepare()
         self._thread = threading.Thread(
             target=self._server.serve, name='http-server', daemon=True
@@ -136,10 +140,12 @@
 
         Args:
             header_bytes: largest head of a request.
-            body_bytes: largest body of a request.
+            body_bytes: largest body of a request that is read; one of
+                a byte is read in any case.
         """
-        self._server.max_request_header_size = header_bytes
-        self._server.max_request_body_size = body_bytes
+        # For cheroot, 0 is no limit.
+        self._server.max_request_header_size = max(1, header_bytes)
+        self._server.max_request_body_size = max(1, body_bytes)
 
     @property
     def port(self):
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -30,6 +30,10 @@
 FORWARD_THREADS = relay.MAX_FORWARDED_REQUESTS + 8
 # For the readiness API and for the metrics API.
 STATUS_API_THREADS = 4
+# Largest body of a request to these, which they do not need.
+STATUS_API_BODY_BYTES = 64 * 1024
+# Largest configuration that the control API takes.
+CONTROL_BODY_BYTES = 16 * 1024 * 1024
 # Time after its start in which a VM receives the endpoints' announcements.
 SETTLE_SECONDS = 2.0
 
@@ -76,11 +80,13 @@
                 settings.ready_listen,
                 self._report_readiness,
                 STATUS_API_THREADS,
+                STATUS_API_BODY_BYTES,
             ),
             (
                 settings.metrics_listen,
                 self._report_metrics,
                 STATUS_API_THREADS,
+                STATUS_API_BODY_BYTES,
             ),
         ]
         if settings.control_listen is not None:
@@ -97,20 +103,28 @@
                 confirmation.confirm,
             )
             api = make_control_api(operations)
-            apis.append((settings.control_listen, api, CONTROL_THREADS))
-        for address, handle, threads in apis:
-            if address is not None:
-                servers.append(
-                    http_server.HttpServer(
-                        address,
-                        gateway.make_api_gateway(handle),
-                        threads,
-                        self._describe_vm,
-                        self._shared.buffers,
-                    )
+            apis.append(
+                (
+                    settings.control_listen,
+                    api,
+                    CONTROL_THREADS,
+                    CONTROL_BODY_BYTES,
                 )
+            )
+        servers += [self._make_api_server(*api) for api in apis if api[0]]
         return servers
 
+    def _make_api_server(self, address, handle, threads, body_bytes):
+        server = http_server.HttpServer(
+            address,
+            gateway.make_api_gateway(handle),
+            threads,
+            self._describe_vm,
+            self._shared.buffers,
+        )
+        server.set_limits(http_server.MAX_HEAD_BYTES, body_bytes)
+        return server
+
     def _make_caller_servers(self, directory, gossip):
         """Create the servers for callers and for requests of other VMs."""
         settings = self._settings
