Keep endless answers from holding the places of orders

Cause: two orders are executed at a time. An engine whose answer had no end held its place for good, as the timeout of 60 s was one of each read; with a bound alone its order would take the place again at once, since the oldest go first. An answer that is no JSON ended the thread of the order with a traceback. Change: the order sender uses the bounded call (60 s for each of its two calls, 64 KiB). An order whose call failed waits 1 s, as one to a busy engine, and orders that failed lately go after the others. What cannot be decoded is not the state of the order, so it is refused as such.

--- a/packages/carobwood-daemon/carobwood_daemon/orders/order_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/orders/order_sender.py
@@ -4,11 +4,10 @@
 import threading
 import time
 
-import urllib3
-
 from carobwood import errors
 from carobwood import events
 
+from ..entry import bounded_call
 from ..membership import periodic_tasks
 from ..replication import commands
 
@@ -21,6 +20,7 @@
 ANNOUNCE_TIMEOUT_SECONDS = 5.0
 COMMIT_TIMEOUT_SECONDS = 5.0
 ORDERS_PATH = '/v1/orders'
+MAX_ANSWER_BYTES = 64 * 1024
 DEFAULT_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 60.0
 _BUSY_STATUSES = (429, 503)
@@ -47,13 +47,18 @@
         self._lock = threading.Lock()
         self._in_progress = set()
         self._retry_at_by_fencing = {}
-        self._http = urllib3.PoolManager(retries=False)
+        self._failed_fencing_numbers = set()
+        self._caller = bounded_call.HttpCaller()
 
     def run_once(self):
         """Start the pending orders that may be executed now."""
         if not self._may_send():
             return
-        for order in self._store.fleet.pending_orders():
+        # Engines that fail again and again would take all places otherwise.
+        pending = sorted(
+            self._store.fleet.pending_orders(), key=self._retry_time
+        )
+        for order in pending:
             with self._lock:
                 is_in_progress = order.fencing_number in self._in_progress
                 if (
@@ -71,8 +76,10 @@
             ).start()
 
     def _is_due(self, order):
-        retry_at = self._retry_at_by_fencing.get(order.fencing_number, 0.0)
-        return time.monotonic() >= retry_at
+        return time.monotonic() >= self._retry_time(order)
+
+    def _retry_time(self, order):
+        return self._retry_at_by_fencing.get(order.fencing_number, 0.0)
 
     def _defer(self, order, retry_after):
         seconds = DEFAULT_RETRY_SECONDS
@@ -167,20 +174,17 @@
             'kind': order.kind,
             'argument': order.argument,
         }
-        url = f'http://{endpoint.address}{ORDERS_PATH}'
         try:
-            response = self._http.request(
-                'POST',
-                url,
-                body=json.dumps(message).encode('utf-8'),
-                headers={'Content-Type': 'application/json'},
-                timeout=ORDER_TIMEOUT_SECONDS,
+            response = self._call(
+                'POST', endpoint, json.dumps(message).encode('utf-8')
             )
-            state = self._http.request(
-                'GET', url, timeout=ORDER_TIMEOUT_SECONDS
-            )
-        except urllib3.exceptions.HTTPError:
+            state = self._call('GET', endpoint)
+        except errors.EngineCallFailed as error:
+            self._note_failure(order, error.detail)
+            # Meanwhile, the orders to other engines may be sent.
+            self._defer(order, '')
             return '', ''
+        self._failed_fencing_numbers.discard(order.fencing_number)
         if response.status in _BUSY_STATUSES:
             # The weight store or the engine is overloaded.
             self._defer(order, response.headers.get('Retry-After', ''))
@@ -192,7 +196,7 @@
                 'refused',
                 f'the engine answered with status {response.status}',
             )
-        if json.loads(state.data) != message:
+        if _decode_or_none(state.data) != message:
             return (
                 'refused',
                 'the engine does not report the order as its latest',
@@ -200,6 +204,31 @@
         self._await_announcement(order)
         return 'done', ''
 
+    def _call(self, method, endpoint, body=None):
+        call = bounded_call.Call(
+            method,
+            endpoint.address,
+            ORDERS_PATH,
+            (('Content-Type', 'application/json'),) if body else (),
+            body,
+        )
+        bounds = bounded_call.CallBounds(
+            ORDER_TIMEOUT_SECONDS, MAX_ANSWER_BYTES
+        )
+        return self._caller.call(call, bounds)
+
+    def _note_failure(self, order, detail):
+        """Log that an engine gave no answer, once until it gives one."""
+        if order.fencing_number in self._failed_fencing_numbers:
+            return
+        self._failed_fencing_numbers.add(order.fencing_number)
+        events.emit(
+            events.ORDER_CALL_FAILED,
+            fencing=order.fencing_number,
+            endpoint=order.endpoint_id,
+            detail=detail,
+        )
+
     def _await_announcement(self, order):
         # Before the VMs know the engine's new weights they send it no
         # requests, so the order is not done yet.
@@ -211,3 +240,10 @@
             if endpoint.weights_version == order.argument:
                 return
             time.sleep(POLL_SECONDS)
+
+
+def _decode_or_none(content):
+    try:
+        return json.loads(content)
+    except (ValueError, RecursionError):
+        return None
--- a/tests/test_endless_answers_to_calls.py
+++ b/tests/test_endless_answers_to_calls.py
@@ -1,5 +1,6 @@
 """Tests of the VM's own calls to engines whose answers have no end."""
 
+import contextlib
 import http.server
 import itertools
 import threading
@@ -17,6 +18,7 @@
 from carobwood_daemon.limits import buffer_budget
 from carobwood_daemon.membership import cache_watchers
 from carobwood_daemon.membership import probe
+from carobwood_daemon.orders import order_sender
 from carobwood_daemon.orders import weights_rollout
 from carobwood_daemon.relay import cache_event_poller
 from carobwood_daemon.relay import engine_weights
@@ -419,12 +421,13 @@
 
 @pytest.fixture
 def short_bounds(monkeypatch):
-    """Shorten the calls of cache watchers."""
+    """Shorten the calls of cache watchers and of orders."""
     monkeypatch.setattr(cache_watchers, 'LONG_POLL_SECONDS', 0.1)
     monkeypatch.setattr(
         cache_watchers, 'READ_TIMEOUT_MARGIN_SECONDS', CALL_SECONDS
     )
     monkeypatch.setattr(cache_watchers, 'RETRY_SECONDS', CALL_SECONDS)
+    monkeypatch.setattr(order_sender, 'ORDER_TIMEOUT_SECONDS', CALL_SECONDS)
 
 
 def test_a_cache_watcher_says_once_that_an_answer_has_no_end(
@@ -450,3 +453,79 @@
     assert results == dict.fromkeys(ANSWERS, pauses)
     assert len(emitted.fields(events.CACHE_LOST)) == len(ANSWERS)
     assert emitted.fields(events.THREAD_FAILED) == []
+
+
+class OrderHarness:
+    """An order sender on a VM that leads.
+
+    Attributes:
+        sender: the ``OrderSender``.
+        done: fencing numbers of the orders that are done.
+    """
+
+    def __init__(self, addresses_by_id):
+        endpoints_by_id = {
+            name: builders.endpoint(name, address=address)
+            for name, address in addresses_by_id.items()
+        }
+        self.done = []
+        self._orders = [
+            types.SimpleNamespace(
+                fencing_number=number,
+                endpoint_id=name,
+                kind='set-role',
+                argument='x',
+                needs_drain=False,
+            )
+            for number, name in enumerate(endpoints_by_id)
+        ]
+        fleet = types.SimpleNamespace(
+            pending_orders=self._pending_orders, document=lambda name: None
+        )
+        replica = types.SimpleNamespace(
+            holds_lease=lambda: True, older_leases_expired=lambda: True
+        )
+        self.sender = order_sender.OrderSender(
+            types.SimpleNamespace(is_running=True, replica=replica),
+            types.SimpleNamespace(fleet=fleet),
+            types.SimpleNamespace(find_endpoint=endpoints_by_id.get),
+            types.SimpleNamespace(submit=self._submit),
+        )
+
+    def _pending_orders(self):
+        return [o for o in self._orders if o.fencing_number not in self.done]
+
+    def _submit(self, command, seconds):
+        self.done.append(command.fencing_number)
+
+    def run_until(self, is_reached):
+        """Send orders until a condition holds."""
+
+        def step():
+            self.sender.run_once()
+            return is_reached()
+
+        fleets.wait_until(step, 'the orders')
+
+
+def test_endless_answers_to_orders_hold_up_no_other_order(
+    emitted, short_bounds
+):
+    names = [f'{kind}-{is_slow}' for kind, is_slow in ANSWERS]
+    engine = fake_endpoint.FakeEngine('sound', 'engines')
+    with contextlib.ExitStack() as stack:
+        addresses_by_id = {
+            name: stack.enter_context(
+                endless_endpoint.EndlessEndpoint(
+                    endless_endpoint.ANSWERS_BY_KIND[kind], is_slow
+                )
+            ).address
+            for name, (kind, is_slow) in zip(names, ANSWERS, strict=True)
+        }
+        harness = OrderHarness({**addresses_by_id, 'sound': engine.address})
+        harness.run_until(lambda: harness.done)
+        failures = emitted.fields(events.ORDER_CALL_FAILED)
+        failed = [fields['endpoint'] for fields in failures]
+    engine.stop()
+    assert harness.done == [len(ANSWERS)]
+    assert len(failed) == len(set(failed))
