Take whole answers from the VM's budget and pass on what doesn't fit

What callers saw: several answers of 30 MB at once; the VM kept them all, in several copies, and ran out of its memory. All its requests ended with it. Cause: the bound was one of each answer (32 MB) where what runs out is the VM's memory. Each answer was kept in parts, joined, and copied twice more when it was written. Fix: what is kept of an answer is taken from the budget, on the VM that asks the endpoint and on the one that forwards. If nothing is left, the answer goes to its caller as it comes, with its declared length or in chunks; the caller's connection sets the pace. Another endpoint can't be asked after that, and a truncated answer aborts the caller's response.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
@@ -44,9 +44,11 @@
 
     Attributes:
         framing: the ``Framing`` of the body.
+        declared_length: length of the body in bytes, or None.
     """
 
     framing = None
+    declared_length = None
 
     def __init__(self, reader):
         self._reader = reader
@@ -117,6 +119,7 @@
 
     def __init__(self, reader, length):
         super().__init__(reader)
+        self.declared_length = length
         self._remaining = length
 
     @property
--- a/packages/carobwood-daemon/carobwood_daemon/relay/body_reader.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/body_reader.py
@@ -32,6 +32,11 @@
         """Whether there is nothing more to read."""
         return self._connection.has_ended
 
+    @property
+    def declared_length(self):
+        """Length of the whole body in bytes, or None if it is not known."""
+        return self._connection.declared_length
+
     def read(self, timeout):
         """Wait for bytes, read once and return what they hold of the body.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -212,6 +212,11 @@
         """The ``Framing`` of the body."""
         return self._body.framing
 
+    @property
+    def declared_length(self):
+        """Length of the whole body in bytes, or None if it is not known."""
+        return self._body.declared_length
+
     @property
     def is_complete(self):
         """Whether the end of the body has been reached for certain."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -66,7 +66,7 @@
         if request.route.is_resumable:
             resume_id = request.metadata.resume_id
         self._response_forwarder = response_forwarder.ResponseForwarder(
-            caller, resume_id
+            caller, resume_id, context.buffers
         )
         # The assignment of the current attempt.
         self._assignment = None
@@ -299,9 +299,9 @@
                 raise error
             if self._failed_runs >= request.route.max_attempts:
                 raise self.final_error(error)
-        if (
-            self._caller.has_started_response
-            and not request.route.is_resumable
+        if self._caller.has_started_response and (
+            self._response_forwarder.has_passed_on
+            or not request.route.is_resumable
         ):
             raise error
         # No endpoint has received the request then, so that sending it again
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -1,7 +1,7 @@
 """Forwards the response of an endpoint to its caller.
 
-A whole response is read before it is sent, so that another endpoint can be
-asked if it is truncated. The events of a stream are passed on as they
+A whole response is read before it is sent, while the VM has memory for it
+(see ``whole_answer``). The events of a stream are passed on as they
 arrive, and only complete ones: a stream that breaks off can be resumed.
 """
 
@@ -16,6 +16,7 @@
 from . import body_reader
 from . import caller_request
 from . import event_splitter
+from . import whole_answer
 
 # Timeout for the first event of a stream that can be resumed at another
 # endpoint. Callers abandon a stream after about two seconds of silence.
@@ -24,8 +25,6 @@
 STALL_TIMEOUT_SECONDS = 1.0
 # Timeout of each read of a body once its connection has become readable.
 BODY_READ_TIMEOUT_SECONDS = 2.0
-# Bound of a body that is read whole before it is sent to the caller.
-MAX_BODY_BYTES = 32 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,19 +51,24 @@
             arrived, or None.
         first_byte_seconds: seconds from the request's arrival until the
             response to the caller started.
+        has_passed_on: whether the caller has got the head of an answer that
+            is no stream before its end was known.
         longest_pause: longest time between two writes of a stream, in
             seconds.
     """
 
-    def __init__(self, caller, resume_id):
+    def __init__(self, caller, resume_id, buffers):
         """Create the forwarder of one request's responses.
 
         Args:
             caller: the ``CallerRequest`` that receives the response.
             resume_id: id of the last event that the caller has, or empty.
+            buffers: the ``BufferBudget`` for what is kept of responses.
         """
         self._caller = caller
+        self._buffers = buffers
         self._splitter = event_splitter.EventSplitter(resume_id)
+        self.has_passed_on = False
         self._attempt = None
         self.first_event_at = None
         self.first_byte_seconds = 0.0
@@ -98,34 +102,30 @@
             self._forward_whole(response)
 
     def _forward_whole(self, response):
+        answer = whole_answer.WholeAnswer(
+            self._caller,
+            response.head.status,
+            response.headers,
+            self._buffers,
+        )
         try:
-            body = self._read_body(response)
+            self._check_not_started()
+            answer.forward(
+                self._open_reader(response),
+                lambda: self._attempt.request.seconds_left,
+                self._note_first_byte,
+            )
         except BaseException:
             response.upstream.close()
             raise
+        finally:
+            self.has_passed_on = answer.is_passed_on
+
+    def _check_not_started(self):
         if self._caller.has_started_response:
             raise errors.EndpointFailed(
                 'the endpoint did not resume the event stream'
             )
-        self._note_first_byte()
-        self._caller.send_response(
-            response.head.status,
-            caller_request.reason_phrase(response.head.status),
-            caller_request.end_to_end_headers(response.headers),
-            body,
-        )
-
-    def _read_body(self, response):
-        reader = self._open_reader(response)
-        chunks = []
-        size = 0
-        while not reader.has_ended:
-            chunk = reader.read(self._attempt.request.seconds_left)
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                raise errors.EndpointFailed('the body exceeds the size limit')
-        return b''.join(chunks)
 
     def _forward_stream(self, response):
         self._last_event_at = clocks.now()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -18,6 +18,7 @@
 from . import caller_request
 from . import endpoint_connections
 from . import forwarding_headers
+from . import whole_answer
 
 # VMs that are asked to take one request.
 MAX_PEERS = 4
@@ -27,8 +28,8 @@
 READ_TIMEOUT_SECONDS = 2.0
 # Part of the time left that is kept for the way back.
 RETURN_SECONDS = 0.02
-# Bound of a body that is read whole before it is sent to the caller.
-MAX_BODY_BYTES = 32 * 1024 * 1024
+# Bound of the body of an error.
+MAX_ERROR_BYTES = 1024 * 1024
 # Errors of a VM that has not taken a request at all, so that another one may.
 _NOT_TAKEN_CODES = frozenset(
     error.code
@@ -130,7 +131,7 @@
         code = headers.get(forwarding_headers.ERROR, '')
         self._log(request, vm, code, status)
         if code:
-            connection.skip_body(READ_TIMEOUT_SECONDS, MAX_BODY_BYTES)
+            connection.skip_body(READ_TIMEOUT_SECONDS, MAX_ERROR_BYTES)
         if code in _NOT_TAKEN_CODES:
             return False
         if code:
@@ -167,39 +168,38 @@
         )
 
     def _relay_response(self, connection, caller, request, status, headers):
-        end_to_end = caller_request.end_to_end_headers(headers)
-        reason = caller_request.reason_phrase(status)
+        if connection.framing is response_body.Framing.UNTIL_CLOSE:
+            # The other VM frames all bodies.
+            raise errors.EndpointFailed('the other VM sent no framed body')
         is_stream = headers.get('content-type', '').startswith(
             'text/event-stream'
         )
         if status == http.client.OK and is_stream:
-            caller.start_stream(status, reason, end_to_end)
+            caller.start_stream(
+                status,
+                caller_request.reason_phrase(status),
+                caller_request.end_to_end_headers(headers),
+            )
             for data in self._read_parts(connection, caller, request):
                 if data:
                     caller.write(data)
             return
-        parts = []
-        size = 0
-        for data in self._read_parts(connection, caller, request):
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BODY_BYTES:
-                raise errors.EndpointFailed('the body exceeds the size limit')
-        caller.send_response(status, reason, end_to_end, b''.join(parts))
+        answer = whole_answer.WholeAnswer(
+            caller, status, headers, self._context.buffers
+        )
+        answer.forward(
+            body_reader.BodyReader(connection, caller, READ_TIMEOUT_SECONDS),
+            lambda: request.seconds_left,
+            lambda: None,
+        )
 
     def _read_parts(self, connection, caller, request):
-        """Yield the parts of a body as they arrive.
-
-        The other VM frames all bodies, so one that ends with its connection
-        has been broken off.
-        """
+        """Yield the parts of a body as they arrive."""
         reader = body_reader.BodyReader(
             connection, caller, READ_TIMEOUT_SECONDS
         )
         while not reader.has_ended:
             yield reader.read(request.seconds_left)
-        if connection.framing is response_body.Framing.UNTIL_CLOSE:
-            raise errors.EndpointFailed('the other VM broke off')
 
     def _await(self, connection, caller, request):
         seconds = max(0.0, request.seconds_left)
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -49,6 +49,7 @@
 
     Attributes:
         vms: the VMs, control VMs first.
+        budgets_by_vm: their budgets of bytes by the id of the VM.
         control_ports: ports of the control VMs' control API.
         entry_ports: ports of the entry VMs for callers.
         ready_ports: ports of the entry VMs' readiness checks.
@@ -86,6 +87,7 @@
         self._stop_seconds = stop_seconds
         self._trace = trace
         self.vms = []
+        self.budgets_by_vm = {}
         self.control_ports = other_ports[:control_vm_count]
         self.entry_ports = other_ports[
             control_vm_count : control_vm_count + entry_vm_count
@@ -173,6 +175,7 @@
         buffers = buffer_budget.BufferBudget(
             buffer_budget.budget_bytes(vm_settings.memory_limit_bytes)
         )
+        self.budgets_by_vm[name] = buffers
         return relay_vm.RelayVm(
             vm_settings,
             dialect.PlatformDialect(buffers),
