Take incomplete events of streams from the VM's budget

What callers saw: nothing yet; found by reading. An event without end takes 1 MB on each of 160 threads, which no bound of the VM covers, and each read of the stream copied it. Cause: as for whole answers, a bound of one message in place of the VM's. Evidence: the test counts what splitters take from a budget, which splitters on the code before can't be given (TypeError); no run of many streams on it. Fix: an incomplete event beyond 64 KiB is taken from the budget. If nothing is left, the stream fails as with an event that is too large: it is resumed at another endpoint or ends as broken off. Bytes are appended in place, and only new ones are searched.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
@@ -9,6 +9,8 @@
 
 from carobwood import errors
 
+from ..limits import buffer_budget
+
 # Bound of an incomplete event, which is kept in memory.
 MAX_EVENT_BYTES = 1024 * 1024
 # Longer ids are not compared.
@@ -35,37 +37,60 @@
         last_id: id of the last complete event that was returned, or empty.
     """
 
-    def __init__(self, last_id=''):
+    def __init__(self, last_id='', buffers=None):
         """Create the splitter.
 
         Args:
             last_id: id of the last event that the caller has received before,
                 or empty.
+            buffers: the ``BufferBudget`` for incomplete events, or None for
+                one without a limit.
         """
         self.last_id = last_id
-        self._buffer = b''
+        self._buffer = bytearray()
+        buffers = buffers or buffer_budget.unlimited()
+        self._reservation = buffers.reserve('event')
 
     def feed(self, data):
         """Add bytes and return the events that are complete, unchanged.
 
         Raises:
-            EndpointFailed: an event exceeds ``MAX_EVENT_BYTES``, its id is
-                not above that of the event before, or the events hold the
-                head of a response.
+            EndpointFailed: an event exceeds ``MAX_EVENT_BYTES`` or what is
+                left of the budget, its id is not above that of the event
+                before, or the events hold the head of a response.
         """
-        buffer = self._buffer + data
-        end = 0
-        first_new = max(0, len(self._buffer) - MAX_EVENT_END_BYTES + 1)
-        for match in _EVENT_END.finditer(buffer, first_new):
-            end = match.end()
-        if len(buffer) - end > MAX_EVENT_BYTES:
-            raise errors.EndpointFailed('an event exceeds the size limit')
-        complete, self._buffer = buffer[:end], buffer[end:]
+        if not data:
+            return b''
+        complete = self._take_complete(data)
+        self._reserve_partial()
         if _STATUS_LINE.search(complete):
             raise errors.EndpointFailed('the stream holds a response head')
         self.last_id = self._check_ids(complete)
         return complete
 
+    def _take_complete(self, data):
+        """Add bytes, and remove and return the events that are complete."""
+        buffer = self._buffer
+        # Only the new bytes are searched, and those of a cut line end.
+        first_new = max(0, len(buffer) - MAX_EVENT_END_BYTES + 1)
+        buffer += data
+        end = 0
+        for match in _EVENT_END.finditer(buffer, first_new):
+            end = match.end()
+        complete = bytes(buffer[:end])
+        del buffer[:end]
+        return complete
+
+    def _reserve_partial(self):
+        size = len(self._buffer)
+        if size > MAX_EVENT_BYTES:
+            raise errors.EndpointFailed('an event exceeds the size limit')
+        self._reservation.release()
+        if not self._reservation.try_extend(size):
+            raise errors.EndpointFailed(
+                'no memory is left to keep an incomplete event'
+            )
+
     def _check_ids(self, events):
         """Return the id of the last event; all must increase.
 
@@ -94,12 +119,14 @@
                 f'the stream ended inside an event, {len(self._buffer)} '
                 'bytes after the last complete one'
             )
-        remaining, self._buffer = self._buffer, b''
+        remaining = bytes(self._buffer)
+        self.discard_partial()
         return remaining
 
     def discard_partial(self):
         """Drop an incomplete event before another endpoint resumes."""
-        self._buffer = b''
+        self._buffer.clear()
+        self._reservation.release()
 
 
 def _is_number(event_id):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -67,7 +67,7 @@
         """
         self._caller = caller
         self._buffers = buffers
-        self._splitter = event_splitter.EventSplitter(resume_id)
+        self._splitter = event_splitter.EventSplitter(resume_id, buffers)
         self.has_passed_on = False
         self._attempt = None
         self.first_event_at = None
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -1,6 +1,7 @@
 """Tests of the splitting of a byte stream into events."""
 
 from carobwood import errors
+from carobwood_daemon.limits import buffer_budget
 from carobwood_daemon.relay import event_splitter
 import pytest
 
@@ -59,6 +60,21 @@
             splitter.feed(b'x' * 65536)
 
 
+# Incomplete events of many streams took the memory of the VM.
+def test_incomplete_events_are_taken_from_the_budget():
+    budget = buffer_budget.BufferBudget(256 * 1024)
+    splitters = [event_splitter.EventSplitter('', budget) for _ in range(2)]
+    for splitter in splitters:
+        for _ in range(3):
+            splitter.feed(b'x' * 65536)
+    with pytest.raises(errors.EndpointFailed):
+        splitters[0].feed(b'x')
+    splitters[0].discard_partial()
+    assert splitters[1].feed(b'x' * 65536 + b'\n\nid: 1\n').endswith(b'\n\n')
+    assert splitters[1].feed(b'data: a\n\n') == b'id: 1\ndata: a\n\n'
+    assert budget.used_bytes == 0
+
+
 @pytest.mark.parametrize(
     'second',
     [
