Tell a killed process from a stopped one in the logs

Now a VM logs the start of another VM that it knew before (110, with both incarnations); its own start names its incarnation, its stop how late the signal was taken, how long it may last and how long it lasted, and a process near its memory limit says so (109) before it can be killed. Its resident memory, descriptors and threads are levels of the metrics.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
@@ -320,9 +320,23 @@
             return
         if known is None:
             events.emit(events.VM_SEEN, vm=vm.id, address=vm.link_address)
+        else:
+            self._log_restart(vm, known)
         for listener in self._vm_listeners:
             listener(vm.id)
 
+    def _log_restart(self, vm, known):
+        with self._lock:
+            live_at = self._last_live_at_by_id.get(vm.id)
+        live_at = max(live_at or 0.0, known.last_seen_at)
+        events.emit(
+            events.VM_RESTARTED,
+            vm=vm.id,
+            former=known.incarnation,
+            incarnation=vm.incarnation,
+            heard=round(self._clock() - live_at, 2) if live_at else None,
+        )
+
     def _exceed_incarnation(self, vm):
         # Gossip still carries an earlier start of this VM. If it has the
         # greater incarnation, the wall clock was stepped back in between:
--- a/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
@@ -96,6 +96,28 @@
     )
 
 
+def make_control_tasks(
+    settings, dialect, replica_runner, directory, shared, push, links
+):
+    """Return the further tasks of a control VM.
+
+    Args:
+        settings: the ``RelaySettings``.
+        dialect: the ``Dialect`` of the platform.
+        replica_runner: the ``ReplicaRunner``.
+        directory: the ``Directory`` of VMs and endpoints.
+        shared: the ``SharedComponents``.
+        push: function without arguments that starts gossip now.
+        links: connections to other VMs.
+    """
+    return [
+        periodic_tasks.Joiner(replica_runner, directory, links),
+        make_rollout(
+            settings, dialect, replica_runner, directory, shared, push
+        ),
+    ]
+
+
 def _accepts_connection(shared, endpoint):
     """Return whether a silent endpoint accepts a connection.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -28,11 +28,11 @@
 from .membership import link
 from .membership import link_server
 from .membership import membership_status
-from .membership import periodic_tasks
 from .membership import state_poller
 from .membership import stream_origin_links
 from .membership import vm_calls
 from .membership import withdrawals as withdrawal_sets
+from .observe import process_resources as resources
 from .observe import tracing
 from .relay import cut_off_records
 from .relay import gossip_topic
@@ -117,6 +117,9 @@
             self._directory,
             self._buffers,
         )
+        self._resources = resources.ResourceWatch(
+            self._shared.metrics, settings.memory_limit_bytes, self._buffers
+        )
         self._build_membership()
         self._persisters = self._make_persisters()
         self._periodic_tasks = self._make_periodic_tasks()
@@ -184,6 +187,9 @@
             software_versions.SAMPLE_PERIOD_SECONDS,
             self._software_versions.sample,
         )
+        self._timer.subscribe(
+            resources.SAMPLE_PERIOD_SECONDS, self._resources.sample
+        )
         self._timer.subscribe(
             CONTACT_CHECK_PERIOD_SECONDS, self._update_contact
         )
@@ -195,6 +201,7 @@
         events.emit(
             events.DAEMON_STARTED,
             vm=self._settings.vm_id,
+            incarnation=self._directory.own_vm.incarnation,
             data_centre=self._settings.data_centre,
             seeds=list(self._settings.seeds),
             first=self._settings.is_first_start,
@@ -216,7 +223,12 @@
         """
         started_at = clocks.now()
         asked_at = started_at if asked_at is None else asked_at
-        events.emit(events.DAEMON_STOPPING, vm=self._settings.vm_id)
+        events.emit(
+            events.DAEMON_STOPPING,
+            vm=self._settings.vm_id,
+            late=round(started_at - asked_at, 3),
+            allowed=self._settings.fleet_limits.shutdown_seconds,
+        )
         ends_at = asked_at + self._settings.fleet_limits.shutdown_seconds
         ends_at -= CLOSE_RESERVE_SECONDS + ANSWER_RESERVE_SECONDS
         self._gate.mark_not_ready(max(0.0, ends_at - started_at))
@@ -241,7 +253,12 @@
         self._close()
         if self._data_folder is not None and not replica_stop.is_alive():
             self._data_folder.close()
-        events.emit(events.DAEMON_STOPPED, vm=self._settings.vm_id)
+        events.emit(
+            events.DAEMON_STOPPED,
+            vm=self._settings.vm_id,
+            seconds=round(clocks.now() - asked_at, 3),
+            drained=drained,
+        )
         return drained
 
     def _start_replica_stop(self):
@@ -413,20 +430,14 @@
                 self._directory, self._dialect, self._shared
             )
         if self._replica_runner is not None:
-            all_tasks.append(
-                periodic_tasks.Joiner(
-                    self._replica_runner, self._directory, self._links
-                )
-            )
-            all_tasks.append(
-                relay_tasks.make_rollout(
-                    self._settings,
-                    self._dialect,
-                    self._replica_runner,
-                    self._directory,
-                    self._shared,
-                    self._gossip.push,
-                )
+            all_tasks += relay_tasks.make_control_tasks(
+                self._settings,
+                self._dialect,
+                self._replica_runner,
+                self._directory,
+                self._shared,
+                self._gossip.push,
+                self._links,
             )
         return all_tasks
 
