Blame no endpoint for a VM that has no descriptor left

What callers see: a VM at its limit of descriptors refuses requests (503) also long after it has some again, or passes them on to other VMs.

Cause: a connection that failed for want of a descriptor counted as an endpoint that refuses connections. Each was ejected and probed, and the probes failed the same way: the VM dropped all of them (307) and took itself for cut off.

Now such a failure has an error of its own, which keeps the outcome of earlier attempts. It counts against no endpoint and not for a cut-off VM; a probe is made again. Before, the pool's idle connections are closed, which makes room for one try more.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
@@ -1,5 +1,6 @@
 """Pool of idle connections to endpoints, or to other VMs."""
 
+import errno
 import threading
 
 import urllib3
@@ -23,6 +24,8 @@
 MAX_IDLE_PER_ADDRESS = 16
 # What making a connection can raise.
 _CONNECT_FAILURES = (OSError, urllib3.exceptions.HTTPError)
+# Numbers of failures that are this process's own.
+_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class ConnectionPool:
@@ -58,6 +61,7 @@
 
         Raises:
             EndpointUnreachable: no connection could be made.
+            DescriptorsUsedUp: this process can make none.
         """
         while may_reuse:
             upstream = self._take_idle(address)
@@ -73,13 +77,22 @@
     def connect(self, address, timeout):
         """Return a new connection; see ``acquire``."""
         try:
-            connection = _connect(address, timeout)
+            connection = self._connect_with_room(address, timeout)
+        except errors.DescriptorsUsedUp:
+            raise
         except errors.EndpointUnreachable:
             self._on_result(address, False)
             raise
         self._on_result(address, True)
         return connection
 
+    def _connect_with_room(self, address, timeout):
+        try:
+            return _connect(address, timeout)
+        except errors.DescriptorsUsedUp:
+            self._close_all_idle()
+            return _connect(address, timeout)
+
     def release(self, address, upstream, idle_seconds):
         """Keep a connection for reuse, or close it if it is not reusable.
 
@@ -111,6 +124,10 @@
         """Close the idle connections, and others once they are released."""
         with self._lock:
             self._is_closed = True
+        self._close_all_idle()
+
+    def _close_all_idle(self):
+        with self._lock:
             addresses_in_use = list(self._idle_by_address)
         for address in addresses_in_use:
             self.close_idle(address)
@@ -160,7 +177,20 @@
         connection.connect()
     except _CONNECT_FAILURES as error:
         connection.close()
+        if _is_shortage(error):
+            raise errors.DescriptorsUsedUp(
+                'this VM can open no further connection'
+            ) from error
         raise errors.EndpointUnreachable(
             f'connecting to the endpoint failed: {type(error).__name__}'
         ) from error
     return endpoint_connections.EndpointConnection(parsed, connection.sock)
+
+
+def _is_shortage(error):
+    """Return whether a connection failed for want of this process's own."""
+    # urllib3 raises an error of its own from that of the system.
+    for cause in (error, error.__cause__):
+        if isinstance(cause, OSError) and cause.errno in _SHORTAGES:
+            return True
+    return False
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_prober.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_prober.py
@@ -61,6 +61,9 @@
             connection = self._pool.acquire(
                 endpoint.address, False, PROBE_TIMEOUT_SECONDS
             )
+        except errors.DescriptorsUsedUp:
+            self._health.request_probe(endpoint)
+            return
         except errors.EndpointUnreachable:
             self._health.note_still_unreachable(endpoint)
             return
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -207,6 +207,9 @@
                 self._forward_response(assignment, response)
             self._note_answered(assignment, response)
             return True
+        except errors.DescriptorsUsedUp as error:
+            attempt_log.log_failed(self._request, assignment, error)
+            raise self.final_error(error) from error
         except errors.EndpointUnreachable as error:
             self._recorder.note_unreachable(assignment)
             self._raise_unless_retryable(assignment, error)
--- a/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
@@ -121,12 +121,15 @@
 def _accepts_connection(shared, endpoint):
     """Return whether a silent endpoint accepts a connection.
 
-    A VM that reaches no endpoint cannot tell, and keeps it.
+    A VM that reaches no endpoint, or has no descriptor left, cannot tell, and
+    keeps it.
     """
     try:
         shared.pool.acquire(
             endpoint.address, False, endpoint_prober.PROBE_TIMEOUT_SECONDS
         ).close()
+    except errors.DescriptorsUsedUp:
+        return True
     except errors.EndpointUnreachable as error:
         events.emit(
             events.ENDPOINT_UNREACHED,
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -186,6 +186,12 @@
     retry_after = 1
 
 
+class DescriptorsUsedUp(EndpointUnreachable):
+    """This process may open no further connection to an endpoint or a VM."""
+
+    code = 'descriptors_used_up'
+
+
 class EndpointLeft(RequestRefused):
     """The endpoint began to leave before the request was sent to it."""
 
