Refuse the first request of a connection whose reads a stop ends

Callers saw: at a planned stop a request on a new connection got neither an answer nor a refusal, and no line of the VM told of it. The caller did not know whether it had run.

Cause: a connection is accepted, and a worker begins to read it. The stop ends all reads. If no byte has come by then the worker finds the end of the input and closes, with no look at whether a request is on its way: the connection was opened for one. A half read request was refused, one of which nothing had come was not. Such an end was not logged either, as no byte of it was unanswered. Class: an end that is decided without a look at what is on its way.

Change: a new connection whose reads end before its first byte is answered 503 'stopping', not run, and closed; event 240 (connection-refused) names its peer. The listener of carobwoodd stands on the same class and gets it too.

Evidence: on the code before, the new tests read b'' where 503 is due (relay and carobwoodd) and find no line.

Why it works: the worker that finds the end of the input is the only one that can answer, and nothing of the request was read, so that it cannot have run. What comes after the answer is still reset, behind the answer. Not mended: a request that crosses the close of a kept connection, and one whose handshake has not ended as the listener closes.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -1,7 +1,8 @@
 """Connections that answer what has arrived on them when their listener stops.
 
 A listener that stops closes its connections. What has come on them by then is
-answered, and what is half read then is refused as not run.
+answered, and what is half read then is refused as not run, as is the request
+for which a connection was opened and of which nothing has come.
 """
 
 from carobwood import errors
@@ -17,6 +18,24 @@
         """Read the head; see ``cheroot.server.HTTPRequest``."""
         with self.server.request_reads.track(self.conn):
             super().parse_request()
+        if self._is_awaited_at_stop():
+            self._refuse_unread()
+
+    def _is_awaited_at_stop(self):
+        """Whether the reads ended before the first byte of a connection."""
+        is_new = not self.conn.rfile.received_bytes
+        return is_new and self.server.request_reads.is_ended
+
+    def _refuse_unread(self):
+        """Refuse the request for which the connection was opened.
+
+        It may be on its way, and is not read any more.
+        """
+        events.emit(
+            events.CONNECTION_REFUSED,
+            peer=f'{self.conn.remote_addr}:{self.conn.remote_port}',
+        )
+        self.simple_response('503 Service Unavailable')
 
     def send_headers(self):
         """Send the head of the response; see ``StrictRequest``."""
--- a/tests/test_connection_log.py
+++ b/tests/test_connection_log.py
@@ -96,6 +96,24 @@
     assert (fields['stage'], fields['configuration']) == ('serving', 3)
 
 
+# A request was cut on a new connection at a stop, and no line told of it.
+def test_a_connection_that_is_refused_unread_at_a_stop_has_a_line(
+    server, lines
+):
+    workers = server._server.requests._threads
+    with _connect(server) as client:
+        relay_test_fleet.await_reply(
+            lambda: [worker.conn for worker in workers],
+            lambda found: any(connection is not None for connection in found),
+        )
+        server.stop()
+        peer = '%s:%d' % client.getsockname()
+    [fields] = [
+        fields for event, fields in lines if event is events.CONNECTION_REFUSED
+    ]
+    assert fields == {'peer': peer}
+
+
 def test_a_half_read_head_of_a_caller_that_left_names_that_side(server, lines):
     with _connect(server) as client:
         client.sendall(HALF_HEAD)
--- a/tests/test_listener_stops.py
+++ b/tests/test_listener_stops.py
@@ -123,6 +123,15 @@
     )
 
 
+def _await_worker(server):
+    """Wait until a worker has a connection, whatever has come on it."""
+    workers = server._server.requests._threads
+    relay_test_fleet.await_reply(
+        lambda: [worker.conn for worker in workers],
+        lambda found: any(connection is not None for connection in found),
+    )
+
+
 def _start_stop(server):
     stopping = threading.Thread(target=server.stop, daemon=True)
     stopping.start()
@@ -202,6 +211,20 @@
     assert b'"outcome": "not-run"' in body
 
 
+# A request on a new connection got neither an answer nor a refusal at a stop:
+# it came just after the reads had ended.
+def test_a_connection_without_a_request_is_refused_as_not_run_at_a_stop(
+    server,
+):
+    with _connect(server) as client:
+        _await_worker(server)
+        server.stop()
+        data = _read_all(client)
+    assert data.startswith(b'HTTP/1.1 503 ')
+    assert b'Connection: close' in data
+    assert b'"outcome": "not-run"' in data
+
+
 # The answer to a request that was in flight at the SIGTERM kept its connection
 # open, and its caller's next request met the close of the stop.
 def test_an_answer_after_a_stop_began_closes_its_connection(
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -375,3 +375,44 @@
         may_commit.set()
         stopping.join()
     assert has_ended
+
+
+# A request on a new connection got neither an answer nor a refusal at a stop,
+# and no line told of it: it came just after the reads had ended.
+@pytest.mark.parametrize('comes_before_close', [True, False])
+def test_a_request_that_comes_as_the_reads_end_is_refused_as_not_run(
+    fleet, endpoint, monkeypatch, comes_before_close
+):
+    vm = fleet.vms[len(fleet.control_ports)]
+    request = HALF_REQUESTS['length'] + b'defghi'
+    client = socket.socket()
+    client.settimeout(relay_test_fleet.WAIT_SECONDS)
+    client.bind(('127.0.0.1', 0))
+    port = client.getsockname()[1]
+    is_reading = threading.Event()
+    track = request_reads.RequestReads.track
+    close = http_server.RelayConnection.close
+
+    def track_and_tell(reads, connection):
+        if connection.remote_port == port:
+            is_reading.set()
+        return track(reads, connection)
+
+    def send_and_close(connection):
+        if comes_before_close and connection.remote_port == port:
+            client.sendall(request)
+            relay_test_fleet.await_input(connection.socket)
+        close(connection)
+
+    monkeypatch.setattr(request_reads.RequestReads, 'track', track_and_tell)
+    monkeypatch.setattr(http_server.RelayConnection, 'close', send_and_close)
+    with client:
+        client.connect(('127.0.0.1', fleet.entry_ports[0]))
+        assert is_reading.wait(relay_test_fleet.WAIT_SECONDS)
+        vm.stop()
+        with client.makefile('rb') as answer:
+            data = answer.read()
+    assert data.startswith(b'HTTP/1.1 503 ')
+    assert b'Carobwood-Outcome: not-run' in data
+    assert b'Connection: close' in data
+    assert endpoint.requests == []
