--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -392,5 +392,26 @@
     assert poller.poll(1000 * WAIT_SECONDS)
 
 
+def await_accepted(server, port):
+    """Wait until a listener has the connection from a port of its caller.
+
+    A worker may have taken it, or it waits for its first request.
+
+    Args:
+        server: the ``HttpServer`` or ``Listener``.
+        port: port of the caller's side.
+    """
+    cheroot_server = server._server
+
+    def find_ports():
+        workers = cheroot_server.requests._threads
+        served = [worker.conn for worker in list(workers)]
+        watched = list(cheroot_server._connections._selector.connections)
+        held = served + [connection for _, connection in watched]
+        return [getattr(each, 'remote_port', None) for each in held]
+
+    await_reply(find_ports, lambda ports: port in ports)
+
+
 def _address(port):
     return addresses.Address('127.0.0.1', port)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -375,3 +375,41 @@
         may_commit.set()
         stopping.join()
     assert has_ended
+
+
+# A request on a new connection got neither an answer nor a refusal at a stop,
+# and no line told of it: it came just after the reads had ended.
+@pytest.mark.parametrize('comes_before_close', [True, False])
+def test_a_request_that_comes_as_the_reads_end_is_refused_as_not_run(
+    fleet, endpoint, monkeypatch, comes_before_close
+):
+    vm = fleet.vms[len(fleet.control_ports)]
+    request = HALF_REQUESTS['length'] + b'defghi'
+    client = socket.socket()
+    client.settimeout(relay_test_fleet.WAIT_SECONDS)
+    client.bind(('127.0.0.1', 0))
+    port = client.getsockname()[1]
+    close = http_server.RelayConnection.close
+
+    def send_and_close(connection):
+        if comes_before_close and connection.remote_port == port:
+            client.sendall(request)
+            relay_test_fleet.await_input(connection.socket)
+        close(connection)
+
+    monkeypatch.setattr(http_server.RelayConnection, 'close', send_and_close)
+    with client:
+        client.connect(('127.0.0.1', fleet.entry_ports[0]))
+        caller_server = next(
+            server
+            for server in vm._servers
+            if server.port == fleet.entry_ports[0]
+        )
+        relay_test_fleet.await_accepted(caller_server, port)
+        vm.stop()
+        with client.makefile('rb') as answer:
+            data = answer.read()
+    assert data.startswith(b'HTTP/1.1 503 ')
+    assert b'"outcome": "not-run"' in data
+    assert b'Connection: close' in data
+    assert endpoint.requests == []
