Stop a VM although the system refuses threads

What callers see: beside a lack of threads on the machine, a VM that is told to stop neither refuses nor drains; it goes on until it is killed, and the requests in flight end without an answer.

Cause: a stop takes some steps on threads of their own. If the system refuses one, the exception left the stop: the program's main thread ended, and the process waited for its workers.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -7,6 +7,7 @@
 
 from carobwood import clocks
 from carobwood import events
+from carobwood import threads
 from carobwood import timer as timers
 
 from .entry import at_most_once
@@ -209,9 +210,7 @@
         Returns:
             Whether both have ended.
         """
-        stop = threading.Thread(
-            target=self._stop_replica, name='replica-stop', daemon=True
-        )
+        stop = threads.StepThread(self._stop_replica, 'replica-stop')
         stop.start()
         stop.join(STORE_SECONDS)
         return not stop.is_alive()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -1,10 +1,11 @@
 """How a cheroot server and its workers end when it stops."""
 
-import threading
+import functools
 
 from cheroot.workers import threadpool
 
 from carobwood import clocks
+from carobwood import threads
 
 from . import listener_connections
 
@@ -25,12 +26,8 @@
         Args:
             timeout: seconds to wait for them.
         """
-        ending = threading.Thread(
-            target=super().stop,
-            args=(timeout,),
-            name='workers-stop',
-            daemon=True,
-        )
+        stop = functools.partial(super().stop, timeout)
+        ending = threads.StepThread(stop, 'workers-stop')
         ending.start()
         ending.join(timeout)
 
@@ -69,10 +66,7 @@
         least_seconds: time for them if that has passed.
     """
     seconds = max(least_seconds, ends_at - clocks.now())
-    stops = [
-        threading.Thread(target=server.stop, name='stop', daemon=True)
-        for server in servers
-    ]
+    stops = [threads.StepThread(server.stop, 'stop') for server in servers]
     for server in servers:
         server.set_stop_seconds(seconds)
     closed_at = clocks.now() + seconds + CLOSE_SECONDS
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -10,6 +10,7 @@
 
 from carobwood import clocks
 from carobwood import events
+from carobwood import threads
 from carobwood import timer as timers
 
 from . import relay_servers
@@ -263,9 +264,7 @@
 
     def _start_replica_stop(self):
         """Stop the replica, if there is one, beside the drain."""
-        stop = threading.Thread(
-            target=self._stop_replica, name='replica-stop', daemon=True
-        )
+        stop = threads.StepThread(self._stop_replica, 'replica-stop')
         stop.start()
         return stop
 
--- a/packages/carobwood/carobwood/threads.py
+++ b/packages/carobwood/carobwood/threads.py
@@ -31,6 +31,36 @@
             time.sleep(RETRY_PAUSE_SECONDS)
 
 
+class StepThread(threading.Thread):
+    """A thread for one step of a stop, which is taken in any case."""
+
+    def __init__(self, step, name):
+        """Prepare the thread.
+
+        Args:
+            step: function without arguments.
+            name: name of the thread.
+        """
+        super().__init__(target=step, name=name, daemon=True)
+        self._ran_here = False
+
+    def start(self):
+        """Start the thread; without one, take the step here."""
+        try:
+            super().start()
+        except (RuntimeError, MemoryError) as error:
+            events.emit(
+                events.THREAD_REFUSED, thread=self.name, error=repr(error)
+            )
+            self._ran_here = True
+            self.run()
+
+    def join(self, timeout=None):
+        """Wait for the end of the step; see ``threading.Thread``."""
+        if not self._ran_here:
+            super().join(timeout)
+
+
 def log_ended_threads():
     """Log each thread that ends with an exception."""
     threading.excepthook = _log_ended_thread
