Test that endless answers leave memory for other requests

A test alone, in processes: 4 callers of each kind of endless answer at once at a VM with 150 MB, and small requests of another caller all the while. Each caller gets its answer, the small ones are answered, and the VM's peak stays below its limit. Chunks and bodies until close may be cut after their head, as the VM passes on what it has no memory for; the test tells a cut answer from none.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,13 +2,16 @@
 
 import concurrent.futures
 import contextlib
+import http.client
 import socket
 import threading
 
 from carobwood import errors
 import endless_endpoint
 import pytest
+import relay_builders as builders
 import relay_test_fleet
+import small_vm
 
 # Position of the first entry VM behind the three control VMs.
 FIRST_ENTRY_VM = 3
@@ -22,16 +25,21 @@
     for speed in ('fast', 'slow')
 ]
 WAIT_SECONDS = 30.0
+# Status of an answer that was cut after its head.
+CUT = -1
+# Answers that are passed on because the VM has no memory for them.
+CUT_REPLIES = {(kind, CUT) for kind in ('chunk', 'chunks', 'until-close')}
+# Callers of each kind of endless answer at one VM of little memory.
+CALLERS_OF_EACH = 4
 
 
 class FaultyEndpoint(endless_endpoint.EndlessEndpoint):
     """An endpoint whose answer the end of the request's path names."""
 
-    name = 'orders-0'
-    service = 'orders'
-
-    def __init__(self):
+    def __init__(self, service='orders'):
         super().__init__(None, headers=_sign)
+        self.service = service
+        self.name = f'{service}-0'
 
     def announcement(self, sequence=1, state='ready'):
         """Return its announcement to control VMs."""
@@ -62,6 +70,7 @@
 
 def _sign(head):
     lines = head.decode('latin-1').split('\r\n')
+    service = lines[0].split('/')[1]
     (request_id,) = (
         line.partition(': ')[2]
         for line in lines
@@ -69,7 +78,7 @@
     )
     return (
         f'X-Carobwood-Request-Id: {request_id}\r\n'
-        'X-Carobwood-Response-Stamp: orders-0\r\n'
+        f'X-Carobwood-Response-Stamp: {service}-0\r\n'
     ).encode()
 
 
@@ -142,6 +151,35 @@
     )
 
 
+def _ask_vm(address, path, number):
+    """Ask a VM again while it refuses the request as not run."""
+    headers = relay_test_fleet.caller_headers(
+        X_Carobwood_Request_Id=f'r-{number}',
+        X_Carobwood_Deadline_Ms=DEADLINE_MS,
+    )
+    return relay_test_fleet.await_reply(
+        lambda: _ask_once(address, path, headers),
+        lambda reply: reply.status != 503,
+    )
+
+
+def _ask_once(address, path, headers):
+    """Return the reply, with the status ``CUT`` if its body was cut.
+
+    Raises:
+        TimeoutError: the VM sent nothing for ``WAIT_SECONDS``.
+    """
+    connection = http.client.HTTPConnection(*address, timeout=WAIT_SECONDS)
+    with contextlib.closing(connection):
+        connection.request('POST', path, b'prompt', headers)
+        response = connection.getresponse()
+        try:
+            body = response.read()
+        except (http.client.IncompleteRead, ConnectionResetError):
+            return relay_test_fleet.Reply(CUT, {}, b'')
+        return relay_test_fleet.Reply(response.status, {}, body)
+
+
 def _is_proper(answer_name, reply):
     kind, _, _ = answer_name.partition('/')
     if kind in WHOLE_KINDS:
@@ -203,3 +241,61 @@
             return
         never_set.wait(0.02)
     raise AssertionError('it did not come true in time')
+
+
+# A VM kept all bytes of endless answers and ran out of memory; the requests
+# of its other callers ended with it.
+def test_endless_answers_leave_memory_for_other_requests(tmp_path, endpoint):
+    names = [name for name in ANSWER_NAMES if name.endswith('/fast')]
+    names *= CALLERS_OF_EACH
+    changes = {
+        'routes': [
+            builders.route_fields(
+                service, kind='unsafe', service=service, sticky=False
+            )
+            for service in ('orders', 'notes')
+        ],
+        'services': [
+            {'name': 'orders', 'max_conns': 100},
+            {'name': 'notes', 'max_conns': 100},
+        ],
+    }
+    with FaultyEndpoint('notes') as sound:
+        announcements = {e.name: e.announcement() for e in (endpoint, sound)}
+        with small_vm.run(tmp_path, announcements, **changes) as fleet:
+            address = small_vm.entry_address(fleet)
+            for service in ('orders', 'notes'):
+                relay_test_fleet.await_reply(
+                    lambda service=service: _ask_vm(
+                        address, f'/{service}/sound/fast', 0
+                    ),
+                    lambda reply: reply.body == b'sound',
+                )
+            pid = fleet.entry_vm.process.pid
+            endless_endpoint.reset_peak_memory(pid)
+            replies, small_replies = _ask_beside(address, names)
+            peak = endless_endpoint.peak_memory_bytes(pid)
+    assert peak < small_vm.MEMORY_MEGABYTES * endless_endpoint.MEGABYTE
+    wrong = {
+        name: (reply.status, reply.body[:200])
+        for name, reply in zip(names, replies, strict=True)
+        if not _is_proper(name, reply)
+        and (name.partition('/')[0], reply.status) not in CUT_REPLIES
+    }
+    assert not wrong
+    assert {reply.body for reply in small_replies} == {b'sound'}
+
+
+def _ask_beside(address, names):
+    """Ask for endless answers, and for small ones all the while."""
+    with concurrent.futures.ThreadPoolExecutor(len(names)) as threads:
+        pending = [
+            threads.submit(_ask_vm, address, f'/orders/{name}', number)
+            for number, name in enumerate(names)
+        ]
+        small_replies = []
+        while not all(future.done() for future in pending):
+            small_replies.append(
+                _ask_vm(address, '/notes/sound/fast', 'small')
+            )
+        return [future.result() for future in pending], small_replies
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -6,17 +6,14 @@
 import hashlib
 import http.client
 import http.server
-import json
 import threading
 
-import control_processes
 import endless_endpoint
 import pytest
-import relay_builders as builders
 import relay_test_fleet
+import small_vm
 
 MEGABYTE = 1024 * 1024
-MEMORY_MEGABYTES = 150
 # As large as an answer may be.
 LARGE_BYTES = 30 * MEGABYTE
 CALLERS = 8
@@ -162,38 +159,6 @@
     large_endpoint.stop()
 
 
-@contextlib.contextmanager
-def _run_small_vm(folder, announcements):
-    """Run a fleet whose entry VM has little memory.
-
-    Args:
-        folder: folder of its files.
-        announcements: announcements of endpoints by their names.
-    """
-    fleet = control_processes.ProcessFleet(folder, 3)
-    fleet.entry_vm.fields['limits'] = {'memory_mb': MEMORY_MEGABYTES}
-    with fleet:
-        control = fleet.control_vms[0].fields['listen']['control']
-        _put(control, '/v1/config', builders.configuration_body())
-        for name, announcement in announcements.items():
-            path = f'/v1/instances/{name}'
-            _put(control, path, json.dumps(announcement).encode())
-        yield fleet
-
-
-def _put(address, path, body):
-    host, _, port = address.partition(':')
-    relay_test_fleet.await_reply(
-        lambda: relay_test_fleet.ask(int(port), 'PUT', path, body, host=host),
-        lambda reply: reply.status in (200, 201, 202, 204),
-    )
-
-
-def _entry_address(fleet):
-    host, _, port = fleet.entry_vm.fields['listen']['front'].partition(':')
-    return host, int(port)
-
-
 # Each of several large answers was within its bound, and the VM that kept
 # them all ran out of memory.
 @pytest.mark.parametrize('framing', FRAMINGS)
@@ -202,8 +167,8 @@
 ):
     announcements = {endpoint.name: endpoint.announcement()}
     path = f'/orders/{framing}/{LARGE_BYTES}'
-    with _run_small_vm(tmp_path, announcements) as fleet:
-        host, port = _entry_address(fleet)
+    with small_vm.run(tmp_path, announcements) as fleet:
+        host, port = small_vm.entry_address(fleet)
         _await_service(host, port)
         pid = fleet.entry_vm.process.pid
         endless_endpoint.reset_peak_memory(pid)
@@ -214,7 +179,7 @@
             )
             results = list(results)
         peak = endless_endpoint.peak_memory_bytes(pid) // MEGABYTE
-        assert peak < MEMORY_MEGABYTES
+        assert peak < small_vm.MEMORY_MEGABYTES
     assert set(results) == {(200, _digest(LARGE_BYTES))}
 
 
