Bound the memory and the time of requests' bodies

Callers saw: a VM that runs out of memory, with all its requests, while callers send bodies that the configuration allows; and workers that are held for ever by bodies that come byte by byte. Cause: each body has a limit, their sum has none, and the timeout of a body was one of each read. A body was kept twice while it was read, and glibc kept the freed memory of large bodies in the heaps of the threads. The budget is back to 0 afterwards, and the test passes. Fix: read_body reads pieces of 64 KiB, takes what it keeps from the VM's budget until the request has ended and refuses with buffers_full (503, not run, Retry-After) when nothing is left. A declared length takes nothing. The deadline of the request, or the timeout of the listener for an API, bounds the whole body: body_timeout (408, not run). ChunkedBody keeps no more than what a read asks for. The VM fixes the allocator's threshold for mappings. The stubs of two tests take the new argument of read_body; the gateway of test_request_bodies ends its requests as the real ones do.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/request_body.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/request_body.py
@@ -7,22 +7,24 @@
 """
 
 import fcntl
+import io
 import re
 import socket
 import struct
+import sys
 import termios
 
 from cheroot import makefile
-from cheroot import server as cheroot_server
 
 from carobwood import errors
 
 from . import bounded_reader
 
+# Bytes of a body that are read at once.
+READ_BYTES = 64 * 1024
 # Bounds on reading what is left of a body.
 MAX_DRAIN_SECONDS = 1.0
 MAX_DRAIN_BYTES = 16 * 1024 * 1024
-DRAIN_BLOCK_BYTES = 64 * 1024
 # Bounds on the line of a chunk's size with its extension, and on a trailer.
 MAX_SIZE_LINE_BYTES = 4096
 MAX_TRAILER_BYTES = 16 * 1024
@@ -61,7 +63,7 @@
         finally:
             self._raw.release()
 
-    def bound(self, seconds, size):
+    def bound(self, seconds, size=sys.maxsize):
         """Bound all following reads; see ``BoundedReader.bound``."""
         self._timeout = self._socket.gettimeout()
         self._raw.bound(seconds, size)
@@ -72,10 +74,11 @@
         self._socket.settimeout(self._timeout)
 
 
-class ChunkedBody(cheroot_server.ChunkedRFile):
+class ChunkedBody:
     """Decodes a chunked body strictly and reads it to its very end.
 
-    The end includes the trailer, whose fields are dropped.
+    The end includes the trailer, whose fields are dropped. No more of the
+    body is kept than what a read asks for.
 
     Attributes:
         is_complete: whether the end has been read.
@@ -88,35 +91,64 @@
             rfile: the ``ConnectionReader``.
             max_bytes: limit of the decoded body, 0 for none.
         """
-        super().__init__(rfile, max_bytes)
         self.is_complete = False
+        self._rfile = rfile
+        self._max_bytes = max_bytes
+        self._announced_bytes = 0
+        self._chunk_bytes_left = 0
+        self._is_ended = False
 
-    def _fetch(self):
-        """Add the next chunk to the buffer; see ``ChunkedRFile``."""
-        if self.closed:
-            return
-        # Nothing is read after a failure: it would be misunderstood.
-        self.closed = True
-        self.closed = not self._read_chunk()
+    def read(self, size=-1):
+        """Return decoded bytes: fewer than asked for only at the end.
+
+        Args:
+            size: number of bytes, or -1 for all.
+
+        Raises:
+            MalformedRequest, BodyTooLarge: the body is refused.
+            OSError: the connection failed, or a bound is exceeded.
+        """
+        decoded = io.BytesIO()
+        while not self._is_ended:
+            wanted = READ_BYTES
+            if size >= 0:
+                wanted = min(wanted, size - decoded.tell())
+            if not wanted:
+                break
+            # Nothing is read after a failure: it would be misunderstood.
+            self._is_ended = True
+            decoded.write(self._read_part(wanted))
+            self._is_ended = self.is_complete
+        return decoded.getvalue()
+
+    def _read_part(self, size):
+        """Return up to a number of bytes of a chunk; none at the end."""
+        if not self._chunk_bytes_left:
+            self._begin_chunk()
+        if self.is_complete:
+            return b''
+        wanted = min(size, self._chunk_bytes_left)
+        part = self._rfile.read(wanted)
+        self._chunk_bytes_left -= len(part)
+        if len(part) < wanted:
+            raise errors.MalformedRequest('a chunk is shorter than its size')
+        if not self._chunk_bytes_left and self._rfile.read(2) != b'\r\n':
+            raise errors.MalformedRequest('a chunk is longer than its size')
+        return part
 
-    def _read_chunk(self):
-        """Read a chunk; return False after the last one."""
+    def _begin_chunk(self):
         size = self._read_size()
         if not size:
             self._skip_trailer()
             self.is_complete = True
-            return False
-        self.bytes_read += size
-        if self.maxlen and self.bytes_read > self.maxlen:
+            return
+        self._announced_bytes += size
+        if self._max_bytes and self._announced_bytes > self._max_bytes:
             raise errors.BodyTooLarge('the body exceeds the size limit')
-        chunk = self.rfile.read(size)
-        if len(chunk) < size or self.rfile.read(2) != b'\r\n':
-            raise errors.MalformedRequest('a chunk is shorter than its size')
-        self.buffer += chunk
-        return True
+        self._chunk_bytes_left = size
 
     def _read_size(self):
-        line = self.rfile.readline(MAX_SIZE_LINE_BYTES)
+        line = self._rfile.readline(MAX_SIZE_LINE_BYTES)
         match = _SIZE_LINE.match(line)
         if match is None:
             raise errors.MalformedRequest('the size of a chunk is malformed')
@@ -125,7 +157,7 @@
     def _skip_trailer(self):
         bytes_left = MAX_TRAILER_BYTES
         while bytes_left > 0:
-            line = self.rfile.readline(bytes_left)
+            line = self._rfile.readline(bytes_left)
             if line == b'\r\n':
                 return
             if not line.endswith(b'\r\n'):
@@ -148,7 +180,7 @@
         return True
     rfile.bound(MAX_DRAIN_SECONDS, MAX_DRAIN_BYTES)
     try:
-        while body.read(DRAIN_BLOCK_BYTES):
+        while body.read(READ_BYTES):
             pass
     except (OSError, ValueError, errors.CarobwoodError):
         return False
@@ -174,7 +206,7 @@
     try:
         sock.shutdown(socket.SHUT_WR)
         rfile.bound(MAX_DRAIN_SECONDS, MAX_DRAIN_BYTES)
-        while rfile.read1(DRAIN_BLOCK_BYTES):
+        while rfile.read1(READ_BYTES):
             pass
     except (OSError, ValueError):
         # The connection has failed, or the peer goes on sending.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
@@ -162,7 +162,8 @@
             raise errors.RouteNotFound('no route matches the host and path')
         metadata = self._dialect.parse_request_headers(caller.headers)
         customer = _find_customer(configuration, route, metadata)
-        body = caller.read_body()
+        deadline_at = arrived_at + _time_allowed(metadata, route, forwarded)
+        body = caller.read_body(deadline_at - clocks.now())
         if len(body or b'') > configuration.limits.body_bytes:
             raise errors.BodyTooLarge('the body exceeds the size limit')
         request = AdmittedRequest(
@@ -172,7 +173,7 @@
             customer,
             body,
             arrived_at,
-            arrived_at + _time_allowed(metadata, route, forwarded),
+            deadline_at,
             _count_units(metadata, customer),
             _fingerprint(caller, customer, body),
             configuration,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/caller_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/caller_request.py
@@ -4,13 +4,13 @@
 
 from carobwood import errors
 
+from ..entry import body_reader
 from ..entry import strict_request
 
 from . import connection_log
 from . import endpoint_connections
 from . import forwarding_headers
 
-READ_BYTES = 64 * 1024
 # Hop-by-hop headers, which concern one connection only and are not
 # forwarded (RFC 9110, 7.6.1), and Content-Length and Expect, which the
 # relay handles itself on each connection.
@@ -52,6 +52,8 @@
 class CallerRequest:
     """A request as cheroot has parsed it, and the means to respond to it.
 
+    As a context manager, it gives the memory of its body back at the end.
+
     Attributes:
         method: HTTP method.
         target: path and query, unchanged.
@@ -73,6 +75,7 @@
             for name, value in parsed.inheaders.items()
         }
         self.has_started_response = False
+        self._reservation = parsed.server.buffers.reserve('request')
         self._sent_before = parsed.conn.wfile.bytes_written
 
     def note_id(self, request_id):
@@ -124,18 +127,35 @@
         """Tell whether the caller has closed its connection."""
         return endpoint_connections.is_closed_by_peer(self.socket)
 
-    def read_body(self):
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        # Nobody sends the body any more.
+        self._reservation.release()
+
+    def read_body(self, seconds=None):
         """Return the whole body, or None if the request has none.
 
+        Its bytes are taken from the VM's memory until the request ends.
+
+        Args:
+            seconds: time within which it must end, or None for the timeout
+                of the connection.
+
         Raises:
             MalformedRequest: the body is truncated or cannot be decoded.
             BodyTooLarge: the body exceeds the server's limit.
+            BodyTimeout: it has not ended within the time.
+            BuffersFull: the VM has no memory left for it.
             Stopping: the rest of it is not waited for any more.
         """
+        if seconds is None:
+            seconds = self._parsed.server.timeout
         reads = self._parsed.server.request_reads
         with reads.track(self._parsed.conn):
             try:
-                return self._read_whole_body()
+                return self._read_whole_body(seconds)
             except errors.MalformedRequest as error:
                 if reads.is_ended:
                     raise errors.Stopping(
@@ -143,20 +163,15 @@
                     ) from error
                 raise
 
-    def _read_whole_body(self):
-        is_chunked = self._parsed.chunked_read
-        if not is_chunked and 'content-length' not in self.headers:
+    def _read_whole_body(self, seconds):
+        parsed = self._parsed
+        if not parsed.chunked_read and 'content-length' not in self.headers:
             return None
-        try:
-            body = self._parsed.rfile.read()
-        except errors.CarobwoodError:
-            raise
-        except (OSError, ValueError) as error:
-            raise errors.MalformedRequest(
-                'the request body cannot be read'
-            ) from error
+        body = body_reader.read(
+            parsed.rfile, parsed.conn.rfile, self._reservation, seconds
+        )
         declared = self.headers.get('content-length', '')
-        if not is_chunked and len(body) != int(declared or 0):
+        if not parsed.chunked_read and len(body) != int(declared or 0):
             raise errors.MalformedRequest(
                 'the request body is shorter than its Content-Length'
             )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/gateway.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/gateway.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import math
 
 from carobwood import errors
 from carobwood import events
@@ -30,7 +31,8 @@
 
     def respond(self):
         """Relay the request; cheroot calls this once."""
-        self._relay.serve(self._caller)
+        with self._caller as caller:
+            self._relay.serve(caller)
 
 
 class ForwardedGateway:
@@ -50,16 +52,17 @@
 
     def respond(self):
         """Relay the request; cheroot calls this once."""
-        caller = self._caller
+        with self._caller as caller:
+            self._serve(caller)
+
+    def _serve(self, caller):
         try:
             forwarded = forwarding_headers.parse_request(
                 caller.headers, caller.method, caller.target, self._secret
             )
         except errors.LinkRefused as error:
             events.emit(events.LINK_REFUSED, reason=error.detail)
-            caller.close_after_response()
-            content = caller_request.encode_error_body(error, '')
-            caller.send_response(error.status, error.code, [], content)
+            _refuse(caller, error)
             return
         self._relay.serve_forwarded(caller, forwarded)
 
@@ -116,13 +119,14 @@
 
     def respond(self):
         """Handle the request; cheroot calls this once."""
-        caller = self._caller
+        with self._caller as caller:
+            self._serve(caller)
+
+    def _serve(self, caller):
         try:
             body = caller.read_body() or b''
         except errors.CarobwoodError as error:
-            caller.close_after_response()
-            content = caller_request.encode_error_body(error, '')
-            caller.send_response(error.status, error.code, [], content)
+            _refuse(caller, error)
             return
         reply = self._handle(
             ApiRequest(caller.method, caller.path, caller.headers, body)
@@ -133,6 +137,16 @@
         caller.send_response(reply.status, reply.reason, headers, reply.body)
 
 
+def _refuse(caller, error):
+    """Answer a request whose rest is not read, and close its connection."""
+    caller.close_after_response()
+    headers = []
+    if error.retry_after is not None:
+        headers.append(('Retry-After', str(math.ceil(error.retry_after))))
+    content = caller_request.encode_error_body(error, '')
+    caller.send_response(error.status, error.code, headers, content)
+
+
 def make_relay_gateway(relay):
     """Return a gateway factory for the ``Relay``."""
     return functools.partial(RelayGateway, relay)
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -16,6 +16,7 @@
 from . import relay_tasks
 from .entry import request_gate
 from .entry import server_stop
+from .limits import allocator
 from .limits import buffer_budget
 from .limits import endpoint_permits
 from .limits import permit_client
@@ -165,6 +166,7 @@
     def start(self):
         """Restore saved state, start all parts and begin serving."""
         sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
+        allocator.return_large_blocks()
         self._timer.start()
         for persister in self._persisters:
             persister.load()
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -202,6 +202,13 @@
     retry_after = 1
 
 
+class BodyTimeout(RequestRefused):
+    """The request's body has not arrived within the request's time."""
+
+    code = 'body_timeout'
+    status = 408
+
+
 class BuffersFull(RequestRefused):
     """This VM has no memory left for a request's body.
 
--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -69,6 +69,6 @@
             path='/orders/x',
             method='POST',
             target='/orders/x',
-            read_body=lambda: BODY,
+            read_body=lambda seconds: BODY,
         )
         return self.admission.admit(caller, admission.clocks.now(), forwarded)
--- a/tests/endless_caller.py
+++ b/tests/endless_caller.py
@@ -122,6 +122,10 @@
         if self.sent_bytes < self._max_bytes:
             self._threads[1].join(seconds)
 
+    def wait_for_answer(self):
+        """Wait until the listener has answered and ended the connection."""
+        self._threads[1].join(relay_test_fleet.WAIT_SECONDS)
+
     def close(self):
         """Close the connection."""
         self._stopped.set()
@@ -157,19 +161,21 @@
         self.has_ended = True
 
 
-def listeners_of(fleet, secret):
+def listeners_of(fleet, secret, seconds):
     """Return the listeners of the processes of a fleet, by name.
 
     Args:
         fleet: the ``ProcessFleet``.
         secret: its shared secret, as bytes.
+        seconds: time that requests leave until their answer is due.
     """
     entry = fleet.entry_vm.fields
     ports = entry['port_range']
     host = entry['ip']
-    caller = relay_test_fleet.caller_headers()
+    deadline = str(int(1000 * seconds))
+    caller = relay_test_fleet.caller_headers(X_Carobwood_Deadline_Ms=deadline)
     path = '/orders/whole'
-    forwarded = forwarding_headers.ForwardedRequest('front-9', 5.0, True)
+    forwarded = forwarding_headers.ForwardedRequest('front-9', seconds, True)
     pairs = forwarding_headers.format_request(forwarded, 'POST', path, secret)
     control = fleet.control_vms[0].fields['listen']['control']
     return {
--- a/tests/test_admission_properties.py
+++ b/tests/test_admission_properties.py
@@ -92,7 +92,7 @@
         path=path.partition('?')[0],
         method=method,
         target=path,
-        read_body=lambda: b'prompt',
+        read_body=lambda seconds: b'prompt',
     )
     return setup.admission.admit(caller, admission.clocks.now())
 
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -8,6 +8,7 @@
 from carobwood import addresses
 from carobwood import errors
 from carobwood_daemon.entry import request_body
+from carobwood_daemon.limits import buffer_budget
 from carobwood_daemon.relay import caller_request
 from carobwood_daemon.relay import http_server
 
@@ -31,7 +32,10 @@
 
     def respond(self):
         """Answer with the body that was read."""
-        caller = self._caller
+        with self._caller as caller:
+            self._answer(caller)
+
+    def _answer(self, caller):
         if caller.path == '/refused':
             caller.send_response(404, 'Not Found', [], b'refused')
             return
@@ -55,6 +59,13 @@
     listening.stop()
 
 
+@pytest.fixture
+def budget(server):
+    """Give the server memory for no large body."""
+    server._server.buffers = buffer_budget.BufferBudget(100_000)
+    return server._server.buffers
+
+
 class _Client:
     """A connection that a test writes bytes to.
 
@@ -235,3 +246,18 @@
         assert reader.read(len(SMALL)) == SMALL
         reader.release()
         assert own.gettimeout() == READ_SECONDS
+
+
+@pytest.mark.parametrize('is_chunked', (False, True))
+def test_a_body_without_memory_is_not_taken_for_the_next_request(
+    server, budget, is_chunked
+):
+    content = _with_length(LARGE)
+    if is_chunked:
+        content = CHUNKED + b'\r\n' + _chunks(LARGE)
+    with _connect(server) as client:
+        client.send(PROPER, content, PROPER, _with_length(SMALL))
+        assert client.read_answer()[0] == 503
+        status, _, body = client.read_answer()
+        assert (status, body) == (200, SMALL)
+    assert budget.used_bytes == 0
