Bound the time and size of the operators' calls

Cause: urllib3 kept the whole body, with a timeout of each read. Change: the client uses urllib3's connections itself: a watchdog ends the connection when the call exceeds its time (read_timeout, whose values are as before, is that of the whole exchange now; connecting has its 2 s), and a response has at most 64 MiB. Idle connections are reused as before.

--- a/packages/carobwood-client/carobwood_client/connection.py
+++ b/packages/carobwood-client/carobwood_client/connection.py
@@ -1,13 +1,27 @@
 """Authenticated calls to the operators' HTTP API of the VMs."""
 
+import http.client
 import json
+import socket
+import threading
+import urllib.parse
 
 import urllib3
+from urllib3 import connection as urllib3_connection
 
 from carobwood import errors
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 READ_TIMEOUT_SECONDS = 30.0
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
+_READ_BYTES = 64 * 1024
+_FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+)
 
 
 class ErrorResponse(errors.CarobwoodError):
@@ -48,15 +62,12 @@
         """
         self.operators = tuple(operators)
         self._scheme = 'https' if ca_file else 'http'
-        options = {'ca_certs': ca_file} if ca_file else {}
-        self._manager = urllib3.PoolManager(
-            retries=False,
-            headers={
-                'Authorization': f'Bearer {token}',
-                'Content-Type': 'application/json',
-            },
-            **options,
-        )
+        self._ca_file = ca_file
+        self._headers = {
+            'Authorization': f'Bearer {token}',
+            'Content-Type': 'application/json',
+        }
+        self._idle_by_operator = {}
 
     def get(self, path, **fields):
         """Return the decoded response to a GET request.
@@ -80,7 +91,7 @@
 
         Args:
             path: path of the call.
-            read_timeout: seconds to wait for data of the response.
+            read_timeout: seconds in which the response must end.
             **fields: fields of the JSON body.
 
         Raises:
@@ -128,33 +139,123 @@
         read_timeout=READ_TIMEOUT_SECONDS,
     ):
         data = json.dumps(body).encode('utf-8') if body is not None else None
+        target = f'{path}?{urllib.parse.urlencode(query)}' if query else path
         try:
-            response = self._manager.request(
-                method,
-                f'{self._scheme}://{operator}{path}',
-                body=data,
-                fields=query or None,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_SECONDS, read=read_timeout
-                ),
+            status, content = self._exchange(
+                operator, (method, target, data, self._headers), read_timeout
             )
-        except urllib3.exceptions.HTTPError as error:
+        except _FAILURES as error:
             raise Unreachable(f'{operator}: {type(error).__name__}') from (
                 error
             )
-        return _decode(operator, response)
+        return _decode(operator, status, content)
+
+    def _exchange(self, operator, request, seconds):
+        """Send a request; return the status and body of the response."""
+        connection = self._take_idle(operator) or self._connect(operator)
+        try:
+            with _Watchdog(operator, connection.sock, seconds):
+                connection.timeout = seconds
+                connection.sock.settimeout(seconds)
+                connection.request(
+                    *request, preload_content=False, decode_content=False
+                )
+                response = connection.getresponse()
+                content = _read_all(operator, response)
+        except BaseException:
+            connection.close()
+            raise
+        self._idle_by_operator[operator] = connection
+        return response.status, content
+
+    def _take_idle(self, operator):
+        connection = self._idle_by_operator.pop(operator, None)
+        if connection is None or connection.is_connected:
+            return connection
+        connection.close()
+        return None
+
+    def _connect(self, operator):
+        url = urllib3.util.parse_url(f'{self._scheme}://{operator}')
+        host = url.host.strip('[]')
+        if self._ca_file:
+            connection = urllib3_connection.HTTPSConnection(
+                host,
+                url.port,
+                timeout=CONNECT_TIMEOUT_SECONDS,
+                cert_reqs='CERT_REQUIRED',
+                ca_certs=self._ca_file,
+            )
+        else:
+            connection = urllib3_connection.HTTPConnection(
+                host, url.port, timeout=CONNECT_TIMEOUT_SECONDS
+            )
+        try:
+            connection.connect()
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
+
+class _Watchdog:
+    """Ends a connection unless its call ends in time.
+
+    A timeout of the socket would be one of each read.
+    """
+
+    def __init__(self, operator, sock, seconds):
+        self._operator = operator
+        self._socket = sock
+        self._seconds = seconds
+        self._has_ended_call = False
+        self._timer = threading.Timer(seconds, self._end)
+        self._timer.daemon = True
+
+    def __enter__(self):
+        self._timer.start()
+        return self
+
+    def __exit__(self, *exception):
+        self._timer.cancel()
+        if self._has_ended_call:
+            raise Unreachable(
+                f'{self._operator}: the call exceeds {self._seconds:g} s'
+            )
+
+    def _end(self):
+        self._has_ended_call = True
+        try:
+            # Below TLS, so that the thread of the call alone uses its state.
+            socket.socket.shutdown(self._socket, socket.SHUT_RDWR)
+        except OSError:
+            # The connection has ended already.
+            pass
+
+
+def _read_all(operator, response):
+    parts = []
+    size = 0
+    while part := response.read(_READ_BYTES):
+        parts.append(part)
+        size += len(part)
+        if size > MAX_RESPONSE_BYTES:
+            raise Unreachable(
+                f'{operator}: the response exceeds {MAX_RESPONSE_BYTES} bytes'
+            )
+    return b''.join(parts)
 
 
-def _decode(operator, response):
+def _decode(operator, status, content):
     try:
-        decoded = json.loads(response.data)
-    except ValueError as error:
+        decoded = json.loads(content)
+    except (ValueError, RecursionError) as error:
         raise Unreachable(f'{operator}: the response is not JSON') from error
-    if response.status == 200:
+    if status == 200:
         return decoded
     error_fields = decoded.get('error', {})
     raise ErrorResponse(
         error_fields.get('code', 'unknown'),
-        response.status,
-        error_fields.get('message', f'HTTP status {response.status}'),
+        status,
+        error_fields.get('message', f'HTTP status {status}'),
     )
