Bound the head of an answer in carobwoodd as a whole

What callers saw: an endpoint that sent the head of its answer byte by byte, or interim heads without end; the caller waited far beyond its deadline. Cause: first_byte_seconds, the time limit for the status line and headers, was the timeout of each read, and interim heads had no bound of size. Now 8 passed in 3 s. Fix: the head is read through BoundedReader, with first_byte_seconds and 256 KiB for all of it.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -6,7 +6,9 @@
 """
 
 import dataclasses
+import functools
 import http.client
+import io
 import socket
 
 import urllib3
@@ -15,6 +17,7 @@
 from carobwood import addresses
 from carobwood import errors
 
+from . import bounded_reader
 from . import headers
 from . import response_body
 from . import response_head
@@ -22,6 +25,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 KEEPALIVE_INTERVAL_SECONDS = 2
 KEEPALIVE_PROBES = 3
+# Bound of a response's head, interim responses included.
+MAX_HEAD_BYTES = 256 * 1024
 # TCP keepalive detects connections that a device on the path has dropped.
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -68,6 +73,31 @@
     stall_seconds: float
 
 
+class _BoundedResponse(response_head.StrictResponse):
+    """A response whose head has a bound of time and size."""
+
+    def __init__(self, seconds, sock, **options):
+        super().__init__(sock, **options)
+        self._seconds = seconds
+        # Keeps the socket open while the response is read.
+        self._file = self.fp
+        self._bounds = bounded_reader.BoundedReader(sock)
+        self.fp = io.BufferedReader(self._bounds)
+
+    def begin(self):
+        """Read the head; see ``StrictResponse``."""
+        self._bounds.bound(self._seconds, MAX_HEAD_BYTES)
+        try:
+            super().begin()
+        finally:
+            self._bounds.release()
+
+    def close(self):
+        """Close the response and what it has of the socket."""
+        super().close()
+        self._file.close()
+
+
 class Response:
     """The response of an endpoint; its body is read on demand.
 
@@ -215,7 +245,9 @@
     )
     # The response class of urllib3 reads one chunk at a time, which is too
     # slow for streams of small events.
-    connection.response_class = response_head.StrictResponse
+    connection.response_class = functools.partial(
+        _BoundedResponse, request.first_byte_seconds
+    )
     raw_response = http.client.HTTPConnection.getresponse(connection)
     sock.settimeout(request.stall_seconds)
     return raw_response
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,6 +7,7 @@
 import threading
 
 from carobwood import errors
+from carobwood_daemon.entry import upstream
 import endless_endpoint
 import pytest
 import relay_builders as builders
@@ -299,3 +300,26 @@
                 _ask_vm(address, '/notes/sound/fast', 'small')
             )
         return [future.result() for future in pending], small_replies
+
+
+# carobwoodd's time for a head began anew with each byte or interim head.
+@pytest.mark.parametrize('speed', ['fast', 'slow'])
+@pytest.mark.parametrize(
+    'kind', ['status-line', 'header-line', 'headers', 'interim']
+)
+def test_a_head_without_end_is_given_up_by_the_entry(endpoint, kind, speed):
+    request = upstream.UpstreamRequest(
+        'GET',
+        f'/orders/{kind}/{speed}',
+        {'X-Carobwood-Request-Id': 'r-1'},
+        None,
+        'r-1',
+        False,
+        0.5,
+        0.5,
+    )
+    ended = endpoint.ended_connections
+    connection = upstream.open_connection(endpoint.address)
+    with pytest.raises((errors.EndpointFailed, errors.EndpointTimeout)):
+        upstream.send(connection, request)
+    _await(lambda: endpoint.ended_connections > ended)
