Count only complete events as progress of carobwoodd's streams

What callers saw: found by reading; an engine that sends a byte of an event now and then held its caller without end, as each byte began stall_seconds anew, and each read copied what had come of the event. The test of the timer with a clock: a byte each second ends the stream after 12 s with a limit of 10 s. Fix: the time of reads since the last complete event is added up; above stall_seconds the stream has stalled and is resumed as before. Time in which the caller takes what was read isn't counted, and what has come is read once more, since the VM itself may have been held up. Incomplete events grow in place, and only new bytes are searched.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/event_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/event_stream.py
@@ -28,11 +28,11 @@
         self.last_id = -1
         self.is_complete = False
         self.usage = None
-        self._partial_event = b''
+        self._partial_event = bytearray()
 
     def discard_partial_event(self):
         """Discard an incomplete event before resuming on another engine."""
-        self._partial_event = b''
+        self._partial_event.clear()
 
     def feed(self, data):
         """Add received bytes and return the events that they complete.
@@ -48,15 +48,17 @@
             StreamBroken: an event is malformed, too large, out of order or
                 follows the terminal event.
         """
-        pending = self._partial_event + data
-        end = pending.rfind(_EVENT_SEPARATOR)
+        pending = self._partial_event
+        # Only the new bytes are searched, and those of a cut separator.
+        first_new = max(0, len(pending) - len(_EVENT_SEPARATOR) + 1)
+        pending += data
+        end = pending.rfind(_EVENT_SEPARATOR, first_new)
         if end < 0:
             if len(pending) > MAX_EVENT_BYTES:
                 raise errors.StreamBroken('an event is too large')
-            self._partial_event = pending
             return b''
-        complete = pending[: end + len(_EVENT_SEPARATOR)]
-        self._partial_event = pending[end + len(_EVENT_SEPARATOR) :]
+        complete = bytes(pending[: end + len(_EVENT_SEPARATOR)])
+        del pending[: len(complete)]
         events = complete.split(_EVENT_SEPARATOR)
         # The item after the last separator is empty.
         events.pop()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -135,6 +135,11 @@
         """Seconds within which the response must start."""
         return self._route.deadline_seconds
 
+    @property
+    def stall_seconds(self):
+        """Longest time without a complete event within a stream."""
+        return self._route.stall_seconds
+
     def cancel(self):
         """Return all reserved tokens of a request that was not served."""
         self.settle(0)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -4,6 +4,7 @@
 from carobwood import events
 
 from . import event_stream
+from . import stall_timer
 
 MAX_RESUMES = 3
 
@@ -23,6 +24,7 @@
         self._attempt = attempt
         self._response = response
         self._events = event_stream.EventStream()
+        self._stall_timer = stall_timer.StallTimer(run.stall_seconds)
         self._resume_count = 0
         self._failed_ids = set()
         self._is_closed = False
@@ -73,8 +75,13 @@
             raise errors.StreamBroken(
                 'the stream ended without its terminal event'
             )
-        data = self._response.read_available()
-        return self._events.feed(data) if data else b''
+        self._stall_timer.check()
+        with self._stall_timer.reading():
+            data = self._response.read_available()
+        complete_events = self._events.feed(data)
+        if complete_events:
+            self._stall_timer.note_progress()
+        return complete_events
 
     def _resume(self, error):
         self._response.close()
@@ -115,6 +122,7 @@
     def _switch_engine(self, attempt, response):
         self._attempt = attempt
         self._response = response
+        self._stall_timer.note_progress()
         events.emit(
             events.STREAM_RESUMED,
             request_id=self._exchange.request_id,
