Test answers that are passed on through another VM

A test alone: with nothing left of the budgets of both VMs, a forwarded answer of 1 MB comes whole, a truncated one looks cut, and the budgets are even at the end. Cutting a VM off from its endpoints moves to a module of its own.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,14 +8,13 @@
 
 from carobwood import errors
 from carobwood_daemon.entry import upstream
+import cut_off_vm
 import endless_endpoint
 import pytest
 import relay_builders as builders
 import relay_test_fleet
 import small_vm
 
-# Position of the first entry VM behind the three control VMs.
-FIRST_ENTRY_VM = 3
 DEADLINE_MS = '3000'
 # The codes of requests whose endpoint gave no whole answer.
 FAILED = (502, 504)
@@ -105,7 +104,7 @@
             lambda number=number: _ask(test_fleet, number, 'sound/fast'),
             lambda reply: reply.body == b'sound',
         )
-    with _cut_off(test_fleet):
+    with cut_off_vm.cut_off(test_fleet, 0):
         relay_test_fleet.await_reply(
             lambda: _ask(test_fleet, 0, 'sound/fast'),
             lambda reply: reply.body == b'sound',
@@ -114,22 +113,6 @@
     test_fleet.stop()
 
 
-@contextlib.contextmanager
-def _cut_off(test_fleet):
-    """Cut entry VM 0 off from all endpoints."""
-    vm = test_fleet.fleet.vms[FIRST_ENTRY_VM]
-
-    def refuse(address, timeout):
-        vm.reachability.note(address, False)
-        raise errors.EndpointUnreachable('cut off')
-
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(vm.pool, 'connect', refuse)
-        for endpoint in (*test_fleet.engines, test_fleet.plain_endpoint):
-            vm.pool.close_idle(endpoint.address)
-        yield
-
-
 def _ask(test_fleet, number, answer_name, timeout=WAIT_SECONDS):
     return relay_test_fleet.ask(
         test_fleet.fleet.entry_ports[number],
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -8,6 +8,7 @@
 import http.server
 import threading
 
+import cut_off_vm
 import endless_endpoint
 import pytest
 import relay_test_fleet
@@ -151,7 +152,7 @@
     )
 
 
-@pytest.fixture
+@pytest.fixture(scope='module')
 def endpoint():
     """Yield an endpoint with large answers."""
     large_endpoint = LargeEndpoint()
@@ -194,13 +195,25 @@
     relay_test_fleet.await_reply(is_served, lambda result: result == wanted)
 
 
-@pytest.fixture
-def full_fleet(tmp_path, endpoint):
-    """Yield a fleet whose entry VMs have nothing left of their budgets."""
-    test_fleet = relay_test_fleet.RelayTestFleet(tmp_path)
+@pytest.fixture(scope='module')
+def full_fleet(tmp_path_factory, endpoint):
+    """Yield a fleet whose entry VMs have nothing left of their budgets.
+
+    Its entry VM 1 takes requests of callers, and passes those of VM 0 on.
+    """
+    test_fleet = relay_test_fleet.RelayTestFleet(
+        tmp_path_factory.mktemp('fleet')
+    )
     test_fleet.announce(endpoint, 1000)
     for port in test_fleet.fleet.entry_ports:
         _await_service('127.0.0.1', port)
+    with cut_off_vm.cut_off(test_fleet, 0):
+        _await_service('127.0.0.1', test_fleet.fleet.entry_ports[0])
+        yield from _fill_budgets(test_fleet)
+    test_fleet.stop()
+
+
+def _fill_budgets(test_fleet):
     budgets_by_vm = test_fleet.fleet.budgets_by_vm
     budgets = [budgets_by_vm['front-0'], budgets_by_vm['front-1']]
     for budget in budgets:
@@ -209,12 +222,12 @@
     for budget in budgets:
         budget.give_back(budget.total_bytes)
         assert budget.used_bytes == 0
-    test_fleet.stop()
 
 
 # What can't be kept is passed on before its end is known.
-def test_an_answer_that_is_passed_on_is_whole_or_looks_cut(full_fleet):
-    port = full_fleet.fleet.entry_ports[0]
+@pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
+def test_an_answer_that_is_passed_on_is_whole_or_looks_cut(full_fleet, number):
+    port = full_fleet.fleet.entry_ports[number]
     for framing in FRAMINGS:
         path = f'/orders/{framing}/{MEGABYTE}'
         whole = _read_digest('127.0.0.1', port, path)
