Bound the time of a request's head as a whole

Callers saw: a worker of a listener is held for as long as another caller sends a byte of a head now and then; with all workers held, nobody is answered. Cause: the timeout of a connection is one of each read. Fix: the listener's timeout, unchanged, bounds the whole head.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -14,9 +14,19 @@
     """A request whose reads end when its listener stops."""
 
     def parse_request(self):
-        """Read the head; see ``cheroot.server.HTTPRequest``."""
+        """Read the head; see ``cheroot.server.HTTPRequest``.
+
+        The timeout of the listener bounds the head as a whole.
+        """
         with self.server.request_reads.track(self.conn):
-            super().parse_request()
+            self.conn.rfile.bound(self.server.timeout)
+            try:
+                super().parse_request()
+            except TimeoutError as error:
+                # The text by which cheroot knows a timeout.
+                raise TimeoutError('timed out') from error
+            finally:
+                self.conn.rfile.release()
 
     def send_headers(self):
         """Send the head of the response; see ``StrictRequest``."""
--- a/tests/endless_caller.py
+++ b/tests/endless_caller.py
@@ -30,6 +30,8 @@
 }
 # A request whose body is sent in part, of a length that is allowed.
 WAITING = b'Content-Length: 4000000\r\n\r\n'
+# A body of a length that is allowed.
+REQUESTS_BY_KIND['part'] = (WAITING, _BLOCK)
 HEAD_KINDS = ('request-line', 'header-line', 'headers')
 BODY_KINDS = tuple(kind for kind in REQUESTS_BY_KIND if kind not in HEAD_KINDS)
 
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -251,6 +251,22 @@
     server.stop()
 
 
+def test_a_request_that_comes_byte_by_byte_holds_a_worker_for_a_time(
+    listener,
+):
+    callers_by_kind = {
+        kind: endless_caller.EndlessCaller(
+            listener, kind, ENDLESS_BYTES, PAUSE_SECONDS
+        )
+        for kind in endless_caller.REQUESTS_BY_KIND
+    }
+    assert listener.ask(b'small').body == b'small'
+    for kind, caller in callers_by_kind.items():
+        caller.wait_for_answer()
+        assert b'not-run' in caller.answer, kind
+        caller.close()
+
+
 def test_the_memory_of_a_body_is_given_back_after_its_answer(listener, budget):
     large = bytes(LARGE_BYTES)
     for _ in range(3):
