Bound memory and time of bodies at carobwoodd's listeners

Callers saw: as at the relay's listeners, bodies that come byte by byte hold a worker for ever, and the sum of all bodies had no bound; the operators' API reads 8 MB in one go on each of 16 threads. A body that is passed on to a service while it is read is not kept and stays as it was.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -16,6 +16,7 @@
 from .entry import listener
 from .entry import request_gate
 from .entry import server_stop
+from .limits import buffer_budget
 from .limits import endpoint_permits
 from .limits import rate_limiter
 from .limits import token_borrower
@@ -352,6 +353,10 @@
 
     def _build_listeners(self):
         settings = self._settings
+        buffers = buffer_budget.BufferBudget(
+            buffer_budget.budget_bytes(settings.memory_limit_bytes),
+            self._metrics,
+        )
         caller_application = caller_app.CallerApplication(
             self._caller_services()
         )
@@ -361,6 +366,7 @@
                 caller_application.handle,
                 settings.max_requests + EXTRA_CALLER_THREADS,
                 settings.tls,
+                buffers,
             )
         )
         operator_verbs = porcelain.Porcelain(self._porcelain_context())
@@ -373,6 +379,7 @@
                 operator_application.handle,
                 OPERATOR_THREADS,
                 settings.tls,
+                buffers,
             )
         )
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/at_most_once.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/at_most_once.py
@@ -65,7 +65,7 @@
             raise errors.IdempotencyKeyMissing(
                 f'the route needs a valid {headers.IDEMPOTENCY_KEY} header'
             )
-        body = exchange.read_body(MAX_BODY_BYTES)
+        body = exchange.read_body(MAX_BODY_BYTES, route.deadline_seconds)
         claim = self._make_claim(exchange, document, key, body)
         with exchange.trace.span('claim'):
             result = self._commit_claim(claim)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/exchange.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/exchange.py
@@ -11,6 +11,7 @@
 from carobwood import events
 
 from . import authentication
+from . import body_reader
 from . import headers
 from . import strict_request
 
@@ -46,6 +47,7 @@
         self._input = environ['wsgi.input']
         self._length = environ.get('CONTENT_LENGTH') or ''
         self._is_chunked = 'HTTP_TRANSFER_ENCODING' in environ
+        self._reservation = self._connection.server.buffers.reserve('request')
         self._is_body_read = False
         self._is_counted = False
         self._is_finished = False
@@ -100,32 +102,52 @@
             if self._is_finished:
                 return
             self._is_finished = True
+        # Nobody sends the body any more.
+        self._reservation.release()
         if self._is_counted:
             self._gate.release()
         self._metrics.count(f'outcome.{outcome.value}')
         self.trace.end(outcome=outcome.value)
 
-    def read_body(self, limit):
+    def read_body(self, limit, seconds=None):
         """Return the complete body.
 
+        Its bytes are taken from the VM's memory until the request ends.
+
         Args:
             limit: maximum size in bytes.
+            seconds: time within which it must end, or None for the timeout
+                of the connection.
 
         Raises:
             BodyTooLarge: the body exceeds ``limit`` bytes.
+            BodyTimeout: it has not ended within the time.
+            BuffersFull: the VM has no memory left for it.
             MalformedRequest: the body is incomplete or malformed.
             Stopping: the rest of it is not waited for any more.
         """
-        if (self.content_length or 0) > limit:
+        length = self.content_length
+        if (length or 0) > limit:
             raise errors.BodyTooLarge(f'the body exceeds {limit} bytes')
-        parts = []
-        size = 0
-        for part in self.iterate_body():
-            size += len(part)
-            if size > limit:
-                raise errors.BodyTooLarge(f'the body exceeds {limit} bytes')
-            parts.append(part)
-        return b''.join(parts)
+        connection = self._connection.conn
+        if seconds is None:
+            seconds = self._connection.server.timeout
+        try:
+            with self._reads.track(connection):
+                body = body_reader.read(
+                    self._input,
+                    connection.rfile,
+                    self._reservation,
+                    seconds,
+                    limit,
+                )
+            if length is not None and len(body) < length:
+                raise errors.MalformedRequest('the body is incomplete')
+        except errors.MalformedRequest:
+            self._check_reads(errors.Stopping)
+            raise
+        self._is_body_read = True
+        return body
 
     def iterate_body(self, stop_error=errors.Stopping):
         """Yield the body in pieces of at most ``READ_BYTES``.
--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener.py
@@ -11,6 +11,8 @@
 from carobwood import errors
 from carobwood import events
 
+from ..limits import buffer_budget
+
 from . import request_reads
 from . import server_stop
 from . import stopping_connection
@@ -29,7 +31,7 @@
 class Listener:
     """An HTTP or HTTPS listener with its own application."""
 
-    def __init__(self, address, handler, thread_count, tls=None):
+    def __init__(self, address, handler, thread_count, tls=None, buffers=None):
         """Bind the listener.
 
         Args:
@@ -40,6 +42,7 @@
             thread_count: number of worker threads, and so of concurrent
                 requests.
             tls: a ``TlsFiles`` or None for plain text.
+            buffers: the ``BufferBudget`` for the bodies of requests, or None.
         """
         self._server = _Server(
             (address.host, address.port),
@@ -53,6 +56,7 @@
             self._server, thread_count
         )
         self._server.ConnectionClass = stopping_connection.StoppingConnection
+        self._server.buffers = buffers or buffer_budget.unlimited()
         self._server.request_reads = request_reads.RequestReads()
         self._server.gateway = strict_request.Gateway
         self._server.max_request_header_size = strict_request.MAX_HEADER_BYTES
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -54,7 +54,9 @@
         ):
             raise errors.RouteNotFound(f'no model API at path {path}')
         _require_method(exchange, 'POST')
-        raw = exchange.read_body(self._context.max_body_bytes)
+        raw = exchange.read_body(
+            self._context.max_body_bytes, route.deadline_seconds
+        )
         prepared = model_request.prepare_request(
             exchange.caller.customer_id,
             document,
--- a/packages/carobwood-daemon/carobwood_daemon/operators/operator_app.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/operator_app.py
@@ -9,6 +9,7 @@
 from carobwood import errors
 from carobwood import events
 
+from ..entry import body_reader
 from ..entry import strict_request
 from . import messages
 
@@ -75,8 +76,14 @@
         Returns:
             The response body as a list of bytes.
         """
+        request = cherrypy.serving.request
+        with _server_of(request).buffers.reserve('request') as reservation:
+            request.body_reservation = reservation
+            return self._answer(request)
+
+    def _answer(self, request):
         try:
-            reply = self._dispatch(cherrypy.serving.request)
+            reply = self._dispatch(request)
         except errors.CarobwoodError as error:
             return _respond_with_error(error)
         except Exception as error:
@@ -189,15 +196,29 @@
 
 
 def _read_body(request, length):
-    connection = request.wsgi_environ[strict_request.CONNECTION_KEY]
-    reads = connection.server.request_reads
-    with reads.track(connection.conn):
-        body = request.wsgi_environ['wsgi.input'].read(length)
-    if len(body) < length and reads.is_ended:
-        raise errors.Stopping('this VM is shutting down')
+    connection = request.wsgi_environ[strict_request.CONNECTION_KEY].conn
+    server = connection.server
+    try:
+        with server.request_reads.track(connection):
+            body = body_reader.read(
+                request.wsgi_environ['wsgi.input'],
+                connection.rfile,
+                request.body_reservation,
+                server.timeout,
+            )
+        if len(body) < length:
+            raise errors.MalformedRequest('the body is incomplete')
+    except errors.MalformedRequest as error:
+        if server.request_reads.is_ended:
+            raise errors.Stopping('this VM is shutting down') from error
+        raise
     return body
 
 
+def _server_of(request):
+    return request.wsgi_environ[strict_request.CONNECTION_KEY].server
+
+
 def _close_connection(request):
     key = strict_request.CONNECTION_KEY
     request.wsgi_environ[key].close_connection = True
--- a/packages/carobwood-daemon/carobwood_daemon/settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/settings.py
@@ -11,6 +11,7 @@
 from .replication import timing
 
 MIN_SECRET_BYTES = 16
+MEGABYTE = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +73,7 @@
         choice: name of the policy that chooses an engine.
         max_requests: limit of callers' requests served at once.
         max_body_bytes: largest body of a model request.
+        memory_limit_bytes: memory that this VM may take.
         vm_slots: number of VMs that each customer's rate is divided by.
         replica_options: options of the local replica.
         balancer_delay: seconds at a stop between reporting not ready and
@@ -102,6 +104,7 @@
     choice: str
     max_requests: int
     max_body_bytes: int
+    memory_limit_bytes: int
     vm_slots: int
     replica_options: ReplicaOptions
     balancer_delay: float
@@ -216,6 +219,10 @@
         max_body_bytes=checker.parse_number(
             'max-body-bytes', arguments.max_body_bytes, int, 1024, 1 << 30
         ),
+        memory_limit_bytes=MEGABYTE
+        * checker.parse_number(
+            'memory-limit-mb', arguments.memory_limit_mb, int, 64, 1 << 20
+        ),
         vm_slots=checker.parse_number(
             'vm-slots', arguments.vm_slots, int, 1, 1000
         ),
--- a/packages/carobwood-daemon/carobwood_daemon/settings_flags.py
+++ b/packages/carobwood-daemon/carobwood_daemon/settings_flags.py
@@ -106,6 +106,7 @@
     )
     add('max-requests', 600, "callers' requests served at once")
     add('max-body-bytes', 16 * 1024 * 1024, 'largest body of a model request')
+    add('memory-limit-mb', 256, 'memory that this VM may take')
     add('vm-slots', 8, "number of VMs that each customer's rate is divided by")
     add(
         'election-timeout',
