Answer what has come on kept connections side by side at a stop

What callers see: several have sent a request on a kept connection as its listener stops; behind one whose answer takes long, the others get none before the process ends.

Cause: the thread that stops the listener answered them one after another, while it closed the connections.

Evidence: on the code before, the new test's application was reached by the first of two such requests and not by the second ([True, False]).

Connections on which something has come now go to the workers, which the stop waits for within its time; the others are closed as before.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -62,6 +62,17 @@
         self.server.socket.close()
         self.server.socket = None
 
+    def close(self):
+        """Close the connections, once what has come on them is answered.
+
+        The workers answer it side by side.
+        """
+        for descriptor, connection in list(self._selector.connections):
+            if connection is not self.server and connection.has_input:
+                self._selector.unregister(descriptor)
+                self.server.process_conn(connection)
+        super().close()
+
     def _accept_all(self):
         poller = select.poll()
         poller.register(self.server.socket, select.POLLIN)
--- a/tests/test_listener_stops.py
+++ b/tests/test_listener_stops.py
@@ -123,6 +123,14 @@
     )
 
 
+def _await_idle(server, count):
+    """Wait until no worker has one of some kept connections."""
+    manager = server._server._connections
+    relay_test_fleet.await_reply(
+        lambda: manager._num_connections, lambda idle: idle == count
+    )
+
+
 def _start_stop(server):
     stopping = threading.Thread(target=server.stop, daemon=True)
     stopping.start()
@@ -158,6 +166,46 @@
         assert _read_all(client).startswith(b'HTTP/1.1 200')
 
 
+# Of requests that had come on several kept connections at a stop, those behind
+# one whose answer took long got none before the process ended.
+def test_requests_on_several_connections_are_answered_together_at_a_stop(
+    server, application, monkeypatch
+):
+    manager = server._server._connections
+    stop = manager.stop
+    clients = [_connect(server) for _ in range(2)]
+    for client in clients:
+        client.sendall(WHOLE)
+        assert application.arrived.acquire(
+            timeout=relay_test_fleet.WAIT_SECONDS
+        )
+        while not client.recv(65536).endswith(b'answer'):
+            pass
+    _await_idle(server, len(clients))
+
+    def stop_and_send():
+        stop()
+        for client in clients:
+            client.sendall(WHOLE)
+        for _, connection in manager._selector.connections:
+            if connection is not server._server:
+                relay_test_fleet.await_input(connection.socket)
+
+    monkeypatch.setattr(manager, 'stop', stop_and_send)
+    application.may_answer.clear()
+    server.set_stop_seconds(relay_test_fleet.WAIT_SECONDS)
+    _start_stop(server)
+    are_together = [
+        application.arrived.acquire(timeout=relay_test_fleet.WAIT_SECONDS / 4)
+        for _ in clients
+    ]
+    application.may_answer.set()
+    for client in clients:
+        with client:
+            assert _read_all(client).startswith(b'HTTP/1.1 200')
+    assert are_together == [True] * len(clients)
+
+
 # Requests that were read behind another one at a stop were dropped.
 def test_requests_read_ahead_are_answered_at_a_stop(server, application):
     application.may_answer.clear()
