--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -62,11 +62,23 @@
         self.server.socket.close()
         self.server.socket = None
 
+    def close(self):
+        """Close the connections, once what has come on them is answered.
+
+        The workers answer it side by side.
+        """
+        for descriptor, connection in list(self._selector.connections):
+            if connection is not self.server and connection.has_input:
+                self._selector.unregister(descriptor)
+                self.server.process_conn(connection)
+        super().close()
+
     def _accept_all(self):
         poller = select.poll()
         poller.register(self.server.socket, select.POLLIN)
+        ends_at = clocks.now() + self.server.shutdown_timeout
         for _ in range(self.server.request_queue_size):
-            if not poller.poll(0):
+            if clocks.now() >= ends_at or not poller.poll(0):
                 return
             connection = self._accept(self.server.socket)
             if connection is not None:
