Read whole refusals in the test of many large bodies

It read once without waiting, and failed once as only the head of a refusal had come (beside load about 30); the check of each refusal is the same.

--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import pathlib
+import re
 import select
 import threading
 
@@ -161,12 +162,29 @@
         self.has_sent.set()
 
     def read_refusal(self):
-        """Return what has come, without waiting."""
-        self.connection.setblocking(False)
-        try:
-            return self.connection.recv(65536)
-        except OSError:
+        """Return the whole answer if one has begun to come."""
+        if not _has_input(self.connection):
             return b''
+        self.connection.settimeout(relay_test_fleet.WAIT_SECONDS)
+        data = b''
+        while not _is_whole(data):
+            part = self.connection.recv(65536)
+            if not part:
+                break
+            data += part
+        return data
+
+
+def _has_input(connection):
+    poller = select.poll()
+    poller.register(connection, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def _is_whole(answer):
+    head, separator, body = answer.partition(b'\r\n\r\n')
+    length = re.search(rb'content-length: ([0-9]+)', head.lower())
+    return bool(separator and length and len(body) >= int(length[1]))
 
 
 def _await_any_input(callers):
