Give the stub of an operator's request what its reading now takes

The test failed since the body of an operator's request is read within a budget and a time: its stand-in for the connection had neither. What it checks is unchanged: the message is refused as malformed.

--- a/tests/test_peer_input_properties.py
+++ b/tests/test_peer_input_properties.py
@@ -7,6 +7,7 @@
 import json
 import math
 import types
+from unittest import mock
 
 from carobwood import errors
 from carobwood_platform import control_api
@@ -22,6 +23,7 @@
 from carobwood_daemon.entry import model_calls
 from carobwood_daemon.entry import request_reads
 from carobwood_daemon.entry import strict_request
+from carobwood_daemon.limits import buffer_budget
 from carobwood_daemon.membership import gossip_records
 from carobwood_daemon.operators import messages
 from carobwood_daemon.operators import operator_app
@@ -206,13 +208,15 @@
 
 def test_a_message_of_an_operator_that_is_nested_too_deeply_is_refused():
     body = b'{"unknown": %s' % DEEP
-    connection = types.SimpleNamespace(
-        conn=object(),
-        server=types.SimpleNamespace(
-            request_reads=request_reads.RequestReads()
-        ),
+    server = types.SimpleNamespace(
+        request_reads=request_reads.RequestReads(), timeout=30.0
     )
+    rfile = types.SimpleNamespace(
+        bound=lambda seconds: None, release=lambda: None
+    )
+    connection = mock.Mock(conn=mock.Mock(server=server, rfile=rfile))
     request = types.SimpleNamespace(
+        body_reservation=buffer_budget.unlimited().reserve('request'),
         headers={'Content-Length': str(len(body))},
         wsgi_environ={
             'wsgi.input': io.BytesIO(body),
