Bound what the frames of all links of a VM hold together

Cause: a frame may have 64 MB on each link, is kept twice while it is read, and stays with an idle link until the next one comes. Fix: the frames of a process take what comes of them, beyond 64 KiB each, from a budget of one frame of the largest size; a frame that finds nothing left is refused and its link closed. Frames are dropped once their message is decoded. The format and the largest frame are unchanged, so older builds are read.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/link.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link.py
@@ -67,6 +67,7 @@
         except BaseException:
             connection.transport.close()
             raise
+        connection.transport.drop_received()
         self._release(connection)
         return reply
 
--- a/packages/carobwood-daemon/carobwood_daemon/membership/link_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link_server.py
@@ -195,6 +195,7 @@
                 self._processor.process(
                     connection.protocol, connection.protocol
                 )
+                connection.drop_received()
         except errors.LinkRefused as error:
             events.emit(events.LINK_REFUSED, reason=error.detail)
             self._close(connection)
@@ -224,6 +225,7 @@
             self._connections.discard(connection)
             self._served.discard(connection)
         connection.socket.close()
+        connection.drop_received()
 
 
 class _Connection:
@@ -248,6 +250,11 @@
         transport.set_timeout(CALL_TIMEOUT_SECONDS)
         self.protocol = TCompactProtocol.TCompactProtocolAccelerated(transport)
 
+    def drop_received(self):
+        """Drop the call that was received last."""
+        if self.protocol is not None:
+            self.protocol.trans.drop_received()
+
     def shut_down(self):
         """End a call that a worker is serving."""
         try:
--- a/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
@@ -20,11 +20,15 @@
 
 from carobwood import errors
 
+from ..limits import buffer_budget
+
 from . import link_versions
 
 PROTOCOL_VERSION = 5
 SPOKEN_VERSIONS = link_versions.VersionRange(5, PROTOCOL_VERSION)
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+# Bytes that are received at once.
+PART_BYTES = 64 * 1024
 
 _MAGIC = b'CBWL'
 _PROOF_BYTES = 32
@@ -59,6 +63,9 @@
 
 
 METER = LinkMeter()
+# What the frames of all links of this process may hold together. It is not
+# the budget of requests, which would let these hold up the fleet's own calls.
+FRAME_BUDGET = buffer_budget.BufferBudget(MAX_FRAME_BYTES)
 
 
 class LinkTransport(TTransport.TTransportBase, TTransport.CReadableTransport):
@@ -66,7 +73,8 @@
 
     Socket errors are raised as ``OSError`` or ``EOFError``; a frame that
     fails authentication or exceeds ``MAX_FRAME_BYTES`` raises
-    ``LinkRefused``.
+    ``LinkRefused``, and so does one beside which the frames of other links
+    have left no memory.
 
     Attributes:
         version: version of the protocol that both sides use.
@@ -81,6 +89,7 @@
         self._received_frames = 0
         self._incoming = io.BytesIO()
         self._outgoing = io.BytesIO()
+        self._reservation = FRAME_BUDGET.reserve('frame')
 
     def isOpen(self):  # noqa: N802 (named by thrift)
         """Tell whether the socket is open."""
@@ -94,6 +103,12 @@
         if self._socket is not None:
             self._socket.close()
             self._socket = None
+        self.drop_received()
+
+    def drop_received(self):
+        """Drop the frames that were received; their message is decoded."""
+        self._incoming = io.BytesIO()
+        self._reservation.release()
 
     def set_timeout(self, seconds):
         """Set the timeout of each later socket operation."""
@@ -141,7 +156,7 @@
             raise errors.LinkRefused(
                 f'a frame of {size} bytes exceeds the limit'
             )
-        payload = _receive_exactly(self._socket, size)
+        payload = _receive_exactly(self._socket, size, self._reservation)
         expected = _authentication_code(
             self._receive_key, self._received_frames, payload
         )
@@ -306,13 +321,16 @@
     return digest.digest()
 
 
-def _receive_exactly(connection, size):
-    parts = []
-    missing = size
-    while missing:
-        part = connection.recv(min(missing, 1 << 20))
+def _receive_exactly(connection, size, reservation=None):
+    """Return a number of bytes, which are taken from a reservation."""
+    content = io.BytesIO()
+    while missing := size - content.tell():
+        part = connection.recv(min(missing, PART_BYTES))
         if not part:
             raise EOFError('the connection was closed')
-        parts.append(part)
-        missing -= len(part)
-    return b''.join(parts)
+        if reservation is not None and not reservation.try_extend(len(part)):
+            raise errors.LinkRefused(
+                'no memory is left for a frame beside those of other links'
+            )
+        content.write(part)
+    return content.getvalue()
