Look at a process that has no descriptor left without a fault

What operators see: thread-failed (103) of the timer each second, as the look at the process's memory and descriptors needs a descriptor itself.

--- a/packages/carobwood-daemon/carobwood_daemon/observe/process_resources.py
+++ b/packages/carobwood-daemon/carobwood_daemon/observe/process_resources.py
@@ -42,11 +42,16 @@
 
     def sample(self):
         """Set the levels, and log a warning if memory runs short."""
-        resident = _resident_bytes()
+        try:
+            resident = _resident_bytes()
+            descriptors = len(os.listdir(_DESCRIPTORS))
+        except OSError:
+            # No descriptor is left, which the listeners log.
+            return
         gauge = self._metrics.gauge
         gauge('resident_bytes', resident)
         gauge('memory_limit_bytes', self._memory_limit_bytes)
-        gauge('open_descriptors', len(os.listdir(_DESCRIPTORS)))
+        gauge('open_descriptors', descriptors)
         gauge(
             'descriptor_limit', resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         )
--- a/tests/test_process_resources.py
+++ b/tests/test_process_resources.py
@@ -1,6 +1,7 @@
 """Lines and levels that tell why a process ended without a planned stop."""
 
 import dataclasses
+import errno
 import logging
 
 from carobwood_daemon.limits import buffer_budget
@@ -51,6 +52,19 @@
     assert not _lines(caplog, 'memory-short')
 
 
+# Each look at a process without a descriptor failed as a fault of the timer.
+def test_a_process_without_descriptors_is_looked_at_again(monkeypatch):
+    def refuse(path):
+        raise OSError(errno.EMFILE, path)
+
+    watch, levels = _watch(1024 * GIGABYTE, iter(()))
+    with monkeypatch.context() as patch:
+        patch.setattr(process_resources.os, 'listdir', refuse)
+        watch.sample()
+    watch.sample()
+    assert b'open_descriptors' in levels.text()
+
+
 # No line of any VM told that a VM which was killed had started again.
 def test_the_start_of_a_known_vm_is_logged_by_the_others(caplog):
     known_fleet = directory.Directory(OWN, ())
