Let only connections make room that have been idle for a second

What callers see: at the limit of descriptors, a request on a kept connection ends without an answer, as the VM closes the connection while it comes.

A caller that pauses for less than a second between two requests is likely to be sending. While descriptors are short, its answers close the connection, which no request can cross; new connections wait in the listener's queue.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -22,6 +22,9 @@
 RESERVED_SHARE = 0.25
 # Share of the idle connections that are closed to make room at once.
 CLOSED_SHARE = 0.125
+# Time for which a connection must have been idle to make room: its caller may
+# be sending the next request on it.
+MIN_IDLE_SECONDS = 1.0
 # Pause while no descriptor is left and no connection is idle.
 PAUSE_SECONDS = 0.05
 # Time for which descriptors count as short, and between two log lines on it.
@@ -62,6 +65,11 @@
         self.server.socket.close()
         self.server.socket = None
 
+    def put(self, conn):
+        """Watch an idle connection; see ``ConnectionManager``."""
+        conn.idle_since = clocks.now()
+        super().put(conn)
+
     def close(self):
         """Close the connections, once what has come on them is answered.
 
@@ -120,12 +128,16 @@
         """
         now = clocks.now()
         self._short_until = now + SHORTAGE_SECONDS
+        # At a stop all of them are closed.
+        idle_before = now - MIN_IDLE_SECONDS if self.server.ready else now
         idle = [
-            (connection.last_used, descriptor, connection)
+            (connection.idle_since, descriptor, connection)
             for descriptor, connection in list(self._selector.connections)
-            if connection is not self.server and not connection.has_input
+            if connection is not self.server
+            and connection.idle_since <= idle_before
+            and not connection.has_input
         ]
-        idle.sort(key=lambda entry: entry[0])
+        idle.sort(key=lambda entry: entry[:2])
         closed = idle[: int(len(idle) * CLOSED_SHARE) + 1]
         for _, descriptor, connection in closed:
             self._selector.unregister(descriptor)
