Read a head that has come although the deadline has passed

A VM that was held up past a request's deadline would have put a head that lay ready down to the endpoint. Cause: the head's bound of time was the time left, also if that was none. Evidence: the test before the fix: "EndpointFailed: reading the response failed: TimeoutError('the bytes did not end within the time')". Fix: a head has 0.1 s at least.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -48,6 +48,8 @@
 # Bounds of a response's head, interim responses included.
 MAX_HEAD_SECONDS = 5.0
 MAX_HEAD_BYTES = 256 * 1024
+# Time for a head that has come while this VM was held up past the deadline.
+MIN_HEAD_SECONDS = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -168,8 +170,8 @@
             method: HTTP method of the request; a response to ``HEAD`` has
                 no body.
             timeout: seconds that each read may take.
-            seconds: time within which the head must end, at most
-                ``MAX_HEAD_SECONDS``.
+            seconds: time within which the head must end, from
+                ``MIN_HEAD_SECONDS`` to ``MAX_HEAD_SECONDS``.
 
         Returns:
             The status, and the headers by name in lower case.
@@ -188,7 +190,8 @@
             )
         try:
             self._socket.settimeout(timeout)
-            self._bounds.bound(min(seconds, MAX_HEAD_SECONDS), MAX_HEAD_BYTES)
+            seconds = max(MIN_HEAD_SECONDS, min(seconds, MAX_HEAD_SECONDS))
+            self._bounds.bound(seconds, MAX_HEAD_BYTES)
             response.begin()
         except _IO_FAILURES as error:
             response.fp = None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -160,7 +160,7 @@
             status, headers = connection.read_head(
                 self._caller.method,
                 READ_TIMEOUT_SECONDS,
-                max(0.0, self._request.seconds_left),
+                self._request.seconds_left,
             )
             head = self._context.dialect.parse_response_head(status, headers)
             is_own = self._is_own(head, connection)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -125,7 +125,7 @@
         )
         self._await(connection, caller, request)
         status, headers = connection.read_head(
-            caller.method, READ_TIMEOUT_SECONDS, max(0.0, request.seconds_left)
+            caller.method, READ_TIMEOUT_SECONDS, request.seconds_left
         )
         self._check_request_id(request, status, headers)
         code = headers.get(forwarding_headers.ERROR, '')
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -288,6 +288,16 @@
     assert server.is_closed.wait(TIMEOUT_SECONDS)
 
 
+# A VM that was held up past a deadline put it down to the endpoint.
+def test_a_head_that_has_come_is_read_after_the_deadline():
+    server = ScriptedServer(RESPONSE, closes_connection=False)
+    connection = connection_pool.ConnectionPool().acquire(server.address)
+    connection.send(REQUEST, TIMEOUT_SECONDS)
+    connection.wait(None, TIMEOUT_SECONDS)
+    status, _ = connection.read_head('POST', TIMEOUT_SECONDS, -1.0)
+    assert (status, _read_body(connection)) == (200, b'ok')
+
+
 @pytest.mark.parametrize(
     ('repeated', 'pause'), [(b'x' * 4096, 0.0), (b'x', 0.01)]
 )
