Bound the time of a request's head

A caller that sent a byte of its head now and then kept a worker thread for as long as it liked, as each byte began the timeout of the connection anew. As many such callers as there are threads kept all other callers of the listener waiting. Bodies were bounded, heads were not.

Before, the test printed 'the head is still read', 'assert 400 < 400', for a request line and for a header, with a timeout of 0.5 s and a byte each 0.05 s.

The reads of a head are bounded together by the timeout that each of them had. Waiting for the first byte is no part of it where connections wait without a worker; over TLS it is, as before.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -123,6 +123,23 @@
     # The body, also once the gateway has replaced ``rfile``.
     _body = None
 
+    def parse_request(self):
+        """Read the head within the timeout of the connection.
+
+        See ``cheroot.server.HTTPRequest``.
+        """
+        if self.server.timeout is None:
+            super().parse_request()
+            return
+        self.conn.rfile.bound(self.server.timeout)
+        try:
+            super().parse_request()
+        except TimeoutError as error:
+            # By its text, cheroot tells it from a failed connection.
+            raise TimeoutError('timed out') from error
+        finally:
+            self.conn.rfile.release()
+
     def respond(self):
         """Have the gateway answer; see ``cheroot.server.HTTPRequest``."""
         if self.chunked_read:
