Leave connections that have ended to the turn that serves them

A turn of a listener's loop first accepts and then serves what is ready. While descriptors ran short, making room in the first step closed an idle connection that its caller had just closed, and the second step looked for it again: KeyError, 'Error in HTTPServer.serve' in the log, and all other connections that were ready waited for the next turn.

Before, the test printed "assert not ['Error in HTTPServer.serve']".

An ended connection has no input, so it counted as idle. Room is now made only among connections on which nothing can be read, not even their end.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -63,10 +63,8 @@
         self.server.socket = None
 
     def _accept_all(self):
-        poller = select.poll()
-        poller.register(self.server.socket, select.POLLIN)
         for _ in range(self.server.request_queue_size):
-            if not poller.poll(0):
+            if not _is_readable(self.server.socket):
                 return
             connection = self._accept(self.server.socket)
             if connection is not None:
@@ -111,7 +109,7 @@
         idle = [
             (connection.last_used, descriptor, connection)
             for descriptor, connection in list(self._selector.connections)
-            if connection is not self.server and not connection.has_input
+            if connection is not self.server and not _is_readable(descriptor)
         ]
         idle.sort(key=lambda entry: entry[0])
         closed = idle[: int(len(idle) * CLOSED_SHARE) + 1]
@@ -140,6 +138,13 @@
     return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
 
+def _is_readable(descriptor):
+    """Return whether a socket, or its descriptor, has input or its end."""
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _is_reserved(sock):
     """Return whether a socket has one of the last descriptors."""
     # The kernel gives the lowest number that is free.
--- /dev/null
+++ b/tests/test_listener_shortages.py
@@ -0,0 +1,70 @@
+"""Tests of a listener's connections while descriptors run short."""
+
+import http.client
+import socket
+import threading
+
+from carobwood import addresses
+from carobwood_daemon.entry import listener_connections
+from carobwood_daemon.relay import gateway
+from carobwood_daemon.relay import http_server
+import pytest
+import relay_test_fleet
+
+
+@pytest.fixture
+def server():
+    """Run a listener."""
+    listener = http_server.HttpServer(
+        addresses.Address('127.0.0.1', 0),
+        gateway.make_api_gateway(lambda _: gateway.ApiResponse(200, 'OK')),
+        4,
+    )
+    listener.start()
+    yield listener
+    listener.stop()
+
+
+def _ask(server):
+    connection = http.client.HTTPConnection(
+        '127.0.0.1', server.port, timeout=relay_test_fleet.WAIT_SECONDS
+    )
+    connection.request('GET', '/')
+    assert connection.getresponse().read() == b''
+    return connection
+
+
+# A connection that its caller had just closed was closed to make room and
+# then looked for again: the listener logged a fault of its own.
+def test_a_connection_that_has_ended_is_not_closed_twice_to_make_room(
+    server, monkeypatch
+):
+    faults = []
+    server._server.error_log = lambda msg='', **_: faults.append(msg)
+    held = threading.Event()
+    released = threading.Event()
+    has_begun = listener_connections.ListenerConnections._has_begun
+
+    def hold(self, connection):
+        held.set()
+        released.wait(relay_test_fleet.WAIT_SECONDS)
+        return has_begun(self, connection)
+
+    idle = _ask(server)
+    address = ('127.0.0.1', server.port)
+    monkeypatch.setattr(
+        listener_connections.ListenerConnections, '_has_begun', hold
+    )
+    with socket.create_connection(address):
+        assert held.wait(relay_test_fleet.WAIT_SECONDS)
+        monkeypatch.setattr(
+            listener_connections, '_is_reserved', lambda _: True
+        )
+        with socket.create_connection(address) as waiting:
+            idle.close()
+            released.set()
+            waiting.sendall(b'GET / HTTP/1.0\r\n\r\n')
+            assert waiting.recv(4096).startswith(b'HTTP/1.1 200 ')
+    monkeypatch.undo()
+    _ask(server).close()
+    assert not faults
