Give up accepting at a stop while no descriptor is left

A stop accepts what waits at the listener. Without a descriptor left and without an idle connection, each attempt failed after a pause of 50 ms, as often as the backlog is long: 512 pauses, 25 s. Only then does the listener answer or refuse what its connections hold; by reading, not by a run, a stop has ended before that.

Before, the test printed 'assert 512 < (512 / 2)', the attempts of one stop.

The first attempt that fails later than 0.2 s after the first one is now the last.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -24,6 +24,8 @@
 CLOSED_SHARE = 0.125
 # Pause while no descriptor is left and no connection is idle.
 PAUSE_SECONDS = 0.05
+# Time for accepting what waits at a stop while none is left.
+MAX_STOP_SECONDS = 0.2
 # Time for which descriptors count as short, and between two log lines on it.
 SHORTAGE_SECONDS = 1.0
 # What accepting a connection raises if the process or the system is short.
@@ -63,12 +65,15 @@
         self.server.socket = None
 
     def _accept_all(self):
+        ends_at = clocks.now() + MAX_STOP_SECONDS
         for _ in range(self.server.request_queue_size):
             if not _is_readable(self.server.socket):
                 return
             connection = self._accept(self.server.socket)
             if connection is not None:
                 self.server.process_conn(connection)
+            elif clocks.now() >= ends_at:
+                return
 
     def _from_server_socket(self, server_socket):
         """Accept a connection; return it if a request has begun to come."""
--- a/tests/test_listener_shortages.py
+++ b/tests/test_listener_shortages.py
@@ -1,5 +1,6 @@
 """Tests of a listener's connections while descriptors run short."""
 
+import errno
 import http.client
 import socket
 import threading
@@ -8,6 +9,7 @@
 from carobwood_daemon.entry import listener_connections
 from carobwood_daemon.relay import gateway
 from carobwood_daemon.relay import http_server
+from cheroot import connections
 import pytest
 import relay_test_fleet
 
@@ -34,6 +36,30 @@
     return connection
 
 
+# The stop outlasted its time, and connections that were idle in it were
+# never answered.
+def test_a_stop_gives_up_accepting_while_no_descriptor_is_left(
+    server, monkeypatch
+):
+    has_failed = threading.Event()
+    attempts_at_stop = []
+
+    def fail(*_):
+        has_failed.set()
+        if threading.current_thread() is threading.main_thread():
+            attempts_at_stop.append(1)
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+    monkeypatch.setattr(
+        connections.ConnectionManager, '_from_server_socket', fail
+    )
+    address = ('127.0.0.1', server.port)
+    with socket.create_connection(address):
+        assert has_failed.wait(relay_test_fleet.WAIT_SECONDS)
+        server.stop()
+    assert len(attempts_at_stop) < http_server.BACKLOG / 2
+
+
 # A connection that its caller had just closed was closed to make room and
 # then looked for again: the listener logged a fault of its own.
 def test_a_connection_that_has_ended_is_not_closed_twice_to_make_room(
