Tell the end of an answer of status 205 that is passed on

With the VM's memory for answers used up, an answer in chunks goes to its caller before its length is known. cheroot frames no body of status 205, which should have none. If an endpoint sent one, its bytes followed the head without framing, on a connection that was kept: the caller would take them for its next answer.

Before, the test printed only 'Date' and 'Server' as the headers of the answer of status 205; 200, 404 and 413 passed.

A passed-on answer whose length is not known now announces the end of its connection. Those in chunks keep their chunks.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/whole_answer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/whole_answer.py
@@ -100,6 +100,9 @@
             peer=self._caller.peer,
         )
         self.is_passed_on = True
+        if declared_length is None:
+            # cheroot frames no body of a status that should have none.
+            self._caller.close_after_response()
         self._send_head(declared_length, note_start)
         self._send_blocks()
         self._reservation.release()
