Keep what may have run elsewhere when another VM refuses

A VM that reaches no endpoint passes a request on. If the first VM broke off, an idempotent request goes to a second one. A refusal of the second VM, such as buffers_full, was then told to the caller as it was: not run, although the first VM may have run it; and its units were refunded.

Before, the test printed 'assert <Outcome.NOT_RUN> is <Outcome.UNKNOWN>'.

The error of the first VM is told then, as it already is when the second one takes no request at all.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -91,6 +91,13 @@
                 if not _may_forward_again(caller, request):
                     raise
                 final_error = error
+            except errors.ForwardedRequestFailed as error:
+                if error.outcome is not errors.Outcome.NOT_RUN:
+                    raise
+                if final_error.outcome is errors.Outcome.NOT_RUN:
+                    raise
+                # A VM that was asked before may have run it.
+                raise final_error from error
             self._peers.avoid(vm.id)
         raise final_error
 
