--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -82,11 +82,10 @@
         super().close()
 
     def _accept_all(self):
-        poller = select.poll()
-        poller.register(self.server.socket, select.POLLIN)
         ends_at = clocks.now() + self.server.shutdown_timeout
         for _ in range(self.server.request_queue_size):
-            if clocks.now() >= ends_at or not poller.poll(0):
+            is_late = clocks.now() >= ends_at
+            if is_late or not _is_readable(self.server.socket):
                 return
             connection = self._accept(self.server.socket)
             if connection is not None:
@@ -136,6 +135,8 @@
             if connection is not self.server
             and connection.idle_since <= idle_before
             and not connection.has_input
+            # A connection that has ended is closed in its turn.
+            and not _is_readable(descriptor)
         ]
         idle.sort(key=lambda entry: entry[:2])
         closed = idle[: int(len(idle) * CLOSED_SHARE) + 1]
@@ -164,6 +165,13 @@
     return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
 
+def _is_readable(descriptor):
+    """Return whether a socket, or its descriptor, has input or its end."""
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _is_reserved(sock):
     """Return whether a socket has one of the last descriptors."""
     # The kernel gives the lowest number that is free.
--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -15,19 +15,9 @@
     """A request whose reads end when its listener stops."""
 
     def parse_request(self):
-        """Read the head; see ``cheroot.server.HTTPRequest``.
-
-        The timeout of the listener bounds the head as a whole.
-        """
+        """Read the head; see ``StrictRequest``."""
         with self.server.request_reads.track(self.conn):
-            self.conn.rfile.bound(self.server.timeout)
-            try:
-                super().parse_request()
-            except TimeoutError as error:
-                # The text by which cheroot knows a timeout.
-                raise TimeoutError('timed out') from error
-            finally:
-                self.conn.rfile.release()
+            super().parse_request()
         if self._is_awaited_at_stop():
             self._refuse_unread()
 
