Read a refusal to its end in the test of waiting callers

The test failed once for its case of other VMs: it read what had come, which was the head of a refusal whose body followed. It now waits for the whole answer and checks the same. 3 of 3 runs passed after the change.

--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -161,12 +161,21 @@
         self.has_sent.set()
 
     def read_refusal(self):
-        """Return what has come, without waiting."""
+        """Return the whole answer if its beginning has come."""
         self.connection.setblocking(False)
+        answer = b''
         try:
-            return self.connection.recv(65536)
+            answer = self.connection.recv(65536)
+            self.connection.settimeout(relay_test_fleet.WAIT_SECONDS)
+            while not answer.endswith(b'}}'):
+                part = self.connection.recv(65536)
+                if not part:
+                    break
+                answer += part
         except OSError:
-            return b''
+            # Nothing has come, or the connection has failed.
+            pass
+        return answer
 
 
 def _await_any_input(callers):
