Answer what has come although descriptors run short

While descriptors run short, answers close their connections. cheroot did so too if the next request had already come on the connection: of two requests sent together, the second got neither an answer nor a refusal.

Before, the test printed 'assert 1 == 2', the answers to two requests.

Whether a connection is kept is now decided where a stop is: it is closed with an answer only if nothing has come behind its request.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -50,11 +50,16 @@
 
     @property
     def can_add_keepalive_connection(self):
-        """Whether a connection may be kept; see ``HTTPServer``.
+        """Return True, as the requests decide; see ``HTTPServer``.
 
-        At a stop the requests decide.
+        cheroot would close a connection on which the next request has come.
         """
-        return not self.ready or super().can_add_keepalive_connection
+        return True
+
+    @property
+    def has_room(self):
+        """Whether a connection may be kept for requests to come."""
+        return super().can_add_keepalive_connection
 
 
 def stop_together(servers, ends_at, least_seconds):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -171,7 +171,11 @@
         super().send_headers()
 
     def _ends_connection(self):
-        return not self.server.ready or self.is_closing()
+        return (
+            not self.server.ready
+            or not self.server.has_room
+            or self.is_closing()
+        )
 
     def simple_response(self, status, msg=''):
         """Respond to a request that does not reach the application.
--- a/tests/test_listener_shortages.py
+++ b/tests/test_listener_shortages.py
@@ -94,3 +94,20 @@
     monkeypatch.undo()
     _ask(server).close()
     assert not faults
+
+
+# The answer to the first of two requests closed the connection, and the
+# second one, which had come with it, got neither an answer nor a refusal.
+def test_a_request_behind_another_is_answered_while_descriptors_run_short(
+    server, monkeypatch
+):
+    monkeypatch.setattr(
+        server._server._connections, '_short_until', float('inf')
+    )
+    address = ('127.0.0.1', server.port)
+    seconds = relay_test_fleet.WAIT_SECONDS
+    with socket.create_connection(address, seconds) as caller:
+        caller.sendall(2 * b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        received = b''.join(iter(lambda: caller.recv(4096), b''))
+    assert received.count(b'HTTP/1.1 200 OK') == 2
+    assert received.count(b'Connection: close') == 1
