Name the reader of answers for what it reads, and move the verbs' context

Change: relay/answer_reader.py with AnswerReader; PorcelainContext stands with the operators' verbs. No behaviour changes.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -1,6 +1,5 @@
 """Builds, starts and stops the components of a VM's daemon."""
 
-import dataclasses
 import ipaddress
 import sys
 import threading
@@ -40,6 +39,7 @@
 from .observe import tracing
 from .operators import operator_app
 from .operators import porcelain
+from .operators import porcelain_context
 from .orders import order_sender
 from .orders import rollout
 from .replication import data_folder
@@ -71,31 +71,6 @@
 SWITCH_INTERVAL_SECONDS = 0.0002
 
 
-@dataclasses.dataclass(frozen=True)
-class PorcelainContext:
-    """Components of the daemon that the porcelain works with.
-
-    Attributes:
-        store: this VM's copy of the fleet's state.
-        replica_runner: the replica of the log; None without a data folder.
-        proposer: commits commands to the replicated log.
-        directory: VMs and endpoints known to this VM.
-        withdrawals: digests of withdrawn keys.
-        gossip: exchanges updates with the other VMs.
-        gate: counts the callers' requests in flight.
-        links: connections to other VMs.
-    """
-
-    store: state_store.StateStore
-    replica_runner: replica_runners.ReplicaRunner | None
-    proposer: proposers.Proposer
-    directory: directories.Directory
-    withdrawals: withdrawal_sets.Withdrawals
-    gossip: gossips.Gossip
-    gate: request_gate.RequestGate
-    links: link.Links
-
-
 class Daemon:
     """The daemon of one VM."""
 
@@ -432,7 +407,7 @@
         )
 
     def _porcelain_context(self):
-        return PorcelainContext(
+        return porcelain_context.PorcelainContext(
             self._store,
             self._replica_runner,
             self._proposer,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/body_reader.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/answer_reader.py
@@ -10,7 +10,7 @@
 from . import endpoint_connections
 
 
-class BodyReader:
+class AnswerReader:
     """Reads the body of one response to one caller."""
 
     def __init__(self, connection, caller, read_timeout):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -13,7 +13,7 @@
 from ..entry import response_body
 
 from . import admission
-from . import body_reader
+from . import answer_reader
 from . import caller_request
 from . import event_splitter
 from . import whole_answer
@@ -194,7 +194,7 @@
         )
 
     def _open_reader(self, response):
-        return body_reader.BodyReader(
+        return answer_reader.AnswerReader(
             response.upstream, self._caller, BODY_READ_TIMEOUT_SECONDS
         )
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -14,7 +14,7 @@
 
 from ..entry import response_body
 
-from . import body_reader
+from . import answer_reader
 from . import caller_request
 from . import endpoint_connections
 from . import forwarding_headers
@@ -195,14 +195,16 @@
             caller, status, headers, self._context.buffers
         )
         answer.forward(
-            body_reader.BodyReader(connection, caller, READ_TIMEOUT_SECONDS),
+            answer_reader.AnswerReader(
+                connection, caller, READ_TIMEOUT_SECONDS
+            ),
             lambda: request.seconds_left,
             lambda: None,
         )
 
     def _read_parts(self, connection, caller, request):
         """Yield the parts of a body as they arrive."""
-        reader = body_reader.BodyReader(
+        reader = answer_reader.AnswerReader(
             connection, caller, READ_TIMEOUT_SECONDS
         )
         while not reader.has_ended:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/whole_answer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/whole_answer.py
@@ -51,7 +51,7 @@
         be aborted.
 
         Args:
-            reader: the ``BodyReader`` of the endpoint's response.
+            reader: the ``AnswerReader`` of the endpoint's response.
             find_seconds_left: function without arguments that returns the
                 seconds until the answer must have come.
             note_start: called without arguments before the head goes.
