--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -7,6 +7,10 @@
 import subprocess
 import sys
 
+from carobwood import addresses
+from carobwood_daemon.entry import listener_connections
+from carobwood_daemon.relay import gateway
+from carobwood_daemon.relay import http_server
 import pytest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -185,3 +189,34 @@
             contextlib.closing(listener.connect('/now'))
         )
         assert connection.getresponse().read() == b'answer'
+
+
+# A request on a kept connection crossed its close, as new ones made it room.
+def test_a_connection_used_just_now_makes_no_room(stack, monkeypatch):
+    module = listener_connections
+    monkeypatch.setattr(module, '_is_reserved', lambda sock: True)
+    monkeypatch.setattr(module, 'MIN_IDLE_SECONDS', 3600.0, raising=False)
+    response = gateway.ApiResponse(200, 'OK', b'answer')
+    server = http_server.HttpServer(
+        addresses.Address('127.0.0.1', 0),
+        gateway.make_api_gateway(lambda request: response),
+        8,
+    )
+    server.start()
+    stack.callback(server.stop)
+    kept = [
+        stack.enter_context(
+            contextlib.closing(
+                http.client.HTTPConnection(
+                    '127.0.0.1', server.port, timeout=TIMEOUT_SECONDS
+                )
+            )
+        )
+        for _ in range(4)
+    ]
+    for connection in kept:
+        connection.connect()
+    for connection in kept:
+        connection.auto_open = False
+        connection.request('GET', '/now')
+        assert connection.getresponse().read() == b'answer'
