Bound the time of a link's handshake

A peer that holds no secret could send its hello byte by byte: each byte began the timeout anew, up to 2 s for each of 54 bytes of hello and proof.

All that a caller sends in a handshake must come within the time that each read of it had. Frames after the handshake come from holders of the secret and keep the timeout of each read.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
@@ -18,6 +18,7 @@
 
 from thrift.transport import TTransport
 
+from carobwood import clocks
 from carobwood import errors
 
 from . import link_versions
@@ -222,7 +223,7 @@
     Args:
         connection: the socket.
         secret: the fleet's shared secret, as bytes.
-        timeout: seconds that each socket operation may wait.
+        timeout: seconds within which what the caller sends must come.
         versions: the ``VersionRange`` of this VM.
 
     Returns:
@@ -233,9 +234,10 @@
             version of the protocol.
         OSError, EOFError: the connection broke.
     """
+    ends_at = clocks.now() + timeout
     connection.settimeout(timeout)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    named_version, caller_nonce = _receive_hello(connection)
+    named_version, caller_nonce = _receive_hello(connection, ends_at)
     nonce = link_versions.make_nonce(versions, secret)
     hello = _make_hello(nonce, versions)
     caller_versions = link_versions.read_range(
@@ -250,7 +252,7 @@
         raise
     agreement = _Agreement(version, caller_nonce + nonce, secret)
     connection.sendall(hello + agreement.digest(b'callee'))
-    _check_proof(connection, agreement.digest(b'caller'))
+    _check_proof(connection, agreement.digest(b'caller'), ends_at)
     return LinkTransport(
         connection,
         agreement.digest(b'to-caller'),
@@ -282,9 +284,9 @@
     return _HELLO.pack(_MAGIC, link_versions.hello_version(versions), nonce)
 
 
-def _receive_hello(connection):
+def _receive_hello(connection, ends_at=None):
     """Return the version that a hello names, and its nonce."""
-    hello = _receive_exactly(connection, _HELLO.size)
+    hello = _receive_exactly(connection, _HELLO.size, ends_at)
     magic, version, nonce = _HELLO.unpack(hello)
     if magic != _MAGIC:
         raise errors.LinkRefused(
@@ -293,8 +295,8 @@
     return version, nonce
 
 
-def _check_proof(connection, expected):
-    proof = _receive_exactly(connection, _PROOF_BYTES)
+def _check_proof(connection, expected, ends_at=None):
+    proof = _receive_exactly(connection, _PROOF_BYTES, ends_at)
     if not hmac.compare_digest(proof, expected):
         raise errors.LinkRefused('the other side holds a different secret')
 
@@ -306,13 +308,27 @@
     return digest.digest()
 
 
-def _receive_exactly(connection, size):
+def _receive_exactly(connection, size, ends_at=None):
     parts = []
     missing = size
     while missing:
+        if ends_at is not None:
+            _limit_timeout(connection, ends_at)
         part = connection.recv(min(missing, 1 << 20))
         if not part:
             raise EOFError('the connection was closed')
         parts.append(part)
         missing -= len(part)
     return b''.join(parts)
+
+
+def _limit_timeout(connection, ends_at):
+    """Have the next socket operation end at a time.
+
+    Raises:
+        TimeoutError: the time has passed.
+    """
+    seconds_left = ends_at - clocks.now()
+    if seconds_left <= 0:
+        raise TimeoutError('the handshake did not end within the time')
+    connection.settimeout(seconds_left)
