--- a/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link_transport.py
@@ -18,6 +18,7 @@
 
 from thrift.transport import TTransport
 
+from carobwood import clocks
 from carobwood import errors
 
 from ..limits import buffer_budget
@@ -156,7 +157,9 @@
             raise errors.LinkRefused(
                 f'a frame of {size} bytes exceeds the limit'
             )
-        payload = _receive_exactly(self._socket, size, self._reservation)
+        payload = _receive_exactly(
+            self._socket, size, reservation=self._reservation
+        )
         expected = _authentication_code(
             self._receive_key, self._received_frames, payload
         )
@@ -237,7 +240,7 @@
     Args:
         connection: the socket.
         secret: the fleet's shared secret, as bytes.
-        timeout: seconds that each socket operation may wait.
+        timeout: seconds within which what the caller sends must come.
         versions: the ``VersionRange`` of this VM.
 
     Returns:
@@ -248,9 +251,10 @@
             version of the protocol.
         OSError, EOFError: the connection broke.
     """
+    ends_at = clocks.now() + timeout
     connection.settimeout(timeout)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    named_version, caller_nonce = _receive_hello(connection)
+    named_version, caller_nonce = _receive_hello(connection, ends_at)
     nonce = link_versions.make_nonce(versions, secret)
     hello = _make_hello(nonce, versions)
     caller_versions = link_versions.read_range(
@@ -265,7 +269,8 @@
         raise
     agreement = _Agreement(version, caller_nonce + nonce, secret)
     connection.sendall(hello + agreement.digest(b'callee'))
-    _check_proof(connection, agreement.digest(b'caller'))
+    _check_proof(connection, agreement.digest(b'caller'), ends_at)
+    connection.settimeout(timeout)
     return LinkTransport(
         connection,
         agreement.digest(b'to-caller'),
@@ -297,9 +302,9 @@
     return _HELLO.pack(_MAGIC, link_versions.hello_version(versions), nonce)
 
 
-def _receive_hello(connection):
+def _receive_hello(connection, ends_at=None):
     """Return the version that a hello names, and its nonce."""
-    hello = _receive_exactly(connection, _HELLO.size)
+    hello = _receive_exactly(connection, _HELLO.size, ends_at)
     magic, version, nonce = _HELLO.unpack(hello)
     if magic != _MAGIC:
         raise errors.LinkRefused(
@@ -308,8 +313,8 @@
     return version, nonce
 
 
-def _check_proof(connection, expected):
-    proof = _receive_exactly(connection, _PROOF_BYTES)
+def _check_proof(connection, expected, ends_at=None):
+    proof = _receive_exactly(connection, _PROOF_BYTES, ends_at)
     if not hmac.compare_digest(proof, expected):
         raise errors.LinkRefused('the other side holds a different secret')
 
@@ -321,10 +326,20 @@
     return digest.digest()
 
 
-def _receive_exactly(connection, size, reservation=None):
-    """Return a number of bytes, which are taken from a reservation."""
+def _receive_exactly(connection, size, ends_at=None, reservation=None):
+    """Return a number of bytes.
+
+    Args:
+        connection: the socket.
+        size: number of bytes.
+        ends_at: monotonic time until which all must come, or None.
+        reservation: the ``BufferReservation`` that they are taken from, or
+            None.
+    """
     content = io.BytesIO()
     while missing := size - content.tell():
+        if ends_at is not None:
+            _limit_timeout(connection, ends_at)
         part = connection.recv(min(missing, PART_BYTES))
         if not part:
             raise EOFError('the connection was closed')
@@ -334,3 +349,15 @@
             )
         content.write(part)
     return content.getvalue()
+
+
+def _limit_timeout(connection, ends_at):
+    """Have the next socket operation end at a time.
+
+    Raises:
+        TimeoutError: the time has passed.
+    """
+    seconds_left = ends_at - clocks.now()
+    if seconds_left <= 0:
+        raise TimeoutError('the handshake did not end within the time')
+    connection.settimeout(seconds_left)
