Give the memory of an answer back as it is sent

Callers saw: requests with bodies beyond 64 KiB got 503 buffers_full for as long as some other callers read large answers slowly; the review showed it with 34 MB held by three callers that read 0.5 MB/s, well beyond their deadlines. Cause: an answer held its part of the budget until it was sent whole. Change: each block is given back as it is sent.

--- a/packages/carobwood-daemon/carobwood_daemon/limits/buffer_budget.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/buffer_budget.py
@@ -133,6 +133,18 @@
                 f'no memory is left to read more of the {self._reader}'
             )
 
+    def reduce(self, size):
+        """Give bytes back of a part that is no longer kept.
+
+        Args:
+            size: number of bytes of the part.
+        """
+        self._size = max(0, self._size - size)
+        counted = max(0, self._size - self._free_bytes)
+        surplus = max(0, self._taken_bytes - counted)
+        self._budget.give_back(surplus)
+        self._taken_bytes -= surplus
+
     def release(self):
         """Give all bytes back."""
         self._budget.give_back(self._taken_bytes)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/whole_answer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/whole_answer.py
@@ -118,7 +118,9 @@
 
     def _send_blocks(self):
         while self._blocks:
-            self._write(self._blocks.popleft())
+            block = self._blocks.popleft()
+            self._write(block)
+            self._reservation.reduce(len(block))
 
     def _write(self, data):
         if data and self._caller.method != 'HEAD':
--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -84,3 +84,16 @@
     budget = buffer_budget.budget_bytes(limit)
     assert budget >= buffer_budget.MIN_BUDGET_BYTES
     assert buffer_budget.BASE_MEMORY_BYTES + 2 * budget <= limit
+
+
+def test_a_message_gives_back_the_parts_that_it_no_longer_keeps():
+    budget = buffer_budget.BufferBudget(MEGABYTE)
+    reservation = budget.reserve('answer')
+    reservation.extend(FREE + 1000)
+    reservation.reduce(400)
+    assert budget.used_bytes == 600
+    reservation.reduce(FREE)
+    assert budget.used_bytes == 0
+    reservation.reduce(600)
+    reservation.release()
+    assert budget.used_bytes == 0
