--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -57,8 +57,7 @@
 POOL_CLEANUP_PERIOD_SECONDS = 1.0
 # Period of checking the contact with the control VMs.
 CONTACT_CHECK_PERIOD_SECONDS = 0.25
-# Time without contact with the control VMs after which this VM counts as cut
-# off.
+# Time without contact with control VMs after which this VM counts as cut off.
 CUT_OFF_AFTER_SECONDS = 2.0
 # Part of the stop time that is reserved for closing servers and threads after
 # the requests have finished.
