--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -28,8 +28,10 @@
     that ends with the connection, ``/…/unframed-cut-after-N`` one that ends
     with it inside the event after N events, ``/…/chunked-cut-after-N`` one
     whose last chunk ends inside that event, ``/…/unframed-empty`` one
-    without an event,
-    ``/…/whole`` sends a response of a declared length, and any other
+    without an event, ``/…/pause-MS-after-N`` is silent for MS milliseconds
+    before the event after N events, ``/…/pause-MS-late-0``
+    before the head of a stream, ``/…/late-MS`` is silent before a response of a declared
+    length, ``/…/whole`` sends a response of a declared length, and any other
     path a complete event stream. A stream resumes after the event that
     ``Last-Event-Id`` names, and then it is complete.
 
@@ -190,6 +192,11 @@
             self._send_response(200, name, self._signature_headers())
         elif action.startswith('paced-'):
             self._send_paced_events(int(action.removeprefix('paced-')))
+        elif action.startswith('pause-'):
+            self._send_events_with_pause(action)
+        elif action.startswith('late-') and action[5:].isdigit():
+            time.sleep(int(action.removeprefix('late-')) / 1000)
+            self._send_response(200, b'whole', self._signature_headers())
         elif action == 'unregistered-status':
             self._send_response(599, b'odd', self._signature_headers())
         elif action == 'late-answer':
@@ -295,6 +302,22 @@
         except OSError:
             self.close_connection = True
 
+    def _send_events_with_pause(self, action):
+        _, milliseconds, place, count = action.split('-')
+        seconds = int(milliseconds) / 1000
+        first = int(self.headers.get('Last-Event-Id', 0)) + 1
+        if place == 'late':
+            time.sleep(seconds)
+        self._start_stream()
+        try:
+            for number in range(first, STREAM_EVENT_COUNT + 1):
+                if place == 'after' and number == int(count) + 1:
+                    time.sleep(seconds)
+                self._send_chunk(b'id: %d\ndata: %d\n\n' % (number, number))
+            self.wfile.write(b'0\r\n\r\n')
+        except OSError:
+            self.close_connection = True
+
     def _start_stream(self):
         self.send_response(200)
         for name, value in self._signature_headers().items():
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -63,6 +63,7 @@
         stop_seconds=8.0,
         absent_control_vms=(),
         trace=relay_settings.TraceSettings(),
+        retry_slack=56.0,
     ):
         """Start the VMs.
 
@@ -73,6 +74,8 @@
             stop_seconds: time in seconds for the graceful shutdown of a VM.
             absent_control_vms: indexes of control VMs that are not started.
             trace: the ``TraceSettings`` of the VMs.
+            retry_slack: retries of all VMs in a window beside those that
+                the number of requests allows.
         """
         count = 2 * control_vm_count + 4 * entry_vm_count
         ports = [fleets.free_port() for _ in range(count)]
@@ -86,6 +89,7 @@
         self._seeds = seeds
         self._stop_seconds = stop_seconds
         self._trace = trace
+        self._retry_slack = retry_slack
         self.vms = []
         self.budgets_by_vm = {}
         self.control_ports = other_ports[:control_vm_count]
@@ -165,7 +169,7 @@
                 8.0,
                 0.2,
                 0.2,
-                56.0,
+                self._retry_slack,
                 10.0,
                 quota.QuotaTolerance(8, 0, 0),
             ),
@@ -229,9 +233,17 @@
         plain_endpoint: the endpoint of the service ``orders``.
     """
 
-    def __init__(self, folder, software_versions=('v1', 'v1')):
-        """Start the fleet with one engine for each of some versions."""
-        self.fleet = RelayFleet(folder, control_vm_count=3, entry_vm_count=2)
+    def __init__(self, folder, software_versions=('v1', 'v1'), **options):
+        """Start the fleet.
+
+        Args:
+            folder: path of the folder that holds the data folders.
+            software_versions: the version of each engine's software.
+            **options: further arguments of ``RelayFleet``.
+        """
+        self.fleet = RelayFleet(
+            folder, control_vm_count=3, entry_vm_count=2, **options
+        )
         self._stopped = threading.Event()
         # Numbers and states of the last announcements by endpoint name.
         self._announced_by_name = {}
--- /dev/null
+++ b/tests/test_silent_endpoints.py
@@ -0,0 +1,121 @@
+"""Endpoints that are silent for a second or so and then go on."""
+
+import pytest
+import relay_builders as builders
+import relay_test_fleet
+
+EVENTS = b''.join(b'id: %d\ndata: %d\n\n' % (n, n) for n in range(1, 6))
+DEADLINE_MS = '15000'
+
+
+@pytest.fixture(scope='module')
+def _lone_engine(tmp_path_factory):
+    folder = tmp_path_factory.mktemp('lone')
+    fleet = relay_test_fleet.RelayTestFleet(folder, ('v1',))
+    fleet.keep_announcing()
+    yield fleet
+    fleet.stop()
+
+
+@pytest.fixture
+def lone_engine(_lone_engine):
+    """Return a fleet with one engine and one plain endpoint."""
+    _lone_engine.clear_requests()
+    return _lone_engine
+
+
+@pytest.fixture
+def make_fleet(tmp_path):
+    """Yield a function that starts a fleet, which is stopped at the end."""
+    started = []
+
+    def start(**options):
+        fleet = relay_test_fleet.RelayTestFleet(tmp_path, **options)
+        started.append(fleet)
+        fleet.keep_announcing()
+        return fleet
+
+    yield start
+    for fleet in started:
+        fleet.stop()
+
+
+def _ask(fleet, path, **headers):
+    return fleet.fleet.ask(
+        path, X_Carobwood_Deadline_Ms=DEADLINE_MS, **headers
+    )
+
+
+# The stream was given up before it was known that no other endpoint could go
+# on with it.
+@pytest.mark.parametrize(
+    'path', ['pause-1300-after-2', 'pause-1800-after-0', 'pause-1800-late-0']
+)
+def test_a_short_silence_of_the_only_endpoint_cuts_no_stream(
+    lone_engine, path
+):
+    reply = _ask(lone_engine, f'/captions/{path}')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert len(lone_engine.engine_requests) == 1
+
+
+def test_a_short_silence_of_all_endpoints_cuts_no_stream(make_fleet):
+    fleet = make_fleet()
+    routes = builders.configuration_fields()['routes']
+    for route in routes:
+        if route['name'] == 'captions':
+            route['max_attempts'] = 3
+    assert fleet.configure(2, routes=routes).status == 200
+    reply = _ask(fleet, '/captions/pause-2500-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+
+
+def test_a_stream_without_a_retry_left_outlives_a_short_silence(make_fleet):
+    fleet = make_fleet(retry_slack=0.0)
+    reply = _ask(fleet, '/captions/pause-1300-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert len(fleet.engine_requests) == 1
+
+
+def _other_engine(fleet):
+    """Return the engine that has got no request."""
+    for engine in fleet.engines:
+        if not engine.requests:
+            return engine
+    raise AssertionError('both engines have got requests')
+
+
+class _Chosen:
+    """Changes the engine that is not chosen as the other one runs."""
+
+    def __init__(self, fleet, change):
+        self._fleet = fleet
+        self._change = change
+        self._is_done = False
+        for engine in fleet.engines:
+            engine.on_run = self._run
+
+    def _run(self, headers, path, body):
+        if not self._is_done:
+            self._is_done = True
+            self._change(_other_engine(self._fleet))
+
+
+def test_a_stream_outlives_a_silence_beside_an_engine_that_is_full(make_fleet):
+    fleet = make_fleet()
+    _Chosen(fleet, lambda engine: setattr(engine, 'retry_after', '1'))
+    reply = _ask(fleet, '/captions/pause-1300-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+
+
+def test_a_stream_outlives_a_silence_beside_an_engine_that_is_gone(make_fleet):
+    fleet = make_fleet()
+    _Chosen(fleet, lambda engine: engine.stop())
+    reply = _ask(fleet, '/captions/pause-1300-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+
+
+def test_a_late_answer_of_the_only_endpoint_is_passed_on(lone_engine):
+    reply = lone_engine.fleet.ask('/lookups/late-1200')
+    assert (reply.status, reply.body) == (200, b'whole')
+    assert len(lone_engine.plain_endpoint.requests) == 1
