Keep a request at a silent endpoint until another one goes on with it

Cause: silence of 1 s within a resumable stream, 1.5 s before its first event, or a share of the time before another answer ended the attempt, and only then did the VM look for an attempt, a retry and a place elsewhere; without one of them the answer was lost.

Change: silence makes the VM look for another endpoint, each 0.25 s, while the attempt goes on. It ends only once an attempt, a retry and a place are at hand and the other endpoint has begun to answer, or has not refused it for 0.3 s. Each other endpoint is tried once. Ruled out: keeping both streams for longer, as two endpoints would work on one request.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/attempt_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/attempt_log.py
@@ -69,3 +69,22 @@
         code=error.code,
         detail=error.detail,
     )
+
+
+def log_silent(request, assignment, reason, has_started):
+    """Log that an endpoint is silent, and why the attempt there goes on.
+
+    Args:
+        request: the ``AdmittedRequest``.
+        assignment: the ``Assignment``.
+        reason: value of the ``StayReason``.
+        has_started: whether the caller has got a part of the response.
+    """
+    events.emit(
+        events.ENDPOINT_SILENT,
+        request_id=request.metadata.request_id,
+        endpoint=assignment.endpoint.id,
+        stays_for=reason,
+        has_started=has_started,
+        left=round(request.seconds_left, 3),
+    )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/event_splitter.py
@@ -51,6 +51,11 @@
         buffers = buffers or buffer_budget.unlimited()
         self._reservation = buffers.reserve('event')
 
+    @property
+    def has_partial(self):
+        """Whether bytes of an incomplete event have come."""
+        return bool(self._buffer)
+
     def feed(self, data):
         """Add bytes and return the events that are complete, unchanged.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/fleet_retry_budget.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/fleet_retry_budget.py
@@ -44,6 +44,11 @@
         with self._lock:
             self._requests_by_service[service].append(self._clock())
 
+    def may_spend(self, service):
+        """Return whether a retry is left in a service's budget."""
+        with self._lock:
+            return self._has_retry(service)
+
     def try_spend(self, service):
         """Spend one retry from a service's budget if some is left.
 
@@ -51,15 +56,18 @@
             Whether the retry is allowed.
         """
         with self._lock:
-            requests = self._recent(self._requests_by_service[service])
-            retries = self._recent(self._retries_by_service[service])
-            slack = self._slack / max(1, self._count_vms())
-            allowed = USED_FRACTION * (self._ratio * len(requests) + slack)
-            if len(retries) + 1 > allowed:
+            if not self._has_retry(service):
                 return False
-            retries.append(self._clock())
+            self._retries_by_service[service].append(self._clock())
             return True
 
+    def _has_retry(self, service):
+        requests = self._recent(self._requests_by_service[service])
+        retries = self._recent(self._retries_by_service[service])
+        slack = self._slack / max(1, self._count_vms())
+        allowed = USED_FRACTION * (self._ratio * len(requests) + slack)
+        return len(retries) + 1 <= allowed
+
     def _recent(self, times):
         """Drop the times before the window and return the rest."""
         oldest = self._clock() - self._window
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -2,7 +2,8 @@
 
 A request is attempted at one endpoint after another until one of them has
 responded. A resumable event stream that breaks off is resumed at another
-endpoint after the last complete event that the caller has received.
+endpoint after the last complete event that the caller has received. An
+endpoint that is silent keeps the request until another one goes on with it.
 """
 
 import dataclasses
@@ -16,16 +17,14 @@
 from . import request_sender
 from . import response_forwarder
 from . import result_recorder
+from . import silence_failover
+from . import silence_watch
 
-# Fraction of the remaining time that an attempt may take if another
-# attempt is allowed after it.
-RETRYABLE_ATTEMPT_SHARE = 0.45
-# Minimum response timeout of a retryable attempt, as a multiple of the
+# Silence before a response that is no stream for which no other endpoint is
+# looked for: a fraction of the remaining time, but at least a multiple of the
 # route's target latency.
-MIN_TIMEOUT_IN_TARGET_LATENCIES = 3.0
-# Time from the first event of an answer after which a crash of the endpoint
-# is not put down to the request.
-CRASH_DELAY_SECONDS = 0.25
+SILENT_SHARE = 0.45
+MIN_SILENCE_IN_TARGET_LATENCIES = 3.0
 # A request with less time left than this is not sent.
 MIN_ATTEMPT_SECONDS = 0.01
 
@@ -70,6 +69,12 @@
         )
         # The assignment of the current attempt.
         self._assignment = None
+        # Why the current attempt goes on although its endpoint is silent, or
+        # None if it was not silent.
+        self._stay_reason = None
+        self._failover = silence_failover.SilenceFailover(
+            context, selector, caller
+        )
 
     def final_error(self, error):
         """Return the error that holds for all attempts together.
@@ -77,9 +82,10 @@
         If the request may have run in an earlier attempt, the caller must
         not be told that it has not run.
         """
+        run_error = self._run_error or self._failover.run_error
         is_not_run = error.outcome is errors.Outcome.NOT_RUN
-        if self._run_error is not None and is_not_run:
-            return self._run_error
+        if run_error is not None and is_not_run:
+            return run_error
         return error
 
     def run(self):
@@ -90,16 +96,28 @@
                 run the request, even if it may have run here.
             CarobwoodError: the error to report to the caller.
         """
-        while True:
+        try:
+            started = None
+            while not self._run_attempt(started):
+                started = self._failover.take()
+        finally:
+            self._failover.abandon()
+
+    def _run_attempt(self, started):
+        """Make one attempt; return whether the caller has its response.
+
+        Args:
+            started: the ``StartedAttempt`` that has begun already, or None.
+        """
+        if started is None:
             assignment = self._reserve_assignment()
-            try:
-                with self._trace.span(
-                    'endpoint', endpoint=assignment.endpoint.id
-                ):
-                    if self._attempt(assignment):
-                        return
-            finally:
-                self._selector.release(assignment)
+        else:
+            assignment = started.sent.assignment
+        try:
+            with self._trace.span('endpoint', endpoint=assignment.endpoint.id):
+                return self._attempt(assignment, started)
+        finally:
+            self._selector.release(assignment)
 
     def _set_request(self, request):
         self._request = request
@@ -172,36 +190,41 @@
         if self._run_error is None or self._request.route.is_idempotent:
             raise errors.NoEndpointReachable('this VM reaches no endpoint')
 
-    def _attempt(self, assignment):
+    def _attempt(self, assignment, started):
         """Attempt the request at an endpoint.
 
+        Args:
+            assignment: the ``Assignment``.
+            started: see ``_run_attempt``.
+
         Returns:
             Whether the caller has received the whole response.
 
         Raises:
             CarobwoodError: the attempt failed and no retry is allowed.
         """
-        self._check_segments()
-        attempt_log.log_sent(
-            self._request, assignment, self._response_forwarder.last_event_id
-        )
+        if started is None:
+            self._check_segments()
+            attempt_log.log_sent(
+                self._request,
+                assignment,
+                self._response_forwarder.last_event_id,
+            )
         self._assignment = assignment
-        self._sent_at = clocks.now()
+        self._stay_reason = None
+        self._sent_at = started.sent.sent_at if started else clocks.now()
+        watch = silence_watch.SilenceWatch(
+            self._silent_seconds(), self._on_silence
+        )
         self._response_forwarder.begin(
-            response_forwarder.Attempt(
-                self._request, self._is_last_attempt, self._bind_stream
-            )
+            response_forwarder.Attempt(self._request, watch, self._bind_stream)
         )
         fingerprint = self._request.fingerprint
         self._context.crash_suspects.add_running(
             assignment.endpoint, fingerprint
         )
         try:
-            response = self._sender.send(
-                assignment,
-                self._response_forwarder.last_event_id,
-                self._response_timeout(),
-            )
+            response = self._await_response(assignment, started, watch)
             self._selector.release_prefill(assignment)
             with self._context.gate.interruptible(response.upstream.interrupt):
                 self._forward_response(assignment, response)
@@ -229,8 +252,7 @@
                 raise errors.StopTimeout(
                     'the VM stopped before the response'
                 ) from error
-            if self._recorder.note_failed(assignment, error):
-                self._note_crash(assignment)
+            self._note_failed(assignment, error)
             self._raise_unless_retryable(assignment, error)
         finally:
             self._context.crash_suspects.remove_running(
@@ -247,23 +269,98 @@
         except errors.RequestCrashesEndpoints as error:
             raise self.final_error(error) from error
 
-    def _note_crash(self, assignment):
-        """Record which segments may have crashed the endpoint."""
-        answering = None
-        if self._response_forwarder.first_event_at is not None:
-            answering = clocks.now() - self._response_forwarder.first_event_at
-        attempt_log.log_crash(self._request, assignment, answering)
-        if answering is None or answering < CRASH_DELAY_SECONDS:
-            self._context.segment_suspects.record_crash(
-                assignment.endpoint,
-                self._request.fingerprint,
-                self._request.segment_keys,
-                self._sent_at,
+    def _await_response(self, assignment, started, watch):
+        """Return the ``EndpointResponse`` to the current attempt."""
+        if started is None:
+            return self._sender.send(
+                assignment, self._response_forwarder.last_event_id, watch
             )
+        if started.response is not None:
+            return started.response
+        return self._sender.await_response(started.sent, watch)
+
+    def _note_failed(self, assignment, error):
+        """Record that the current attempt has failed after it may have run."""
+        is_timeout = isinstance(error, errors.EndpointTimeout)
+        if is_timeout and self._stay_reason is not None:
+            # The silence is recorded already.
+            return
+        self._recorder.note_failed(
+            assignment,
+            error,
+            self._sent_at,
+            self._response_forwarder.first_event_at,
+        )
+
+    def _on_silence(self, connection, has_partial_event):
+        """Have another endpoint go on if that is possible.
+
+        Raises:
+            EndpointTimeout: another one goes on, or this VM is cut off from
+                all and another VM is to take the request.
+            CallerLeft: the caller disconnected meanwhile.
+        """
+        if self._is_another_vm_needed():
+            raise errors.EndpointTimeout('this VM reaches no endpoint')
+        reason = self._try_failover(connection, has_partial_event)
+        self._note_silence(reason)
+        if reason is silence_failover.StayReason.NONE:
+            raise errors.EndpointTimeout('another endpoint goes on')
+
+    def _is_another_vm_needed(self):
+        return (
+            self._context.reachability.is_cut_off
+            and self._request.route.is_idempotent
+            and not self._caller.has_started_response
+        )
+
+    def _try_failover(self, connection, has_partial_event):
+        """Return the ``StayReason``."""
+        if not self._request.route.is_idempotent:
+            return silence_failover.StayReason.UNREPEATABLE
+        if self._is_last_attempt:
+            return silence_failover.StayReason.ATTEMPTS_USED
+        if self._context.gate.is_interrupted:
+            return silence_failover.StayReason.STOPPED
+        try:
+            self._follow_configuration()
+            self._context.segment_suspects.check(self._request.segment_keys)
+        except errors.CarobwoodError:
+            return silence_failover.StayReason.NOT_ADMITTED
+        return self._failover.begin(
+            self._request,
+            self._sender,
+            silence_failover.SilentAttempt(
+                connection,
+                has_partial_event,
+                self._response_forwarder.last_event_id,
+                self._caller.has_started_response,
+            ),
+            self._excluded_ids | {self._assignment.endpoint.id},
+        )
+
+    def _note_silence(self, reason):
+        """Log why the attempt goes on, and record the first silence."""
+        if self._stay_reason is None:
+            self._context.health.note_result(self._assignment.endpoint, True)
+        if reason is self._stay_reason:
+            return
+        self._stay_reason = reason
+        attempt_log.log_silent(
+            self._request,
+            self._assignment,
+            reason.value,
+            self._caller.has_started_response,
+        )
+
+    @property
+    def _run_count(self):
+        """Number of attempts in which the request may have run and failed."""
+        return self._failed_runs + self._failover.run_count
 
     @property
     def _is_last_attempt(self):
-        return self._failed_runs + 1 >= self._request.route.max_attempts
+        return self._run_count + 1 >= self._request.route.max_attempts
 
     def _bind_stream(self):
         """Have later attempts go on at the same software version."""
@@ -275,20 +372,14 @@
             )
         )
 
-    def _response_timeout(self):
-        """Return the seconds to wait for the head of the response."""
-        request = self._request
-        seconds_left = request.seconds_left
-        route = request.route
-        if not route.is_idempotent or self._is_last_attempt:
-            return seconds_left
+    def _silent_seconds(self):
+        """Return the silence before the response that may be normal."""
+        route = self._request.route
         if route.is_resumable:
-            return min(
-                seconds_left, response_forwarder.FIRST_EVENT_TIMEOUT_SECONDS
-            )
-        minimum = MIN_TIMEOUT_IN_TARGET_LATENCIES * route.target_latency
-        return min(
-            seconds_left, max(minimum, RETRYABLE_ATTEMPT_SHARE * seconds_left)
+            return silence_watch.FIRST_EVENT_SECONDS
+        return max(
+            MIN_SILENCE_IN_TARGET_LATENCIES * route.target_latency,
+            SILENT_SHARE * self._request.seconds_left,
         )
 
     def _raise_unless_retryable(self, assignment, error):
@@ -297,10 +388,13 @@
         attempt_log.log_failed(request, assignment, error)
         if not isinstance(error, errors.EndpointNotRun):
             self._excluded_ids.add(assignment.endpoint.id)
+        if self._failover.has_started:
+            # Its retry is spent already.
+            return
         if self._failed_runs:
             if not request.route.is_idempotent:
                 raise error
-            if self._failed_runs >= request.route.max_attempts:
+            if self._run_count >= request.route.max_attempts:
                 raise self.final_error(error)
         if self._caller.has_started_response and (
             self._response_forwarder.has_passed_on
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -1,5 +1,6 @@
 """Sends a request to one endpoint and reads the head of the response."""
 
+import contextlib
 import dataclasses
 
 from carobwood import clocks
@@ -33,6 +34,21 @@
     upstream: endpoint_connections.EndpointConnection
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class SentRequest:
+    """A request that was sent to an endpoint and has no answer yet.
+
+    Attributes:
+        assignment: the ``Assignment`` that is reserved for it.
+        connection: the ``EndpointConnection``.
+        sent_at: when it was sent, by ``clocks.now``.
+    """
+
+    assignment: object
+    connection: endpoint_connections.EndpointConnection
+    sent_at: float
+
+
 class RequestSender:
     """Sends one request to endpoints and awaits their responses."""
 
@@ -50,14 +66,14 @@
         self._request = request
         self._trace = trace
 
-    def send(self, assignment, resume_id, timeout):
+    def send(self, assignment, resume_id, watch):
         """Send the request to an endpoint and return its response.
 
         Args:
             assignment: the ``Assignment`` that is reserved for the request.
             resume_id: id of the last event that the caller has received
                 in an earlier attempt, or empty.
-            timeout: seconds to wait for the head of the response.
+            watch: the ``SilenceWatch`` of the attempt.
 
         Returns:
             The ``EndpointResponse``.
@@ -77,24 +93,70 @@
                 one may have run.
             CallerLeft: the caller disconnected; the request may have run.
         """
-        pool = self._context.pool
+        connection = self.connect(assignment)
+        sent = self.send_on(
+            connection, assignment, resume_id, SEND_TIMEOUT_SECONDS
+        )
+        return self.await_response(sent, watch)
+
+    def connect(self, assignment):
+        """Return a connection on which the request can be sent.
+
+        Raises:
+            EndpointUnreachable: no connection could be made.
+            EndpointLeft: the endpoint began to leave after it was chosen.
+        """
         # The endpoint may have closed an idle connection without this VM
         # knowing. A send that fails on it leaves open whether the request
         # has run, so that a request which must not run twice could not be
         # retried; it gets a new connection.
         may_reuse = self._request.route.is_idempotent
-        connection = pool.acquire(assignment.endpoint.address, may_reuse)
-        sent_at = clocks.now()
+        connection = self._context.pool.acquire(
+            assignment.endpoint.address, may_reuse
+        )
         try:
             self._check_serving(assignment.endpoint)
+        except errors.EndpointLeft:
+            connection.close()
+            raise
+        return connection
+
+    def send_on(self, connection, assignment, resume_id, timeout):
+        """Send the request on a connection, which is closed on failure.
+
+        Args:
+            connection: the ``EndpointConnection``.
+            assignment: see ``send``.
+            resume_id: see ``send``.
+            timeout: seconds that each write may take.
+
+        Returns:
+            The ``SentRequest``.
+
+        Raises:
+            EndpointFailed: the request could not be sent, but may have run.
+        """
+        sent_at = clocks.now()
+        with self._guarded(connection):
+            connection.send(
+                self._outgoing_request(assignment, resume_id), timeout
+            )
+        return SentRequest(assignment, connection, sent_at)
+
+    def await_response(self, sent, watch):
+        """Wait for the response to a ``SentRequest``; see ``send``.
+
+        Its connection is closed on failure.
+        """
+        with self._guarded(sent.connection):
+            return self._await_response(sent, watch)
+
+    @contextlib.contextmanager
+    def _guarded(self, connection):
+        """Let a stop interrupt a connection, and close it on failure."""
+        try:
             with self._context.gate.interruptible(connection.interrupt):
-                connection.send(
-                    self._outgoing_request(assignment, resume_id),
-                    SEND_TIMEOUT_SECONDS,
-                )
-                return self._await_response(
-                    connection, assignment, sent_at, timeout
-                )
+                yield
         except BaseException:
             connection.close()
             raise
@@ -144,19 +206,11 @@
             request.body,
         )
 
-    def _await_response(self, connection, assignment, sent_at, timeout):
-        ends_at = clocks.now() + timeout
+    def _await_response(self, sent, watch):
+        connection = sent.connection
+        assignment = sent.assignment
         for _ in range(1 + MAX_LATE_RESPONSES):
-            seconds_left = max(0.0, ends_at - clocks.now())
-            match connection.wait(self._caller.socket, seconds_left):
-                case endpoint_connections.WaitResult.CALLER_LEFT:
-                    raise errors.CallerLeft(
-                        'the caller disconnected before the response'
-                    )
-                case endpoint_connections.WaitResult.TIMED_OUT:
-                    raise errors.EndpointTimeout(
-                        'the endpoint sent no response in time'
-                    )
+            self._await_head(sent, watch)
             status, headers = connection.read_head(
                 self._caller.method,
                 READ_TIMEOUT_SECONDS,
@@ -165,7 +219,9 @@
             head = self._context.dialect.parse_response_head(status, headers)
             is_own = self._is_own(head, connection)
             if head.endpoint_id in ('', assignment.endpoint.id):
-                self._note_head(assignment, head, sent_at if is_own else None)
+                self._note_head(
+                    assignment, head, sent.sent_at if is_own else None
+                )
             if is_own:
                 return self._check_response(
                     EndpointResponse(head, headers, connection)
@@ -176,6 +232,26 @@
             'the responses carry the ids of other requests'
         )
 
+    def _await_head(self, sent, watch):
+        """Wait until the head of a response can be read."""
+        while True:
+            seconds_left = self._request.seconds_left
+            until_look = watch.seconds_until_look(sent.sent_at)
+            match sent.connection.wait(
+                self._caller.socket, max(0.0, min(seconds_left, until_look))
+            ):
+                case endpoint_connections.WaitResult.READABLE:
+                    return
+                case endpoint_connections.WaitResult.CALLER_LEFT:
+                    raise errors.CallerLeft(
+                        'the caller disconnected before the response'
+                    )
+            if seconds_left <= until_look:
+                raise errors.EndpointTimeout(
+                    'the endpoint sent no response in time'
+                )
+            watch.look(sent.connection)
+
     def _is_own(self, head, connection):
         """Return whether a response belongs to this request.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -16,13 +16,9 @@
 from . import answer_reader
 from . import caller_request
 from . import event_splitter
+from . import silence_watch
 from . import whole_answer
 
-# Timeout for the first event of a stream that can be resumed at another
-# endpoint. Callers abandon a stream after about two seconds of silence.
-FIRST_EVENT_TIMEOUT_SECONDS = 1.5
-# Silence within a stream after which it is resumed at another endpoint.
-STALL_TIMEOUT_SECONDS = 1.0
 # Timeout of each read of a body once its connection has become readable.
 BODY_READ_TIMEOUT_SECONDS = 2.0
 
@@ -33,13 +29,13 @@
 
     Attributes:
         request: the ``AdmittedRequest``.
-        is_last: whether no other attempt is allowed after it.
+        watch: the ``SilenceWatch`` of the attempt.
         on_stream_start: called without arguments before the first event of
             the first stream goes to the caller.
     """
 
     request: admission.AdmittedRequest
-    is_last: bool
+    watch: silence_watch.SilenceWatch
     on_stream_start: object
 
 
@@ -141,7 +137,7 @@
     def _forward_until_end(self, response):
         reader = self._open_reader(response)
         while not reader.has_ended:
-            data = reader.read(self._stall_timeout())
+            data = self._read_stream(reader, response)
             self._forward_events(response, self._splitter.feed(data))
         remaining = self._splitter.flush()
         if self.first_event_at is None and _ends_with_connection(response):
@@ -150,21 +146,24 @@
             )
         self._forward_events(response, remaining)
 
-    def _stall_timeout(self):
-        """Return the seconds to wait for the next bytes of a stream.
+    def _read_stream(self, reader, response):
+        """Return the next bytes of a stream.
 
         Only complete events count as progress: an endpoint that stalls may
         go on sending a byte now and then.
         """
-        seconds_left = self._attempt.request.seconds_left
-        if not self._attempt.request.route.is_resumable:
-            return seconds_left
-        stalled = clocks.now() - self._last_event_at
-        if not self._caller.has_started_response:
-            return min(seconds_left, FIRST_EVENT_TIMEOUT_SECONDS - stalled)
-        if self._attempt.is_last:
-            return seconds_left
-        return min(seconds_left, STALL_TIMEOUT_SECONDS - stalled)
+        watch = self._attempt.watch
+        while True:
+            seconds_left = self._attempt.request.seconds_left
+            until_look = watch.seconds_until_look(
+                self._last_event_at, self._caller.has_started_response
+            )
+            try:
+                return reader.read(min(seconds_left, until_look))
+            except errors.EndpointTimeout:
+                if seconds_left <= until_look:
+                    raise
+            watch.look(response.upstream, self._splitter.has_partial)
 
     def _forward_events(self, response, data):
         if not data:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -18,15 +18,20 @@
 
 import random
 
+from carobwood import clocks
 from carobwood import errors
 from carobwood import events
 
+from . import attempt_log
 from . import endpoint_prober
 
 # Timeout of the query for an engine's weights; a request waits for it.
 REPORT_TIMEOUT_SECONDS = 0.3
 # Other endpoints that are tried, as one may have crashed too.
 MAX_WITNESSES = 2
+# Time from the first event of an answer after which a crash of the endpoint
+# is not put down to the request.
+CRASH_DELAY_SECONDS = 0.25
 
 
 class ResultRecorder:
@@ -77,7 +82,7 @@
         elif not self._refresh_weights(assignment):
             self._context.health.note_refused(assignment.endpoint)
 
-    def note_failed(self, assignment, error):
+    def note_failed(self, assignment, error, sent_at, first_event_at=None):
         """Record that the request failed and that it may have run.
 
         If the endpoint also refuses a new connection while another one
@@ -87,10 +92,13 @@
         Args:
             assignment: the ``Assignment`` that the request was sent to.
             error: the ``CarobwoodError`` of the attempt.
-
-        Returns:
-            Whether the endpoint has crashed.
+            sent_at: when the attempt began, by ``clocks.now``.
+            first_event_at: when its first event came, or None.
         """
+        if self._has_crashed(assignment, error):
+            self._note_crash(assignment, sent_at, first_event_at)
+
+    def _has_crashed(self, assignment, error):
         endpoint = assignment.endpoint
         self._context.health.note_result(endpoint, True)
         if not isinstance(error, errors.EndpointFailed):
@@ -105,6 +113,20 @@
         )
         return True
 
+    def _note_crash(self, assignment, sent_at, first_event_at):
+        """Record which segments may have crashed the endpoint."""
+        answering = None
+        if first_event_at is not None:
+            answering = clocks.now() - first_event_at
+        attempt_log.log_crash(self._request, assignment, answering)
+        if answering is None or answering < CRASH_DELAY_SECONDS:
+            self._context.segment_suspects.record_crash(
+                assignment.endpoint,
+                self._request.fingerprint,
+                self._request.segment_keys,
+                sent_at,
+            )
+
     def _refresh_weights(self, assignment):
         """Ask the engine for its weights version.
 
