--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -69,9 +69,6 @@
         )
         # The assignment of the current attempt.
         self._assignment = None
-        # Why the current attempt goes on although its endpoint is silent, or
-        # None if it was not silent.
-        self._stay_reason = None
         self._failover = silence_failover.SilenceFailover(
             context, selector, caller
         )
@@ -211,7 +208,7 @@
                 self._response_forwarder.last_event_id,
             )
         self._assignment = assignment
-        self._stay_reason = None
+        self._failover.begin_attempt()
         self._sent_at = started.sent.sent_at if started else clocks.now()
         watch = silence_watch.SilenceWatch(
             self._silent_seconds(), self._on_silence
@@ -282,7 +279,7 @@
     def _note_failed(self, assignment, error):
         """Record that the current attempt has failed after it may have run."""
         is_timeout = isinstance(error, errors.EndpointTimeout)
-        if is_timeout and self._stay_reason is not None:
+        if is_timeout and self._failover.has_noted_silence:
             # The silence is recorded already.
             return
         self._recorder.note_failed(
@@ -302,10 +299,18 @@
         """
         if self._is_another_vm_needed():
             raise errors.EndpointTimeout('this VM reaches no endpoint')
-        reason = self._try_failover(connection, has_partial_event)
-        self._note_silence(reason)
-        if reason is silence_failover.StayReason.NONE:
-            raise errors.EndpointTimeout('another endpoint goes on')
+        stay_reason = self._find_stay_reason()
+        silent = silence_failover.SilentAttempt(
+            self._request,
+            self._sender,
+            self._assignment,
+            self._excluded_ids | {self._assignment.endpoint.id},
+            connection,
+            has_partial_event,
+            self._response_forwarder.last_event_id,
+            self._caller.has_started_response,
+        )
+        self._failover.look(silent, stay_reason)
 
     def _is_another_vm_needed(self):
         return (
@@ -314,8 +319,8 @@
             and not self._caller.has_started_response
         )
 
-    def _try_failover(self, connection, has_partial_event):
-        """Return the ``StayReason``."""
+    def _find_stay_reason(self):
+        """Return why no other endpoint may be tried now, or None."""
         if not self._request.route.is_idempotent:
             return silence_failover.StayReason.UNREPEATABLE
         if self._is_last_attempt:
@@ -327,31 +332,7 @@
             self._context.segment_suspects.check(self._request.segment_keys)
         except errors.CarobwoodError:
             return silence_failover.StayReason.NOT_ADMITTED
-        return self._failover.begin(
-            self._request,
-            self._sender,
-            silence_failover.SilentAttempt(
-                connection,
-                has_partial_event,
-                self._response_forwarder.last_event_id,
-                self._caller.has_started_response,
-            ),
-            self._excluded_ids | {self._assignment.endpoint.id},
-        )
-
-    def _note_silence(self, reason):
-        """Log why the attempt goes on, and record the first silence."""
-        if self._stay_reason is None:
-            self._context.health.note_result(self._assignment.endpoint, True)
-        if reason is self._stay_reason:
-            return
-        self._stay_reason = reason
-        attempt_log.log_silent(
-            self._request,
-            self._assignment,
-            reason.value,
-            self._caller.has_started_response,
-        )
+        return None
 
     @property
     def _run_count(self):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -32,7 +32,6 @@
     """Why a request stays at a silent endpoint.
 
     Attributes:
-        NONE: it does not; another endpoint goes on.
         UNREPEATABLE: it must not run twice.
         ATTEMPTS_USED: no further attempt is allowed.
         STOPPED: the time of the VM's stop has ended.
@@ -46,7 +45,6 @@
         RESUMED: the silent one went on before another one had answered.
     """
 
-    NONE = ''
     UNREPEATABLE = 'unrepeatable'
     ATTEMPTS_USED = 'attempts'
     STOPPED = 'stop'
@@ -65,12 +63,20 @@
     """The attempt whose endpoint is silent.
 
     Attributes:
-        connection: its ``EndpointConnection``.
+        request: the ``AdmittedRequest``.
+        sender: the ``RequestSender`` of the request.
+        assignment: the ``Assignment`` of the attempt.
+        excluded_ids: ids of endpoints that must not get the request.
+        connection: the ``EndpointConnection``.
         has_partial_event: whether bytes of an incomplete event have come.
         last_event_id: id of the last event that the caller has, or empty.
         has_started: whether the caller has got a part of the stream.
     """
 
+    request: object
+    sender: request_sender.RequestSender
+    assignment: object
+    excluded_ids: frozenset[str]
     connection: endpoint_connections.EndpointConnection
     has_partial_event: bool
     last_event_id: str
@@ -111,6 +117,8 @@
         run_count: number of these attempts that failed or were given up after
             the request may have run.
         run_error: error of the last of them, or None.
+        has_noted_silence: whether the silence of the current attempt counts
+            as a failure of its endpoint already.
     """
 
     def __init__(self, context, selector, caller):
@@ -126,8 +134,10 @@
         self._context = context
         self._selector = selector
         self._caller = caller
+        self.has_noted_silence = False
         self._tried_ids = set()
         self._started = None
+        self._logged_reason = None
 
     @property
     def has_started(self):
@@ -146,31 +156,54 @@
             started.sent.connection.close()
             self._selector.release(started.sent.assignment)
 
-    def begin(self, request, sender, silent, excluded_ids):
+    def begin_attempt(self):
+        """Note that a further attempt begins."""
+        self.has_noted_silence = False
+        self._logged_reason = None
+
+    def look(self, silent, stay_reason):
         """Begin an attempt at another endpoint if one takes the request.
 
         Each other endpoint is tried once.
 
         Args:
-            request: the ``AdmittedRequest``.
-            sender: its ``RequestSender``.
             silent: the ``SilentAttempt``.
-            excluded_ids: ids of endpoints that must not get the request.
-
-        Returns:
-            The ``StayReason``.
+            stay_reason: the ``StayReason`` for which none may be tried, or
+                None.
 
         Raises:
+            EndpointTimeout: another endpoint goes on with the request.
             CallerLeft: the caller disconnected meanwhile.
         """
-        if not self._context.retry_budget.may_spend(request.service):
+        if stay_reason is None:
+            self._note_silence(silent.assignment.endpoint)
+            stay_reason = self._begin(silent)
+        if stay_reason is not self._logged_reason or stay_reason is None:
+            attempt_log.log_silent(
+                silent.request,
+                silent.assignment,
+                stay_reason.value if stay_reason else '',
+                silent.has_started,
+            )
+        self._logged_reason = stay_reason
+        if stay_reason is None:
+            raise errors.EndpointTimeout('another endpoint goes on')
+
+    def _note_silence(self, endpoint):
+        if not self.has_noted_silence:
+            self.has_noted_silence = True
+            self._context.health.note_result(endpoint, True)
+
+    def _begin(self, silent):
+        """Begin an attempt elsewhere; return a ``StayReason`` or None."""
+        if not self._context.retry_budget.may_spend(silent.request.service):
             return StayReason.NO_RETRY
-        assignment = self._try_assign(request, excluded_ids)
+        assignment = self._try_assign(silent.request, silent.excluded_ids)
         if assignment is None:
             return StayReason.NO_PLACE
         self._tried_ids.add(assignment.endpoint.id)
         try:
-            return self._try_endpoint(request, sender, silent, assignment)
+            return self._try_endpoint(silent, assignment)
         finally:
             if self._started is None:
                 self._selector.release(assignment)
@@ -189,10 +222,11 @@
             # The next look is made under the new one.
             return None
 
-    def _try_endpoint(self, request, sender, silent, assignment):
+    def _try_endpoint(self, silent, assignment):
+        request = silent.request
         recorder = result_recorder.ResultRecorder(self._context, request)
         try:
-            connection = sender.connect(assignment)
+            connection = silent.sender.connect(assignment)
         except errors.DescriptorsUsedUp:
             return StayReason.UNREACHABLE
         except errors.EndpointUnreachable:
@@ -210,7 +244,7 @@
         suspects = self._context.crash_suspects
         suspects.add_running(assignment.endpoint, request.fingerprint)
         try:
-            return self._try_request(sender, silent, assignment, connection)
+            return self._try_request(silent, assignment, connection)
         except errors.EndpointNotRun as error:
             attempt_log.log_failed(request, assignment, error)
             recorder.note_not_run(assignment, error.head)
@@ -227,9 +261,9 @@
         finally:
             suspects.remove_running(assignment.endpoint, request.fingerprint)
 
-    def _try_request(self, sender, silent, assignment, connection):
+    def _try_request(self, silent, assignment, connection):
         """Send the request and wait until it may count as taken."""
-        sent = sender.send_on(
+        sent = silent.sender.send_on(
             connection, assignment, silent.last_event_id, TRIAL_SECONDS
         )
         match connection.wait(self._caller.socket, TRIAL_SECONDS):
@@ -239,18 +273,18 @@
                     'the caller disconnected during the silence'
                 )
             case endpoint_connections.WaitResult.READABLE:
-                return self._check_response(sender, silent, sent)
+                return self._check_response(silent, sent)
         if silent.has_resumed:
             connection.close()
             self._note_run(errors.EndpointTimeout('the first one went on'))
             return StayReason.RESUMED
         self._started = StartedAttempt(sent, None)
-        return StayReason.NONE
+        return None
 
-    def _check_response(self, sender, silent, sent):
+    def _check_response(self, silent, sent):
         """Read the head of a response and decide whether it is taken."""
         watch = silence_watch.SilenceWatch(TRIAL_SECONDS, _give_up)
-        response = sender.await_response(sent, watch)
+        response = silent.sender.await_response(sent, watch)
         head = response.head
         is_stream = head.is_event_stream and head.status == http.HTTPStatus.OK
         if silent.has_started and not is_stream:
@@ -259,7 +293,7 @@
                 'the endpoint did not resume the event stream'
             )
         self._started = StartedAttempt(sent, response)
-        return StayReason.NONE
+        return None
 
     def _note_run(self, error):
         self.run_count += 1
