Leave streams at a silent endpoint if the others are silent too

Load pattern: all endpoints of a service fall silent for a second at once. Each stream moved to another endpoint that was silent as well: two endpoints processed each prompt, and the retry budget was used up when it was needed. Cause: nothing told a VM whether the endpoint it moved to was alive. Evidence: 8 streams made 16 requests (test_streams_stay_where_they_are...).

--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -28,6 +28,7 @@
         prefix_cache_index: the ``PrefixCacheIndex``: which engine caches
             which prompt prefix.
         kv_stores: the ``KvStores``: contents of the KV cache stores.
+        activity: the ``EndpointActivity``: when endpoints were last heard.
         health: the ``EndpointHealth``: failures of endpoints.
         availability: the ``EndpointAvailability``: what endpoints say about
             the work that they take.
@@ -64,6 +65,7 @@
     push_loads: object
     prefix_cache_index: object
     kv_stores: object
+    activity: object
     health: object
     availability: object
     rate_limits: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -214,12 +214,15 @@
             self._silent_seconds(), self._on_silence
         )
         self._response_forwarder.begin(
-            response_forwarder.Attempt(self._request, watch, self._bind_stream)
+            response_forwarder.Attempt(
+                self._request, watch, self._bind_stream, self._note_heard
+            )
         )
         fingerprint = self._request.fingerprint
         self._context.crash_suspects.add_running(
             assignment.endpoint, fingerprint
         )
+        self._context.activity.begin(assignment.endpoint.id)
         try:
             response = self._await_response(assignment, started, watch)
             self._selector.release_prefill(assignment)
@@ -252,6 +255,7 @@
             self._note_failed(assignment, error)
             self._raise_unless_retryable(assignment, error)
         finally:
+            self._context.activity.end(assignment.endpoint.id)
             self._context.crash_suspects.remove_running(
                 assignment.endpoint, fingerprint
             )
@@ -343,6 +347,9 @@
     def _is_last_attempt(self):
         return self._run_count + 1 >= self._request.route.max_attempts
 
+    def _note_heard(self):
+        self._context.activity.note_heard(self._assignment.endpoint.id)
+
     def _bind_stream(self):
         """Have later attempts go on at the same software version."""
         endpoint = self._assignment.endpoint
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -32,11 +32,13 @@
         watch: the ``SilenceWatch`` of the attempt.
         on_stream_start: called without arguments before the first event of
             the first stream goes to the caller.
+        on_bytes: called without arguments as bytes of the response come.
     """
 
     request: admission.AdmittedRequest
     watch: silence_watch.SilenceWatch
     on_stream_start: object
+    on_bytes: object
 
 
 class ResponseForwarder:
@@ -92,6 +94,7 @@
             EndpointFailed: the response is truncated or malformed.
             EndpointTimeout: no further part of it came in time.
         """
+        self._attempt.on_bytes()
         if response.head.is_event_stream and response.head.status == 200:
             self._forward_stream(response)
         else:
@@ -138,6 +141,7 @@
         reader = self._open_reader(response)
         while not reader.has_ended:
             data = self._read_stream(reader, response)
+            self._attempt.on_bytes()
             self._forward_events(response, self._splitter.feed(data))
         remaining = self._splitter.flush()
         if self.first_event_at is None and _ends_with_connection(response):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -38,6 +38,7 @@
         NOT_ADMITTED: it would not be admitted any more.
         NO_RETRY: the retry budget is used up.
         NO_PLACE: no other endpoint has room for it.
+        OTHERS_SILENT: none that is not silent as well has.
         UNREACHABLE: another one could not be connected to.
         LEAVING: another one began to leave.
         REFUSED: another one did not run it.
@@ -51,6 +52,7 @@
     NOT_ADMITTED = 'configuration'
     NO_RETRY = 'budget'
     NO_PLACE = 'place'
+    OTHERS_SILENT = 'silent'
     UNREACHABLE = 'unreachable'
     LEAVING = 'leaving'
     REFUSED = 'refused'
@@ -198,9 +200,14 @@
         """Begin an attempt elsewhere; return a ``StayReason`` or None."""
         if not self._context.retry_budget.may_spend(silent.request.service):
             return StayReason.NO_RETRY
-        assignment = self._try_assign(silent.request, silent.excluded_ids)
+        silent_ids = self._context.activity.silent_ids() - silent.excluded_ids
+        assignment = self._try_assign(
+            silent.request, silent.excluded_ids | silent_ids
+        )
         if assignment is None:
-            return StayReason.NO_PLACE
+            return (
+                StayReason.OTHERS_SILENT if silent_ids else StayReason.NO_PLACE
+            )
         self._tried_ids.add(assignment.endpoint.id)
         try:
             return self._try_endpoint(silent, assignment)
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -8,6 +8,7 @@
 from .membership import leaving_confirmation
 from .relay import admission
 from .relay import control_operations
+from .relay import endpoint_activity
 from .relay import fleet_loads
 from .relay import fleet_retry_budget
 from .relay import forwarding_headers
@@ -181,6 +182,7 @@
             push_loads=gossip.push,
             prefix_cache_index=shared.prefix_cache_index,
             kv_stores=shared.kv_stores,
+            activity=endpoint_activity.EndpointActivity(),
             health=shared.health,
             availability=shared.availability,
             rate_limits=shared.rate_limits,
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -29,10 +29,10 @@
     with it inside the event after N events, ``/…/chunked-cut-after-N`` one
     whose last chunk ends inside that event, ``/…/unframed-empty`` one
     without an event, ``/…/pause-MS-after-N`` is silent for MS milliseconds
-    before the event after N events, ``/…/pause-MS-late-0``
-    before the head of a stream, ``/…/late-MS`` is silent before a response of a declared
-    length, ``/…/whole`` sends a response of a declared length, and any other
-    path a complete event stream. A stream resumes after the event that
+    before the event after N events, ``/…/pause-MS-late-0`` before the head of
+    a stream, ``/…/late-MS`` before a response of a declared length,
+    ``/…/whole`` sends a response of a declared length, and any other path a
+    complete event stream. A stream resumes after the event that
     ``Last-Event-Id`` names, and then it is complete.
 
     Attributes:
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -1,11 +1,14 @@
 """Endpoints that are silent for a second or so and then go on."""
 
+import threading
+
 import pytest
 import relay_builders as builders
 import relay_test_fleet
 
 EVENTS = b''.join(b'id: %d\ndata: %d\n\n' % (n, n) for n in range(1, 6))
 DEADLINE_MS = '15000'
+STREAM_COUNT = 8
 
 
 @pytest.fixture(scope='module')
@@ -119,3 +122,20 @@
     reply = lone_engine.fleet.ask('/lookups/late-1200')
     assert (reply.status, reply.body) == (200, b'whole')
     assert len(lone_engine.plain_endpoint.requests) == 1
+
+
+# All streams of a silent endpoint went on at another one that was silent too,
+# which used the retry budget up.
+def test_streams_stay_where_they_are_if_all_endpoints_are_silent(make_fleet):
+    fleet = make_fleet()
+    callers = [
+        threading.Thread(
+            target=_ask, args=(fleet, '/captions/pause-1400-after-2')
+        )
+        for _ in range(STREAM_COUNT)
+    ]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    assert len(fleet.engine_requests) == STREAM_COUNT
