Keep a request with its service if a change comes during a silence

A request that an endpoint was running went to another service as well, when a configuration came during the silence and moved its route: the request was checked again as if no endpoint had it. It counts as bound now. The test failed before (the plain endpoint got the request) and passes.

The test without a retry left takes all retries away: under load the requests of its start left one in the budget.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -132,15 +132,20 @@
                 # It is checked again, and waits again if it has to.
                 continue
 
-    def _follow_configuration(self):
-        """Check the request again if the configuration has changed."""
+    def _follow_configuration(self, is_in_flight=False):
+        """Check the request again if the configuration has changed.
+
+        Args:
+            is_in_flight: whether an endpoint may be running it now.
+        """
         request = self._request
         if request.configuration is (
             self._context.configuration_store.configuration
         ):
             return
         is_bound = (
-            self._run_error is not None
+            is_in_flight
+            or self._run_error is not None
             or request.software_version is not None
             or self._caller.has_started_response
         )
@@ -332,7 +337,7 @@
         if self._context.gate.is_interrupted:
             return silence_failover.StayReason.STOPPED
         try:
-            self._follow_configuration()
+            self._follow_configuration(is_in_flight=True)
             self._context.segment_suspects.check(self._request.segment_keys)
         except errors.CarobwoodError:
             return silence_failover.StayReason.NOT_ADMITTED
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -265,6 +265,9 @@
             recorder.note_failed(assignment, error, sent_at)
             self._note_run(error)
             return StayReason.FAILED
+        except BaseException:
+            connection.close()
+            raise
         finally:
             suspects.remove_running(assignment.endpoint, request.fingerprint)
 
@@ -275,7 +278,6 @@
         )
         match connection.wait(self._caller.socket, TRIAL_SECONDS):
             case endpoint_connections.WaitResult.CALLER_LEFT:
-                connection.close()
                 raise errors.CallerLeft(
                     'the caller disconnected during the silence'
                 )
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -63,6 +63,7 @@
         stop_seconds=8.0,
         absent_control_vms=(),
         trace=relay_settings.TraceSettings(),
+        retry_ratio=0.2,
         retry_slack=56.0,
     ):
         """Start the VMs.
@@ -74,8 +75,8 @@
             stop_seconds: time in seconds for the graceful shutdown of a VM.
             absent_control_vms: indexes of control VMs that are not started.
             trace: the ``TraceSettings`` of the VMs.
-            retry_slack: retries of all VMs in a window beside those that
-                the number of requests allows.
+            retry_ratio: retries of all VMs in a window for each request.
+            retry_slack: further retries of all VMs in a window.
         """
         count = 2 * control_vm_count + 4 * entry_vm_count
         ports = [fleets.free_port() for _ in range(count)]
@@ -89,6 +90,7 @@
         self._seeds = seeds
         self._stop_seconds = stop_seconds
         self._trace = trace
+        self._retry_ratio = retry_ratio
         self._retry_slack = retry_slack
         self.vms = []
         self.budgets_by_vm = {}
@@ -168,7 +170,7 @@
                 self._stop_seconds,
                 8.0,
                 0.2,
-                0.2,
+                self._retry_ratio,
                 self._retry_slack,
                 10.0,
                 quota.QuotaTolerance(8, 0, 0),
--- a/tests/test_link_versions.py
+++ b/tests/test_link_versions.py
@@ -183,9 +183,10 @@
         refusal = _connect(server.port, Range(6, 8))
         server.stop()
     assert isinstance(refusal, errors.LinkRefused)
-    [record] = caplog.records
-    assert '"link-refused"' in record.getMessage()
-    assert 'versions 6 to 8, this VM speaks 5 to 5' in record.getMessage()
+    messages = [record.getMessage() for record in caplog.records]
+    assert len(messages) == 1, messages
+    assert '"link-refused"' in messages[0]
+    assert 'versions 6 to 8, this VM speaks 5 to 5' in messages[0]
 
 
 @pytest.mark.parametrize('folder', RECORDED, ids=lambda path: path.name)
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -74,7 +74,7 @@
 
 
 def test_a_stream_without_a_retry_left_outlives_a_short_silence(make_fleet):
-    fleet = make_fleet(retry_slack=0.0)
+    fleet = make_fleet(retry_ratio=0.0, retry_slack=0.0)
     reply = _ask(fleet, '/captions/pause-1300-after-2')
     assert (reply.status, reply.body) == (200, EVENTS)
     assert len(fleet.engine_requests) == 1
@@ -139,3 +139,23 @@
     for caller in callers:
         caller.join()
     assert len(fleet.engine_requests) == STREAM_COUNT
+
+
+# A request that an endpoint was running went to another service too, as a
+# change of the configuration came during the silence.
+def test_a_request_stays_with_its_service_if_the_configuration_changes(
+    make_fleet,
+):
+    fleet = make_fleet(software_versions=('v1',))
+    routes = builders.configuration_fields()['routes']
+    for route in routes:
+        if route['name'] == 'captions':
+            route['service'] = 'orders'
+    changed = []
+    fleet.engines[0].on_run = lambda *_: changed.append(
+        fleet.configure(2, routes=routes).status
+    )
+    reply = _ask(fleet, '/captions/pause-1800-late-0')
+    assert changed == [200]
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert fleet.plain_endpoint.requests == []
