Refuse what waits at a stop once it may outlast it

A request that waited for capacity at a stopping VM was sent to an endpoint when a slot became free, however late, and interrupted at the end of the stop: its caller got 502 stop_timeout, or a broken stream, for a request that another VM could have served. What may end in time was looked at on arrival only.

The new test (six requests of 1.2 s on six slots, a seventh waits, a stop of 3 s) failed before. A request that no endpoint has got yet is now looked at again while it waits, and refused as not run as soon as it may outlast the stop. One that an endpoint may have run goes on as before.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -9,6 +9,7 @@
 from carobwood import events
 
 from . import fleet_loads
+from . import stop_admission
 
 # Endpoints whose load is written to one log line; keeps the line short.
 MAX_LOGGED_ENDPOINTS = 16
@@ -45,7 +46,8 @@
             Saturated: the queue is full, or no endpoint had capacity
                 within the maximum wait.
             NoEndpointReachable: this VM reaches no endpoint.
-            Stopping: the VM stops before any had capacity.
+            Stopping: the VM stops before any had capacity, or before an
+                answer might end.
             RequestCrashesEndpoints: endpoints crashed on a segment of the
                 prompt while it waited.
             CallerLeft: the caller disconnected during the wait.
@@ -99,6 +101,8 @@
                 )
             if self._context.gate.is_interrupted:
                 raise errors.Stopping('this VM is shutting down')
+            if not excluded and not caller.has_started_response:
+                stop_admission.refuse_if_too_late(self._context, request)
             self._context.segment_suspects.check(request.segment_keys)
             if wait_queue.is_first(entry):
                 assignment = self._selector.try_assign(request, excluded)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -86,7 +86,7 @@
             with trace.span('admission'):
                 request = self._admission.admit(caller, arrived_at, forwarded)
                 caller.note_id(request.metadata.request_id)
-                self._refuse_if_too_late(request)
+                stop_admission.refuse_if_too_late(self._context, request)
             if forwarded is not None:
                 self._run_here(caller, request, trace)
             elif self._context.reachability.is_cut_off:
@@ -115,24 +115,6 @@
             )
             self._report_error(caller, request, unexpected, forwarded)
 
-    def _refuse_if_too_late(self, request):
-        """Refuse a request that may outlast the stop of this VM.
-
-        Raises:
-            Stopping: it may.
-        """
-        gate = self._context.gate
-        if gate.is_ready:
-            return
-        durations = self._context.route_durations
-        if not stop_admission.may_finish(
-            request.route,
-            durations.slowest(request.route.name),
-            request.seconds_left,
-            gate.stop_seconds_left,
-        ):
-            raise errors.Stopping('the request may outlast the stop')
-
     def _run_anywhere(self, caller, request, trace):
         """Run a request here, or through another VM if this one cannot."""
         forwarder = self._make_forwarder(caller, request, trace)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/stop_admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/stop_admission.py
@@ -13,6 +13,7 @@
 import threading
 
 from carobwood import clocks
+from carobwood import errors
 
 # Time for which an answer counts; up to twice that until it is forgotten.
 WINDOW_SECONDS = 15.0
@@ -88,3 +89,24 @@
     if not route.is_idempotent:
         seconds = max(seconds, UNREPEATABLE_MARGIN * slowest)
     return seconds <= stop_seconds
+
+
+def refuse_if_too_late(context, request):
+    """Refuse an unsent request that may outlast the stop of this VM.
+
+    Args:
+        context: the ``RelayContext``.
+        request: the ``AdmittedRequest``.
+
+    Raises:
+        Stopping: it may.
+    """
+    if context.gate.is_ready:
+        return
+    if not may_finish(
+        request.route,
+        context.route_durations.slowest(request.route.name),
+        request.seconds_left,
+        context.gate.stop_seconds_left,
+    ):
+        raise errors.Stopping('the request may outlast the stop')
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -135,6 +135,29 @@
     assert running.await_status() == 502
 
 
+# A request that had waited for capacity was sent shortly before the end of a
+# stop, and interrupted at it.
+def test_what_waits_is_refused_unsent_if_it_may_outlast_the_stop(
+    fleet, endpoint
+):
+    running = [
+        _Call(fleet, '/orders/late-1200', f'r-{number}')
+        for number in range(PLAIN_SLOTS)
+    ]
+    _await_arrivals(endpoint, PLAIN_SLOTS)
+    waiting = _Call(fleet, '/orders/late-1200', 'r-waiting')
+    vm = fleet.vms[len(fleet.control_ports)]
+    relay_test_fleet.await_reply(
+        lambda: vm.gate.in_flight, lambda count: count > PLAIN_SLOTS
+    )
+    vm.stop()
+    assert waiting.await_status() == 503
+    assert b'"code": "stopping"' in waiting.reply.body
+    for call in running:
+        call.await_status()
+    assert len(endpoint.requests) == PLAIN_SLOTS
+
+
 def test_a_refusal_of_a_stopping_vm_closes_the_connection(fleet, endpoint):
     running = _Call(fleet, '/orders/silent', 'r-1')
     _await_arrivals(endpoint, 1)
