Log the kept connections that a VM closes unannounced

Event 241 names each connection that was open for a further request and that this VM closed without having told the other side. All that had come on it was answered; a request that crossed the close was not read. A caller's port that matches is such a case, one that matches none is not. It has the fields of 219, to which is_kept is added, and shares its bound of 50 lines a second.

The test of idle connections at a stop asks for these lines (it failed before, as there was none) instead of only the count, which it still checks; a new one shows that an announced end has no line.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -56,9 +56,13 @@
     RequestHandlerClass = StoppingRequest
 
     _is_ended = False
-    # Whether another request may follow.
     _is_kept = True
 
+    @property
+    def is_kept(self):
+        """Whether another request may follow."""
+        return self._is_kept
+
     def communicate(self):
         """Serve a request, and at a stop those that have come behind it."""
         self._is_kept = super().communicate()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/connection_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/connection_log.py
@@ -1,8 +1,9 @@
-"""Log lines of connections that ended without an answer to all their bytes.
+"""Log lines of connections on which a request may have got no answer.
 
 A request that got no answer has no line of its own if its head was not read.
 What is known then is the connection: which side closed it, at which byte, and
-what this VM was doing.
+what this VM was doing. A request that crosses the close of a kept connection
+leaves no byte here.
 """
 
 import dataclasses
@@ -36,6 +37,7 @@
         unanswered: number of them behind the last request with a response.
         unread: number of bytes that the kernel holds and nobody has read.
         sent: number of bytes of responses that were written.
+        is_kept: whether another request could have followed.
     """
 
     peer: str
@@ -47,10 +49,21 @@
     unanswered: int
     unread: int
     sent: int
+    is_kept: bool = False
+
+    @property
+    def is_unanswered(self):
+        """Whether bytes of the other side got no answer."""
+        return bool(self.unanswered or self.unread)
+
+    @property
+    def may_cross_request(self):
+        """Whether the other side may have sent a request meanwhile."""
+        return self.is_kept and self.closed_by == 'vm'
 
 
 class ConnectionLog:
-    """Logs the connections that ended with bytes to which no answer went.
+    """Logs the connections on which a request may have got no answer.
 
     The number of lines is bounded, whatever callers send.
     """
@@ -73,17 +86,21 @@
         self._unanswered_at_stop = 0
 
     def note(self, end):
-        """Log a ``ConnectionEnd`` if bytes of it went without an answer."""
-        is_unanswered = bool(end.unanswered or end.unread)
+        """Log a ``ConnectionEnd`` if a request may have got no answer."""
         with self._lock:
             if end.cause == 'stop':
                 self._closed_at_stop += 1
-                self._unanswered_at_stop += is_unanswered
-            if not is_unanswered or not self._take_line():
+                self._unanswered_at_stop += end.is_unanswered
+            if not end.is_unanswered and not end.may_cross_request:
+                return
+            if not self._take_line():
                 return
             suppressed, self._suppressed = self._suppressed, 0
+        event = events.CONNECTION_CLOSED
+        if end.is_unanswered:
+            event = events.CONNECTION_UNANSWERED
         events.emit(
-            events.CONNECTION_UNANSWERED,
+            event,
             suppressed=suppressed,
             **dataclasses.asdict(end),
             **self._describe_vm(),
@@ -132,6 +149,7 @@
         unanswered=connection.unanswered_bytes,
         unread=request_body.count_unread_bytes(connection.socket),
         sent=connection.wfile.bytes_written,
+        is_kept=connection.is_kept,
     )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
@@ -55,7 +55,7 @@
     last_request_id = ''
 
     def note_end(self):
-        """Log the connection if it ends without an answer."""
+        """Log the connection if a request on it may get no answer."""
         self.server.connection_log.note(
             connection_log.describe_end(self, not self.server.ready)
         )
--- a/tests/test_connection_log.py
+++ b/tests/test_connection_log.py
@@ -118,6 +118,24 @@
     assert fields['unanswered'] == len(HALF_HEAD)
 
 
+def test_a_connection_whose_end_was_told_has_no_line(server, lines):
+    with _connect(server) as client:
+        client.sendall(
+            WHOLE.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+        )
+        while client.recv(100):
+            pass
+    with _connect(server) as client:
+        client.sendall(WHOLE)
+        _read_to(client, b'answer')
+    # One more answer, so that the end of the one before was seen.
+    with _connect(server) as client:
+        client.sendall(WHOLE)
+        _read_to(client, b'answer')
+    server.stop()
+    assert [f for e, f in lines if e is events.CONNECTION_CLOSED] == []
+
+
 def test_a_broken_off_answer_is_told_from_a_caller_that_left(server, lines):
     with _connect(server) as client:
         client.sendall(WHOLE.replace(b'/x', b'/aborted'))
@@ -129,13 +147,22 @@
     assert fields['answered'] == 0
 
 
-def test_idle_connections_at_a_stop_share_one_line(server, lines):
+# Requests were cut at a stop, and no line told whether they had crossed the
+# close of a kept connection.
+def test_idle_connections_that_a_stop_closes_have_a_line_each(server, lines):
     with _connect(server) as first, _connect(server) as second:
         for client in (first, second):
             client.sendall(WHOLE)
             _read_to(client, b'answer')
+        peers = {'%s:%d' % x.getsockname() for x in (first, second)}
         server.stop()
     assert _ends(lines) == []
+    closes = [f for e, f in lines if e is events.CONNECTION_CLOSED]
+    assert {fields['peer'] for fields in closes} == peers
+    for fields in closes:
+        assert (fields['cause'], fields['answered']) == ('stop', 1)
+        assert fields['last_request_id'] == 'r-1'
+        assert fields['unanswered'] == fields['unread'] == 0
     [fields] = [f for e, f in lines if e is events.LISTENER_STOPPED]
     assert (fields['closed'], fields['unanswered']) == (2, 0)
 
