Keep a request at a silent engine until another one goes on with it

Callers of the own interface saw 503 (no_endpoint, outcome unknown), although the engine answered a moment later. Cause: two failed health checks shut the connection of a waiting request down, and half of the deadline ended a stream's wait for its response; only then was another engine looked for.

Change: response_opener.py looks for another engine each 0.25 s, while the attempt goes on. It is left only once an attempt, a retry of the budget and an engine with room and a closed breaker are at hand, and that engine has begun to answer or has not refused for 0.3 s. The health check still shuts down a connection on which a request or a head has come to a halt. A resumed stream may be moved in the same way.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/attempt_scheduler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/attempt_scheduler.py
@@ -90,6 +90,51 @@
         tried_ids.add(endpoint.id)
         return self._start_attempt(endpoint)
 
+    def start_attempt_elsewhere(self, tried_ids):
+        """Start an attempt while another one goes on, if there is room.
+
+        Args:
+            tried_ids: ids of engines to exclude; the id of the selected
+                engine is added.
+
+        Returns:
+            The started ``EngineAttempt``, or None if no other engine has
+            room for the request or it must not run twice at a time.
+        """
+        try:
+            if self._is_suspect():
+                return None
+            candidates = self._untried_candidates(tried_ids)
+        except errors.RequestRefused:
+            return None
+        for candidate in candidates:
+            if self._has_room(candidate):
+                tried_ids.add(candidate.endpoint.id)
+                return self._start_attempt(candidate.endpoint)
+        return None
+
+    def _has_room(self, candidate):
+        running = self._context.loads.open_requests(candidate.endpoint)
+        bound = self.prepared.pool.max_in_flight_per_endpoint
+        return not candidate.is_breaker_open and running < bound
+
+    def start_attempt_again(self, endpoint):
+        """Start an attempt on the engine of one that goes on.
+
+        Returns:
+            The started ``EngineAttempt``, or None if the engine may not
+            take the request any more.
+        """
+        try:
+            if self._is_suspect():
+                return None
+            candidates = self._untried_candidates(frozenset())
+        except errors.RequestRefused:
+            return None
+        if endpoint.id not in {c.endpoint.id for c in candidates}:
+            return None
+        return self._start_attempt(endpoint)
+
     def pin_weights(self, weights_version):
         """Select only engines with this weights version from now on."""
         self.prepared = self.prepared.restrict_to_weights(weights_version)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/hang_detector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/hang_detector.py
@@ -25,6 +25,10 @@
         sock: socket of its connection.
         last_alive_at: time on the monotonic clock of the start of the wait
             or of the last successful health check, if later.
+        keeps_connection: whether the connection stays open if the engine
+            hangs, as the request waits for its response and may go on
+            elsewhere.
+        is_silent: whether the engine failed its last health checks.
         is_aborted: whether the connection was shut down because the
             engine hangs.
     """
@@ -32,10 +36,19 @@
     endpoint: object
     sock: object
     last_alive_at: float
+    keeps_connection: bool = False
+    is_silent: bool = False
     is_aborted: bool = False
 
-    def abort(self):
-        """Shut the connection down, which wakes the waiting thread."""
+    def note_silence(self):
+        """Note that the engine hangs.
+
+        Unless the connection is kept, it is shut down, which wakes the
+        waiting thread.
+        """
+        self.is_silent = True
+        if self.keeps_connection:
+            return
         self.is_aborted = True
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
@@ -46,9 +59,10 @@
 
     A process that hangs keeps its connections open, so that without a
     health check its callers would wait until their deadlines. If an engine
-    fails two health checks on new connections, the connections of its
-    overdue requests are shut down, and the requests are retried on other
-    engines.
+    fails two health checks on new connections, its overdue requests go on
+    at other engines. Those that cannot stay, as the engine may be sound and
+    only silent for a moment. A connection on which a request or a head has
+    come to a halt is shut down.
     """
 
     def __init__(self, circuit_breakers, clock=time.monotonic):
@@ -132,12 +146,13 @@
             if is_alive:
                 for pending_response in overdue:
                     pending_response.last_alive_at = now
+                    pending_response.is_silent = False
                 return
             for pending_response in overdue:
-                pending_response.abort()
+                pending_response.note_silence()
         self._circuit_breakers.record_failure(endpoint, 'overdue')
         events.emit(
             events.ENDPOINT_OVERDUE,
             endpoint=endpoint.id,
-            given_up=len(overdue),
+            given_up=sum(p.is_aborted for p in overdue),
         )
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -1,10 +1,12 @@
 """Runs requests to language models, with retries on other engines."""
 
+import math
 import random
 import time
 
 import msgspec
 
+from carobwood import clocks
 from carobwood import errors
 
 from . import attempt_scheduler
@@ -12,6 +14,7 @@
 from . import headers
 from . import model_request
 from . import model_stream
+from . import response_opener
 from . import upstream
 
 MAX_ATTEMPTS = 3
@@ -88,6 +91,7 @@
 
     Attributes:
         scheduler: the ``AttemptScheduler``.
+        opener: the ``ResponseOpener``.
     """
 
     def __init__(self, context, exchange, route, prepared, reservation):
@@ -97,19 +101,22 @@
         self._prepared = prepared
         self._reservation = reservation
         self._is_settled = False
+        self._tried_ids = set()
         self.scheduler = attempt_scheduler.AttemptScheduler(
             context, exchange, route, prepared
         )
+        self.opener = response_opener.ResponseOpener(
+            context, exchange, self._build_upstream_request
+        )
 
     def start(self):
         """Run the request and return the body of the response."""
         self._context.retry_budget.add_request()
-        tried_ids = set()
         failure = None
         while True:
             try:
                 return self._run_attempt(
-                    self.scheduler.start_next_attempt(tried_ids)
+                    self.scheduler.start_next_attempt(self._tried_ids)
                 )
             except _RETRYABLE as error:
                 failure = _more_severe_failure(failure, error)
@@ -118,7 +125,7 @@
                     # An earlier attempt may have run the request.
                     error.outcome = failure.outcome
                 raise
-            if not self._may_retry(len(tried_ids)):
+            if not self._may_retry(len(self._tried_ids)):
                 raise failure
 
     def _may_retry(self, attempt_count):
@@ -132,6 +139,19 @@
         time.sleep(random.uniform(*RETRY_DELAY_SECONDS))
         return True
 
+    def _start_elsewhere(self):
+        """Start an attempt beside one whose engine is silent; None if not."""
+        budget = self._context.retry_budget
+        attempt_count = len(self._tried_ids)
+        if attempt_count >= MAX_ATTEMPTS:
+            return None
+        if attempt_count > 1 and not budget.may_spend():
+            return None
+        attempt = self.scheduler.start_attempt_elsewhere(self._tried_ids)
+        if attempt is not None and attempt_count > 1:
+            budget.try_spend()
+        return attempt
+
     @property
     def deadline_seconds(self):
         """Seconds within which the response must start."""
@@ -165,7 +185,7 @@
         """Charge one token for each event if the engine reported no usage."""
         self.settle(self._prepared.prompt_tokens + event_count)
 
-    def build_upstream_request(self, endpoint, seconds, last_event_id=-1):
+    def _build_upstream_request(self, endpoint, seconds, last_event_id):
         """Return the ``UpstreamRequest`` for an engine.
 
         Args:
@@ -197,67 +217,29 @@
             self._route.stall_seconds,
         )
 
-    def open_response(self, attempt, seconds, last_event_id=-1):
-        """Send the request to the engine of a started attempt.
-
-        If this fails, the attempt is finished.
-
-        Args:
-            attempt: the ``EngineAttempt``.
-            seconds: time limit for the start of the response.
-            last_event_id: see ``build_upstream_request``.
-
-        Returns:
-            The ``Response``; the caller has to finish the attempt.
-
-        Raises:
-            EndpointUnreachable, EndpointFailed, EndpointTimeout,
-            AnswerMismatch: the engine did not respond correctly.
-        """
-        endpoint = attempt.endpoint
-        try:
-            connection = upstream.open_connection(endpoint.address)
-            attempt.note_connected()
-            upstream_request = self.build_upstream_request(
-                endpoint, seconds, last_event_id
-            )
-            with self._exchange.trace.span('endpoint', endpoint=endpoint.id):
-                response = self._send(endpoint, connection, upstream_request)
-            _check_response(endpoint, response)
-        except errors.CarobwoodError as error:
-            attempt.fail(error)
-            raise
-        except BaseException:
-            attempt.finish()
-            raise
-        return response
+    def resume_wait(self, last_event_id):
+        """Return the ``ResponseWait`` of an engine that resumes a stream."""
+        ends_at = clocks.now() + self.deadline_seconds
+        return response_opener.ResponseWait(
+            ends_at, last_event_id=last_event_id
+        )
 
-    def _send(self, endpoint, connection, upstream_request):
-        watch = self._context.hang_detector.watch(endpoint, connection.sock)
-        with watch as pending_response:
-            try:
-                return upstream.send(connection, upstream_request)
-            except errors.EndpointFailed as error:
-                if not pending_response.is_aborted:
-                    raise
-                # An engine that hangs has not crashed, so its requests get no
-                # strike: only EndpointFailed and StreamBroken lead to one.
-                raise errors.EndpointTimeout(
-                    'the engine fails its health check'
-                ) from error
-
-    def _response_timeout(self, attempt):
+    def _response_wait(self, attempt):
         # A broken connection may stay open without a sign of the failure. If
         # the engine is expected to respond well within half of the time
-        # left, the other half is reserved for another attempt.
+        # left, another one is looked for in the other half.
         seconds = self.scheduler.seconds_left
         has_time = attempt.expected_seconds * MAX_SLOWDOWN_FACTOR < seconds / 2
+        now = clocks.now()
+        look_at = math.inf
         if self._prepared.is_stream and has_time:
-            return seconds / 2
-        return seconds
+            look_at = now + seconds / 2
+        return response_opener.ResponseWait(now + seconds, look_at)
 
     def _run_attempt(self, attempt):
-        response = self.open_response(attempt, self._response_timeout(attempt))
+        attempt, response = self.opener.open(
+            attempt, self._response_wait(attempt), self._start_elsewhere
+        )
         if response.status == 200 and self._prepared.is_stream:
             return self._stream_response(attempt, response)
         try:
@@ -305,20 +287,6 @@
         )
 
 
-def _check_response(endpoint, response):
-    if response.status >= 500:
-        response.close()
-        raise errors.EndpointFailed(
-            f'the engine returned status {response.status}'
-        )
-    weights = response.headers.get(headers.WEIGHTS_VERSION)
-    if response.status == 200 and weights != endpoint.weights_version:
-        response.close()
-        raise errors.AnswerMismatch(
-            'the response is from a different weights version'
-        )
-
-
 def _require_method(exchange, method):
     if exchange.method != method:
         raise errors.MethodNotAllowed(f'this path allows only {method}')
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -107,18 +107,19 @@
         except errors.RequestRefused:
             return False
         try:
-            response = self._run.open_response(
-                attempt, self._run.deadline_seconds, self._events.last_id
+            opened = self._run.opener.open(
+                attempt,
+                self._run.resume_wait(self._events.last_id),
+                self._start_elsewhere,
             )
         except errors.CarobwoodError:
             return False
-        if response.status != 200:
-            response.close()
-            attempt.finish()
-            return False
-        self._switch_engine(attempt, response)
+        self._switch_engine(*opened)
         return True
 
+    def _start_elsewhere(self):
+        return self._run.scheduler.start_attempt_elsewhere(self._failed_ids)
+
     def _switch_engine(self, attempt, response):
         self._attempt = attempt
         self._response = response
--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -5,10 +5,12 @@
 that has been lost without a sign.
 """
 
+import contextlib
 import dataclasses
 import functools
 import http.client
 import io
+import select
 import socket
 
 import urllib3
@@ -106,8 +108,9 @@
         headers: headers by name; names are case-insensitive.
     """
 
-    def __init__(self, connection, raw_response):
+    def __init__(self, connection, raw_response, sock):
         self._connection = connection
+        self._socket = sock
         self._raw_response = raw_response
         self._body = response_body.open_body(raw_response)
         self.status = raw_response.status
@@ -126,20 +129,42 @@
         Raises:
             StreamBroken: the connection failed or timed out.
         """
+        data = self._read_available()
+        if data is None:
+            raise errors.StreamBroken('no data within the stall timeout')
+        return data
+
+    def read_within(self, seconds):
+        """Read once, like ``read_available``, within a time.
+
+        Returns:
+            The bytes, or None if nothing has come. The body can be read on
+            then.
+
+        Raises:
+            StreamBroken: the connection failed.
+        """
+        self._socket.settimeout(seconds)
+        return self._read_available()
+
+    def is_readable(self):
+        """Tell whether a read would not wait."""
+        return _is_readable(self._socket, 0.0)
+
+    def _read_available(self):
         try:
             return self._body.read_available()
-        except TimeoutError as error:
-            if self._body.trailer_seconds_left is not None:
-                # The last chunk has come.
-                self._body.give_up_trailer()
-                return b''
-            raise errors.StreamBroken(
-                'no data within the stall timeout'
-            ) from error
         except _CONNECTION_ERRORS as error:
-            raise errors.StreamBroken(
-                f'the connection failed: {type(error).__name__}'
-            ) from error
+            # The connection's own timeout, unlike a read's, has a number.
+            if not isinstance(error, TimeoutError) or error.errno is not None:
+                raise errors.StreamBroken(
+                    f'the connection failed: {type(error).__name__}'
+                ) from error
+        if self._body.trailer_seconds_left is None:
+            return None
+        # The last chunk has come.
+        self._body.give_up_trailer()
+        return b''
 
     def read_all(self, limit):
         """Return the complete body.
@@ -172,9 +197,78 @@
         self._raw_response.close()
 
 
-def open_connection(address):
+class SentRequest:
+    """A request whose response has not been read yet."""
+
+    def __init__(self, connection, request):
+        """Send a request; see ``transmit``."""
+        self._connection = connection
+        self._request = request
+        self._socket = connection.sock
+        connection.timeout = request.first_byte_seconds
+        self._socket.settimeout(request.first_byte_seconds)
+        connection.request(
+            request.method,
+            request.target,
+            body=request.body,
+            headers=request.headers,
+        )
+
+    def is_readable(self, seconds):
+        """Wait until something has come or the connection has ended.
+
+        Args:
+            seconds: longest time to wait.
+
+        Returns:
+            Whether it has.
+        """
+        return _is_readable(self._socket, seconds)
+
+    def receive(self, seconds):
+        """Wait for the headers of the response.
+
+        The connection is closed if this fails.
+
+        Args:
+            seconds: time limit for the status line and headers.
+
+        Returns:
+            The ``Response``.
+
+        Raises:
+            EndpointTimeout: the headers did not arrive in time.
+            EndpointFailed: the connection failed.
+            AnswerMismatch: the response belongs to another request.
+        """
+        with _closed_on_failure(self._connection):
+            raw_response = self._receive(seconds)
+        response = Response(self._connection, raw_response, self._socket)
+        _check_request_id(response, self._request)
+        return response
+
+    def close(self):
+        """Close the connection, which cancels the request."""
+        self._connection.close()
+
+    def _receive(self, seconds):
+        # The response class of urllib3 reads one chunk at a time, which is
+        # too slow for streams of small events.
+        self._connection.response_class = functools.partial(
+            _BoundedResponse, seconds
+        )
+        raw_response = http.client.HTTPConnection.getresponse(self._connection)
+        self._socket.settimeout(self._request.stall_seconds)
+        return raw_response
+
+
+def open_connection(address, seconds=CONNECT_TIMEOUT_SECONDS):
     """Connect to an endpoint.
 
+    Args:
+        address: ``host:port`` of the endpoint.
+        seconds: time limit.
+
     Raises:
         EndpointUnreachable: the connection could not be established.
     """
@@ -182,7 +276,7 @@
     connection = urllib3_connection.HTTPConnection(
         parsed.host,
         parsed.port,
-        timeout=CONNECT_TIMEOUT_SECONDS,
+        timeout=seconds,
         socket_options=SOCKET_OPTIONS,
     )
     try:
@@ -195,8 +289,8 @@
     return connection
 
 
-def send(connection, request):
-    """Send a request and wait for the headers of the response.
+def transmit(connection, request):
+    """Send a request without waiting for its response.
 
     Once this is called, the endpoint may have run the request. The
     connection is closed if this fails.
@@ -206,15 +300,37 @@
         request: the ``UpstreamRequest``.
 
     Returns:
-        The ``Response``.
+        The ``SentRequest``.
 
     Raises:
-        EndpointTimeout: the headers did not arrive in time.
+        EndpointTimeout: the endpoint did not take the request in time.
         EndpointFailed: the connection failed.
-        AnswerMismatch: the response belongs to another request.
     """
+    with _closed_on_failure(connection):
+        return SentRequest(connection, request)
+
+
+def send(connection, request):
+    """Send a request and wait for the headers of the response.
+
+    See ``transmit`` and ``SentRequest.receive``.
+
+    Args:
+        connection: result of ``open_connection``.
+        request: the ``UpstreamRequest``.
+
+    Returns:
+        The ``Response``.
+    """
+    sent = transmit(connection, request)
+    return sent.receive(request.first_byte_seconds)
+
+
+@contextlib.contextmanager
+def _closed_on_failure(connection):
+    """Close a connection that fails, and raise the error of its request."""
     try:
-        raw_response = _send_request(connection, request)
+        yield
     except _TIMEOUT_ERRORS as error:
         connection.close()
         raise errors.EndpointTimeout('no response within the deadline') from (
@@ -228,29 +344,12 @@
     except BaseException:
         connection.close()
         raise
-    response = Response(connection, raw_response)
-    _check_request_id(response, request)
-    return response
-
-
-def _send_request(connection, request):
-    connection.timeout = request.first_byte_seconds
-    connection.sock.settimeout(request.first_byte_seconds)
-    sock = connection.sock
-    connection.request(
-        request.method,
-        request.target,
-        body=request.body,
-        headers=request.headers,
-    )
-    # The response class of urllib3 reads one chunk at a time, which is too
-    # slow for streams of small events.
-    connection.response_class = functools.partial(
-        _BoundedResponse, request.first_byte_seconds
-    )
-    raw_response = http.client.HTTPConnection.getresponse(connection)
-    sock.settimeout(request.stall_seconds)
-    return raw_response
+
+
+def _is_readable(sock, seconds):
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(1000 * max(0.0, seconds)))
 
 
 def _check_request_id(response, request):
--- a/packages/carobwood-daemon/carobwood_daemon/routing/retry_budget.py
+++ b/packages/carobwood-daemon/carobwood_daemon/routing/retry_budget.py
@@ -27,6 +27,11 @@
                 MAX_BALANCE, self._balance + RETRIES_PER_REQUEST
             )
 
+    def may_spend(self):
+        """Return whether the budget allows a retry now."""
+        with self._lock:
+            return self._balance >= 1.0
+
     def try_spend(self):
         """Take one retry from the budget.
 
