Keep a stalled stream at its engine until another one resumes it

Callers of the own interface saw streams end with the error event stream_broken. Cause: a silence longer than stall_seconds of the route closed the stream, and only then was an engine looked for; the engine was then taken for crashed, as it did not pass a health check within 0.5 s. Evidence: test_a_stall_cuts_no_stream_of_silent_engines failed with one engine and with two that are silent together (stall_seconds 1, silence 2.5 s).

Change: a stall makes the stream look for another engine each 0.25 s, and for a new connection to the same engine if that passes a health check. It stays otherwise, for stall_seconds and deadline_seconds of the route together. A stall counts as a timeout, not as a crash.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/event_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/event_stream.py
@@ -30,6 +30,11 @@
         self.usage = None
         self._partial_event = bytearray()
 
+    @property
+    def has_partial_event(self):
+        """Whether bytes of an incomplete event have come."""
+        return bool(self._partial_event)
+
     def discard_partial_event(self):
         """Discard an incomplete event before resuming on another engine."""
         self._partial_event.clear()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -3,18 +3,22 @@
 from carobwood import errors
 from carobwood import events
 
+from ..membership import probe
+
 from . import event_stream
+from . import response_opener
 from . import stall_timer
 
 MAX_RESUMES = 3
+PROBE_TIMEOUT_SECONDS = 0.5
 
 
 class ModelStream:
     """The event stream of an engine, forwarded to the caller.
 
-    A stream that is interrupted or stalls is resumed after its last event,
-    on an engine with the same weights version. If that fails, it ends with
-    an error event.
+    A stream that is interrupted is resumed after its last event, on an engine
+    with the same weights version. If that fails, it ends with an error event.
+    A stream that stalls stays where it is until another engine resumes it.
     """
 
     def __init__(self, run, context, exchange, attempt, response):
@@ -24,9 +28,16 @@
         self._attempt = attempt
         self._response = response
         self._events = event_stream.EventStream()
-        self._stall_timer = stall_timer.StallTimer(run.stall_seconds)
+        # A stalled stream stays for as long as one that is resumed would wait.
+        self._stall_timer = stall_timer.StallTimer(
+            run.stall_seconds + run.deadline_seconds
+        )
+        self._has_left_engine = False
         self._resume_count = 0
         self._failed_ids = set()
+        # Attempts beside one that goes on, and the engines that had one.
+        self._look_count = 0
+        self._looked_ids = set()
         self._is_closed = False
         self._tracking = context.gate.track(exchange.caller.key_digest)
         self._tracked = self._tracking.__enter__()
@@ -49,7 +60,8 @@
             try:
                 complete_events = self._read_events()
             except errors.StreamBroken as error:
-                if not self._resume(error):
+                self._leave_engine(error)
+                if not self._resume():
                     return self._end_with_error(error)
                 continue
             if complete_events:
@@ -77,17 +89,85 @@
             )
         self._stall_timer.check()
         with self._stall_timer.reading():
-            data = self._response.read_available()
-        complete_events = self._events.feed(data)
+            data = self._response.read_within(self._seconds_until_look())
+        complete_events = self._events.feed(data or b'')
         if complete_events:
             self._stall_timer.note_progress()
+        elif self._stall_timer.waited_seconds >= self._run.stall_seconds:
+            self._look_elsewhere()
         return complete_events
 
-    def _resume(self, error):
+    def _seconds_until_look(self):
+        waited = self._stall_timer.waited_seconds
+        return max(
+            self._run.stall_seconds - waited,
+            response_opener.LOOK_PERIOD_SECONDS,
+        )
+
+    def _look_elsewhere(self):
+        """Go on at another engine if one resumes the stalled stream."""
+        wait = self._run.resume_wait(self._events.last_id)
+        opener = self._run.opener
+        with self._stall_timer.reading():
+            sent = opener.look(self._has_resumed, wait, self._start_beside)
+        if sent is None:
+            return
+        self._resume_count += 1
+        self._leave_engine(errors.EndpointTimeout('another engine goes on'))
+        try:
+            opened = opener.finish(sent, wait, self._start_elsewhere)
+        except errors.CarobwoodError as error:
+            raise errors.StreamBroken(error.detail) from error
+        self._switch_engine(*opened)
+
+    def _has_resumed(self):
+        # An engine that stalls may go on sending a byte now and then.
+        has_partial_event = self._events.has_partial_event
+        return not has_partial_event and self._response.is_readable()
+
+    def _start_beside(self):
+        """Start an attempt beside the one that stalls; None if not."""
+        self._looked_ids.add(self._attempt.endpoint.id)
+        return self._start_look(self._try_elsewhere) or self._start_look(
+            self._try_again
+        )
+
+    def _start_elsewhere(self):
+        """Start an attempt beside one that resumes the stream."""
+        self._looked_ids |= self._failed_ids
+        return self._start_look(self._try_elsewhere)
+
+    def _start_look(self, start):
+        if self._look_count >= MAX_RESUMES:
+            return None
+        attempt = start()
+        self._look_count += attempt is not None
+        return attempt
+
+    def _try_elsewhere(self):
+        return self._run.scheduler.start_attempt_elsewhere(self._looked_ids)
+
+    def _try_again(self):
+        """Start an attempt on the same engine if it is sound.
+
+        Its connection may have been lost without a sign then.
+        """
+        endpoint = self._attempt.endpoint
+        if not probe.is_healthy(endpoint, PROBE_TIMEOUT_SECONDS):
+            return None
+        return self._run.scheduler.start_attempt_again(endpoint)
+
+    def _leave_engine(self, error):
+        """Give the attempt up; calls before the next one have no effect."""
+        if self._has_left_engine:
+            return
+        self._has_left_engine = True
         self._response.close()
         self._failed_ids.add(self._attempt.endpoint.id)
         self._attempt.fail(error)
         self._events.discard_partial_event()
+
+    def _resume(self):
         while self._resume_count < MAX_RESUMES:
             self._resume_count += 1
             if self._try_resume():
@@ -117,12 +197,11 @@
         self._switch_engine(*opened)
         return True
 
-    def _start_elsewhere(self):
-        return self._run.scheduler.start_attempt_elsewhere(self._failed_ids)
-
     def _switch_engine(self, attempt, response):
         self._attempt = attempt
         self._response = response
+        self._has_left_engine = False
+        self._looked_ids.clear()
         self._stall_timer.note_progress()
         events.emit(
             events.STREAM_RESUMED,
--- a/packages/carobwood-daemon/carobwood_daemon/entry/stall_timer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stall_timer.py
@@ -28,6 +28,11 @@
         self._waited_seconds = 0.0
         self._is_overdue = False
 
+    @property
+    def waited_seconds(self):
+        """Time of the reads since the last progress."""
+        return self._waited_seconds
+
     def check(self):
         """Check before a read that the stream has not stalled.
 
