Connect again to an engine whose listener is silent

Callers of the own interface saw 503 (no_endpoint, not-run) if the only engine took no connection within 1 s. Cause: an engine that took no connection in time counted as tried, as one that refuses connections does. Evidence: test_a_silent_listener_of_the_only_engine_ refuses_no_request failed before (1 failed, silence 1.5 s).

Change: once no other engine is left, those that took no connection in time are tried again until the deadline, or until they are dropped from the directory. Nothing was sent to them. Refused connections are left at once, as before.

Services keep the old behaviour.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -102,6 +102,8 @@
         self._reservation = reservation
         self._is_settled = False
         self._tried_ids = set()
+        # Of these, those that took no connection in time.
+        self._silent_ids = set()
         self.scheduler = attempt_scheduler.AttemptScheduler(
             context, exchange, route, prepared
         )
@@ -114,20 +116,39 @@
         self._context.retry_budget.add_request()
         failure = None
         while True:
+            attempt = None
             try:
-                return self._run_attempt(
-                    self.scheduler.start_next_attempt(self._tried_ids)
-                )
+                attempt = self.scheduler.start_next_attempt(self._tried_ids)
+                return self._run_attempt(attempt)
             except _RETRYABLE as error:
                 failure = _more_severe_failure(failure, error)
+                self._note_silent_listener(attempt, error)
             except errors.RequestRefused as error:
+                is_last = isinstance(error, errors.NoEndpoint)
+                if is_last and self._may_connect_again():
+                    continue
                 if failure is not None:
                     # An earlier attempt may have run the request.
                     error.outcome = failure.outcome
                 raise
-            if not self._may_retry(len(self._tried_ids)):
+            may_retry = self._may_retry(len(self._tried_ids))
+            if not may_retry and not self._may_connect_again():
                 raise failure
 
+    def _note_silent_listener(self, attempt, error):
+        is_unreachable = isinstance(error, errors.EndpointUnreachable)
+        if attempt is not None and is_unreachable and error.is_timeout:
+            self._silent_ids.add(attempt.endpoint.id)
+
+    def _may_connect_again(self):
+        """Wait, and allow engines whose listeners were silent once more."""
+        if not self._silent_ids or self.scheduler.seconds_left <= 0:
+            return False
+        time.sleep(response_opener.LOOK_PERIOD_SECONDS)
+        self._tried_ids -= self._silent_ids
+        self._silent_ids.clear()
+        return True
+
     def _may_retry(self, attempt_count):
         if attempt_count >= MAX_ATTEMPTS or self.scheduler.seconds_left <= 0:
             return False
--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -283,9 +283,11 @@
         connection.connect()
     except _CONNECTION_ERRORS as error:
         connection.close()
-        raise errors.EndpointUnreachable(
+        unreachable = errors.EndpointUnreachable(
             f'cannot connect: {type(error).__name__}'
-        ) from error
+        )
+        unreachable.is_timeout = isinstance(error, _TIMEOUT_ERRORS)
+        raise unreachable from error
     return connection
 
 
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -189,11 +189,16 @@
 
 
 class EndpointUnreachable(RequestRefused):
-    """No connection to an endpoint could be opened; nothing was sent."""
+    """No connection to an endpoint could be opened; nothing was sent.
+
+    Attributes:
+        is_timeout: whether the endpoint was only silent.
+    """
 
     code = 'endpoint_unreachable'
     status = 503
     retry_after = 1
+    is_timeout = False
 
 
 class DescriptorsUsedUp(EndpointUnreachable):
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -1,10 +1,12 @@
 """Engines of carobwood's own interface that are silent for a while."""
 
 import signal
+import socket
 import threading
 import time
 
 import builders
+import fault_proxy
 import fleet as fleets
 import pytest
 import yaml
@@ -104,3 +106,75 @@
     _await_running(world, engine_ids)
     _pause_later(world, engine_ids, 2.5)
     _check_whole(world, pending.result())
+
+
+# A stop of the VM must not shorten the time that a stalled stream has.
+def test_a_stall_beside_a_stop_of_the_vm_cuts_no_stream(start_world):
+    world = start_world(['engine-1'], token_seconds=0.05, stall_seconds=1)
+    pending = world.pool.submit(world.chat, max_tokens=WORDS)
+    _await_running(world, ['engine-1'])
+    _pause_later(world, ['engine-1'], 2.0)
+    world.vms_by_id['vm1'].process.send_signal(signal.SIGTERM)
+    _check_whole(world, pending.result())
+
+
+# A request that moves between silent engines must not run out of them.
+def test_a_silence_of_all_engines_ends_no_answer(start_world):
+    engine_ids = ['engine-1', 'engine-2']
+    world = start_world(engine_ids, deadline_seconds=4)
+    for engine_id in engine_ids:
+        world.set_fault(engine_id, 'hold')
+    pending = world.pool.submit(world.chat, max_tokens=WORDS)
+    _await_running(world, engine_ids)
+    _pause_later(world, engine_ids, 2.5)
+    time.sleep(2.5)
+    for engine_id in engine_ids:
+        world.set_fault(engine_id, '')
+    _check_whole(world, pending.result())
+
+
+class _FullListener:
+    """A listener that accepts no connection until it is opened."""
+
+    def __init__(self, target):
+        self._target = target
+        self._listener = socket.create_server(('127.0.0.1', 0), backlog=0)
+        self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
+        self._fillers = []
+        is_full = False
+        while not is_full:
+            filler = socket.socket()
+            filler.settimeout(0.2)
+            self._fillers.append(filler)
+            try:
+                filler.connect(self._listener.getsockname())
+            except TimeoutError:
+                is_full = True
+
+    def open(self):
+        """Accept connections from now on, and forward them."""
+        for filler in self._fillers:
+            filler.close()
+        self._listener.listen(256)
+        threading.Thread(target=self._forward, daemon=True).start()
+
+    def _forward(self):
+        proxy = fault_proxy.FaultProxy(self._target)
+        while True:
+            client_socket, _ = self._listener.accept()
+            threading.Thread(
+                target=proxy._connect, args=(client_socket, ''), daemon=True
+            ).start()
+
+
+# The request was refused, as no connection was made within 1 s.
+def test_a_silent_listener_of_the_only_engine_refuses_no_request(start_world):
+    world = start_world([])
+    port = fleets.free_port()
+    listener = _FullListener(f'127.0.0.1:{port}')
+    world.start_engine('engine-1', port=port, advertise=listener.address)
+    world.await_endpoints(['engine-1'])
+    pending = world.pool.submit(world.chat, max_tokens=WORDS)
+    time.sleep(1.5)
+    listener.open()
+    _check_whole(world, pending.result())
