Check a silent engine's health again before a suspect is refused

A suspect (a request that may have crashed an engine) got 503 with one engine if that answered its health check later than 0.5 s. Cause: a check without an answer counted as a failed one.

Change: an engine that takes the connection of the check and stays silent is checked again for up to 3 s. One that refuses or closes it is left at once, as before.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_attempt.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_attempt.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 
+from carobwood import clocks
 from carobwood import errors
 
 from ..membership import probe
@@ -12,6 +13,8 @@
 
 LOCK_HOLDER_ID_BYTES = 8
 PROBE_TIMEOUT_SECONDS = 0.5
+# Longest silence of an engine that may still be sound.
+SILENCE_SECONDS = 3.0
 STRIKE_CONFIRM_TIMEOUT_SECONDS = 0.5
 
 
@@ -204,7 +207,7 @@
         self._context.crash_suspects.refuse_if_crashing(self._fingerprint)
         # A proxy on the path may accept connections for an engine that has
         # crashed, and the request must not get a second strike for that.
-        if not probe.is_healthy(self.endpoint, PROBE_TIMEOUT_SECONDS):
+        if not self._outlasts_silence():
             self._context.circuit_breakers.record_failure(
                 self.endpoint, 'dead'
             )
@@ -212,6 +215,14 @@
                 'the engine fails its health check'
             )
 
+    def _outlasts_silence(self):
+        """Check the engine's health, again while it is only silent."""
+        ends_at = clocks.now() + SILENCE_SECONDS
+        health = probe.Health.SILENT
+        while health is probe.Health.SILENT and clocks.now() < ends_at:
+            health = probe.check_health(self.endpoint, PROBE_TIMEOUT_SECONDS)
+        return health is probe.Health.SOUND
+
     def _start_prefill(self):
         # The placement is recorded before the engine responds, so that
         # concurrent requests with the same prefix go to the same engine,
