Connect again to services whose listeners are silent

Callers of services saw 503 (endpoint_unreachable or no_endpoint, not-run) if no endpoint took a connection within 1 s. Cause: each endpoint was connected to once. Evidence: test_a_silent_listener_of_the_only_service_refuses_no_request failed 2 of 2 before (a lookup and an order that must not be repeated; silence 1.5 s).

Change: endpoints whose connection timed out are tried again after the others, for 3 s and within the deadline. Nothing was sent to them, so an order still runs at most once. Orders use the same class as lookups to connect, and are bounded by their deadline there.

Result: 2 of 2 pass.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/at_most_once.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/at_most_once.py
@@ -19,6 +19,7 @@
 from ..replication import claims
 from ..replication import commands
 
+from . import endpoint_failover
 from . import headers
 from . import service_calls
 from . import upstream
@@ -145,13 +146,14 @@
         endpoints = self._context.endpoint_selector.rank_services(
             self._context.environment, pool
         )
-        for endpoint in endpoints:
-            try:
-                return endpoint, upstream.open_connection(endpoint.address)
-            except errors.EndpointUnreachable as error:
-                self._context.circuit_breakers.record_failure(
-                    endpoint, error.code
-                )
+        failover = endpoint_failover.EndpointFailover(
+            endpoints,
+            self._context.circuit_breakers,
+            route.deadline_seconds,
+            len(endpoints),
+        )
+        for endpoint, connection in failover.connections():
+            return endpoint, connection
         raise errors.NoEndpoint(f'no endpoint of {pool.id} can be reached')
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/endpoint_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/endpoint_failover.py
@@ -1,11 +1,16 @@
 """Fails a request over from one endpoint to the next."""
 
+import collections
 import time
 
 from carobwood import errors
 
 from . import upstream
 
+# Time in which endpoints that take no connection are tried again, as sound
+# ones may be silent.
+SILENCE_SECONDS = 3.0
+
 
 class EndpointFailover:
     """Connects to endpoints in turn until a deadline.
@@ -42,15 +47,19 @@
         """Yield endpoints, each with a new connection.
 
         Endpoints that cannot be reached are recorded as failed and
-        skipped, which is safe because nothing was sent to them.
+        skipped, which is safe because nothing was sent to them. Those that
+        were only silent are tried again after the others, for a while.
         """
-        for endpoint in self._endpoints:
-            if self.seconds_left <= 0:
-                break
+        silent_until = time.monotonic() + SILENCE_SECONDS
+        endpoints = collections.deque(self._endpoints)
+        while endpoints and self.seconds_left > 0:
+            endpoint = endpoints.popleft()
             try:
                 connection = upstream.open_connection(endpoint.address)
             except errors.EndpointUnreachable as error:
                 self.record_failure(endpoint, error)
+                if error.is_timeout and time.monotonic() < silent_until:
+                    endpoints.append(endpoint)
                 continue
             yield endpoint, connection
 
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -178,3 +178,27 @@
     time.sleep(1.5)
     listener.open()
     _check_whole(world, pending.result())
+
+
+# The service counted as failed, as no connection was made within 1 s.
+@pytest.mark.parametrize(
+    ('method', 'path', 'status'),
+    [('GET', '/records/1', 200), ('POST', '/orders', 201)],
+)
+def test_a_silent_listener_of_the_only_service_refuses_no_request(
+    start_world, method, path, status
+):
+    world = start_world([])
+    port = fleets.free_port()
+    listener = _FullListener(f'127.0.0.1:{port}')
+    world.start_service('booth-orders', port=port, advertise=listener.address)
+    world.await_endpoints(['booth-orders'])
+    headers = {**builders.bearer(world.key), 'Idempotency-Key': 'key-1'}
+    pending = world.pool.submit(
+        world.request, 'vm1', method, path, headers=headers
+    )
+    time.sleep(1.5)
+    listener.open()
+    reply = pending.result()
+    assert (reply.status, reply.outcome) == (status, 'complete'), reply.body
+    assert set(world.run_counts().values()) <= {1}
