Soak a site of real processes in faults that overlap

Callers, checks, operator, replacement of VMs and records are those of the upgrade harness; the checks of answers are shared through judge_answers.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Number of test files that run in parallel, at most 4: each worker has
 # a port range of its own, and there are ranges for 4.
 WORKERS ?= 2
-.PHONY: demo test lint format bench upgrade capacity generate clean
+.PHONY: demo test lint format bench upgrade soak capacity generate clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(PACKAGES:%=%/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -40,6 +40,12 @@
 upgrade: $(STAMP)
 	$(PYTHON) bench/upgrade.py --seed $(SEED)
 
+# Number of seeds of the soak, and the first one.
+SEEDS ?= 1
+FIRST_SEED ?= 1
+soak: $(STAMP)
+	$(PYTHON) bench/soak.py --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 capacity: $(STAMP)
 	$(PYTHON) bench/capacity.py
 
--- a/bench/relay_processes.py
+++ b/bench/relay_processes.py
@@ -108,7 +108,7 @@
         ports: the ``Ports``.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, entry_vm_count=ENTRY_VM_COUNT):
         self.folder = pathlib.Path(folder)
         self.ports = Ports(
             fleets.free_port(),
@@ -119,7 +119,7 @@
         # A subnet of its own for each run: the ports are the same on all VMs.
         subnet = f'127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}'
         names = [f'core-{n}' for n in range(CONTROL_VM_COUNT)]
-        names += [f'front-{n}' for n in range(ENTRY_VM_COUNT)]
+        names += [f'front-{n}' for n in range(entry_vm_count)]
         self.vms_by_id = {
             name: VmProcess(
                 name,
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,241 @@
+"""Soaks a site of real processes in faults that overlap.
+
+Each seed starts control VMs, entry VMs and endpoints as processes. Callers
+use their connections until they are closed, while endpoints fall silent, VMs
+are stopped, reloaded, killed and paused, and configurations change. The exit
+code is 1 if a promise was broken to callers or endpoints; then logs and
+records stay in the named folder.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import threading
+
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
+for _folder in ('tests', 'platform'):
+    sys.path.insert(0, str(_ROOT / _folder))
+
+import builds  # noqa: E402 (needs the paths above)
+import fleet as fleets  # noqa: E402 (needs the paths above)
+import relay_processes  # noqa: E402 (needs the paths above)
+import soak_callers  # noqa: E402 (needs the paths above)
+import soak_checks  # noqa: E402 (needs the paths above)
+import soak_faults  # noqa: E402 (needs the paths above)
+import soak_site  # noqa: E402 (needs the paths above)
+import upgrade_checks  # noqa: E402 (needs the paths above)
+import upgrade_records  # noqa: E402 (needs the paths above)
+
+SECONDS = 30.0
+CALLER_COUNT = 24
+# Time in which callers get the ends of their last answers.
+JOIN_SECONDS = 60.0
+MAX_PRINTED_BREAKS = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What a run does.
+
+    Attributes:
+        seed: seed of its site and faults.
+        control_build: the ``Build`` of the control VMs.
+        entry_build: the ``Build`` of the entry VMs.
+        seconds: its length.
+        caller_count: number of callers.
+        kinds: kinds of faults that occur.
+        entry_vm_count: number of entry VMs, or 0 to draw it.
+        engine_count: number of model endpoints, or 0 to draw it.
+    """
+
+    seed: int
+    control_build: builds.Build
+    entry_build: builds.Build
+    seconds: float = SECONDS
+    caller_count: int = CALLER_COUNT
+    kinds: tuple[str, ...] = soak_faults.KINDS
+    entry_vm_count: int = 0
+    engine_count: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """The outcome of a run.
+
+    Attributes:
+        layout: the ``Layout`` of the site.
+        verdicts: the ``Verdict`` objects.
+        records: the ``Records``.
+        fault_counts: number of faults by kind.
+    """
+
+    layout: soak_site.Layout
+    verdicts: list
+    records: upgrade_records.Records
+    fault_counts: dict
+
+    @property
+    def is_kept(self):
+        """Whether all promises were kept."""
+        return all(verdict.is_kept for verdict in self.verdicts)
+
+
+def run(plan, folder):
+    """Carry a ``Plan`` out and return its ``Outcome``.
+
+    Args:
+        plan: the ``Plan``.
+        folder: path of an empty folder.
+    """
+    rng = random.Random(plan.seed)
+    layout = _draw_layout(plan, rng)
+    with soak_site.Site(layout, folder, rng.random()) as site:
+        schedule = soak_faults.draw_schedule(
+            rng,
+            plan.kinds,
+            layout.engine_count,
+            [vm.id for vm in site.processes.entry_vms],
+            [vm.id for vm in site.processes.control_vms],
+        )
+        injector = soak_faults.Injector(site)
+        threads = _start_load(plan, site, rng)
+        injector.start(schedule)
+        site.stopped.wait(plan.seconds)
+        injector.stop()
+        site.stopped.set()
+        for thread in threads:
+            thread.join(JOIN_SECONDS)
+        _check_end(site)
+        verdicts = soak_checks.judge(site, site.read_works())
+    counts = {
+        **injector.counts,
+        'silent endpoints': len(site.records.silences),
+    }
+    return Outcome(layout, verdicts, site.records, counts)
+
+
+def _draw_layout(plan, rng):
+    entry_vm_count = rng.choice((2, 3))
+    engine_count = rng.choice((1, 2, 3))
+    return soak_site.Layout(
+        plan.entry_vm_count or entry_vm_count,
+        plan.engine_count or engine_count,
+        plan.control_build,
+        plan.entry_build,
+    )
+
+
+def _start_load(plan, site, rng):
+    balancer = relay_processes.Balancer(site.processes, site.stopped)
+    targets = [balancer.run, site.operator.read_periodically]
+    if 'change' in plan.kinds:
+        targets.append(site.operator.change_periodically)
+    for _ in range(plan.caller_count):
+        targets.append(
+            soak_callers.new_caller(site, balancer, rng.random()).run
+        )
+    threads = [threading.Thread(target=t, daemon=True) for t in targets]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def _check_end(site):
+    """Record what the VMs say once all faults are over."""
+    try:
+        for vm_id in site.processes.vms_by_id:
+            site.processes.await_ready(vm_id)
+        site.await_service()
+        for vm in site.processes.control_vms:
+            found = fleets.wait_until(
+                lambda: site.operator.read_back(vm), f'{vm.id} to answer'
+            )
+            site.records.final_read_backs.append(found)
+    except TimeoutError as error:
+        site.records.timeouts.append(str(error))
+
+
+def print_table(plan, outcome):
+    """Print the verdicts of a run as a table."""
+    layout = outcome.layout
+    print(
+        f'\nseed {plan.seed}: {layout.entry_vm_count} entry VMs '
+        f'({layout.entry_build.name}), control VMs '
+        f'({layout.control_build.name}), {layout.engine_count} engines'
+    )
+    for verdict in outcome.verdicts:
+        word = 'kept' if verdict.is_kept else f'BROKEN {len(verdict.breaks)}x'
+        print(f'  {verdict.promise:<40} {verdict.cases:>7}  {word}')
+        for text in verdict.breaks[:MAX_PRINTED_BREAKS]:
+            print(f'      {text}')
+    print(f'  faults: {outcome.fault_counts}')
+    counts = upgrade_checks.count_statuses(outcome.records)
+    print(f'  answers to proper requests by status: {counts}', flush=True)
+
+
+def _run_once(plan, log_folder):
+    log_folder.mkdir(parents=True, exist_ok=True)
+    folder = tempfile.mkdtemp(prefix=f'seed-{plan.seed}-', dir=log_folder)
+    outcome = run(plan, folder)
+    print_table(plan, outcome)
+    if outcome.is_kept:
+        shutil.rmtree(folder)
+    else:
+        print(f'  logs: {folder}', flush=True)
+        outcome.records.keep(folder)
+    return outcome.is_kept
+
+
+def _parse_arguments():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--first-seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=SECONDS)
+    parser.add_argument('--callers', type=int, default=CALLER_COUNT)
+    parser.add_argument('--entry-vms', type=int, default=0)
+    parser.add_argument('--engines', type=int, default=0)
+    parser.add_argument('--control', default=builds.WORKING_TREE)
+    parser.add_argument('--entry', default=builds.WORKING_TREE)
+    parser.add_argument('--kinds', nargs='+', default=soak_faults.KINDS)
+    parser.add_argument('--log-folder', default='/tmp/carobwood-soak')
+    return parser.parse_args()
+
+
+def main():
+    """Run the seeds and print their verdicts.
+
+    Returns:
+        The exit code: 1 if a promise was broken, else 0.
+    """
+    arguments = _parse_arguments()
+    seeds = range(arguments.first_seed, arguments.first_seed + arguments.seeds)
+    with tempfile.TemporaryDirectory(prefix='carobwood-builds-') as folder:
+        control = builds.prepare(arguments.control, folder)
+        entry = builds.prepare(arguments.entry, folder)
+        broken = [
+            seed
+            for seed in seeds
+            if not _run_once(
+                Plan(
+                    seed,
+                    control,
+                    entry,
+                    arguments.seconds,
+                    arguments.callers,
+                    tuple(arguments.kinds),
+                    arguments.entry_vms,
+                    arguments.engines,
+                ),
+                pathlib.Path(arguments.log_folder),
+            )
+        ]
+    print(f'\n{len(seeds)} seeds, promises broken in: {broken or "none"}')
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/soak_cases.py
@@ -0,0 +1,215 @@
+"""Fixed cases: streams in flight while endpoints are silent beside a stop.
+
+Each starts a site of its own and prints how the streams ended.
+"""
+
+import argparse
+import collections
+import dataclasses
+import pathlib
+import signal
+import sys
+import tempfile
+import threading
+
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
+for _folder in ('tests', 'platform'):
+    sys.path.insert(0, str(_ROOT / _folder))
+
+import builds  # noqa: E402 (needs the paths above)
+import relay_builders  # noqa: E402 (needs the paths above)
+import soak_callers  # noqa: E402 (needs the paths above)
+import soak_site  # noqa: E402 (needs the paths above)
+import upgrade_callers  # noqa: E402 (needs the paths above)
+import upgrade_records  # noqa: E402 (needs the paths above)
+
+# Time after which all streams are in flight.
+IN_FLIGHT_SECONDS = 0.7
+JOIN_SECONDS = 60.0
+# Ends of streams that VMs may not bring about.
+BAD_ENDS = {'cut', 'no answer', 'whole with a gap'}
+_STOP_SECONDS = IN_FLIGHT_SECONDS + 0.2
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """A silence of endpoints, and a stop of one of two entry VMs.
+
+    All times are in seconds from the start.
+
+    Attributes:
+        name: name in the table.
+        engine_count: number of model endpoints.
+        silent_count: number of those that fall silent.
+        silent_seconds: length of the silence.
+        silent_at: its begin.
+        stop_at: time of the SIGTERM, or None.
+        stream_count: number of streams, half of them at each VM.
+        first_at: time of the first stream.
+        spread_seconds: time in which the streams are sent.
+        max_attempts: attempts of a stream that can be resumed.
+        route: route of the streams.
+    """
+
+    name: str
+    engine_count: int
+    silent_count: int
+    silent_seconds: float
+    silent_at: float = IN_FLIGHT_SECONDS
+    stop_at: float | None = None
+    stream_count: int = 16
+    first_at: float = 0.0
+    spread_seconds: float = 0.0
+    max_attempts: int = 2
+    route: str = 'captions'
+
+
+CASES = (
+    Case('one-stop', 1, 1, 1.3, stop_at=_STOP_SECONDS),
+    Case('one', 1, 1, 1.3),
+    Case('one-short', 1, 1, 0.9),
+    Case(
+        'one-of-three-stop',
+        3,
+        1,
+        1.5,
+        stop_at=_STOP_SECONDS,
+        stream_count=160,
+    ),
+    Case(
+        'both-three-attempts-stop',
+        2,
+        2,
+        2.5,
+        stop_at=_STOP_SECONDS,
+        max_attempts=3,
+    ),
+    Case(
+        'both-after-stop',
+        2,
+        2,
+        1.5,
+        silent_at=3.5,
+        stop_at=0.0,
+        stream_count=200,
+        spread_seconds=3.0,
+    ),
+    Case('both-stop', 2, 2, 2.5, stop_at=_STOP_SECONDS),
+    Case(
+        'one-unresumable-stop',
+        1,
+        1,
+        3.0,
+        stop_at=_STOP_SECONDS,
+        route='checks',
+    ),
+    Case('one-first-event', 1, 1, 1.8, silent_at=0.0, first_at=0.1),
+    Case(
+        'one-first-event-unresumable',
+        1,
+        1,
+        1.8,
+        silent_at=0.0,
+        first_at=0.1,
+        route='checks',
+    ),
+)
+CASES_BY_NAME = {case.name: case for case in CASES}
+
+
+def run(case, control_build, entry_build, folder):
+    """Run a ``Case`` and return the ``Attempt`` of each stream."""
+    layout = soak_site.Layout(
+        2, case.engine_count, control_build, entry_build, case.max_attempts
+    )
+    with soak_site.Site(layout, folder, seed=1) as site:
+        engines = site.engines[: case.silent_count]
+        senders = _plan_streams(case, site)
+        senders.append(
+            threading.Timer(
+                case.silent_at, site.silence, (engines, case.silent_seconds)
+            )
+        )
+        if case.stop_at is not None:
+            stopped_vm = site.processes.entry_vms[0]
+            senders.append(
+                threading.Timer(
+                    case.stop_at, stopped_vm.stop, (signal.SIGTERM,)
+                )
+            )
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join(JOIN_SECONDS)
+        return site.records.attempts
+
+
+def _plan_streams(case, site):
+    senders = []
+    vms = site.processes.entry_vms
+    for number in range(case.stream_count):
+        vm_id = vms[number % len(vms)].id
+        caller = soak_callers.new_caller(site, None, number)
+        caller.leaving_share = 0.0
+        caller.open_connection(vm_id)
+        attempt = upgrade_records.Attempt(
+            site.records.new_request_id(),
+            vm_id,
+            case.route,
+            relay_builders.KEY,
+            upgrade_callers.CUSTOMER,
+            upgrade_callers.LONG_STREAM_EVENTS,
+        )
+        share = number / case.stream_count
+        sender = threading.Timer(
+            case.first_at + case.spread_seconds * share,
+            caller.send,
+            (attempt,),
+        )
+        senders.append(sender)
+    return senders
+
+
+def count_ends(attempts):
+    """Return the number of streams by how they ended."""
+    return dict(collections.Counter(_name_end(a) for a in attempts))
+
+
+def _name_end(attempt):
+    if attempt.is_served:
+        whole = attempt.last_event() == attempt.event_count
+        return 'whole' if whole else 'whole with a gap'
+    if attempt.is_complete:
+        return f'status {attempt.status}'
+    if attempt.status:
+        return 'cut'
+    return 'no answer' if attempt.connected_at else 'not connected'
+
+
+def main():
+    """Run the cases and print a table.
+
+    Returns:
+        The exit code: 1 if a stream was cut or has got no answer.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--control', default=builds.WORKING_TREE)
+    parser.add_argument('--entry', default=builds.WORKING_TREE)
+    parser.add_argument('names', nargs='*')
+    arguments = parser.parse_args()
+    names = arguments.names or CASES_BY_NAME
+    is_kept = True
+    with tempfile.TemporaryDirectory(prefix='carobwood-cases-') as folder:
+        control = builds.prepare(arguments.control, folder)
+        entry = builds.prepare(arguments.entry, folder)
+        for name in names:
+            case = CASES_BY_NAME[name]
+            site_folder = tempfile.mkdtemp(dir=folder)
+            ends = count_ends(run(case, control, entry, site_folder))
+            print(f'{name:<28} {ends}', flush=True)
+            is_kept &= not ends.keys() & BAD_ENDS
+    return 0 if is_kept else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/bench/upgrade.py
+++ b/bench/upgrade.py
@@ -260,14 +260,6 @@
     print(f'  served share: {share:.4f}', flush=True)
 
 
-def _keep_records(folder, outcome):
-    """Write the records beside the VMs' logs."""
-    for name in ('disruptions', 'changes', 'leavings', 'attempts', 'runs'):
-        lines = [str(item) for item in getattr(outcome.records, name)]
-        path = pathlib.Path(folder) / f'{name}.txt'
-        path.write_text('\n'.join(lines) + '\n')
-
-
 def _parse_arguments():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1)
@@ -312,7 +304,7 @@
         outcome,
     )
     if not outcome.is_kept:
-        _keep_records(folder, outcome)
+        outcome.records.keep(folder)
         return False
     shutil.rmtree(folder)
     return True
--- a/bench/upgrade_callers.py
+++ b/bench/upgrade_callers.py
@@ -32,9 +32,23 @@
 
 
 class Caller:
-    """Sends one request after the other, each to a ready VM."""
-
-    def __init__(self, processes, balancer, records, seed, stopped):
+    """Sends one request after the other, each to a ready VM.
+
+    Attributes:
+        leaving_share: share of its resumable streams that it leaves early.
+    """
+
+    leaving_share = LEAVING_SHARE
+
+    def __init__(
+        self,
+        processes,
+        balancer,
+        records,
+        seed,
+        stopped,
+        deadline_seconds=relay_test_fleet.DEADLINE_SECONDS,
+    ):
         """Create a caller.
 
         Args:
@@ -43,12 +57,14 @@
             records: the ``Records``.
             seed: seed of its random numbers.
             stopped: event that ends the run.
+            deadline_seconds: time that it leaves for its requests.
         """
         self._processes = processes
         self._balancer = balancer
         self._records = records
         self._rng = random.Random(seed)
         self._stopped = stopped
+        self._deadline_seconds = deadline_seconds
         self._connections_by_vm = {}
 
     def run(self):
@@ -86,7 +102,10 @@
                 connection.connect()
             attempt.connected_at = time.monotonic()
             connection.request(
-                'POST', _path(attempt), attempt.id, _headers(attempt)
+                'POST',
+                _path(attempt),
+                attempt.id,
+                _headers(attempt, self._deadline_seconds),
             )
             self._read_answer(connection, attempt)
         except (OSError, http.client.HTTPException) as error:
@@ -100,7 +119,7 @@
     def _read_answer(self, connection, attempt):
         leave_after = attempt.event_count
         if attempt.route == 'captions' and not attempt.resumes:
-            if self._rng.random() < LEAVING_SHARE:
+            if self._rng.random() < self.leaving_share:
                 leave_after = LEAVE_AFTER_EVENTS
         response = connection.getresponse()
         attempt.status = response.status
@@ -130,8 +149,8 @@
         return self._rng.random() < KEPT_CONNECTION_SHARE
 
     def _new_attempt(self):
-        ready_ids = self._balancer.ready_ids
-        if not ready_ids:
+        usable_ids = self._usable_vm_ids()
+        if not usable_ids:
             return None
         route = self._rng.choices(
             list(_ROUTE_WEIGHTS), list(_ROUTE_WEIGHTS.values())
@@ -141,13 +160,16 @@
             event_count = self._rng.choice((STREAM_EVENTS, LONG_STREAM_EVENTS))
         return upgrade_records.Attempt(
             self._records.new_request_id(),
-            self._rng.choice(ready_ids),
+            self._rng.choice(usable_ids),
             route,
             self._choose_key(),
             CUSTOMER,
             event_count,
         )
 
+    def _usable_vm_ids(self):
+        return self._balancer.ready_ids
+
     def _choose_key(self):
         changes = self._records.changes
         draw = self._rng.random()
@@ -191,8 +213,9 @@
     return f'/{attempt.route}/{action}'
 
 
-def _headers(attempt):
+def _headers(attempt, deadline_seconds):
     headers = {
+        'X_Carobwood_Deadline_Ms': str(int(deadline_seconds * 1000)),
         'Authorization': f'Bearer {attempt.key}',
         'X_Carobwood_Request_Id': attempt.id,
     }
--- a/bench/upgrade_checks.py
+++ b/bench/upgrade_checks.py
@@ -81,6 +81,26 @@
     return [check(records) for check in checks]
 
 
+def judge_answers(records):
+    """Return the verdicts on what callers and endpoints have seen.
+
+    Whether requests were lost isn't judged.
+    """
+    checks = [
+        _check_once,
+        _check_refusals,
+        _check_runs,
+        _check_answers,
+        _check_streams,
+        _check_denied,
+        _check_retries,
+        _check_final_configuration,
+        _check_processes,
+        _check_returns,
+    ]
+    return [check(records) for check in checks]
+
+
 def served_share(records):
     """Return the share of proper requests that were served."""
     proper = [a for a in records.attempts if a.key == relay_builders.KEY]
@@ -129,7 +149,7 @@
     for attempt in records.final_attempts:
         is_withdrawn = _is_withdrawn(records, attempt.key)
         if is_withdrawn != (attempt.status == 401):
-            breaks.append(_describe(attempt))
+            breaks.append(describe(attempt))
     return Verdict(
         'in the end all VMs follow the keys',
         len(records.final_attempts),
@@ -155,7 +175,7 @@
 def _check_once(records):
     runs_by_id = _runs_by_id(records)
     once = [a for a in records.attempts if a.route in _ONCE_ROUTES]
-    breaks = [_describe(a) for a in once if len(runs_by_id[a.id]) > 1]
+    breaks = [describe(a) for a in once if len(runs_by_id[a.id]) > 1]
     return Verdict('nothing runs twice', len(once), breaks)
 
 
@@ -166,7 +186,7 @@
         for a in records.attempts
         if a.status in _NOT_RUN_STATUSES and a.route in _ONCE_ROUTES
     ]
-    breaks = [_describe(a) for a in refused if runs_by_id[a.id]]
+    breaks = [describe(a) for a in refused if runs_by_id[a.id]]
     return Verdict('what is refused has not run', len(refused), breaks)
 
 
@@ -189,7 +209,7 @@
 def _check_answers(records):
     plain = [a for a in records.attempts if a.is_served and not a.event_count]
     breaks = [
-        _describe(a)
+        describe(a)
         for a in plain
         if a.body != a.id.encode() or a.answered_id != a.id
     ]
@@ -200,7 +220,7 @@
     streams = [
         a for a in records.attempts if a.event_count and a.status == 200
     ]
-    breaks = [_describe(a) for a in streams if not _is_sound_stream(a)]
+    breaks = [describe(a) for a in streams if not _is_sound_stream(a)]
     return Verdict(
         'streams are in order, none looks whole', len(streams), breaks
     )
@@ -228,14 +248,14 @@
             for run in runs_by_id[request_id]
         }
         if len(versions) > 1:
-            breaks.append(_describe(attempt))
+            breaks.append(describe(attempt))
     return Verdict('streams keep to their software', len(resumed), breaks)
 
 
 def _check_denied(records):
     proper = [a for a in records.attempts if a.key == relay_builders.KEY]
     breaks = [
-        _describe(a)
+        describe(a)
         for a in proper
         if 300 <= a.status < 500 and a.status not in _OWN_REFUSALS
     ]
@@ -260,14 +280,14 @@
         if seconds > LATE_SECONDS:
             continue
         if runs_by_id[attempt.id] or seconds > LOSS_SLACK_SECONDS:
-            breaks.append(_describe(attempt))
+            breaks.append(describe(attempt))
     return Verdict('requests that were read are answered', len(judged), breaks)
 
 
 def _check_retries(records):
     runs_by_id = _runs_by_id(records)
     breaks = [
-        _describe(attempt)
+        describe(attempt)
         for attempt in records.attempts
         if len({run.endpoint_id for run in runs_by_id[attempt.id]})
         > _ATTEMPTS_BY_ROUTE[attempt.route]
@@ -335,7 +355,7 @@
         if change is not None and _must_follow(records, attempt, change):
             judged.append(attempt)
     breaks = [
-        _describe(a) for a in judged if runs_by_id[a.id] or a.status == 200
+        describe(a) for a in judged if runs_by_id[a.id] or a.status == 200
     ]
     return Verdict('withdrawn keys are refused', len(judged), breaks)
 
@@ -355,7 +375,7 @@
         )
         if later is None or attempt.ended_at < later.acknowledged_at:
             judged.append(attempt)
-    breaks = [_describe(a) for a in judged if a.status in (401, 403, 404)]
+    breaks = [describe(a) for a in judged if a.status in (401, 403, 404)]
     return Verdict('added keys are accepted', len(judged), breaks)
 
 
@@ -401,7 +421,8 @@
     return Verdict('leaving engines get no requests', len(times_by_id), breaks)
 
 
-def _describe(attempt):
+def describe(attempt):
+    """Return what is known of an ``Attempt`` in one line."""
     seconds = attempt.ended_at - attempt.sent_at
     return (
         f'{attempt.id} {attempt.route} at {attempt.vm_id}: status '
--- a/bench/upgrade_operator.py
+++ b/bench/upgrade_operator.py
@@ -20,7 +20,9 @@
 class Operator:
     """Sends configurations, and reads back what is in force."""
 
-    def __init__(self, processes, records, rng, stopped):
+    def __init__(
+        self, processes, records, rng, stopped, route_changes_by_name=None
+    ):
         """Create the operator.
 
         Args:
@@ -28,11 +30,14 @@
             records: the ``Records``.
             rng: random numbers of this part.
             stopped: event that ends the run.
+            route_changes_by_name: fields of routes that replace the ones of
+                ``relay_builders``, by route name.
         """
         self._processes = processes
         self._records = records
         self._rng = rng
         self._stopped = stopped
+        self._route_changes_by_name = route_changes_by_name or {}
         self._contents_by_version = {}
 
     def put_first(self):
@@ -69,7 +74,7 @@
 
     def _put(self, version):
         """Send a version once and return whether it was acknowledged."""
-        content = _configuration(version)
+        content = _configuration(version, self._route_changes_by_name)
         self._contents_by_version[version] = content
         vm = self._rng.choice(self._processes.control_vms)
         reply = self._processes.call_control(vm, 'PUT', '/v1/config', content)
@@ -94,8 +99,10 @@
     return f'key-of-version-{version:04d}' if version > 0 else ''
 
 
-def _configuration(version):
+def _configuration(version, route_changes_by_name):
     fields = relay_builders.configuration_fields(version)
+    for route in fields['routes']:
+        route.update(route_changes_by_name.get(route['name'], {}))
     customer = fields['tenants'][0]
     keys = [key_of(version - age) for age in range(KEY_VERSIONS)]
     customer['api_keys'] = [relay_builders.KEY, *filter(None, keys)]
--- a/bench/upgrade_records.py
+++ b/bench/upgrade_records.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import pathlib
 import threading
 import time
 
@@ -155,6 +156,16 @@
     acknowledged_at: float
 
 
+_KEPT_NAMES = (
+    'disruptions',
+    'silences',
+    'changes',
+    'leavings',
+    'attempts',
+    'runs',
+)
+
+
 class Records:
     """All records of a run; lists are appended to by several threads.
 
@@ -162,6 +173,7 @@
         attempts: the ``Attempt`` objects.
         runs: the ``Run`` objects.
         disruptions: the ``Disruption`` objects.
+        silences: the ``Disruption`` of each silence of an endpoint.
         changes: the ``Change`` objects.
         read_backs: the ``ReadBack`` objects.
         final_read_backs: those after the end, one for each control VM.
@@ -177,6 +189,7 @@
         self.attempts = []
         self.runs = []
         self.disruptions = []
+        self.silences = []
         self.changes = []
         self.read_backs = []
         self.final_read_backs = []
@@ -215,6 +228,13 @@
             )
         )
 
+    def keep(self, folder):
+        """Write the records to files in a folder."""
+        for name in _KEPT_NAMES:
+            lines = [str(item) for item in getattr(self, name)]
+            path = pathlib.Path(folder) / f'{name}.txt'
+            path.write_text('\n'.join(lines) + '\n')
+
     def has_disruption(self, began_at, ended_at, is_counted):
         """Return whether a counted disruption lies within a time span."""
         return any(
--- a/bench/upgrade_rollout.py
+++ b/bench/upgrade_rollout.py
@@ -77,7 +77,7 @@
             number = signal.SIGTERM
             if replacement.is_killed:
                 number = signal.SIGKILL
-            self._restart(replacement.vm_id, number, build)
+            self.restart(replacement.vm_id, number, build)
             self._endpoints.replace_one()
             self._settle()
             self._disturb(replacement)
@@ -87,13 +87,14 @@
         vm = self._processes.vms_by_id[replacement.fault_vm_id]
         match replacement.fault:
             case 'kill':
-                self._restart(vm.id, signal.SIGKILL, vm.build)
+                self.restart(vm.id, signal.SIGKILL, vm.build)
             case 'stop':
-                self._restart(vm.id, signal.SIGTERM, vm.build)
+                self.restart(vm.id, signal.SIGTERM, vm.build)
             case 'pause':
-                self._pause(vm, replacement.pause_seconds)
+                self.pause(vm, replacement.pause_seconds)
 
-    def _restart(self, vm_id, number, build):
+    def restart(self, vm_id, number, build):
+        """End a VM by a signal, and start it with a ``Build``."""
         self._note_ended()
         disruption = self._records.begin_disruption(
             vm_id,
@@ -105,13 +106,16 @@
         self._processes.await_ready(vm_id)
         disruption.end()
 
-    def _pause(self, vm, seconds):
+    def pause(self, vm, seconds):
+        """Stop a VM's process for some time, and wait until it is ready."""
+        # Another thread may restart the VM meanwhile.
+        process = vm.process
         disruption = self._records.begin_disruption(
             vm.id, f'SIGSTOP for {seconds:.1f} s', False
         )
-        vm.process.send_signal(signal.SIGSTOP)
+        process.send_signal(signal.SIGSTOP)
         self._stopped.wait(seconds)
-        vm.process.send_signal(signal.SIGCONT)
+        process.send_signal(signal.SIGCONT)
         self._processes.await_ready(vm.id)
         disruption.end()
 
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -29,9 +29,9 @@
     with it inside the event after N events, ``/…/chunked-cut-after-N`` one
     whose last chunk ends inside that event, ``/…/unframed-empty`` one
     without an event, ``/…/pause-MS-after-N`` is silent for MS milliseconds
-    before the event after N events, ``/…/pause-MS-late-0``
-    before the head of a stream, ``/…/late-MS`` is silent before a response of a declared
-    length, ``/…/whole`` sends a response of a declared length, and any other
+    before the event after N events, ``/…/pause-MS-late-0`` before the head of
+    a stream, ``/…/late-MS`` is silent before a response of a declared length,
+    ``/…/whole`` sends a response of a declared length, and any other
     path a complete event stream. A stream resumes after the event that
     ``Last-Event-Id`` names, and then it is complete.
 
@@ -55,6 +55,8 @@
         pause_seconds: time in seconds before each paced event.
         on_run: called with headers by name in lower case, path and body of
             each request that it runs, or None.
+        on_end: called with the same headers once it has ended its work on
+            the request, or None.
         address: ``host:port`` that it listens on.
     """
 
@@ -73,6 +75,7 @@
         self.received_at = []
         self.pause_seconds = 0.0
         self.on_run = None
+        self.on_end = None
         self._server = None
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
@@ -185,6 +188,13 @@
             return
         if self.engine.on_run is not None:
             self.engine.on_run(headers, self.path, self._body)
+        try:
+            self._run(action)
+        finally:
+            if self.engine.on_end is not None:
+                self.engine.on_end(headers)
+
+    def _run(self, action):
         if action == 'silent':
             self._await_cancellation()
         elif action == 'named':
