--- a/bench/soak_cases.py
+++ b/bench/soak_cases.py
@@ -6,6 +6,7 @@
 import argparse
 import collections
 import dataclasses
+import functools
 import pathlib
 import signal
 import sys
@@ -28,7 +29,6 @@
 JOIN_SECONDS = 60.0
 # Ends of streams that VMs may not bring about.
 BAD_ENDS = {'cut', 'no answer', 'whole with a gap'}
-_STOP_SECONDS = IN_FLIGHT_SECONDS + 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,55 +64,19 @@
     route: str = 'captions'
 
 
+_with_stop = functools.partial(Case, stop_at=IN_FLIGHT_SECONDS + 0.2)
+_before_events = functools.partial(Case, silent_at=0.0, first_at=0.1)
 CASES = (
-    Case('one-stop', 1, 1, 1.3, stop_at=_STOP_SECONDS),
+    _with_stop('one-stop', 1, 1, 1.3),
     Case('one', 1, 1, 1.3),
     Case('one-short', 1, 1, 0.9),
-    Case(
-        'one-of-three-stop',
-        3,
-        1,
-        1.5,
-        stop_at=_STOP_SECONDS,
-        stream_count=160,
-    ),
-    Case(
-        'both-three-attempts-stop',
-        2,
-        2,
-        2.5,
-        stop_at=_STOP_SECONDS,
-        max_attempts=3,
-    ),
-    Case(
-        'both-after-stop',
-        2,
-        2,
-        1.5,
-        silent_at=3.5,
-        stop_at=0.0,
-        stream_count=200,
-        spread_seconds=3.0,
-    ),
-    Case('both-stop', 2, 2, 2.5, stop_at=_STOP_SECONDS),
-    Case(
-        'one-unresumable-stop',
-        1,
-        1,
-        3.0,
-        stop_at=_STOP_SECONDS,
-        route='checks',
-    ),
-    Case('one-first-event', 1, 1, 1.8, silent_at=0.0, first_at=0.1),
-    Case(
-        'one-first-event-unresumable',
-        1,
-        1,
-        1.8,
-        silent_at=0.0,
-        first_at=0.1,
-        route='checks',
-    ),
+    _with_stop('one-of-three-stop', 3, 1, 1.5, stream_count=160),
+    _with_stop('both-three-attempts-stop', 2, 2, 2.5, max_attempts=3),
+    Case('both-after-stop', 2, 2, 1.5, 3.5, 0.0, 200, spread_seconds=3.0),
+    _with_stop('both-stop', 2, 2, 2.5),
+    _with_stop('one-unresumable-stop', 1, 1, 3.0, route='checks'),
+    _before_events('one-first-event', 1, 1, 1.8),
+    _before_events('one-first-event-unresumable', 1, 1, 1.8, route='checks'),
 )
 CASES_BY_NAME = {case.name: case for case in CASES}
 
@@ -124,7 +88,11 @@
     )
     with soak_site.Site(layout, folder, seed=1) as site:
         engines = site.engines[: case.silent_count]
-        senders = _plan_streams(case, site)
+        # A VM that stops takes only what it knows to end in time.
+        vm_count = len(site.processes.entry_vms)
+        _join_all(_plan_streams(case, site, vm_count))
+        site.records.attempts.clear()
+        senders = _plan_streams(case, site, case.stream_count)
         senders.append(
             threading.Timer(
                 case.silent_at, site.silence, (engines, case.silent_seconds)
@@ -137,17 +105,21 @@
                     case.stop_at, stopped_vm.stop, (signal.SIGTERM,)
                 )
             )
-        for sender in senders:
-            sender.start()
-        for sender in senders:
-            sender.join(JOIN_SECONDS)
+        _join_all(senders)
         return site.records.attempts
 
 
-def _plan_streams(case, site):
+def _join_all(senders):
+    for sender in senders:
+        sender.start()
+    for sender in senders:
+        sender.join(JOIN_SECONDS)
+
+
+def _plan_streams(case, site, count):
     senders = []
     vms = site.processes.entry_vms
-    for number in range(case.stream_count):
+    for number in range(count):
         vm_id = vms[number % len(vms)].id
         caller = soak_callers.new_caller(site, None, number)
         caller.leaving_share = 0.0
@@ -160,7 +132,7 @@
             upgrade_callers.CUSTOMER,
             upgrade_callers.LONG_STREAM_EVENTS,
         )
-        share = number / case.stream_count
+        share = number / count
         sender = threading.Timer(
             case.first_at + case.spread_seconds * share,
             caller.send,
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -102,23 +102,8 @@
     fault: object
 
 
-@dataclasses.dataclass(frozen=True)
-class Schedule:
-    """The faults of a run.
-
-    Attributes:
-        silences: steps of the first series.
-        planned: steps of the second one.
-        unplanned: steps of the third one.
-    """
-
-    silences: tuple[Step, ...]
-    planned: tuple[Step, ...]
-    unplanned: tuple[Step, ...]
-
-
 def draw_schedule(rng, kinds, engine_count, entry_ids, control_ids):
-    """Return a ``Schedule``.
+    """Return the ``Step`` objects of each of the three series.
 
     Args:
         rng: random numbers.
@@ -136,7 +121,7 @@
         _draw_unplanned(rng, kinds, entry_ids, control_ids)
         for _ in range(STEPS)
     ]
-    return Schedule(
+    return (
         _steps(
             rng,
             silences if 'silence' in kinds else [],
@@ -189,7 +174,7 @@
 
 
 class Injector:
-    """Injects a ``Schedule`` until it is told to stop.
+    """Injects the series of a schedule until it is told to stop.
 
     Attributes:
         counts: number of injected faults by the name of their class.
@@ -206,12 +191,8 @@
         self._threads = []
 
     def start(self, schedule):
-        """Begin all series of a ``Schedule``."""
-        for steps in (
-            schedule.silences,
-            schedule.planned,
-            schedule.unplanned,
-        ):
+        """Begin all series of a schedule."""
+        for steps in schedule:
             self._start_thread(self._run, steps)
 
     def stop(self):
