--- a/bench/soak.py
+++ b/bench/soak.py
@@ -173,6 +173,8 @@
         for text in verdict.breaks[:MAX_PRINTED_BREAKS]:
             print(f'      {text}')
     print(f'  faults: {outcome.fault_counts}')
+    excuses = soak_checks.count_excuses(outcome.records)
+    print(f'  without an answer, excused: {excuses or "none"}')
     counts = upgrade_checks.count_statuses(outcome.records)
     print(f'  answers to proper requests by status: {counts}', flush=True)
 
--- a/bench/soak_cases.py
+++ b/bench/soak_cases.py
@@ -20,6 +20,7 @@
 import builds  # noqa: E402 (needs the paths above)
 import relay_builders  # noqa: E402 (needs the paths above)
 import soak_callers  # noqa: E402 (needs the paths above)
+import soak_checks  # noqa: E402 (needs the paths above)
 import soak_site  # noqa: E402 (needs the paths above)
 import upgrade_callers  # noqa: E402 (needs the paths above)
 import upgrade_records  # noqa: E402 (needs the paths above)
@@ -82,7 +83,7 @@
 
 
 def run(case, control_build, entry_build, folder):
-    """Run a ``Case`` and return the ``Attempt`` of each stream."""
+    """Run a ``Case`` and return the number of streams by how they ended."""
     layout = soak_site.Layout(
         2, case.engine_count, control_build, entry_build, case.max_attempts
     )
@@ -99,14 +100,15 @@
             )
         )
         if case.stop_at is not None:
-            stopped_vm = site.processes.entry_vms[0]
-            senders.append(
-                threading.Timer(
-                    case.stop_at, stopped_vm.stop, (signal.SIGTERM,)
-                )
-            )
+            senders.append(threading.Timer(case.stop_at, _stop, (site,)))
         _join_all(senders)
-        return site.records.attempts
+        return _count_ends(site.records)
+
+
+def _stop(site):
+    vm = site.processes.entry_vms[0]
+    site.records.begin_disruption(vm.id, 'SIGTERM', True)
+    vm.stop(signal.SIGTERM)
 
 
 def _join_all(senders):
@@ -142,20 +144,20 @@
     return senders
 
 
-def count_ends(attempts):
-    """Return the number of streams by how they ended."""
-    return dict(collections.Counter(_name_end(a) for a in attempts))
+def _count_ends(records):
+    ends = [_name_end(records, attempt) for attempt in records.attempts]
+    return dict(collections.Counter(ends))
 
 
-def _name_end(attempt):
+def _name_end(records, attempt):
     if attempt.is_served:
         whole = attempt.last_event() == attempt.event_count
         return 'whole' if whole else 'whole with a gap'
     if attempt.is_complete:
         return f'status {attempt.status}'
-    if attempt.status:
-        return 'cut'
-    return 'no answer' if attempt.connected_at else 'not connected'
+    # Each of them counts as run, which excuses less.
+    excuse = soak_checks.excuse(records, attempt, has_run=True)
+    return excuse or ('cut' if attempt.status else 'no answer')
 
 
 def main():
@@ -177,7 +179,7 @@
         for name in names:
             case = CASES_BY_NAME[name]
             site_folder = tempfile.mkdtemp(dir=folder)
-            ends = count_ends(run(case, control, entry, site_folder))
+            ends = run(case, control, entry, site_folder)
             print(f'{name:<28} {ends}', flush=True)
             is_kept &= not ends.keys() & BAD_ENDS
     return 0 if is_kept else 1
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -30,34 +30,58 @@
     records = site.records
     records.runs = [work.run for work in works]
     return [
-        check_answered(records),
+        _check_answered(records),
         _check_two_at_once(works, records.silences),
         *upgrade_checks.judge_answers(records),
     ]
 
 
-def check_answered(records):
+def _check_answered(records):
     """Return whether each request that was read has a complete answer.
 
-    Only a kill or a pause of the VM that has taken it excuses one without.
+    Faults of other VMs excuse none without.
     """
-    run_ids = {run.request_id for run in records.runs}
-    judged = [
-        attempt
-        for attempt in records.attempts
-        if attempt.connected_at is not None
-        and not _is_disturbed(records, attempt)
-    ]
     breaks = [
         upgrade_checks.describe(attempt)
-        for attempt in judged
-        if _is_lost(records, attempt, attempt.id in run_ids)
+        for attempt, reason in _unanswered(records)
+        if not reason
     ]
     return upgrade_checks.Verdict(
-        'requests that were read are answered', len(judged), breaks
+        'requests that were read are answered', len(records.attempts), breaks
     )
 
 
+def count_excuses(records):
+    """Return how many requests have no answer, by what excuses them."""
+    reasons = [reason for _, reason in _unanswered(records)]
+    return dict(collections.Counter(filter(None, reasons)))
+
+
+def _unanswered(records):
+    """Yield the attempts without a complete answer, and their excuses."""
+    run_ids = {run.request_id for run in records.runs}
+    for attempt in records.attempts:
+        if not attempt.is_complete and not attempt.has_left:
+            yield attempt, excuse(records, attempt, attempt.id in run_ids)
+
+
+def excuse(records, attempt, has_run):
+    """Return what excuses an attempt without an answer, or ''."""
+    if attempt.connected_at is None:
+        return 'not connected'
+    if _is_disturbed(records, attempt):
+        return 'VM killed or paused'
+    seconds = attempt.ended_at - attempt.sent_at
+    if seconds > USED_UP_SHARE * soak_site.route_seconds(attempt.route):
+        return 'time used up'
+    if not has_run and seconds <= upgrade_checks.LOSS_SLACK_SECONDS:
+        return 'crossed a close'
+    stops = [d for d in records.disruptions if d.vm_id == attempt.vm_id]
+    if any(s.is_planned and _is_end_of_stop(s, attempt) for s in stops):
+        return 'end of a stop'
+    return ''
+
+
 def _is_disturbed(records, attempt):
     return records.has_disruption(
         attempt.sent_at - upgrade_checks.CONTACT_SECONDS,
@@ -68,22 +92,6 @@
     )
 
 
-def _is_lost(records, attempt, has_run):
-    if attempt.is_complete or attempt.has_left:
-        return False
-    seconds = attempt.ended_at - attempt.sent_at
-    if seconds > USED_UP_SHARE * soak_site.route_seconds(attempt.route):
-        return False
-    if not has_run and seconds <= upgrade_checks.LOSS_SLACK_SECONDS:
-        # It may have crossed the VM's close.
-        return False
-    return not any(
-        _is_end_of_stop(stop, attempt)
-        for stop in records.disruptions
-        if stop.is_planned and stop.vm_id == attempt.vm_id
-    )
-
-
 def _is_end_of_stop(stop, attempt):
     grace = relay_processes.GRACE_SECONDS
     return (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,5 @@
 def test_a_stop_beside_a_silent_endpoint_cuts_no_stream(tmp_path):
     build = builds.prepare(builds.WORKING_TREE, tmp_path)
     case = soak_cases.CASES_BY_NAME['one-stop']
-    attempts = soak_cases.run(case, build, build, tmp_path)
-    ends = soak_cases.count_ends(attempts)
+    ends = soak_cases.run(case, build, build, tmp_path)
     assert ends == {'whole': case.stream_count}
