Leave out the time in which an endpoint's process did not run

The VM had given the silent one up 1.85 s before that one was continued; three requests of two VMs ended there at the same moment, 0.9 s after it, at a load of 24 on 8 cores. The endpoint's process now notes when it does not run, and that time counts as silence. That the process had not run in this case is not shown.

--- a/bench/soak_endpoint.py
+++ b/bench/soak_endpoint.py
@@ -21,6 +21,11 @@
 import upgrade_endpoints  # noqa: E402 (needs the paths above)
 
 
+# A longer pause between two looks at the clock is a pause of the process.
+LOOK_SECONDS = 0.05
+LAG_SECONDS = 0.1
+
+
 class _Record:
     """The record of what the endpoint works on."""
 
@@ -39,11 +44,24 @@
     def note_end(self, headers):
         self._write(headers)
 
+    def note_pauses(self):
+        """Note for ever when the process did not run."""
+        looked_at = time.monotonic()
+        while True:
+            time.sleep(LOOK_SECONDS)
+            now = time.monotonic()
+            if now - looked_at > LAG_SECONDS:
+                self._write_line({'pause': [looked_at, now]})
+            looked_at = now
+
     def _write(self, headers, **fields):
         fields['request_id'] = headers.get('x-carobwood-request-id', '')
         # The same thread begins and ends the work on a request.
         fields['thread'] = threading.get_ident()
         fields['at'] = time.monotonic()
+        self._write_line(fields)
+
+    def _write_line(self, fields):
         with self._lock:
             self._file.write(json.dumps(fields) + '\n')
 
@@ -84,6 +102,7 @@
     record = _Record(arguments.record)
     endpoint.on_run = record.note_begin
     endpoint.on_end = record.note_end
+    threading.Thread(target=record.note_pauses, daemon=True).start()
     _announce_periodically(endpoint, arguments.controls)
 
 
