--- a/bench/soak.py
+++ b/bench/soak.py
@@ -159,7 +159,7 @@
 
 
 def _run_once(plan, log_folder):
-    log_folder.mkdir(parents=True, exist_ok=True)
+    pathlib.Path(log_folder).mkdir(parents=True, exist_ok=True)
     folder = tempfile.mkdtemp(prefix=f'seed-{plan.seed}-', dir=log_folder)
     outcome = run(plan, folder)
     print_table(plan, outcome)
@@ -193,28 +193,26 @@
         The exit code: 1 if a promise was broken, else 0.
     """
     arguments = _parse_arguments()
-    seeds = range(arguments.first_seed, arguments.first_seed + arguments.seeds)
+    first, count = arguments.first_seed, arguments.seeds
     with tempfile.TemporaryDirectory(prefix='carobwood-builds-') as folder:
-        control = builds.prepare(arguments.control, folder)
-        entry = builds.prepare(arguments.entry, folder)
+        plan = Plan(
+            first,
+            builds.prepare(arguments.control, folder),
+            builds.prepare(arguments.entry, folder),
+            arguments.seconds,
+            arguments.callers,
+            tuple(arguments.kinds),
+            arguments.entry_vms,
+            arguments.engines,
+        )
         broken = [
             seed
-            for seed in seeds
+            for seed in range(first, first + count)
             if not _run_once(
-                Plan(
-                    seed,
-                    control,
-                    entry,
-                    arguments.seconds,
-                    arguments.callers,
-                    tuple(arguments.kinds),
-                    arguments.entry_vms,
-                    arguments.engines,
-                ),
-                pathlib.Path(arguments.log_folder),
+                dataclasses.replace(plan, seed=seed), arguments.log_folder
             )
         ]
-    print(f'\n{len(seeds)} seeds, promises broken in: {broken or "none"}')
+    print(f'\n{count} seeds, promises broken in: {broken or "none"}')
     return 1 if broken else 0
 
 
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -31,7 +31,7 @@
     records.runs = [work.run for work in works]
     return [
         _check_answered(records),
-        _check_two_at_once(
+        check_two_at_once(
             works, {e.name: e.read_pauses() for e in site.endpoints}
         ),
         *upgrade_checks.judge_answers(records),
@@ -103,7 +103,13 @@
     )
 
 
-def _check_two_at_once(works, pauses_by_name):
+def check_two_at_once(works, pauses_by_name):
+    """Return whether no request was at two endpoints that ran.
+
+    Args:
+        works: the ``Work`` of all endpoints.
+        pauses_by_name: begin and end of each pause by an endpoint's name.
+    """
     works_by_id = collections.defaultdict(list)
     for work in works:
         works_by_id[work.run.request_id].append(work)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,12 +9,16 @@
 import builds
 import soak
 import soak_cases
+import soak_checks
+import soak_site
+import upgrade_records
 
-# Stops beside silences of one and of all endpoints; 1 has three engines and
-# 2 has another layout.
+# Two entry VMs and three engines.
 SEEDS = (1,)
 # Seeds that have broken a promise, with the cause.
-FAILED_SEEDS = {}
+FAILED_SEEDS = {
+    5: 'a request counted as at two endpoints while one did not run',
+}
 SECONDS = 20.0
 CALLER_COUNT = 12
 
@@ -34,3 +38,49 @@
     case = soak_cases.CASES_BY_NAME['one-stop']
     ends = soak_cases.run(case, build, build, tmp_path)
     assert ends == {'whole': case.stream_count}
+
+
+def _work(endpoint_id, began_at, ended_at):
+    run = upgrade_records.Run(endpoint_id, 'v1', 'q', '', '', b'', began_at)
+    return soak_site.Work(run, ended_at)
+
+
+def test_a_request_at_two_endpoints_is_noticed():
+    works = [_work('a', 1.0, 3.0), _work('b', 2.0, 4.0)]
+    pauses_by_name = {'a': [], 'b': []}
+    verdict = soak_checks.check_two_at_once(works, pauses_by_name)
+    assert len(verdict.breaks) == 1
+
+
+def test_an_endpoint_that_does_not_run_does_not_work():
+    works = [_work('a', 1.0, 3.0), _work('b', 2.0, 4.0)]
+    pauses_by_name = {'a': [[1.5, 2.8]], 'b': []}
+    verdict = soak_checks.check_two_at_once(works, pauses_by_name)
+    assert verdict.is_kept
+
+
+def _cut_attempt(ended_at):
+    return upgrade_records.Attempt(
+        'q', 'front-0', 'captions', '', '', 30, '', 1, 10.0, 10.0, ended_at
+    )
+
+
+@pytest.mark.parametrize(
+    ('vm_id', 'is_planned', 'ended_at', 'excuse'),
+    [
+        ('front-0', True, 12.0, ''),
+        ('front-0', True, 16.8, 'end of a stop'),
+        ('front-0', False, 12.0, 'VM killed or paused'),
+        ('core-0', False, 12.0, ''),
+        ('front-1', False, 12.0, ''),
+    ],
+)
+def test_only_a_fault_of_its_own_vm_excuses_a_cut_stream(
+    vm_id, is_planned, ended_at, excuse
+):
+    records = upgrade_records.Records()
+    records.disruptions.append(
+        upgrade_records.Disruption(vm_id, 'fault', is_planned, 10.0, 20.0)
+    )
+    attempt = _cut_attempt(ended_at)
+    assert soak_checks.excuse(records, attempt, has_run=True) == excuse
