--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -79,7 +79,11 @@
     if not has_run and seconds <= upgrade_checks.LOSS_SLACK_SECONDS:
         return 'crossed a close'
     stops = [d for d in records.disruptions if d.vm_id == attempt.vm_id]
-    if any(s.is_planned and _is_end_of_stop(s, attempt) for s in stops):
+    is_at_end = any(
+        s.is_planned and _is_end_of_stop(s, attempt) for s in stops
+    )
+    # An endpoint must have been at work on it.
+    if has_run and is_at_end:
         return 'end of a stop'
     return ''
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,3 +84,12 @@
     )
     attempt = _cut_attempt(ended_at)
     assert soak_checks.excuse(records, attempt, has_run=True) == excuse
+
+
+def test_a_request_that_did_not_run_is_not_excused_by_the_end_of_a_stop():
+    records = upgrade_records.Records()
+    records.disruptions.append(
+        upgrade_records.Disruption('front-0', 'SIGTERM', True, 10.0, 20.0)
+    )
+    attempt = _cut_attempt(16.8)
+    assert soak_checks.excuse(records, attempt, has_run=False) == ''
