--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,220 @@
+"""Soaks a site of real processes in faults that overlap.
+
+Each seed starts control VMs, entry VMs and endpoints as processes. Callers
+use their connections until they are closed, while endpoints fall silent, VMs
+are stopped, reloaded, killed and paused, and configurations change. The exit
+code is 1 if a promise was broken to callers or endpoints; then logs and
+records stay in the named folder.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import threading
+
+_ROOT = pathlib.Path(__file__).resolve().parents[1]
+for _folder in ('tests', 'platform'):
+    sys.path.insert(0, str(_ROOT / _folder))
+
+import builds  # noqa: E402 (needs the paths above)
+import fleet as fleets  # noqa: E402 (needs the paths above)
+import relay_processes  # noqa: E402 (needs the paths above)
+import soak_callers  # noqa: E402 (needs the paths above)
+import soak_checks  # noqa: E402 (needs the paths above)
+import soak_faults  # noqa: E402 (needs the paths above)
+import soak_site  # noqa: E402 (needs the paths above)
+import upgrade  # noqa: E402 (needs the paths above)
+
+SECONDS = 30.0
+CALLER_COUNT = 24
+# Time in which callers get the ends of their last answers.
+JOIN_SECONDS = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What a run does.
+
+    Attributes:
+        seed: seed of its site and faults.
+        control_build: the ``Build`` of the control VMs.
+        entry_build: the ``Build`` of the entry VMs.
+        seconds: its length.
+        caller_count: number of callers.
+        kinds: kinds of faults that occur.
+        entry_vm_count: number of entry VMs, or 0 to draw it.
+        engine_count: number of model endpoints, or 0 to draw it.
+    """
+
+    seed: int
+    control_build: builds.Build
+    entry_build: builds.Build
+    seconds: float = SECONDS
+    caller_count: int = CALLER_COUNT
+    kinds: tuple[str, ...] = soak_faults.KINDS
+    entry_vm_count: int = 0
+    engine_count: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome(upgrade.Outcome):
+    """The outcome of a run, with its ``Layout`` and number of faults."""
+
+    layout: soak_site.Layout
+    fault_counts: dict
+
+
+def run(plan, folder):
+    """Carry a ``Plan`` out and return its ``Outcome``.
+
+    Args:
+        plan: the ``Plan``.
+        folder: path of an empty folder.
+    """
+    rng = random.Random(plan.seed)
+    layout = _draw_layout(plan, rng)
+    with soak_site.Site(layout, folder, rng.random()) as site:
+        schedule = soak_faults.draw_schedule(
+            rng,
+            plan.kinds,
+            layout.engine_count,
+            [vm.id for vm in site.processes.entry_vms],
+            [vm.id for vm in site.processes.control_vms],
+        )
+        injector = soak_faults.Injector(site)
+        threads = _start_load(plan, site, rng)
+        injector.start(schedule)
+        site.stopped.wait(plan.seconds)
+        injector.stop()
+        site.stopped.set()
+        for thread in threads:
+            thread.join(JOIN_SECONDS)
+        _check_end(site)
+        verdicts = soak_checks.judge(site, site.read_works())
+    return Outcome(
+        verdicts,
+        site.records,
+        site.processes.count_log_lines(upgrade.WATCHED_EVENTS),
+        layout,
+        {**injector.counts, 'silent endpoints': len(site.records.silences)},
+    )
+
+
+def _draw_layout(plan, rng):
+    entry_vm_count = rng.choice((2, 3))
+    engine_count = rng.choice((1, 2, 3))
+    return soak_site.Layout(
+        plan.entry_vm_count or entry_vm_count,
+        plan.engine_count or engine_count,
+        plan.control_build,
+        plan.entry_build,
+    )
+
+
+def _start_load(plan, site, rng):
+    balancer = relay_processes.Balancer(site.processes, site.stopped)
+    targets = [balancer.run, site.operator.read_periodically]
+    if 'change' in plan.kinds:
+        targets.append(site.operator.change_periodically)
+    for _ in range(plan.caller_count):
+        caller = soak_callers.KeepingCaller(site, balancer, rng.random())
+        targets.append(caller.run)
+    threads = [threading.Thread(target=t, daemon=True) for t in targets]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def _check_end(site):
+    """Record what the VMs say once all faults are over."""
+    try:
+        for vm_id in site.processes.vms_by_id:
+            site.processes.await_ready(vm_id)
+        site.await_service()
+        for vm in site.processes.control_vms:
+            found = fleets.wait_until(
+                lambda: site.operator.read_back(vm), f'{vm.id} to answer'
+            )
+            site.records.final_read_backs.append(found)
+    except TimeoutError as error:
+        site.records.timeouts.append(str(error))
+
+
+def print_table(plan, outcome):
+    """Print the verdicts of a run as a table."""
+    layout = outcome.layout
+    upgrade.print_table(
+        f'seed {plan.seed}: {layout.entry_vm_count} entry VMs '
+        f'({layout.entry_build.name}), control VMs '
+        f'({layout.control_build.name}), {layout.engine_count} engines',
+        outcome,
+    )
+    excuses = soak_checks.count_excuses(outcome.records)
+    print(f'  without an answer, excused: {excuses or "none"}')
+    print(f'  faults: {outcome.fault_counts}', flush=True)
+
+
+def _run_once(plan, log_folder):
+    pathlib.Path(log_folder).mkdir(parents=True, exist_ok=True)
+    folder = tempfile.mkdtemp(prefix=f'seed-{plan.seed}-', dir=log_folder)
+    outcome = run(plan, folder)
+    print_table(plan, outcome)
+    if outcome.is_kept:
+        shutil.rmtree(folder)
+    else:
+        print(f'  logs: {folder}', flush=True)
+        outcome.records.keep(folder)
+    return outcome.is_kept
+
+
+def _parse_arguments():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--first-seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=SECONDS)
+    parser.add_argument('--callers', type=int, default=CALLER_COUNT)
+    parser.add_argument('--entry-vms', type=int, default=0)
+    parser.add_argument('--engines', type=int, default=0)
+    parser.add_argument('--control', default=builds.WORKING_TREE)
+    parser.add_argument('--entry', default=builds.WORKING_TREE)
+    parser.add_argument('--kinds', nargs='+', default=soak_faults.KINDS)
+    parser.add_argument('--log-folder', default='/tmp/carobwood-soak')
+    return parser.parse_args()
+
+
+def main():
+    """Run the seeds and print their verdicts.
+
+    Returns:
+        The exit code: 1 if a promise was broken, else 0.
+    """
+    arguments = _parse_arguments()
+    first, count = arguments.first_seed, arguments.seeds
+    with tempfile.TemporaryDirectory(prefix='carobwood-builds-') as folder:
+        plan = Plan(
+            first,
+            builds.prepare(arguments.control, folder),
+            builds.prepare(arguments.entry, folder),
+            arguments.seconds,
+            arguments.callers,
+            tuple(arguments.kinds),
+            arguments.entry_vms,
+            arguments.engines,
+        )
+        broken = [
+            seed
+            for seed in range(first, first + count)
+            if not _run_once(
+                dataclasses.replace(plan, seed=seed), arguments.log_folder
+            )
+        ]
+    print(f'\n{count} seeds, promises broken in: {broken or "none"}')
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
