--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_activity.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_activity.py
@@ -1,4 +1,4 @@
-"""When this VM has last heard of the endpoints that work for it.
+"""When the endpoints that send streams to this VM have last sent an event.
 
 Load pattern: all endpoints of a service fall silent at the same moment. Each
 of dozens of streams would go on at an endpoint that is silent as well, its
@@ -11,13 +11,13 @@
 
 from carobwood import clocks
 
-# Time without a byte after which an endpoint that has requests of this VM
-# counts as silent.
+# Time without an event after which an endpoint that sends streams to this VM
+# counts as silent. One that has sent none yet may be busy with their prompts.
 SILENT_SECONDS = 0.5
 
 
 class EndpointActivity:
-    """Requests in flight and last signs of life by the id of the endpoint."""
+    """Streams in flight and their last events by the id of the endpoint."""
 
     def __init__(self, clock=clocks.now):
         """Create an empty table.
@@ -27,28 +27,28 @@
         """
         self._clock = clock
         self._lock = threading.Lock()
-        self._running_by_id = collections.Counter()
-        self._heard_at_by_id = {}
+        self._streams_by_id = collections.Counter()
+        self._event_at_by_id = {}
 
     def begin(self, endpoint_id):
-        """Record that a request is in flight on an endpoint."""
+        """Record the first event of a stream of an endpoint."""
         with self._lock:
-            self._running_by_id[endpoint_id] += 1
-            self._heard_at_by_id.setdefault(endpoint_id, self._clock())
+            self._streams_by_id[endpoint_id] += 1
+            self._event_at_by_id[endpoint_id] = self._clock()
 
     def end(self, endpoint_id):
-        """Record that a request is no longer in flight on an endpoint."""
+        """Record that a stream that has begun has ended."""
         with self._lock:
-            self._running_by_id[endpoint_id] -= 1
-            if self._running_by_id[endpoint_id] <= 0:
-                del self._running_by_id[endpoint_id]
-                self._heard_at_by_id.pop(endpoint_id, None)
+            self._streams_by_id[endpoint_id] -= 1
+            if self._streams_by_id[endpoint_id] <= 0:
+                del self._streams_by_id[endpoint_id]
+                self._event_at_by_id.pop(endpoint_id, None)
 
-    def note_heard(self, endpoint_id):
-        """Record that bytes of an answer of an endpoint have come."""
+    def note_event(self, endpoint_id):
+        """Record a further event of a stream."""
         with self._lock:
-            if endpoint_id in self._heard_at_by_id:
-                self._heard_at_by_id[endpoint_id] = self._clock()
+            if endpoint_id in self._event_at_by_id:
+                self._event_at_by_id[endpoint_id] = self._clock()
 
     def silent_ids(self):
         """Return the ids of the endpoints that are silent."""
@@ -56,6 +56,6 @@
         with self._lock:
             return frozenset(
                 endpoint_id
-                for endpoint_id, heard_at in self._heard_at_by_id.items()
-                if heard_at < silent_since
+                for endpoint_id, event_at in self._event_at_by_id.items()
+                if event_at < silent_since
             )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -318,6 +318,10 @@
             # as its next request, keep its socket readable.
             poller.unregister(caller_socket)
 
+    def has_bytes(self):
+        """Tell whether bytes can be read without waiting."""
+        return self._has_buffered_bytes() and self._read_error is None
+
     def is_reusable(self):
         """Tell whether another request may be sent on this connection.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -69,6 +69,8 @@
         )
         # The assignment of the current attempt.
         self._assignment = None
+        # Whether events of the current attempt have come.
+        self._is_streaming = False
         self._failover = silence_failover.SilenceFailover(
             context, selector, caller
         )
@@ -79,12 +81,16 @@
         If the request may have run in an earlier attempt, the caller must
         not be told that it has not run.
         """
-        run_error = self._run_error or self._failover.run_error
         is_not_run = error.outcome is errors.Outcome.NOT_RUN
-        if run_error is not None and is_not_run:
-            return run_error
+        if self._last_run_error is not None and is_not_run:
+            return self._last_run_error
         return error
 
+    @property
+    def _last_run_error(self):
+        """Error of an attempt in which the request may have run, or None."""
+        return self._run_error or self._failover.run_error
+
     def run(self):
         """Attempt the request until an endpoint has responded to it.
 
@@ -145,7 +151,7 @@
             return
         is_bound = (
             is_in_flight
-            or self._run_error is not None
+            or self._last_run_error is not None
             or request.software_version is not None
             or self._caller.has_started_response
         )
@@ -189,7 +195,7 @@
             return
         if self._caller.has_started_response:
             return
-        if self._run_error is None or self._request.route.is_idempotent:
+        if self._last_run_error is None or self._request.route.is_idempotent:
             raise errors.NoEndpointReachable('this VM reaches no endpoint')
 
     def _attempt(self, assignment, started):
@@ -220,14 +226,14 @@
         )
         self._response_forwarder.begin(
             response_forwarder.Attempt(
-                self._request, watch, self._bind_stream, self._note_heard
+                self._request, watch, self._bind_stream, self._note_event
             )
         )
         fingerprint = self._request.fingerprint
         self._context.crash_suspects.add_running(
             assignment.endpoint, fingerprint
         )
-        self._context.activity.begin(assignment.endpoint.id)
+        self._is_streaming = False
         try:
             response = self._await_response(assignment, started, watch)
             self._selector.release_prefill(assignment)
@@ -260,7 +266,8 @@
             self._note_failed(assignment, error)
             self._raise_unless_retryable(assignment, error)
         finally:
-            self._context.activity.end(assignment.endpoint.id)
+            if self._is_streaming:
+                self._context.activity.end(assignment.endpoint.id)
             self._context.crash_suspects.remove_running(
                 assignment.endpoint, fingerprint
             )
@@ -306,39 +313,42 @@
                 all and another VM is to take the request.
             CallerLeft: the caller disconnected meanwhile.
         """
-        if self._is_another_vm_needed():
-            raise errors.EndpointTimeout('this VM reaches no endpoint')
         stay_reason = self._find_stay_reason()
+        if stay_reason is None and self._may_go_to_another_vm():
+            raise errors.EndpointTimeout('this VM reaches no endpoint')
         silent = silence_failover.SilentAttempt(
-            self._request,
-            self._sender,
-            self._assignment,
-            self._excluded_ids | {self._assignment.endpoint.id},
-            connection,
-            has_partial_event,
-            self._response_forwarder.last_event_id,
-            self._caller.has_started_response,
+            request=self._request,
+            sender=self._sender,
+            assignment=self._assignment,
+            excluded_ids=self._excluded_ids | {self._assignment.endpoint.id},
+            connection=connection,
+            has_partial_event=has_partial_event,
+            last_event_id=self._response_forwarder.last_event_id,
+            has_started=self._caller.has_started_response,
         )
         self._failover.look(silent, stay_reason)
 
-    def _is_another_vm_needed(self):
+    def _may_go_to_another_vm(self):
         return (
             self._context.reachability.is_cut_off
-            and self._request.route.is_idempotent
             and not self._caller.has_started_response
+            and self._context.retry_budget.may_spend(self._request.service)
         )
 
     def _find_stay_reason(self):
         """Return why no other endpoint may be tried now, or None."""
-        if not self._request.route.is_idempotent:
+        route = self._request.route
+        is_bound = self._caller.has_started_response and not route.is_resumable
+        if is_bound or not route.is_idempotent:
             return silence_failover.StayReason.UNREPEATABLE
         if self._is_last_attempt:
             return silence_failover.StayReason.ATTEMPTS_USED
+        if self._request.seconds_left < silence_failover.MIN_SECONDS:
+            return silence_failover.StayReason.DEADLINE
         if self._context.gate.is_interrupted:
             return silence_failover.StayReason.STOPPED
         try:
             self._follow_configuration(is_in_flight=True)
-            self._context.segment_suspects.check(self._request.segment_keys)
         except errors.CarobwoodError:
             return silence_failover.StayReason.NOT_ADMITTED
         return None
@@ -352,8 +362,14 @@
     def _is_last_attempt(self):
         return self._run_count + 1 >= self._request.route.max_attempts
 
-    def _note_heard(self):
-        self._context.activity.note_heard(self._assignment.endpoint.id)
+    def _note_event(self):
+        """Record that an event of the current attempt has come."""
+        endpoint_id = self._assignment.endpoint.id
+        if self._is_streaming:
+            self._context.activity.note_event(endpoint_id)
+            return
+        self._is_streaming = True
+        self._context.activity.begin(endpoint_id)
 
     def _bind_stream(self):
         """Have later attempts go on at the same software version."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -32,13 +32,14 @@
         watch: the ``SilenceWatch`` of the attempt.
         on_stream_start: called without arguments before the first event of
             the first stream goes to the caller.
-        on_bytes: called without arguments as bytes of the response come.
+        on_event: called without arguments after each read that has brought
+            complete events.
     """
 
     request: admission.AdmittedRequest
     watch: silence_watch.SilenceWatch
     on_stream_start: object
-    on_bytes: object
+    on_event: object
 
 
 class ResponseForwarder:
@@ -94,7 +95,6 @@
             EndpointFailed: the response is truncated or malformed.
             EndpointTimeout: no further part of it came in time.
         """
-        self._attempt.on_bytes()
         if response.head.is_event_stream and response.head.status == 200:
             self._forward_stream(response)
         else:
@@ -141,7 +141,6 @@
         reader = self._open_reader(response)
         while not reader.has_ended:
             data = self._read_stream(reader, response)
-            self._attempt.on_bytes()
             self._forward_events(response, self._splitter.feed(data))
         remaining = self._splitter.flush()
         if self.first_event_at is None and _ends_with_connection(response):
@@ -173,6 +172,7 @@
         if not data:
             return
         self._last_event_at = clocks.now()
+        self._attempt.on_event()
         if self.first_event_at is None:
             self.first_event_at = self._last_event_at
         if not self._caller.has_started_response:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -13,6 +13,7 @@
 import dataclasses
 import enum
 import http
+import math
 
 from carobwood import clocks
 from carobwood import errors
@@ -26,19 +27,25 @@
 # Time in which the other endpoint may refuse the request before the silent one
 # is given up. Two endpoints that work on a request for longer are waste.
 TRIAL_SECONDS = 0.3
+# Time left below which no other endpoint is tried.
+MIN_SECONDS = 1.0
+# Time after which an endpoint that did not take the request is tried again.
+RETRY_SECONDS = 1.0
 
 
 class StayReason(enum.Enum):
     """Why a request stays at a silent endpoint.
 
     Attributes:
-        UNREPEATABLE: it must not run twice.
+        UNREPEATABLE: it must not run twice, or the rest of its answer cannot
+            come from another run.
         ATTEMPTS_USED: no further attempt is allowed.
+        DEADLINE: too little time is left.
         STOPPED: the time of the VM's stop has ended.
         NOT_ADMITTED: it would not be admitted any more.
         NO_RETRY: the retry budget is used up.
         NO_PLACE: no other endpoint has room for it.
-        OTHERS_SILENT: none that is not silent as well has.
+        OTHERS_SILENT: other endpoints are silent as well.
         UNREACHABLE: another one could not be connected to.
         LEAVING: another one began to leave.
         REFUSED: another one did not run it.
@@ -48,6 +55,7 @@
 
     UNREPEATABLE = 'unrepeatable'
     ATTEMPTS_USED = 'attempts'
+    DEADLINE = 'deadline'
     STOPPED = 'stop'
     NOT_ADMITTED = 'configuration'
     NO_RETRY = 'budget'
@@ -90,13 +98,7 @@
         if self.has_partial_event:
             # A stalled endpoint that sends a byte now and then.
             return False
-        waited = self.connection.wait(None, 0.0)
-        return (
-            waited is endpoint_connections.WaitResult.READABLE
-            and not endpoint_connections.is_closed_by_peer(
-                self.connection.socket
-            )
-        )
+        return self.connection.has_bytes()
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -137,7 +139,8 @@
         self._selector = selector
         self._caller = caller
         self.has_noted_silence = False
-        self._tried_ids = set()
+        # Monotonic times from which endpoints may be tried again, by id.
+        self._retry_at_by_id = {}
         self._started = None
         self._logged_reason = None
 
@@ -166,8 +169,6 @@
     def look(self, silent, stay_reason):
         """Begin an attempt at another endpoint if one takes the request.
 
-        Each other endpoint is tried once.
-
         Args:
             silent: the ``SilentAttempt``.
             stay_reason: the ``StayReason`` for which none may be tried, or
@@ -208,7 +209,6 @@
             return (
                 StayReason.OTHERS_SILENT if silent_ids else StayReason.NO_PLACE
             )
-        self._tried_ids.add(assignment.endpoint.id)
         try:
             return self._try_endpoint(silent, assignment)
         finally:
@@ -221,16 +221,23 @@
         )
         if must_queue:
             return None
+        now = clocks.now()
+        tried_ids = {
+            endpoint_id
+            for endpoint_id, retry_at in self._retry_at_by_id.items()
+            if now < retry_at
+        }
         try:
-            return self._selector.try_assign(
-                request, excluded_ids | self._tried_ids
-            )
+            return self._selector.try_assign(request, excluded_ids | tried_ids)
         except errors.ConfigurationChanged:
             # The next look is made under the new one.
             return None
 
     def _try_endpoint(self, silent, assignment):
         request = silent.request
+        self._retry_at_by_id[assignment.endpoint.id] = (
+            clocks.now() + RETRY_SECONDS
+        )
         recorder = result_recorder.ResultRecorder(self._context, request)
         try:
             connection = silent.sender.connect(assignment)
@@ -241,11 +248,12 @@
             return StayReason.UNREACHABLE
         except errors.EndpointLeft:
             return StayReason.LEAVING
-        if not self._context.retry_budget.try_spend(request.service):
+        stay_reason = self._claim_attempt(request)
+        if stay_reason is not None:
             self._context.pool.release(
                 assignment.endpoint.address, connection, None
             )
-            return StayReason.NO_RETRY
+            return stay_reason
         attempt_log.log_sent(request, assignment, silent.last_event_id)
         sent_at = clocks.now()
         suspects = self._context.crash_suspects
@@ -263,6 +271,7 @@
         ) as error:
             attempt_log.log_failed(request, assignment, error)
             recorder.note_failed(assignment, error, sent_at)
+            self._retry_at_by_id[assignment.endpoint.id] = math.inf
             self._note_run(error)
             return StayReason.FAILED
         except BaseException:
@@ -271,12 +280,25 @@
         finally:
             suspects.remove_running(assignment.endpoint, request.fingerprint)
 
+    def _claim_attempt(self, request):
+        """Spend a retry; return a ``StayReason`` if none may be made."""
+        try:
+            self._context.segment_suspects.check_before_send(
+                request.segment_keys
+            )
+        except errors.RequestCrashesEndpoints:
+            return StayReason.NOT_ADMITTED
+        if not self._context.retry_budget.try_spend(request.service):
+            return StayReason.NO_RETRY
+        return None
+
     def _try_request(self, silent, assignment, connection):
         """Send the request and wait until it may count as taken."""
         sent = silent.sender.send_on(
             connection, assignment, silent.last_event_id, TRIAL_SECONDS
         )
-        match connection.wait(self._caller.socket, TRIAL_SECONDS):
+        seconds_left = max(0.0, sent.sent_at + TRIAL_SECONDS - clocks.now())
+        match connection.wait(self._caller.socket, seconds_left):
             case endpoint_connections.WaitResult.CALLER_LEFT:
                 raise errors.CallerLeft(
                     'the caller disconnected during the silence'
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -57,6 +57,8 @@
             each request that it runs, or None.
         on_end: called with the same headers once it has ended its work on
             the request, or None.
+        on_pause: called without arguments before each silence within a
+            stream.
         address: ``host:port`` that it listens on.
     """
 
@@ -75,6 +77,7 @@
         self.received_at = []
         self.pause_seconds = 0.0
         self.on_run = None
+        self.on_pause = lambda: None
         self.on_end = None
         self._server = None
         self._serve(0)
@@ -322,6 +325,7 @@
         try:
             for number in range(first, STREAM_EVENT_COUNT + 1):
                 if place == 'after' and number == int(count) + 1:
+                    self.engine.on_pause()
                     time.sleep(seconds)
                 self._send_chunk(b'id: %d\ndata: %d\n\n' % (number, number))
             self.wfile.write(b'0\r\n\r\n')
