Send a body while the deadline lasts, not within 1 s

Cause: the whole write had 1 s, at endpoints and on the hop to another VM.

Change: the write waits for room until the deadline, looks at the caller meanwhile, and has the silence watch look for another endpoint if the request may be repeated. The trial at another endpoint has 0.3 s without progress instead of 0.3 s for the whole write. An endpoint that answers without reading the rest gets no more of it, and its connection is not used again.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -6,7 +6,8 @@
 and a connection on which a read or a write has failed is never used again.
 """
 
-import dataclasses
+import collections
+import contextlib
 import enum
 import http.client
 import io
@@ -14,8 +15,6 @@
 import socket
 import struct
 
-from urllib3 import connection as urllib3_connection
-
 from carobwood import clocks
 from carobwood import errors
 
@@ -23,6 +22,10 @@
 from ..entry import response_body
 from ..entry import response_head
 
+from . import request_encoder
+
+OutgoingRequest = request_encoder.OutgoingRequest
+
 # A connection ends if sent bytes, keep-alive probes included, are not
 # acknowledged in this time. A sound endpoint may be silent for a second or so,
 # which must not end a request; an idle connection is replaced at no cost.
@@ -52,33 +55,18 @@
 MIN_HEAD_SECONDS = 0.1
 
 
-@dataclasses.dataclass(frozen=True)
-class OutgoingRequest:
-    """A request as it is sent to an endpoint.
-
-    Attributes:
-        method: HTTP method.
-        target: path and query as the caller sent them.
-        headers: (name, value) pairs.
-        body: the body, or None if the caller sent none.
-    """
-
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes | None
-
-
 class WaitResult(enum.Enum):
-    """What ended a wait for bytes from an endpoint.
+    """What ended a wait for an endpoint.
 
     Attributes:
         READABLE: bytes, an error or the end of the connection can be read.
+        WRITABLE: further bytes of the request can be written.
         CALLER_LEFT: the caller has closed its connection.
         TIMED_OUT: neither happened in time.
     """
 
     READABLE = 'readable'
+    WRITABLE = 'writable'
     CALLER_LEFT = 'caller-left'
     TIMED_OUT = 'timed-out'
 
@@ -105,6 +93,10 @@
         self._bounds = bounded_reader.BoundedReader(sock)
         self._reader = io.BufferedReader(self._bounds)
         self._body = None
+        # Blocks of the request that are not written yet.
+        self._unsent = collections.deque()
+        # Whether the endpoint answered before it had read the request.
+        self._is_cut_short = False
         # Whether a request was sent whose response has no head yet.
         self._awaits_head = False
         self._closes_after_response = False
@@ -134,34 +126,69 @@
 
         Args:
             request: the ``OutgoingRequest``.
-            timeout: seconds that each write may take.
+            timeout: seconds to wait each time for room for more of it.
 
         Raises:
             EndpointFailed: the connection failed; the endpoint may have
                 received the request.
         """
-        connection = urllib3_connection.HTTPConnection(
-            self._address.host, self._address.port
-        )
-        connection.sock = self._socket
+        self.begin_request(request)
+        while not self.write_available():
+            if self.wait_for_room(None, timeout) is WaitResult.TIMED_OUT:
+                raise errors.EndpointFailed(
+                    'sending the request failed: the endpoint reads nothing'
+                )
+
+    def begin_request(self, request):
+        """Begin to send a request; see ``write_available``.
+
+        Raises:
+            EndpointFailed: the request can't be sent.
+        """
         self._awaits_head = True
-        try:
-            self._socket.settimeout(timeout)
-            connection.putrequest(
-                request.method,
-                request.target,
-                skip_host=True,
-                skip_accept_encoding=True,
-            )
-            for name, value in request.headers:
-                connection.putheader(name, value)
-            if request.body is not None:
-                connection.putheader('Content-Length', str(len(request.body)))
-            connection.endheaders(request.body)
-        except _IO_FAILURES as error:
-            raise errors.EndpointFailed(
-                f'sending the request failed: {error!r}'
-            ) from error
+        with _failing('sending the request'):
+            blocks = request_encoder.encode(request, self._address)
+        self._unsent.extend(memoryview(block) for block in blocks)
+
+    def write_available(self):
+        """Write what there is room for; return whether nothing is left.
+
+        Raises:
+            EndpointFailed: the connection failed; the endpoint may have
+                received the request.
+        """
+        with _failing('sending the request'):
+            self._socket.settimeout(0)
+            while self._unsent:
+                try:
+                    count = self._socket.send(self._unsent[0])
+                except BlockingIOError:
+                    return False
+                self._unsent[0] = self._unsent[0][count:]
+                if not self._unsent[0]:
+                    self._unsent.popleft()
+        return True
+
+    @property
+    def has_room(self):
+        """Whether more of a request that is being sent can be written."""
+        return bool(self._unsent) and (
+            self._poll(None, 0.0, select.POLLOUT) is WaitResult.WRITABLE
+        )
+
+    def wait_for_room(self, caller_socket, timeout):
+        """Wait until more of the request can be written; see ``wait``.
+
+        An endpoint may answer without reading the rest, which is not sent
+        then.
+        """
+        result = self._poll(
+            caller_socket, timeout, select.POLLIN | select.POLLOUT
+        )
+        if result is WaitResult.READABLE:
+            self._unsent.clear()
+            self._is_cut_short = True
+        return result
 
     def read_head(self, method, timeout, seconds=MAX_HEAD_SECONDS):
         """Read the head of the next response.
@@ -300,15 +327,21 @@
             return WaitResult.CALLER_LEFT
         if self._has_buffered_bytes():
             return WaitResult.READABLE
+        return self._poll(caller_socket, timeout, select.POLLIN)
+
+    def _poll(self, caller_socket, timeout, mask):
+        """Wait as ``wait`` does, for what a mask of ``select.poll`` says."""
         poller = select.poll()
-        poller.register(self._socket, select.POLLIN)
+        poller.register(self._socket, mask)
         if caller_socket is not None:
             poller.register(caller_socket, select.POLLIN | select.POLLRDHUP)
         deadline = clocks.now() + timeout
         while True:
             seconds_left = max(0.0, deadline - clocks.now())
-            ready = {fd for fd, _ in poller.poll(seconds_left * 1000)}
+            ready = dict(poller.poll(seconds_left * 1000))
             if self._socket.fileno() in ready:
+                if ready[self._socket.fileno()] & select.POLLOUT:
+                    return WaitResult.WRITABLE
                 return WaitResult.READABLE
             if not ready:
                 return WaitResult.TIMED_OUT
@@ -324,7 +357,7 @@
         It may not if the response announced the connection's end, or if
         bytes followed the response.
         """
-        if self._closes_after_response:
+        if self._closes_after_response or self._is_cut_short:
             return False
         if self._body is not None and self._body.has_surplus_bytes:
             return False
@@ -373,6 +406,15 @@
             return True
 
 
+@contextlib.contextmanager
+def _failing(action):
+    """Raise ``EndpointFailed`` for what fails on the connection."""
+    try:
+        yield
+    except _IO_FAILURES as error:
+        raise errors.EndpointFailed(f'{action} failed: {error!r}') from error
+
+
 def is_closed_by_peer(sock):
     """Tell whether the peer of a socket has closed the connection."""
     try:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -9,8 +9,6 @@
 from . import endpoint_connections
 from . import messages
 
-# Timeout of each write of the request to the endpoint's connection.
-SEND_TIMEOUT_SECONDS = 1.0
 # Timeout of each read of a response once its connection has become readable.
 READ_TIMEOUT_SECONDS = 1.0
 # Late responses to earlier requests that are skipped on one connection.
@@ -41,12 +39,14 @@
     Attributes:
         assignment: the ``Assignment`` that is reserved for it.
         connection: the ``EndpointConnection``.
-        sent_at: when it was sent, by ``clocks.now``.
+        sent_at: when it began to be sent, by ``clocks.now``.
+        written_at: when all of it was sent.
     """
 
     assignment: object
     connection: endpoint_connections.EndpointConnection
     sent_at: float
+    written_at: float
 
 
 class RequestSender:
@@ -94,9 +94,7 @@
             CallerLeft: the caller disconnected; the request may have run.
         """
         connection = self.connect(assignment)
-        sent = self.send_on(
-            connection, assignment, resume_id, SEND_TIMEOUT_SECONDS
-        )
+        sent = self.send_on(connection, assignment, resume_id, watch)
         return self.await_response(sent, watch)
 
     def connect(self, assignment):
@@ -121,27 +119,34 @@
             raise
         return connection
 
-    def send_on(self, connection, assignment, resume_id, timeout):
+    def send_on(self, connection, assignment, resume_id, watch):
         """Send the request on a connection, which is closed on failure.
 
         Args:
             connection: the ``EndpointConnection``.
             assignment: see ``send``.
             resume_id: see ``send``.
-            timeout: seconds that each write may take.
+            watch: see ``send``.
 
         Returns:
             The ``SentRequest``.
 
         Raises:
             EndpointFailed: the request could not be sent, but may have run.
+            EndpointTimeout: the endpoint did not read it in time.
+            CallerLeft: the caller disconnected meanwhile.
         """
-        sent_at = clocks.now()
+        sent_at = heard_at = clocks.now()
         with self._guarded(connection):
-            connection.send(
-                self._outgoing_request(assignment, resume_id), timeout
+            connection.begin_request(
+                self._outgoing_request(assignment, resume_id)
             )
-        return SentRequest(assignment, connection, sent_at)
+            while not connection.write_available():
+                self._await(
+                    connection, watch, heard_at, connection.wait_for_room
+                )
+                heard_at = clocks.now()
+        return SentRequest(assignment, connection, sent_at, heard_at)
 
     def await_response(self, sent, watch):
         """Wait for the response to a ``SentRequest``; see ``send``.
@@ -210,7 +215,7 @@
         connection = sent.connection
         assignment = sent.assignment
         for _ in range(1 + MAX_LATE_RESPONSES):
-            self._await_head(sent, watch)
+            self._await(connection, watch, sent.written_at, connection.wait)
             status, headers = connection.read_head(
                 self._caller.method,
                 READ_TIMEOUT_SECONDS,
@@ -232,25 +237,35 @@
             'the responses carry the ids of other requests'
         )
 
-    def _await_head(self, sent, watch):
-        """Wait until the head of a response can be read."""
+    def _await(self, connection, watch, heard_at, wait):
+        """Wait until the endpoint goes on.
+
+        Args:
+            connection: the ``EndpointConnection``.
+            watch: the ``SilenceWatch``.
+            heard_at: when the endpoint last went on.
+            wait: function of the connection that waits; see
+                ``EndpointConnection.wait``.
+        """
         while True:
             seconds_left = self._request.seconds_left
-            until_look = watch.seconds_until_look(sent.sent_at)
-            match sent.connection.wait(
+            until_look = watch.seconds_until_look(heard_at)
+            match wait(
                 self._caller.socket, max(0.0, min(seconds_left, until_look))
             ):
-                case endpoint_connections.WaitResult.READABLE:
-                    return
                 case endpoint_connections.WaitResult.CALLER_LEFT:
                     raise errors.CallerLeft(
                         'the caller disconnected before the response'
                     )
+                case endpoint_connections.WaitResult.TIMED_OUT:
+                    pass
+                case _:
+                    return
             if seconds_left <= until_look:
                 raise errors.EndpointTimeout(
                     'the endpoint sent no response in time'
                 )
-            watch.look(sent.connection)
+            watch.look(connection)
 
     def _is_own(self, head, connection):
         """Return whether a response belongs to this request.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -84,10 +84,12 @@
 
     @property
     def has_resumed(self):
-        """Whether the endpoint sends again."""
+        """Whether the endpoint reads or sends again."""
         if self.has_partial_event:
             # A stalled endpoint that sends a byte now and then.
             return False
+        if self.connection.has_room:
+            return True
         waited = self.connection.wait(None, 0.0)
         return (
             waited is endpoint_connections.WaitResult.READABLE
@@ -263,8 +265,9 @@
 
     def _try_request(self, silent, assignment, connection):
         """Send the request and wait until it may count as taken."""
+        watch = silence_watch.SilenceWatch(TRIAL_SECONDS, _give_up)
         sent = silent.sender.send_on(
-            connection, assignment, silent.last_event_id, TRIAL_SECONDS
+            connection, assignment, silent.last_event_id, watch
         )
         match connection.wait(self._caller.socket, TRIAL_SECONDS):
             case endpoint_connections.WaitResult.CALLER_LEFT:
@@ -273,7 +276,7 @@
                     'the caller disconnected during the silence'
                 )
             case endpoint_connections.WaitResult.READABLE:
-                return self._check_response(silent, sent)
+                return self._check_response(silent, sent, watch)
         if silent.has_resumed:
             connection.close()
             self._note_run(errors.EndpointTimeout('the first one went on'))
@@ -281,9 +284,8 @@
         self._started = StartedAttempt(sent, None)
         return None
 
-    def _check_response(self, silent, sent):
+    def _check_response(self, silent, sent, watch):
         """Read the head of a response and decide whether it is taken."""
-        watch = silence_watch.SilenceWatch(TRIAL_SECONDS, _give_up)
         response = silent.sender.await_response(sent, watch)
         head = response.head
         is_stream = head.is_event_stream and head.status == http.HTTPStatus.OK
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -22,8 +22,6 @@
 
 # VMs that are asked to take one request.
 MAX_PEERS = 4
-# Timeout of each write of the request.
-SEND_TIMEOUT_SECONDS = 1.0
 # Timeout of each read once the connection has become readable.
 READ_TIMEOUT_SECONDS = 2.0
 # Part of the time left that is kept for the way back.
@@ -126,11 +124,12 @@
         return is_taken
 
     def _exchange(self, connection, vm, caller, request, trace):
-        connection.send(
-            self._outgoing_request(caller, request, trace),
-            SEND_TIMEOUT_SECONDS,
+        connection.begin_request(
+            self._outgoing_request(caller, request, trace)
         )
-        self._await(connection, caller, request)
+        while not connection.write_available():
+            self._await(connection.wait_for_room, caller, request)
+        self._await(connection.wait, caller, request)
         status, headers = connection.read_head(
             caller.method, READ_TIMEOUT_SECONDS, request.seconds_left
         )
@@ -210,9 +209,10 @@
         while not reader.has_ended:
             yield reader.read(request.seconds_left)
 
-    def _await(self, connection, caller, request):
+    def _await(self, wait, caller, request):
+        """Wait for the other VM; see ``EndpointConnection.wait``."""
         seconds = max(0.0, request.seconds_left)
-        match connection.wait(caller.socket, seconds):
+        match wait(caller.socket, seconds):
             case endpoint_connections.WaitResult.CALLER_LEFT:
                 raise errors.CallerLeft(
                     'the caller disconnected during the response'
--- /dev/null
+++ b/tests/pausing_endpoint.py
@@ -0,0 +1,123 @@
+"""A sound endpoint that is silent for a while at a given place."""
+
+import re
+import socket
+import threading
+
+# Small, so that a body that is not read blocks its sender.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+# The parts of an answer, between which it is silent. Each answer is 'whole'.
+_PARTS_BY_PLACE = {
+    'unread': (b'Content-Length: 5\r\n\r\nwhole',),
+    'status-line': (b'Content-Length: 5\r\n\r\nwhole',),
+    'headers': (b'Content-', b'Length: 5\r\n\r\nwhole'),
+    'length': (b'Content-Length: 5\r\n\r\nwho', b'le'),
+    'size-line': (_CHUNKED + b'0', b'5\r\nwhole\r\n0\r\n\r\n'),
+    'chunk': (_CHUNKED + b'5\r\nwho', b'le\r\n0\r\n\r\n'),
+    'chunks': (_CHUNKED + b'3\r\nwho\r\n', b'2\r\nle\r\n0\r\n\r\n'),
+}
+PLACES = tuple(_PARTS_BY_PLACE)
+
+
+class PausingEndpoint:
+    """An endpoint that the last part of the path tells where to be silent.
+
+    ``/…/PLACE-MS`` is silent for MS milliseconds at a place: ``unread``
+    before it reads the body of the request, the others within its answer.
+    Attributes:
+        name: id of the endpoint.
+        service: name of the service that it belongs to.
+        address: ``host:port`` that it listens on.
+        runs: requests that it has read to their end.
+        requests: nothing, as ``FakeEngine`` has it.
+        received_at: nothing, as ``FakeEngine`` has it.
+    """
+
+    def __init__(self, name='orders-0', service='orders'):
+        self.name = name
+        self.service = service
+        self.runs = 0
+        self.requests = []
+        self.received_at = []
+        self._never_set = threading.Event()
+        self._listener = socket.socket()
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self._listener.bind(('127.0.0.1', 0))
+        self._listener.listen(128)
+        self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def announcement(self, sequence=1, state='ready'):
+        """Return its announcement to control VMs."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'bole',
+            'state': state,
+            'seq_no': sequence,
+            'born': 1_700_000_000_000,
+            'version': 'v1',
+        }
+
+    def stop(self):
+        """Accept no further connection."""
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        with connection, connection.makefile('rb') as reader:
+            try:
+                while self._serve_request(connection, reader):
+                    pass
+            except OSError:
+                # The other side has reset the connection.
+                pass
+
+    def _serve_request(self, connection, reader):
+        request_line = reader.readline().decode()
+        if not request_line:
+            return False
+        headers = _read_headers(reader)
+        action = request_line.split(' ')[1].rpartition('/')[2]
+        place, _, milliseconds = action.rpartition('-')
+        start = self._signed_start(headers)
+        seconds = int(milliseconds) / 1000
+        if place == 'unread':
+            self._never_set.wait(seconds)
+        reader.read(int(headers.get('content-length', 0)))
+        self.runs += 1
+        first, *others = _PARTS_BY_PLACE[place]
+        if place == 'status-line':
+            start, first, others = start[:9], b'', [start[9:] + first]
+        connection.sendall(start + first)
+        for part in others:
+            self._never_set.wait(seconds)
+            connection.sendall(part)
+        return True
+
+    def _signed_start(self, headers):
+        return (
+            'HTTP/1.1 200 OK\r\n'
+            f'X-Carobwood-Request-Id: {headers["x-carobwood-request-id"]}\r\n'
+            f'X-Carobwood-Response-Stamp: {self.name}\r\n'
+        ).encode()
+
+
+def _read_headers(reader):
+    headers = {}
+    while line := reader.readline().strip().decode():
+        name, value = re.fullmatch('([^:]+): *(.*)', line).groups()
+        headers[name.lower()] = value
+    return headers
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -173,6 +173,24 @@
         connection.read_head('POST', TIMEOUT_SECONDS)
 
 
+# A write that waits for room must not wait for an endpoint that has answered.
+def test_an_answer_to_a_body_that_is_not_read_ends_its_write():
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = '127.0.0.1:%d' % listener.getsockname()[1]
+        connection = connection_pool.ConnectionPool().acquire(address)
+        peer, _ = listener.accept()
+        with peer:
+            peer.sendall(b'HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n')
+            body = b'x' * 64_000_000
+            connection.send(
+                endpoint_connections.OutgoingRequest('POST', '/', (), body),
+                TIMEOUT_SECONDS,
+            )
+            assert connection.read_head('POST', TIMEOUT_SECONDS)[0] == 413
+            assert not connection.is_reusable()
+            connection.close()
+
+
 def test_connection_closed_by_endpoint_is_not_reused():
     server = ScriptedServer(RESPONSE, RESPONSE)
     pool = connection_pool.ConnectionPool()
