--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -22,8 +22,6 @@
 
 # VMs that are asked to take one request.
 MAX_PEERS = 4
-# Timeout of each write of the request.
-SEND_TIMEOUT_SECONDS = 1.0
 # Timeout of each read once the connection has become readable.
 READ_TIMEOUT_SECONDS = 2.0
 # Part of the time left that is kept for the way back.
@@ -126,13 +124,17 @@
         return is_taken
 
     def _exchange(self, connection, vm, caller, request, trace):
-        connection.send(
-            self._outgoing_request(caller, request, trace),
-            SEND_TIMEOUT_SECONDS,
+        connection.begin_request(
+            self._outgoing_request(caller, request, trace)
         )
-        self._await(connection, caller, request)
+        while not connection.write_available():
+            self._await(connection.wait_for_room, caller, request)
+        self._await(connection.wait, caller, request)
         status, headers = connection.read_head(
-            caller.method, READ_TIMEOUT_SECONDS, request.seconds_left
+            caller.method,
+            endpoint_connections.MAX_HEAD_SECONDS,
+            request.seconds_left,
+            lambda seconds: _await_part(connection, caller, seconds),
         )
         self._check_request_id(request, status, headers)
         code = headers.get(forwarding_headers.ERROR, '')
@@ -210,9 +212,10 @@
         while not reader.has_ended:
             yield reader.read(request.seconds_left)
 
-    def _await(self, connection, caller, request):
+    def _await(self, wait, caller, request):
+        """Wait for the other VM; see ``EndpointConnection.wait``."""
         seconds = max(0.0, request.seconds_left)
-        match connection.wait(caller.socket, seconds):
+        match wait(caller.socket, seconds):
             case endpoint_connections.WaitResult.CALLER_LEFT:
                 raise errors.CallerLeft(
                     'the caller disconnected during the response'
@@ -240,6 +243,13 @@
         )
 
 
+def _await_part(connection, caller, seconds):
+    """Wait for a further part of a head, at most the given time."""
+    waited = connection.wait_for_input(caller.socket, seconds)
+    if waited is endpoint_connections.WaitResult.CALLER_LEFT:
+        raise errors.CallerLeft('the caller disconnected within the head')
+
+
 def _may_forward_again(caller, request):
     """Return whether a request that may have run may go to another VM."""
     return request.route.is_idempotent and not caller.has_started_response
