--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -15,6 +15,7 @@
 from . import model_request
 from . import model_stream
 from . import response_opener
+from . import silence
 from . import upstream
 
 MAX_ATTEMPTS = 3
@@ -144,7 +145,7 @@
         """Wait, and allow engines whose listeners were silent once more."""
         if not self._silent_ids or self.scheduler.seconds_left <= 0:
             return False
-        time.sleep(response_opener.LOOK_PERIOD_SECONDS)
+        time.sleep(silence.LOOK_PERIOD_SECONDS)
         self._tried_ids -= self._silent_ids
         self._silent_ids.clear()
         return True
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -6,7 +6,7 @@
 from ..membership import probe
 
 from . import event_stream
-from . import response_opener
+from . import silence
 from . import stall_timer
 
 MAX_RESUMES = 3
@@ -101,7 +101,7 @@
         waited = self._stall_timer.waited_seconds
         return max(
             self._run.stall_seconds - waited,
-            response_opener.LOOK_PERIOD_SECONDS,
+            silence.LOOK_PERIOD_SECONDS,
         )
 
     def _look_elsewhere(self):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_opener.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_opener.py
@@ -13,14 +13,9 @@
 from carobwood import errors
 
 from . import headers
+from . import silence
 from . import upstream
 
-# Time in which another engine may refuse the request before the silent one is
-# given up.
-TRIAL_SECONDS = 0.3
-# Time between two looks for another engine.
-LOOK_PERIOD_SECONDS = 0.25
-
 
 @dataclasses.dataclass(frozen=True)
 class ResponseWait:
@@ -212,8 +207,8 @@
         if attempt is None:
             return None
         try:
-            other = self._send(attempt, wait, TRIAL_SECONDS)
-            if other.is_readable(TRIAL_SECONDS):
+            other = self._send(attempt, wait, silence.TRIAL_SECONDS)
+            if other.is_readable(silence.TRIAL_SECONDS):
                 other.receive()
                 return other
         except errors.CarobwoodError:
@@ -242,7 +237,7 @@
         # Another engine gets the time that is left.
         wait = dataclasses.replace(wait, look_at=math.inf)
         while not sent.is_readable(
-            min(LOOK_PERIOD_SECONDS, sent.seconds_left)
+            min(silence.LOOK_PERIOD_SECONDS, sent.seconds_left)
         ):
             if sent.seconds_left <= 0:
                 break
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -20,11 +20,6 @@
 from . import silence_failover
 from . import silence_watch
 
-# Silence before a response that is no stream for which no other endpoint is
-# looked for: a fraction of the remaining time, but at least a multiple of the
-# route's target latency.
-SILENT_SHARE = 0.45
-MIN_SILENCE_IN_TARGET_LATENCIES = 3.0
 # A request with less time left than this is not sent.
 MIN_ATTEMPT_SECONDS = 0.01
 
@@ -222,7 +217,7 @@
         self._failover.begin_attempt()
         self._sent_at = started.sent.sent_at if started else clocks.now()
         watch = silence_watch.SilenceWatch(
-            self._silent_seconds(), self._on_silence
+            silence_watch.seconds_before_head(self._request), self._on_silence
         )
         self._response_forwarder.begin(
             response_forwarder.Attempt(
@@ -381,16 +376,6 @@
             )
         )
 
-    def _silent_seconds(self):
-        """Return the silence before the response that may be normal."""
-        route = self._request.route
-        if route.is_resumable:
-            return silence_watch.FIRST_EVENT_SECONDS
-        return max(
-            MIN_SILENCE_IN_TARGET_LATENCIES * route.target_latency,
-            SILENT_SHARE * self._request.seconds_left,
-        )
-
     def _raise_unless_retryable(self, assignment, error):
         """Raise the final error unless another attempt is allowed."""
         request = self._request
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -18,15 +18,14 @@
 from carobwood import clocks
 from carobwood import errors
 
+from ..entry import silence
+
 from . import attempt_log
 from . import endpoint_connections
 from . import request_sender
 from . import result_recorder
 from . import silence_watch
 
-# Time in which the other endpoint may refuse the request before the silent one
-# is given up. Two endpoints that work on a request for longer are waste.
-TRIAL_SECONDS = 0.3
 # Time left below which no other endpoint is tried.
 MIN_SECONDS = 1.0
 # Time after which an endpoint that did not take the request is tried again.
@@ -294,11 +293,13 @@
 
     def _try_request(self, silent, assignment, connection):
         """Send the request and wait until it may count as taken."""
-        watch = silence_watch.SilenceWatch(TRIAL_SECONDS, _give_up)
+        watch = silence_watch.SilenceWatch(silence.TRIAL_SECONDS, _give_up)
         sent = silent.sender.send_on(
             connection, assignment, silent.last_event_id, watch
         )
-        seconds_left = max(0.0, sent.sent_at + TRIAL_SECONDS - clocks.now())
+        seconds_left = max(
+            0.0, sent.sent_at + silence.TRIAL_SECONDS - clocks.now()
+        )
         match connection.wait(self._caller.socket, seconds_left):
             case endpoint_connections.WaitResult.CALLER_LEFT:
                 raise errors.CallerLeft(
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_watch.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_watch.py
@@ -7,13 +7,33 @@
 
 from carobwood import clocks
 
+from ..entry import silence
+
 # Silence before the first event of a stream. Callers abandon a stream after
 # about two seconds of silence.
 FIRST_EVENT_SECONDS = 1.5
 # Silence within a stream.
 STALL_SECONDS = 1.0
-# Time between two looks.
-LOOK_PERIOD_SECONDS = 0.25
+# Silence before an answer of a route whose answers cannot be resumed: a
+# fraction of the remaining time, but at least a multiple of the route's target
+# latency.
+SILENT_SHARE = 0.45
+MIN_SILENCE_IN_TARGET_LATENCIES = 3.0
+
+
+def seconds_before_head(request):
+    """Return the silence before the head of a response that may be normal.
+
+    Args:
+        request: the ``AdmittedRequest``.
+    """
+    route = request.route
+    if route.is_resumable:
+        return FIRST_EVENT_SECONDS
+    return max(
+        MIN_SILENCE_IN_TARGET_LATENCIES * route.target_latency,
+        SILENT_SHARE * request.seconds_left,
+    )
 
 
 class SilenceWatch:
@@ -60,4 +80,4 @@
             CallerLeft: the caller disconnected meanwhile.
         """
         self._on_silence(connection, has_partial_event)
-        self._next_look_at = clocks.now() + LOOK_PERIOD_SECONDS
+        self._next_look_at = clocks.now() + silence.LOOK_PERIOD_SECONDS
