Test that waiting for a silent endpoint ends where it should

A caller that leaves ends the wait for room and for the rest of a head, and a request that may be repeated goes on at another endpoint whose first one stops reading its body, or stops within its head, for good (4 combinations).

--- a/tests/pausing_endpoint.py
+++ b/tests/pausing_endpoint.py
@@ -25,6 +25,8 @@
 
     ``/…/PLACE-MS`` is silent for MS milliseconds at a place: ``unread``
     before it reads the body of the request, the others within its answer.
+    The last part of the path may name the only endpoint that is silent, as
+    in ``/…/PLACE-MS@NAME``.
     Attributes:
         name: id of the endpoint.
         service: name of the service that it belongs to.
@@ -91,7 +93,10 @@
             return False
         headers = _read_headers(reader)
         action = request_line.split(' ')[1].rpartition('/')[2]
+        action, _, silent_name = action.partition('@')
         place, _, milliseconds = action.rpartition('-')
+        if silent_name not in ('', self.name):
+            milliseconds = '0'
         start = self._signed_start(headers)
         seconds = int(milliseconds) / 1000
         if place == 'unread':
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -191,6 +191,33 @@
             connection.close()
 
 
+@pytest.mark.parametrize('body_bytes', [64_000_000, 1])
+def test_sending_and_a_head_in_part_end_when_the_caller_leaves(body_bytes):
+    caller_socket, client_socket = socket.socketpair()
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = '127.0.0.1:%d' % listener.getsockname()[1]
+        connection = connection_pool.ConnectionPool().acquire(address)
+        connection.begin_request(
+            endpoint_connections.OutgoingRequest(
+                'POST', '/', (), b'x' * body_bytes
+            )
+        )
+        is_sent = connection.write_available()
+        assert is_sent == (body_bytes == 1)
+        client_socket.close()
+        wait = (
+            connection.wait_for_input
+            if is_sent
+            else (connection.wait_for_room)
+        )
+        assert (
+            wait(caller_socket, TIMEOUT_SECONDS)
+            is endpoint_connections.WaitResult.CALLER_LEFT
+        )
+        connection.close()
+    caller_socket.close()
+
+
 def test_connection_closed_by_endpoint_is_not_reused():
     server = ScriptedServer(RESPONSE, RESPONSE)
     pool = connection_pool.ConnectionPool()
--- a/tests/test_silence_in_each_phase.py
+++ b/tests/test_silence_in_each_phase.py
@@ -91,3 +91,31 @@
     reply = ask(f'{route}/{place}-{PAUSE_MS}')
     assert (reply.status, reply.body) == (200, b'whole')
     assert endpoint.runs == 1
+
+
+@pytest.fixture
+def other_endpoint(_fleet):
+    """Return a second endpoint of the service."""
+    endpoint = pausing_endpoint.PausingEndpoint('orders-1')
+    _fleet.announce(endpoint, 1000)
+    relay_test_fleet.await_reply(
+        lambda: _ask(_fleet, 1, 'lookups/chunk-0') and endpoint.runs,
+        lambda runs: runs,
+    )
+    endpoint.runs = 0
+    yield endpoint
+    _fleet.announce(endpoint, 2000, 'draining')
+    endpoint.stop()
+
+
+# Waiting for a silent endpoint must not hold a request that another one could
+# run.
+def test_another_endpoint_goes_on_with_a_request_that_may_repeat(
+    _fleet, endpoint, other_endpoint
+):
+    for place in ('unread', 'headers'):
+        for silent in (endpoint, other_endpoint):
+            reply = _ask(
+                _fleet, 1, f'lookups/{place}-600000@{silent.name}', LARGE_BODY
+            )
+            assert (reply.status, reply.body) == (200, b'whole')
