Wait for the line of a refused link before it is checked

The test failed now and then: the callee writes its line after the answer that the test has got, so that the log could be empty still.

--- a/tests/test_link_versions.py
+++ b/tests/test_link_versions.py
@@ -18,6 +18,7 @@
 import pytest
 
 import builds
+import fleet as fleets
 import format_samples
 import handshake_peer
 
@@ -183,6 +184,8 @@
         refusal = _connect(server.port, Range(6, 8))
         server.stop()
     assert isinstance(refusal, errors.LinkRefused)
+    # The callee writes the line after its answer.
+    fleets.wait_until(lambda: caplog.records, 'the line of the refusal')
     messages = [record.getMessage() for record in caplog.records]
     assert len(messages) == 1, messages
     assert '"link-refused"' in messages[0]
