--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -293,7 +293,7 @@
         if is_timeout and self._failover.has_noted_silence:
             # The silence is recorded already.
             return
-        self._recorder.note_failed(
+        self._recorder.note_failed_attempt(
             assignment,
             error,
             self._sent_at,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -82,7 +82,19 @@
         elif not self._refresh_weights(assignment):
             self._context.health.note_refused(assignment.endpoint)
 
-    def note_failed(self, assignment, error, sent_at, first_event_at=None):
+    def note_failed_attempt(self, assignment, error, sent_at, first_event_at):
+        """Record a failed attempt, and which segments may have crashed it.
+
+        Args:
+            assignment: the ``Assignment`` that the request was sent to.
+            error: the ``CarobwoodError`` of the attempt.
+            sent_at: when the attempt began, by ``clocks.now``.
+            first_event_at: when its first event came, or None.
+        """
+        if self.note_failed(assignment, error):
+            self._note_crash(assignment, sent_at, first_event_at)
+
+    def note_failed(self, assignment, error):
         """Record that the request failed and that it may have run.
 
         If the endpoint also refuses a new connection while another one
@@ -92,13 +104,10 @@
         Args:
             assignment: the ``Assignment`` that the request was sent to.
             error: the ``CarobwoodError`` of the attempt.
-            sent_at: when the attempt began, by ``clocks.now``.
-            first_event_at: when its first event came, or None.
-        """
-        if self._has_crashed(assignment, error):
-            self._note_crash(assignment, sent_at, first_event_at)
 
-    def _has_crashed(self, assignment, error):
+        Returns:
+            Whether the endpoint has crashed.
+        """
         endpoint = assignment.endpoint
         self._context.health.note_result(endpoint, True)
         if not isinstance(error, errors.EndpointFailed):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -269,7 +269,7 @@
             errors.AnswerMismatch,
         ) as error:
             attempt_log.log_failed(request, assignment, error)
-            recorder.note_failed(assignment, error, sent_at)
+            recorder.note_failed_attempt(assignment, error, sent_at, None)
             self._retry_at_by_id[assignment.endpoint.id] = math.inf
             self._note_run(error)
             return StayReason.FAILED
