--- /dev/null
+++ b/packages/carobwood/carobwood/operator_errors.py
@@ -0,0 +1,106 @@
+"""Errors of operators, of their documents and of settings."""
+
+from . import base_errors
+
+
+class OperatorRefused(base_errors.RequestRefused):
+    """The operator's or the endpoint's token is missing or wrong."""
+
+    code = 'operator_refused'
+    status = 401
+
+
+class DocumentInvalid(base_errors.RequestRefused):
+    """The document is not valid.
+
+    Attributes:
+        faults: list of ``DocumentFault``, one for each fault found.
+    """
+
+    code = 'document_invalid'
+    status = 422
+
+    def __init__(self, faults):
+        super().__init__('; '.join(str(fault) for fault in faults))
+        self.faults = list(faults)
+
+
+class ConfigurationInvalid(base_errors.RequestRefused):
+    """The operators' configuration is not valid.
+
+    Attributes:
+        faults: list of strings, one for each fault found.
+    """
+
+    code = 'configuration_invalid'
+
+    def __init__(self, faults):
+        super().__init__('; '.join(faults))
+        self.faults = list(faults)
+
+
+class SettingsInvalid(base_errors.CarobwoodError):
+    """The settings of the process are not valid.
+
+    Attributes:
+        faults: list of strings, each with the setting and its fault.
+    """
+
+    code = 'settings_invalid'
+
+    def __init__(self, faults):
+        super().__init__('\n'.join(faults))
+        self.faults = list(faults)
+
+
+class ClientUsage(base_errors.CarobwoodError):
+    """The client was called with invalid arguments."""
+
+    code = 'client_usage'
+
+
+class VersionConflict(base_errors.RequestRefused):
+    """A concurrent change was committed first."""
+
+    code = 'version_conflict'
+    status = 409
+
+
+class DigestMismatch(base_errors.RequestRefused):
+    """The source environment's document does not have the given digest."""
+
+    code = 'digest_mismatch'
+    status = 409
+
+
+class NotFound(base_errors.RequestRefused):
+    """The named object does not exist."""
+
+    code = 'not_found'
+    status = 404
+
+
+class AlreadyFounded(base_errors.RequestRefused):
+    """The VM or one of its peers already belongs to a fleet."""
+
+    code = 'already_founded'
+    status = 409
+
+
+class ReplacementRefused(base_errors.RequestRefused):
+    """The voter cannot be replaced now."""
+
+    code = 'replacement_refused'
+    status = 409
+
+
+class ChangeUncertain(base_errors.CarobwoodError):
+    """The change may or may not be committed.
+
+    It is safe to resend it with the same operation id.
+    """
+
+    code = 'change_uncertain'
+    status = 504
+    outcome = base_errors.Outcome.UNKNOWN
+    retry_after = 1
