--- a/packages/carobwood-daemon/carobwood_daemon/operators/document_verbs.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/document_verbs.py
@@ -11,24 +11,11 @@
 from ..replication import fleet_state
 
 from . import messages
+from . import verbs
 
 
-class DocumentVerbs:
-    """Checks documents, puts them in force and returns them.
-
-    Arguments named ``message`` are requests of ``messages``, and
-    ``operator`` is the name of the authenticated operator.
-    """
-
-    def __init__(self, context, changes):
-        """Create the verbs.
-
-        Args:
-            context: the daemon's ``PorcelainContext``.
-            changes: the ``Changes`` that commits them.
-        """
-        self._context = context
-        self._changes = changes
+class DocumentVerbs(verbs.Verbs):
+    """Checks documents, puts them in force and returns them."""
 
     def check(self, message):
         """Check a document without putting it in force.
--- a/packages/carobwood-daemon/carobwood_daemon/operators/endpoint_verbs.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/endpoint_verbs.py
@@ -9,23 +9,11 @@
 from ..replication import commands
 
 from . import messages
+from . import verbs
 
 
-class EndpointVerbs:
-    """Lists and drains endpoints, and places orders to engines.
-
-    See ``DocumentVerbs``.
-    """
-
-    def __init__(self, context, changes):
-        """Create the verbs.
-
-        Args:
-            context: the daemon's ``PorcelainContext``.
-            changes: the ``Changes`` that commits them.
-        """
-        self._context = context
-        self._changes = changes
+class EndpointVerbs(verbs.Verbs):
+    """Lists and drains endpoints, and places orders to engines."""
 
     def all_endpoints(self):
         """Return the endpoints known to this VM, sorted by id."""
--- a/packages/carobwood-daemon/carobwood_daemon/operators/key_verbs.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/key_verbs.py
@@ -7,6 +7,7 @@
 from ..replication import commands
 
 from . import messages
+from . import verbs
 
 # Time to wait for all peers to confirm a withdrawal.
 WITHDRAWAL_CONFIRM_SECONDS = 2.0
@@ -14,18 +15,8 @@
 WITHDRAWAL_COMMIT_SECONDS = 1.0
 
 
-class KeyVerbs:
-    """Issues, lists and withdraws keys; see ``DocumentVerbs``."""
-
-    def __init__(self, context, changes):
-        """Create the verbs.
-
-        Args:
-            context: the daemon's ``PorcelainContext``.
-            changes: the ``Changes`` that commits them.
-        """
-        self._context = context
-        self._changes = changes
+class KeyVerbs(verbs.Verbs):
+    """Issues, lists and withdraws keys."""
 
     def issue(self, message, operator):
         """Record the digest of a customer's new key."""
--- a/packages/carobwood-daemon/carobwood_daemon/operators/vm_verbs.py
+++ b/packages/carobwood-daemon/carobwood_daemon/operators/vm_verbs.py
@@ -13,6 +13,7 @@
 
 from . import document_verbs
 from . import messages
+from . import verbs
 
 # Longest timeout of a replacement.
 MAX_REPLACE_SECONDS = 300.0
@@ -25,21 +26,8 @@
 NO_CONTACT_SECONDS = -1.0
 
 
-class VmVerbs:
-    """Lists, replaces and forgets VMs, and founds fleets.
-
-    See ``DocumentVerbs``.
-    """
-
-    def __init__(self, context, changes):
-        """Create the verbs.
-
-        Args:
-            context: the daemon's ``PorcelainContext``.
-            changes: the ``Changes`` that commits them.
-        """
-        self._context = context
-        self._changes = changes
+class VmVerbs(verbs.Verbs):
+    """Lists, replaces and forgets VMs, and founds fleets."""
 
     def all_vms(self):
         """Return the VMs that are registered or known by gossip."""
