Move the pending proposals of a leader out of the replica

replica.py kept them in a dictionary that three of its methods went through. They have a class and a module of their own. No behaviour changes.

--- a/packages/carobwood-daemon/carobwood_daemon/replication/progress.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/progress.py
@@ -1,6 +1,4 @@
-"""A leader's records on other members and on pending proposals."""
-
-import threading
+"""A leader's record on another member."""
 
 
 class Progress:
@@ -18,20 +16,3 @@
         self.next_index = next_index
         self.match_index = 0
         self.acked_at = 0.0
-
-
-class Proposal:
-    """A proposed entry whose result a caller waits for.
-
-    Attributes:
-        term: term in which the entry was appended.
-        result: encoded result, or None if it is unknown whether the
-            entry is applied.
-        done: set when the entry is applied, or when another entry may
-            have replaced it because this replica lost leadership.
-    """
-
-    def __init__(self, term):
-        self.term = term
-        self.result = None
-        self.done = threading.Event()
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
@@ -18,6 +18,7 @@
 from . import log as logs
 from . import log_membership
 from . import progress as progresses
+from . import proposals
 from . import replica_requests
 from . import stable_store as stable_stores
 
@@ -125,7 +126,7 @@
         self.progress_by_id = {}
         self.term_start_index = 0
         self.leading_since = 0.0
-        self._proposals_by_index = {}
+        self._proposals = proposals.PendingProposals()
         self._membership_by_index = {0: log_membership.LogMembership()}
         self._random = random.SystemRandom()
         self.on_snapshot = None
@@ -252,13 +253,13 @@
             ChangeUncertain: some commands were not applied in time; they
                 may still be applied.
         """
-        proposals = self._append_proposals(payloads)
+        appended = self._append_proposals(payloads)
         deadline = clocks.now() + timeout
-        for proposal in proposals:
+        for proposal in appended:
             proposal.done.wait(max(0.0, deadline - clocks.now()))
             if proposal.result is None:
                 raise errors.ChangeUncertain('no quorum confirmed in time')
-        return [proposal.result for proposal in proposals]
+        return [proposal.result for proposal in appended]
 
     def append_locked(self, payload):
         """Append a command as leader; the caller holds ``changed``.
@@ -275,9 +276,6 @@
     def resolve_proposals(self, entries, results):
         """Set the results of the proposals whose entries were applied.
 
-        An entry of another term than the proposal's has replaced the
-        proposed one, so the proposal gets no result.
-
         Args:
             entries: the applied entries, at least one.
             results: their results, in the same order; None for a command
@@ -285,16 +283,10 @@
         """
         with self.changed:
             self.applied_index = max(self.applied_index, entries[-1].index)
-            proposals = [
-                self._proposals_by_index.pop(entry.index, None)
-                for entry in entries
-            ]
-        for proposal, entry, result in zip(proposals, entries, results):
-            if proposal is None:
-                continue
-            if proposal.term == entry.term and result is not None:
-                proposal.result = commands.encode(result)
-            proposal.done.set()
+            resolved = self._proposals.take(entries)
+        for proposal, entry, result in zip(resolved, entries, results):
+            if proposal is not None:
+                proposal.resolve(entry, result)
 
     def notify_all_waiting(self):
         """Notify all conditions; the caller holds ``changed``."""
@@ -337,7 +329,7 @@
         self.role = Role.FOLLOWER
         self.transferring = False
         self.progress_by_id = {}
-        self._abandon_proposals()
+        self._proposals.abandon()
         if was_leader:
             self.reset_election_timeout()
             events.emit(events.LEADER_STEPPED_DOWN, term=self.term)
@@ -435,15 +427,7 @@
                 raise errors.NotLeader(
                     '' if self.is_leader else self.leader_address
                 )
-            proposals = []
-            for payload in payloads:
-                entry = self.append_locked(payload)
-                proposal = progresses.Proposal(self.term)
-                self._proposals_by_index[entry.index] = proposal
-                proposals.append(proposal)
-            return proposals
-
-    def _abandon_proposals(self):
-        for proposal in self._proposals_by_index.values():
-            proposal.done.set()
-        self._proposals_by_index = {}
+            return [
+                self._proposals.add(self.append_locked(payload))
+                for payload in payloads
+            ]
