Split the relay's VM into its parts, its membership and its stop

relay_vm.py built everything and held the stop as well. What a VM knows of its fleet stands in relay_membership.py now, its stop in relay_stop.py, and what both programs do to follow the fleet's state in membership_status.py. No behaviour changes.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -32,7 +32,6 @@
 from .membership import membership_status
 from .membership import periodic_tasks
 from .membership import prefix_cache_persister
-from .membership import state_poller
 from .membership import stream_origin_links
 from .membership import withdrawals as withdrawal_sets
 from .observe import metrics as metric_clients
@@ -234,18 +233,15 @@
             self._store,
             self._links,
         )
-        self._membership_status = membership_status.MembershipStatus(
-            self._replica_runner, self._store
-        )
-        self._gossip.fleet_id = self._membership_status.fleet_id
-        self._state_poller = state_poller.StatePoller(
-            self._store,
-            self._directory,
-            self._links,
-            self._membership_status.is_member,
-            self._gossip.contact_age,
+        self._membership_status, self._state_poller = (
+            membership_status.follow_fleet(
+                self._replica_runner,
+                self._store,
+                self._directory,
+                self._links,
+                self._gossip,
+            )
         )
-        self._gossip.on_newer_version = self._state_poller.fetch_newer
         self._lock_table = endpoint_locks.EndpointLockTable()
         self._rate_limiter = rate_limiter.RateLimiter(
             settings.vm_slots,
--- a/packages/carobwood-daemon/carobwood_daemon/membership/membership_status.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/membership_status.py
@@ -54,3 +54,27 @@
             self._replica_runner is not None
             and self._replica_runner.is_running
         )
+
+
+def follow_fleet(replica_runner, store, directory, links, gossip):
+    """Have gossip tell a VM which state to fetch.
+
+    Args:
+        replica_runner: the ``ReplicaRunner``, or None on a VM without a data
+            folder.
+        store: the ``StateStore``.
+        directory: the ``Directory``.
+        links: the ``Links``.
+        gossip: the ``Gossip``; it learns the id of the fleet.
+
+    Returns:
+        The ``MembershipStatus`` and the ``StatePoller``, which is not
+        started.
+    """
+    status = MembershipStatus(replica_runner, store)
+    gossip.fleet_id = status.fleet_id
+    poller = state_poller.StatePoller(
+        store, directory, links, status.is_member, gossip.contact_age
+    )
+    gossip.on_newer_version = poller.fetch_newer
+    return status, poller
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -6,48 +6,32 @@
 """
 
 import sys
-import threading
 
-from carobwood import clocks
 from carobwood import events
-from carobwood import threads
 from carobwood import timer as timers
 
+from . import relay_membership
 from . import relay_servers
+from . import relay_stop
 from . import relay_tasks
 from .entry import request_gate
-from .entry import server_stop
 from .limits import allocator
 from .limits import buffer_budget
 from .limits import endpoint_permits
 from .limits import permit_client
 from .limits import rate_limiter
-from .membership import directory as directories
 from .membership import endpoint_locks
 from .membership import fleet_handler
-from .membership import gossip as gossips
-from .membership import incarnations
 from .membership import link
 from .membership import link_server
 from .membership import membership_status
-from .membership import state_poller
 from .membership import stream_origin_links
 from .membership import vm_calls
-from .membership import withdrawals as withdrawal_sets
 from .observe import process_resources as resources
 from .observe import tracing
-from .relay import cut_off_records
-from .relay import gossip_topic
-from .relay import http_server
-from .relay import leaving_records
-from .relay import rate_limit_records
 from .relay import shared_components
 from .relay import stream_resumption
-from .relay import weights_records
 from .replication import data_folder
-from .replication import proposer as proposers
-from .replication import replica_runner as replica_runners
-from .replication import state_store
 from .routing import software_versions
 from .routing import stream_origins
 
@@ -59,14 +43,6 @@
 CONTACT_CHECK_PERIOD_SECONDS = 0.25
 # Time without contact with control VMs after which this VM counts as cut off.
 CUT_OFF_AFTER_SECONDS = 2.0
-# Part of the stop time that is reserved for closing servers and threads after
-# the requests have finished.
-CLOSE_RESERVE_SECONDS = 1.0
-# Part of the stop time in which requests that have not finished are answered.
-ANSWER_RESERVE_SECONDS = 0.25
-# Longest time for which late requests are still accepted after the balancer
-# has taken this VM out. Requests accepted later might outlast the stop.
-LATE_REQUEST_SECONDS = 0.4
 
 
 class RelayVm:
@@ -105,7 +81,13 @@
         self._data_folder = None
         if settings.data_folder:
             self._data_folder = data_folder.DataFolder(settings.data_folder)
-        self._build_replication()
+        replicated = relay_membership.make_replicated_state(
+            settings, self._data_folder, self._links
+        )
+        self._store = replicated.store
+        self._directory = replicated.directory
+        self._replica_runner = replicated.replica_runner
+        self._proposer = replicated.proposer
         calls = vm_calls.VmCalls(self._directory, self._links)
         self._build_stream_resumption(calls)
         self._permit_table = endpoint_permits.PermitTable()
@@ -223,55 +205,15 @@
         Returns:
             Whether every request in flight has finished.
         """
-        started_at = clocks.now()
-        asked_at = started_at if asked_at is None else asked_at
-        events.emit(
-            events.DAEMON_STOPPING,
-            vm=self._settings.vm_id,
-            late=round(started_at - asked_at, 3),
-            allowed=self._settings.fleet_limits.shutdown_seconds,
-        )
-        ends_at = asked_at + self._settings.fleet_limits.shutdown_seconds
-        ends_at -= CLOSE_RESERVE_SECONDS + ANSWER_RESERVE_SECONDS
-        self._gate.mark_not_ready(max(0.0, ends_at - started_at))
-        replica_stop = self._start_replica_stop()
-        if self._settings.caller_listen is not None:
-            served_until = asked_at + self._settings.balancer_delay_seconds
-            threading.Event().wait(max(0.0, served_until - clocks.now()))
-        self._gate.wait_until_idle(LATE_REQUEST_SECONDS)
-        drained = self._gate.drain(max(0.0, ends_at - clocks.now()))
-        if not drained:
-            events.emit(events.DRAIN_TIMED_OUT, in_flight=self._gate.in_flight)
-            # What is still in flight gets an answer that says what is known.
-            self._gate.interrupt()
-            for server in self._servers:
-                server.end_reads()
-            self._gate.wait_until_idle(ANSWER_RESERVE_SECONDS)
-        # A disk that hangs may hold it up beyond the time of the stop.
-        replica_stop.join(max(0.0, ends_at - clocks.now()))
-        server_stop.stop_together(
-            self._servers, ends_at, http_server.MIN_ANSWER_SECONDS
-        )
-        self._close()
-        if self._data_folder is not None and not replica_stop.is_alive():
-            self._data_folder.close()
-        events.emit(
-            events.DAEMON_STOPPED,
-            vm=self._settings.vm_id,
-            seconds=round(clocks.now() - asked_at, 3),
-            drained=drained,
+        stop = relay_stop.RelayStop(
+            self._settings,
+            self._gate,
+            self._servers,
+            self._replica_runner,
+            self._data_folder,
+            self._close,
         )
-        return drained
-
-    def _start_replica_stop(self):
-        """Stop the replica, if there is one, beside the drain."""
-        stop = threads.StepThread(self._stop_replica, 'replica-stop')
-        stop.start()
-        return stop
-
-    def _stop_replica(self):
-        if self._replica_runner is not None:
-            self._replica_runner.stop()
+        return stop.run(asked_at)
 
     def _close(self):
         for task in self._periodic_tasks:
@@ -296,35 +238,6 @@
         self._directory.add_seeds(seeds)
         events.emit(events.SETTINGS_RELOADED, seeds=list(seeds))
 
-    def _build_replication(self):
-        settings = self._settings
-        self._store = state_store.StateStore()
-        own_vm = directories.Vm(
-            settings.vm_id,
-            settings.data_centre,
-            str(settings.link_listen),
-            '',
-            incarnations.new_incarnation(),
-            self._data_folder is not None,
-            settings.caller_listen is not None,
-            forward_address=str(settings.forward_listen or ''),
-        )
-        self._directory = directories.Directory(own_vm, settings.seeds)
-        self._replica_runner = None
-        if self._data_folder is not None:
-            self._replica_runner = replica_runners.ReplicaRunner(
-                self._data_folder,
-                settings.vm_id,
-                str(settings.link_listen),
-                self._links,
-                self._store,
-                settings.replica_options,
-                self._directory.data_centres_by_address,
-            )
-        self._proposer = proposers.Proposer(
-            self._replica_runner, self._links, self._directory
-        )
-
     def _build_stream_resumption(self, calls):
         self._software_versions = software_versions.SoftwareVersionHistory(
             self._directory, self._is_in_touch
@@ -343,35 +256,22 @@
         self._stream_resumption.on_record(self._stream_reporter.wake)
 
     def _build_membership(self):
-        settings = self._settings
-        topic = gossip_topic.RelayGossipTopic(
-            self._directory,
-            self._shared.loads,
-            self._shared.quota,
-            self._shared.past_usage_table,
-            settings.fleet_limits.quota_tolerance.window,
-            self._shared.wait_queue.notify_all,
-        )
-        self._gossip = gossips.Gossip(
+        self._gossip = relay_membership.make_gossip(
+            self._settings,
             self._directory,
-            withdrawal_sets.Withdrawals(),
-            self._shared.crash_suspects,
-            self._shared.prefix_cache_index,
+            self._shared,
             self._store,
             self._links,
-            topics=(topic,),
-            sources=(
-                weights_records.WeightsRecords(self._shared.engine_weights),
-                rate_limit_records.RateLimitRecords(self._shared.rate_limits),
-                leaving_records.LeavingRecords(self._shared.availability),
-                cut_off_records.CutOffRecords(self._shared.peers),
-                self._shared.kv_stores,
-            ),
         )
-        self._membership_status = membership_status.MembershipStatus(
-            self._replica_runner, self._store
+        self._membership_status, self._state_poller = (
+            membership_status.follow_fleet(
+                self._replica_runner,
+                self._store,
+                self._directory,
+                self._links,
+                self._gossip,
+            )
         )
-        self._gossip.fleet_id = self._membership_status.fleet_id
         if self._replica_runner is not None:
             self._store.add_change_listener(lambda fleet: self._gossip.push())
         else:
@@ -384,14 +284,6 @@
         self._shared.configuration_store.add_change_listener(
             self._shared.kv_stores.apply_configuration
         )
-        self._state_poller = state_poller.StatePoller(
-            self._store,
-            self._directory,
-            self._links,
-            self._membership_status.is_member,
-            self._gossip.contact_age,
-        )
-        self._gossip.on_newer_version = self._state_poller.fetch_newer
         handler = fleet_handler.FleetHandler(
             self._replica_runner,
             self._store,
@@ -407,7 +299,7 @@
             ),
         )
         self._link_server = link_server.LinkServer(
-            settings.link_listen, settings.link_secret, handler
+            self._settings.link_listen, self._settings.link_secret, handler
         )
 
     def _make_persisters(self):
