--- a/packages/carobwood-daemon/carobwood_daemon/relay/connection_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/connection_log.py
@@ -13,7 +13,7 @@
 from carobwood import clocks
 from carobwood import events
 
-from ..entry import request_body
+from . import request_body
 
 # Lines per second at most; those beyond are counted in the next line.
 MAX_LINES_PER_SECOND = 50
--- a/packages/carobwood-daemon/carobwood_daemon/relay/caller_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/caller_request.py
@@ -5,9 +5,9 @@
 from carobwood import errors
 
 from ..entry import body_reader
+from ..entry import connection_log
 from ..entry import strict_request
 
-from . import connection_log
 from . import endpoint_connections
 from . import forwarding_headers
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
@@ -10,14 +10,13 @@
 
 from carobwood import events
 
+from ..entry import connection_log
 from ..entry import request_reads
 from ..entry import server_stop
 from ..entry import stopping_connection
 from ..entry import strict_request
 from ..limits import buffer_budget
 
-from . import connection_log
-
 # Worker threads that are started with the server.
 MIN_THREADS = 2
 # Connections that the kernel queues until they are accepted.
--- a/tests/test_connection_log.py
+++ b/tests/test_connection_log.py
@@ -6,8 +6,8 @@
 
 from carobwood import addresses
 from carobwood import events
+from carobwood_daemon.entry import connection_log
 from carobwood_daemon.relay import caller_request
-from carobwood_daemon.relay import connection_log
 from carobwood_daemon.relay import http_server
 import relay_builders as builders
 import relay_test_fleet
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,8 +5,8 @@
 import threading
 
 from carobwood import addresses
+from carobwood_daemon.entry import connection_log
 from carobwood_daemon.relay import caller_request
-from carobwood_daemon.relay import connection_log
 from carobwood_daemon.relay import http_server
 from cheroot import connections
 import pytest
