--- a/packages/carobwood-daemon/carobwood_daemon/relay/gateway.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/gateway.py
@@ -16,7 +16,19 @@
 from . import forwarding_headers
 
 
-class RelayGateway:
+class _Gateway:
+    """Serves one parsed request; ``_serve`` says how."""
+
+    def __init__(self, parsed):
+        self._caller = caller_request.CallerRequest(parsed)
+
+    def respond(self):
+        """Serve the request; cheroot calls this once."""
+        with self._caller as caller:
+            self._serve(caller)
+
+
+class RelayGateway(_Gateway):
     """Hands a parsed request to the relay."""
 
     def __init__(self, relay, parsed):
@@ -26,16 +38,14 @@
             relay: the ``Relay``.
             parsed: the ``cheroot.server.HTTPRequest``.
         """
+        super().__init__(parsed)
         self._relay = relay
-        self._caller = caller_request.CallerRequest(parsed)
 
-    def respond(self):
-        """Relay the request; cheroot calls this once."""
-        with self._caller as caller:
-            self._relay.serve(caller)
+    def _serve(self, caller):
+        self._relay.serve(caller)
 
 
-class ForwardedGateway:
+class ForwardedGateway(_Gateway):
     """Hands a request that another VM has forwarded to the relay."""
 
     def __init__(self, relay, secret, parsed):
@@ -46,14 +56,9 @@
             secret: the fleet's shared secret, as bytes.
             parsed: the ``cheroot.server.HTTPRequest``.
         """
+        super().__init__(parsed)
         self._relay = relay
         self._secret = secret
-        self._caller = caller_request.CallerRequest(parsed)
-
-    def respond(self):
-        """Relay the request; cheroot calls this once."""
-        with self._caller as caller:
-            self._serve(caller)
 
     def _serve(self, caller):
         try:
@@ -103,7 +108,7 @@
     location: str = ''
 
 
-class ApiGateway:
+class ApiGateway(_Gateway):
     """Passes a parsed request to a handler and sends its response."""
 
     def __init__(self, handle, parsed):
@@ -114,13 +119,8 @@
                 ``ApiResponse``.
             parsed: the ``cheroot.server.HTTPRequest``.
         """
+        super().__init__(parsed)
         self._handle = handle
-        self._caller = caller_request.CallerRequest(parsed)
-
-    def respond(self):
-        """Handle the request; cheroot calls this once."""
-        with self._caller as caller:
-            self._serve(caller)
 
     def _serve(self, caller):
         try:
