Keep what is done twice in one place

The order in which services are tried, the way a response gives its connection back, and the server on which two endpoints of tests rest.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/at_most_once.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/at_most_once.py
@@ -142,19 +142,12 @@
         )
 
     def _connect_to_endpoint(self, document, route):
-        pool = document.pools_by_id[route.pool]
-        endpoints = self._context.endpoint_selector.rank_services(
-            self._context.environment, pool
-        )
-        failover = endpoint_failover.EndpointFailover(
-            endpoints,
-            self._context.circuit_breakers,
-            route.deadline_seconds,
-            len(endpoints),
+        failover = endpoint_failover.make_failover(
+            self._context, document, route
         )
         for endpoint, connection in failover.connections():
             return endpoint, connection
-        raise errors.NoEndpoint(f'no endpoint of {pool.id} can be reached')
+        raise errors.NoEndpoint(f'no endpoint of {route.pool} can be reached')
 
 
 class ClaimSettler:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/endpoint_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/endpoint_failover.py
@@ -31,7 +31,7 @@
             circuit_breakers: the ``CircuitBreakers``, which record the
                 failures.
             deadline_seconds: seconds until the deadline.
-            max_attempts: number of endpoints tried at most.
+            max_attempts: number of endpoints tried at most, or None for all.
         """
         self._endpoints = list(endpoints)[:max_attempts]
         self._circuit_breakers = circuit_breakers
@@ -69,3 +69,23 @@
         may_have_run = self.last_error.outcome is errors.Outcome.UNKNOWN
         if error.outcome is errors.Outcome.UNKNOWN or not may_have_run:
             self.last_error = error
+
+
+def make_failover(context, document, route, max_attempts=None):
+    """Return the ``EndpointFailover`` of a request to a plain service.
+
+    Args:
+        context: the ``CallerAppContext``.
+        document: the ``Document`` in force.
+        route: the ``Route``.
+        max_attempts: see ``EndpointFailover``.
+    """
+    endpoints = context.endpoint_selector.rank_services(
+        context.environment, document.pools_by_id[route.pool]
+    )
+    return EndpointFailover(
+        endpoints,
+        context.circuit_breakers,
+        route.deadline_seconds,
+        max_attempts,
+    )
--- a/packages/carobwood-daemon/carobwood_daemon/entry/service_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/service_calls.py
@@ -31,17 +31,10 @@
         Raises:
             CarobwoodError: no endpoint served the request.
         """
-        pool = document.pools_by_id[route.pool]
         with exchange.trace.span('choice'):
-            endpoints = self._context.endpoint_selector.rank_services(
-                self._context.environment, pool
+            failover = endpoint_failover.make_failover(
+                self._context, document, route, MAX_ATTEMPTS
             )
-        failover = endpoint_failover.EndpointFailover(
-            endpoints,
-            self._context.circuit_breakers,
-            route.deadline_seconds,
-            MAX_ATTEMPTS,
-        )
         for endpoint, connection in failover.connections():
             upstream_request = build_upstream_request(
                 exchange, route, failover.seconds_left
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -408,17 +408,7 @@
 
     def _forward_response(self, assignment, response):
         self._response_forwarder.forward(response)
-        if (
-            response.upstream.is_reusable()
-            and not response.head.closes_connection
-        ):
-            self._context.pool.release(
-                assignment.endpoint.address,
-                response.upstream,
-                response.head.idle_timeout,
-            )
-        else:
-            response.upstream.close()
+        response.give_back(self._context.pool, assignment.endpoint.address)
 
     def _note_answered(self, assignment, response):
         self._recorder.note_answered(assignment, response.head)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -31,6 +31,18 @@
     headers: dict[str, str]
     upstream: endpoint_connections.EndpointConnection
 
+    def give_back(self, pool, address):
+        """Return its connection to a pool, or close it.
+
+        Args:
+            pool: the ``ConnectionPool``.
+            address: the ``Address`` of the endpoint.
+        """
+        if self.upstream.is_reusable() and not self.head.closes_connection:
+            pool.release(address, self.upstream, self.head.idle_timeout)
+        else:
+            self.upstream.close()
+
 
 @dataclasses.dataclass(frozen=True, eq=False)
 class SentRequest:
--- a/tests/endless_endpoint.py
+++ b/tests/endless_endpoint.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 import pathlib
-import socket
 import threading
 
+import accepting_endpoint
+
 MEGABYTE = 1024 * 1024
 _HEAD = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -61,11 +62,10 @@
 SLOW_PAUSE_SECONDS = 0.02
 
 
-class EndlessEndpoint:
+class EndlessEndpoint(accepting_endpoint.AcceptingEndpoint):
     """A server that answers each request without end.
 
     Attributes:
-        address: ``host:port`` that it listens on.
         answer: the ``EndlessAnswer``.
         is_slow: whether the answer comes byte by byte.
         headers: further header lines of the answer, for example those that
@@ -82,9 +82,7 @@
         self.requests = []
         self.ended_connections = 0
         self._stopped = threading.Event()
-        self._listener = socket.create_server(('127.0.0.1', 0), backlog=128)
-        self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
     def __enter__(self):
         return self
@@ -95,7 +93,7 @@
     def stop(self):
         """Stop serving."""
         self._stopped.set()
-        self._listener.close()
+        super().stop()
 
     def choose_answer(self, head):
         """Return the answer to a request, and whether it is slow.
@@ -105,17 +103,8 @@
         """
         return self.answer, self.is_slow
 
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection):
+    def serve(self, connection):
+        """See ``AcceptingEndpoint``."""
         with connection:
             try:
                 head = self._read_head(connection)
--- a/tests/pausing_endpoint.py
+++ b/tests/pausing_endpoint.py
@@ -1,9 +1,10 @@
 """A sound endpoint that is silent for a while at a given place."""
 
 import re
-import socket
 import threading
 
+import accepting_endpoint
+
 # Small, so that a body that is not read blocks its sender.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 _CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
@@ -16,22 +17,28 @@
     'size-line': (_CHUNKED + b'0', b'5\r\nwhole\r\n0\r\n\r\n'),
     'chunk': (_CHUNKED + b'5\r\nwho', b'le\r\n0\r\n\r\n'),
     'chunks': (_CHUNKED + b'3\r\nwho\r\n', b'2\r\nle\r\n0\r\n\r\n'),
+    'trailer': (_CHUNKED + b'5\r\nwhole\r\n0\r\n', b'\r\n'),
 }
 PLACES = tuple(_PARTS_BY_PLACE)
+_CHUNK = b'5\r\nwhole\r\n'
 
 
-class PausingEndpoint:
+class PausingEndpoint(accepting_endpoint.AcceptingEndpoint):
     """An endpoint that the last part of the path tells where to be silent.
 
     ``/…/PLACE-MS`` is silent for MS milliseconds at a place: ``unread``
     before it reads the body of the request, the others within its answer.
     The last part of the path may name the only endpoint that is silent, as
     in ``/…/PLACE-MS@NAME``.
+
     Attributes:
         name: id of the endpoint.
         service: name of the service that it belongs to.
-        address: ``host:port`` that it listens on.
         runs: requests that it has read to their end.
+        chunk_count: number of times that an answer has its chunk if it is
+            sent as one.
+        silences: silences within answers that it has begun.
+        on_run: called without arguments before each answer.
         requests: nothing, as ``FakeEngine`` has it.
         received_at: nothing, as ``FakeEngine`` has it.
     """
@@ -40,17 +47,13 @@
         self.name = name
         self.service = service
         self.runs = 0
+        self.chunk_count = 1
+        self.silences = 0
+        self.on_run = lambda: None
         self.requests = []
         self.received_at = []
         self._never_set = threading.Event()
-        self._listener = socket.socket()
-        self._listener.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self._listener.bind(('127.0.0.1', 0))
-        self._listener.listen(128)
-        self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__(RECEIVE_BUFFER_BYTES)
 
     def announcement(self, sequence=1, state='ready'):
         """Return its announcement to control VMs."""
@@ -64,21 +67,8 @@
             'version': 'v1',
         }
 
-    def stop(self):
-        """Accept no further connection."""
-        self._listener.close()
-
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection):
+    def serve(self, connection):
+        """See ``AcceptingEndpoint``."""
         with connection, connection.makefile('rb') as reader:
             try:
                 while self._serve_request(connection, reader):
@@ -103,11 +93,14 @@
             self._never_set.wait(seconds)
         reader.read(int(headers.get('content-length', 0)))
         self.runs += 1
+        self.on_run()
         first, *others = _PARTS_BY_PLACE[place]
+        first = first.replace(_CHUNK, self.chunk_count * _CHUNK)
         if place == 'status-line':
             start, first, others = start[:9], b'', [start[9:] + first]
         connection.sendall(start + first)
         for part in others:
+            self.silences += 1
             self._never_set.wait(seconds)
             connection.sendall(part)
         return True
