Refuse a log whose older segment has lost whole frames

If an older segment of a log ended between two frames, was empty or missing, and the segments after it held no later entries, a start took the log for whole: entries that the replica had acknowledged were gone.

Cause: whether a segment is whole was judged by its own frames alone. The first frame of each segment names the segment before it and its size now; a start compares both and refuses with `log_damaged`. Earlier builds ignore the two fields, and what they write is read as before.

--- a/packages/carobwood-daemon/carobwood_daemon/replication/disk_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/disk_log.py
@@ -41,6 +41,22 @@
     commit_index: int = 0
 
 
+class FirstBatch(Batch, frozen=True, array_like=True):
+    """The content of a segment's first frame.
+
+    A start compares the segment before it with what is stored here: whole
+    frames that are missing at its end would not be noticed otherwise.
+
+    Attributes:
+        previous_segment: number of the last segment before this one that
+            is not empty, or 0 if there is none.
+        previous_bytes: size of that segment.
+    """
+
+    previous_segment: int = 0
+    previous_bytes: int = 0
+
+
 class StoredBase(msgspec.Struct, frozen=True):
     """Content of the base file: where the log begins.
 
@@ -57,7 +73,8 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_batch_decoder = msgspec.msgpack.Decoder(Batch)
+# Reads a ``Batch`` as well.
+_batch_decoder = msgspec.msgpack.Decoder(FirstBatch)
 
 
 class DiskLog(log.Log):
@@ -91,6 +108,9 @@
         self._in_flush = []
         self._last_index_by_segment = {}
         self._segment_number = 1
+        # Number and size of the last segment before it that is not empty.
+        self._previous_segment = 0
+        self._previous_bytes = 0
         # The base in force, which the file may not hold if it is uncertain.
         self._stored_base = StoredBase()
         self._is_base_uncertain = False
@@ -211,6 +231,9 @@
                 started.close()
                 raise
             self._segment.close()
+            if self._segment.synced_bytes:
+                self._previous_segment = self._segment_number
+                self._previous_bytes = self._segment.synced_bytes
             self._segment = started
             self._segment_number = number
 
@@ -262,6 +285,13 @@
 
     def _append_batch(self, batch):
         self._restore_base()
+        if not self._segment.synced_bytes:
+            batch = FirstBatch(
+                batch.entries,
+                batch.commit_index,
+                self._previous_segment,
+                self._previous_bytes,
+            )
         self._segment.append(_encoder.encode(batch))
 
     def _segment_path(self, number):
@@ -283,9 +313,7 @@
         # The newest segment is empty if nothing was written to it yet.
         # The last one with content is the one that may end in an
         # incomplete frame.
-        written = [
-            n for n in numbers if os.path.getsize(self._segment_path(n))
-        ]
+        written = [n for n in numbers if self._segment_size(n)]
         for number in written:
             self._load_segment(number, number == written[-1])
         if written:
@@ -293,6 +321,10 @@
             # sync; what is read here counts as stored.
             _sync_file(self._segment_path(written[-1]))
         self._segment_number = numbers[-1] if numbers else base.first_segment
+        for number in written:
+            if number < self._segment_number:
+                self._previous_segment = number
+                self._previous_bytes = self._segment_size(number)
         self.commit_index = max(self.commit_index, base.index)
         if not numbers:
             self._create_segment(self._segment_number).close()
@@ -318,8 +350,27 @@
         for payload in scan.payloads:
             with stored_values.decoding(path):
                 batch = _batch_decoder.decode(payload)
+            self._check_previous_segment(path, batch)
             self._load_batch(number, batch)
 
+    def _check_previous_segment(self, path, batch):
+        previous = batch.previous_segment
+        if previous < max(1, self._stored_base.first_segment):
+            return
+        size = self._segment_size(previous)
+        if size != batch.previous_bytes:
+            raise errors.LogDamaged(
+                f'{path} follows {batch.previous_bytes} bytes of segment '
+                f'{previous}, which has {size}'
+            )
+
+    def _segment_size(self, number):
+        """Return the size of a segment, 0 if it is missing."""
+        try:
+            return os.path.getsize(self._segment_path(number))
+        except FileNotFoundError:
+            return 0
+
     def _load_batch(self, number, batch):
         for stored in batch.entries:
             offset = stored.index - self._base.index - 1
