Bound the search for a frame behind an invalid one

The search compares up to 256 times the size of the file. A torn frame with more than that in it counts as damaged.

--- a/packages/carobwood-daemon/carobwood_daemon/replication/frames.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/frames.py
@@ -11,6 +11,9 @@
 MAGIC = b'cbwF'
 _HEADER = struct.Struct('>4sII')
 HEADER_BYTES = _HEADER.size
+# Bound on the bytes that the search for a frame after an invalid one
+# compares with checksums, as a multiple of the file's size.
+SEARCH_FACTOR = 256
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,7 +25,8 @@
         valid_bytes: bytes from the start of the file to the end of these
             frames.
         damaged_at: offset of an invalid frame with a valid one somewhere
-            after it, or None.
+            after it, or with more in it that looks like one than is checked;
+            or None.
     """
 
     payloads: tuple[bytes, ...]
@@ -48,7 +52,7 @@
     while offset < len(data):
         payload = _frame_at(data, offset)
         if payload is None:
-            damaged = _has_frame_after(data, offset)
+            damaged = _may_have_frame_after(data, offset)
             return Scan(tuple(payloads), offset, offset if damaged else None)
         payloads.append(payload)
         offset += HEADER_BYTES + len(payload)
@@ -56,28 +60,46 @@
 
 
 def _frame_at(data, offset):
+    """Return the payload of the valid frame at an offset, or None."""
+    length = _length_at(data, offset)
+    if length is None:
+        return None
+    start = offset + HEADER_BYTES
+    payload = data[start : start + length]
+    _, _, checksum = _HEADER.unpack_from(data, offset)
+    return payload if zlib.crc32(payload) == checksum else None
+
+
+def _length_at(data, offset):
+    """Return the length of the payload that a header announces, or None.
+
+    None stands for no header, and for a payload that is not there.
+    """
     if offset + HEADER_BYTES > len(data):
         return None
-    magic, length, checksum = _HEADER.unpack_from(data, offset)
+    magic, length, _ = _HEADER.unpack_from(data, offset)
     # A write that is torn behind the magic bytes reads as zeros, the length
     # and the checksum of an empty payload. No payload is empty.
     if magic != MAGIC or not length:
         return None
-    start = offset + HEADER_BYTES
     # Without this check, each magic number in a torn payload would have the
     # rest of the file copied.
-    if start + length > len(data):
-        return None
-    payload = data[start : start + length]
-    if zlib.crc32(payload) != checksum:
+    if offset + HEADER_BYTES + length > len(data):
         return None
-    return payload
+    return length
+
 
+def _may_have_frame_after(data, offset):
+    """Tell whether a valid frame is found, or the search reaches its bound.
 
-def _has_frame_after(data, offset):
+    A payload may hold any number of headers, each of which announces all
+    that follows it.
+    """
+    bytes_left = SEARCH_FACTOR * len(data)
     candidate = data.find(MAGIC, offset + 1)
     while candidate != -1:
-        if _frame_at(data, candidate) is not None:
+        bytes_left -= _length_at(data, candidate) or 0
+        if bytes_left < 0 or _frame_at(data, candidate) is not None:
             return True
         candidate = data.find(MAGIC, candidate + 1)
     return False
--- a/tests/test_stored_file_properties.py
+++ b/tests/test_stored_file_properties.py
@@ -4,6 +4,7 @@
 """
 
 import pathlib
+import struct
 import tempfile
 
 from carobwood import errors
@@ -223,6 +224,37 @@
     assert content.copied <= 2 * len(content)
 
 
+def _headers(count):
+    """Return headers whose payloads would end a byte before the last one."""
+    size = count * frames.HEADER_BYTES
+    return b''.join(
+        frames.MAGIC + struct.pack('>II', max(0, size - end - 1), 0)
+        for end in range(frames.HEADER_BYTES, size + 1, frames.HEADER_BYTES)
+    )
+
+
+# A start checked all the rest of a torn frame for each header in a body.
+def test_headers_in_a_torn_payload_are_checked_within_a_bound(monkeypatch):
+    checked = []
+    crc32 = frames.zlib.crc32
+
+    def count(data):
+        checked.append(len(data))
+        return crc32(data)
+
+    torn = frames.pack_frame(_headers(4000))[:-1]
+    content = frames.pack_frame(b'first') + torn
+    monkeypatch.setattr(frames.zlib, 'crc32', count)
+    scan = frames.scan_frames(content)
+    assert list(scan.payloads) == [b'first']
+    assert sum(checked) <= (frames.SEARCH_FACTOR + 2) * len(content)
+
+
+def test_a_few_headers_in_a_torn_payload_are_no_damage():
+    scan = frames.scan_frames(frames.pack_frame(_headers(200))[:-1])
+    assert scan == frames.Scan((), 0, None)
+
+
 @settings(max_examples=EXAMPLES)
 @given(_damages(commands.encode(commands.NoOperation())))
 def test_each_command_of_the_log_is_decoded(payload):
