Decode a command of the log whatever its depth

A command that is nested too deeply raised an untyped error each time that it was applied, so that no later entry was applied. It counts as a command of a later build now, as others that cannot be decoded.

--- a/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
@@ -388,7 +388,7 @@
     """
     try:
         return _command_decoder.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return UnknownCommand()
 
 
--- a/tests/test_stored_file_properties.py
+++ b/tests/test_stored_file_properties.py
@@ -255,6 +255,13 @@
     assert scan == frames.Scan((), 0, None)
 
 
+# Such an entry would have been applied again and again, and none after it.
+def test_a_command_with_a_deeply_nested_field_is_decoded():
+    nested = b'\x91' * 200_000 + b'\xc0'
+    payload = b'\x82\xa4type\xabNoOperation\xa1x' + nested
+    assert commands.decode_command(payload) == commands.UnknownCommand()
+
+
 @settings(max_examples=EXAMPLES)
 @given(_damages(commands.encode(commands.NoOperation())))
 def test_each_command_of_the_log_is_decoded(payload):
