--- a/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
@@ -146,11 +146,21 @@
                 address, reply = replies.get(timeout=timeout)
             except queue.Empty:
                 break
-            if reply is not None:
+            if reply is not None and self._is_applied(address, reply):
                 answered.append((address, reply))
-                self._apply(reply)
         return answered
 
+    def _is_applied(self, address, reply):
+        """Apply a reply; return whether it could be read."""
+        try:
+            self._apply(reply)
+        except errors.LinkFailed as error:
+            events.emit(
+                events.SOURCE_LOST, address=address, reason=error.detail
+            )
+            return False
+        return True
+
     def _poll_into(self, address, replies):
         try:
             replies.put((address, self._poll(address, 0.0)))
@@ -245,6 +255,7 @@
         """
         try:
             reply = self._poll(address, LONG_POLL_SECONDS)
+            self._apply(reply)
         except errors.LinkFailed as error:
             self._is_source_lost = True
             events.emit(
@@ -254,7 +265,6 @@
         if self._is_source_lost:
             self._is_source_lost = False
             events.emit(events.SOURCE_REGAINED, address=address)
-        self._apply(reply)
         # Two VMs without contact to a leader must not go on polling
         # only each other.
         return _has_contact(reply)
@@ -268,9 +278,14 @@
         return link.call('follow', request, timeout)
 
     def _apply(self, reply):
+        """Take over what a VM has sent.
+
+        Raises:
+            LinkFailed: its snapshot cannot be read.
+        """
         before = self._store.version
         if reply.snapshot:
-            self._store.update_by_snapshot(reply.snapshot)
+            self._update_by_snapshot(reply.snapshot)
         if reply.commands:
             self._store.update_by_deltas(
                 [(c.version, c.payload) for c in reply.commands]
@@ -280,6 +295,12 @@
         if self._store.version > before:
             events.emit(events.VERSION_FOLLOWED, version=self._store.version)
 
+    def _update_by_snapshot(self, data):
+        try:
+            self._store.update_by_snapshot(data)
+        except errors.LogDamaged as error:
+            raise errors.LinkFailed(error.detail) from error
+
 
 def _has_contact(reply):
     """Return whether the VM has had contact with a leader lately."""
--- a/packages/carobwood-daemon/carobwood_daemon/replication/state_store.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/state_store.py
@@ -10,6 +10,7 @@
 
 from . import commands
 from . import fleet_state
+from . import stored_values
 
 # Commands kept to update other VMs that are slightly behind.
 MAX_DELTAS = 1000
@@ -97,8 +98,13 @@
 
         Returns:
             Whether the state was replaced.
+
+        Raises:
+            LogDamaged: it cannot be decoded.
         """
-        return self.update(_decoder.decode(data), ())
+        with stored_values.decoding('the snapshot of another VM'):
+            fleet = _decoder.decode(data)
+        return self.update(fleet, ())
 
     def snapshot(self):
         """Return the encoded current state."""
--- a/tests/test_state_poller.py
+++ b/tests/test_state_poller.py
@@ -112,6 +112,63 @@
     links.released.set()
 
 
+class UnreadableLinks:
+    """Links to two VMs: the snapshot that one of them sends cannot be read.
+
+    Attributes:
+        snapshot_was_read: set once a VM has tried to read that snapshot; the
+            other one answers after it.
+    """
+
+    def __init__(self):
+        self.snapshot_was_read = threading.Event()
+
+    def to(self, address):
+        """Return the link to an address."""
+        return UnreadableLink(self, address)
+
+
+class UnreadableLink:
+    """A link whose VM sends an unreadable snapshot or a newer version."""
+
+    def __init__(self, links, address):
+        self._links = links
+        self._address = address
+
+    def call(self, method, request, timeout):
+        """Answer a poll."""
+        if self._address == LOST:
+            return ttypes.FollowReply('f', 9, [], b'\x81\xa7version', 0)
+        assert self._links.snapshot_was_read.wait(20)
+        payload = commands.encode(commands.RegisterVm('vm1', 'bole'))
+        newer_commands = [ttypes.VersionedCommand(7, payload)]
+        return ttypes.FollowReply('f', 7, newer_commands, None, 0)
+
+
+# The answers of all VMs were dropped if one of them could not be read.
+def test_a_snapshot_that_cannot_be_read_keeps_no_other_vm_from_being_read(
+    monkeypatch,
+):
+    monkeypatch.setattr(state_poller, 'SEARCH_REPLY_SECONDS', 20.0)
+    own = directory.Vm('vm4', 'bole', '127.0.0.1:9', '', 1, False)
+    store = state_store.StateStore()
+    links = UnreadableLinks()
+    read = store.update_by_snapshot
+
+    def note(data):
+        links.snapshot_was_read.set()
+        return read(data)
+
+    monkeypatch.setattr(store, 'update_by_snapshot', note)
+    poller = state_poller.StatePoller(
+        store, directory.Directory(own, (LOST, GOOD)), links, lambda: False
+    )
+    assert poller.catch_up(20.0)
+    assert store.version == 7
+    assert poller._find_source() == GOOD
+    assert not poller._follow(LOST)
+
+
 class StartingLinks:
     """Links to VMs that start: the first calls to them are refused.
 
