Store nothing in a data folder after its VM has stopped

A stop waited for the thread that applies entries only.

A stop waits for what is being stored, within its time, and nothing is stored after it. A closed folder takes no write; it is unlocked by the last one that was in progress.

--- a/packages/carobwood-daemon/carobwood_daemon/replication/applier.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/applier.py
@@ -71,6 +71,7 @@
         # Replicas apply the same entries at about the same time. The
         # random threshold keeps them from all writing snapshots at once.
         self._snapshot_threshold = _with_jitter(snapshot_entries)
+        self._is_storing_stopped = False
         # Lock order: _snapshot_lock, _state_machine_lock, replica.changed.
         self._snapshot_lock = threading.Lock()
         self._state_machine_lock = threading.Lock()
@@ -202,6 +203,14 @@
         if is_due or self._replica.log.has_leftovers:
             self._start_snapshot_thread(self._free_storage)
 
+    def stop_storing(self):
+        """Wait for what is being stored, and store nothing from now on.
+
+        Another process may use the data folder after this.
+        """
+        with self._snapshot_lock:
+            self._is_storing_stopped = True
+
     def _start_snapshot_thread(self, target, *args):
         self._snapshot_thread = threading.Thread(
             target=target, args=args, name='snapshot', daemon=True
@@ -210,6 +219,8 @@
 
     def _store_snapshot(self, position, data):
         with self._snapshot_lock:
+            if self._is_storing_stopped:
+                return
             try:
                 # The snapshot may not fit before a compaction that was
                 # refused makes room for it.
@@ -234,6 +245,8 @@
 
     def _free_storage(self):
         with self._snapshot_lock:
+            if self._is_storing_stopped:
+                return
             try:
                 self._compact()
             except errors.DiskWriteFailed as error:
@@ -267,6 +280,8 @@
 
     def _install_snapshot(self, position, data):
         with self._snapshot_lock, self._state_machine_lock:
+            if self._is_storing_stopped:
+                raise errors.LinkRefused('this replica has stopped')
             if position.index <= self._state_machine.index:
                 return
             restored = state_machines.StateMachine()
--- a/packages/carobwood-daemon/carobwood_daemon/replication/data_folder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/data_folder.py
@@ -1,9 +1,11 @@
 """The folder that holds the durable state of a VM."""
 
+import contextlib
 import fcntl
 import os
 import pathlib
 import secrets
+import threading
 
 import msgspec
 
@@ -56,6 +58,9 @@
         self.path = pathlib.Path(path)
         self.path.mkdir(parents=True, exist_ok=True)
         self._lock_file = open(self.path / _LOCK_FILE, 'a+b')
+        self._writes_lock = threading.Lock()
+        self._writes_in_progress = 0
+        self._is_closed = False
         self._take_lock()
         self._remove_temporary_files()
         # An earlier process may have ended between a rename and its sync;
@@ -65,8 +70,13 @@
         self.identity = self._load_identity()
 
     def close(self):
-        """Unlock the folder."""
-        self._lock_file.close()
+        """Take no more writes; unlock the folder after those in progress.
+
+        It does not wait for them: the last one that ends unlocks the folder.
+        """
+        with self._writes_lock:
+            self._is_closed = True
+            self._unlock_if_unused()
 
     def join_fleet(self, fleet_id):
         """Record the fleet that the replica belongs to.
@@ -113,11 +123,12 @@
 
         Raises:
             DiskWriteUncertain: the next start may read the new content.
-            DiskWriteFailed: the file system reported an error; the next
-                start reads the old content.
+            DiskWriteFailed: the file system reported an error, or the folder
+                is closed; the next start reads the old content.
         """
         try:
-            replace_file(self.path / name, frames.pack_frame(payload))
+            with self._writing(name):
+                replace_file(self.path / name, frames.pack_frame(payload))
         except errors.DiskWriteUncertain:
             self._has_unsynced_names = True
             raise
@@ -139,6 +150,28 @@
             self._has_unsynced_names = True
             raise errors.DiskWriteFailed(f'{self.path}: {error}') from error
 
+    @contextlib.contextmanager
+    def _writing(self, name):
+        """Keep the folder locked for a write.
+
+        Raises:
+            DiskWriteFailed: the folder is closed.
+        """
+        with self._writes_lock:
+            if self._is_closed:
+                raise errors.DiskWriteFailed(f'{self.path / name}: closed')
+            self._writes_in_progress += 1
+        try:
+            yield
+        finally:
+            with self._writes_lock:
+                self._writes_in_progress -= 1
+                self._unlock_if_unused()
+
+    def _unlock_if_unused(self):
+        if self._is_closed and not self._writes_in_progress:
+            self._lock_file.close()
+
     def _take_lock(self):
         try:
             fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica_runner.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica_runner.py
@@ -228,6 +228,7 @@
             replica.log.store_commit()
         except errors.DiskWriteFailed:
             pass
+        self._applier.stop_storing()
         replica.log.close()
 
     def _write_founding_entry(self, voters):
