Ask to be a member only once the disk takes writes

A replica without a leader asked for admission also while its disk refused writes, and the leader admitted it as soon as it had removed it. Such a member stores nothing.

Class: a promise that is given without a look at whether it can be kept. The replica writes its pending entries and its hard state before it asks.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/periodic_tasks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/periodic_tasks.py
@@ -77,14 +77,19 @@
         A replica that is a member by its own log but without contact with
         a leader may have been removed: the log that tells so was sent to
         the members that remained.
+
+        Raises:
+            DiskWriteFailed: the replica could not store what a member is
+                sent, so nothing was requested.
         """
         self._replica_runner.retry_start()
-        if not self._is_member():
-            for address in self._directory.disk_addresses():
-                if self._request_admission(address).accepted:
-                    return
-        elif not self._has_contact():
+        if self._is_member() and self._has_contact():
+            return
+        self._replica_runner.check_disk()
+        if self._is_member():
             self._request_readmission()
+        else:
+            self._request_first_admission()
 
     def _is_member(self):
         if not self._replica_runner.is_running:
@@ -97,6 +102,12 @@
         age = self._replica_runner.replica.contact_age()
         return age < state_poller.STALE_CONTACT_SECONDS
 
+    def _request_first_admission(self):
+        """Ask the VMs one after the other until one accepts."""
+        for address in self._directory.disk_addresses():
+            if self._request_admission(address).accepted:
+                return
+
     def _request_readmission(self):
         """Ask one VM, and the leader that it names.
 
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica_runner.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica_runner.py
@@ -170,6 +170,21 @@
         if self.fleet_id:
             self._start_replica()
 
+    def check_disk(self):
+        """Write the entries that are not stored yet, and the hard state.
+
+        It does nothing while there is no replica.
+
+        Raises:
+            DiskWriteFailed: storage reported an error.
+        """
+        replica = self._replica
+        if replica is None:
+            return
+        replica.log.flush()
+        with replica.changed:
+            replica.store_hard_state(replica.hard_state)
+
     def join(self, fleet_id):
         """Start the replica in a fleet that admitted it as a learner.
 
--- a/tests/test_failed_writes.py
+++ b/tests/test_failed_writes.py
@@ -294,6 +294,39 @@
     runner.replica.log.close()
 
 
+@pytest.fixture
+def running(folder):
+    """Return a runner whose replica has no threads."""
+    options = settings.ReplicaOptions(timing.Timing(), 1000, 3)
+    runner = replica_runner.ReplicaRunner(
+        folder, 'vm1', '10.0.0.1:1', None, state_store.StateStore(), options
+    )
+    runner._run_threads = lambda replica: None
+    runner.join('fleet')
+    yield runner
+    runner.replica.log.close()
+
+
+def test_a_disk_without_room_for_entries_is_told(running, monkeypatch):
+    log = running.replica.log
+    disk = FullDisk(monkeypatch)
+    disk.fill(log)
+    log.append([logs.Entry(1, 1, b'')])
+    with pytest.raises(errors.DiskWriteFailed):
+        running.check_disk()
+    disk.make_room(log)
+    running.check_disk()
+    assert log.durable_index == 1
+
+
+def test_a_disk_without_room_for_the_hard_state_is_told(running, monkeypatch):
+    monkeypatch.setattr(os, 'replace', _refuse)
+    with pytest.raises(errors.DiskWriteFailed):
+        running.check_disk()
+    monkeypatch.undo()
+    running.check_disk()
+
+
 def test_a_founding_that_was_refused_is_repeated(refusing_folder):
     runner = replica_runner.ReplicaRunner(
         refusing_folder, 'vm1', '10.0.0.1:1', None, None, None
--- a/tests/test_joiner.py
+++ b/tests/test_joiner.py
@@ -1,5 +1,6 @@
 """Tests that a replica becomes a member of the log, also once more."""
 
+import pytest
 import replication_builders as builders
 
 from carobwood import clocks
@@ -21,17 +22,24 @@
         member: its ``Member``.
         replica: its ``Replica``.
         is_running: whether the replica runs.
+        is_disk_full: whether the disk refuses writes.
     """
 
     is_running = True
 
     def __init__(self, member):
         self.member = member
+        self.is_disk_full = False
         self.replica = builders.build_replica(logs.MemoryLog(), own=member)
 
     def retry_start(self):
         """See ``ReplicaRunner``."""
 
+    def check_disk(self):
+        """See ``ReplicaRunner``."""
+        if self.is_disk_full:
+            raise errors.DiskWriteFailed('no space')
+
     def join(self, fleet_id):
         """See ``ReplicaRunner``."""
         assert fleet_id == builders.FLEET_ID
@@ -104,6 +112,21 @@
     assert OWN in leader.membership.learners
 
 
+# A control VM whose disk was full was a member again 14 ms after the others
+# had replaced it.
+def test_a_replica_whose_disk_is_full_does_not_ask_to_join():
+    leader = _leader_without(OWN)
+    runner = Runner(OWN)
+    runner.replica.leader_contact_at = clocks.now() - LONG_AGO_SECONDS
+    runner.is_disk_full = True
+    links = Links(leader)
+    joiner = _joiner(runner, links)
+    with pytest.raises(errors.DiskWriteFailed):
+        joiner.run_once()
+    assert links.calls == []
+    assert OWN.replica_id not in leader.membership.members_by_id
+
+
 def test_a_member_in_contact_with_the_leader_does_not_ask_to_join():
     runner = Runner(OWN)
     runner.replica.leader_contact_at = clocks.now()
