Keep endpoints of a service that is not named while they accept

Cause: a VM that does not hear the announcements itself counts the endpoints as silent, and dropped those of a service that is not named without a probe; when the service is named again, nothing tells it of them. Class: what is dropped while nobody needs it is not learned again. Such endpoints are dropped without a probe only if an endpoint of a named service is known at their address.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -207,19 +207,26 @@
         """Return which of the silent endpoints no probe can prove alive.
 
         Another endpoint announces that it is at their address, so that it
-        would answer, or they belong to no pool that is named.
+        would answer; or they belong to no named pool, and one of a named pool
+        is known there.
 
         Args:
             silent: the endpoints whose announcements have stopped.
         """
         silent_ids = {endpoint.id for endpoint in silent}
-        heard = [e for e in self.endpoints() if e.id not in silent_ids]
+        known = self.endpoints()
+        heard = [e for e in known if e.id not in silent_ids]
         newest = self._newest_by_address(heard)
+        named_addresses = {e.address for e in known if self.is_named(e)}
         displaced = []
         for endpoint in silent:
             other = newest.get(endpoint.address)
             is_replaced = other and other.incarnation > endpoint.incarnation
-            if is_replaced or not self.is_named(endpoint):
+            is_foreign = (
+                not self.is_named(endpoint)
+                and endpoint.address in named_addresses
+            )
+            if is_replaced or is_foreign:
                 displaced.append(endpoint)
         return displaced
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -29,13 +29,13 @@
     return table, clock
 
 
-def _probe(table):
-    """Run a prober at which each address accepts connections."""
+def _probe(table, is_accepting=True):
+    """Run a prober at which each address accepts connections, or none."""
     probed = []
 
     def accepts(endpoint):
         probed.append(endpoint.id)
-        return True
+        return is_accepting
 
     prober = periodic_tasks.SilentEndpointProber(
         table, lambda endpoint: None, accepts
@@ -101,6 +101,26 @@
     )
 
 
+# A service that a configuration dropped, and a later one named again, had no
+# endpoints on VMs that do not hear their announcements: they are told of
+# changes only, and had dropped what they knew.
+def test_endpoints_of_a_service_outlive_a_configuration_without_it():
+    table, clock = _table(ENGINE, named=('orders',))
+    for _ in range(2):
+        clock.advance(endpoint_table.ENDPOINT_SILENCE_SECONDS + 1)
+        assert _probe(table) == [ENGINE.id]
+    table.set_named_pools(('engines', 'orders'))
+    assert table.serving_endpoints() == [ENGINE]
+
+
+def test_endpoints_of_no_service_that_accept_no_connection_are_dropped():
+    table, clock = _table(ENGINE, named=('orders',))
+    clock.advance(endpoint_table.ENDPOINT_SILENCE_SECONDS + 1)
+    assert _probe(table, is_accepting=False) == [ENGINE.id]
+    assert table.endpoints() == []
+    assert table.merge_endpoint(ENGINE)
+
+
 # A stream went on at another software version: the VM had not heard that its
 # engine had started again, and a probe had confirmed what it believed.
 def test_a_probe_does_not_renew_an_announcement():
