Tell other aggregators of endpoints that announce to a member

Repeated announcements were passed on by the aggregator that endpoints announce to, but not those that come from members of its group, so that other groups took these endpoints for silent and probed them. An aggregator passes on what its members have told since its last exchange.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -66,6 +66,8 @@
         self._endpoints_by_id = {}
         self._tombstones_by_id = {}
         self._announced_here_at_by_id = {}
+        # When a member of this VM's group has last sent news of an endpoint.
+        self._member_news_at_by_id = {}
         # Times of successful probes, by announcement.
         self._probed_at_by_order = {}
         # When an aggregator named the endpoints that it does not hear.
@@ -108,13 +110,14 @@
             self.is_named(known) and not self.is_named(endpoint)
         )
 
-    def merge_endpoint(self, endpoint, is_direct=False):
+    def merge_endpoint(self, endpoint, is_direct=False, is_from_member=False):
         """Merge an announcement.
 
         Args:
             endpoint: the ``Endpoint``.
             is_direct: whether the endpoint announced itself to this VM,
                 rather than to another one.
+            is_from_member: whether a member of this VM's group has sent it.
 
         Returns:
             Whether it was newer than the known announcement.
@@ -131,6 +134,8 @@
             if known is not None and self._is_outdated(endpoint, known):
                 return False
             self._endpoints_by_id[endpoint.id] = endpoint
+            if is_from_member:
+                self._member_news_at_by_id[endpoint.id] = self._clock()
             changed = known is None or _must_spread(known, endpoint)
         if changed:
             self._log_change(endpoint)
@@ -145,6 +150,19 @@
         )
         return self._clock() - announced_at < ENDPOINT_SILENCE_SECONDS
 
+    def refreshed_by_members(self, since):
+        """Return the endpoints of which members have sent news.
+
+        Args:
+            since: time by the clock from which on it has come.
+        """
+        with self._lock:
+            return [
+                self._endpoints_by_id[endpoint_id]
+                for endpoint_id, at in self._member_news_at_by_id.items()
+                if at >= since and endpoint_id in self._endpoints_by_id
+            ]
+
     def endpoints(self):
         """Return all known endpoints."""
         with self._lock:
@@ -278,6 +296,7 @@
             if known is None or known.order != endpoint.order:
                 return
             del self._endpoints_by_id[endpoint.id]
+            self._member_news_at_by_id.pop(endpoint.id, None)
             if self.is_named(endpoint):
                 self._tombstones_by_id[endpoint.id] = endpoint.order
         events.emit(events.ENDPOINT_EXPIRED, endpoint=endpoint.id)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -281,6 +281,18 @@
             if self._directory.announces_to_this_vm(endpoint)
         ]
 
+    def announcements_of_members(self, since):
+        """Return the announcements of endpoints that members told of lately.
+
+        Args:
+            since: time by ``clocks.now`` from which on it has come.
+        """
+        now = clocks.now()
+        return [
+            gossip_records.endpoint_to_thrift(endpoint, now)
+            for endpoint in self._directory.refreshed_by_members(since)
+        ]
+
     def _answer_member(self, message, reply):
         def is_wanted(source):
             return source.vm_id != message.vm.vm_id
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
@@ -110,13 +110,19 @@
         self._vm_id = ''
         self._position = None
         self._incarnation = 0
+        # From when on news of members has still to be passed on.
+        self._members_sent_until = float('-inf')
 
     def exchange(self):
         """Send the records that the other aggregator lacks."""
+        now = clocks.now()
         message, next_position = self._gossip.make_message(
             ttypes.SenderRole.AGGREGATOR, self._position, self._vm_id
         )
         self._add_refreshed_endpoints(message)
+        message.records.announcements += self._gossip.announcements_of_members(
+            self._members_sent_until
+        )
         try:
             reply = self._link.call('gossip', message, CALL_TIMEOUT_SECONDS)
         except errors.LinkFailed as error:
@@ -126,6 +132,7 @@
         self._note_reply(reply)
         self.period = self._gossip.mesh_period
         self._position = next_position
+        self._members_sent_until = now
         self._vm_id = reply.vm.vm_id
         if reply.vm.incarnation != self._incarnation:
             # The other VM was restarted and has lost what it was sent.
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_records.py
@@ -199,7 +199,8 @@
         now = clocks.now()
         for announcement in records.announcements or ():
             self._directory.merge_endpoint(
-                endpoint_from_thrift(announcement, now)
+                endpoint_from_thrift(announcement, now),
+                is_from_member=not source.is_aggregator,
             )
         strike_messages.merge_thrift(self._crash_suspects, records.strikes)
         for field, record_source in self._sources_by_field.items():
--- a/tests/test_gossip_tree.py
+++ b/tests/test_gossip_tree.py
@@ -96,6 +96,47 @@
         assert vm.directory.silent_endpoints()
 
 
+def _announce(fleet, vm_id):
+    """Have an endpoint announce itself to a VM at the simulated time."""
+    fleet.vms_by_id[vm_id].directory.merge_endpoint(
+        builders.endpoint(
+            'engine-1',
+            sequence=int(10 * fleet.clock.now),
+            last_seen_at=fleet.clock.now,
+        ),
+        True,
+    )
+
+
+def _is_silent_somewhere(fleet):
+    vms = fleet.vms_by_id.values()
+    return any(vm.directory.silent_endpoints() for vm in vms)
+
+
+# Members of the other aggregators probed it, and might drop it for good.
+def test_an_endpoint_that_announces_to_a_member_is_silent_nowhere(
+    monkeypatch,
+):
+    fleet = _fleet(monkeypatch, 12)
+    for number in (6, 12, 18):
+        fleet.start(f'core-{number}')
+    fleet.run(FAILOVER_SECONDS)
+    members = [vm for vm in fleet.core_vms() if not vm.peers]
+    member_id = members[0].own_vm.id
+    silent_steps = []
+
+    def announce():
+        if int(fleet.clock.now / gossip_fleet.STEP_SECONDS) % 20 == 0:
+            _announce(fleet, member_id)
+        silent_steps.append(_is_silent_somewhere(fleet))
+
+    fleet.run(20.0, announce)
+    assert not any(silent_steps)
+    fleet.run(10.0)
+    for vm in fleet.vms_by_id.values():
+        assert vm.directory.silent_endpoints()
+
+
 def test_strikes_and_withdrawals_reach_all_vms(monkeypatch):
     fleet = _fleet(monkeypatch, 60)
     first, second = fleet.entry_vms()[:2]
