Name no KV cache store that the configuration has dropped

News of an aggregator that has not followed a change yet brought a dropped store back, and it was named to engines again. Class: news of another VM that is behind undoes a change. Only stores that the configuration in force names are used; news that comes before it still counts afterwards.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/kv_stores.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/kv_stores.py
@@ -162,6 +162,8 @@
     def __init__(self, dialect):
         self._dialect = dialect
         self._stores_by_address = {}
+        # Those of the configuration in force; others may be known as well.
+        self._named_addresses = frozenset()
         self._is_polling = False
         self._listeners = []
 
@@ -172,6 +174,7 @@
             for service in configuration.services
             if service.store_address
         }
+        self._named_addresses = frozenset(configured)
         for address in set(self._stores_by_address) - configured:
             self._stores_by_address[address].poller.stop()
             self._stores_by_address[address].clear()
@@ -193,9 +196,12 @@
                 store.poller.stop()
 
     def find_available(self):
-        """Return the first ``KvStore`` that answers polls, or None."""
+        """Return the first ``KvStore`` that answers polls, or None.
+
+        An aggregator may tell of one that the configuration names no more.
+        """
         for store in list(self._stores_by_address.values()):
-            if store.is_up:
+            if store.is_up and store.address in self._named_addresses:
                 return store
         return None
 
--- a/tests/test_kv_stores.py
+++ b/tests/test_kv_stores.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from carobwood import errors
+from carobwood.gen.links import ttypes
 from carobwood_daemon.membership import change_log
 from carobwood_daemon.membership import gossip_records
 from carobwood_daemon.relay import block_digests
@@ -200,3 +201,18 @@
         store.set_block(b'%d' % number, False)
     page, _ = records.read(None, lambda source: True, lambda source: True)
     assert len(page.stores) <= change_log.MAX_TOMBSTONES
+
+
+# Engines were told to use a store that had been dropped from the
+# configuration, as news of it came late.
+def test_late_news_of_a_store_that_is_no_longer_configured_names_none():
+    stores = kv_stores.KvStores(FakeDialect())
+    stores.apply_configuration(_configuration())
+    news = [ttypes.StoreNews(ADDRESS, b'', True)]
+    stores.merge(news)
+    assert stores.find_available().address == ADDRESS
+    stores.apply_configuration(types.SimpleNamespace(services=[]))
+    stores.merge(news)
+    assert stores.find_available() is None
+    stores.apply_configuration(_configuration())
+    assert stores.find_available().address == ADDRESS
