Have a customer's limit hold from the first request after its change

Between the moment at which a configuration is in force and the one at which the quota follows it, a customer had its former limit, or none: eight requests of a customer with a burst of 1 were all answered 200.

Class: a part that follows a change later than what rests on it. The quota is a preparation of the `ConfigurationStore` now and follows a configuration before that is in force.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration_store.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration_store.py
@@ -33,6 +33,7 @@
         """
         self._dialect = dialect
         self._weights = weights
+        self._preparations = listeners.Listeners('configuration to come')
         self._listeners = listeners.Listeners('configuration')
         self.configuration = None
         self.changed_at = None
@@ -45,7 +46,14 @@
     @property
     def failed_listener_calls(self):
         """Number of times that a part could not take over a configuration."""
-        return self._listeners.failed_calls
+        return self._preparations.failed_calls + self._listeners.failed_calls
+
+    def add_preparation(self, listener):
+        """Call ``listener(configuration)`` before each newer one is in force.
+
+        Requests are admitted under it as soon as it is.
+        """
+        self._preparations.add(listener)
 
     def add_change_listener(self, listener):
         """Call ``listener(configuration)`` for each newer configuration."""
@@ -103,6 +111,7 @@
         current_version = self._current_version()
         if stored.version <= current_version:
             return
+        self._preparations.notify(configuration)
         self.configuration = configuration
         self.changed_at = clocks.now()
         self._listeners.notify(configuration)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -140,7 +140,7 @@
             configuration.services_by_name
         )
     )
-    relay_configuration.add_change_listener(
+    relay_configuration.add_preparation(
         lambda configuration: fleet_quota.set_limits(configuration.customers)
     )
     return SharedComponents(
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -86,6 +86,8 @@
 
 
 PLAIN_SLOTS = 6
+# More requests than a customer's limit allows.
+REQUESTS_BEYOND_LIMIT = 8
 OTHER_SERVICE = {'name': 'other-orders', 'max_conns': 100}
 
 
@@ -167,3 +169,29 @@
     assert waiting.reply.status == 404
     assert b'"outcome": "not-run"' in waiting.reply.body
     assert len(fleet.plain_endpoint.requests) == PLAIN_SLOTS
+
+
+# More requests of a customer were admitted than its limit allows: the change
+# that set it was already in force, but its limit was not yet.
+def test_a_limit_holds_from_the_first_request_after_its_change(
+    fleet, monkeypatch
+):
+    vm = fleet.fleet.vms[len(fleet.fleet.control_ports)]
+    store = vm._shared.configuration_store
+    statuses = []
+
+    def ask_first(configuration):
+        for _ in range(REQUESTS_BEYOND_LIMIT):
+            statuses.append(fleet.fleet.ask('/orders/whole').status)
+
+    listeners = store._listeners._listeners
+    monkeypatch.setattr(
+        store._listeners, '_listeners', [ask_first, *listeners]
+    )
+    customer = builders.configuration_fields()['tenants'][0]
+    limits = {'unit': 'requests', 'rate_per_s': 0.001, 'burst': 1}
+    fleet.configure(2, tenants=[customer | limits])
+    relay_test_fleet.await_reply(
+        lambda: statuses, lambda found: len(found) == REQUESTS_BEYOND_LIMIT
+    )
+    assert statuses[-1] == 429
