Look at the configuration again before a service has no endpoint

Class: two looks at one thing, with a change between them. A request that finds others waiting asks only whether its service has any endpoint, after the change has dropped them. The selector looks at the configuration again before it says that there is none, and the request is admitted again. The directory learns the services that a configuration names before that is in force, and drops the former ones afterwards.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -92,6 +92,14 @@
         """
         self._named_pools = frozenset(pools)
 
+    def add_named_pools(self, pools):
+        """Add the pools that the configuration to come names.
+
+        Those of the one in force stay named until ``set_named_pools``.
+        """
+        if self._named_pools is not None:
+            self._named_pools |= frozenset(pools)
+
     def is_named(self, endpoint):
         """Tell whether the configuration names an endpoint's pool.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -73,10 +73,21 @@
         self._context = context
 
     def has_untried_endpoint(self, request, excluded):
-        """Return whether the service has an endpoint not yet excluded."""
-        return any(
-            endpoint.id not in excluded for endpoint in self.endpoints(request)
-        )
+        """Return whether the service has an endpoint not yet excluded.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            excluded: ids of endpoints that it must not go to.
+
+        Raises:
+            ConfigurationChanged: it has none, and the request was admitted
+                under another configuration, which may have named others.
+        """
+        for endpoint in self.endpoints(request):
+            if endpoint.id not in excluded:
+                return True
+        self._check_configuration(request)
+        return False
 
     def try_assign(self, request, excluded):
         """Assign an endpoint to a request without waiting.
@@ -93,12 +104,7 @@
                 configuration.
         """
         context = self._context
-        if request.configuration is not (
-            context.configuration_store.configuration
-        ):
-            raise errors.ConfigurationChanged(
-                'the configuration has changed since the admission'
-            )
+        self._check_configuration(request)
         endpoints = [
             endpoint
             for endpoint in self.endpoints(request)
@@ -114,6 +120,14 @@
             return None
         return self._assign(request, choice, candidates)
 
+    def _check_configuration(self, request):
+        """Check that a request was admitted under the one in force."""
+        in_force = self._context.configuration_store.configuration
+        if request.configuration is not in_force:
+            raise errors.ConfigurationChanged(
+                'the configuration has changed since the admission'
+            )
+
     def _choose_permitted(self, candidates, demand):
         """Choose a candidate, with a permit if its requests need one.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -135,14 +135,19 @@
     relay_configuration = configuration_store.ConfigurationStore(
         store, dialect, weights
     )
-    relay_configuration.add_change_listener(
-        lambda configuration: directory.set_named_pools(
+    relay_configuration.add_preparation(
+        lambda configuration: directory.add_named_pools(
             configuration.services_by_name
         )
     )
     relay_configuration.add_preparation(
         lambda configuration: fleet_quota.set_limits(configuration.customers)
     )
+    relay_configuration.add_change_listener(
+        lambda configuration: directory.set_named_pools(
+            configuration.services_by_name
+        )
+    )
     return SharedComponents(
         store,
         relay_configuration,
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -9,6 +9,7 @@
 import relay_test_fleet
 
 from carobwood_daemon.relay import admission
+from carobwood_daemon import relay_servers
 
 BODY_PARTS = (b'one ', b'two ', b'three')
 ROUNDS = 5
@@ -171,6 +172,63 @@
     assert len(fleet.plain_endpoint.requests) == PLAIN_SLOTS
 
 
+# Requests that were to wait were refused as if their service had no endpoint:
+# it was dropped as their route moved to another one, between the look at the
+# configuration and the look at the endpoints.
+def test_a_request_goes_where_its_route_leads_if_its_service_is_dropped(
+    fleet, monkeypatch
+):
+    other = fake_endpoint.FakeEngine('other-0', 'other-orders')
+    fleet.announce(other)
+    vm = fleet.fleet.vms[len(fleet.fleet.control_ports)]
+    monkeypatch.setattr(relay_servers, 'SETTLE_SECONDS', 0.0)
+    wait_queue = vm._shared.wait_queue
+    must_queue = wait_queue.must_queue
+
+    def queue_beside_change(*key):
+        monkeypatch.setattr(wait_queue, 'must_queue', must_queue)
+        fleet.configure(2, routes=_moved_routes(), services=_moved_services())
+        relay_test_fleet.await_reply(
+            lambda: [e.pool for e in vm.directory.serving_endpoints()],
+            lambda pools: 'orders' not in pools,
+        )
+        return True
+
+    monkeypatch.setattr(wait_queue, 'must_queue', queue_beside_change)
+    reply = fleet.fleet.ask('/orders/whole')
+    assert (reply.status, reply.body) == (200, b'whole')
+    assert len(other.requests) == 1
+    other.stop()
+
+
+# A request was refused as if its service had no endpoint, as the configuration
+# that named the service was already in force, but not yet all that follows it.
+def test_a_service_that_a_change_names_has_its_endpoints_at_once(
+    fleet, monkeypatch
+):
+    other = fake_endpoint.FakeEngine('other-0', 'other-orders')
+    fleet.announce(other)
+    vm = fleet.fleet.vms[len(fleet.fleet.control_ports)]
+    relay_test_fleet.await_reply(
+        lambda: vm.directory.find_endpoint('other-0'), bool
+    )
+    monkeypatch.setattr(relay_servers, 'SETTLE_SECONDS', 0.0)
+    set_named_pools = vm.directory.set_named_pools
+    replies = []
+
+    def ask_before(pools):
+        replies.append(fleet.fleet.ask('/orders/whole'))
+        set_named_pools(pools)
+
+    monkeypatch.setattr(vm.directory, 'set_named_pools', ask_before)
+    fleet.configure(2, routes=_moved_routes(), services=_moved_services())
+    relay_test_fleet.await_reply(lambda: replies, bool)
+    assert [(reply.status, reply.body) for reply in replies] == [
+        (200, b'whole')
+    ]
+    other.stop()
+
+
 # More requests of a customer were admitted than its limit allows: the change
 # that set it was already in force, but its limit was not yet.
 def test_a_limit_holds_from_the_first_request_after_its_change(
