Draw ranges of ports whole, and tell what VMs logged at a failed wait

A VM of test_soak.py never started: two of its listeners had one port. The bench drew a port, and then a range that was only checked for ports that somebody listens on or that other processes have claimed; control_processes.py took 16 successive ports unchecked. Class: two resources of one owner that are only guarded against others.

`free_ports` draws a range whole or not at all, looks at each range once, and ends if none is unused. A wait of a fleet of processes that fails tells what the VMs logged.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -27,29 +27,71 @@
 # Characters of a VM's log that the error of a wait shows.
 SHOWN_LOG_CHARACTERS = 8000
 PORT_RANGE = (10000, 30000)
-# After so many ports that other processes have claimed, one of those is taken.
-MAX_CLAIM_ATTEMPTS = 1000
 
 _allocated_ports = set()
 
 
+class NoPortsLeft(Exception):
+    """This process may use no further ports."""
+
+
 def free_port():
-    """Return an unused port that was not returned before.
+    """Return an unused port that was not returned before; see below."""
+    return free_ports(1)[0]
+
+
+def free_ports(count):
+    """Return successive unused ports, none of which was returned before.
+
+    They lie below the range that the kernel uses for outgoing connections, so
+    that no connection can take them before the process that they are meant
+    for listens on them. Other test processes leave them alone while this one
+    runs, unless they have claimed all.
 
-    The port lies below the range that the kernel uses for outgoing
-    connections, so that no connection can take it before the process
-    that it is meant for listens on it. Other test processes leave it alone
-    while this one runs.
+    Args:
+        count: number of ports.
+
+    Raises:
+        NoPortsLeft: there are none.
     """
-    attempts_left = MAX_CLAIM_ATTEMPTS
-    while True:
-        port = random.SystemRandom().randrange(*PORT_RANGE)
-        if port in _allocated_ports or not _is_unused(port):
+    claimed_elsewhere = None
+    start, end = PORT_RANGE
+    for first in _shuffled(range(start, end - count + 1)):
+        ports = range(first, first + count)
+        if not all(map(_is_free, ports)):
             continue
-        attempts_left -= 1
-        if port_claims.claim(port) or attempts_left < 0:
-            _allocated_ports.add(port)
-            return port
+        if _claim_all(ports):
+            break
+        claimed_elsewhere = ports
+    else:
+        if claimed_elsewhere is None:
+            raise NoPortsLeft(f'no {count} successive ports are unused')
+        ports = claimed_elsewhere
+    _allocated_ports.update(ports)
+    return ports
+
+
+def _shuffled(numbers):
+    # Test tools seed the default source.
+    return random.SystemRandom().sample(numbers, len(numbers))
+
+
+def _claim_all(ports):
+    """Claim all of some ports or none; return whether they are claimed."""
+    claimed = []
+    for port in ports:
+        if not port_claims.claim(port):
+            break
+        claimed.append(port)
+    else:
+        return True
+    for port in claimed:
+        port_claims.release(port)
+    return False
+
+
+def _is_free(port):
+    return port not in _allocated_ports and _is_unused(port)
 
 
 def _is_unused(port):
@@ -85,6 +127,21 @@
         time.sleep(POLL_SECONDS)
 
 
+def describe_process(name, process, log):
+    """Return the state of a VM's process and the end of its log.
+
+    Args:
+        name: id of the VM.
+        process: the process, or None before its start.
+        log: all of its log.
+    """
+    state = 'not started'
+    if process is not None:
+        code = process.poll()
+        state = 'running' if code is None else f'exited with {code}'
+    return f'{name} is {state}; its log ends:\n{log[-SHOWN_LOG_CHARACTERS:]}'
+
+
 @dataclasses.dataclass
 class Vm:
     """A daemon's process and its addresses.
@@ -119,12 +176,7 @@
 
     def describe(self):
         """Return the state of the process and the end of its log."""
-        state = 'not started'
-        if self.process is not None:
-            code = self.process.poll()
-            state = 'running' if code is None else f'exited with {code}'
-        log = self.read_log()[-SHOWN_LOG_CHARACTERS:]
-        return f'{self.vm_id} is {state}; its log ends:\n{log}'
+        return describe_process(self.vm_id, self.process, self.read_log())
 
 
 class Fleet:
--- a/bench/port_claims.py
+++ b/bench/port_claims.py
@@ -29,3 +29,8 @@
     except OSError:
         return False
     return True
+
+
+def release(port):
+    """Give a claim of this process up."""
+    fcntl.lockf(_file, fcntl.LOCK_UN, 1, port)
--- a/bench/relay_processes.py
+++ b/bench/relay_processes.py
@@ -5,14 +5,12 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
 import yaml
 
 import fleet as fleets
-import port_claims
 import relay_test_fleet
 
 DATA_CENTRES = ('bole', 'kirkos', 'arada')
@@ -114,7 +112,7 @@
             fleets.free_port(),
             fleets.free_port(),
             fleets.free_port(),
-            _first_of_free_ports(PORTS_BETWEEN_VMS),
+            fleets.free_ports(PORTS_BETWEEN_VMS).start,
         )
         # A subnet of its own for each run: the ports are the same on all VMs.
         subnet = f'127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}'
@@ -239,19 +237,6 @@
         }
 
 
-def _first_of_free_ports(count):
-    while True:
-        first = fleets.free_port()
-        try:
-            for port in range(first + 1, first + count):
-                with socket.create_server(('', port)):
-                    pass
-        except OSError:
-            continue
-        if all(port_claims.claim(first + n) for n in range(count)):
-            return first
-
-
 class Balancer:
     """Takes VMs out that are not ready, as the platform's balancer does.
 
--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -18,6 +18,7 @@
 from carobwood_daemon.replication import data_folder
 from carobwood_daemon.replication import disk_log
 
+PORTS_BETWEEN_VMS = 16
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 DATA_CENTRES = ('bole', 'kirkos', 'arada', 'yeka')
 # Starts the platform's program with another number of log entries between
@@ -78,6 +79,11 @@
         lines = self._log_path.read_text().splitlines(keepends=True)
         return [json.loads(line) for line in lines if line.endswith('}\n')]
 
+    def describe(self):
+        """Return the state of the process and the end of its log."""
+        log = self._log_path.read_text() if self._log_path.exists() else ''
+        return fleets.describe_process(self.name, self.process, log)
+
     def fill_disk(self, spare_bytes=None):
         """Refuse its writes to files.
 
@@ -120,6 +126,8 @@
 class ProcessFleet:
     """Control VMs and one entry VM; a context manager that kills them.
 
+    An error that ends it, such as that of a wait, tells what they logged.
+
     Attributes:
         control_vms: the control VMs.
         entry_vm: the entry VM.
@@ -139,8 +147,8 @@
         # All VMs have the same ports, as on the platform, at addresses of
         # their own.
         self._ports = [fleets.free_port() for _ in range(4)]
-        link_port = fleets.free_port()
-        self._port_range = [link_port, link_port + 15]
+        link_ports = fleets.free_ports(PORTS_BETWEEN_VMS)
+        self._port_range = [link_ports[0], link_ports[-1]]
         names = [f'core-{number}' for number in range(control_vm_count)]
         self.control_vms = [
             self._plan(name, number, str(self._folder / name))
@@ -153,7 +161,10 @@
             vm.start()
         return self
 
-    def __exit__(self, *exception):
+    def __exit__(self, error_type, error, traceback):
+        if error is not None:
+            for vm in (*self.control_vms, self.entry_vm):
+                error.add_note(vm.describe())
         self.kill()
 
     def kill(self):
