Bound the waits of tests that could last for ever

Reproduced in form only: two processes that searched for ranges of ports side by side never ended.

Waits of tests that nothing bounded have bounds, and a closed fault proxy leaves no thread.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 	$(PYTHON) examples/demo.py
 
 test: $(STAMP)
-	$(PYTHON) -m pytest -q -n $(WORKERS) --dist loadfile --durations=10 tests
+	$(PYTHON) -m pytest -q -n $(WORKERS) --dist loadfile \
+		--max-worker-restart 0 --durations=10 tests
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check $(SOURCES)
--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -1,5 +1,6 @@
 """A TCP proxy that injects network faults, with a rule per source."""
 
+import contextlib
 import dataclasses
 import enum
 import socket
@@ -82,6 +83,9 @@
 
     def close(self):
         """Close the listener and all connections."""
+        # Closing alone leaves the thread that accepts waiting.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         with self._lock:
             connections = list(self._connections)
--- a/tests/test_link_versions.py
+++ b/tests/test_link_versions.py
@@ -1,6 +1,7 @@
 """Which version of the link protocol two builds use, over the loopback."""
 
 import concurrent.futures
+import contextlib
 import json
 import logging
 import random
@@ -64,6 +65,7 @@
     def run(self):
         """Serve one link until either side ends it."""
         with self._listener, concurrent.futures.ThreadPoolExecutor(2) as pool:
+            self._listener.settimeout(TIMEOUT_SECONDS)
             caller, _ = self._listener.accept()
             callee = socket.create_connection(
                 ('127.0.0.1', self._target_port), TIMEOUT_SECONDS
@@ -107,6 +109,7 @@
 
 
 def _accept(listener, versions):
+    listener.settimeout(TIMEOUT_SECONDS)
     connection, _ = listener.accept()
     with connection:
         return _outcome(
@@ -215,6 +218,7 @@
         ):
             port = listener.getsockname()[1]
             calling = pool.submit(handshake_peer.call, port)
+            listener.settimeout(TIMEOUT_SECONDS)
             peer, _ = listener.accept()
             with peer:
                 peer.sendall(callee_bytes)
@@ -254,15 +258,26 @@
             calling = pool.submit(command, ['connect', str(port)])
             listener.settimeout(TIMEOUT_SECONDS)
             handshake_peer.serve(listener.accept()[0])
-            with calling.result() as process:
+            with _killed_at_the_end(calling.result()) as process:
                 assert process.wait(TIMEOUT_SECONDS) == 0
 
     def test_as_the_callee(self, commit, tmp_path):
-        with _peer_command(commit, tmp_path)(['accept']) as process:
+        started = _peer_command(commit, tmp_path)(['accept'])
+        with _killed_at_the_end(started) as process:
             handshake_peer.call(int(process.stdout.readline()))
             assert process.wait(TIMEOUT_SECONDS) == 0
 
 
+@contextlib.contextmanager
+def _killed_at_the_end(process):
+    """Wait for no process whose test has failed."""
+    with process:
+        try:
+            yield process
+        finally:
+            process.kill()
+
+
 def _peer_command(commit, folder):
     """Return a function that starts ``handshake_peer.py`` on a commit."""
     try:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import time
 import uuid
 
 import builders
@@ -15,6 +16,8 @@
 scenarios('features/orders.feature')
 
 WEIGHTS_VERSION = 'X-Weights-Version'
+# Time in which all engines have other weights, also beside load.
+ROLL_OUT_SECONDS = 120.0
 
 
 def _place(world, engine, version, code):
@@ -164,7 +167,9 @@
 def _roll_out(world, version):
     answers = _send_requests(world, 12)
     _apply_document(world, version)
+    ends_at = time.monotonic() + ROLL_OUT_SECONDS
     while set(_weights_of_engines(world)) != {version}:
+        assert time.monotonic() < ends_at, _weights_of_engines(world)
         answers += _send_requests(world, 6)
         answers[-1].result()
     answers += _send_requests(world, 6)
--- a/tests/test_stops_beside_silence.py
+++ b/tests/test_stops_beside_silence.py
@@ -17,6 +17,8 @@
 SILENCE_SECONDS = 1.3
 # Pause between two callers.
 PERIOD_SECONDS = 0.1
+# Callers beyond which the VM counts as one that does not stop.
+MAX_CALLERS = int(relay_test_fleet.WAIT_SECONDS / PERIOD_SECONDS)
 PATH = f'/captions/paced-{EVENT_COUNT}'
 
 
@@ -147,9 +149,12 @@
         engine.on_run = lambda *request: never_set.wait(SILENCE_SECONDS)
         callers = _Callers(vm)
         vm.process.send_signal(signal.SIGTERM)
-        while vm.process.poll() is None:
+        for _ in range(MAX_CALLERS):
+            if vm.process.poll() is not None:
+                break
             callers.start_one()
             never_set.wait(PERIOD_SECONDS)
+        assert vm.process.poll() is not None, vm.read_log()[-1]
         callers.join()
     ran = {headers['x-carobwood-request-id'] for headers in engine.requests}
     whole = {
