--- a/bench/upgrade_callers.py
+++ b/bench/upgrade_callers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import http.client
 import random
+import select
 import time
 
 import relay_builders
@@ -138,7 +139,7 @@
 
     def _connect(self, vm_id):
         kept = self._connections_by_vm.pop(vm_id, None)
-        if kept is not None:
+        if kept is not None and not _is_ended(kept):
             return kept
         vm = self._processes.vms_by_id[vm_id]
         return http.client.HTTPConnection(
@@ -208,6 +209,16 @@
             attempt = resumed
 
 
+def _is_ended(connection):
+    """Return whether an idle connection has been closed, and close it."""
+    if connection.sock is None:
+        return False
+    readable, _, _ = select.select([connection.sock], [], [], 0)
+    if readable:
+        connection.close()
+    return bool(readable)
+
+
 def _path(attempt):
     action = f'paced-{attempt.event_count}' if attempt.event_count else 'named'
     return f'/{attempt.route}/{action}'
