Deliver answers that had come by the end of their time

Two faults in the same lines. A VM that is held up past the deadline of a request read once and answered 504, outcome unknown, to a request that had run,

- if the last chunk of the answer had come, but not the end of its trailer: the bound of the trailer's wait was looked at on one of two ways to the end of the time only.
Both end in one place now, and an answer whose content is whole is delivered.
- if the answer had come in full but takes more than one read, 8 KB each: as the time ends, the number of late reads is bounded once by what the kernel holds for the connection.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/answer_reader.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/answer_reader.py
@@ -3,12 +3,25 @@
 An endpoint that sends without end always has bytes to read, and one that
 sends a byte now and then resets the timeout of each read. Both the time and
 the caller are therefore looked at before each read.
+
+What has come by the end of the time is still read, as this VM may have been
+held up meanwhile. It may take many reads; their number is bounded once.
 """
 
+import io
+
 from carobwood import errors
 
+from ..entry import request_body
+
 from . import endpoint_connections
 
+# What one read takes at least of that which has come.
+LATE_READ_BYTES = io.DEFAULT_BUFFER_SIZE
+# Late reads beside those of what the kernel holds: of what was read with the
+# head, and of the end of the connection.
+FURTHER_LATE_READS = 2
+
 
 class AnswerReader:
     """Reads the body of one response to one caller."""
@@ -25,7 +38,8 @@
         self._connection = connection
         self._caller = caller
         self._read_timeout = read_timeout
-        self._is_overdue = False
+        # Reads that may be made after the time, or None before its end.
+        self._late_reads = None
 
     @property
     def has_ended(self):
@@ -42,7 +56,7 @@
 
         Args:
             timeout: seconds until the reading has to end. What has come by
-                then is still read, once, as this VM may have been held up.
+                then is still read by the calls that follow.
 
         Returns:
             Bytes of the body; they may be none before its end.
@@ -52,9 +66,9 @@
             EndpointFailed: the body is truncated or malformed.
             EndpointTimeout: the body did not go on in time.
         """
-        if timeout <= 0 and self._is_overdue:
-            raise _make_timeout()
-        self._is_overdue = timeout <= 0
+        self._count_late_reads(timeout)
+        if self._late_reads == 0:
+            return self._end_in_time()
         wait_seconds = max(0.0, timeout)
         trailer_seconds = self._connection.trailer_seconds_left
         if trailer_seconds is not None:
@@ -65,12 +79,24 @@
                     'the caller disconnected during the response'
                 )
             case endpoint_connections.WaitResult.TIMED_OUT:
-                if trailer_seconds is None:
-                    raise _make_timeout()
-                self._connection.give_up_trailer()
-                return b''
+                return self._end_in_time()
         return self._connection.read_available(self._read_timeout)
 
+    def _count_late_reads(self, timeout):
+        if timeout > 0:
+            self._late_reads = None
+        elif self._late_reads is None:
+            unread = request_body.count_unread_bytes(self._connection.socket)
+            reads = -(-unread // LATE_READ_BYTES)
+            self._late_reads = reads + FURTHER_LATE_READS
+        else:
+            self._late_reads = max(0, self._late_reads - 1)
 
-def _make_timeout():
-    return errors.EndpointTimeout('no further part of the body came in time')
+    def _end_in_time(self):
+        """End the body, whose time is over, if its content is whole."""
+        if self._connection.trailer_seconds_left is None:
+            raise errors.EndpointTimeout(
+                'no further part of the body came in time'
+            )
+        self._connection.give_up_trailer()
+        return b''
