--- a/packages/carobwood-daemon/carobwood_daemon/__main__.py
+++ b/packages/carobwood-daemon/carobwood_daemon/__main__.py
@@ -3,7 +3,7 @@
 import signal
 
 # Blocked until there is a handler, as each ends a process by default.
-_CAUGHT_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_CAUGHT_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 signal.pthread_sigmask(signal.SIG_BLOCK, _CAUGHT_SIGNALS)
 
 import logging as std_logging  # noqa: E402
@@ -14,6 +14,7 @@
 from carobwood import events  # noqa: E402
 from carobwood import stop_signals  # noqa: E402
 
+# There are no settings to be read again at a SIGHUP.
 _SIGNALS = stop_signals.SignalQueue()
 _SIGNALS.catch(*_CAUGHT_SIGNALS)
 
@@ -48,7 +49,7 @@
             print(f'carobwoodd: {fault}', file=sys.stderr)
         return EXIT_USAGE
     logs.set_up(checked_settings.log_level)
-    if _SIGNALS.take() is not None:
+    if _SIGNALS.take_stop() is not None:
         events.emit(events.START_ABANDONED, vm=checked_settings.vm_id)
         std_logging.shutdown()
         return EXIT_OK
@@ -59,9 +60,9 @@
     # Handlers run when the main thread runs, and a signal that another thread
     # was given does not wake it.
     while True:
-        received = _SIGNALS.take(WAKE_PERIOD_SECONDS)
-        if received is not None:
-            return received.at
+        asked_at = _SIGNALS.take_stop(WAKE_PERIOD_SECONDS)
+        if asked_at is not None:
+            return asked_at
 
 
 def _run(checked_settings):
--- a/packages/carobwood/carobwood/stop_signals.py
+++ b/packages/carobwood/carobwood/stop_signals.py
@@ -10,6 +10,7 @@
 import signal
 
 from . import clocks
+from . import events
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,5 +57,23 @@
         except queue.Empty:
             return None
 
+    def take_stop(self, timeout=0.0):
+        """Return when a stop was asked for, and forget what came before.
+
+        A SIGHUP asks for none; it is logged.
+
+        Args:
+            timeout: seconds to wait for a signal.
+
+        Returns:
+            The time by ``clocks.now``, or None if no stop was asked for.
+        """
+        while (received := self.take(timeout)) is not None:
+            if received.number != signal.SIGHUP:
+                return received.at
+            events.emit(events.RELOAD_REQUESTED)
+            timeout = 0.0
+        return None
+
     def _put(self, number, frame):
         self._queue.put(ReceivedSignal(number, clocks.now()))
