Give a request to the next VM if the listener of one stops

A VM that reaches no endpoint forwards a request to a VM that stops, whose listener refuses what it has not read: the caller got that 503, although a third VM would have taken the request, and a request that another VM may have run before was said not to have run.

Class: two senders of one answer, told apart by what only one of them says. An answer with `Carobwood-Outcome` is one of the other VM; with status 503 its listener stops, and the request goes to the next VM. A VM without endpoints to which a request was forwarded says what is known of its own attempts.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -132,7 +132,14 @@
             raise forwarder.final_error(error) from error
 
     def _run_here(self, caller, request, trace):
-        self._make_forwarder(caller, request, trace).run()
+        """Run a request of another VM, which may hand it to a third one."""
+        forwarder = self._make_forwarder(caller, request, trace)
+        try:
+            forwarder.run()
+        except errors.NoEndpointReachable as error:
+            # An endpoint of this VM may have run it before.
+            error.outcome = forwarder.final_error(error).outcome
+            raise
 
     def _make_forwarder(self, caller, request, trace):
         resolved = self._context.stream_resumption.resolve(request)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -137,14 +137,19 @@
             lambda seconds: _await_part(connection, caller, seconds),
         )
         self._check_request_id(request, status, headers)
-        code = headers.get(forwarding_headers.ERROR, '')
+        code = _error_code(status, headers)
         self._log(request, vm, code, status)
         if code:
             connection.skip_body(READ_TIMEOUT_SECONDS, MAX_ERROR_BYTES)
-        if code in _NOT_TAKEN_CODES:
-            return False
         if code:
-            raise _error_of(status, code, headers)
+            error = _error_of(status, code, headers)
+            if code not in _NOT_TAKEN_CODES:
+                raise error
+            if error.outcome is not errors.Outcome.NOT_RUN:
+                raise errors.EndpointFailed(
+                    'the other VM has sent it and reaches no endpoint now'
+                )
+            return False
         self._relay_response(connection, caller, request, status, headers)
         return True
 
@@ -255,6 +260,19 @@
     return request.route.is_idempotent and not caller.has_started_response
 
 
+def _error_code(status, headers):
+    """Return the code of an error of the other VM itself, or empty.
+
+    Its listener names none if it refuses what it has not read.
+    """
+    code = headers.get(forwarding_headers.ERROR, '')
+    if code or forwarding_headers.OUTCOME not in headers:
+        return code
+    if status == http.client.SERVICE_UNAVAILABLE:
+        return errors.Stopping.code
+    return f'status_{status}'
+
+
 def _error_of(status, code, headers):
     """Return the error that another VM has answered with."""
     try:
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -1,5 +1,6 @@
 """A VM that reaches no endpoint, while the other VMs reach them."""
 
+import contextlib
 import dataclasses
 import http.client
 import socket
@@ -7,6 +8,7 @@
 
 from carobwood import addresses
 from carobwood import errors
+from carobwood_daemon.entry import strict_request
 from carobwood_daemon.membership import endpoint_table
 from carobwood_daemon.relay import forwarding_headers
 import fake_endpoint
@@ -222,9 +224,9 @@
     assert fleet.engine_requests == []
 
 
-@pytest.fixture
-def closing_address():
-    """Yield an address at which each request ends its connection."""
+@contextlib.contextmanager
+def _listen(answer):
+    """Give an address at which each request gets an answer and the end."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
 
         def serve():
@@ -235,38 +237,122 @@
                     return
                 with peer:
                     peer.recv(65536)
+                    peer.sendall(answer)
 
         threading.Thread(target=serve, daemon=True).start()
         yield '127.0.0.1:%d' % listener.getsockname()[1]
         listener.shutdown(socket.SHUT_RDWR)
 
 
+@pytest.fixture
+def closing_address():
+    """Yield an address at which each request ends its connection."""
+    with _listen(b'') as address:
+        yield address
+
+
+@pytest.fixture
+def stopping_address():
+    """Yield an address at which a listener stops before each request."""
+    body = strict_request.encode_error(errors.Stopping('it stops'))
+    head = (
+        'HTTP/1.1 503 stopping\r\nContent-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\nCarobwood-Outcome: not-run\r\n'
+        'Connection: close\r\n\r\n'
+    )
+    with _listen(head.encode() + body) as address:
+        yield address
+
+
+@pytest.fixture
+def ask_first(fleet, monkeypatch):
+    """Return a function that has VM 0 ask the VM at an address first."""
+    vm = fleet.fleet.vms[FIRST_ENTRY_VM]
+    choose = vm.peers.choose
+
+    def arrange(address):
+        def choose_first(asked_ids):
+            if asked_ids:
+                return choose(asked_ids)
+            return dataclasses.replace(
+                vm.directory.own_vm, id='front-9', forward_address=address
+            )
+
+        monkeypatch.setattr(vm.peers, 'choose', choose_first)
+
+    return arrange
+
+
 @pytest.mark.parametrize(
     ('path', 'status', 'runs'),
     [('/captions/x', 200, 1), ('/orders/x', 502, 0)],
 )
 def test_only_what_may_run_twice_is_forwarded_again_after_a_vm_broke_off(
-    fleet, cut_off, monkeypatch, closing_address, path, status, runs
+    fleet, cut_off, ask_first, closing_address, path, status, runs
 ):
     _strand_vm_0(fleet, cut_off)
-    vm = fleet.fleet.vms[FIRST_ENTRY_VM]
-    choose = vm.peers.choose
-
-    def choose_closing_one_first(asked_ids):
-        if not asked_ids:
-            return dataclasses.replace(
-                vm.directory.own_vm,
-                id='front-9',
-                forward_address=closing_address,
-            )
-        return choose(asked_ids)
-
-    monkeypatch.setattr(vm.peers, 'choose', choose_closing_one_first)
+    ask_first(closing_address)
     assert fleet.fleet.ask(path).status == status
     requests = fleet.engine_requests + fleet.plain_endpoint.requests
     assert len(requests) == runs
 
 
+# A caller got the refusal that a stopping VM had given to another VM, although
+# a third one would have taken the request.
+@pytest.mark.parametrize('path', ['/captions/x', '/orders/whole'])
+def test_a_request_goes_to_another_vm_if_the_listener_of_one_stops(
+    fleet, cut_off, ask_first, stopping_address, path
+):
+    _strand_vm_0(fleet, cut_off)
+    ask_first(stopping_address)
+    assert fleet.fleet.ask(path).status == 200
+
+
+# Its request, which may have run, was said not to have run.
+def test_a_vm_that_stops_does_not_say_that_a_request_has_not_run(
+    fleet, cut_off, monkeypatch, closing_address, stopping_address
+):
+    _strand_vm_0(fleet, cut_off)
+    vm = fleet.fleet.vms[FIRST_ENTRY_VM]
+    left = [closing_address, stopping_address]
+
+    def choose(asked_ids):
+        if len(asked_ids) >= len(left):
+            return None
+        return dataclasses.replace(
+            vm.directory.own_vm,
+            id=f'front-{len(asked_ids)}',
+            forward_address=left[len(asked_ids)],
+        )
+
+    monkeypatch.setattr(vm.peers, 'choose', choose)
+    reply = fleet.fleet.ask('/captions/x')
+    assert reply.status == 502
+    assert b'"unknown"' in reply.body
+
+
+# A request that had run was said not to have run by two VMs without endpoints.
+def test_what_may_have_run_at_the_other_vm_is_not_said_not_to_have_run(
+    fleet, cut_off
+):
+    _strand_vm_0(fleet, cut_off)
+    other_vm = fleet.fleet.vms[FIRST_ENTRY_VM + 1]
+
+    def cut_off_and_fail(*_request):
+        cut_off(1)
+        for endpoint in (*fleet.engines, fleet.plain_endpoint):
+            with contextlib.suppress(errors.EndpointUnreachable):
+                other_vm.pool.connect(endpoint.address, 1.0)
+        raise ConnectionResetError('the engine fails')
+
+    for engine in fleet.engines:
+        engine.on_run = cut_off_and_fail
+    reply = fleet.fleet.ask('/captions/x')
+    assert len(fleet.engine_requests) == 1
+    assert reply.status == 502
+    assert b'"unknown"' in reply.body
+
+
 def test_a_vm_that_reaches_no_endpoint_removes_none(
     fleet, cut_off, monkeypatch
 ):
