Bound the export of traces at a stop

A stop of an entry VM with a collector of traces that does not answer had not ended after 30 s; with a grace of 8 s the process is killed, without `daemon-stopped` (102). Class: a wait at a stop that the time of the stop does not bound. The relay exports until 0.75 s before the end of the time for the stop, carobwoodd for 5 s; spans that take longer are lost.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -65,6 +65,8 @@
 EXTRA_CALLER_THREADS = 8
 # Time at a stop to store the state; only a disk that hangs needs longer.
 STORE_SECONDS = 5.0
+# Time at a stop to export the last spans.
+EXPORT_SECONDS = 5.0
 # Interval after which a thread that waits for the GIL makes the running one
 # release it; CPython's default is 5 ms.
 SWITCH_INTERVAL_SECONDS = 0.0002
@@ -173,7 +175,7 @@
         self._link_server.stop()
         self._links.close()
         self._timer.stop()
-        self._tracer.shut_down()
+        self._tracer.shut_down(EXPORT_SECONDS)
         if self._data_folder is not None and has_stored:
             self._data_folder.close()
         events.emit(events.DAEMON_STOPPED, vm=self._settings.vm_id)
--- a/packages/carobwood-daemon/carobwood_daemon/observe/tracing.py
+++ b/packages/carobwood-daemon/carobwood_daemon/observe/tracing.py
@@ -7,6 +7,8 @@
 from opentelemetry.trace import propagation
 from opentelemetry.trace.propagation import tracecontext
 
+from carobwood import threads
+
 _SERVICE_NAME = 'carobwoodd'
 
 
@@ -25,8 +27,12 @@
         """
         return RequestTrace()
 
-    def shut_down(self):
-        """Export pending spans and stop."""
+    def shut_down(self, seconds):
+        """Export pending spans and stop.
+
+        Args:
+            seconds: time for it; spans that take longer are lost.
+        """
 
 
 class RequestTrace:
@@ -65,9 +71,12 @@
         span = self._tracer.start_span(name, attributes=attributes)
         return OtelRequestTrace(self._tracer, span)
 
-    def shut_down(self):
+    def shut_down(self, seconds):
         """See ``Tracer``."""
-        self._provider.shutdown()
+        # The provider waits for a collector that hangs.
+        stop = threads.StepThread(self._provider.shutdown, 'tracer-stop')
+        stop.start()
+        stop.join(seconds)
 
 
 class OtelRequestTrace(RequestTrace):
--- a/packages/carobwood-daemon/carobwood_daemon/relay_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_stop.py
@@ -33,7 +33,8 @@
             servers: the ``HttpServer`` objects.
             replica_runner: the ``ReplicaRunner``, or None.
             data_folder: the ``DataFolder``, or None.
-            close: closes all other parts.
+            close: closes all other parts; called with the time by
+                ``clocks.now`` until which traces may be exported.
         """
         self._settings = settings
         self._gate = gate
@@ -63,7 +64,7 @@
         server_stop.stop_together(
             self._servers, ends_at, http_server.MIN_ANSWER_SECONDS
         )
-        self._close()
+        self._close(ends_at + CLOSE_RESERVE_SECONDS / 2)
         if self._data_folder is not None and not replica_stop.is_alive():
             self._data_folder.close()
         events.emit(
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -7,6 +7,7 @@
 
 import sys
 
+from carobwood import clocks
 from carobwood import events
 from carobwood import timer as timers
 
@@ -215,7 +216,7 @@
         )
         return stop.run(asked_at)
 
-    def _close(self):
+    def _close(self, export_ends_at):
         for task in self._periodic_tasks:
             task.stop()
         self._stream_reporter.stop()
@@ -227,7 +228,7 @@
         self._shared.close_connections()
         self._dialect.close()
         self._timer.stop()
-        self._tracer.shut_down()
+        self._tracer.shut_down(max(0.0, export_ends_at - clocks.now()))
 
     def add_seeds(self, seeds):
         """Add seed addresses from reloaded settings.
--- a/packages/carobwood/carobwood/threads.py
+++ b/packages/carobwood/carobwood/threads.py
@@ -32,7 +32,7 @@
 
 
 class StepThread(threading.Thread):
-    """A thread for one step of a stop, which is taken in any case."""
+    """A thread for one step, which is taken in any case."""
 
     def __init__(self, step, name):
         """Prepare the thread.
--- a/tests/test_relay_traces.py
+++ b/tests/test_relay_traces.py
@@ -1,8 +1,10 @@
 """Tests of the trace spans of relayed requests and of their export."""
 
 import json
+import threading
 
 from carobwood import errors
+from carobwood_daemon.observe import tracing
 from carobwood_daemon import relay_settings
 import fake_endpoint
 import pytest
@@ -63,3 +65,39 @@
 def test_invalid_trace_settings_are_refused(environ):
     with pytest.raises(errors.SettingsInvalid):
         relay_settings.read_trace_settings(environ)
+
+
+class _HangingProvider:
+    """A provider of tracers whose collector does not answer.
+
+    Attributes:
+        answers: event that ends the wait for the collector.
+    """
+
+    def __init__(self):
+        self.answers = threading.Event()
+
+    def get_tracer(self, name):
+        """Return nothing, as no request is traced."""
+
+    def shutdown(self):
+        """Wait for the collector."""
+        self.answers.wait(relay_test_fleet.WAIT_SECONDS)
+
+
+# A stop waited for a collector of traces that did not answer, for 30 s, beyond
+# the time after which the process is killed.
+def test_a_stop_ends_although_the_collector_of_traces_hangs(tmp_path):
+    fleet = relay_test_fleet.RelayFleet(
+        tmp_path, control_vm_count=1, stop_seconds=2.0
+    )
+    provider = _HangingProvider()
+    fleet.vms[0]._tracer = tracing.OtelTracer(provider)
+    stopping = threading.Thread(target=fleet.vms[0].stop, daemon=True)
+    stopping.start()
+    stopping.join(relay_test_fleet.WAIT_SECONDS / 2)
+    has_ended = not stopping.is_alive()
+    provider.answers.set()
+    stopping.join()
+    fleet.vms[1].stop()
+    assert has_ended
