Tell a refused connection from one that has timed out

Class: an error is told by a base class that others share. entry/connect_errors.py tells a timeout for both interfaces.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
@@ -11,7 +11,6 @@
 import select
 import threading
 
-import urllib3
 from urllib3 import connection as urllib3_connection
 
 from carobwood import addresses
@@ -21,6 +20,7 @@
 from ..limits import buffer_budget
 
 from . import bounded_reader
+from . import connect_errors
 from . import response_body
 from . import response_head
 
@@ -32,14 +32,6 @@
 # Characters of the error text of a call, which may quote the answer.
 MAX_DETAIL_CHARACTERS = 300
 
-_FAILURES = (
-    urllib3.exceptions.HTTPError,
-    http.client.HTTPException,
-    OSError,
-    ValueError,
-)
-_TIMEOUTS = (TimeoutError, urllib3.exceptions.TimeoutError)
-
 
 @dataclasses.dataclass(frozen=True)
 class Call:
@@ -134,7 +126,7 @@
             raise errors.CallOutOfBounds(
                 error.bound, f'{call.target}: {error.detail}'
             ) from error
-        except _FAILURES as error:
+        except connect_errors.CONNECTION_ERRORS as error:
             raise errors.EngineCallFailed(
                 f'{call.target}: {_describe(error)}'
             ) from error
@@ -153,7 +145,7 @@
             if connection is None:
                 connection = _connect(call.address, allowance)
             answer = connection.exchange(call, allowance)
-        except _TIMEOUTS as error:
+        except connect_errors.TIMEOUT_ERRORS as error:
             if connection is None:
                 raise
             raise allowance.exceeded_deadline() from error
--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -13,13 +13,13 @@
 import select
 import socket
 
-import urllib3
 from urllib3 import connection as urllib3_connection
 
 from carobwood import addresses
 from carobwood import errors
 
 from . import bounded_reader
+from . import connect_errors
 from . import headers
 from . import response_body
 from . import response_head
@@ -38,15 +38,6 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 ]
 
-# Exceptions that urllib3 and http.client raise if a connection fails.
-_CONNECTION_ERRORS = (
-    urllib3.exceptions.HTTPError,
-    http.client.HTTPException,
-    OSError,
-    ValueError,
-)
-_TIMEOUT_ERRORS = (TimeoutError, urllib3.exceptions.TimeoutError)
-
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamRequest:
@@ -154,7 +145,7 @@
     def _read_available(self):
         try:
             return self._body.read_available()
-        except _CONNECTION_ERRORS as error:
+        except connect_errors.CONNECTION_ERRORS as error:
             # The connection's own timeout, unlike a read's, has a number.
             if not isinstance(error, TimeoutError) or error.errno is not None:
                 raise errors.StreamBroken(
@@ -271,6 +262,7 @@
 
     Raises:
         EndpointUnreachable: the connection could not be established.
+        DescriptorsUsedUp: this process can make none.
     """
     parsed = addresses.parse_address(address)
     connection = urllib3_connection.HTTPConnection(
@@ -281,13 +273,9 @@
     )
     try:
         connection.connect()
-    except _CONNECTION_ERRORS as error:
+    except connect_errors.CONNECTION_ERRORS as error:
         connection.close()
-        unreachable = errors.EndpointUnreachable(
-            f'cannot connect: {type(error).__name__}'
-        )
-        unreachable.is_timeout = isinstance(error, _TIMEOUT_ERRORS)
-        raise unreachable from error
+        raise connect_errors.make_error(error) from error
     return connection
 
 
@@ -333,12 +321,12 @@
     """Close a connection that fails, and raise the error of its request."""
     try:
         yield
-    except _TIMEOUT_ERRORS as error:
+    except connect_errors.TIMEOUT_ERRORS as error:
         connection.close()
         raise errors.EndpointTimeout('no response within the deadline') from (
             error
         )
-    except _CONNECTION_ERRORS as error:
+    except connect_errors.CONNECTION_ERRORS as error:
         connection.close()
         raise errors.EndpointFailed(
             f'the connection failed: {type(error).__name__}'
--- a/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
@@ -1,6 +1,5 @@
 """Pool of idle connections to endpoints, or to other VMs."""
 
-import errno
 import threading
 
 import urllib3
@@ -10,6 +9,8 @@
 from carobwood import clocks
 from carobwood import errors
 
+from ..entry import connect_errors
+
 from . import endpoint_connections
 
 # A connection is made within milliseconds. If it takes longer, the endpoint
@@ -24,8 +25,6 @@
 MAX_IDLE_PER_ADDRESS = 16
 # What making a connection can raise.
 _CONNECT_FAILURES = (OSError, urllib3.exceptions.HTTPError)
-# Numbers of failures that are this process's own.
-_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class ConnectionPool:
@@ -177,20 +176,5 @@
         connection.connect()
     except _CONNECT_FAILURES as error:
         connection.close()
-        if _is_shortage(error):
-            raise errors.DescriptorsUsedUp(
-                'this VM can open no further connection'
-            ) from error
-        raise errors.EndpointUnreachable(
-            f'connecting to the endpoint failed: {type(error).__name__}'
-        ) from error
+        raise connect_errors.make_error(error) from error
     return endpoint_connections.EndpointConnection(parsed, connection.sock)
-
-
-def _is_shortage(error):
-    """Return whether a connection failed for want of this process's own."""
-    # urllib3 raises an error of its own from that of the system.
-    for cause in (error, error.__cause__):
-        if isinstance(cause, OSError) and cause.errno in _SHORTAGES:
-            return True
-    return False
--- a/tests/test_endpoint_connections.py
+++ b/tests/test_endpoint_connections.py
@@ -1,5 +1,6 @@
 """Tests of connections to endpoints and their pool, on raw sockets."""
 
+import contextlib
 import socket
 import struct
 import threading
@@ -269,8 +270,20 @@
     with socket.socket() as unused:
         unused.bind(('127.0.0.1', 0))
         address = '127.0.0.1:%d' % unused.getsockname()[1]
-        with pytest.raises(errors.EndpointUnreachable):
+        with pytest.raises(errors.EndpointUnreachable) as raised:
             connection_pool.ConnectionPool().acquire(address)
+    assert not raised.value.is_timeout
+
+
+def test_a_connection_that_is_not_accepted_in_time_has_timed_out():
+    with socket.create_server(('127.0.0.1', 0), backlog=0) as server:
+        address = '127.0.0.1:%d' % server.getsockname()[1]
+        pool = connection_pool.ConnectionPool()
+        with contextlib.ExitStack() as stack:
+            with pytest.raises(errors.EndpointUnreachable) as raised:
+                while True:
+                    stack.callback(pool.acquire(address).close)
+    assert raised.value.is_timeout
 
 
 LATE_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate'
