Take no lack of the VM for a crash of an endpoint

After a failed attempt a VM connects to the endpoint anew. If it had no descriptor left for that, the endpoint was ejected and its idle connections were closed, and the request got a strike as the cause of a crash. If the endpoint accepted no connection in time, idle connections that it may well serve were closed.

Class: one error class for what an endpoint does and what this VM lacks. A shortage tells nothing of the endpoint; idle connections are closed only if a new one was refused.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -240,7 +240,7 @@
             attempt_log.log_failed(self._request, assignment, error)
             raise self.final_error(error) from error
         except errors.EndpointUnreachable as error:
-            self._recorder.note_unreachable(assignment)
+            self._recorder.note_unreachable(assignment, error)
             self._raise_unless_retryable(assignment, error)
         except errors.EndpointLeft as error:
             self._raise_unless_retryable(assignment, error)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -14,6 +14,10 @@
 dozens of requests are reset. Each would look like a crash that its request has
 caused, and be refused everywhere. So an endpoint that cannot be reached counts
 as crashed only if another one can be.
+
+Load pattern: an endpoint accepts no connection for a moment, and serves those
+that it has. They are kept unless it refuses a new one: its process has ended
+then, or listens no more.
 """
 
 import random
@@ -60,10 +64,16 @@
         self._context.crash_suspects.expire_strikes(self._request.fingerprint)
         self._note_version(assignment, head)
 
-    def note_unreachable(self, assignment):
-        """Record that an endpoint has accepted no connection."""
+    def note_unreachable(self, assignment, error):
+        """Record that an endpoint has accepted no connection.
+
+        Args:
+            assignment: the ``Assignment`` that the request was sent to.
+            error: the ``EndpointUnreachable``.
+        """
         self._context.health.note_unreachable(assignment.endpoint)
-        self._context.pool.close_idle(assignment.endpoint.address)
+        if not error.is_timeout:
+            self._context.pool.close_idle(assignment.endpoint.address)
 
     def note_not_run(self, assignment, head):
         """Record that an endpoint has rejected the request without running it.
@@ -112,9 +122,13 @@
         self._context.health.note_result(endpoint, True)
         if not isinstance(error, errors.EndpointFailed):
             return False
-        if self._is_reachable(endpoint):
+        connect_error = self._find_connect_error(endpoint)
+        if connect_error is None:
             return False
-        self.note_unreachable(assignment)
+        if isinstance(connect_error, errors.DescriptorsUsedUp):
+            # It tells of this VM, not of the endpoint.
+            return False
+        self.note_unreachable(assignment, connect_error)
         if not self._reaches_another(endpoint):
             return False
         self._context.crash_suspects.add_strikes(
@@ -188,14 +202,18 @@
 
     def _is_reachable(self, endpoint):
         """Return whether an endpoint accepts a new connection."""
+        return self._find_connect_error(endpoint) is None
+
+    def _find_connect_error(self, endpoint):
+        """Return the ``EndpointUnreachable`` of a new connection, or None."""
         try:
             connection = self._context.pool.acquire(
                 endpoint.address, False, endpoint_prober.PROBE_TIMEOUT_SECONDS
             )
-        except errors.EndpointUnreachable:
-            return False
+        except errors.EndpointUnreachable as error:
+            return error
         self._context.pool.release(endpoint.address, connection, None)
-        return True
+        return None
 
     def _note_version(self, assignment, head):
         if head.weights_version:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -242,8 +242,8 @@
             connection = silent.sender.connect(assignment)
         except errors.DescriptorsUsedUp:
             return StayReason.UNREACHABLE
-        except errors.EndpointUnreachable:
-            recorder.note_unreachable(assignment)
+        except errors.EndpointUnreachable as error:
+            recorder.note_unreachable(assignment, error)
             return StayReason.UNREACHABLE
         except errors.EndpointLeft:
             return StayReason.LEAVING
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -13,17 +13,31 @@
 FAILURE = errors.EndpointFailed('the connection was reset')
 
 
+UNREACHABLE = errors.EndpointUnreachable('unreachable')
+SILENT = errors.EndpointUnreachable('no connection in time')
+SILENT.is_timeout = True
+SHORTAGE = errors.DescriptorsUsedUp('no descriptor is left')
+
+
 class FakePool:
-    """A connection pool of which some addresses accept connections."""
+    """A connection pool of which some addresses accept connections.
+
+    Attributes:
+        reachable: those addresses.
+        error: what a connection to another address raises.
+        closed: addresses whose idle connections were closed.
+    """
 
-    def __init__(self, reachable):
+    def __init__(self, reachable, error=UNREACHABLE):
         self.reachable = set(reachable)
+        self.error = error
+        self.closed = []
 
     def acquire(self, address, may_reuse, timeout):
         """See ``ConnectionPool``; the address serves as the connection."""
         del may_reuse, timeout
         if address not in self.reachable:
-            raise errors.EndpointUnreachable('unreachable')
+            raise self.error
         return address
 
     def release(self, address, connection, idle_seconds):
@@ -31,6 +45,7 @@
 
     def close_idle(self, address):
         """See ``ConnectionPool``."""
+        self.closed.append(address)
 
 
 def _endpoints(count):
@@ -40,26 +55,35 @@
     ]
 
 
-def _fail_at_first(endpoints, reachable):
-    """Let a request fail at the first endpoint.
-
-    Returns:
-        Whether the recorder takes it for a crash, and the ``CrashSuspects``.
-    """
+def _harness(endpoints, reachable, error=UNREACHABLE):
+    """Return the context, and the recorder of a request."""
     stub = types.SimpleNamespace
     clock = builders.Clock()
-    suspects = crash_suspects.CrashSuspects(clock)
     context = stub(
         health=endpoint_health.EndpointHealth(clock),
-        pool=FakePool(endpoint.address for endpoint in reachable),
-        crash_suspects=suspects,
+        pool=FakePool((endpoint.address for endpoint in reachable), error),
+        crash_suspects=crash_suspects.CrashSuspects(clock),
         directory=stub(serving_endpoints=lambda: endpoints),
     )
     recorder = result_recorder.ResultRecorder(
         context, stub(fingerprint='request')
     )
-    assignment = stub(endpoint=endpoints[0])
-    return recorder.note_failed(assignment, FAILURE), suspects
+    return context, recorder
+
+
+def _assignment(endpoint):
+    return types.SimpleNamespace(endpoint=endpoint)
+
+
+def _fail_at_first(endpoints, reachable):
+    """Let a request fail at the first endpoint.
+
+    Returns:
+        Whether the recorder takes it for a crash, and the ``CrashSuspects``.
+    """
+    context, recorder = _harness(endpoints, reachable)
+    has_crashed = recorder.note_failed(_assignment(endpoints[0]), FAILURE)
+    return has_crashed, context.crash_suspects
 
 
 def _has_strike(suspects):
@@ -101,3 +125,24 @@
     has_crashed, suspects = _fail_at_first(endpoints, endpoints)
     assert not has_crashed
     assert not _has_strike(suspects)
+
+
+# A VM without a descriptor took an endpoint for crashed, and the request for
+# the cause.
+def test_a_shortage_of_the_vm_is_not_taken_for_a_crash():
+    [endpoint] = _endpoints(1)
+    context, recorder = _harness([endpoint], [], SHORTAGE)
+    assert not recorder.note_failed(_assignment(endpoint), FAILURE)
+    assert not _has_strike(context.crash_suspects)
+    assert not context.health.is_ejected(endpoint)
+    assert context.pool.closed == []
+
+
+# An endpoint that takes no connection for a moment lost those that it serves.
+@pytest.mark.parametrize('error, is_closed', [(SILENT, 0), (UNREACHABLE, 1)])
+def test_only_a_refused_connection_ends_the_idle_ones(error, is_closed):
+    first, second = _endpoints(2)
+    context, recorder = _harness([first, second], [second], error)
+    recorder.note_failed(_assignment(first), FAILURE)
+    assert context.health.is_ejected(first)
+    assert context.pool.closed == [first.address] * is_closed
