Put no lack of local ports down to an endpoint

A connection that the system refuses for want of a local port (EADDRNOTAVAIL) ejected its endpoint and closed its idle connections, so that more connections had to be made. The same number comes from an address that cannot be connected to. Carobwood's own interface counted no lack of the VM apart from failures of endpoints.

After that number the VM asks the system for any local port. If it gets none, the error is `local_ports_used_up`: no ejection, no strike, and another endpoint is tried. Both interfaces use connect_errors.py.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/connect_errors.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/connect_errors.py
@@ -2,6 +2,7 @@
 
 import errno
 import http.client
+import socket
 
 import urllib3
 
@@ -34,6 +35,9 @@
         return errors.DescriptorsUsedUp(
             'this VM can open no further connection'
         )
+    # EADDRNOTAVAIL also stands for an address that no connection can go to.
+    if errno.EADDRNOTAVAIL in numbers and not has_local_port():
+        return errors.LocalPortsUsedUp('this VM has no local port left')
     unreachable = errors.EndpointUnreachable(
         f'connecting to the endpoint failed: {type(error).__name__}'
     )
@@ -41,6 +45,20 @@
     return unreachable
 
 
+def has_local_port():
+    """Return whether the system can still give a local port.
+
+    A connection gets a port that others may have for other addresses. If
+    none is left for one address, all are in use.
+    """
+    try:
+        with socket.socket() as sock:
+            sock.bind(('', 0))
+    except OSError as error:
+        return error.errno != errno.EADDRINUSE
+    return True
+
+
 def is_timeout(error):
     """Tell whether an endpoint was only silent to a connection.
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/endpoint_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/endpoint_failover.py
@@ -64,8 +64,9 @@
             yield endpoint, connection
 
     def record_failure(self, endpoint, error):
-        """Record that an endpoint failed."""
-        self._circuit_breakers.record_failure(endpoint, error.code)
+        """Record that an endpoint failed, unless this VM lacked something."""
+        if not isinstance(error, errors.DescriptorsUsedUp):
+            self._circuit_breakers.record_failure(endpoint, error.code)
         may_have_run = self.last_error.outcome is errors.Outcome.UNKNOWN
         if error.outcome is errors.Outcome.UNKNOWN or not may_have_run:
             self.last_error = error
--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_attempt.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_attempt.py
@@ -185,7 +185,9 @@
             error: the ``CarobwoodError`` of the failure.
         """
         context = self._context
-        context.circuit_breakers.record_failure(self.endpoint, error.code)
+        # A lack of this VM tells nothing of the engine.
+        if not isinstance(error, errors.DescriptorsUsedUp):
+            context.circuit_breakers.record_failure(self.endpoint, error.code)
         is_disconnected = isinstance(
             error, (errors.EndpointFailed, errors.StreamBroken)
         )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
@@ -61,6 +61,7 @@
         Raises:
             EndpointUnreachable: no connection could be made.
             DescriptorsUsedUp: this process can make none.
+            LocalPortsUsedUp: this VM can make none to the endpoint.
         """
         while may_reuse:
             upstream = self._take_idle(address)
@@ -88,6 +89,9 @@
     def _connect_with_room(self, address, timeout):
         try:
             return _connect(address, timeout)
+        except errors.LocalPortsUsedUp:
+            # The port of a closed connection stays in use for a while.
+            raise
         except errors.DescriptorsUsedUp:
             self._close_all_idle()
             return _connect(address, timeout)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -236,6 +236,8 @@
                 self._forward_response(assignment, response)
             self._note_answered(assignment, response)
             return True
+        except errors.LocalPortsUsedUp as error:
+            self._raise_unless_retryable(assignment, error)
         except errors.DescriptorsUsedUp as error:
             attempt_log.log_failed(self._request, assignment, error)
             raise self.final_error(error) from error
--- a/packages/carobwood/carobwood/endpoint_errors.py
+++ b/packages/carobwood/carobwood/endpoint_errors.py
@@ -22,6 +22,12 @@
     code = 'descriptors_used_up'
 
 
+class LocalPortsUsedUp(DescriptorsUsedUp):
+    """No local port is left for a connection to one endpoint or VM."""
+
+    code = 'local_ports_used_up'
+
+
 class EndpointLeft(base_errors.RequestRefused):
     """The endpoint began to leave before the request was sent to it."""
 
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -50,6 +50,7 @@
 
 EndpointUnreachable = endpoint_errors.EndpointUnreachable
 DescriptorsUsedUp = endpoint_errors.DescriptorsUsedUp
+LocalPortsUsedUp = endpoint_errors.LocalPortsUsedUp
 EndpointLeft = endpoint_errors.EndpointLeft
 EndpointNotRun = endpoint_errors.EndpointNotRun
 EndpointFailed = endpoint_errors.EndpointFailed
--- a/tests/test_engine_attempt.py
+++ b/tests/test_engine_attempt.py
@@ -155,3 +155,23 @@
         ENGINE, previous.block_hashes
     )
     assert held_blocks == len(previous.block_hashes)
+
+
+# A VM without descriptors opened the circuit breaker of an engine.
+@pytest.mark.parametrize(
+    'error, is_open',
+    [
+        (errors.DescriptorsUsedUp('no descriptor'), False),
+        (errors.LocalPortsUsedUp('no local port'), False),
+        (errors.EndpointUnreachable('refused'), True),
+    ],
+)
+def test_a_lack_of_the_vm_is_no_failure_of_an_engine(context, error, is_open):
+    failures = []
+    context.circuit_breakers = types.SimpleNamespace(
+        record_failure=lambda endpoint, code: failures.append(code)
+    )
+    attempt = engine_attempt.EngineAttempt(context, ENGINE, PREPARED)
+    attempt.start()
+    attempt.fail(error)
+    assert bool(failures) is is_open
--- a/tests/test_refused_connections.py
+++ b/tests/test_refused_connections.py
@@ -1,11 +1,14 @@
 """Endpoints of carobwood's own interface that refuse connections."""
 
+import errno
 import socket
 import types
 
 import pytest
+import urllib3
 
 from carobwood import errors
+from carobwood_daemon.entry import connect_errors
 from carobwood_daemon.entry import endpoint_failover
 from carobwood_daemon.entry import upstream
 
@@ -39,3 +42,30 @@
     )
     assert list(failover.connections()) == []
     assert failures == [errors.EndpointUnreachable.code]
+
+
+# A VM without descriptors or local ports opened the circuit breaker of each
+# endpoint that it tried.
+@pytest.mark.parametrize('number', [errno.EMFILE, errno.EADDRNOTAVAIL])
+def test_a_lack_of_the_vm_is_no_failure_of_a_service(
+    refusing_address, monkeypatch, number
+):
+    def refuse(connection):
+        cause = OSError(number, 'refused')
+        raise urllib3.exceptions.NewConnectionError(connection, '') from cause
+
+    monkeypatch.setattr(
+        upstream.urllib3_connection.HTTPConnection, 'connect', refuse
+    )
+    monkeypatch.setattr(connect_errors, 'has_local_port', lambda: False)
+    failures = []
+    breakers = types.SimpleNamespace(
+        record_failure=lambda endpoint, code: failures.append(code)
+    )
+    endpoint = types.SimpleNamespace(address=refusing_address)
+    failover = endpoint_failover.EndpointFailover(
+        [endpoint], breakers, DEADLINE_SECONDS, 3
+    )
+    assert list(failover.connections()) == []
+    assert failures == []
+    assert isinstance(failover.last_error, errors.DescriptorsUsedUp)
