Reserve a place in the step that chooses it

Requests of one moment took 7 places at an engine with 6. The selector read the loads, chose an endpoint, asked for its permit and only then reserved the place; other threads read the same loads meanwhile. Class: a check and the act that rests on it, in two steps.

The look, the choice and the reservation are one step under a lock. A permit is a call to another VM, so it is asked for after that, without the lock; a request that gets none gives its place up. What is assigned, and what is logged of the choice, stand in assignments.py.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -7,9 +7,11 @@
 """
 
 import dataclasses
+import threading
 
 from carobwood import errors
 
+from . import assignments
 from . import block_digests
 from . import cache_transfers
 from . import fleet_loads
@@ -28,41 +30,21 @@
 # Age of the news of an endpoint from which its software version is not relied
 # on. An endpoint that ends and starts again takes longer.
 MAX_VERSION_AGE_SECONDS = 1.5
-# Leading bytes of a block digest that are logged; enough to tell the blocks
-# in one day's log apart.
-LOGGED_DIGEST_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
-class Assignment:
-    """An endpoint assigned to a request, with its capacity reserved.
+class _Place:
+    """A place at an endpoint, which may still need a permit.
 
     Attributes:
-        endpoint: the ``Endpoint``.
+        choice: the ``Choice`` of the endpoint.
+        candidates: the ``Candidate`` records that were looked at.
         reservation: the ``Reservation`` of the request's load there.
-        cache_salt: cache salt, which separates the cached blocks of different
-            weights versions and isolated customers; empty for a plain
-            service.
-        weights_version: weights version of the engine, or 0 if unknown or
-            a plain service.
-        block_digests: digests of the prompt's shared segments under the
-            salt, in prompt order.
-        fetch_from: address of an engine or store with more of the shared
-            prefix in its cache, or empty.
-        save_to: address of the store to which the engine saves the shared
-            prefix, or empty.
-        decision_inputs: values on which the choice was based, as log line
-            fields.
     """
 
-    endpoint: object
+    choice: placement.Choice
+    candidates: list[placement.Candidate]
     reservation: fleet_loads.Reservation
-    cache_salt: str
-    weights_version: int
-    block_digests: tuple[bytes, ...]
-    fetch_from: str
-    save_to: str
-    decision_inputs: dict
 
 
 class Selector:
@@ -71,6 +53,9 @@
     def __init__(self, context):
         """Create the selector; ``context`` is the ``RelayContext``."""
         self._context = context
+        # Held from the look at the loads until one is reserved. No call to
+        # another VM is made meanwhile.
+        self._reserving = threading.Lock()
 
     def has_untried_endpoint(self, request, excluded):
         """Return whether the service has an endpoint not yet excluded.
@@ -103,6 +88,23 @@
             ConfigurationChanged: the request was admitted under another
                 configuration.
         """
+        denied_ids = set()
+        while place := self._take_place(request, excluded, denied_ids):
+            endpoint = place.choice.candidate.endpoint
+            if self._acquire(endpoint, place.reservation):
+                return self._assign(request, place)
+            denied_ids.add(endpoint.id)
+        return None
+
+    def _check_configuration(self, request):
+        """Check that a request was admitted under the one in force."""
+        in_force = self._context.configuration_store.configuration
+        if request.configuration is not in_force:
+            raise errors.ConfigurationChanged(
+                'the configuration has changed since the admission'
+            )
+
+    def _find_candidates(self, request, excluded):
         context = self._context
         self._check_configuration(request)
         endpoints = [
@@ -114,22 +116,10 @@
         ]
         loads_by_id = context.loads.total_loads()
         context.prefill_shares.add_sample(loads_by_id)
-        candidates = self._candidates(request, endpoints, loads_by_id)
-        choice = self._choose_permitted(candidates, request.demand)
-        if choice is None:
-            return None
-        return self._assign(request, choice, candidates)
-
-    def _check_configuration(self, request):
-        """Check that a request was admitted under the one in force."""
-        in_force = self._context.configuration_store.configuration
-        if request.configuration is not in_force:
-            raise errors.ConfigurationChanged(
-                'the configuration has changed since the admission'
-            )
+        return self._candidates(request, endpoints, loads_by_id)
 
-    def _choose_permitted(self, candidates, demand):
-        """Choose a candidate, with a permit if its requests need one.
+    def _groups(self, candidates):
+        """Return the groups of candidates to choose from, in this order.
 
         Endpoints that have named a rate limit come last.
         """
@@ -139,19 +129,54 @@
             for candidate in candidates
             if not rate_limits.is_spared(candidate.endpoint)
         ]
-        for group in (preferred, candidates):
-            remaining = list(group)
-            while choice := placement.choose(remaining, demand):
-                if self._acquire(choice.candidate.endpoint):
-                    return choice
-                remaining.remove(choice.candidate)
+        return preferred, candidates
+
+    def _choose(self, candidates, demand):
+        """Return the ``Choice`` of a candidate, or None."""
+        for group in self._groups(candidates):
+            choice = placement.choose(group, demand)
+            if choice is not None:
+                return choice
         return None
 
-    def _acquire(self, endpoint):
+    def _take_place(self, request, excluded, denied_ids):
+        """Choose an endpoint and reserve the capacity there.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            excluded: ids of endpoints that it must not go to.
+            denied_ids: ids of endpoints to which it may not be sent now.
+
+        Returns:
+            The ``_Place``, or None if no endpoint has capacity now.
+        """
+        with self._reserving:
+            candidates = self._find_candidates(request, excluded)
+            allowed = [
+                candidate
+                for candidate in candidates
+                if candidate.endpoint.id not in denied_ids
+            ]
+            choice = self._choose(allowed, request.demand)
+            if choice is None:
+                return None
+            reservation = self._context.loads.reserve(
+                choice.candidate.endpoint.id, choice.load
+            )
+        return _Place(choice, candidates, reservation)
+
+    def _acquire(self, endpoint, reservation):
+        """Acquire the permit for a place, or give the place up."""
         context = self._context
-        return context.rate_limits.acquire(
-            endpoint
-        ) and context.availability.acquire(endpoint)
+        is_permitted = False
+        try:
+            is_permitted = context.rate_limits.acquire(
+                endpoint
+            ) and context.availability.acquire(endpoint)
+        finally:
+            if not is_permitted:
+                reservation.release()
+        return is_permitted
 
     def seconds_until_open(self, endpoint):
         """Return the seconds until an endpoint takes requests of this VM."""
@@ -298,7 +323,8 @@
             for segment in request.metadata.prompt_segments[:-1]
         )
 
-    def _assign(self, request, choice, candidates):
+    def _assign(self, request, place):
+        choice = place.choice
         endpoint = choice.candidate.endpoint
         block_digests = ()
         if choice.candidate.kv_cache_tokens:
@@ -309,42 +335,34 @@
             self._context.prefix_cache_index.record_use(
                 endpoint, block_digests
             )
-        reservation = self._context.loads.reserve(endpoint.id, choice.load)
         if choice.load.prefill_tokens >= fleet_loads.URGENT_PREFILL_TOKENS:
             self._context.push_loads()
         if choice.candidate.kv_cache_tokens:
-            return self._engine_assignment(
-                request,
-                choice.candidate,
-                candidates,
-                block_digests,
-                reservation,
-            )
-        return Assignment(
+            return self._engine_assignment(request, place, block_digests)
+        return assignments.Assignment(
             endpoint,
-            reservation,
+            place.reservation,
             '',
             0,
             (),
             '',
             '',
-            _decision_inputs(choice.candidate, candidates),
+            assignments.decision_inputs(choice.candidate, place.candidates),
         )
 
-    def _engine_assignment(
-        self, request, chosen, candidates, block_digests, reservation
-    ):
+    def _engine_assignment(self, request, place, block_digests):
+        chosen = place.choice.candidate
         salt = _salt(request, chosen.weights_version)
         transfer = cache_transfers.choose(
             request.metadata.prompt_segments[:-1],
             chosen,
-            candidates,
+            place.candidates,
             self._context.kv_stores.find_available(),
             salt,
         )
-        return Assignment(
+        return assignments.Assignment(
             chosen.endpoint,
-            reservation,
+            place.reservation,
             salt,
             chosen.weights_version,
             block_digests,
@@ -352,9 +370,11 @@
             transfer.save_to,
             {
                 'tokens': request.demand.total_tokens,
-                'shared': _segment_summaries(request, block_digests),
+                'shared': assignments.summarise_segments(
+                    request, block_digests
+                ),
             }
-            | _decision_inputs(chosen, candidates),
+            | assignments.decision_inputs(chosen, place.candidates),
         )
 
 
@@ -365,26 +385,3 @@
         return f'v{weights_version}/{customer.name}'
     group = request.configuration.sharing_group
     return f'v{weights_version}.{group}' if group else f'v{weights_version}'
-
-
-def _segment_summaries(request, block_digests):
-    """Return [abbreviated digest, tokens] of each shared segment."""
-    return [
-        [digest[:LOGGED_DIGEST_BYTES].hex(), segment.tokens]
-        for digest, segment in zip(
-            block_digests, request.metadata.prompt_segments, strict=False
-        )
-    ]
-
-
-def _decision_inputs(chosen, candidates):
-    """Return the values behind a choice, as log line fields."""
-    return {
-        'candidates': len(candidates),
-        'running': chosen.load.running,
-        'unread': chosen.load.prefill_tokens,
-        'streams': chosen.load.streams,
-        'reading': round(chosen.prefill_share, 2),
-        'cached': chosen.cached_tokens,
-        'home': chosen.has_affinity,
-    }
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -1,6 +1,8 @@
 """Tests of queued requests and their log lines."""
 
+import contextlib
 import dataclasses
+import threading
 import types
 
 import pytest
@@ -22,6 +24,8 @@
 from carobwood_daemon.relay import selector
 from carobwood_daemon.relay import wait_queue
 
+# Time in which two threads meet that both look at the load of an endpoint.
+MEETING_SECONDS = 0.3
 FULL_LOAD = fleet_loads.Load(running=selector.PLAIN_SERVICE_SLOTS)
 
 
@@ -295,6 +299,66 @@
     assert harness.await_assignment().endpoint is harness.endpoint
 
 
+# Streams sent at the same moment took 7 places at an endpoint with 6.
+def test_requests_of_one_moment_take_no_more_places_than_there_are():
+    harness = SelectorHarness(_pass_time)
+    harness.reservation.release()
+    one_less = dataclasses.replace(FULL_LOAD, running=FULL_LOAD.running - 1)
+    harness.loads.reserve(harness.endpoint.id, one_less)
+    meeting = threading.Barrier(2)
+    look = harness.loads.total_loads
+
+    def look_together():
+        loads_by_id = look()
+        # Broken if only one thread at a time gets here.
+        with contextlib.suppress(threading.BrokenBarrierError):
+            meeting.wait(MEETING_SECONDS)
+        return loads_by_id
+
+    harness.loads.total_loads = look_together
+    assignments = []
+    senders = [
+        threading.Thread(
+            target=lambda: assignments.append(
+                harness.selector.try_assign(harness.request, ())
+            )
+        )
+        for _ in range(2)
+    ]
+    for sender in senders:
+        sender.start()
+    for sender in senders:
+        sender.join()
+    assert len(assignments) == 2
+    assert assignments.count(None) == 1
+    assert look()[harness.endpoint.id] == FULL_LOAD
+
+
+# A place was kept for a request that got no permit.
+@pytest.mark.parametrize('failure', [None, ValueError('a fault')])
+def test_a_request_without_a_permit_takes_no_place(failure):
+    harness = SelectorHarness(_pass_time)
+    _free_capacity(harness)
+    _name_limit(harness)
+    taken = []
+
+    def deny(endpoint, statement):
+        taken.append(harness.loads.total_loads()[endpoint.id].running)
+        if failure is not None:
+            raise failure
+        return endpoint_permits.PermitDecision(False, False, 3.0, statement)
+
+    harness.request_permit = deny
+    expected = (
+        pytest.raises(ValueError) if failure else contextlib.nullcontext()
+    )
+    with expected:
+        assert harness.selector.try_assign(harness.request, ()) is None
+    # It has its place before a permit is spent on it.
+    assert taken == [1]
+    assert harness.loads.total_loads() == {}
+
+
 def test_an_engine_that_names_a_limit_is_used_last_and_tried_sometimes():
     harness = SelectorHarness(_pass_time)
     _free_capacity(harness)
