Keep an endpoint that accepts no connection in time a candidate

A connection that times out and one that is refused were one error, for good; but the first says only that the endpoint is silent, and nothing has been sent. Class: silence taken for a fact.

relay/tried_endpoints.py keeps the endpoints that a request was tried at; those that were silent stay candidates after all others, for 3 s. The request waits in the queue until a probe reaches the endpoint, and holds up nobody else there. Refused connections are final.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/endpoint_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/endpoint_failover.py
@@ -5,12 +5,9 @@
 
 from carobwood import errors
 
+from . import silence
 from . import upstream
 
-# Time in which endpoints that take no connection are tried again, as sound
-# ones may be silent.
-SILENCE_SECONDS = 3.0
-
 
 class EndpointFailover:
     """Connects to endpoints in turn until a deadline.
@@ -50,7 +47,7 @@
         skipped, which is safe because nothing was sent to them. Those that
         were only silent are tried again after the others, for a while.
         """
-        silent_until = time.monotonic() + SILENCE_SECONDS
+        silent_until = time.monotonic() + silence.CONNECT_AGAIN_SECONDS
         endpoints = collections.deque(self._endpoints)
         while endpoints and self.seconds_left > 0:
             endpoint = endpoints.popleft()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/silence.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/silence.py
@@ -5,3 +5,6 @@
 TRIAL_SECONDS = 0.3
 # Time between two looks for another endpoint.
 LOOK_PERIOD_SECONDS = 0.25
+# Time in which endpoints that take no connection are tried again, as sound
+# ones may be silent.
+CONNECT_AGAIN_SECONDS = 3.0
--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -2,6 +2,11 @@
 
 A request waits only as long as it may still be served; see ``wait_queue``.
 One that no endpoint takes in that time is refused at once.
+
+Load pattern: the only endpoint of a service accepts no connection for a second
+or so, or is dead, with dozens of requests for it. A request that it did not
+take waits in the queue until a probe reaches it, so that the bounds of the
+queue and of ``TriedEndpoints`` hold for the threads that such requests take.
 """
 
 from carobwood import clocks
@@ -16,7 +21,7 @@
 
 
 class AssignmentQueue:
-    """Assigns endpoints to requests in the order of the wait queue."""
+    """Assigns endpoints to one request in the order of the wait queue."""
 
     def __init__(self, context, selector):
         """Create the queue.
@@ -28,21 +33,20 @@
         self._context = context
         self._selector = selector
 
-    def await_assignment(self, request, excluded, caller):
+    def await_assignment(self, request, tried, caller):
         """Assign an endpoint, queueing the request if none has capacity.
 
         Args:
             request: the ``AdmittedRequest``.
-            excluded: ids of endpoints that it must not go to.
-            caller: tells by ``has_disconnected()`` whether the caller
-                disconnected.
+            tried: the ``TriedEndpoints`` of the request.
+            caller: the ``CallerRequest``.
 
         Returns:
             An ``Assignment``.
 
         Raises:
             NoEndpoint: no endpoint of the service is known, or all of
-                them have been tried.
+                them have been tried, or were silent for too long.
             Saturated: the queue is full, or no endpoint had capacity
                 within the maximum wait.
             NoEndpointReachable: this VM reaches no endpoint.
@@ -51,6 +55,8 @@
             RequestCrashesEndpoints: endpoints crashed on a segment of the
                 prompt while it waited.
             CallerLeft: the caller disconnected during the wait.
+            ConfigurationChanged: the request was admitted under another
+                configuration.
         """
         wait_queue = self._context.wait_queue
         queue_key = (
@@ -59,25 +65,29 @@
             request.soft_deadline_at,
         )
         if not wait_queue.must_queue(*queue_key):
-            assignment = self._selector.try_assign(request, excluded)
+            assignment = self._try_assign(request, tried)
             if assignment is not None:
                 return assignment
-        is_exhausted = not self._selector.has_untried_endpoint(
-            request, excluded
-        )
-        if is_exhausted and (excluded or self._context.is_discovery_done()):
-            raise errors.NoEndpoint('the service has no untried endpoint')
+        excluded = tried.excluded_ids
+        if excluded or self._context.is_discovery_done():
+            self._refuse_if_exhausted(request, excluded)
         self._refuse_if_unavailable(
-            request, excluded, wait_queue.max_wait(request.deadline_at)
+            request,
+            excluded,
+            wait_queue.max_wait(request.deadline_at),
+        )
+        entry = wait_queue.enqueue(
+            *queue_key,
+            request.deadline_at,
+            is_apart=self._waits_for_silent_only(request, tried),
         )
-        entry = wait_queue.enqueue(*queue_key, request.deadline_at)
         if entry is None:
             raise errors.Saturated('the wait queue of the service is full')
-        self._log_waiting(request, excluded, entry)
+        self._log_waiting(request, tried.all_ids, entry)
         began_at = clocks.now()
         outcome = 'broken-off'
         try:
-            assignment = self._wait_in_queue(request, excluded, caller, entry)
+            assignment = self._wait_in_queue(request, tried, caller, entry)
             outcome = 'placed'
             return assignment
         except errors.CarobwoodError as error:
@@ -92,9 +102,29 @@
                 seconds=round(clocks.now() - began_at, 4),
             )
 
-    def _wait_in_queue(self, request, excluded, caller, entry):
+    def _try_assign(self, request, tried):
+        """Assign an endpoint now, one that was silent only after others."""
+        assignment = self._selector.try_assign(request, tried.all_ids)
+        if assignment is None and tried.all_ids != tried.excluded_ids:
+            assignment = self._selector.try_assign(request, tried.excluded_ids)
+        return assignment
+
+    def _waits_for_silent_only(self, request, tried):
+        """Return whether all candidates were silent to the request before."""
+        if not tried.all_ids:
+            return False
+        return not self._selector.has_untried_endpoint(request, tried.all_ids)
+
+    def _refuse_if_exhausted(self, request, excluded):
+        if not self._selector.has_untried_endpoint(request, excluded):
+            raise errors.NoEndpoint('the service has no untried endpoint')
+
+    def _wait_in_queue(self, request, tried, caller, entry):
         wait_queue = self._context.wait_queue
         while True:
+            excluded = tried.excluded_ids
+            if tried.given_up_ids:
+                self._refuse_if_exhausted(request, excluded)
             if caller.has_disconnected():
                 raise errors.CallerLeft(
                     'the caller disconnected while its request was queued'
@@ -105,7 +135,7 @@
                 stop_admission.refuse_if_too_late(self._context, request)
             self._context.segment_suspects.check(request.segment_keys)
             if wait_queue.is_first(entry):
-                assignment = self._selector.try_assign(request, excluded)
+                assignment = self._try_assign(request, tried)
                 if assignment is not None:
                     return assignment
             self._refuse_if_unavailable(
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -19,6 +19,7 @@
 from . import result_recorder
 from . import silence_failover
 from . import silence_watch
+from . import tried_endpoints
 
 # A request with less time left than this is not sent.
 MIN_ATTEMPT_SECONDS = 0.01
@@ -48,8 +49,7 @@
         self._caller = caller
         self._trace = trace
         self._set_request(request)
-        # Ids of endpoints that must not receive the request again.
-        self._excluded_ids = set()
+        self._tried = tried_endpoints.TriedEndpoints()
         # Failed attempts in which the endpoint may have run the request.
         self._failed_runs = 0
         # Error of the last attempt in which the request may have run.
@@ -170,7 +170,7 @@
             self._context.segment_suspects.check(request.segment_keys)
             with self._trace.span('place'):
                 return self._assignment_queue.await_assignment(
-                    request, self._excluded_ids, self._caller
+                    request, self._tried, self._caller
                 )
         except (errors.CallerLeft, errors.ConfigurationChanged):
             raise
@@ -317,7 +317,7 @@
             request=self._request,
             sender=self._sender,
             assignment=self._assignment,
-            excluded_ids=self._excluded_ids | {self._assignment.endpoint.id},
+            excluded_ids=self._tried.all_ids | {self._assignment.endpoint.id},
             connection=connection,
             has_partial_event=has_partial_event,
             last_event_id=self._response_forwarder.last_event_id,
@@ -383,7 +383,7 @@
         request = self._request
         attempt_log.log_failed(request, assignment, error)
         if not isinstance(error, errors.EndpointNotRun):
-            self._excluded_ids.add(assignment.endpoint.id)
+            self._tried.add(assignment.endpoint.id, error)
         if self._failover.has_started:
             # Its retry is spent already.
             return
--- a/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
@@ -38,6 +38,8 @@
         soft_deadline_at: latest time, on the queue's clock, of an answer on
             time.
         wait_ends_at: time at which the request is refused.
+        is_apart: whether it waits only for endpoints that were silent to
+            it; it does not hold up the others.
     """
 
     number: int
@@ -45,6 +47,7 @@
     priority: int
     soft_deadline_at: float
     wait_ends_at: float
+    is_apart: bool = False
 
     def rank(self, now):
         """Return the sort key in the queue at a time; lowest goes first."""
@@ -79,7 +82,14 @@
         """Return the seconds for which a request may be queued from now."""
         return max(0.0, deadline_at - self._clock()) * MAX_WAIT_FRACTION
 
-    def enqueue(self, service, priority, soft_deadline_at, deadline_at):
+    def enqueue(
+        self,
+        service,
+        priority,
+        soft_deadline_at,
+        deadline_at,
+        is_apart=False,
+    ):
         """Queue a request.
 
         Args:
@@ -87,6 +97,7 @@
             priority: priority of the request, 0 first.
             soft_deadline_at: latest time of an answer on time.
             deadline_at: deadline of the request.
+            is_apart: see ``QueueEntry``.
 
         Returns:
             The ``QueueEntry``, or None if the service's queue is full.
@@ -103,6 +114,7 @@
                 priority,
                 soft_deadline_at,
                 now + max_wait,
+                is_apart,
             )
             entries.add(entry)
             return entry
@@ -120,7 +132,11 @@
         """Return whether a request is at the head of its queue."""
         now = self._clock()
         with self._changed:
-            entries = self._entries_by_service[entry.service]
+            entries = [
+                other
+                for other in self._entries_by_service[entry.service]
+                if entry.is_apart or not other.is_apart
+            ]
             first = min(entries, key=lambda other: other.rank(now))
             return first is entry
 
@@ -132,6 +148,7 @@
             return any(
                 entry.rank(now) < rank
                 for entry in self._entries_by_service.get(service, ())
+                if not entry.is_apart
             )
 
     def wait_for_change(self, entry):
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -11,6 +11,7 @@
 from carobwood import errors
 from carobwood import events
 from carobwood_daemon.entry import request_gate
+from carobwood_daemon.entry import silence
 from carobwood_daemon.limits import endpoint_permits
 from carobwood_daemon.relay import assignment_queue
 from carobwood_daemon.relay import endpoint_availability
@@ -22,7 +23,9 @@
 from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import placement
 from carobwood_daemon.relay import selector
+from carobwood_daemon.relay import tried_endpoints
 from carobwood_daemon.relay import wait_queue
+from carobwood_daemon import relay_servers
 
 # Time in which two threads meet that both look at the load of an endpoint.
 MEETING_SECONDS = 0.3
@@ -64,8 +67,11 @@
         self.reachability = endpoint_reachability.EndpointReachability(
             lambda: [self.endpoint], self.clock
         )
+        self.tried = tried_endpoints.TriedEndpoints(self.clock)
+        self.tried.add('gone', errors.EndpointFailed('gone'))
         self.caller = types.SimpleNamespace(
-            has_disconnected=lambda: on_recheck(self)
+            has_disconnected=lambda: on_recheck(self),
+            has_started_response=False,
         )
         stub = types.SimpleNamespace
         self.context = stub(
@@ -108,7 +114,7 @@
     def await_assignment(self):
         """Assign an endpoint to the request, queueing it if necessary."""
         return self.assignment_queue.await_assignment(
-            self.request, {'gone'}, self.caller
+            self.request, self.tried, self.caller
         )
 
 
@@ -407,3 +413,74 @@
     harness.request.software_version = wanted
     endpoints = harness.selector.endpoints(harness.request)
     assert bool(endpoints) is is_offered
+
+
+def _silent_harness(on_recheck):
+    """Return a harness whose only endpoint took no connection in time."""
+    harness = SelectorHarness(on_recheck)
+    _free_capacity(harness)
+    harness.request.deadline_at = harness.clock.now + 60.0
+    harness.context.health.note_unreachable(harness.endpoint)
+    error = errors.EndpointUnreachable('no connection')
+    error.is_timeout = True
+    harness.tried.add(harness.endpoint.id, error)
+    return harness
+
+
+# The only endpoint was given up for a request that had not been sent to it.
+def test_an_endpoint_that_was_silent_gets_the_request_once_it_is_reached():
+    def reach(harness):
+        harness.context.health.note_reachable(harness.endpoint)
+        return False
+
+    harness = _silent_harness(reach)
+    assert harness.await_assignment().endpoint is harness.endpoint
+
+
+def test_an_endpoint_that_was_silent_is_used_after_all_others():
+    harness = _silent_harness(_pass_time)
+    harness.context.health.note_reachable(harness.endpoint)
+    other = builders.endpoint('engine-2', pool='orders')
+    others = [harness.endpoint, other]
+    harness.context.directory.serving_endpoints = lambda: others
+    harness.loads.reserve(other.id, fleet_loads.Load(running=1))
+    assert harness.await_assignment().endpoint is other
+
+
+def test_an_endpoint_that_stays_silent_is_given_up():
+    def pass_a_while(harness):
+        harness.clock.advance(silence.CONNECT_AGAIN_SECONDS / 2)
+        harness.context.health.note_still_unreachable(harness.endpoint)
+        return False
+
+    harness = _silent_harness(pass_a_while)
+    began_at = harness.clock.now
+    with pytest.raises(errors.NoEndpoint):
+        harness.await_assignment()
+    seconds = harness.clock.now - began_at
+    assert seconds == silence.CONNECT_AGAIN_SECONDS
+
+
+def test_an_endpoint_that_refuses_connections_is_given_up_at_once():
+    harness = _silent_harness(_pass_time)
+    harness.tried.add(
+        harness.endpoint.id, errors.EndpointUnreachable('refused')
+    )
+    began_at = harness.clock.now
+    with pytest.raises(errors.NoEndpoint):
+        harness.await_assignment()
+    assert harness.clock.now == began_at
+
+
+def test_requests_for_a_dead_endpoint_leave_threads_to_others():
+    harness = _silent_harness(_pass_time)
+    for _ in range(wait_queue.MAX_WAITING):
+        entry = harness.queue.enqueue(
+            'orders', 2, harness.clock.now, harness.clock.now, is_apart=True
+        )
+        assert entry is not None
+    began_at = harness.clock.now
+    with pytest.raises(errors.Saturated):
+        harness.await_assignment()
+    assert harness.clock.now == began_at
+    assert wait_queue.MAX_WAITING < relay_servers.RELAY_THREADS
--- a/tests/test_wait_queue.py
+++ b/tests/test_wait_queue.py
@@ -57,3 +57,25 @@
     second = queue.enqueue('engines', 1, clock.now + 2, clock.now + 9)
     queue.remove(first)
     assert queue.is_first(second)
+
+
+# A request that waits for one silent endpoint kept others from the rest.
+def test_a_request_apart_holds_up_no_other():
+    clock, queue = _queue()
+    apart = queue.enqueue(
+        'engines', 0, clock.now + 0.5, clock.now + 9, is_apart=True
+    )
+    assert not queue.must_queue('engines', 2, clock.now + 0.6)
+    other = queue.enqueue('engines', 2, clock.now + 0.6, clock.now + 9)
+    assert queue.is_first(apart)
+    assert queue.is_first(other)
+
+
+def test_a_request_apart_goes_after_those_of_a_higher_rank():
+    clock, queue = _queue()
+    other = queue.enqueue('engines', 0, clock.now + 0.5, clock.now + 9)
+    apart = queue.enqueue(
+        'engines', 1, clock.now + 0.5, clock.now + 9, is_apart=True
+    )
+    assert queue.is_first(other)
+    assert not queue.is_first(apart)
