Let a begun stream wait while its VM reaches no endpoint

A stream whose engine had failed was cut if the other endpoints accepted no connection for a moment. The forwarder lets a stream that has begun go on in a VM that is cut off, as no other VM can take it; the queue refused it all the same. Class: one decision made in two places, by two rules.

The queue refuses for that reason only what has not begun. What has begun waits as any other request does.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -7,6 +7,9 @@
 or so, or is dead, with dozens of requests for it. A request that it did not
 take waits in the queue until a probe reaches it, so that the bounds of the
 queue and of ``TriedEndpoints`` hold for the threads that such requests take.
+
+A VM that reaches no endpoint refuses what another VM may take. A stream that
+has begun goes to no other VM: it waits until an endpoint is reached again.
 """
 
 from carobwood import clocks
@@ -49,7 +52,8 @@
                 them have been tried, or were silent for too long.
             Saturated: the queue is full, or no endpoint had capacity
                 within the maximum wait.
-            NoEndpointReachable: this VM reaches no endpoint.
+            NoEndpointReachable: this VM reaches no endpoint, and no part of
+                a response was sent.
             Stopping: the VM stops before any had capacity, or before an
                 answer might end.
             RequestCrashesEndpoints: endpoints crashed on a segment of the
@@ -71,6 +75,7 @@
         excluded = tried.excluded_ids
         if excluded or self._context.is_discovery_done():
             self._refuse_if_exhausted(request, excluded)
+        self._refuse_if_cut_off(caller)
         self._refuse_if_unavailable(
             request,
             excluded,
@@ -138,6 +143,7 @@
                 assignment = self._try_assign(request, tried)
                 if assignment is not None:
                     return assignment
+            self._refuse_if_cut_off(caller)
             self._refuse_if_unavailable(
                 request, excluded, wait_queue.seconds_left(entry)
             )
@@ -146,6 +152,12 @@
                     'no endpoint had capacity within the maximum wait'
                 )
 
+    def _refuse_if_cut_off(self, caller):
+        if not self._context.reachability.is_cut_off:
+            return
+        if not caller.has_started_response:
+            raise errors.NoEndpointReachable('this VM reaches no endpoint')
+
     def _refuse_if_unavailable(self, request, excluded, max_wait):
         """Refuse a request if no endpoint takes requests in time.
 
@@ -157,10 +169,7 @@
         Raises:
             Saturated: all endpoints have asked for no requests for longer,
                 or have a rate limit that leaves none for this VM.
-            NoEndpointReachable: this VM reaches no endpoint.
         """
-        if self._context.reachability.is_cut_off:
-            raise errors.NoEndpointReachable('this VM reaches no endpoint')
         seconds = min(
             (
                 self._selector.seconds_until_open(endpoint)
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -198,6 +198,48 @@
         SelectorHarness(block).await_assignment()
 
 
+def _reach_after_a_while(harness):
+    harness.clock.advance(0.1)
+    if harness.clock.now >= harness.reaches_at:
+        harness.reachability.note(harness.endpoint.address, True)
+        _free_capacity(harness)
+    return False
+
+
+def _cut_off_harness(has_started):
+    """Return a harness whose VM reaches its endpoint after 0.2 s."""
+    harness = SelectorHarness(_reach_after_a_while)
+    harness.caller.has_started_response = has_started
+    harness.reaches_at = harness.clock.now + 0.2
+    harness.reachability.note(harness.endpoint.address, False)
+    assert harness.reachability.is_cut_off
+    return harness
+
+
+# A stream that waited for another endpoint was cut, as its VM reached none.
+def test_a_begun_stream_outlives_a_moment_in_which_its_vm_is_cut_off():
+    harness = _cut_off_harness(has_started=True)
+    assert harness.await_assignment().endpoint is harness.endpoint
+    assert harness.clock.now >= harness.reaches_at
+
+
+def test_a_begun_stream_waits_no_longer_because_its_vm_is_cut_off():
+    harness = _cut_off_harness(has_started=True)
+    harness.reaches_at = harness.request.deadline_at
+    ends_at = harness.clock.now + harness.queue.max_wait(harness.reaches_at)
+    with pytest.raises(errors.Saturated):
+        harness.await_assignment()
+    assert ends_at <= harness.clock.now < harness.reaches_at
+
+
+def test_a_request_of_a_vm_that_is_cut_off_is_refused_at_once():
+    harness = _cut_off_harness(has_started=False)
+    began_at = harness.clock.now
+    with pytest.raises(errors.NoEndpointReachable):
+        harness.await_assignment()
+    assert harness.clock.now == began_at
+
+
 def test_a_leaving_endpoint_counts_as_none():
     harness = SelectorHarness(lambda harness: False)
     harness.reservation.release()
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -365,3 +365,41 @@
     assert vm.directory.silent_endpoints()
     vm.silent_endpoint_prober.run_once()
     assert len(vm.directory.endpoints()) == known
+
+
+# A stream that waited for another endpoint was cut, as its VM reached none.
+def test_a_begun_stream_goes_on_once_its_vm_reaches_an_endpoint(
+    fleet, monkeypatch
+):
+    vm = fleet.fleet.vms[FIRST_ENTRY_VM]
+    connect = vm.pool.connect
+    wait_for_change = vm._shared.wait_queue.wait_for_change
+    is_partitioned = threading.Event()
+
+    def connect_or_time_out(address, timeout):
+        if not is_partitioned.is_set():
+            return connect(address, timeout)
+        vm.reachability.note(address, False)
+        error = errors.EndpointUnreachable('no connection in time')
+        error.is_timeout = True
+        raise error
+
+    def begin_partition(*_request):
+        if not vm.reachability.is_cut_off:
+            vm.pool._close_all_idle()
+            is_partitioned.set()
+
+    def end_partition(entry):
+        if vm.reachability.is_cut_off:
+            is_partitioned.clear()
+        return wait_for_change(entry)
+
+    monkeypatch.setattr(vm.pool, 'connect', connect_or_time_out)
+    monkeypatch.setattr(
+        vm._shared.wait_queue, 'wait_for_change', end_partition
+    )
+    for engine in fleet.engines:
+        engine.on_run = begin_partition
+    reply = fleet.fleet.ask('/captions/reset-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert len(fleet.engine_requests) == 2
