Keep the end of a wait over changes of the configuration

A request may wait for 0.4 of the time left to its deadline. That the users saw this is not shown. Class: a bound that each retry starts anew.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -12,6 +12,8 @@
 has begun goes to no other VM: it waits until an endpoint is reached again.
 """
 
+import math
+
 from carobwood import clocks
 from carobwood import errors
 from carobwood import events
@@ -35,10 +37,15 @@
         """
         self._context = context
         self._selector = selector
+        # When the current wait ends, whatever changes meanwhile.
+        self._wait_ends_at = math.inf
 
     def await_assignment(self, request, tried, caller):
         """Assign an endpoint, queueing the request if none has capacity.
 
+        A wait that a change of the configuration interrupts goes on with the
+        next call, for what is left of its time.
+
         Args:
             request: the ``AdmittedRequest``.
             tried: the ``TriedEndpoints`` of the request.
@@ -71,29 +78,34 @@
         if not wait_queue.must_queue(*queue_key):
             assignment = self._try_assign(request, tried)
             if assignment is not None:
+                self._wait_ends_at = math.inf
                 return assignment
         excluded = tried.excluded_ids
         if excluded or self._context.is_discovery_done():
             self._refuse_if_exhausted(request, excluded)
         self._refuse_if_cut_off(caller)
+        latest_end = self._wait_ends_at
         self._refuse_if_unavailable(
             request,
             excluded,
-            wait_queue.max_wait(request.deadline_at),
+            wait_queue.max_wait(request.deadline_at, latest_end),
         )
         entry = wait_queue.enqueue(
             *queue_key,
             request.deadline_at,
             is_apart=self._waits_for_silent_only(request, tried),
+            latest_end=latest_end,
         )
         if entry is None:
             raise errors.Saturated('the wait queue of the service is full')
         self._log_waiting(request, tried.all_ids, entry)
+        self._wait_ends_at = entry.wait_ends_at
         began_at = clocks.now()
         outcome = 'broken-off'
         try:
             assignment = self._wait_in_queue(request, tried, caller, entry)
             outcome = 'placed'
+            self._wait_ends_at = math.inf
             return assignment
         except errors.CarobwoodError as error:
             outcome = error.code
--- a/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
@@ -13,6 +13,7 @@
 
 import dataclasses
 import itertools
+import math
 import threading
 
 from carobwood import clocks
@@ -72,15 +73,25 @@
 
     def seconds_left(self, entry):
         """Return the seconds until a queued request is refused."""
-        return entry.wait_ends_at - self._clock()
+        return self.seconds_until(entry.wait_ends_at)
 
     def count(self, service):
         """Return how many requests are queued for a service."""
         return len(self._entries_by_service.get(service, ()))
 
-    def max_wait(self, deadline_at):
-        """Return the seconds for which a request may be queued from now."""
-        return max(0.0, deadline_at - self._clock()) * MAX_WAIT_FRACTION
+    def seconds_until(self, time):
+        """Return the seconds until a time on the queue's clock."""
+        return time - self._clock()
+
+    def max_wait(self, deadline_at, latest_end=math.inf):
+        """Return the seconds for which a request may be queued from now.
+
+        Args:
+            deadline_at: deadline of the request.
+            latest_end: time at which it is refused at the latest.
+        """
+        seconds = self.seconds_until(deadline_at) * MAX_WAIT_FRACTION
+        return max(0.0, min(seconds, self.seconds_until(latest_end)))
 
     def enqueue(
         self,
@@ -89,6 +100,7 @@
         soft_deadline_at,
         deadline_at,
         is_apart=False,
+        latest_end=math.inf,
     ):
         """Queue a request.
 
@@ -98,12 +110,13 @@
             soft_deadline_at: latest time of an answer on time.
             deadline_at: deadline of the request.
             is_apart: see ``QueueEntry``.
+            latest_end: time at which it is refused at the latest.
 
         Returns:
             The ``QueueEntry``, or None if the service's queue is full.
         """
         now = self._clock()
-        max_wait = self.max_wait(deadline_at)
+        max_wait = self.max_wait(deadline_at, latest_end)
         with self._changed:
             entries = self._entries_by_service.setdefault(service, set())
             if len(entries) >= MAX_WAITING:
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -526,3 +526,30 @@
         harness.await_assignment()
     assert harness.clock.now == began_at
     assert wait_queue.MAX_WAITING < relay_servers.RELAY_THREADS
+
+
+# With a change of the configuration every quarter of a second, a request was
+# refused 0.04 s before its deadline, when its caller may have left: its wait
+# began anew with each change.
+def test_changes_of_the_configuration_do_not_prolong_a_wait():
+    versions = [types.SimpleNamespace(**vars(CONFIGURATION)) for _ in 'ab']
+
+    def change(harness):
+        harness.clock.advance(0.1)
+        if versions:
+            store = harness.context.configuration_store
+            store.configuration = versions.pop()
+        return False
+
+    harness = SelectorHarness(change)
+    wait_ends_at = harness.clock.now + harness.queue.max_wait(
+        harness.request.deadline_at
+    )
+    for _ in 'ab':
+        with pytest.raises(errors.ConfigurationChanged):
+            harness.await_assignment()
+        store = harness.context.configuration_store
+        harness.request.configuration = store.configuration
+    with pytest.raises(errors.Saturated):
+        harness.await_assignment()
+    assert harness.clock.now < wait_ends_at + 0.1
