Refuse a request that waits before its caller leaves

Callers of streams left after 2.4 s without an answer or a refusal while their requests waited for a place: the VM knew one end of a request only, its deadline, and a request waits for 0.4 of the time left to that, up to 6 s with 15 s. Class: a bound that is counted from what one side believes, where the other side keeps one of its own.

A route knows how long its callers wait, if the operators declare the pause (`gap_aim_ms`). A wait ends 0.1 s, and the time to prefill the request's own prompt, before that, with 503 `saturated`, not run. A stream that has begun waits as before. 200, 201, 205 and 212 name `patience_left`.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
@@ -37,6 +37,8 @@
             only on public routes or if the configuration needs no keys.
         body: its body, or None.
         arrived_at: when it was read.
+        first_arrived_at: when its body had come too, at the first VM if that
+            has forwarded it.
         deadline_at: when its final answer is due.
         units: units that it takes from the customer's limit.
         fingerprint: digest of method, target, customer and body.
@@ -53,6 +55,7 @@
     customer: configurations.Customer | None
     body: bytes | None = dataclasses.field(repr=False)
     arrived_at: float
+    first_arrived_at: float
     deadline_at: float
     units: int
     fingerprint: str
@@ -77,6 +80,11 @@
         """Time after which the answer exceeds the target latency."""
         return self.arrived_at + self.route.target_latency
 
+    @property
+    def caller_leaves_at(self):
+        """Time at which the caller leaves if no event has come; or inf."""
+        return self.first_arrived_at + self.route.caller_patience
+
     @property
     def seconds_left(self):
         """Seconds until its final answer is due."""
@@ -163,7 +171,9 @@
         metadata = self._dialect.parse_request_headers(caller.headers)
         customer = _find_customer(configuration, route, metadata)
         deadline_at = arrived_at + _time_allowed(metadata, route, forwarded)
-        body = caller.read_body(deadline_at - clocks.now())
+        body_began_at = clocks.now()
+        body = caller.read_body(deadline_at - body_began_at)
+        whole_at = arrived_at + clocks.now() - body_began_at
         if len(body or b'') > configuration.limits.body_bytes:
             raise errors.BodyTooLarge('the body exceeds the size limit')
         request = AdmittedRequest(
@@ -173,6 +183,7 @@
             customer,
             body,
             arrived_at,
+            _first_arrival(metadata, route, whole_at, forwarded),
             deadline_at,
             _count_units(metadata, customer),
             _fingerprint(caller, customer, body),
@@ -331,6 +342,14 @@
     return min(metadata.deadline, route.timeout)
 
 
+def _first_arrival(metadata, route, whole_at, forwarded):
+    """Return when the first VM of a request had read it to its end."""
+    if forwarded is None:
+        return whole_at
+    seconds_used = _time_allowed(metadata, route, None) - forwarded.time_left
+    return whole_at - max(0.0, seconds_used)
+
+
 def _count_units(metadata, customer):
     if customer is None or not customer.limits_tokens:
         return 1
--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -1,6 +1,7 @@
 """Assigns endpoints to requests, and makes requests wait for capacity.
 
-A request waits only as long as it may still be served; see ``wait_queue``.
+A request waits only as long as it may still be served; see ``wait_queue`` and
+``caller_patience``.
 One that no endpoint takes in that time is refused at once.
 
 Load pattern: the only endpoint of a service accepts no connection for a second
@@ -18,6 +19,7 @@
 from carobwood import errors
 from carobwood import events
 
+from . import caller_patience
 from . import fleet_loads
 from . import stop_admission
 
@@ -58,7 +60,7 @@
             NoEndpoint: no endpoint of the service is known, or all of
                 them have been tried, or were silent for too long.
             Saturated: the queue is full, or no endpoint had capacity
-                within the maximum wait.
+                within the maximum wait, or in time for the caller.
             NoEndpointReachable: this VM reaches no endpoint, and no part of
                 a response was sent.
             Stopping: the VM stops before any had capacity, or before an
@@ -85,6 +87,10 @@
             self._refuse_if_exhausted(request, excluded)
         self._refuse_if_cut_off(caller)
         latest_end = self._wait_ends_at
+        if not caller.has_started_response:
+            latest_end = min(
+                latest_end, caller_patience.latest_wait_end(request)
+            )
         self._refuse_if_unavailable(
             request,
             excluded,
@@ -213,6 +219,9 @@
             tokens=request.demand.total_tokens,
             waiting=context.wait_queue.count(request.service),
             until=round(context.wait_queue.seconds_left(entry), 3),
+            patience_left=caller_patience.log_seconds(
+                context.wait_queue.seconds_until(request.caller_leaves_at)
+            ),
             heard=round(context.loads.oldest_report_age(), 2),
             tried=sorted(excluded),
             paused=[
--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
@@ -4,9 +4,15 @@
 import enum
 import functools
 import hashlib
+import math
 
 # Length of the key of customers that share cached prompts.
 SHARING_GROUP_BYTES = 6
+# Callers of a stream leave if its next event takes longer than the longest of
+# these: a time, and multiples of what the operators count as on time.
+MIN_PATIENCE_SECONDS = 2.0
+PATIENCE_IN_TARGET_LATENCIES = 4.0
+PATIENCE_IN_TARGET_PAUSES = 8.0
 
 
 class RouteKind(enum.Enum):
@@ -55,6 +61,8 @@
         is_resumable: whether an interrupted stream may be resumed at
             another endpoint.
         has_prompts: whether requests carry prompts with shared parts.
+        target_pause: seconds between two events of a stream within which
+            the response is on time, or None if the operators name none.
     """
 
     name: str
@@ -69,6 +77,21 @@
     is_public: bool
     is_resumable: bool
     has_prompts: bool
+    target_pause: float | None = None
+
+    @property
+    def caller_patience(self):
+        """Seconds for which callers wait for the next event of a stream.
+
+        Infinite for other responses, and if it is not known.
+        """
+        if self.kind is not RouteKind.STREAMING or self.target_pause is None:
+            return math.inf
+        return max(
+            MIN_PATIENCE_SECONDS,
+            PATIENCE_IN_TARGET_LATENCIES * self.target_latency,
+            PATIENCE_IN_TARGET_PAUSES * self.target_pause,
+        )
 
     @property
     def is_idempotent(self):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -8,6 +8,7 @@
 from carobwood import errors
 from carobwood import events
 
+from . import caller_patience
 from . import caller_request
 from . import forwarding_headers
 from . import messages
@@ -190,11 +191,15 @@
         caller.note_id(metadata.request_id)
         fields = {'request_id': metadata.request_id, 'target': caller.target}
         if request is not None:
+            now = clocks.now()
             fields = {
                 'request_id': request.metadata.request_id,
                 'route': request.route.name,
                 'customer': request.customer_name,
-                'seconds': round(clocks.now() - request.arrived_at, 4),
+                'seconds': round(now - request.arrived_at, 4),
+                'patience_left': caller_patience.log_seconds(
+                    request.caller_leaves_at - now
+                ),
             }
         code = getattr(error, 'code', 'internal_error')
         detail = getattr(error, 'detail', str(error))
--- a/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
@@ -8,7 +8,8 @@
 would be preempted or reset. Requests that can still be answered on time go
 first, by priority and then by deadline; late requests get the remaining
 capacity. A request waits for at most a fraction of its remaining time, and
-is refused at once if as many are queued as can be served in that time.
+is refused at once if as many are queued as can be served in that time. The
+wait of a stream also ends before its caller leaves; see ``caller_patience``.
 """
 
 import dataclasses
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -69,6 +69,7 @@
         'customer': customer(),
         'body': None,
         'arrived_at': now,
+        'first_arrived_at': now,
         'deadline_at': now + seconds_left,
         'units': 1,
         'fingerprint': '',
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -104,3 +104,22 @@
 
 def test_unknown_fields_are_ignored():
     assert _parse(builders.configuration_fields(3, colour='red')).version == 3
+
+
+@pytest.mark.parametrize(
+    'value, pause',
+    [
+        (300, 0.3),
+        (0.5, 0.0005),
+        (None, None),
+        (0, None),
+        (-300, None),
+        (True, None),
+        ('300', None),
+        ([300], None),
+    ],
+)
+def test_a_pause_that_cannot_be_used_refuses_nothing(value, pause):
+    fields = builders.configuration_fields()
+    fields['routes'][0]['gap_aim_ms'] = value
+    assert _parse(fields).routes[0].target_pause == pause
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -120,6 +120,16 @@
     assert len(charged) == 1
 
 
+def test_a_caller_waits_no_longer_because_its_request_was_forwarded():
+    setup = admission_builders.AdmissionSetup()
+    setup.configure()
+    forwarded = forwarding_headers.ForwardedRequest('front-1', 4.5, True)
+    request = setup.admit(5000, forwarded)
+    own = setup.admit(5000)
+    assert own.first_arrived_at >= own.arrived_at
+    assert request.first_arrived_at < own.arrived_at - 0.4
+
+
 def test_a_request_beyond_the_rate_stays_so_on_another_vm():
     setup = admission_builders.AdmissionSetup()
     setup.configure()
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import math
 import threading
 import types
 
@@ -109,6 +110,7 @@
             demand=placement.Demand(0, 0, 0),
             soft_deadline_at=self.clock.now + 0.1,
             deadline_at=self.clock.now + 0.6,
+            caller_leaves_at=math.inf,
         )
 
     def await_assignment(self):
@@ -553,3 +555,50 @@
     with pytest.raises(errors.Saturated):
         harness.await_assignment()
     assert harness.clock.now < wait_ends_at + 0.1
+
+
+def _patient_harness(on_recheck):
+    """Return a harness whose caller leaves long before the deadline."""
+    harness = SelectorHarness(on_recheck)
+    harness.request.deadline_at = harness.clock.now + 15.0
+    harness.request.caller_leaves_at = harness.clock.now + 2.4
+    return harness
+
+
+# With full engines, callers left after 2.4 s without an answer or a refusal:
+# their requests waited for up to 6 s.
+def test_a_request_is_refused_while_its_caller_is_there(lines):
+    harness = _patient_harness(_pass_time)
+    began_at = harness.clock.now
+    with pytest.raises(errors.Saturated) as refusal:
+        harness.await_assignment()
+    assert began_at + 2.0 < harness.clock.now < began_at + 2.4
+    assert refusal.value.retry_after == wait_queue.RETRY_AFTER_SECONDS
+    assert refusal.value.outcome is errors.Outcome.NOT_RUN
+    [(_, waiting), _] = lines
+    assert waiting['until'] < waiting['patience_left'] == 2.4
+
+
+def test_a_wait_does_not_last_longer_as_the_caller_is_patient():
+    harness = _patient_harness(_pass_time)
+    harness.request.deadline_at = harness.clock.now + 0.6
+    wait_ends_at = harness.clock.now + harness.queue.max_wait(
+        harness.request.deadline_at
+    )
+    with pytest.raises(errors.Saturated):
+        harness.await_assignment()
+    assert harness.clock.now < wait_ends_at + 0.1
+
+
+def test_a_stream_that_has_begun_waits_on():
+    harness = _patient_harness(_pass_time)
+    harness.caller.has_started_response = True
+    with pytest.raises(errors.Saturated):
+        harness.await_assignment()
+    assert harness.clock.now > harness.request.caller_leaves_at
+
+
+def test_a_request_is_refused_for_no_end_that_is_not_known(lines):
+    harness = SelectorHarness(_free_capacity)
+    harness.await_assignment()
+    assert lines[0][1]['patience_left'] is None
