Give memory back when the budget has it back

The memory of a VM went beyond its bound while many endpoints answer without end, with at most 34 MB in the budget. Three causes, whose changes meet in the same lines:

- An answer outlived its reservation: the error of a failed attempt keeps the frames with the answer.
It drops its blocks first now.
- A request outlived its reservation: each was in cycles when it ended.
Its callbacks, and the tracebacks of its errors once they are reported, are dropped.
- Freed blocks stayed with the process, in the heaps of the C library.

Class: what is counted ends before what is kept, and a budget of objects where what is limited is the process.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/bounded_reader.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/bounded_reader.py
@@ -50,6 +50,7 @@
     def release(self):
         """End the bound."""
         self._ends_at = None
+        self._await_input = None
 
     def readable(self):
         """Return True; see ``io.RawIOBase``."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -1,5 +1,6 @@
 """Relays a caller's request: admission, forwarding, error response."""
 
+import contextlib
 import functools
 import math
 import threading
@@ -8,6 +9,8 @@
 from carobwood import errors
 from carobwood import events
 
+from ..limits import tracebacks
+
 from . import caller_patience
 from . import caller_request
 from . import forwarding_headers
@@ -97,11 +100,13 @@
         except errors.CallerLeft as error:
             caller.abort_response()
             self._log(events.CALLER_LEFT, caller, request, error, forwarded)
+            tracebacks.drop(error)
         except errors.CarobwoodError as error:
             is_not_run = error.outcome is errors.Outcome.NOT_RUN
             if request and is_not_run and forwarded is None:
                 self._admission.refund(request)
             self._report_error(caller, request, error, forwarded)
+            tracebacks.drop(error)
         except Exception as error:
             self._log(
                 events.REQUEST_CRASHED,
@@ -115,37 +120,38 @@
                 'the request could not be processed'
             )
             self._report_error(caller, request, unexpected, forwarded)
+            tracebacks.drop(error)
 
     def _run_anywhere(self, caller, request, trace):
         """Run a request here, or through another VM if this one cannot."""
-        forwarder = self._make_forwarder(caller, request, trace)
-        try:
-            forwarder.run()
-            return
-        except errors.NoEndpointReachable as error:
-            if caller.has_started_response:
+        with self._make_forwarder(caller, request, trace) as forwarder:
+            try:
+                forwarder.run()
+                return
+            except errors.NoEndpointReachable as error:
+                if caller.has_started_response:
+                    raise forwarder.final_error(error) from error
+            try:
+                self._vm_forwarder.run(caller, request, trace)
+            except errors.CallerLeft:
+                raise
+            except errors.CarobwoodError as error:
                 raise forwarder.final_error(error) from error
-        try:
-            self._vm_forwarder.run(caller, request, trace)
-        except errors.CallerLeft:
-            raise
-        except errors.CarobwoodError as error:
-            raise forwarder.final_error(error) from error
 
     def _run_here(self, caller, request, trace):
         """Run a request of another VM, which may hand it to a third one."""
-        forwarder = self._make_forwarder(caller, request, trace)
-        try:
-            forwarder.run()
-        except errors.NoEndpointReachable as error:
-            # An endpoint of this VM may have run it before.
-            error.outcome = forwarder.final_error(error).outcome
-            raise
+        with self._make_forwarder(caller, request, trace) as forwarder:
+            try:
+                forwarder.run()
+            except errors.NoEndpointReachable as error:
+                # An endpoint of this VM may have run it before.
+                error.outcome = forwarder.final_error(error).outcome
+                raise
 
     def _make_forwarder(self, caller, request, trace):
         resolved = self._context.stream_resumption.resolve(request)
         self._context.retry_budget.note_request(request.service)
-        return request_forwarder.RequestForwarder(
+        forwarder = request_forwarder.RequestForwarder(
             self._context,
             self._selector,
             caller,
@@ -153,6 +159,7 @@
             trace,
             functools.partial(self._admission.readmit, caller),
         )
+        return contextlib.closing(forwarder)
 
     def _report_error(self, caller, request, error, forwarded=None):
         event = events.REQUEST_REFUSED
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -101,6 +101,12 @@
         finally:
             self._failover.abandon()
 
+    def close(self):
+        """Drop what refers back to this forwarder, and so to its request."""
+        self._response_forwarder.end()
+        self._run_error = None
+        self._failover.run_error = None
+
     def _run_attempt(self, started):
         """Make one attempt; return whether the caller has its response.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -87,6 +87,10 @@
         self._attempt = attempt
         self.first_event_at = None
 
+    def end(self):
+        """Drop the current attempt."""
+        self._attempt = None
+
     def forward(self, response):
         """Forward an ``EndpointResponse`` until its end.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/whole_answer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/whole_answer.py
@@ -6,17 +6,15 @@
 come then, at the price that no other endpoint can be asked any more.
 """
 
-import collections
-
 from carobwood import errors
 from carobwood import events
 
+from . import answer_blocks
 from . import caller_request
 
 # Bound of the body of one answer.
 MAX_BODY_BYTES = 32 * 1024 * 1024
-# Size of the blocks in which a body is kept and sent.
-BLOCK_BYTES = 64 * 1024
+BLOCK_BYTES = answer_blocks.BLOCK_BYTES
 
 
 class WholeAnswer:
@@ -41,7 +39,7 @@
         self._status = status
         self._headers = headers
         self._reservation = buffers.reserve('answer')
-        self._blocks = collections.deque()
+        self._blocks = answer_blocks.AnswerBlocks()
         self._size = 0
 
     def forward(self, reader, find_seconds_left, note_start):
@@ -63,13 +61,20 @@
         """
         self._check_size(reader.declared_length or 0)
         with self._reservation:
-            while not reader.has_ended:
-                part = reader.read(find_seconds_left())
-                self._check_size(self._size + len(part))
-                self._add(part, reader.declared_length, note_start)
-            if not self.is_passed_on:
-                self._send_head(self._size, note_start)
-                self._send_blocks()
+            try:
+                self._forward(reader, find_seconds_left, note_start)
+            finally:
+                # The traceback of an error may outlive the reservation.
+                self._blocks.clear()
+
+    def _forward(self, reader, find_seconds_left, note_start):
+        while not reader.has_ended:
+            part = reader.read(find_seconds_left())
+            self._check_size(self._size + len(part))
+            self._add(part, reader.declared_length, note_start)
+        if not self.is_passed_on:
+            self._send_head(self._size, note_start)
+            self._send_blocks()
 
     def _check_size(self, size):
         if size > MAX_BODY_BYTES:
@@ -81,17 +86,10 @@
             self._write(part)
             return
         has_room = self._reservation.try_extend(len(part))
-        self._keep(part)
+        self._blocks.add(part)
         if not has_room:
             self._pass_on(declared_length, note_start)
 
-    def _keep(self, part):
-        blocks = self._blocks
-        if blocks and len(blocks[-1]) + len(part) <= BLOCK_BYTES:
-            blocks[-1] += part
-        else:
-            blocks.append(bytearray(part))
-
     def _pass_on(self, declared_length, note_start):
         events.emit(
             events.ANSWER_PASSED_ON,
@@ -118,7 +116,7 @@
 
     def _send_blocks(self):
         while self._blocks:
-            block = self._blocks.popleft()
+            block = self._blocks.pop()
             self._write(block)
             self._reservation.reduce(len(block))
 
