Check an engine again while it is only silent after a failed attempt

An engine that answered no health check within 0.5 s after an attempt had failed counted as crashed, and its requests got a strike; two strikes refuse a request for 120 s. As before an exclusive start, the check is repeated for 3 s while the engine takes connections and is silent; the retry waits for it, as it must know of a strike.

test_silent_suspects.py has both cases, a silence that ends and one that lasts.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/engine_attempt.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/engine_attempt.py
@@ -176,7 +176,8 @@
         """Finish the attempt after a failure.
 
         An engine whose connection failed and that fails a health check
-        on a new connection has crashed. Each request that ran on it gets
+        on a new connection has crashed; one that is only silent is checked
+        again for a while. Each request that ran on a crashed engine gets
         a strike. The strikes of this request are sent to the peers before
         it is retried and before its caller learns of the failure, so that
         a copy sent to another VM is recognised as a suspect.
@@ -191,9 +192,7 @@
         is_disconnected = isinstance(
             error, (errors.EndpointFailed, errors.StreamBroken)
         )
-        if is_disconnected and not probe.is_healthy(
-            self.endpoint, PROBE_TIMEOUT_SECONDS
-        ):
+        if is_disconnected and not self._outlasts_silence():
             context.prefix_cache_index.forget(self.endpoint)
             context.crash_suspects.record_crash(self.endpoint)
             own_strikes = context.crash_suspects.unexpired_strikes(
--- a/tests/test_silent_suspects.py
+++ b/tests/test_silent_suspects.py
@@ -4,7 +4,9 @@
 import http.server
 import threading
 import time
+import types
 
+from carobwood import errors
 from carobwood_daemon.entry import engine_attempt
 import pytest
 import test_engine_attempt
@@ -54,3 +56,31 @@
     assert not context.circuit_breakers.is_open(silent_engine)
     attempt.finish()
     assert context.endpoint_locks.held == 0
+
+
+def _fail_attempt(context, endpoint):
+    """Break the connection of an attempt; return whether it is a suspect."""
+    context.gossip = types.SimpleNamespace(confirm=lambda *_: None)
+    attempt = engine_attempt.EngineAttempt(
+        context, endpoint, test_engine_attempt.PREPARED
+    )
+    attempt.start()
+    attempt.note_connected()
+    attempt.fail(errors.EndpointFailed('the connection was reset'))
+    assert context.loads.open_requests(endpoint) == 0
+    return context.crash_suspects.is_suspect(test_engine_attempt.FINGERPRINT)
+
+
+# The engine counted as crashed, as it answered no health check within 0.5 s.
+def test_a_broken_connection_to_a_silent_engine_is_no_strike(
+    context, silent_engine
+):
+    assert not _fail_attempt(context, silent_engine)
+
+
+def test_a_broken_connection_to_an_engine_that_stays_silent_is_a_strike(
+    context, silent_engine, monkeypatch
+):
+    monkeypatch.setattr(engine_attempt, 'PROBE_TIMEOUT_SECONDS', 0.1)
+    monkeypatch.setattr(engine_attempt, 'SILENCE_SECONDS', 0.2)
+    assert _fail_attempt(context, silent_engine)
