Move what a silent attempt is out of the failover

silence_failover.py holds the decision; the attempt whose endpoint is silent, the one that was begun elsewhere and the reasons to stay stand in silent_attempt.py. No behaviour changes.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -19,6 +19,7 @@
 from . import result_recorder
 from . import silence_failover
 from . import silence_watch
+from . import silent_attempt
 from . import tried_endpoints
 
 # A request with less time left than this is not sent.
@@ -319,7 +320,7 @@
         stay_reason = self._find_stay_reason()
         if stay_reason is None and self._may_go_to_another_vm():
             raise errors.EndpointTimeout('this VM reaches no endpoint')
-        silent = silence_failover.SilentAttempt(
+        silent = silent_attempt.SilentAttempt(
             request=self._request,
             sender=self._sender,
             assignment=self._assignment,
@@ -343,17 +344,17 @@
         route = self._request.route
         is_bound = self._caller.has_started_response and not route.is_resumable
         if is_bound or not route.is_idempotent:
-            return silence_failover.StayReason.UNREPEATABLE
+            return silent_attempt.StayReason.UNREPEATABLE
         if self._is_last_attempt:
-            return silence_failover.StayReason.ATTEMPTS_USED
+            return silent_attempt.StayReason.ATTEMPTS_USED
         if self._request.seconds_left < silence_failover.MIN_SECONDS:
-            return silence_failover.StayReason.DEADLINE
+            return silent_attempt.StayReason.DEADLINE
         if self._context.gate.is_interrupted:
-            return silence_failover.StayReason.STOPPED
+            return silent_attempt.StayReason.STOPPED
         try:
             self._follow_configuration(is_in_flight=True)
         except errors.CarobwoodError:
-            return silence_failover.StayReason.NOT_ADMITTED
+            return silent_attempt.StayReason.NOT_ADMITTED
         return None
 
     @property
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -10,8 +10,6 @@
 refused it for a while. Both may work on the request for that short time.
 """
 
-import dataclasses
-import enum
 import http
 import math
 
@@ -22,95 +20,16 @@
 
 from . import attempt_log
 from . import endpoint_connections
-from . import request_sender
 from . import result_recorder
 from . import silence_watch
+from . import silent_attempt
 
 # Time left below which no other endpoint is tried.
 MIN_SECONDS = 1.0
 # Time after which an endpoint that did not take the request is tried again.
 RETRY_SECONDS = 1.0
 
-
-class StayReason(enum.Enum):
-    """Why a request stays at a silent endpoint.
-
-    Attributes:
-        UNREPEATABLE: it must not run twice, or the rest of its answer cannot
-            come from another run.
-        ATTEMPTS_USED: no further attempt is allowed.
-        DEADLINE: too little time is left.
-        STOPPED: the time of the VM's stop has ended.
-        NOT_ADMITTED: it would not be admitted any more.
-        NO_RETRY: the retry budget is used up.
-        NO_PLACE: no other endpoint has room for it.
-        OTHERS_SILENT: other endpoints are silent as well.
-        UNREACHABLE: another one could not be connected to.
-        LEAVING: another one began to leave.
-        REFUSED: another one did not run it.
-        FAILED: it failed at another one.
-        RESUMED: the silent one went on before another one had answered.
-    """
-
-    UNREPEATABLE = 'unrepeatable'
-    ATTEMPTS_USED = 'attempts'
-    DEADLINE = 'deadline'
-    STOPPED = 'stop'
-    NOT_ADMITTED = 'configuration'
-    NO_RETRY = 'budget'
-    NO_PLACE = 'place'
-    OTHERS_SILENT = 'silent'
-    UNREACHABLE = 'unreachable'
-    LEAVING = 'leaving'
-    REFUSED = 'refused'
-    FAILED = 'failed'
-    RESUMED = 'resumed'
-
-
-@dataclasses.dataclass(frozen=True, eq=False)
-class SilentAttempt:
-    """The attempt whose endpoint is silent.
-
-    Attributes:
-        request: the ``AdmittedRequest``.
-        sender: the ``RequestSender`` of the request.
-        assignment: the ``Assignment`` of the attempt.
-        excluded_ids: ids of endpoints that must not get the request.
-        connection: the ``EndpointConnection``.
-        has_partial_event: whether bytes of an incomplete event have come.
-        last_event_id: id of the last event that the caller has, or empty.
-        has_started: whether the caller has got a part of the stream.
-    """
-
-    request: object
-    sender: request_sender.RequestSender
-    assignment: object
-    excluded_ids: frozenset[str]
-    connection: endpoint_connections.EndpointConnection
-    has_partial_event: bool
-    last_event_id: str
-    has_started: bool
-
-    @property
-    def has_resumed(self):
-        """Whether the endpoint reads or sends again."""
-        if self.has_partial_event:
-            # A stalled endpoint that sends a byte now and then.
-            return False
-        return self.connection.has_room or self.connection.has_bytes()
-
-
-@dataclasses.dataclass(frozen=True, eq=False)
-class StartedAttempt:
-    """An attempt at another endpoint that has begun.
-
-    Attributes:
-        sent: the ``SentRequest``.
-        response: its ``EndpointResponse``, or None if none has come yet.
-    """
-
-    sent: request_sender.SentRequest
-    response: request_sender.EndpointResponse | None
+_StayReason = silent_attempt.StayReason
 
 
 class SilenceFailover:
@@ -199,14 +118,16 @@
     def _begin(self, silent):
         """Begin an attempt elsewhere; return a ``StayReason`` or None."""
         if not self._context.retry_budget.may_spend(silent.request.service):
-            return StayReason.NO_RETRY
+            return _StayReason.NO_RETRY
         silent_ids = self._context.activity.silent_ids() - silent.excluded_ids
         assignment = self._try_assign(
             silent.request, silent.excluded_ids | silent_ids
         )
         if assignment is None:
             return (
-                StayReason.OTHERS_SILENT if silent_ids else StayReason.NO_PLACE
+                _StayReason.OTHERS_SILENT
+                if silent_ids
+                else _StayReason.NO_PLACE
             )
         try:
             return self._try_endpoint(silent, assignment)
@@ -241,12 +162,12 @@
         try:
             connection = silent.sender.connect(assignment)
         except errors.DescriptorsUsedUp:
-            return StayReason.UNREACHABLE
+            return _StayReason.UNREACHABLE
         except errors.EndpointUnreachable as error:
             recorder.note_unreachable(assignment, error)
-            return StayReason.UNREACHABLE
+            return _StayReason.UNREACHABLE
         except errors.EndpointLeft:
-            return StayReason.LEAVING
+            return _StayReason.LEAVING
         stay_reason = self._claim_attempt(request)
         if stay_reason is not None:
             self._context.pool.release(
@@ -262,7 +183,7 @@
         except errors.EndpointNotRun as error:
             attempt_log.log_failed(request, assignment, error)
             recorder.note_not_run(assignment, error.head)
-            return StayReason.REFUSED
+            return _StayReason.REFUSED
         except (
             errors.EndpointFailed,
             errors.EndpointTimeout,
@@ -272,7 +193,7 @@
             recorder.note_failed_attempt(assignment, error, sent_at, None)
             self._retry_at_by_id[assignment.endpoint.id] = math.inf
             self._note_run(error)
-            return StayReason.FAILED
+            return _StayReason.FAILED
         except BaseException:
             connection.close()
             raise
@@ -286,9 +207,9 @@
                 request.segment_keys
             )
         except errors.RequestCrashesEndpoints:
-            return StayReason.NOT_ADMITTED
+            return _StayReason.NOT_ADMITTED
         if not self._context.retry_budget.try_spend(request.service):
-            return StayReason.NO_RETRY
+            return _StayReason.NO_RETRY
         return None
 
     def _try_request(self, silent, assignment, connection):
@@ -310,8 +231,8 @@
         if silent.has_resumed:
             connection.close()
             self._note_run(errors.EndpointTimeout('the first one went on'))
-            return StayReason.RESUMED
-        self._started = StartedAttempt(sent, None)
+            return _StayReason.RESUMED
+        self._started = silent_attempt.StartedAttempt(sent, None)
         return None
 
     def _check_response(self, silent, sent, watch):
@@ -324,7 +245,7 @@
             raise errors.EndpointFailed(
                 'the endpoint did not resume the event stream'
             )
-        self._started = StartedAttempt(sent, response)
+        self._started = silent_attempt.StartedAttempt(sent, response)
         return None
 
     def _note_run(self, error):
