Hand a request to another VM only if one reaches endpoints

A VM that is cut off from all endpoints gave up an attempt whose endpoint was silent for another VM, although all of them were cut off as well. It does so only if it knows one that is not.

The test that covers it is test_silent_endpoints.py::test_an_attempt_goes_on_if_no_other_vm_reaches_an_endpoint.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/forwarding_peers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/forwarding_peers.py
@@ -65,9 +65,18 @@
         Args:
             excluded_ids: ids of VMs that have not taken it.
         """
+        candidates = self._find_candidates(excluded_ids)
+        return self._choose(candidates) if candidates else None
+
+    @property
+    def has_candidate(self):
+        """Whether any VM may take a request now."""
+        return bool(self._find_candidates(frozenset()))
+
+    def _find_candidates(self, excluded_ids):
         now = self._clock()
         own_id = self._directory.own_vm.id
-        candidates = [
+        return [
             vm
             for vm in self._directory.entry_vms()
             if vm.id != own_id
@@ -76,7 +85,6 @@
             and self._avoided_until_by_id.get(vm.id, now) <= now
             and not self._is_cut_off(vm)
         ]
-        return self._choose(candidates) if candidates else None
 
     def avoid(self, vm_id):
         """Record that a VM has taken no request."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -36,6 +36,7 @@
             take from all VMs together.
         reachability: the ``EndpointReachability``: whether this VM reaches
             any endpoint.
+        peers: the ``ForwardingPeers``: VMs that may take requests of this one.
         wait_queue: the ``WaitQueue``: the queue of requests that fit on no
             endpoint yet.
         retry_budget: the ``FleetRetryBudget``: bound on retries.
@@ -70,6 +71,7 @@
     availability: object
     rate_limits: object
     reachability: object
+    peers: object
     wait_queue: object
     retry_budget: object
     crash_suspects: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -336,6 +336,7 @@
         return (
             self._context.reachability.is_cut_off
             and not self._caller.has_started_response
+            and self._context.peers.has_candidate
             and self._context.retry_budget.may_spend(self._request.service)
         )
 
@@ -409,8 +410,7 @@
         is_unsent = isinstance(
             error, errors.EndpointUnreachable | errors.EndpointLeft
         )
-        needs_budget = not is_unsent
-        if needs_budget and not self._context.retry_budget.try_spend(
+        if not is_unsent and not self._context.retry_budget.try_spend(
             request.service
         ):
             raise self.final_error(error)
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -187,6 +187,7 @@
             availability=shared.availability,
             rate_limits=shared.rate_limits,
             reachability=shared.reachability,
+            peers=shared.peers,
             wait_queue=shared.wait_queue,
             retry_budget=fleet_retry_budget.FleetRetryBudget(
                 fleet_limits.retry_ratio,
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -199,6 +199,24 @@
     assert (reply.status, reply.body) == (200, EVENTS)
 
 
+# The attempt was given up for another VM, although all of them were cut off.
+def test_an_attempt_goes_on_if_no_other_vm_reaches_an_endpoint(
+    make_fleet, monkeypatch
+):
+    fleet = make_fleet(software_versions=('v1',))
+    entry_vms = fleet.fleet.vms[len(fleet.fleet.control_ports) :]
+
+    def cut_off(*_request):
+        for vm in entry_vms:
+            monkeypatch.setattr(vm.reachability, '_cut_off_at', 1.0)
+            vm.reachability._announce(True)
+
+    fleet.engines[0].on_run = cut_off
+    reply = _ask(fleet, '/captions/pause-1900-late-0')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert len(fleet.engine_requests) == 1
+
+
 # An endpoint that had refused once was not asked again.
 def test_an_endpoint_that_was_full_is_asked_again(make_fleet):
     fleet = make_fleet()
