Ask another endpoint whether it answers before a request goes there

If all endpoints of a service fall silent at the same moment, a request left one that goes on for one that is as silent, and was cut if that one failed. Before the request leaves a silent endpoint the other one is asked: an engine for its report, an endpoint of a plain service for its health (`health_path`). One that does not answer gets nothing, and costs no attempt and no retry. Carobwood's own interface does the same.

In the same lines, a fault of that question: an engine that answered with an error was taken for silent, as the calls raise one error for both. Class: one error for what an endpoint says and for what it does not say. `EngineCallFailed.has_answered` tells both apart, and an engine that says it is not ready is tried after all others.

--- a/packages/carobwood-daemon/carobwood_daemon/daemon.py
+++ b/packages/carobwood-daemon/carobwood_daemon/daemon.py
@@ -12,6 +12,7 @@
 from .entry import at_most_once
 from .entry import authentication
 from .entry import caller_app
+from .entry import engine_liveness
 from .entry import hang_detector
 from .entry import listener
 from .entry import request_gate
@@ -388,6 +389,7 @@
             retry_budget=retry_budget.RetryBudget(),
             prefix_cache_index=self._prefix_cache_index,
             hang_detector=self._hang_detector,
+            engine_liveness=engine_liveness.EngineLiveness(),
             cache_events=self._cache_events,
             prefill_times=self._prefill_rates,
             crash_suspects=self._crash_suspects,
--- a/packages/carobwood-daemon/carobwood_daemon/entry/attempt_scheduler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/attempt_scheduler.py
@@ -90,28 +90,42 @@
         tried_ids.add(endpoint.id)
         return self._start_attempt(endpoint)
 
-    def start_attempt_elsewhere(self, tried_ids):
+    def start_attempt_elsewhere(self, tried_ids, find_awake):
         """Start an attempt while another one goes on, if there is room.
 
         Args:
             tried_ids: ids of engines to exclude; the id of the selected
                 engine is added.
+            find_awake: function that takes endpoints, the best one first,
+                and returns one that is awake, or None.
 
         Returns:
-            The started ``EngineAttempt``, or None if no other engine has
-            room for the request or it must not run twice at a time.
+            The started ``EngineAttempt``, or None if no other engine is awake
+            and has room for the request or it must not run twice at a time.
         """
+        awake = find_awake(self._endpoints_with_room(tried_ids))
+        if awake is None:
+            return None
+        # The search takes a while, in which the room may be taken.
+        for endpoint in self._endpoints_with_room(tried_ids):
+            if endpoint.id == awake.id:
+                tried_ids.add(endpoint.id)
+                return self._start_attempt(endpoint)
+        return None
+
+    def _endpoints_with_room(self, tried_ids):
+        """Return the endpoints that may run a copy of the request now."""
         try:
             if self._is_suspect():
-                return None
+                return []
             candidates = self._untried_candidates(tried_ids)
         except errors.RequestRefused:
-            return None
-        for candidate in candidates:
-            if self._has_room(candidate):
-                tried_ids.add(candidate.endpoint.id)
-                return self._start_attempt(candidate.endpoint)
-        return None
+            return []
+        return [
+            candidate.endpoint
+            for candidate in candidates
+            if self._has_room(candidate)
+        ]
 
     def _has_room(self, candidate):
         running = self._context.loads.open_requests(candidate.endpoint)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/caller_app.py
@@ -34,6 +34,7 @@
         retry_budget: the ``RetryBudget``.
         prefix_cache_index: the ``PrefixCacheIndex``.
         hang_detector: the ``HangDetector``.
+        engine_liveness: the ``EngineLiveness``.
         cache_events: the ``CacheEvents``.
         prefill_times: the ``PrefillTimeEstimator``.
         crash_suspects: the ``CrashSuspects``.
@@ -58,6 +59,7 @@
     retry_budget: object
     prefix_cache_index: object
     hang_detector: object
+    engine_liveness: object
     cache_events: object
     prefill_times: object
     crash_suspects: object
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_calls.py
@@ -161,7 +161,7 @@
         time.sleep(random.uniform(*RETRY_DELAY_SECONDS))
         return True
 
-    def _start_elsewhere(self):
+    def _start_elsewhere(self, find_awake):
         """Start an attempt beside one whose engine is silent; None if not."""
         budget = self._context.retry_budget
         attempt_count = len(self._tried_ids)
@@ -169,7 +169,9 @@
             return None
         if attempt_count > 1 and not budget.may_spend():
             return None
-        attempt = self.scheduler.start_attempt_elsewhere(self._tried_ids)
+        attempt = self.scheduler.start_attempt_elsewhere(
+            self._tried_ids, find_awake
+        )
         if attempt is not None and attempt_count > 1:
             budget.try_spend()
         return attempt
--- a/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/model_stream.py
@@ -125,17 +125,26 @@
         has_partial_event = self._events.has_partial_event
         return not has_partial_event and self._response.is_readable()
 
-    def _start_beside(self):
+    def _start_beside(self, find_awake):
         """Start an attempt beside the one that stalls; None if not."""
         self._looked_ids.add(self._attempt.endpoint.id)
-        return self._start_look(self._try_elsewhere) or self._start_look(
-            self._try_again
-        )
+        return self._try_elsewhere(find_awake) or self._try_again()
 
-    def _start_elsewhere(self):
+    def _start_elsewhere(self, find_awake):
         """Start an attempt beside one that resumes the stream."""
         self._looked_ids |= self._failed_ids
-        return self._start_look(self._try_elsewhere)
+        return self._try_elsewhere(find_awake)
+
+    def _try_elsewhere(self, find_awake):
+        scheduler = self._run.scheduler
+        return self._start_look(
+            lambda: scheduler.start_attempt_elsewhere(
+                self._looked_ids, find_awake
+            )
+        )
+
+    def _try_again(self):
+        return self._start_look(self._start_again)
 
     def _start_look(self, start):
         if self._look_count >= MAX_RESUMES:
@@ -144,15 +153,14 @@
         self._look_count += attempt is not None
         return attempt
 
-    def _try_elsewhere(self):
-        return self._run.scheduler.start_attempt_elsewhere(self._looked_ids)
-
-    def _try_again(self):
+    def _start_again(self):
         """Start an attempt on the same engine if it is sound.
 
         Its connection may have been lost without a sign then.
         """
         endpoint = self._attempt.endpoint
+        if self._has_resumed():
+            return None
         if not probe.is_healthy(endpoint, PROBE_TIMEOUT_SECONDS):
             return None
         return self._run.scheduler.start_attempt_again(endpoint)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_opener.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_opener.py
@@ -2,7 +2,7 @@
 
 A sound engine may be silent for a second or so. Silence alone ends no attempt:
 it goes on until another engine has room for the request and has begun to
-answer, or has at least not refused it for a while.
+answer, or has at least shown that it is awake and not refused it for a while.
 """
 
 import contextlib
@@ -83,7 +83,8 @@
 
     def is_readable(self, seconds):
         """Wait until something has come; see ``SentRequest``."""
-        return self._sent.is_readable(seconds)
+        # A response that was received may have come with its whole body.
+        return self._response is not None or self._sent.is_readable(seconds)
 
     def receive(self):
         """Return the ``Response``; if this fails, the attempt is finished."""
@@ -163,7 +164,8 @@
             attempt: the ``EngineAttempt``; it is finished if this fails.
             wait: the ``ResponseWait``.
             find_other: function that starts and returns an attempt at another
-                engine, or None without one.
+                engine, or None without one. It takes a function that takes
+                endpoints and returns one that is awake, or None.
 
         Returns:
             The ``EngineAttempt`` that has begun to answer, which the caller
@@ -203,17 +205,25 @@
         Returns:
             The ``SentAttempt``, or None if no other engine takes the request.
         """
-        attempt = None if has_resumed() else find_other()
+        if has_resumed():
+            return None
+        engine_liveness = self._context.engine_liveness
+        attempt = find_other(
+            lambda endpoints: engine_liveness.find_awake(
+                endpoints, has_resumed
+            )
+        )
         if attempt is None:
             return None
         try:
             other = self._send(attempt, wait, silence.TRIAL_SECONDS)
+            check = engine_liveness.check_now(attempt.endpoint)
             if other.is_readable(silence.TRIAL_SECONDS):
                 other.receive()
                 return other
         except errors.CarobwoodError:
             return None
-        if has_resumed():
+        if has_resumed() or not check.liveness.has_answered:
             other.cancel()
             return None
         return other
--- a/packages/carobwood-daemon/carobwood_daemon/membership/probe.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/probe.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import enum
+import http
 
 from carobwood import errors
 
@@ -41,13 +42,26 @@
 
 def check_health(endpoint, timeout=PROBE_TIMEOUT_SECONDS):
     """Return the ``Health`` of an endpoint; see ``is_healthy``."""
-    call = bounded_call.Call('GET', endpoint.address, HEALTH_PATH)
-    bounds = bounded_call.CallBounds(timeout, MAX_ANSWER_BYTES)
     try:
-        with contextlib.closing(bounded_call.HttpCaller()) as caller:
-            answer = caller.call(call, bounds)
+        status = request_health(endpoint, timeout)
     except errors.CallOutOfBounds as error:
         return Health.SILENT if error.bound == 'deadline' else Health.FAILED
     except errors.EngineCallFailed:
         return Health.FAILED
-    return Health.SOUND if answer.status == 200 else Health.FAILED
+    return Health.SOUND if status == http.HTTPStatus.OK else Health.FAILED
+
+
+def request_health(endpoint, timeout):
+    """Return the HTTP status of the answer to a health check.
+
+    Args:
+        endpoint: the ``Endpoint``.
+        timeout: seconds for the whole check.
+
+    Raises:
+        EngineCallFailed: no whole answer was received.
+    """
+    call = bounded_call.Call('GET', endpoint.address, HEALTH_PATH)
+    bounds = bounded_call.CallBounds(timeout, MAX_ANSWER_BYTES)
+    with contextlib.closing(bounded_call.HttpCaller()) as caller:
+        return caller.call(call, bounds).status
--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
@@ -130,12 +130,14 @@
             or None for a plain service.
         store_address: ``host:port`` if the service is a KV cache store,
             or empty.
+        health_path: path of the health checks of its endpoints, or empty.
     """
 
     name: str
     max_connections: int
     engine: EngineCapacity | None
     store_address: str
+    health_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/dialect.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/dialect.py
@@ -98,7 +98,25 @@
             timeout: seconds after which the call has failed.
 
         Raises:
-            EngineCallFailed: no valid report was received in time.
+            EngineCallFailed: no valid report was received in time;
+                ``has_answered`` tells whether another answer was.
+        """
+
+    @abc.abstractmethod
+    def request_health(self, address, endpoint_id, path, timeout):
+        """Request the health of an endpoint of a plain service.
+
+        Any response will do: it tells that the endpoint answers.
+
+        Args:
+            address: ``host:port`` of the endpoint.
+            endpoint_id: id of the endpoint; another one at its address does
+                not run the request.
+            path: path of its health check.
+            timeout: seconds after which the call has failed.
+
+        Raises:
+            EngineCallFailed: no response was received in time.
         """
 
     @abc.abstractmethod
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_activity.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_activity.py
@@ -50,6 +50,18 @@
             if endpoint_id in self._event_at_by_id:
                 self._event_at_by_id[endpoint_id] = self._clock()
 
+    def has_heard(self, endpoint_id, seconds):
+        """Tell whether a stream of an endpoint had an event lately.
+
+        Args:
+            endpoint_id: id of the endpoint.
+            seconds: largest age of the event.
+        """
+        heard_since = self._clock() - seconds
+        with self._lock:
+            event_at = self._event_at_by_id.get(endpoint_id)
+        return event_at is not None and event_at >= heard_since
+
     def silent_ids(self):
         """Return the ids of the endpoints that are silent."""
         silent_since = self._clock() - SILENT_SECONDS
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -29,6 +29,7 @@
             which prompt prefix.
         kv_stores: the ``KvStores``: contents of the KV cache stores.
         activity: the ``EndpointActivity``: when endpoints were last heard.
+        liveness: the ``EndpointLiveness``: whether endpoints answer.
         health: the ``EndpointHealth``: failures of endpoints.
         availability: the ``EndpointAvailability``: what endpoints say about
             the work that they take.
@@ -67,6 +68,7 @@
     prefix_cache_index: object
     kv_stores: object
     activity: object
+    liveness: object
     health: object
     availability: object
     rate_limits: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -74,12 +74,13 @@
         self._check_configuration(request)
         return False
 
-    def try_assign(self, request, excluded):
+    def try_assign(self, request, excluded, only_id=None):
         """Assign an endpoint to a request without waiting.
 
         Args:
             request: the ``AdmittedRequest``.
             excluded: ids of endpoints that it must not go to.
+            only_id: id of the one endpoint that it may go to, or None.
 
         Returns:
             An ``Assignment``, or None if no endpoint has capacity now.
@@ -89,13 +90,31 @@
                 configuration.
         """
         denied_ids = set()
-        while place := self._take_place(request, excluded, denied_ids):
+        while place := self._take_place(
+            request, excluded, only_id, denied_ids
+        ):
             endpoint = place.choice.candidate.endpoint
             if self._acquire(endpoint, place.reservation):
                 return self._assign(request, place)
             denied_ids.add(endpoint.id)
         return None
 
+    def find_endpoint(self, request, excluded):
+        """Return the ``Endpoint`` that would be assigned first, or None.
+
+        Nothing is reserved, and no permit is asked for.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            excluded: ids of endpoints that it must not go to.
+
+        Raises:
+            ConfigurationChanged: see ``try_assign``.
+        """
+        candidates = self._find_candidates(request, excluded)
+        choice = self._choose(candidates, request.demand)
+        return choice.candidate.endpoint if choice else None
+
     def _check_configuration(self, request):
         """Check that a request was admitted under the one in force."""
         in_force = self._context.configuration_store.configuration
@@ -139,12 +158,13 @@
                 return choice
         return None
 
-    def _take_place(self, request, excluded, denied_ids):
+    def _take_place(self, request, excluded, only_id, denied_ids):
         """Choose an endpoint and reserve the capacity there.
 
         Args:
             request: the ``AdmittedRequest``.
             excluded: ids of endpoints that it must not go to.
+            only_id: id of the one endpoint that it may go to, or None.
             denied_ids: ids of endpoints to which it may not be sent now.
 
         Returns:
@@ -155,7 +175,8 @@
             allowed = [
                 candidate
                 for candidate in candidates
-                if candidate.endpoint.id not in denied_ids
+                if only_id in (None, candidate.endpoint.id)
+                and candidate.endpoint.id not in denied_ids
             ]
             choice = self._choose(allowed, request.demand)
             if choice is None:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -7,7 +7,8 @@
 
 So the request stays where it is until another endpoint has room for it, a
 retry is left, and that endpoint has begun to answer, or has at least not
-refused it for a while. Both may work on the request for that short time.
+refused it for a while and shown that it is awake. Both may work on the request
+for that short time.
 """
 
 import http
@@ -16,6 +17,7 @@
 from carobwood import clocks
 from carobwood import errors
 
+from ..entry import liveness as liveness_checks
 from ..entry import silence
 
 from . import attempt_log
@@ -28,6 +30,9 @@
 MIN_SECONDS = 1.0
 # Time after which an endpoint that did not take the request is tried again.
 RETRY_SECONDS = 1.0
+# Time between two looks at the silent endpoint while another one is asked
+# whether it answers.
+CHECK_PERIOD_SECONDS = 0.02
 
 _StayReason = silent_attempt.StayReason
 
@@ -59,6 +64,12 @@
         self.has_noted_silence = False
         # Monotonic times from which endpoints may be tried again, by id.
         self._retry_at_by_id = {}
+        # Ids of endpoints that did not answer when asked, since all were.
+        self._unanswering_ids = set()
+        # Ids of endpoints that have answered that they are not ready.
+        self._unready_ids = set()
+        # Whether the endpoint sent no event of any stream at the last look.
+        self._was_silent = False
         self._started = None
         self._logged_reason = None
 
@@ -82,6 +93,7 @@
     def begin_attempt(self):
         """Note that a further attempt begins."""
         self.has_noted_silence = False
+        self._was_silent = False
         self._logged_reason = None
 
     def look(self, silent, stay_reason):
@@ -96,6 +108,8 @@
             EndpointTimeout: another endpoint goes on with the request.
             CallerLeft: the caller disconnected meanwhile.
         """
+        if stay_reason is None and self._is_awake_again(silent):
+            stay_reason = _StayReason.RESUMED
         if stay_reason is None:
             self._note_silence(silent.assignment.endpoint)
             stay_reason = self._begin(silent)
@@ -110,6 +124,16 @@
         if stay_reason is None:
             raise errors.EndpointTimeout('another endpoint goes on')
 
+    def _is_awake_again(self, silent):
+        """Tell whether the endpoint has begun to send events of others.
+
+        It has the time until the next look for those of this request.
+        """
+        endpoint_id = silent.assignment.endpoint.id
+        was_silent = self._was_silent
+        self._was_silent = endpoint_id in self._context.activity.silent_ids()
+        return was_silent and not self._was_silent
+
     def _note_silence(self, endpoint):
         if not self.has_noted_silence:
             self.has_noted_silence = True
@@ -119,27 +143,51 @@
         """Begin an attempt elsewhere; return a ``StayReason`` or None."""
         if not self._context.retry_budget.may_spend(silent.request.service):
             return _StayReason.NO_RETRY
-        silent_ids = self._context.activity.silent_ids() - silent.excluded_ids
-        assignment = self._try_assign(
-            silent.request, silent.excluded_ids | silent_ids
-        )
-        if assignment is None:
+        silent_ids = self._silent_ids() - silent.excluded_ids
+        excluded_ids = silent.excluded_ids | silent_ids
+        endpoint = self._find_in_turn(silent.request, excluded_ids)
+        if endpoint is None:
             return (
                 _StayReason.OTHERS_SILENT
                 if silent_ids
                 else _StayReason.NO_PLACE
             )
+        match self._await_liveness(silent, endpoint):
+            case liveness_checks.Liveness.SILENT:
+                self._unanswering_ids.add(endpoint.id)
+                return _StayReason.OTHERS_SILENT
+            case liveness_checks.Liveness.PENDING:
+                return _StayReason.RESUMED
+            case liveness_checks.Liveness.UNREADY if (
+                endpoint.id not in self._unready_ids
+            ):
+                # The next look prefers one that is ready.
+                self._unready_ids.add(endpoint.id)
+                self._unanswering_ids.add(endpoint.id)
+                return _StayReason.UNREADY
+        assignment = self._try_assign(
+            silent.request, excluded_ids, endpoint.id
+        )
+        if assignment is None:
+            return _StayReason.NO_PLACE
         try:
             return self._try_endpoint(silent, assignment)
         finally:
             if self._started is None:
                 self._selector.release(assignment)
 
-    def _try_assign(self, request, excluded_ids):
-        must_queue = self._context.wait_queue.must_queue(
-            request.service, request.priority, request.soft_deadline_at
+    def _find_in_turn(self, request, excluded_ids):
+        """Choose an endpoint, one that did not answer only after others."""
+        endpoint = self._find_endpoint(
+            request, excluded_ids | self._unanswering_ids
         )
-        if must_queue:
+        if endpoint is None and self._unanswering_ids:
+            self._unanswering_ids.clear()
+            endpoint = self._find_endpoint(request, excluded_ids)
+        return endpoint
+
+    def _find_endpoint(self, request, excluded_ids):
+        if self._must_queue(request):
             return None
         now = clocks.now()
         tried_ids = {
@@ -148,12 +196,57 @@
             if now < retry_at
         }
         try:
-            return self._selector.try_assign(request, excluded_ids | tried_ids)
+            return self._selector.find_endpoint(
+                request, excluded_ids | tried_ids
+            )
         except errors.ConfigurationChanged:
             # The next look is made under the new one.
             return None
 
+    def _try_assign(self, request, excluded_ids, endpoint_id):
+        """Assign an endpoint that answers, if it still has room."""
+        if self._must_queue(request):
+            return None
+        try:
+            return self._selector.try_assign(
+                request, excluded_ids, endpoint_id
+            )
+        except errors.ConfigurationChanged:
+            return None
+
+    def _must_queue(self, request):
+        return self._context.wait_queue.must_queue(
+            request.service, request.priority, request.soft_deadline_at
+        )
+
+    def _silent_ids(self):
+        return (
+            self._context.activity.silent_ids()
+            | self._context.liveness.silent_ids()
+        )
+
+    def _await_liveness(self, silent, endpoint):
+        """Ask another endpoint whether it answers.
+
+        Nothing is reserved for the request before.
+
+        Returns:
+            Its ``Liveness``; ``PENDING`` if the silent one has gone on.
+        """
+        check = self._context.liveness.check(
+            endpoint, _service_of(silent.request)
+        )
+        while not check.wait(CHECK_PERIOD_SECONDS):
+            if silent.has_resumed:
+                return liveness_checks.Liveness.PENDING
+            if self._caller.has_disconnected():
+                raise errors.CallerLeft(
+                    'the caller disconnected during the silence'
+                )
+        return check.liveness
+
     def _try_endpoint(self, silent, assignment):
+        """Send the request to an endpoint; return a ``StayReason`` or None."""
         request = silent.request
         self._retry_at_by_id[assignment.endpoint.id] = (
             clocks.now() + RETRY_SECONDS
@@ -213,11 +306,19 @@
         return None
 
     def _try_request(self, silent, assignment, connection):
-        """Send the request and wait until it may count as taken."""
+        """Send the request and wait until it may count as taken.
+
+        Without an answer, that needs an endpoint that has shown since that it
+        is awake.
+        """
+        silent_ids = self._context.activity.silent_ids()
         watch = silence_watch.SilenceWatch(silence.TRIAL_SECONDS, _give_up)
         sent = silent.sender.send_on(
             connection, assignment, silent.last_event_id, watch
         )
+        check = self._context.liveness.check_now(
+            assignment.endpoint, _service_of(silent.request)
+        )
         seconds_left = max(
             0.0, sent.sent_at + silence.TRIAL_SECONDS - clocks.now()
         )
@@ -228,13 +329,47 @@
                 )
             case endpoint_connections.WaitResult.READABLE:
                 return self._check_response(silent, sent, watch)
-        if silent.has_resumed:
-            connection.close()
-            self._note_run(errors.EndpointTimeout('the first one went on'))
-            return _StayReason.RESUMED
+        is_awake = check.liveness.has_answered or self._has_heard(
+            assignment, sent.sent_at
+        )
+        if self._has_gone_on(silent, silent_ids, sent.sent_at):
+            error = errors.EndpointTimeout('the first one went on')
+            return self._leave_other(sent, error, _StayReason.RESUMED)
+        if not is_awake:
+            error = errors.EndpointTimeout('the other one is silent')
+            return self._leave_other(sent, error, _StayReason.OTHERS_SILENT)
         self._started = silent_attempt.StartedAttempt(sent, None)
         return None
 
+    def _has_gone_on(self, silent, silent_ids, since):
+        """Tell whether the endpoint that was silent sends again.
+
+        One that sends events of other streams will go on with this one too,
+        unless it has sent them all the time.
+
+        Args:
+            silent: the ``SilentAttempt``.
+            silent_ids: ids of the endpoints that sent nothing to this VM as
+                the trial began.
+            since: when that was, by ``clocks.now``.
+        """
+        if silent.has_resumed:
+            return True
+        was_silent = silent.assignment.endpoint.id in silent_ids
+        return was_silent and self._has_heard(silent.assignment, since)
+
+    def _has_heard(self, assignment, since):
+        """Tell whether an endpoint has sent an event of any stream since."""
+        return self._context.activity.has_heard(
+            assignment.endpoint.id, clocks.now() - since
+        )
+
+    def _leave_other(self, sent, error, stay_reason):
+        """Cancel the attempt at the other endpoint; return the reason."""
+        sent.connection.close()
+        self._note_run(error)
+        return stay_reason
+
     def _check_response(self, silent, sent, watch):
         """Read the head of a response and decide whether it is taken."""
         response = silent.sender.await_response(sent, watch)
@@ -245,6 +380,11 @@
             raise errors.EndpointFailed(
                 'the endpoint did not resume the event stream'
             )
+        if head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            sent.connection.close()
+            raise errors.EndpointFailed(
+                f'the endpoint answered with HTTP status {head.status}'
+            )
         self._started = silent_attempt.StartedAttempt(sent, response)
         return None
 
@@ -253,5 +393,10 @@
         self.run_error = error
 
 
+def _service_of(request):
+    """Return the ``Service`` of an ``AdmittedRequest``, or None."""
+    return request.configuration.services_by_name.get(request.service)
+
+
 def _give_up(_connection, _has_partial_event):
     raise errors.EndpointTimeout('the endpoint sent no response in time')
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silent_attempt.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silent_attempt.py
@@ -20,6 +20,7 @@
         NO_RETRY: the retry budget is used up.
         NO_PLACE: no other endpoint has room for it.
         OTHERS_SILENT: other endpoints are silent as well.
+        UNREADY: another one has answered that it is not ready.
         UNREACHABLE: another one could not be connected to.
         LEAVING: another one began to leave.
         REFUSED: another one did not run it.
@@ -35,6 +36,7 @@
     NO_RETRY = 'budget'
     NO_PLACE = 'place'
     OTHERS_SILENT = 'silent'
+    UNREADY = 'unready'
     UNREACHABLE = 'unreachable'
     LEAVING = 'leaving'
     REFUSED = 'refused'
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -9,6 +9,7 @@
 from .relay import admission
 from .relay import control_operations
 from .relay import endpoint_activity
+from .relay import endpoint_liveness
 from .relay import fleet_loads
 from .relay import fleet_retry_budget
 from .relay import forwarding_headers
@@ -169,6 +170,7 @@
             shared.crash_suspects,
             lambda key: _is_first_entry_vm(key, directory),
         )
+        activity = endpoint_activity.EndpointActivity()
         context = relay_context.RelayContext(
             data_centre=self._settings.data_centre,
             weights_change_seconds=fleet_limits.weights_change_seconds,
@@ -182,7 +184,10 @@
             push_loads=gossip.push,
             prefix_cache_index=shared.prefix_cache_index,
             kv_stores=shared.kv_stores,
-            activity=endpoint_activity.EndpointActivity(),
+            activity=activity,
+            liveness=endpoint_liveness.EndpointLiveness(
+                self._dialect, activity
+            ),
             health=shared.health,
             availability=shared.availability,
             rate_limits=shared.rate_limits,
--- a/packages/carobwood/carobwood/endpoint_errors.py
+++ b/packages/carobwood/carobwood/endpoint_errors.py
@@ -115,10 +115,15 @@
     """A VM's own call to an engine failed.
 
     Such a call reads a report or cache events, or sends an order.
+
+    Attributes:
+        has_answered: whether a whole answer has come, which is not valid or
+            names an error.
     """
 
     code = 'engine_call_failed'
     status = 502
+    has_answered = False
 
 
 class CallOutOfBounds(EngineCallFailed):
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -11,6 +11,8 @@
 
 # Events of a complete stream.
 STREAM_EVENT_COUNT = 5
+# Time between two events of a stream before a common silence.
+COMMON_PACE_SECONDS = 0.05
 
 
 class FakeEngine:
@@ -31,6 +33,8 @@
     without an event, ``/…/pause-MS-after-N`` is silent for MS milliseconds
     before the event after N events, ``/…/pause-MS-late-0`` before the head of
     a stream, ``/…/late-MS`` before a response of a declared length,
+    ``/…/common-silence`` sends events until ``common_silence`` begins, and
+    the last one after its end,
     ``/…/whole`` sends a response of a declared length, and any other path a
     complete event stream. A stream resumes after the event that
     ``Last-Event-Id`` names, and then it is complete.
@@ -59,6 +63,13 @@
             the request, or None.
         on_pause: called without arguments before each silence within a
             stream.
+        on_refusal: called without arguments before each rejection.
+        common_silence: the ``CommonSilence`` of its streams, or None.
+        on_report: called without arguments before each report.
+        ends_freeze: while it is set, the engine accepts connections and
+            answers nothing; once the ``Event`` is set, it closes them.
+        failure_status: HTTP status of its answers, or 0 if it works.
+        report_status: HTTP status of its reports.
         address: ``host:port`` that it listens on.
     """
 
@@ -79,6 +90,12 @@
         self.on_run = None
         self.on_pause = lambda: None
         self.on_end = None
+        self.on_refusal = lambda: None
+        self.common_silence = None
+        self.on_report = lambda: None
+        self.ends_freeze = None
+        self.failure_status = 0
+        self.report_status = 200
         self._server = None
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
@@ -146,11 +163,14 @@
 
     def do_GET(self):  # noqa: N802 (named by http.server)
         """Respond with a report or cache events, or handle a request."""
+        if self._is_frozen():
+            return
         if self.path.startswith('/v1/kv-events?'):
             body = {'boot_epoch': 1, 'next': 1, 'lost': False, 'events': []}
             self._send_response(200, json.dumps(body).encode())
             return
         if self.path == '/v1/report':
+            self.engine.on_report()
             body = {
                 'models': [
                     {'name': builders.MODEL, 'version': self.engine.version}
@@ -158,7 +178,8 @@
                 'busy': False,
                 'seq_no': len(self.engine.orders),
             }
-            self._send_response(200, json.dumps(body).encode())
+            status = self.engine.report_status
+            self._send_response(status, json.dumps(body).encode())
             return
         self._handle_request()
 
@@ -166,6 +187,9 @@
         """Accept an order, or handle a request."""
         length = int(self.headers.get('Content-Length', 0))
         self._body = self.rfile.read(length)
+        if self._is_frozen():
+            self.engine.requests.append(dict(self.headers))
+            return
         if self.path == '/v1/order':
             order = json.loads(self._body)
             self.engine.orders.append(order)
@@ -174,6 +198,15 @@
             return
         self._handle_request()
 
+    def _is_frozen(self):
+        """Wait for the end of a freeze; return whether there was one."""
+        ends_freeze = self.engine.ends_freeze
+        if ends_freeze is None:
+            return False
+        ends_freeze.wait()
+        self.close_connection = True
+        return True
+
     def _handle_request(self):
         headers = {name.lower(): value for name, value in self.headers.items()}
         self.engine.requests.append(headers)
@@ -187,8 +220,13 @@
             headers = {'X-Carobwood-Not-Run': '1'}
             if self.engine.retry_after:
                 headers['Retry-After'] = self.engine.retry_after
+            self.engine.on_refusal()
             self._send_response(503, b'', headers)
             return
+        if self.engine.failure_status:
+            status = self.engine.failure_status
+            self._send_response(status, b'', self._signature_headers())
+            return
         if self.engine.on_run is not None:
             self.engine.on_run(headers, self.path, self._body)
         try:
@@ -205,6 +243,8 @@
             self._send_response(200, name, self._signature_headers())
         elif action.startswith('paced-'):
             self._send_paced_events(int(action.removeprefix('paced-')))
+        elif action == 'common-silence':
+            self._send_events_beside_silence()
         elif action.startswith('pause-'):
             self._send_events_with_pause(action)
         elif action.startswith('late-') and action[5:].isdigit():
@@ -327,11 +367,30 @@
                 if place == 'after' and number == int(count) + 1:
                     self.engine.on_pause()
                     time.sleep(seconds)
-                self._send_chunk(b'id: %d\ndata: %d\n\n' % (number, number))
+                self._send_event(number)
             self.wfile.write(b'0\r\n\r\n')
         except OSError:
             self.close_connection = True
 
+    def _send_events_beside_silence(self):
+        silence = self.engine.common_silence
+        number = int(self.headers.get('Last-Event-Id', 0)) + 1
+        self._start_stream()
+        try:
+            self._send_event(number)
+            silence.add_stream()
+            while not silence.has_begun(COMMON_PACE_SECONDS):
+                number += 1
+                self._send_event(number)
+            silence.await_end()
+            self._send_event(number + 1)
+            self.wfile.write(b'0\r\n\r\n')
+        except OSError:
+            self.close_connection = True
+
+    def _send_event(self, number):
+        self._send_chunk(b'id: %d\ndata: %d\n\n' % (number, number))
+
     def _start_stream(self):
         self.send_response(200)
         for name, value in self._signature_headers().items():
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -106,6 +106,22 @@
     assert _parse(builders.configuration_fields(3, colour='red')).version == 3
 
 
+@pytest.mark.parametrize(
+    'value, path',
+    [
+        ('/health', '/health'),
+        (None, ''),
+        (7, ''),
+        ('health', ''),
+        ('/a\r\nb', ''),
+    ],
+)
+def test_a_health_path_that_cannot_be_used_refuses_nothing(value, path):
+    fields = builders.configuration_fields()
+    fields['services'][1]['health_path'] = value
+    assert _parse(fields).services_by_name['orders'].health_path == path
+
+
 @pytest.mark.parametrize(
     'value, pause',
     [
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -349,6 +349,28 @@
     assert harness.await_assignment().endpoint is harness.endpoint
 
 
+def test_no_permit_is_asked_for_while_an_endpoint_is_looked_for():
+    harness = SelectorHarness(_pass_time)
+    _free_capacity(harness)
+    _name_limit(harness)
+    asked = []
+    harness.request_permit = lambda *statement: asked.append(statement)
+    found = harness.selector.find_endpoint(harness.request, frozenset())
+    assert found is harness.endpoint
+    assert asked == []
+
+
+def test_a_request_may_be_bound_to_one_of_several_endpoints():
+    harness = SelectorHarness(_pass_time)
+    other = builders.endpoint('engine-2', pool='orders')
+    endpoints = [harness.endpoint, other]
+    harness.context.directory.serving_endpoints = lambda: endpoints
+    selecting, request = harness.selector, harness.request
+    # The other one is idle, but the request is bound to the full one.
+    assert not selecting.try_assign(request, set(), harness.endpoint.id)
+    assert selecting.try_assign(request, set(), other.id).endpoint is other
+
+
 # Streams sent at the same moment took 7 places at an endpoint with 6.
 def test_requests_of_one_moment_take_no_more_places_than_there_are():
     harness = SelectorHarness(_pass_time)
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -1,15 +1,29 @@
 """Endpoints that are silent for a second or so and then go on."""
 
+from concurrent import futures
 import threading
 
+from carobwood import errors
+from carobwood_daemon.entry import silence
+from carobwood_platform import dialect
+import common_silence
 import fleet as fleets
 import pytest
 import relay_builders as builders
 import relay_test_fleet
 
-EVENTS = b''.join(b'id: %d\ndata: %d\n\n' % (n, n) for n in range(1, 6))
+
+def _first_events(count):
+    return b''.join(
+        b'id: %d\ndata: %d\n\n' % (n, n) for n in range(1, count + 1)
+    )
+
+
+EVENTS = _first_events(5)
 DEADLINE_MS = '15000'
 STREAM_COUNT = 8
+# Looks for another endpoint during a silence of all of them.
+LOOKS_IN_SILENCE = 2
 
 
 @pytest.fixture(scope='module')
@@ -140,22 +154,147 @@
 
 # All streams of a silent endpoint went on at another one that was silent too,
 # which used the retry budget up.
-def test_streams_stay_where_they_are_if_all_endpoints_are_silent(make_fleet):
+def test_streams_stay_where_they_are_if_all_endpoints_are_silent(
+    make_fleet, monkeypatch
+):
     fleet = make_fleet()
-    all_sent = threading.Barrier(STREAM_COUNT)
-    for engine in fleet.engines:
-        engine.on_pause = all_sent.wait
-    callers = [
-        threading.Thread(
-            target=_ask, args=(fleet, '/captions/pause-1400-after-2')
-        )
-        for _ in range(STREAM_COUNT)
-    ]
-    for caller in callers:
-        caller.start()
-    for caller in callers:
-        caller.join()
-    assert len(fleet.engine_requests) == STREAM_COUNT
+    common = common_silence.CommonSilence(STREAM_COUNT, fleet.engines)
+    looks = common_silence.watch_looks(monkeypatch, common)
+    with futures.ThreadPoolExecutor(STREAM_COUNT) as callers:
+        replies = [
+            callers.submit(_ask, fleet, '/captions/common-silence')
+            for _ in range(STREAM_COUNT)
+        ]
+        try:
+            looks.await_each(STREAM_COUNT, LOOKS_IN_SILENCE)
+            requests_in_silence = len(fleet.engine_requests)
+        finally:
+            common.end()
+        found = [reply.result() for reply in replies]
+    # A stream whose endpoint goes on later than the other one may move there.
+    assert requests_in_silence == STREAM_COUNT
+    for reply in found:
+        count = reply.body.count(b'\n\n')
+        assert (reply.status, reply.body) == (200, _first_events(count))
+
+
+# A stream was given up for an endpoint that was silent too and then failed.
+def test_a_stream_outlives_a_silence_beside_an_engine_that_is_frozen(
+    make_fleet,
+):
+    fleet = make_fleet()
+    ends_freeze = threading.Event()
+
+    def freeze(engine):
+        engine.ends_freeze = ends_freeze
+        first = next(other for other in fleet.engines if other is not engine)
+        first.on_end = lambda _headers: ends_freeze.set()
+
+    _Chosen(fleet, freeze)
+    reply = _ask(fleet, '/captions/pause-2500-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert len(fleet.engine_requests) == 1
+
+
+# A stream was given up although its engine sent events of others again.
+def test_a_stream_stays_at_an_engine_that_is_awake_again(make_fleet):
+    fleet = make_fleet()
+    first, other = fleet.engines
+    may_go_on = [threading.Event(), threading.Event()]
+    pauses = iter(may_go_on)
+    never_set = threading.Event()
+
+    def fail_late(*_request):
+        may_go_on[0].set()
+        never_set.wait(2 * silence.TRIAL_SECONDS)
+        may_go_on[1].set()
+        raise ConnectionResetError
+
+    first.on_pause = lambda: next(pauses).wait()
+    other.on_run = fail_late
+    other.retry_after = '1'
+    with futures.ThreadPoolExecutor() as callers:
+        replies = []
+        for count in (1, 2):
+            replies.append(
+                callers.submit(_ask, fleet, '/captions/pause-0-after-2')
+            )
+            fleets.wait_until(lambda: len(first.requests) == count, 'a stream')
+        other.retry_after = ''
+        found = [reply.result() for reply in replies]
+    assert [(reply.status, reply.body) for reply in found] == [
+        (200, EVENTS)
+    ] * 2
+
+
+# The attempt was given up for an engine that answered with an error.
+def test_an_attempt_outlives_a_silence_beside_an_engine_that_fails(make_fleet):
+    fleet = make_fleet()
+    _Chosen(fleet, lambda engine: setattr(engine, 'failure_status', 500))
+    reply = _ask(fleet, '/captions/pause-2500-late-0')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert len(fleet.engine_requests) == 2
+
+
+# An endpoint of a plain service has no report, and is asked for its health.
+def test_any_answer_to_a_health_check_tells_that_an_endpoint_answers(
+    lone_engine,
+):
+    endpoint = lone_engine.plain_endpoint
+    platform = dialect.PlatformDialect()
+    platform.request_health(endpoint.address, endpoint.name, '/full', 5.0)
+    endpoint.ends_freeze = threading.Event()
+    try:
+        with pytest.raises(errors.EngineCallFailed):
+            platform.request_health(
+                endpoint.address, endpoint.name, '/full', 0.3
+            )
+    finally:
+        endpoint.ends_freeze.set()
+        endpoint.ends_freeze = None
+        platform.close()
+
+
+# An engine whose report names an error was taken for silent.
+def test_a_stream_goes_on_at_an_engine_that_answers_with_an_error(make_fleet):
+    fleet = make_fleet()
+    _Chosen(fleet, lambda engine: setattr(engine, 'report_status', 503))
+    reply = _ask(fleet, '/captions/stall-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert len(fleet.engine_requests) == 2
+
+
+# A stream was given up for an engine that fell silent once it had answered.
+def test_a_stream_outlives_a_silence_beside_an_engine_that_freezes(make_fleet):
+    fleet = make_fleet()
+    ends_freeze = threading.Event()
+
+    def freeze(engine):
+        engine.on_report = lambda: setattr(engine, 'ends_freeze', ends_freeze)
+        first = next(other for other in fleet.engines if other is not engine)
+        first.on_end = lambda _headers: ends_freeze.set()
+
+    _Chosen(fleet, freeze)
+    reply = _ask(fleet, '/captions/pause-2500-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    # The engine tells of the request once its freeze has ended.
+    relay_test_fleet.await_reply(
+        lambda: len(fleet.engine_requests), lambda count: count == 2
+    )
+
+
+# A silent endpoint kept the request although another one was at work on it.
+def test_a_stream_goes_on_at_an_engine_that_takes_its_time(make_fleet):
+    fleet = make_fleet()
+    never_set = threading.Event()
+
+    def take_time(engine):
+        engine.on_run = lambda *_: never_set.wait(2 * silence.TRIAL_SECONDS)
+
+    _Chosen(fleet, take_time)
+    reply = _ask(fleet, '/captions/stall-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    assert len(fleet.engine_requests) == 2
 
 
 # A request that an endpoint was running went to another service too, as a
@@ -223,14 +362,12 @@
     refused = threading.Event()
 
     def refuse_once(engine):
-        engine.retry_after = '1'
-
         def take_again():
-            fleets.wait_until(lambda: engine.requests, 'the first request')
             engine.retry_after = ''
             refused.set()
 
-        threading.Thread(target=take_again).start()
+        engine.retry_after = '1'
+        engine.on_refusal = take_again
 
     _Chosen(fleet, refuse_once)
     reply = _ask(fleet, '/captions/stall-after-2')
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -3,15 +3,17 @@
 import signal
 import socket
 import threading
-import time
 
 import builders
+from carobwood import clocks
 import fault_proxy
 import fleet as fleets
 import pytest
 import yaml
 
 WORDS = 20
+# Share of a deadline past its half, which was kept for another attempt.
+LATE_SHARE = 0.62
 
 
 def _document(**route_changes):
@@ -60,6 +62,24 @@
     ).start()
 
 
+def _await_late_share(sent_at, deadline_seconds):
+    """Wait until most of a request's time is over, since it was sent."""
+    ends_at = sent_at + LATE_SHARE * deadline_seconds
+    fleets.wait_until(
+        lambda: clocks.now() >= ends_at, 'most of the time to be over'
+    )
+
+
+def _await_unreachable(world, endpoint_id):
+    """Wait until a connection to an endpoint has not been made in time."""
+    vm = world.vms_by_id['vm1']
+    line = (
+        f'"name": "endpoint-suspected", "endpoint": "{endpoint_id}", '
+        '"reason": "endpoint_unreachable"'
+    )
+    fleets.wait_until(lambda: line in vm.read_log(), 'a failed connection')
+
+
 def _check_whole(world, reply):
     assert reply.status == 200, reply.body
     assert reply.events[-1].endswith('data: [DONE]'), reply.events[-1]
@@ -89,9 +109,10 @@
 def test_half_the_deadline_ends_no_answer_of_the_only_engine(start_world):
     world = start_world(['engine-1'], deadline_seconds=4)
     world.set_fault('engine-1', 'hold')
+    sent_at = clocks.now()
     pending = world.pool.submit(world.chat, max_tokens=WORDS)
     _await_running(world, ['engine-1'])
-    time.sleep(2.5)
+    _await_late_share(sent_at, deadline_seconds=4)
     world.set_fault('engine-1', '')
     _check_whole(world, pending.result())
 
@@ -124,15 +145,59 @@
     world = start_world(engine_ids, deadline_seconds=4)
     for engine_id in engine_ids:
         world.set_fault(engine_id, 'hold')
+    sent_at = clocks.now()
     pending = world.pool.submit(world.chat, max_tokens=WORDS)
     _await_running(world, engine_ids)
-    _pause_later(world, engine_ids, 2.5)
-    time.sleep(2.5)
+    _signal(world, engine_ids, signal.SIGSTOP)
+    _await_late_share(sent_at, deadline_seconds=4)
+    _signal(world, engine_ids, signal.SIGCONT)
     for engine_id in engine_ids:
         world.set_fault(engine_id, '')
     _check_whole(world, pending.result())
 
 
+def _running_engine(world, engine_ids):
+    """Return the id of the engine that has got the request."""
+    _await_running(world, engine_ids)
+    return next(
+        engine_id
+        for engine_id in engine_ids
+        if world.get_stand_in_json(engine_id, '/counters')['counters'].get(
+            'requests'
+        )
+    )
+
+
+def _kill_noticed(world, engine_id):
+    """Kill an engine and wait until the VM has noticed it."""
+    vm = world.vms_by_id['vm1']
+    named = f'"endpoint": "{engine_id}"'
+    before = vm.read_log().count(named)
+    _signal(world, [engine_id], signal.SIGKILL)
+    fleets.wait_until(
+        lambda: vm.read_log().count(named) > before,
+        'the VM to notice the death',
+    )
+
+
+# The attempt was given up for an engine that was silent too and then failed.
+def test_an_answer_outlives_a_silence_beside_an_engine_that_fails(start_world):
+    engine_ids = ['engine-1', 'engine-2']
+    world = start_world(engine_ids, deadline_seconds=6)
+    for engine_id in engine_ids:
+        world.set_fault(engine_id, 'hold')
+    sent_at = clocks.now()
+    pending = world.pool.submit(world.chat, max_tokens=WORDS)
+    first = _running_engine(world, engine_ids)
+    other = next(e for e in engine_ids if e != first)
+    _signal(world, engine_ids, signal.SIGSTOP)
+    _await_late_share(sent_at, deadline_seconds=6)
+    _kill_noticed(world, other)
+    _signal(world, [first], signal.SIGCONT)
+    world.set_fault(first, '')
+    _check_whole(world, pending.result())
+
+
 class _FullListener:
     """A listener that accepts no connection until it is opened."""
 
@@ -175,7 +240,7 @@
     world.start_engine('engine-1', port=port, advertise=listener.address)
     world.await_endpoints(['engine-1'])
     pending = world.pool.submit(world.chat, max_tokens=WORDS)
-    time.sleep(1.5)
+    _await_unreachable(world, 'engine-1')
     listener.open()
     _check_whole(world, pending.result())
 
@@ -197,7 +262,7 @@
     pending = world.pool.submit(
         world.request, 'vm1', method, path, headers=headers
     )
-    time.sleep(1.5)
+    _await_unreachable(world, 'booth-orders')
     listener.open()
     reply = pending.result()
     assert (reply.status, reply.outcome) == (status, 'complete'), reply.body
