Name both endpoints in the line of a hand-over

`endpoint-silent` (222) with an empty `stays_for` named the first endpoint and not the second, so that whoever traced a request that moved had to match lines by time. Class: a decision that is logged without what it rests on. 222 has `goes_to`, `has_answered` and `silent`, the seconds since the last progress; the fields that it had are unchanged.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/attempt_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/attempt_log.py
@@ -71,20 +71,23 @@
     )
 
 
-def log_silent(request, assignment, reason, has_started):
-    """Log that an endpoint is silent, and why the attempt there goes on.
+def log_silent(silent, stay_reason, started):
+    """Log that an endpoint is silent, and which one goes on.
 
     Args:
-        request: the ``AdmittedRequest``.
-        assignment: the ``Assignment``.
-        reason: value of the ``StayReason``.
-        has_started: whether the caller has got a part of the response.
+        silent: the ``SilentAttempt``.
+        stay_reason: the ``StayReason``, or None if another endpoint goes on.
+        started: the ``StartedAttempt`` at that one, or None.
     """
+    request = silent.request
     events.emit(
         events.ENDPOINT_SILENT,
         request_id=request.metadata.request_id,
-        endpoint=assignment.endpoint.id,
-        stays_for=reason,
-        has_started=has_started,
+        endpoint=silent.assignment.endpoint.id,
+        stays_for=stay_reason.value if stay_reason else '',
+        has_started=silent.has_started,
+        silent=round(clocks.now() - silent.heard_at, 3),
+        goes_to=started.sent.assignment.endpoint.id if started else '',
+        has_answered=started is not None and started.response is not None,
         left=round(request.seconds_left, 3),
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -309,7 +309,7 @@
             self._response_forwarder.first_event_at,
         )
 
-    def _on_silence(self, connection, has_partial_event):
+    def _on_silence(self, connection, has_partial_event, heard_at):
         """Have another endpoint go on if that is possible.
 
         Raises:
@@ -329,6 +329,7 @@
             has_partial_event=has_partial_event,
             last_event_id=self._response_forwarder.last_event_id,
             has_started=self._caller.has_started_response,
+            heard_at=heard_at,
         )
         self._failover.look(silent, stay_reason)
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -114,12 +114,7 @@
             self._note_silence(silent.assignment.endpoint)
             stay_reason = self._begin(silent)
         if stay_reason is not self._logged_reason or stay_reason is None:
-            attempt_log.log_silent(
-                silent.request,
-                silent.assignment,
-                stay_reason.value if stay_reason else '',
-                silent.has_started,
-            )
+            attempt_log.log_silent(silent, stay_reason, self._started)
         self._logged_reason = stay_reason
         if stay_reason is None:
             raise errors.EndpointTimeout('another endpoint goes on')
@@ -398,5 +393,5 @@
     return request.configuration.services_by_name.get(request.service)
 
 
-def _give_up(_connection, _has_partial_event):
+def _give_up(_connection, _has_partial_event, _heard_at):
     raise errors.EndpointTimeout('the endpoint sent no response in time')
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_watch.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_watch.py
@@ -45,13 +45,15 @@
         Args:
             head_seconds: silence before the response for which no other
                 endpoint is looked for.
-            on_silence: called with the ``EndpointConnection`` of the attempt
-                and whether bytes of an incomplete event have come on it;
-                raises ``EndpointTimeout`` if the attempt is to end.
+            on_silence: called with the ``EndpointConnection`` of the attempt,
+                whether bytes of an incomplete event have come on it, and the
+                monotonic time at which the silence began; raises
+                ``EndpointTimeout`` if the attempt is to end.
         """
         self._head_seconds = head_seconds
         self._on_silence = on_silence
         self._next_look_at = 0.0
+        self._heard_at = 0.0
 
     def seconds_until_look(self, heard_at, has_started=None):
         """Return the seconds until another endpoint is looked for.
@@ -62,6 +64,7 @@
             has_started: whether the caller has got a part of the stream, or
                 None before the head of the response.
         """
+        self._heard_at = heard_at
         patience = self._head_seconds
         if has_started is not None:
             patience = STALL_SECONDS if has_started else FIRST_EVENT_SECONDS
@@ -79,5 +82,5 @@
             EndpointTimeout: the attempt is to end.
             CallerLeft: the caller disconnected meanwhile.
         """
-        self._on_silence(connection, has_partial_event)
+        self._on_silence(connection, has_partial_event, self._heard_at)
         self._next_look_at = clocks.now() + silence.LOOK_PERIOD_SECONDS
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silent_attempt.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silent_attempt.py
@@ -57,6 +57,7 @@
         has_partial_event: whether bytes of an incomplete event have come.
         last_event_id: id of the last event that the caller has, or empty.
         has_started: whether the caller has got a part of the stream.
+        heard_at: monotonic time at which the silence began.
     """
 
     request: object
@@ -67,6 +68,7 @@
     has_partial_event: bool
     last_event_id: str
     has_started: bool
+    heard_at: float
 
     @property
     def has_resumed(self):
--- a/tests/test_silence_failover.py
+++ b/tests/test_silence_failover.py
@@ -117,6 +117,7 @@
             has_partial_event=False,
             last_event_id='',
             has_started=False,
+            heard_at=0.0,
         )
 
     def look(self):
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -4,7 +4,9 @@
 import threading
 
 from carobwood import errors
+from carobwood import events
 from carobwood_daemon.entry import silence
+from carobwood_daemon.relay import silence_watch
 from carobwood_platform import dialect
 import common_silence
 import fleet as fleets
@@ -297,6 +299,38 @@
     assert len(fleet.engine_requests) == 2
 
 
+# The line of a hand-over named the first endpoint only.
+@pytest.mark.parametrize('has_answered', [True, False])
+def test_a_hand_over_is_logged_with_both_endpoints(
+    make_fleet, monkeypatch, has_answered
+):
+    fleet = make_fleet()
+    never_set = threading.Event()
+    chosen = []
+    lines = []
+    emit = events.emit
+
+    def capture(event, **fields):
+        if event is events.ENDPOINT_SILENT:
+            lines.append(fields)
+        emit(event, **fields)
+
+    def note(engine):
+        chosen.append(engine.name)
+        if not has_answered:
+            engine.on_run = lambda *_: never_set.wait(
+                2 * silence.TRIAL_SECONDS
+            )
+
+    monkeypatch.setattr(events, 'emit', capture)
+    _Chosen(fleet, note)
+    assert _ask(fleet, '/captions/stall-after-2').body == EVENTS
+    line = lines[-1]
+    assert (line['stays_for'], line['has_started']) == ('', True)
+    assert (line['goes_to'], line['has_answered']) == (*chosen, has_answered)
+    assert line['silent'] >= silence_watch.STALL_SECONDS
+
+
 # A request that an endpoint was running went to another service too, as a
 # change of the configuration came during the silence.
 def test_a_request_stays_with_its_service_if_the_configuration_changes(
