Count the time of idle connections by the monotonic clock

A step of the time of day by 30 s closed all kept connections, whenever they were used last, and what came on a connection as it expired was closed upon. After a step back none expired until the clock had caught up. Class: a period that is counted by a clock that may be stepped.

The listeners have a loop of their own with the monotonic clock, and spare a connection on which something has come.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -68,6 +68,7 @@
     def put(self, conn):
         """Watch an idle connection; see ``ConnectionManager``."""
         conn.idle_since = clocks.now()
+        conn.idle_seconds = self.server.idle_seconds
         super().put(conn)
 
     def close(self):
@@ -81,6 +82,52 @@
                 self.server.process_conn(connection)
         super().close()
 
+    def _run(self, expiration_interval):
+        """Serve until the stop; see ``ConnectionManager``.
+
+        cheroot's own loop counts by the time of day: a step back of that
+        clock would halt the expiry of connections.
+        """
+        expires_at = clocks.now() + expiration_interval
+        while not self._stop_requested:
+            self._serve_ready(expiration_interval)
+            if clocks.now() >= expires_at:
+                self._expire(threshold=clocks.now())
+                expires_at = clocks.now() + expiration_interval
+
+    def _serve_ready(self, seconds):
+        """Serve what comes next, if anything does within some seconds."""
+        try:
+            ready = list(self._selector.select(timeout=seconds))
+        except OSError:
+            self._remove_invalid_sockets()
+            return
+        for descriptor, connection in ready:
+            if connection is self.server:
+                connection = self._from_server_socket(self.server.socket)
+            else:
+                self._selector.unregister(descriptor)
+            if connection is not None:
+                self.server.process_conn(connection)
+
+    def _expire(self, threshold):
+        """Close the connections that have been idle for too long.
+
+        A lowered limit holds for those that are idle from then on.
+
+        Args:
+            threshold: the present time, by the monotonic clock.
+        """
+        for descriptor, connection in list(self._selector.connections):
+            if connection is self.server:
+                continue
+            # What has come is served in the next round.
+            limit = max(connection.idle_seconds, self.server.idle_seconds)
+            is_idle = threshold - connection.idle_since > limit
+            if is_idle and not connection.has_input:
+                self._selector.unregister(descriptor)
+                connection.close()
+
     def _accept_all(self):
         ends_at = clocks.now() + self.server.shutdown_timeout
         for _ in range(self.server.request_queue_size):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -12,6 +12,8 @@
 # Time beyond that for answers in which a server notices the stop; cheroot
 # looks for it every 0.5 s.
 CLOSE_SECONDS = 0.5
+# Least time for which an idle connection is kept.
+MIN_KEPT_SECONDS = 30.0
 
 
 class WorkerPool(threadpool.ThreadPool):
@@ -40,7 +42,13 @@
 
 
 class StoppingServer:
-    """Base of a cheroot server whose requests are ``StoppingRequest``."""
+    """Base of a cheroot server whose requests are ``StoppingRequest``.
+
+    Attributes:
+        idle_seconds: time for which an idle connection is kept.
+    """
+
+    idle_seconds = MIN_KEPT_SECONDS
 
     def prepare(self):
         """Bind the listener; see ``HTTPServer``."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
@@ -171,16 +171,19 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class RequestSizeLimits:
-    """Size limits of callers' requests.
+class RequestLimits:
+    """Limits of callers' requests and connections.
 
     Attributes:
         header_bytes: largest head of a request.
         body_bytes: largest body of a request.
+        idle_seconds: time for which a caller may use an idle connection
+            again.
     """
 
     header_bytes: int
     body_bytes: int
+    idle_seconds: float
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -192,14 +195,14 @@
         routes: the routes.
         services: the services that routes lead to, and KV cache stores.
         customers: the customers; without any, no route needs a key.
-        limits: size limits of callers' requests.
+        limits: the limits of callers' requests and connections.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     customers: tuple[Customer, ...]
-    limits: RequestSizeLimits
+    limits: RequestLimits
 
     @functools.cached_property
     def services_by_name(self):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
@@ -146,6 +146,10 @@
         self._server.max_request_header_size = max(1, header_bytes)
         self._server.max_request_body_size = max(1, body_bytes)
 
+    def set_idle_seconds(self, seconds):
+        """Set the time for which an idle connection is kept at least."""
+        self._server.idle_seconds = max(server_stop.MIN_KEPT_SECONDS, seconds)
+
     @property
     def port(self):
         """Port that the listener is bound to."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -155,13 +155,16 @@
         return servers
 
     def _follow_limits(self, server, added_header_bytes):
-        """Apply the size limits of each configuration to a server."""
-        self._shared.configuration_store.add_change_listener(
-            lambda configuration: server.set_limits(
-                configuration.limits.header_bytes + added_header_bytes,
-                configuration.limits.body_bytes,
+        """Apply the limits of each configuration to a server."""
+
+        def apply(configuration):
+            limits = configuration.limits
+            server.set_limits(
+                limits.header_bytes + added_header_bytes, limits.body_bytes
             )
-        )
+            server.set_idle_seconds(limits.idle_seconds)
+
+        self._shared.configuration_store.add_change_listener(apply)
 
     def _make_relay(self, directory, gossip):
         fleet_limits = self._settings.fleet_limits
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,8 @@
 import http.client
 import socket
 import threading
+import time
+import types
 
 from carobwood import addresses
 from carobwood_daemon.entry import connection_log
@@ -16,6 +18,8 @@
 # More than the kernel buffers for a connection.
 LARGE_BYTES = 64 * 1024 * 1024
 READ_BYTES = 4096
+READ_SECONDS = 30.0
+STEP_SECONDS = 3600.0
 CLOSING = b'GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
 
 
@@ -222,3 +226,100 @@
     gateway.may_answer.set()
     assert connection.getresponse().status == 500
     connection.close()
+
+
+# A step of the system's clock closed all kept connections of a listener, and
+# the requests that were sent on them meanwhile got no answer.
+def test_a_step_of_the_clock_closes_no_kept_connection(
+    server, gateway, monkeypatch
+):
+    gateway.may_answer.set()
+    manager = server._server._connections
+    expire = manager._expire
+    has_expired = threading.Event()
+
+    def expire_and_tell(threshold):
+        expire(threshold)
+        has_expired.set()
+
+    connection = _send(server)
+    assert connection.getresponse().read() == gateway.answer
+    relay_test_fleet.await_reply(
+        lambda: manager._num_connections, lambda idle: idle == 1
+    )
+    stepped = types.SimpleNamespace(
+        time=lambda: time.time() + STEP_SECONDS, sleep=time.sleep
+    )
+    monkeypatch.setattr(connections, 'time', stepped)
+    monkeypatch.setattr(manager, '_expire', expire_and_tell)
+    assert has_expired.wait(relay_test_fleet.WAIT_SECONDS)
+    connection.auto_open = 0
+    connection.request('GET', '/')
+    assert connection.getresponse().read() == gateway.answer
+    connection.close()
+
+
+# A step back of the system's clock halted the expiry of idle connections until
+# the clock had caught up: their descriptors were not given back.
+def test_a_step_back_of_the_clock_does_not_halt_expiry(
+    server, gateway, monkeypatch
+):
+    gateway.may_answer.set()
+    monkeypatch.setattr(server._server, 'idle_seconds', 0.0)
+    manager = server._server._connections
+    expire = manager._expire
+    has_expired = threading.Event()
+
+    def expire_and_tell(threshold):
+        expire(threshold)
+        has_expired.set()
+
+    monkeypatch.setattr(manager, '_expire', expire_and_tell)
+    assert has_expired.wait(relay_test_fleet.WAIT_SECONDS)
+    stepped = types.SimpleNamespace(
+        time=lambda: time.time() - STEP_SECONDS, sleep=time.sleep
+    )
+    monkeypatch.setattr(connections, 'time', stepped)
+    address = ('127.0.0.1', server.port)
+    seconds = relay_test_fleet.WAIT_SECONDS / 4
+    with socket.create_connection(address, seconds) as idle:
+        assert not idle.recv(1)
+
+
+# A request that came on a kept connection as it expired got no answer.
+def test_a_request_that_has_come_on_an_expired_connection_is_answered(
+    server, gateway, monkeypatch
+):
+    gateway.may_answer.set()
+    manager = server._server._connections
+    connection = _send(server)
+    assert connection.getresponse().read() == gateway.answer
+    relay_test_fleet.await_reply(
+        lambda: manager._num_connections, lambda idle: idle == 1
+    )
+    [kept] = [
+        kept
+        for _, kept in list(manager._selector.connections)
+        if kept is not server._server
+    ]
+    select = manager._selector.select
+
+    def select_late(timeout):
+        # The request comes behind the look for input.
+        active = list(select(timeout))
+        if not connection.sent and not active:
+            connection.request('GET', '/')
+            connection.sent = True
+            relay_test_fleet.await_input(kept.socket)
+            kept.idle_seconds = 0.0
+            monkeypatch.setattr(server._server, 'idle_seconds', 0.0)
+            manager._expire(threshold=float('inf'))
+            monkeypatch.setattr(server._server, 'idle_seconds', READ_SECONDS)
+        return active
+
+    connection.sent = False
+    connection.auto_open = 0
+    monkeypatch.setattr(manager._selector, 'select', select_late)
+    relay_test_fleet.await_reply(lambda: connection.sent, bool)
+    assert connection.getresponse().read() == gateway.answer
+    connection.close()
