Go on reading for a moment after the last answer of a stop

The head of a stream that begins before the SIGTERM cannot say that its connection closes; the drain ends with the stream, and the connection was closed on the word of this side alone, a moment after the other side was told that it may go on.

After the drain a VM goes on reading until no connection has been kept within the last second, for a second and the time of the stop at most, and refuses what comes as not run. Answers of the VM's own APIs that begin after the SIGTERM announce the close.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/connection_log.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/connection_log.py
@@ -17,6 +17,8 @@
 
 # Lines per second at most; those beyond are counted in the next line.
 MAX_LINES_PER_SECOND = 50
+# Connections beyond that are named together, so many in a line.
+PEERS_PER_LINE = 100
 # Number of the state in Linux's ``tcp_info``.
 _TCP_ESTABLISHED = 1
 
@@ -65,7 +67,8 @@
 class ConnectionLog:
     """Logs the connections on which a request may have got no answer.
 
-    The number of lines is bounded, whatever callers send.
+    The number of lines is bounded, whatever callers send. Connections that
+    this VM closes are all named, those beyond the bound together.
     """
 
     def __init__(self, describe_vm=dict, clock=clocks.now):
@@ -84,6 +87,8 @@
         self._suppressed = 0
         self._closed_at_stop = 0
         self._unanswered_at_stop = 0
+        self._left_out_peers = []
+        self._has_stopped = False
 
     def note(self, end):
         """Log a ``ConnectionEnd`` if a request may have got no answer."""
@@ -93,9 +98,18 @@
                 self._unanswered_at_stop += end.is_unanswered
             if not end.is_unanswered and not end.may_cross_request:
                 return
-            if not self._take_line():
-                return
-            suppressed, self._suppressed = self._suppressed, 0
+            has_line = self._take_line()
+            if not has_line and end.may_cross_request:
+                self._left_out_peers.append(end.peer)
+            peers = self._take_peers(has_line or self._has_stopped)
+            suppressed = self._suppressed
+            if has_line:
+                self._suppressed = 0
+        self._name(peers)
+        if has_line:
+            self._emit(end, suppressed)
+
+    def _emit(self, end, suppressed):
         event = events.CONNECTION_CLOSED
         if end.is_unanswered:
             event = events.CONNECTION_UNANSWERED
@@ -112,6 +126,10 @@
         Args:
             port: the port that it was bound to.
         """
+        with self._lock:
+            self._has_stopped = True
+            peers = self._take_peers(True)
+        self._name(peers)
         events.emit(
             events.LISTENER_STOPPED,
             port=port,
@@ -120,6 +138,19 @@
             **self._describe_vm(),
         )
 
+    def _take_peers(self, takes_all):
+        """Return the peers that are to be named now; call it with the lock."""
+        if not takes_all and len(self._left_out_peers) < PEERS_PER_LINE:
+            return []
+        peers, self._left_out_peers = self._left_out_peers, []
+        return peers
+
+    def _name(self, peers):
+        if peers:
+            events.emit(
+                events.CONNECTIONS_CLOSED, peers=peers, **self._describe_vm()
+            )
+
     def _take_line(self):
         now = self._clock()
         if now >= self._window_ends_at:
@@ -136,7 +167,7 @@
     """Return the ``ConnectionEnd`` of a connection that is still open.
 
     Args:
-        connection: the ``RelayConnection``.
+        connection: the ``StoppingConnection``.
         is_stopping: whether its listener stops.
     """
     return ConnectionEnd(
--- a/packages/carobwood-daemon/carobwood_daemon/entry/exchange.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/exchange.py
@@ -40,6 +40,7 @@
         self._gate = gate
         self._metrics = metrics
         self._connection = environ[strict_request.CONNECTION_KEY]
+        self._connection.conn.last_request_id = self.request_id
         # Once the VM stops, connections are closed after their response: a
         # later request on one might get no answer.
         self._connection.is_closing = lambda: not gate.is_ready
--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener.py
@@ -13,6 +13,7 @@
 
 from ..limits import buffer_budget
 
+from . import connection_log
 from . import request_reads
 from . import server_stop
 from . import stopping_connection
@@ -57,6 +58,8 @@
         )
         self._server.ConnectionClass = stopping_connection.StoppingConnection
         self._server.buffers = buffers or buffer_budget.unlimited()
+        self._connection_log = connection_log.ConnectionLog()
+        self._server.connection_log = self._connection_log
         self._server.request_reads = request_reads.RequestReads()
         self._server.gateway = strict_request.Gateway
         self._server.max_request_header_size = strict_request.MAX_HEADER_BYTES
@@ -83,6 +86,11 @@
         """Wait no longer for requests that have not arrived in full."""
         self._server.request_reads.end()
 
+    @property
+    def awaits_requests(self):
+        """Whether a caller may be sending a request on a connection."""
+        return self._server.awaits_requests
+
     def set_stop_seconds(self, seconds):
         """Set the time of ``stop`` for the answers still being given."""
         self._server.shutdown_timeout = seconds
@@ -93,6 +101,7 @@
         self._server.stop()
         if self._thread.is_alive():
             self._thread.join(MIN_ANSWER_SECONDS)
+        self._connection_log.note_stopped(self.port)
 
 
 class _SingleHandlerDispatcher:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -22,8 +22,8 @@
 RESERVED_SHARE = 0.25
 # Share of the idle connections that are closed to make room at once.
 CLOSED_SHARE = 0.125
-# Time for which a connection must have been idle to make room: its caller may
-# be sending the next request on it.
+# Time for which a connection must have been idle to make room, or to be closed
+# by a stop that has time: its caller may be sending the next request on it.
 MIN_IDLE_SECONDS = 1.0
 # Pause while no descriptor is left and no connection is idle.
 PAUSE_SECONDS = 0.05
@@ -50,6 +50,17 @@
             return False
         return super().can_add_keepalive_connection
 
+    @property
+    def awaits_requests(self):
+        """Whether a caller may be sending a request on a kept connection."""
+        idle_before = clocks.now() - MIN_IDLE_SECONDS
+        return any(
+            connection is not self.server
+            and connection.answered_requests
+            and connection.idle_since > idle_before
+            for _, connection in list(self._selector.connections)
+        )
+
     def stop(self):
         """Stop the selector, accept what waits and close the listener.
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -1,6 +1,7 @@
 """How a cheroot server and its workers end when it stops."""
 
 import functools
+import threading
 
 from cheroot.workers import threadpool
 
@@ -12,6 +13,8 @@
 # Time beyond that for answers in which a server notices the stop; cheroot
 # looks for it every 0.5 s.
 CLOSE_SECONDS = 0.5
+# Period of checking whether callers may still be sending requests.
+CHECK_PERIOD_SECONDS = 0.05
 # Least time for which an idle connection is kept.
 MIN_KEPT_SECONDS = 30.0
 
@@ -22,6 +25,11 @@
     The reads of its connections must have been ended before.
     """
 
+    @property
+    def is_busy(self):
+        """Whether a worker serves a connection."""
+        return any(worker.conn is not None for worker in list(self._threads))
+
     def stop(self, timeout=5):
         """Tell the workers to end; those that still write go on.
 
@@ -69,15 +77,24 @@
         """Whether a connection may be kept for requests to come."""
         return super().can_add_keepalive_connection
 
+    @property
+    def awaits_requests(self):
+        """Whether a connection is served, or was kept a moment ago."""
+        return self.requests.is_busy or self._connections.awaits_requests
+
 
 def stop_together(servers, ends_at, least_seconds):
     """Stop listeners side by side, as each takes part of a second.
 
+    Their connections are closed once no caller may be sending a request on
+    one that was kept a moment ago.
+
     Args:
         servers: the listeners.
         ends_at: monotonic time until which answers may still be given.
         least_seconds: time for them if that has passed.
     """
+    _await_last_requests(servers, ends_at)
     seconds = max(least_seconds, ends_at - clocks.now())
     stops = [threads.StepThread(server.stop, 'stop') for server in servers]
     for server in servers:
@@ -88,3 +105,14 @@
     for stop in stops:
         # Bounded, as a server answers what has come last before it closes.
         stop.join(max(0.0, closed_at - clocks.now()))
+
+
+def _await_last_requests(servers, ends_at):
+    """Go on reading while callers may be sending requests, in bounds."""
+    last_at = clocks.now() + listener_connections.MIN_IDLE_SECONDS
+    last_at = min(last_at, ends_at)
+    never_set = threading.Event()
+    while clocks.now() < last_at:
+        if not any(server.awaits_requests for server in servers):
+            return
+        never_set.wait(CHECK_PERIOD_SECONDS)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -8,6 +8,7 @@
 from carobwood import errors
 from carobwood import events
 
+from . import connection_log
 from . import strict_request
 
 
@@ -32,8 +33,7 @@
         It may be on its way, and is not read any more.
         """
         events.emit(
-            events.CONNECTION_REFUSED,
-            peer=f'{self.conn.remote_addr}:{self.conn.remote_port}',
+            events.CONNECTION_REFUSED, peer=connection_log.peer_of(self.conn)
         )
         self.simple_response('503 Service Unavailable')
 
@@ -51,10 +51,16 @@
 
 
 class StoppingConnection(strict_request.StrictConnection):
-    """A connection whose requests are of class ``StoppingRequest``."""
+    """A connection whose requests are of class ``StoppingRequest``.
+
+    Attributes:
+        last_request_id: id of the request that was read last, or empty.
+    """
 
     RequestHandlerClass = StoppingRequest
 
+    last_request_id = ''
+
     _is_ended = False
     _is_kept = True
 
@@ -90,7 +96,10 @@
             super().close()
 
     def note_end(self):
-        """Note how the connection ends; subclasses may log it."""
+        """Log a connection on which a request may get no answer."""
+        self.server.connection_log.note(
+            connection_log.describe_end(self, not self.server.ready)
+        )
 
     def _end(self):
         if self._is_ended:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/gateway.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/gateway.py
@@ -111,16 +111,19 @@
 class ApiGateway(_Gateway):
     """Passes a parsed request to a handler and sends its response."""
 
-    def __init__(self, handle, parsed):
+    def __init__(self, handle, is_closing, parsed):
         """Create the gateway of one request.
 
         Args:
             handle: function from an ``ApiRequest`` to a
                 ``ApiResponse``.
+            is_closing: function without arguments; returns whether the
+                connection is to be closed after the response.
             parsed: the ``cheroot.server.HTTPRequest``.
         """
         super().__init__(parsed)
         self._handle = handle
+        self._caller.close_if(is_closing)
 
     def _serve(self, caller):
         try:
@@ -162,10 +165,12 @@
     return functools.partial(ForwardedGateway, relay, secret)
 
 
-def make_api_gateway(handle):
+def make_api_gateway(handle, is_closing=lambda: False):
     """Return a gateway factory for an API.
 
     Args:
         handle: function from an ``ApiRequest`` to an ``ApiResponse``.
+        is_closing: function without arguments; returns whether connections
+            are to be closed after their response.
     """
-    return functools.partial(ApiGateway, handle)
+    return functools.partial(ApiGateway, handle, is_closing)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
@@ -43,22 +43,10 @@
 
 
 class RelayConnection(stopping_connection.StoppingConnection):
-    """A connection whose requests are ``RelayRequest``.
-
-    Attributes:
-        last_request_id: id of the request that was read last, or empty.
-    """
+    """A connection whose requests are ``RelayRequest``."""
 
     RequestHandlerClass = RelayRequest
 
-    last_request_id = ''
-
-    def note_end(self):
-        """Log the connection if a request on it may get no answer."""
-        self.server.connection_log.note(
-            connection_log.describe_end(self, not self.server.ready)
-        )
-
 
 class DynamicThreadPool(server_stop.WorkerPool):
     """A thread pool that starts a worker when no idle one is left."""
@@ -159,6 +147,11 @@
         """Start serving."""
         self._thread.start()
 
+    @property
+    def awaits_requests(self):
+        """Whether a caller may be sending a request on a connection."""
+        return self._server.awaits_requests
+
     def set_stop_seconds(self, seconds):
         """Set the time of ``stop`` for the answers still being given."""
         self._server.shutdown_timeout = seconds
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -119,7 +119,7 @@
     def _make_api_server(self, address, handle, threads, body_bytes):
         server = http_server.HttpServer(
             address,
-            gateway.make_api_gateway(handle),
+            gateway.make_api_gateway(handle, lambda: not self._gate.is_ready),
             threads,
             self._describe_vm,
             self._shared.buffers,
--- a/tests/test_connection_log.py
+++ b/tests/test_connection_log.py
@@ -1,12 +1,20 @@
 """Log lines that tell how a request or its connection has ended."""
 
+import contextlib
 import socket
 
 import pytest
 
 from carobwood import addresses
+from carobwood import errors
 from carobwood import events
 from carobwood_daemon.entry import connection_log
+from carobwood_daemon.entry import exchange as exchanges
+from carobwood_daemon.entry import listener
+from carobwood_daemon.entry import listener_connections
+from carobwood_daemon.entry import request_gate
+from carobwood_daemon.observe import metrics as metric_clients
+from carobwood_daemon.observe import tracing
 from carobwood_daemon.relay import caller_request
 from carobwood_daemon.relay import http_server
 import relay_builders as builders
@@ -207,3 +215,105 @@
     clock.advance(1.0)
     log.note(end)
     assert _ends(lines)[-1]['suppressed'] == 7
+
+
+# Requests were cut at a stop of over 50 kept connections, and those beyond
+# were named nowhere: they were only counted, the last of them not at all.
+def test_each_connection_that_a_stop_closes_is_named(server, lines):
+    count = connection_log.MAX_LINES_PER_SECOND + 3
+    with contextlib.ExitStack() as stack:
+        clients = [stack.enter_context(_connect(server)) for _ in range(count)]
+        for client in clients:
+            client.sendall(WHOLE)
+            _read_to(client, b'answer')
+        peers = {'%s:%d' % client.getsockname() for client in clients}
+        server.stop()
+        relay_test_fleet.await_reply(
+            lambda: _named_peers(lines), lambda named: len(named) == count
+        )
+    assert set(_named_peers(lines)) == peers
+
+
+def _named_peers(lines):
+    alone = [
+        fields['peer']
+        for event, fields in lines
+        if event is events.CONNECTION_CLOSED
+    ]
+    together = [
+        peer
+        for event, fields in lines
+        if event is events.CONNECTIONS_CLOSED
+        for peer in fields['peers']
+    ]
+    return alone + together
+
+
+def test_peers_that_are_left_out_are_named_together(lines):
+    clock = builders.Clock()
+    log = connection_log.ConnectionLog(clock=clock)
+    alone = connection_log.MAX_LINES_PER_SECOND
+    count = alone + connection_log.PEERS_PER_LINE + 2
+    peers = [f'x:{number}' for number in range(count)]
+    for peer in peers:
+        log.note(
+            connection_log.ConnectionEnd(
+                peer, 'vm', 'ended', 1, '', 10, 0, 0, 9, is_kept=True
+            )
+        )
+    assert _named_peers(lines) == peers[:-2]
+    log.note_stopped(80)
+    assert _named_peers(lines) == peers
+
+
+# Idle connections that are closed as they have expired, or to make room.
+@pytest.mark.parametrize('reason', ['expired', 'room'])
+def test_idle_connections_that_are_closed_are_named(
+    server, lines, monkeypatch, reason
+):
+    manager = server._server._connections
+    with _connect(server) as client:
+        client.sendall(WHOLE)
+        _read_to(client, b'answer')
+        relay_test_fleet.await_reply(
+            lambda: manager._num_connections, lambda idle: idle == 1
+        )
+        peer = '%s:%d' % client.getsockname()
+        if reason == 'expired':
+            monkeypatch.setattr(server._server, 'idle_seconds', 0.0)
+            for _, kept in list(manager._selector.connections):
+                kept.idle_seconds = 0.0
+            manager._expire(threshold=float('inf'))
+        else:
+            monkeypatch.setattr(listener_connections, 'MIN_IDLE_SECONDS', 0.0)
+            manager._make_room('reserve')
+        assert client.recv(1) == b''
+    assert _named_peers(lines) == [peer]
+
+
+# A request that crossed the close of a kept connection of carobwoodd was found
+# nowhere in its log.
+def test_idle_connections_that_a_stop_of_carobwoodd_closes_have_a_line(lines):
+    gate = request_gate.RequestGate(MAX_THREADS)
+    tracer = tracing.make_tracer('none', '', 'vm1')
+    ids = []
+
+    def handle():
+        exchange = exchanges.Exchange(gate, tracer, metric_clients.Metrics())
+        ids.append(exchange.request_id)
+        return exchange.respond(200, {}, b'answer', errors.Outcome.COMPLETE)
+
+    serving = listener.Listener(
+        addresses.Address('127.0.0.1', 0), handle, MAX_THREADS
+    )
+    serving.start()
+    with _connect(serving) as client:
+        client.sendall(WHOLE)
+        _read_to(client, b'answer')
+        peer = '%s:%d' % client.getsockname()
+        serving.stop()
+    [fields] = [f for e, f in lines if e is events.CONNECTION_CLOSED]
+    assert (fields['peer'], fields['cause']) == (peer, 'stop')
+    assert [fields['last_request_id']] == ids
+    [fields] = [f for e, f in lines if e is events.LISTENER_STOPPED]
+    assert (fields['closed'], fields['unanswered']) == (1, 0)
