Refuse the next request on each connection that a stop closes

No wait mends that: a caller may send its next request after any time. Class: a connection is closed on the word of this side alone.

The last word on a connection that a stop closes is a refusal, 503 `stopping`, not run, so that a request that crosses it takes it for its answer. The connection is half closed then, and what comes is discarded until the caller closes, for a second or until the process ends; the stop does not wait for it.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -200,6 +200,7 @@
         closed = idle[: int(len(idle) * CLOSED_SHARE) + 1]
         for _, descriptor, connection in closed:
             self._selector.unregister(descriptor)
+            connection.lingers = False
             connection.close()
         self._closed_count += len(closed)
         self._log(reason, now)
--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -8,6 +8,7 @@
 from carobwood import clocks
 from carobwood import threads
 
+from . import lingering_close
 from . import listener_connections
 
 # Time beyond that for answers in which a server notices the stop; cheroot
@@ -54,6 +55,7 @@
 
     Attributes:
         idle_seconds: time for which an idle connection is kept.
+        lingering_closes: the ``LingeringCloses``, once it is prepared.
     """
 
     idle_seconds = MIN_KEPT_SECONDS
@@ -63,6 +65,7 @@
         super().prepare()
         self._connections.close()
         self._connections = listener_connections.ListenerConnections(self)
+        self.lingering_closes = lingering_close.LingeringCloses()
 
     @property
     def can_add_keepalive_connection(self):
--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -1,10 +1,13 @@
 """Connections that answer what has arrived on them when their listener stops.
 
 A listener that stops closes its connections. What has come on them by then is
-answered, and what is half read then is refused as not run, as is the request
-for which a connection was opened and of which nothing has come.
+answered, and what is half read then is refused as not run. So is what may be
+on its way: nothing of it is read any more, and a caller that has sent it takes
+the refusal for its answer.
 """
 
+from cheroot import server as cheroot_server
+
 from carobwood import errors
 from carobwood import events
 
@@ -20,22 +23,20 @@
         with self.server.request_reads.track(self.conn):
             super().parse_request()
         if self._is_awaited_at_stop():
-            self._refuse_unread()
+            self.conn.log_refusal()
+            self.refuse_unread()
 
     def _is_awaited_at_stop(self):
         """Whether the reads ended before the first byte of a connection."""
         is_new = not self.conn.rfile.received_bytes
         return is_new and self.server.request_reads.is_ended
 
-    def _refuse_unread(self):
-        """Refuse the request for which the connection was opened.
-
-        It may be on its way, and is not read any more.
-        """
-        events.emit(
-            events.CONNECTION_REFUSED, peer=connection_log.peer_of(self.conn)
+    def refuse_unread(self):
+        """Refuse a request that may be on its way, and is not read."""
+        self.simple_response(
+            '503 Service Unavailable',
+            errors.Stopping('this VM is shutting down'),
         )
-        self.simple_response('503 Service Unavailable')
 
     def send_headers(self):
         """Send the head of the response; see ``StrictRequest``."""
@@ -55,12 +56,16 @@
 
     Attributes:
         last_request_id: id of the request that was read last, or empty.
+        lingers: whether its descriptor may be kept for a moment once it has
+            been closed at a stop.
     """
 
     RequestHandlerClass = StoppingRequest
 
     last_request_id = ''
+    lingers = True
 
+    _is_refused = False
     _is_ended = False
     _is_kept = True
 
@@ -79,10 +84,11 @@
     def _has_input_at_stop(self):
         return not self.server.ready and self.has_input
 
-    def _is_answered_at_stop(self):
-        """Whether a request has come, or the first one may be on its way."""
-        is_new = not self.rfile.received_bytes
-        return not self.server.ready and (is_new or self.has_input)
+    def log_refusal(self):
+        """Log that the first request is refused before a byte has come."""
+        events.emit(
+            events.CONNECTION_REFUSED, peer=connection_log.peer_of(self)
+        )
 
     def close(self):
         """Answer what has arrived if the listener stops, and close."""
@@ -93,19 +99,54 @@
             # server; an exception would end the stop there.
             events.emit(events.REQUEST_CRASHED, error=repr(error))
         finally:
-            super().close()
+            self._close_after_end()
 
     def note_end(self):
-        """Log a connection on which a request may get no answer."""
-        self.server.connection_log.note(
-            connection_log.describe_end(self, not self.server.ready)
-        )
+        """Log a connection on which a request may get no answer.
+
+        Returns:
+            The ``ConnectionEnd``.
+        """
+        end = connection_log.describe_end(self, not self.server.ready)
+        self.server.connection_log.note(end)
+        return end
+
+    def close_at_once(self):
+        """Close the connection, whatever may still come."""
+        # ``StrictConnection`` would wait for it.
+        cheroot_server.HTTPConnection.close(self)
+
+    def _close_after_end(self):
+        if not self._is_refused:
+            super().close()
+        elif self.lingers:
+            self.server.lingering_closes.add(self)
+        else:
+            self.close_at_once()
 
     def _end(self):
         if self._is_ended:
             return
         self._is_ended = True
-        # Nothing is waited for: the listener has ended its reads.
-        if self._is_kept and self._is_answered_at_stop():
+        if self._is_kept and not self.server.ready:
+            self._answer_last()
+        end = self.note_end()
+        if end.cause == 'stop' and end.may_cross_request:
+            self._refuse_next()
+
+    def _answer_last(self):
+        """Answer what has come, or refuse the first request unread."""
+        if self.has_input:
+            # Nothing is waited for: the listener has ended its reads.
             self.communicate()
-        self.note_end()
+        elif not self.rfile.received_bytes:
+            self.log_refusal()
+            self._refuse_next()
+
+    def _refuse_next(self):
+        """Refuse the next request, which may be on its way."""
+        self._is_kept = False
+        self._is_refused = True
+        # A caller that does not read must not hold the stop up.
+        self.socket.settimeout(0)
+        self.RequestHandlerClass(self.server, self).refuse_unread()
--- a/tests/test_crossing_requests.py
+++ b/tests/test_crossing_requests.py
@@ -8,6 +8,7 @@
 from carobwood import clocks
 from carobwood import errors
 from carobwood_daemon.entry import exchange as exchanges
+from carobwood_daemon.entry import lingering_close
 from carobwood_daemon.entry import listener
 from carobwood_daemon.entry import listener_connections
 from carobwood_daemon.entry import request_gate
@@ -138,6 +139,50 @@
     assert not stopping.is_alive()
 
 
+# A request on a connection that had been idle for over a second got neither an
+# answer nor a refusal: it crossed the close at the end of a stop.
+@pytest.mark.parametrize('is_late', [False, True])
+def test_a_request_on_an_idle_connection_is_refused_beside_a_stop(
+    fleet, engine, idle, is_late
+):
+    vm = fleet.vms[len(fleet.control_ports)]
+    is_paused = threading.Event()
+    may_end = threading.Event()
+
+    def pause():
+        is_paused.set()
+        may_end.wait(relay_test_fleet.WAIT_SECONDS)
+
+    engine.on_pause = pause
+    address = ('127.0.0.1', fleet.entry_ports[0])
+    with (
+        socket.create_connection(
+            address, relay_test_fleet.WAIT_SECONDS
+        ) as client,
+        socket.create_connection(
+            address, relay_test_fleet.WAIT_SECONDS
+        ) as streaming,
+    ):
+        client.sendall(_encode('/checks/x', 'r-first'))
+        head = _read_to(client, b'\r\n\r\n')
+        streaming.sendall(_encode('/captions/pause-0-after-2', 'r-stream'))
+        assert is_paused.wait(relay_test_fleet.WAIT_SECONDS)
+        stopping = threading.Thread(target=vm.stop)
+        stopping.start()
+        relay_test_fleet.await_reply(lambda: vm.gate.is_draining, bool)
+        if is_late:
+            may_end.set()
+            stopping.join(relay_test_fleet.WAIT_SECONDS)
+        client.sendall(_encode('/checks/x', 'r-next'))
+        answer = _read_last(client)
+        may_end.set()
+        _read_to(streaming, b'0\r\n\r\n')
+    stopping.join(relay_test_fleet.WAIT_SECONDS)
+    assert head.startswith(b'HTTP/1.1 200 ')
+    _check_refusal(answer)
+    assert len(engine.requests) == 2
+
+
 # An operator's next request met the close of a control VM that stopped.
 def test_the_request_after_an_answer_of_a_stopping_control_vm_is_answered(
     fleet, stops
@@ -275,6 +320,30 @@
     serving.stop()
 
 
+# The same on an idle connection of carobwoodd.
+def test_a_request_after_the_stop_of_a_listener_is_refused(server):
+    with _keep(server) as client:
+        server.stop()
+        client.sendall(WHOLE)
+        _check_refusal(_read_last(client))
+
+
+def test_a_request_after_the_stop_of_a_tls_listener_is_refused(tls_server):
+    server, context = tls_server
+    with context.wrap_socket(
+        socket.create_connection(
+            ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS
+        ),
+        server_hostname='127.0.0.1',
+    ) as client:
+        client.sendall(WHOLE)
+        _read_to(client, b'answer')
+        _await_idle(server)
+        server.stop()
+        client.sendall(WHOLE)
+        _check_refusal(_read_last(client))
+
+
 def _await_idle(server):
     """Return the connection that a listener keeps."""
     manager = server._server._connections
@@ -300,5 +369,46 @@
     return client
 
 
+# A reset answered a request that was sent in parts as its connection closed:
+# the caller could not send the rest, and did not look for a refusal.
+def test_a_request_in_parts_after_a_refusal_meets_no_reset(
+    server, monkeypatch
+):
+    monkeypatch.setattr(
+        lingering_close, 'LINGER_SECONDS', relay_test_fleet.WAIT_SECONDS
+    )
+    with _keep(server) as client:
+        server.stop()
+        for byte in WHOLE:
+            client.sendall(bytes([byte]))
+        _check_refusal(_read_last(client))
+
+
+@pytest.mark.parametrize('leaves', [False, True])
+def test_a_refused_connection_is_closed_in_the_end(
+    server, monkeypatch, leaves
+):
+    seconds = relay_test_fleet.WAIT_SECONDS if leaves else 0.0
+    monkeypatch.setattr(lingering_close, 'LINGER_SECONDS', seconds)
+    with _keep(server) as client:
+        kept = _await_idle(server)
+        server.stop()
+        if leaves:
+            client.close()
+        relay_test_fleet.await_reply(
+            kept.socket.fileno, lambda descriptor: descriptor < 0
+        )
+
+
+def test_a_refused_connection_is_closed_without_a_thread(server, monkeypatch):
+    with _keep(server) as client:
+        kept = _await_idle(server)
+        with monkeypatch.context() as patch:
+            patch.setattr(threading.Thread, 'start', _refuse_start)
+            server.stop()
+        assert kept.socket.fileno() < 0
+        _check_refusal(_read_last(client))
+
+
 def _refuse_start(thread):
     raise RuntimeError("can't start new thread")
