Let no refusal follow an exchange that has failed

If a request's exchange failed as its VM stopped, half an answer was sent and the log of the failure failed as well, the caller got the bytes of the refusal for the next request within its answer; the rest of a body that was not read was served as a request. Class: a state that says what was true before a step, while the step may fail. No request may follow while one is being served, until it has ended without a fault.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -76,11 +76,16 @@
 
     def communicate(self):
         """Serve a request, and at a stop those that have come behind it."""
-        self._is_kept = super().communicate()
+        self._communicate_once()
         while self._is_kept and self._has_input_at_stop():
-            self._is_kept = super().communicate()
+            self._communicate_once()
         return self._is_kept
 
+    def _communicate_once(self):
+        # After a fault within, neither a request nor an answer may follow.
+        self._is_kept = False
+        self._is_kept = super().communicate()
+
     def _has_input_at_stop(self):
         return not self.server.ready and self.has_input
 
