Keep a listener alive after one connection that it cannot watch

If the system refuses to watch a connection after its answer, or one cannot be closed, the fault left the worker's own handling of errors, and cheroot takes it for an order to stop the server: the listener refused all connections from then on, while the VM lived on. Class: one connection's failure taken for the server's.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -80,7 +80,12 @@
         """Watch an idle connection; see ``ConnectionManager``."""
         conn.idle_since = clocks.now()
         conn.idle_seconds = self.server.idle_seconds
-        super().put(conn)
+        try:
+            super().put(conn)
+        except Exception as error:
+            # Raised on a worker, it would end the listener for good.
+            events.emit(events.CONNECTION_FAILED, error=repr(error))
+            conn.close()
 
     def close(self):
         """Close the connections, once what has come on them is answered.
--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -96,15 +96,13 @@
         )
 
     def close(self):
-        """Answer what has arrived if the listener stops, and close."""
-        try:
-            self._end()
-        except Exception as error:
-            # cheroot closes idle connections on the thread that stops the
-            # server; an exception would end the stop there.
-            events.emit(events.REQUEST_CRASHED, error=repr(error))
-        finally:
-            self._close_after_end()
+        """Answer what has arrived if the listener stops, and close.
+
+        Nothing is raised: on the thread that stops the server it would end
+        the stop, and on a worker the listener.
+        """
+        _log_fault(self._end)
+        _log_fault(self._close_after_end)
 
     def note_end(self):
         """Log a connection on which a request may get no answer.
@@ -155,3 +153,11 @@
         # A caller that does not read must not hold the stop up.
         self.socket.settimeout(0)
         self.RequestHandlerClass(self.server, self).refuse_unread()
+
+
+def _log_fault(step):
+    """Take a step of a connection's end; log what fails in it."""
+    try:
+        step()
+    except Exception as error:
+        events.emit(events.REQUEST_CRASHED, error=repr(error))
