Let TLS handshakes of callers go on side by side

carobwoodd, found by reading and by a trial. The handshake was part of the accept, which waits for bytes of the caller; all connections of a listener share its thread. Two faults of one cause, class: a thread that serves all waits for one peer.

- A caller behind a connection that sent nothing, or a part of its handshake, waited for up to 30 s, and connections without a request took the workers.
- At a stop, TLS connections that waited to be accepted were reset, as the listener accepted none for that wait.

A connection that shakes hands is watched like an idle one, and a worker takes each step with the bytes that have come; 30 s for the whole handshake, 512 handshakes at once. At a stop they go on for up to a second; each that ends in time is answered or refused as not run.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener.py
@@ -3,7 +3,6 @@
 import json
 import threading
 
-from cheroot.ssl import builtin
 from cheroot import wsgi as cheroot_wsgi
 import cherrypy
 from cherrypy import _cprequest
@@ -18,6 +17,7 @@
 from . import server_stop
 from . import stopping_connection
 from . import strict_request
+from . import tls_connection
 
 SOCKET_TIMEOUT_SECONDS = 30.0
 # Least time for the answers that are still being given at a stop.
@@ -65,9 +65,10 @@
         self._server.max_request_header_size = strict_request.MAX_HEADER_BYTES
         self._server.error_log = _log_server_error
         if tls is not None:
-            self._server.ssl_adapter = builtin.BuiltinSSLAdapter(
+            self._server.ssl_adapter = tls_connection.SteppedSslAdapter(
                 tls.certificate, tls.key
             )
+            self._server.ConnectionClass = tls_connection.TlsConnection
         self._server.prepare()
         self._thread = threading.Thread(
             target=self._server.serve, name='listener', daemon=True
--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -8,6 +8,7 @@
 import errno
 import resource
 import select
+import selectors
 import time
 
 from cheroot import connections
@@ -15,6 +16,7 @@
 from carobwood import clocks
 from carobwood import events
 
+from . import last_handshakes
 from . import request_body
 
 # Share of the process's descriptors that is left for connections to
@@ -22,6 +24,8 @@
 RESERVED_SHARE = 0.25
 # Share of the idle connections that are closed to make room at once.
 CLOSED_SHARE = 0.125
+# Number of TLS handshakes at once; each takes memory.
+MAX_HANDSHAKES = 512
 # Time for which a connection must have been idle to make room, or to be closed
 # by a stop that has time: its caller may be sending the next request on it.
 MIN_IDLE_SECONDS = 1.0
@@ -34,7 +38,11 @@
 
 
 class ListenerConnections(connections.ConnectionManager):
-    """Accepts connections and watches those that are idle."""
+    """Accepts connections and watches those that are idle.
+
+    Attributes:
+        last_handshakes: the ``LastHandshakes`` of a stop.
+    """
 
     def __init__(self, server):
         """See ``ConnectionManager``."""
@@ -42,6 +50,12 @@
         self._short_until = float('-inf')
         self._logged_at = float('-inf')
         self._closed_count = 0
+        # Connections that shake hands. Workers take the steps; those that
+        # have ended are dropped later.
+        self._handshakes = set()
+        self.last_handshakes = last_handshakes.LastHandshakes(
+            server.process_conn
+        )
 
     @property
     def can_add_keepalive_connection(self):
@@ -70,33 +84,48 @@
         super().stop()
         if self.server.socket is None:
             return
-        # A TLS handshake would be waited for.
-        if self.server.ssl_adapter is None:
-            self._accept_all()
+        self._accept_all()
         self.server.socket.close()
         self.server.socket = None
 
     def put(self, conn):
         """Watch an idle connection; see ``ConnectionManager``."""
-        conn.idle_since = clocks.now()
+        if not conn.is_shaking_hands:
+            conn.idle_since = clocks.now()
         conn.idle_seconds = self.server.idle_seconds
         try:
-            super().put(conn)
+            self._watch(conn)
         except Exception as error:
             # Raised on a worker, it would end the listener for good.
             events.emit(events.CONNECTION_FAILED, error=repr(error))
             conn.close()
 
+    def _watch(self, conn):
+        if conn.awaited_event == selectors.EVENT_READ:
+            super().put(conn)
+        else:
+            self._selector.register(
+                conn.socket.fileno(), conn.awaited_event, data=conn
+            )
+
     def close(self):
         """Close the connections, once what has come on them is answered.
 
-        The workers answer it side by side.
+        The workers answer it side by side, and go on with handshakes.
         """
         for descriptor, connection in list(self._selector.connections):
-            if connection is not self.server and connection.has_input:
+            if connection is self.server:
+                continue
+            if self.last_handshakes.add(connection):
+                self._selector.unregister(descriptor)
+            elif connection.has_input:
                 self._selector.unregister(descriptor)
                 self.server.process_conn(connection)
         super().close()
+        seconds = min(
+            self.server.shutdown_timeout, request_body.MAX_DRAIN_SECONDS
+        )
+        self.last_handshakes.run(clocks.now() + seconds)
 
     def _run(self, expiration_interval):
         """Serve until the stop; see ``ConnectionManager``.
@@ -134,6 +163,7 @@
         Args:
             threshold: the present time, by the monotonic clock.
         """
+        self._drop_ended_handshakes()
         for descriptor, connection in list(self._selector.connections):
             if connection is self.server:
                 continue
@@ -151,11 +181,16 @@
             if is_late or not _is_readable(self.server.socket):
                 return
             connection = self._accept(self.server.socket)
-            if connection is not None:
+            if connection is None:
+                continue
+            if not self.last_handshakes.add(connection):
                 self.server.process_conn(connection)
 
     def _from_server_socket(self, server_socket):
         """Accept a connection; return it if a request has begun to come."""
+        if not self._has_room_for_handshake():
+            time.sleep(PAUSE_SECONDS)
+            return None
         connection = self._accept(server_socket)
         if connection is None or self._has_begun(connection):
             return connection
@@ -163,11 +198,7 @@
         return None
 
     def _has_begun(self, connection):
-        # What OpenSSL has decrypted is not seen here.
-        return (
-            self.server.ssl_adapter is not None
-            or request_body.count_unread_bytes(connection.socket) > 0
-        )
+        return request_body.count_unread_bytes(connection.socket) > 0
 
     def _accept(self, server_socket):
         try:
@@ -178,10 +209,35 @@
             if not self._make_room(error.strerror):
                 time.sleep(PAUSE_SECONDS)
             return None
-        if connection is not None and _is_reserved(connection.socket):
+        if connection is None:
+            return None
+        connection.idle_since = clocks.now()
+        if connection.is_shaking_hands:
+            self._handshakes.add(connection)
+        if _is_reserved(connection.socket):
             self._make_room('reserve')
         return connection
 
+    def _has_room_for_handshake(self):
+        """Return whether another handshake may begin.
+
+        Those that wait for longest are closed if there are too many.
+        """
+        if len(self._handshakes) >= MAX_HANDSHAKES:
+            self._drop_ended_handshakes()
+        if len(self._handshakes) >= MAX_HANDSHAKES:
+            idle = self._find_idle(clocks.now() - MIN_IDLE_SECONDS)
+            self._close_first(_select_shaking_hands(idle))
+            self._drop_ended_handshakes()
+        return len(self._handshakes) < MAX_HANDSHAKES
+
+    def _drop_ended_handshakes(self):
+        self._handshakes = {
+            connection
+            for connection in self._handshakes
+            if connection.is_shaking_hands
+        }
+
     def _make_room(self, reason):
         """Close connections that have been idle for longest.
 
@@ -192,8 +248,17 @@
         self._short_until = now + SHORTAGE_SECONDS
         # At a stop all of them are closed.
         idle_before = now - MIN_IDLE_SECONDS if self.server.ready else now
+        idle = self._find_idle(idle_before)
+        # A kept connection may be about to get its next request.
+        closed_count = self._close_first(_select_shaking_hands(idle) or idle)
+        self._closed_count += closed_count
+        self._log(reason, now)
+        return closed_count > 0
+
+    def _find_idle(self, idle_before):
+        """Return idle connections, those that are idle for longest first."""
         idle = [
-            (connection.idle_since, descriptor, connection)
+            connection
             for descriptor, connection in list(self._selector.connections)
             if connection is not self.server
             and connection.idle_since <= idle_before
@@ -201,15 +266,16 @@
             # A connection that has ended is closed in its turn.
             and not _is_readable(descriptor)
         ]
-        idle.sort(key=lambda entry: entry[:2])
+        return sorted(idle, key=lambda connection: connection.idle_since)
+
+    def _close_first(self, idle):
+        """Close the first ones of idle connections; return their number."""
         closed = idle[: int(len(idle) * CLOSED_SHARE) + 1]
-        for _, descriptor, connection in closed:
-            self._selector.unregister(descriptor)
+        for connection in closed:
+            self._selector.unregister(connection.socket.fileno())
             connection.lingers = False
             connection.close()
-        self._closed_count += len(closed)
-        self._log(reason, now)
-        return bool(closed)
+        return len(closed)
 
     def _log(self, reason, now):
         if now - self._logged_at < SHORTAGE_SECONDS:
@@ -225,6 +291,10 @@
         self._closed_count = 0
 
 
+def _select_shaking_hands(connections):
+    return [each for each in connections if each.is_shaking_hands]
+
+
 def _descriptor_limit():
     return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -67,6 +67,11 @@
         self._connections = listener_connections.ListenerConnections(self)
         self.lingering_closes = lingering_close.LingeringCloses()
 
+    def put_conn(self, conn):
+        """Watch a connection that a worker gives back; see ``HTTPServer``."""
+        if self.ready or not self._connections.last_handshakes.add(conn):
+            super().put_conn(conn)
+
     @property
     def can_add_keepalive_connection(self):
         """Return True, as the requests decide; see ``HTTPServer``.
--- a/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/stopping_connection.py
@@ -6,6 +6,8 @@
 the refusal for its answer.
 """
 
+import selectors
+
 from cheroot import server as cheroot_server
 
 from carobwood import errors
@@ -58,12 +60,16 @@
         last_request_id: id of the request that was read last, or empty.
         lingers: whether its descriptor may be kept for a moment once it has
             been closed at a stop.
+        is_shaking_hands: whether a TLS handshake goes on.
+        awaited_event: the ``selectors`` event that it is watched for.
     """
 
     RequestHandlerClass = StoppingRequest
 
     last_request_id = ''
     lingers = True
+    is_shaking_hands = False
+    awaited_event = selectors.EVENT_READ
 
     _is_refused = False
     _is_ended = False
--- a/tests/test_listener_stops.py
+++ b/tests/test_listener_stops.py
@@ -1,13 +1,17 @@
 """Stops of the listeners of callers' and operators' interfaces."""
 
+import queue
 import socket
 import ssl
 import threading
 
+from cheroot import connections
+
 from carobwood import addresses
 from carobwood import errors
 from carobwood_daemon.entry import exchange as exchanges
 from carobwood_daemon.entry import listener
+from carobwood_daemon.entry import request_body
 from carobwood_daemon.entry import request_gate
 from carobwood_daemon.observe import metrics as metric_clients
 from carobwood_daemon.observe import tracing
@@ -111,6 +115,15 @@
         return answers.read()
 
 
+def _read_answer(client):
+    data = b''
+    while not data.endswith(b'answer'):
+        part = client.recv(65536)
+        assert part, 'the connection ended before the answer'
+        data += part
+    return data
+
+
 def _await_reader(server):
     """Wait until a worker has a connection that it reads from."""
     workers = server._server.requests._threads
@@ -152,8 +165,7 @@
         assert application.arrived.acquire(
             timeout=relay_test_fleet.WAIT_SECONDS
         )
-        while not client.recv(65536).endswith(b'answer'):
-            pass
+        _read_answer(client)
 
         def send_and_close(connection):
             client.sendall(WHOLE)
@@ -179,8 +191,7 @@
         assert application.arrived.acquire(
             timeout=relay_test_fleet.WAIT_SECONDS
         )
-        while not client.recv(65536).endswith(b'answer'):
-            pass
+        _read_answer(client)
     _await_idle(server, len(clients))
 
     def stop_and_send():
@@ -277,9 +288,7 @@
         )
         application.gate.mark_not_ready()
         application.may_answer.set()
-        data = b''
-        while not data.endswith(b'answer'):
-            data += client.recv(65536)
+        data = _read_answer(client)
     assert b'connection: close' in data.lower()
 
 
@@ -327,3 +336,70 @@
         application.may_answer.set()
         assert _read_all(client).endswith(b'answer')
     stopping.join()
+
+
+@pytest.fixture
+def connect_last(monkeypatch):
+    """Give a function that calls one as a listener accepts for the last time.
+
+    By then it has left its loop.
+    """
+    stop = connections.ConnectionManager.stop
+
+    def arrange(connect):
+        def stop_and_connect(manager):
+            stop(manager)
+            connect()
+
+        monkeypatch.setattr(
+            connections.ConnectionManager, 'stop', stop_and_connect
+        )
+
+    return arrange
+
+
+# A caller that had connected was reset, with the request that it was about to
+# send: no TLS handshake was answered as the listener closed. One that does not
+# begin must not hold up those behind it.
+def test_a_tls_connection_that_waits_as_a_listener_stops_gets_an_answer(
+    tls_server, connect_last, monkeypatch
+):
+    server, context = tls_server
+    monkeypatch.setattr(
+        request_body, 'MAX_DRAIN_SECONDS', relay_test_fleet.WAIT_SECONDS
+    )
+    server.set_stop_seconds(relay_test_fleet.WAIT_SECONDS)
+    clients = queue.Queue()
+
+    def connect():
+        clients.put(_connect(server))
+        clients.put(_connect(server))
+
+    connect_last(connect)
+    stopping = threading.Thread(target=server.stop, daemon=True)
+    stopping.start()
+    silent = clients.get(timeout=relay_test_fleet.WAIT_SECONDS)
+    client = clients.get(timeout=relay_test_fleet.WAIT_SECONDS)
+    with (
+        silent,
+        context.wrap_socket(client, server_hostname='127.0.0.1') as wrapped,
+    ):
+        wrapped.sendall(WHOLE)
+        answer = _read_all(wrapped)
+    stopping.join(relay_test_fleet.WAIT_SECONDS)
+    assert answer.startswith(b'HTTP/1.1 ')
+    assert b'connection: close' in answer.lower()
+
+
+def test_a_tls_connection_without_a_handshake_does_not_hold_a_stop_up(
+    tls_server, connect_last, monkeypatch
+):
+    server, _ = tls_server
+    monkeypatch.setattr(request_body, 'MAX_DRAIN_SECONDS', 0.1)
+    clients = queue.Queue()
+    connect_last(lambda: clients.put(_connect(server)))
+    stopping = threading.Thread(target=server.stop, daemon=True)
+    stopping.start()
+    with clients.get(timeout=relay_test_fleet.WAIT_SECONDS):
+        stopping.join(relay_test_fleet.WAIT_SECONDS / 4)
+        assert not stopping.is_alive()
