Draw the ports of tests in order, so that ranges of them are left

Cause: ports were drawn one by one at random and never twice. Class: fragmentation.

Change: each search begins behind the port that was drawn last; the first one is random, as before. The new test failed before.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -29,6 +29,8 @@
 PORT_RANGE = (10000, 30000)
 
 _allocated_ports = set()
+# Where the next search begins. Test tools seed the default random source.
+_next_port = random.SystemRandom().randrange(*PORT_RANGE)
 
 
 class NoPortsLeft(Exception):
@@ -46,7 +48,8 @@
     They lie below the range that the kernel uses for outgoing connections, so
     that no connection can take them before the process that they are meant
     for listens on them. Other test processes leave them alone while this one
-    runs, unless they have claimed all.
+    runs, unless they have claimed all. Ports are drawn in order, since
+    scattered ones would leave no range between them.
 
     Args:
         count: number of ports.
@@ -54,9 +57,9 @@
     Raises:
         NoPortsLeft: there are none.
     """
+    global _next_port
     claimed_elsewhere = None
-    start, end = PORT_RANGE
-    for first in _shuffled(range(start, end - count + 1)):
+    for first in _first_ports(count):
         ports = range(first, first + count)
         if not all(map(_is_free, ports)):
             continue
@@ -68,12 +71,19 @@
             raise NoPortsLeft(f'no {count} successive ports are unused')
         ports = claimed_elsewhere
     _allocated_ports.update(ports)
+    _next_port = ports.stop
     return ports
 
 
-def _shuffled(numbers):
-    # Test tools seed the default source.
-    return random.SystemRandom().sample(numbers, len(numbers))
+def _first_ports(count):
+    """Yield the first port of each range, from the next port on."""
+    start, end = PORT_RANGE
+    firsts = range(start, end - count + 1)
+    if not firsts:
+        return
+    offset = (_next_port - start) % len(firsts)
+    yield from firsts[offset:]
+    yield from firsts[:offset]
 
 
 def _claim_all(ports):
--- a/tests/test_port_claims.py
+++ b/tests/test_port_claims.py
@@ -9,6 +9,7 @@
 import relay_processes
 
 FEW_PORTS = (10000, 10060)
+MANY_PORTS = (10000, 11000)
 # Looks at ports after which a search counts as one without an end.
 MANY_LOOKS = 100_000
 
@@ -105,6 +106,18 @@
         fleets.free_ports(count)
 
 
+# Ports that were drawn one by one lay scattered, and no range was left
+# between them.
+def test_a_range_is_found_after_half_of_the_ports_were_drawn(monkeypatch):
+    monkeypatch.setattr(fleets, '_is_unused', lambda port: True)
+    monkeypatch.setattr(port_claims, 'claim', lambda port: True)
+    monkeypatch.setattr(fleets, 'PORT_RANGE', MANY_PORTS)
+    monkeypatch.setattr(fleets, '_allocated_ports', set())
+    for _ in range(len(range(*MANY_PORTS)) // 2):
+        fleets.free_port()
+    assert len(fleets.free_ports(16)) == 16
+
+
 def test_a_claim_that_is_released_goes_to_another_test_process():
     port = fleets.free_port()
     port_claims.release(port)
