Stop the VMs of a test whose fleet fails in its own setup

A fleet of a test that failed as it started, or as its fixture prepared it, left its VMs running beside all tests that followed.

Change: each of the three stops what it has started if the rest of its start fails; RelayFleet, RelayTestFleet and FakeEngine are context managers, which these fixtures use. One VM whose stop fails keeps no other from it.

Not covered: the link port of a VM whose own start fails in its first steps stays bound, as RelayVm.stop() does not close a listener that never served.

--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -157,8 +157,12 @@
         self.entry_vm = self._plan('front-0', control_vm_count, None)
 
     def __enter__(self):
-        for vm in (*self.control_vms, self.entry_vm):
-            vm.start()
+        try:
+            for vm in (*self.control_vms, self.entry_vm):
+                vm.start()
+        except BaseException:
+            self.kill()
+            raise
         return self
 
     def __exit__(self, error_type, error, traceback):
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -131,6 +131,12 @@
             'version': self.software_version,
         }
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.stop()
+
     def stop(self):
         """Stop serving."""
         self._server.shutdown()
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -1,5 +1,6 @@
 """Small fleets of relay VMs in the test process."""
 
+import contextlib
 import dataclasses
 import http.client
 import json
@@ -44,6 +45,19 @@
     body: bytes
 
 
+@contextlib.contextmanager
+def stopped_on_failure(fleet):
+    """Stop a fleet if the rest of its start fails."""
+    try:
+        yield
+    except BaseException as error:
+        try:
+            fleet.stop()
+        except Exception as stop_error:
+            error.add_note(f'the stop failed as well: {stop_error!r}')
+        raise
+
+
 class RelayFleet:
     """Control and entry VMs in this process, on the loopback interface.
 
@@ -102,13 +116,22 @@
             :entry_vm_count
         ]
         self._forward_ports = other_ports[-entry_vm_count:]
-        for number in range(control_vm_count):
-            if number not in absent_control_vms:
-                self.vms.append(self._make_control_vm(number, 'disk', True))
-        for number in range(entry_vm_count):
-            self.vms.append(self._make_entry_vm(control_vm_count, number))
-        for vm in self.vms:
-            vm.start()
+        with stopped_on_failure(self):
+            for number in range(control_vm_count):
+                if number not in absent_control_vms:
+                    self.vms.append(
+                        self._make_control_vm(number, 'disk', True)
+                    )
+            for number in range(entry_vm_count):
+                self.vms.append(self._make_entry_vm(control_vm_count, number))
+            for vm in self.vms:
+                vm.start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.stop()
 
     def restart_empty(self, number):
         """Restart a control VM with an empty data folder."""
@@ -190,9 +213,10 @@
         )
 
     def stop(self):
-        """Stop all VMs."""
-        for vm in reversed(self.vms):
-            vm.stop()
+        """Stop all VMs, also if the stop of one fails."""
+        with contextlib.ExitStack() as stack:
+            for vm in self.vms:
+                stack.callback(vm.stop)
 
     def control(self, method, path, body=b'', number=0):
         """Call a control VM until the call succeeds or is rejected.
@@ -250,14 +274,23 @@
         # Numbers and states of the last announcements by endpoint name.
         self._announced_by_name = {}
         self._announce_lock = threading.Lock()
-        self.engines = [
-            fake_endpoint.FakeEngine(f'engine-{number}', 'engines')
-            for number in range(len(software_versions))
-        ]
-        for engine, version in zip(
-            self.engines, software_versions, strict=True
-        ):
+        self.engines = []
+        self.plain_endpoint = None
+        with stopped_on_failure(self):
+            self._begin(software_versions)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.stop()
+
+    def _begin(self, software_versions):
+        """Start the endpoints and wait until the VMs use them."""
+        for number, version in enumerate(software_versions):
+            engine = fake_endpoint.FakeEngine(f'engine-{number}', 'engines')
             engine.software_version = version
+            self.engines.append(engine)
         self.plain_endpoint = fake_endpoint.FakeEngine('orders-0', 'orders')
         self.configure(1)
         for endpoint in (*self.engines, self.plain_endpoint):
@@ -326,9 +359,11 @@
     def stop(self):
         """Stop all VMs and endpoints."""
         self._stopped.set()
-        self.fleet.stop()
-        for endpoint in (*self.engines, self.plain_endpoint):
-            endpoint.stop()
+        with contextlib.ExitStack() as stack:
+            for endpoint in (*self.engines, self.plain_endpoint):
+                if endpoint is not None:
+                    stack.callback(endpoint.stop)
+            self.fleet.stop()
 
 
 def caller_headers(**headers):
--- a/tests/test_crossing_requests.py
+++ b/tests/test_crossing_requests.py
@@ -33,25 +33,24 @@
 @pytest.fixture
 def fleet(tmp_path):
     """Yield a fleet of one entry VM."""
-    relay_fleet = relay_test_fleet.RelayFleet(
+    with relay_test_fleet.RelayFleet(
         tmp_path, stop_seconds=STOP_SECONDS
-    )
-    relay_fleet.control('PUT', '/v1/config', builders.configuration_body())
-    yield relay_fleet
-    relay_fleet.stop()
+    ) as relay_fleet:
+        relay_fleet.control('PUT', '/v1/config', builders.configuration_body())
+        yield relay_fleet
 
 
 @pytest.fixture
 def engine(fleet):
     """Yield an engine that is in use."""
     started = fake_endpoint.FakeEngine('engine-0', 'engines')
-    fleet.control('PUT', '/v1/instances/engine-0', started.announcement())
-    relay_test_fleet.await_reply(
-        lambda: fleet.ask('/checks/x'), lambda reply: reply.status == 200
-    )
-    started.requests.clear()
-    yield started
-    started.stop()
+    with started:
+        fleet.control('PUT', '/v1/instances/engine-0', started.announcement())
+        relay_test_fleet.await_reply(
+            lambda: fleet.ask('/checks/x'), lambda reply: reply.status == 200
+        )
+        started.requests.clear()
+        yield started
 
 
 @pytest.fixture
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -97,22 +97,20 @@
 
     Its entry VM 1 takes requests of callers, and passes those of VM 0 on.
     """
-    test_fleet = relay_test_fleet.RelayTestFleet(
-        tmp_path_factory.mktemp('fleet')
-    )
-    test_fleet.announce(endpoint, 1000)
-    for number in range(2):
-        relay_test_fleet.await_reply(
-            lambda number=number: _ask(test_fleet, number, 'sound/fast'),
-            lambda reply: reply.body == b'sound',
-        )
-    with cut_off_vm.cut_off(test_fleet, 0):
-        relay_test_fleet.await_reply(
-            lambda: _ask(test_fleet, 0, 'sound/fast'),
-            lambda reply: reply.body == b'sound',
-        )
-        yield test_fleet
-    test_fleet.stop()
+    folder = tmp_path_factory.mktemp('fleet')
+    with relay_test_fleet.RelayTestFleet(folder) as test_fleet:
+        test_fleet.announce(endpoint, 1000)
+        for number in range(2):
+            relay_test_fleet.await_reply(
+                lambda number=number: _ask(test_fleet, number, 'sound/fast'),
+                lambda reply: reply.body == b'sound',
+            )
+        with cut_off_vm.cut_off(test_fleet, 0):
+            relay_test_fleet.await_reply(
+                lambda: _ask(test_fleet, 0, 'sound/fast'),
+                lambda reply: reply.body == b'sound',
+            )
+            yield test_fleet
 
 
 def _ask(test_fleet, number, answer_name, timeout=WAIT_SECONDS):
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -201,16 +201,14 @@
 
     Its entry VM 1 takes requests of callers, and passes those of VM 0 on.
     """
-    test_fleet = relay_test_fleet.RelayTestFleet(
-        tmp_path_factory.mktemp('fleet')
-    )
-    test_fleet.announce(endpoint, 1000)
-    for port in test_fleet.fleet.entry_ports:
-        _await_service('127.0.0.1', port)
-    with cut_off_vm.cut_off(test_fleet, 0):
-        _await_service('127.0.0.1', test_fleet.fleet.entry_ports[0])
-        yield from _fill_budgets(test_fleet)
-    test_fleet.stop()
+    folder = tmp_path_factory.mktemp('fleet')
+    with relay_test_fleet.RelayTestFleet(folder) as test_fleet:
+        test_fleet.announce(endpoint, 1000)
+        for port in test_fleet.fleet.entry_ports:
+            _await_service('127.0.0.1', port)
+        with cut_off_vm.cut_off(test_fleet, 0):
+            _await_service('127.0.0.1', test_fleet.fleet.entry_ports[0])
+            yield from _fill_budgets(test_fleet)
 
 
 def _fill_budgets(test_fleet):
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -23,27 +23,28 @@
 @pytest.fixture
 def fleet(tmp_path):
     """Yield two entry VMs that stop within a few seconds."""
-    relay_fleet = relay_test_fleet.RelayFleet(
+    with relay_test_fleet.RelayFleet(
         tmp_path, entry_vm_count=2, stop_seconds=STOP_SECONDS
-    )
-    relay_fleet.control('PUT', '/v1/config', builders.configuration_body())
-    yield relay_fleet
-    relay_fleet.stop()
+    ) as relay_fleet:
+        relay_fleet.control('PUT', '/v1/config', builders.configuration_body())
+        yield relay_fleet
 
 
 @pytest.fixture
 def endpoint(fleet):
     """Yield an endpoint of the service ``orders`` that is in use."""
     started = fake_endpoint.FakeEngine('orders-0', 'orders')
-    fleet.control('PUT', '/v1/instances/orders-0', started.announcement())
-    for number in range(2):
-        relay_test_fleet.await_reply(
-            lambda number=number: fleet.ask('/orders/whole', number=number),
-            lambda reply: reply.status == 200,
-        )
-    started.requests.clear()
-    yield started
-    started.stop()
+    with started:
+        fleet.control('PUT', '/v1/instances/orders-0', started.announcement())
+        for number in range(2):
+            relay_test_fleet.await_reply(
+                lambda number=number: fleet.ask(
+                    '/orders/whole', number=number
+                ),
+                lambda reply: reply.status == 200,
+            )
+        started.requests.clear()
+        yield started
 
 
 class _Call(threading.Thread):
--- a/tests/test_requests_beside_each_change.py
+++ b/tests/test_requests_beside_each_change.py
@@ -179,22 +179,21 @@
 @pytest.fixture(scope='module')
 def site(tmp_path_factory):
     """Yield a ``Site`` with endpoints of four services."""
-    fleet = relay_test_fleet.RelayTestFleet(tmp_path_factory.mktemp('vms'))
+    folder = tmp_path_factory.mktemp('vms')
     holder = change_requests.Holder()
-    others = [
-        fake_endpoint.FakeEngine(f'{service}-{number}', service)
-        for service in OTHERS_BY_SERVICE.values()
-        for number in range(ENGINES_OF_OTHERS)
-    ]
-    for endpoint in (*fleet.engines, fleet.plain_endpoint, *others):
-        holder.follow(endpoint)
-    holder.release()
-    fleet.keep_announcing()
-    yield Site(fleet, holder, others)
-    holder.release()
-    fleet.stop()
-    for endpoint in others:
-        endpoint.stop()
+    with contextlib.ExitStack() as stack:
+        others = [
+            stack.enter_context(fake_endpoint.FakeEngine(name, service))
+            for service in OTHERS_BY_SERVICE.values()
+            for name in (f'{service}-{n}' for n in range(ENGINES_OF_OTHERS))
+        ]
+        fleet = stack.enter_context(relay_test_fleet.RelayTestFleet(folder))
+        stack.callback(holder.release)
+        for endpoint in (*fleet.engines, fleet.plain_endpoint, *others):
+            holder.follow(endpoint)
+        holder.release()
+        fleet.keep_announcing()
+        yield Site(fleet, holder, others)
 
 
 def _prepare(site):
@@ -285,23 +284,19 @@
 @pytest.fixture(scope='module', params=SITUATIONS)
 def first_outcomes(request, tmp_path_factory):
     """Return the outcomes of requests to VMs without any configuration."""
-    fleet = relay_test_fleet.RelayFleet(tmp_path_factory.mktemp(request.param))
-    endpoints = [
-        fake_endpoint.FakeEngine('engine-0', 'engines'),
-        fake_endpoint.FakeEngine('orders-0', 'orders'),
-    ]
-    try:
+    folder = tmp_path_factory.mktemp(request.param)
+    with (
+        fake_endpoint.FakeEngine('engine-0', 'engines') as engine,
+        fake_endpoint.FakeEngine('orders-0', 'orders') as orders,
+        relay_test_fleet.RelayFleet(folder) as fleet,
+    ):
         holder = change_requests.Holder()
         holder.release()
-        for endpoint in endpoints:
+        for endpoint in (engine, orders):
             holder.follow(endpoint)
         yield change_requests.FirstRound(fleet, holder).run(
-            endpoints, is_configured=request.param == 'catching-up'
+            (engine, orders), is_configured=request.param == 'catching-up'
         )
-    finally:
-        fleet.stop()
-        for endpoint in endpoints:
-            endpoint.stop()
 
 
 @pytest.mark.parametrize('kind', change_requests.FIRST_KINDS, ids=str)
--- a/tests/test_silence_in_each_phase.py
+++ b/tests/test_silence_in_each_phase.py
@@ -25,19 +25,19 @@
 
 @pytest.fixture(scope='module')
 def _fleet(tmp_path_factory, endpoint):
-    fleet = relay_test_fleet.RelayTestFleet(tmp_path_factory.mktemp('fleet'))
-    routes = builders.configuration_fields()['routes']
-    for route in routes:
-        route['timeout_ms'] = 15_000
-    assert fleet.configure(2, routes=routes).status == 200
-    fleet.plain_endpoint.stop()
-    fleet.plain_endpoint = endpoint
-    fleet.announce(endpoint, 1000)
-    fleet.keep_announcing()
-    for number in range(2):
-        _await_answer(fleet, number)
-    yield fleet
-    fleet.stop()
+    folder = tmp_path_factory.mktemp('fleet')
+    with relay_test_fleet.RelayTestFleet(folder) as fleet:
+        routes = builders.configuration_fields()['routes']
+        for route in routes:
+            route['timeout_ms'] = 15_000
+        assert fleet.configure(2, routes=routes).status == 200
+        fleet.plain_endpoint.stop()
+        fleet.plain_endpoint = endpoint
+        fleet.announce(endpoint, 1000)
+        fleet.keep_announcing()
+        for number in range(2):
+            _await_answer(fleet, number)
+        yield fleet
 
 
 @pytest.fixture(params=[1, 0], ids=['direct', 'forwarded'])
