Have the endless answer outrun its reader, whatever the machine's speed

Cause: a thread sent the answer in parts of 10 bytes, slower than the reader reads; the reads ended as nothing more had come, not at their bound. The thread also outlived a failed test, and its join had no bound.

Change: the socket is filled before each read, without a thread.

--- a/tests/test_answer_reader.py
+++ b/tests/test_answer_reader.py
@@ -1,9 +1,9 @@
 """Tests of answers that are read after the deadline of their request."""
 
+import contextlib
 import dataclasses
 import http.client
 import socket
-import threading
 
 from carobwood import addresses
 from carobwood import errors
@@ -28,6 +28,7 @@
 CHUNK_BYTES = 1000
 # Beyond what the answers of these tests take.
 MAX_READS = 10_000
+PARTS_AT_ONCE = 1000
 # Trailers whose end has not come.
 OPEN_TRAILERS = [b'', b'\r', b'X-Na', b'X-Name: value\r\n']
 
@@ -45,6 +46,8 @@
     The endpoint's side of it, which is returned too, stays open.
     """
     own, peer = socket.socketpair()
+    # Where a socket takes less, the test fails instead of waiting.
+    peer.settimeout(READ_SECONDS)
     peer.sendall(head + data)
     connection = endpoint_connections.EndpointConnection(
         addresses.Address('127.0.0.1', 1), own
@@ -53,12 +56,13 @@
     return connection, peer
 
 
-def _read(connection, seconds_left):
+def _read(connection, seconds_left, before_read=lambda: None):
     reader = answer_reader.AnswerReader(connection, _Caller(), READ_SECONDS)
     parts = []
     for _ in range(MAX_READS):
         if reader.has_ended:
             return b''.join(parts)
+        before_read()
         parts.append(reader.read(seconds_left))
     raise AssertionError('the reads do not end')
 
@@ -139,24 +143,21 @@
 @pytest.mark.parametrize('part', [b'5\r\nwhole\r\n', b'0' * 900])
 def test_an_answer_without_end_is_read_late_in_bounds(part):
     connection, peer = _open_connection(b'')
-    has_ended = threading.Event()
-
-    def send():
-        try:
-            while not has_ended.is_set():
-                peer.sendall(part)
-        except OSError:
-            # The connection was closed.
-            pass
-
-    sender = threading.Thread(target=send)
-    sender.start()
+    peer.setblocking(False)
+    unsent = b''
+
+    def fill():
+        """Leave as much to read as the socket takes."""
+        nonlocal unsent
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                unsent = unsent or PARTS_AT_ONCE * part
+                unsent = unsent[peer.send(unsent) :]
+
     with peer:
         with pytest.raises((errors.EndpointTimeout, errors.EndpointFailed)):
-            _read(connection, SECONDS_LEFT)
-        has_ended.set()
+            _read(connection, SECONDS_LEFT, fill)
         connection.close()
-        sender.join()
 
 
 class _Gateway:
