Fail the watch of a connection that has been answered, not of a new one

test_a_listener_goes_on_after_one_connection_cannot_be_watched failed once, without any change of the product, beside other work on 8 cores.

Cause: a connection whose request has not come as it is accepted is watched as well. The first watch that the test let fail was that of the new connection then, which is closed before its request.

Change: the failure is kept for a connection with an answer, and the test waits until it was raised.

--- a/tests/test_failed_connections.py
+++ b/tests/test_failed_connections.py
@@ -49,13 +49,15 @@
     register = selector.register
     failures = [OSError(errno.ENOMEM, 'Cannot allocate memory')]
 
-    def fail_once(*arguments, **options):
-        if failures:
+    def fail_once(descriptor, wanted_events, data):
+        # A new connection is watched as well if its request comes late.
+        if failures and data.answered_requests:
             raise failures.pop()
-        return register(*arguments, **options)
+        return register(descriptor, wanted_events, data)
 
     monkeypatch.setattr(selector, 'register', fail_once)
     unwatched = _ask(server)
+    relay_test_fleet.await_reply(lambda: failures, lambda left: not left)
     # It is closed, as nobody would serve its next request.
     assert unwatched.sock.recv(1) == b''
     unwatched.close()
