Let a handshake that cannot send be resumed by room to send alone

Cause: the stand-in refused the first step before it had read the caller's bytes, so those woke the connection again. Two further tests read until "answer" came and went round for ever if the connection had ended.

Change: the caller sends half a hello, which the step reads before it is refused; the next step can come of room to send only. Reads end with an error as the connection does.

--- a/tests/test_tls_handshakes.py
+++ b/tests/test_tls_handshakes.py
@@ -57,10 +57,9 @@
 
 
 def _connect(server):
-    client = socket.create_connection(
+    return socket.create_connection(
         ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS / 4
     )
-    return client
 
 
 def _shake_hands(context, client):
@@ -72,6 +71,16 @@
         return answers.read()
 
 
+def _ask_on(client):
+    """Send a request on a connection that is kept, and read its answer."""
+    client.sendall(REQUEST)
+    data = b''
+    while not data.endswith(b'answer'):
+        part = client.recv(4096)
+        assert part, 'the connection ended before the answer'
+        data += part
+
+
 def _ask(server, context):
     with _shake_hands(context, _connect(server)) as client:
         client.sendall(LAST_REQUEST)
@@ -137,11 +146,8 @@
     server, context, open_sockets
 ):
     client = open_sockets.enter_context(_only_shake_hands(server, context))
-    data = b''
-    for count in range(1, 4):
-        client.sendall(REQUEST)
-        while data.count(b'answer') < count:
-            data += client.recv(4096)
+    for _ in range(3):
+        _ask_on(client)
 
 
 # Each byte began the time of a handshake anew.
@@ -196,10 +202,7 @@
     server, context, open_sockets, monkeypatch
 ):
     kept = open_sockets.enter_context(_only_shake_hands(server, context))
-    kept.sendall(REQUEST)
-    data = b''
-    while not data.endswith(b'answer'):
-        data += kept.recv(4096)
+    _ask_on(kept)
     silent = open_sockets.enter_context(_connect(server))
     relay_test_fleet.await_accepted(server, silent.getsockname()[1])
     monkeypatch.setattr(listener_connections, 'MIN_IDLE_SECONDS', 0.0)
@@ -282,20 +285,26 @@
 
 # The caller of a VM whose system takes no more bytes just then.
 def test_a_handshake_goes_on_once_its_bytes_can_be_sent(
-    server, context, monkeypatch
+    server, context, open_sockets, monkeypatch
 ):
     shake_hands = ssl.SSLSocket.do_handshake
-    refused = []
+    steps = []
 
     def refuse_once(sock, *args):
-        if sock.server_side and not refused:
-            refused.append(sock)
-            raise ssl.SSLWantWriteError()
-        return shake_hands(sock, *args)
+        steps.append(sock)
+        try:
+            return shake_hands(sock, *args)
+        except ssl.SSLWantReadError:
+            # All that has come is read.
+            if len(steps) == 1:
+                raise ssl.SSLWantWriteError() from None
+            raise
 
-    monkeypatch.setattr(ssl.SSLSocket, 'do_handshake', refuse_once)
+    with monkeypatch.context() as patch:
+        patch.setattr(ssl.SSLSocket, 'do_handshake', refuse_once)
+        open_sockets.enter_context(_send_half_a_hello(server, context))
+        relay_test_fleet.await_reply(lambda: len(steps), lambda n: n > 1)
     assert _ask(server, context).endswith(b'answer')
-    assert refused
 
 
 def test_a_fault_in_a_handshake_leaves_the_workers_alive(
