Ask of a cut file for all the frames that are whole

Cause: the test compared what a scan of a cut file had found with as many payloads as it had found. A scan that drops the last whole frame of a torn file passed it (one of another test failed).

Change: the number of whole frames and where they end are counted by the test, and the scan has to tell them. Cuts go up to the length of the content, in place of 200.

Evidence: that mutation passes the former test and fails this one.

--- a/tests/test_stored_file_properties.py
+++ b/tests/test_stored_file_properties.py
@@ -3,6 +3,7 @@
 Each file gives a value or ``LogDamaged``, whether or not its checksum fits.
 """
 
+import itertools
 import pathlib
 import struct
 import tempfile
@@ -188,10 +189,16 @@
 @settings(max_examples=EXAMPLES)
 @given(PAYLOADS, st.data())
 def test_frames_that_are_cut_give_those_that_are_whole(payloads, data):
-    content = b''.join(map(frames.pack_frame, payloads))
-    scan = frames.scan_frames(content[: data.draw(st.integers(0, 200))])
-    assert list(scan.payloads) == payloads[: len(scan.payloads)]
-    assert scan.damaged_at is None
+    packed = list(map(frames.pack_frame, payloads))
+    content = b''.join(packed)
+    end = data.draw(st.integers(0, len(content)))
+    ends = list(itertools.accumulate(map(len, packed)))
+    whole_count = sum(frame_end <= end for frame_end in ends)
+    valid_bytes = ends[whole_count - 1] if whole_count else 0
+    scan = frames.scan_frames(content[:end])
+    assert scan == frames.Scan(
+        tuple(payloads[:whole_count]), valid_bytes, None
+    )
 
 
 @settings(max_examples=EXAMPLES)
