Open the log of the damaged segments again between its steps

Cause: one process wrote all segments of these tests, so none of them depended on what a start reads of the segment before the newest one. With that left out of the start, all 29 tests passed: a frame that is missing at the end of that segment would not be told.

Change: the log is opened again before the third and the last segment.

Evidence: with that mutation, 8 of 29 fail now, as with the comparison of sizes left out; without one, 29 pass.

--- a/tests/test_damaged_segments.py
+++ b/tests/test_damaged_segments.py
@@ -43,22 +43,32 @@
     log.store_commit()
 
 
-def _write_segments(path, last_step):
-    """Write a folder of four segments, none of which can be deleted."""
-    folder = data_folder.DataFolder(path)
-    log = disk_log.DiskLog(folder, segment_bytes=1)
+def _append_first(log):
     _append(log, (1, 1), (2, 1))
     _append(log, (3, 1), (4, 1))
     log.compact(logs.Position(1, 1))
     _append(log, (5, 1), (6, 1))
     _append(log, (6, 2), (7, 2))
     log.compact(logs.Position(2, 1))
+
+
+def _commit_first(log):
     _commit(log, 5)
     _commit(log, 6)
     log.compact(logs.Position(3, 1))
-    LAST_STEPS[last_step](log)
-    log.close()
-    folder.close()
+
+
+def _write_segments(path, last_step):
+    """Write a folder of four segments, none of which can be deleted.
+
+    The log is opened again before the third segment and the last one.
+    """
+    for take_step in (_append_first, _commit_first, LAST_STEPS[last_step]):
+        folder = data_folder.DataFolder(path)
+        log = disk_log.DiskLog(folder, segment_bytes=1)
+        take_step(log)
+        log.close()
+        folder.close()
 
 
 @functools.cache
