End the thread of a stopped stand-in that accepts connections

Cause: EndlessEndpoint and PausingEndpoint closed their listener only. The thread in accept() held it open: the next caller was connected to a stopped endpoint, and each one left a thread behind.

Change: the listener is shut down before it is closed.

--- a/tests/accepting_endpoint.py
+++ b/tests/accepting_endpoint.py
@@ -1,5 +1,6 @@
 """A server that serves each connection on a thread of its own."""
 
+import contextlib
 import socket
 import threading
 
@@ -32,6 +33,9 @@
 
     def stop(self):
         """Accept no further connection."""
+        # Closing alone leaves the thread that accepts waiting.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def serve(self, connection):
