--- a/tests/test_crossing_requests.py
+++ b/tests/test_crossing_requests.py
@@ -131,9 +131,7 @@
         answer = stops.ask(client, _encode('/checks/x', 'r-next'), stopping)
     stopping.join(relay_test_fleet.WAIT_SECONDS)
     assert b'connection: close' not in head.lower()
-    assert answer.startswith(b'HTTP/1.1 503 ')
-    assert b'"outcome": "not-run"' in answer
-    assert b'connection: close' in answer.lower()
+    _check_refusal(answer)
     assert len(engine.requests) == 1
     assert not stopping.is_alive()
 
@@ -258,28 +256,18 @@
 def test_the_request_after_an_answer_of_a_stopping_listener_is_refused(
     server, application, stops
 ):
-    with socket.create_connection(
-        ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS
-    ) as client:
-        client.sendall(WHOLE)
-        _read_to(client, b'answer')
+    with _ask_first(server) as client:
         stopping = _start_stop(server, application)
         answer = stops.ask(client, WHOLE, stopping)
     stopping.join(relay_test_fleet.WAIT_SECONDS)
-    assert answer.startswith(b'HTTP/1.1 503 ')
-    assert b'"outcome": "not-run"' in answer
-    assert b'connection: close' in answer.lower()
+    _check_refusal(answer)
     assert not stopping.is_alive()
 
 
 def test_a_connection_whose_caller_has_gone_does_not_hold_a_stop_up(
     server, application, patient
 ):
-    with socket.create_connection(
-        ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS
-    ) as client:
-        client.sendall(WHOLE)
-        _read_to(client, b'answer')
+    _ask_first(server).close()
     stopping = _start_stop(server, application)
     stopping.join(STOP_SECONDS / 2)
     assert not stopping.is_alive()
@@ -289,11 +277,7 @@
 def test_a_kept_connection_does_not_hold_a_stop_up_beyond_its_time(
     server, application, patient
 ):
-    with socket.create_connection(
-        ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS
-    ) as client:
-        client.sendall(WHOLE)
-        _read_to(client, b'answer')
+    with _ask_first(server) as client:
         stopping = threading.Thread(
             target=server_stop.stop_together,
             args=([server], clocks.now(), 0.0),
@@ -357,13 +341,19 @@
     return kept
 
 
-def _keep(server):
+def _ask_first(server):
     """Return a caller's connection that has been answered once."""
     client = socket.create_connection(
         ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS
     )
     client.sendall(WHOLE)
     _read_to(client, b'answer')
+    return client
+
+
+def _keep(server):
+    """Return the same once the listener has it back."""
+    client = _ask_first(server)
     _await_idle(server)
     return client
 
--- a/tests/test_refused_connections.py
+++ b/tests/test_refused_connections.py
@@ -23,6 +23,17 @@
         yield '127.0.0.1:%d' % unused.getsockname()[1]
 
 
+def _make_failover(address, failures):
+    """Return a failover that adds the codes of failures to a list."""
+    breakers = types.SimpleNamespace(
+        record_failure=lambda endpoint, code: failures.append(code)
+    )
+    endpoint = types.SimpleNamespace(address=address)
+    return endpoint_failover.EndpointFailover(
+        [endpoint], breakers, DEADLINE_SECONDS, 3
+    )
+
+
 # A refused connection counted as one that had timed out.
 def test_a_refused_connection_has_not_timed_out(refusing_address):
     with pytest.raises(errors.EndpointUnreachable) as raised:
@@ -33,13 +44,7 @@
 # The service was connected to without a pause for three seconds.
 def test_a_service_that_refuses_connections_is_tried_once(refusing_address):
     failures = []
-    breakers = types.SimpleNamespace(
-        record_failure=lambda endpoint, code: failures.append(code)
-    )
-    endpoint = types.SimpleNamespace(address=refusing_address)
-    failover = endpoint_failover.EndpointFailover(
-        [endpoint], breakers, DEADLINE_SECONDS, 3
-    )
+    failover = _make_failover(refusing_address, failures)
     assert list(failover.connections()) == []
     assert failures == [errors.EndpointUnreachable.code]
 
@@ -59,13 +64,7 @@
     )
     monkeypatch.setattr(connect_errors, 'has_local_port', lambda: False)
     failures = []
-    breakers = types.SimpleNamespace(
-        record_failure=lambda endpoint, code: failures.append(code)
-    )
-    endpoint = types.SimpleNamespace(address=refusing_address)
-    failover = endpoint_failover.EndpointFailover(
-        [endpoint], breakers, DEADLINE_SECONDS, 3
-    )
+    failover = _make_failover(refusing_address, failures)
     assert list(failover.connections()) == []
     assert failures == []
     assert isinstance(failover.last_error, errors.DescriptorsUsedUp)
