Send no request whose caller left before it was read

Callers that gave up as a VM with all workers busy had not read their requests: these were sent to endpoints later all the same, and given up just after. One that may run once only had run for nobody.

Cause: the relay looked for the caller while a request waits for a place and while it awaits its answer, not before it is sent at once. Class: what was true as a request came is taken for true as it is read.

Why it works: the relay looks once a request is admitted, before it goes to an endpoint or to another VM.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -90,6 +90,7 @@
             with trace.span('admission'):
                 request = self._admission.admit(caller, arrived_at, forwarded)
                 caller.note_id(request.metadata.request_id)
+                _check_caller(caller)
                 stop_admission.refuse_if_too_late(self._context, request)
             if forwarded is not None:
                 self._run_here(caller, request, trace)
@@ -222,3 +223,15 @@
             ),
             **fields,
         )
+
+
+def _check_caller(caller):
+    """Check that a caller has not left before its request was read.
+
+    Raises:
+        CallerLeft: the caller disconnected.
+    """
+    if caller.has_disconnected():
+        raise errors.CallerLeft(
+            'the caller disconnected before its request was sent'
+        )
