Let a queued request leave its queue if its log line fails

Callers of a service got 503 saturated after their whole wait although its endpoints had room, until the VM was started again: a request that had ended stood before theirs in the queue.

Cause: the log line of a queued request was written between its queueing and the block that removes it. If it failed, as for want of memory, the entry stayed. Class: a step between taking something and the block that gives it back.

Evidence: the new test failed before (Saturated) and passes; so do the 39 tests of its file.

Why it works: the line is written within the block.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -104,11 +104,11 @@
         )
         if entry is None:
             raise errors.Saturated('the wait queue of the service is full')
-        self._log_waiting(request, tried.all_ids, entry)
         self._wait_ends_at = entry.wait_ends_at
         began_at = clocks.now()
         outcome = 'broken-off'
         try:
+            self._log_waiting(request, tried.all_ids, entry)
             assignment = self._wait_in_queue(request, tried, caller, entry)
             outcome = 'placed'
             self._wait_ends_at = math.inf
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -298,6 +298,23 @@
     assert lines == []
 
 
+# A request whose log line had failed stayed in the queue for good, and those
+# behind it waited in vain, although the endpoint had room.
+def test_a_request_whose_log_line_fails_leaves_the_queue(monkeypatch):
+    harness = SelectorHarness(_pass_time)
+
+    def fail(*arguments, **fields):
+        raise MemoryError
+
+    with monkeypatch.context() as patch:
+        patch.setattr(events, 'emit', fail)
+        with pytest.raises(MemoryError):
+            harness.await_assignment()
+    harness.reservation.release()
+    harness.request.priority += 1
+    assert harness.await_assignment().endpoint is harness.endpoint
+
+
 def test_an_ejected_endpoint_is_logged_with_the_cause(lines):
     harness = SelectorHarness(_pass_time)
     _free_capacity(harness)
