Pass over an empty line behind a request without a worker

cheroot passes over one empty line before a request line and then waits for the request line, as if a request had begun. So a stop ended the connection without a refusal of the next request, and without a stop each such connection held a worker for up to 30 s.

The empty line is read by StrictRequest now. With nothing behind it, the connection is idle again, and a stop refuses what crosses its close. A second empty line gets 400 as before; so does a line that begins with a bare CR, which cheroot stripped. To count buffered bytes keeps the bound of a head.

The new case of test_slow_heads.py failed without the last change (400 bytes of a head were still read).

--- a/packages/carobwood-daemon/carobwood_daemon/entry/bounded_reader.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/bounded_reader.py
@@ -4,6 +4,7 @@
 one that sends without end never lets a read time out.
 """
 
+import contextlib
 import io
 import select
 import socket
@@ -52,6 +53,16 @@
         self._ends_at = None
         self._await_input = None
 
+    @contextlib.contextmanager
+    def without_reads(self):
+        """Have all reads of a context fail; the bound holds after it."""
+        kept = self._ends_at, self._bytes_left, self._await_input
+        self.bound(0, 0)
+        try:
+            yield
+        finally:
+            self._ends_at, self._bytes_left, self._await_input = kept
+
     def readable(self):
         """Return True; see ``io.RawIOBase``."""
         return True
--- a/packages/carobwood-daemon/carobwood_daemon/entry/request_body.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/request_body.py
@@ -54,14 +54,12 @@
 
     def count_buffered_bytes(self):
         """Return the number of bytes that were read ahead."""
-        self._raw.bound(0, 0)
-        try:
-            return len(self.peek(1))
-        except (OSError, ValueError):
-            # Nothing is buffered, or the reader is closed.
-            return 0
-        finally:
-            self._raw.release()
+        with self._raw.without_reads():
+            try:
+                return len(self.peek(1))
+            except (OSError, ValueError):
+                # Nothing is buffered, or the reader is closed.
+                return 0
 
     def bound(self, seconds, size=sys.maxsize):
         """Bound all following reads; see ``BoundedReader.bound``."""
--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -140,6 +140,24 @@
         finally:
             self.conn.rfile.release()
 
+    def read_request_line(self):
+        """Read the request line; see ``cheroot.server.HTTPRequest``.
+
+        An empty line before it is passed over (RFC 9112, section 2.2). It
+        does not begin a request: nothing is waited for behind it.
+        """
+        while self.conn.rfile.peek(1)[:1] == b'\r':
+            if self.rfile.readline() != b'\r\n' or self.conn.is_line_skipped:
+                self.simple_response(
+                    '400 Bad Request', 'the request line is malformed'
+                )
+                return False
+            self.conn.note_empty_line()
+            if not self.conn.has_input:
+                self.conn.awaits_request = True
+                return False
+        return super().read_request_line()
+
     def respond(self):
         """Have the gateway answer; see ``cheroot.server.HTTPRequest``."""
         if self.chunked_read:
@@ -213,6 +231,9 @@
             connection is closed; that is read and discarded.
         is_aborted: whether the last response was broken off.
         answered_requests: number of requests that got a whole response.
+        is_line_skipped: whether an empty line has come before the next
+            request.
+        awaits_request: whether nothing has come behind that line.
     """
 
     RequestHandlerClass = StrictRequest
@@ -220,6 +241,8 @@
     discards_input = False
     is_aborted = False
     answered_requests = 0
+    is_line_skipped = False
+    awaits_request = False
     _ends_with_reset = False
     _answered_bytes = 0
 
@@ -228,6 +251,16 @@
         super().__init__(server, sock, makefile)
         self.rfile = request_body.ConnectionReader(sock, self.rbufsize)
 
+    def communicate(self):
+        """Serve a request that has come.
+
+        Returns:
+            Whether the connection is to be kept.
+        """
+        self.awaits_request = False
+        is_kept = super().communicate()
+        return is_kept or self.awaits_request
+
     def abort(self, request):
         """Make an unfinished response look unfinished to the caller.
 
@@ -247,6 +280,15 @@
         if self.is_aborted:
             return
         self.answered_requests += 1
+        self.is_line_skipped = False
+        self._note_done()
+
+    def note_empty_line(self):
+        """Note that an empty line was read, which needs no answer."""
+        self.is_line_skipped = True
+        self._note_done()
+
+    def _note_done(self):
         buffered_bytes = self.rfile.count_buffered_bytes()
         self._answered_bytes = self.rfile.received_bytes - buffered_bytes
 
--- a/tests/test_crossing_requests.py
+++ b/tests/test_crossing_requests.py
@@ -1,5 +1,6 @@
 """Requests that callers send on kept connections as a VM closes them."""
 
+import contextlib
 import socket
 import ssl
 import threading
@@ -27,6 +28,15 @@
 MAX_THREADS = 4
 MAX_BODY_BYTES = 1000
 WHOLE = b'GET /x HTTP/1.1\r\nHost: x\r\n\r\n'
+EMPTY_LINE = b'\r\n'
+REQUESTS_BY_BODY = {
+    'no body': WHOLE,
+    'length': b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc',
+    'chunks': (
+        b'POST / HTTP/1.1\r\nHost: x\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n'
+    ),
+}
 CONFIGURATION = b'GET /v1/config HTTP/1.1\r\nHost: x\r\n\r\n'
 
 
@@ -313,20 +323,91 @@
 
 def test_a_request_after_the_stop_of_a_tls_listener_is_refused(tls_server):
     server, context = tls_server
-    with context.wrap_socket(
-        socket.create_connection(
-            ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS
-        ),
-        server_hostname='127.0.0.1',
-    ) as client:
+    with _connect_tls(server, context) as client:
+        client.sendall(WHOLE)
+        _read_to(client, b'answer')
+        _await_idle(server)
+        server.stop()
+        client.sendall(WHOLE)
+        _check_refusal(_read_last(client))
+
+
+# An empty line behind a request (RFC 9112, section 2.2) ended the connection
+# at a stop without a word, or held a thread until the next request came.
+@pytest.mark.parametrize('body', REQUESTS_BY_BODY)
+def test_a_request_behind_an_empty_line_is_refused_after_a_stop(server, body):
+    with _connect(server) as client:
+        client.sendall(REQUESTS_BY_BODY[body] + EMPTY_LINE)
+        _read_to(client, b'answer')
+        server.stop()
         client.sendall(WHOLE)
+        _check_refusal(_read_last(client))
+
+
+def test_a_request_behind_an_empty_line_with_tls_is_refused_after_a_stop(
+    tls_server,
+):
+    server, context = tls_server
+    with _connect_tls(server, context) as client:
+        client.sendall(WHOLE + EMPTY_LINE)
         _read_to(client, b'answer')
+        server.stop()
+        client.sendall(WHOLE)
+        _check_refusal(_read_last(client))
+
+
+def test_a_request_behind_a_lone_empty_line_is_refused_after_a_stop(server):
+    with _connect(server) as client:
+        client.sendall(EMPTY_LINE)
         _await_idle(server)
         server.stop()
         client.sendall(WHOLE)
         _check_refusal(_read_last(client))
 
 
+def test_an_empty_line_counts_as_no_request_without_an_answer(server):
+    with _connect(server) as client:
+        client.sendall(WHOLE + EMPTY_LINE)
+        _read_to(client, b'answer')
+        kept = _await_idle(server)
+        assert kept.rfile.received_bytes == len(WHOLE + EMPTY_LINE)
+        assert not kept.unanswered_bytes
+
+
+def test_empty_lines_behind_requests_hold_no_threads(server):
+    with contextlib.ExitStack() as stack:
+        clients = [
+            stack.enter_context(_connect(server))
+            for _ in range(MAX_THREADS + 1)
+        ]
+        for client in clients:
+            client.sendall(WHOLE + EMPTY_LINE)
+            _read_to(client, b'answer')
+        for client in clients:
+            client.sendall(WHOLE)
+            _read_to(client, b'answer')
+
+
+@pytest.mark.parametrize('is_apart', [False, True])
+def test_a_second_empty_line_before_a_request_is_refused(server, is_apart):
+    with _connect(server) as client:
+        client.sendall(EMPTY_LINE)
+        if is_apart:
+            _await_idle(server)
+        client.sendall(EMPTY_LINE)
+        assert _read_last(client).startswith(b'HTTP/1.1 400 ')
+
+
+def _connect(server):
+    return socket.create_connection(
+        ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS
+    )
+
+
+def _connect_tls(server, context):
+    return context.wrap_socket(_connect(server), server_hostname='127.0.0.1')
+
+
 def _await_idle(server):
     """Return the connection that a listener keeps."""
     manager = server._server._connections
@@ -343,9 +424,7 @@
 
 def _ask_first(server):
     """Return a caller's connection that has been answered once."""
-    client = socket.create_connection(
-        ('127.0.0.1', server.port), relay_test_fleet.WAIT_SECONDS
-    )
+    client = _connect(server)
     client.sendall(WHOLE)
     _read_to(client, b'answer')
     return client
--- a/tests/test_slow_heads.py
+++ b/tests/test_slow_heads.py
@@ -16,6 +16,7 @@
 HEAD_BYTES = 400
 STARTS_BY_PART = {
     'request line': b'GET /',
+    'request line behind an empty line': b'\r\nGET /',
     'header': b'GET / HTTP/1.1\r\nHost: x\r\nX-Word: ',
 }
 
