Bound the waits of stand-ins whose test fails, and ask for whole streams

Cause, read: a frozen engine, an engine in a common silence and a paused stream waited without a bound for an event that only the course of a sound test sets; their threads were left after a failure. test_failed_answers.py awaited its process without a bound. The streams beside a common silence passed with no event at all.

Change: the waits end after 60 s, a freeze also as its engine stops; the process has 120 s. Each stream has at least the first event and the one after the silence, which every stream that runs to its end has.

No mutation was tried.

--- a/tests/common_silence.py
+++ b/tests/common_silence.py
@@ -6,6 +6,7 @@
 
 from carobwood_daemon.relay import silence_failover
 import fleet as fleets
+import relay_test_fleet
 
 
 class CommonSilence:
@@ -48,8 +49,8 @@
         return self._begun.wait(seconds)
 
     def await_end(self):
-        """Wait until it ends."""
-        self._ended.wait()
+        """Wait until it ends, in bounds."""
+        self._ended.wait(relay_test_fleet.WAIT_SECONDS)
 
     def end(self):
         """Let all streams go on, and later ones begin no silence."""
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -13,6 +13,8 @@
 STREAM_EVENT_COUNT = 5
 # Time between two events of a stream before a common silence.
 COMMON_PACE_SECONDS = 0.05
+# Time after which a freeze ends that its test has not ended.
+MAX_FREEZE_SECONDS = 60.0
 
 
 class FakeEngine:
@@ -139,6 +141,8 @@
 
     def stop(self):
         """Stop serving."""
+        if self.ends_freeze is not None:
+            self.ends_freeze.set()
         self._server.shutdown()
         self._server.server_close()
 
@@ -209,7 +213,7 @@
         ends_freeze = self.engine.ends_freeze
         if ends_freeze is None:
             return False
-        ends_freeze.wait()
+        ends_freeze.wait(MAX_FREEZE_SECONDS)
         self.close_connection = True
         return True
 
--- a/tests/test_failed_answers.py
+++ b/tests/test_failed_answers.py
@@ -8,6 +8,8 @@
 import kept_answer
 import pytest
 
+MAX_SECONDS = 120.0
+
 
 @pytest.fixture(scope='module')
 def figures():
@@ -16,6 +18,7 @@
         [sys.executable, pathlib.Path(kept_answer.__file__)],
         check=True,
         capture_output=True,
+        timeout=MAX_SECONDS,
     )
     return kept_answer.Figures(**json.loads(result.stdout))
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -177,6 +177,8 @@
     assert requests_in_silence == STREAM_COUNT
     for reply in found:
         count = reply.body.count(b'\n\n')
+        # The first event, and the one after the silence.
+        assert count >= 2
         assert (reply.status, reply.body) == (200, _first_events(count))
 
 
@@ -212,7 +214,7 @@
         may_go_on[1].set()
         raise ConnectionResetError
 
-    first.on_pause = lambda: next(pauses).wait()
+    first.on_pause = lambda: next(pauses).wait(relay_test_fleet.WAIT_SECONDS)
     other.on_run = fail_late
     other.retry_after = '1'
     with futures.ThreadPoolExecutor() as callers:
