Bound the time for a head by the configuration

header_timeout_ms was read nowhere: a caller's head had 30 s in any case, and a late one got 400 malformed_request.

The listener for callers follows the limit. It holds for heads that begin after a change, pauses included; what has come is read after the time too, as a VM may have been held up. Heads of other VMs' requests keep 30 s, as does a configuration without the limit. A late head gets 408 headers_timeout, not run, on all listeners.

The test of idle limits in test_idle_connections.py reads both limits of time now.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/bounded_reader.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/bounded_reader.py
@@ -24,6 +24,7 @@
 
     Attributes:
         received_bytes: number of bytes that were read from the socket.
+        takes_late: whether bytes that have come are read after the time.
     """
 
     def __init__(self, sock):
@@ -34,6 +35,7 @@
         self._await_input = None
         self._bytes_left = 0
         self.received_bytes = 0
+        self.takes_late = False
 
     def bound(self, seconds, size, await_input=None):
         """Bound all following reads together.
@@ -44,6 +46,7 @@
             await_input: called before each read with the seconds that are
                 left, or None; it may wait for input, and raise an error.
         """
+        self.takes_late = False
         self._await_input = await_input
         self._ends_at = clocks.now() + seconds
         self._bytes_left = size
@@ -52,16 +55,19 @@
         """End the bound."""
         self._ends_at = None
         self._await_input = None
+        self.takes_late = False
 
     @contextlib.contextmanager
     def without_reads(self):
         """Have all reads of a context fail; the bound holds after it."""
         kept = self._ends_at, self._bytes_left, self._await_input
+        takes_late = self.takes_late
         self.bound(0, 0)
         try:
             yield
         finally:
             self._ends_at, self._bytes_left, self._await_input = kept
+            self.takes_late = takes_late
 
     def readable(self):
         """Return True; see ``io.RawIOBase``."""
@@ -76,6 +82,8 @@
         if self._ends_at is None:
             return self._receive(buffer)
         seconds_left = self._ends_at - clocks.now()
+        if seconds_left <= 0 and self.takes_late and self._has_come():
+            seconds_left = _MIN_SECONDS
         if seconds_left <= 0:
             raise TimeoutError('the bytes did not end within the time')
         if self._bytes_left <= 0:
@@ -90,6 +98,14 @@
         self._bytes_left -= count or 0
         return count
 
+    def _has_come(self):
+        """Whether a read needs no wait."""
+        if isinstance(self._socket, ssl.SSLSocket) and self._socket.pending():
+            return True
+        poller = select.poll()
+        poller.register(self._socket, select.POLLIN)
+        return bool(poller.poll(0))
+
     def _receive(self, buffer):
         if isinstance(self._socket, ssl.SSLSocket) and self._has_tls_ended():
             return 0
--- a/packages/carobwood-daemon/carobwood_daemon/entry/request_body.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/request_body.py
@@ -66,6 +66,19 @@
         self._timeout = self._socket.gettimeout()
         self._raw.bound(seconds, size)
 
+    def bound_head(self, seconds):
+        """Bound the reads of a head, which may pause for as long.
+
+        What has come in time is read later too, as this VM may have been held
+        up meanwhile.
+
+        Args:
+            seconds: time within which the head must come.
+        """
+        self.bound(seconds)
+        self._socket.settimeout(seconds)
+        self._raw.takes_late = True
+
     def release(self):
         """End the bound and restore the socket's timeout."""
         self._raw.release()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -55,10 +55,13 @@
 
     Attributes:
         idle_seconds: time for which an idle connection is kept.
+        head_seconds: time within which the head of a request must end, or
+            None for the timeout of connections.
         lingering_closes: the ``LingeringCloses``, once it is prepared.
     """
 
     idle_seconds = MIN_KEPT_SECONDS
+    head_seconds = None
 
     def prepare(self):
         """Bind the listener; see ``HTTPServer``."""
--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -124,14 +124,17 @@
     _body = None
 
     def parse_request(self):
-        """Read the head within the timeout of the connection.
+        """Read the head within its time; see ``cheroot.server.HTTPRequest``.
 
-        See ``cheroot.server.HTTPRequest``.
+        A change of that time holds for the heads that begin after it.
         """
-        if self.server.timeout is None:
+        seconds = self.server.head_seconds
+        if seconds is None:
+            seconds = self.server.timeout
+        if seconds is None:
             super().parse_request()
             return
-        self.conn.rfile.bound(self.server.timeout)
+        self.conn.rfile.bound_head(seconds)
         try:
             super().parse_request()
         except TimeoutError as error:
@@ -397,6 +400,8 @@
 
 
 def _error_from_status(status, message):
+    if status.startswith('408'):
+        return errors.HeadersTimeout('the headers did not end in time')
     if status.startswith('414'):
         return errors.HeadersTooLarge('the request line is too long')
     if status.startswith('413') and 'entity' in message:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/configuration.py
@@ -177,12 +177,15 @@
     Attributes:
         header_bytes: largest head of a request.
         body_bytes: largest body of a request.
+        head_seconds: time within which the head of a request must come, or
+            0 for no such limit.
         idle_seconds: time for which a caller may use an idle connection
             again.
     """
 
     header_bytes: int
     body_bytes: int
+    head_seconds: float
     idle_seconds: float
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/http_server.py
@@ -153,6 +153,14 @@
         self._server.max_request_header_size = max(1, header_bytes)
         self._server.max_request_body_size = max(1, body_bytes)
 
+    def set_head_seconds(self, seconds):
+        """Set the time within which the head of a request must come.
+
+        Args:
+            seconds: the time, or 0 for the timeout of connections.
+        """
+        self._server.head_seconds = seconds or None
+
     def set_idle_seconds(self, seconds):
         """Set the time for which an idle connection is kept at least."""
         self._server.idle_seconds = max(server_stop.MIN_KEPT_SECONDS, seconds)
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -140,6 +140,7 @@
         )
         servers = [caller_server]
         self._follow_limits(caller_server, 0)
+        self._follow_head_limit(caller_server)
         if settings.forward_listen is not None:
             forward_server = http_server.HttpServer(
                 settings.forward_listen,
@@ -166,6 +167,17 @@
 
         self._shared.configuration_store.add_change_listener(apply)
 
+    def _follow_head_limit(self, server):
+        """Apply each configuration's time for a head to callers' requests.
+
+        Other VMs are not callers: they send heads over links that may fail.
+        """
+        self._shared.configuration_store.add_change_listener(
+            lambda configuration: server.set_head_seconds(
+                configuration.limits.head_seconds
+            )
+        )
+
     def _make_relay(self, directory, gossip):
         fleet_limits = self._settings.fleet_limits
         shared = self._shared
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -16,6 +16,7 @@
 AmbiguousPath = request_errors.AmbiguousPath
 ConflictingHeaders = request_errors.ConflictingHeaders
 ConflictingCredentials = request_errors.ConflictingCredentials
+HeadersTimeout = request_errors.HeadersTimeout
 HeadersTooLarge = request_errors.HeadersTooLarge
 BodyTooLarge = request_errors.BodyTooLarge
 BodyBrokenOff = request_errors.BodyBrokenOff
--- a/packages/carobwood/carobwood/request_errors.py
+++ b/packages/carobwood/carobwood/request_errors.py
@@ -27,6 +27,13 @@
     code = 'conflicting_credentials'
 
 
+class HeadersTimeout(base_errors.RequestRefused):
+    """The request's headers have not arrived within their time."""
+
+    code = 'headers_timeout'
+    status = 408
+
+
 class HeadersTooLarge(base_errors.RequestRefused):
     """The request's headers exceed the limit."""
 
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -124,6 +124,13 @@
     assert _ask(connection) == 200
 
 
+@pytest.mark.parametrize(
+    'name, field',
+    (
+        ('idle_timeout_ms', 'idle_seconds'),
+        ('header_timeout_ms', 'head_seconds'),
+    ),
+)
 @pytest.mark.parametrize(
     'value, seconds',
     (
@@ -138,13 +145,15 @@
         (10**30, 2_147_483.647),
     ),
 )
-def test_any_idle_limit_is_read_as_older_builds_accept_it(value, seconds):
+def test_any_limit_of_time_is_read_as_older_builds_accept_it(
+    name, field, value, seconds
+):
     fields = builders.configuration_fields()
-    fields['limits']['idle_timeout_ms'] = value
+    fields['limits'][name] = value
     parsed = dialect.PlatformDialect().parse_configuration(
         json.dumps(fields).encode()
     )
-    assert parsed.limits.idle_seconds == seconds
+    assert getattr(parsed.limits, field) == seconds
 
 
 IDLE_LIMIT_SECONDS = 60.0
