Show that a request beyond the places of a VM waits unread

A review read it and showed it: the relay's listener for callers has as many workers as the VM has places. It should be refused at once.

--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -67,3 +67,13 @@
         lambda reply: reply.status == 200,
     )
     assert not [each for each in _received_ids(fleet) if 'left' in each]
+
+
+# A request beyond the places was held unread until another one had ended.
+def test_a_request_beyond_the_places_is_refused(fleet, held):
+    beyond = _begin(fleet, '/orders/whole', 'beyond')
+    response = beyond.getresponse()
+    assert response.status == 503
+    assert b'saturated' in response.read()
+    beyond.close()
+    assert 'beyond' not in _received_ids(fleet)
