Have the requests of the memory tests reach an endpoint

Cause: no test of test_finished_requests.py asked whether its request ran. The one of a forwarded request sent the first request of a VM that does not know yet that it is cut off: it reached no endpoint (seen in 2 of 2 runs with a check for it), so that no forwarded request that ran was looked at.

Change: the requests have to reach an endpoint. The forwarded one is sent once the VM passes requests on; the first one is looked at as before.

Evidence: with the tracebacks kept, the test of the forwarded request fails as before (by its first part; with the second part alone, 1 passed). 7 pass without.

--- a/tests/test_finished_requests.py
+++ b/tests/test_finished_requests.py
@@ -52,6 +52,14 @@
         pass
 
 
+def _ask_served(test_fleet, number, path):
+    """Send a request that has to reach an endpoint."""
+    test_fleet.clear_requests()
+    _ask(test_fleet, number, path)
+    endpoints = (*test_fleet.engines, test_fleet.plain_endpoint)
+    assert any(endpoint.requests for endpoint in endpoints)
+
+
 def _kept_requests():
     return [
         thing
@@ -74,7 +82,7 @@
 def test_a_finished_request_does_not_wait_for_the_garbage_collector(
     fleet, no_collection, end
 ):
-    _ask(fleet, 1, PATHS_BY_END[end])
+    _ask_served(fleet, 1, PATHS_BY_END[end])
     assert _await_none_kept()
 
 
@@ -83,5 +91,12 @@
     fleet, no_collection
 ):
     with cut_off_vm.cut_off(fleet, 0):
+        # It does not know yet that it reaches no endpoint.
         _ask(fleet, 0, PATHS_BY_END['answered'])
         assert _await_none_kept()
+        relay_test_fleet.await_reply(
+            lambda: fleet.fleet.ask(PATHS_BY_END['answered']),
+            lambda reply: reply.status == 200,
+        )
+        _ask_served(fleet, 0, PATHS_BY_END['answered'])
+        assert _await_none_kept()
