Test a silence of endpoints that cannot be asked

Suspected: a trial at an endpoint of a plain service without health_path that is silent too lets the request be cut, though its first endpoint would have gone on. Refuted for max_attempts 2 and 3: the new test passes on the code as it is; the stream stays at its first endpoint and comes whole.

The trial counts as an attempt, as that endpoint may run what it was sent. No code changes.

--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -86,13 +86,18 @@
         if route['name'] == 'captions':
             route.update(changes)
     assert fleet.configure(2, routes=routes).status == 200
+    _await_version(fleet, 2)
+
+
+def _await_version(fleet, version):
+    """Wait until all entry VMs have a version of the configuration."""
     stores = [
         vm._shared.configuration_store
         for vm in fleet.fleet.vms[len(fleet.fleet.control_ports) :]
     ]
     relay_test_fleet.await_reply(
         lambda: {store.configuration.version for store in stores},
-        lambda versions: versions == {2},
+        lambda versions: versions == {version},
     )
 
 
@@ -259,6 +264,37 @@
         platform.close()
 
 
+# A trial at an endpoint that can't be asked uses an attempt, as it may have
+# run the request; the attempt at the first endpoint goes on.
+@pytest.mark.parametrize('max_attempts', [2, 3])
+def test_a_stream_outlives_a_silence_of_endpoints_that_cannot_be_asked(
+    make_fleet, max_attempts
+):
+    fleet = make_fleet()
+    fields = builders.configuration_fields()
+    services = fields['services']
+    del services[0]['engine']
+    routes = fields['routes']
+    for route in routes:
+        if route['name'] == 'captions':
+            route['max_attempts'] = max_attempts
+    assert fleet.configure(2, routes=routes, services=services).status == 200
+    _await_version(fleet, 2)
+    ends_freeze = threading.Event()
+
+    def freeze(engine):
+        engine.ends_freeze = ends_freeze
+        first = next(other for other in fleet.engines if other is not engine)
+        first.on_end = lambda _headers: ends_freeze.set()
+
+    _Chosen(fleet, freeze)
+    reply = _ask(fleet, '/captions/pause-2500-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
+    # The other one reads what it was sent once its freeze has ended.
+    [run] = [engine for engine in fleet.engines if engine.on_end]
+    assert len(run.requests) == 1
+
+
 # An engine whose report names an error was taken for silent.
 def test_a_stream_goes_on_at_an_engine_that_answers_with_an_error(make_fleet):
     fleet = make_fleet()
