--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 
+from carobwood import events
 import hypothesis
 import pytest
 from pytest_bdd import given
@@ -93,6 +94,18 @@
     return _shared_fleet
 
 
+@pytest.fixture
+def lines(monkeypatch):
+    """Capture log lines as (event, fields) pairs."""
+    captured = []
+    monkeypatch.setattr(
+        events,
+        'emit',
+        lambda event, **fields: captured.append((event, fields)),
+    )
+    return captured
+
+
 def split_names(text):
     """Split a list of names such as ``vm1, vm2 and vm3``."""
     return text.replace(',', ' ').replace(' and ', ' ').split()
--- a/tests/test_connection_log.py
+++ b/tests/test_connection_log.py
@@ -43,16 +43,6 @@
         self._caller.send_response(200, 'OK', [], b'answer')
 
 
-@pytest.fixture
-def lines(monkeypatch):
-    """Give a list that collects log lines as (event, fields) pairs."""
-    emitted = []
-    monkeypatch.setattr(
-        events, 'emit', lambda event, **fields: emitted.append((event, fields))
-    )
-    return emitted
-
-
 @pytest.fixture
 def server(lines):
     """Yield a listener that is stopped at the end."""
--- a/tests/test_endpoint_rate_limits.py
+++ b/tests/test_endpoint_rate_limits.py
@@ -6,7 +6,6 @@
 import relay_builders as builders
 
 from carobwood import errors
-from carobwood import events
 from carobwood.gen.links import ttypes
 from carobwood_daemon.limits import endpoint_permits
 from carobwood_daemon.limits import permit_client
@@ -63,18 +62,6 @@
     return Harness()
 
 
-@pytest.fixture
-def lines(monkeypatch):
-    """Capture log lines as (event, fields) pairs."""
-    captured = []
-    monkeypatch.setattr(
-        events,
-        'emit',
-        lambda event, **fields: captured.append((event, fields)),
-    )
-    return captured
-
-
 def test_an_endpoint_without_a_limit_needs_no_permit(harness):
     harness.answer(None, names_limit=False)
     assert harness.limits.acquire(harness.endpoint)
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -120,18 +120,6 @@
         )
 
 
-@pytest.fixture
-def lines(monkeypatch):
-    """Capture log lines as (event, fields) pairs."""
-    captured = []
-    monkeypatch.setattr(
-        events,
-        'emit',
-        lambda event, **fields: captured.append((event, fields)),
-    )
-    return captured
-
-
 def _free_capacity(harness):
     harness.reservation.release()
     harness.reservation = harness.loads.reserve(
--- a/tests/test_result_recorder.py
+++ b/tests/test_result_recorder.py
@@ -56,18 +56,6 @@
         )
 
 
-@pytest.fixture
-def lines(monkeypatch):
-    """Capture log lines as (event, fields) pairs."""
-    captured = []
-    monkeypatch.setattr(
-        events,
-        'emit',
-        lambda event, **fields: captured.append((event, fields)),
-    )
-    return captured
-
-
 def test_an_engine_that_rejects_is_asked_for_its_weights(lines):
     harness = RecorderHarness(3)
     harness.recorder.note_not_run(harness.assignment, REJECTION)
