Refuse requests beyond a VM's places at once

Cause: the listener for callers had as many workers as the VM has places (RELAY_THREADS), so none was left to refuse a request beyond them. It was read once another one had ended, and served then.

Change: places (MAX_REQUESTS, 160 as before) and workers have names of their own; the listener has EXTRA_CALLER_THREADS (32) more.

--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -24,8 +24,12 @@
 from .routing import rendezvous
 from .routing import segment_suspects
 
-# Limits of worker threads, and so of requests handled at once, per server.
-RELAY_THREADS = 160
+# Requests in flight on this VM, its callers' and those of other VMs.
+MAX_REQUESTS = 160
+# Worker threads for callers beyond those, which refuse what has no place.
+# Slow heads hold them too, and refused bodies that are still coming.
+EXTRA_CALLER_THREADS = 32
+# Worker threads of the control API, and so its requests at once.
 CONTROL_THREADS = 48
 # Some more than the requests of other VMs that are taken, so that those beyond
 # are refused at once.
@@ -134,7 +138,7 @@
         caller_server = http_server.HttpServer(
             settings.caller_listen,
             gateway.make_relay_gateway(own_relay),
-            RELAY_THREADS,
+            MAX_REQUESTS + EXTRA_CALLER_THREADS,
             self._describe_vm,
             self._shared.buffers,
         )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -75,7 +75,7 @@
         self._tracer = tracing.make_tracer(
             settings.trace.export, settings.trace.target, settings.vm_id
         )
-        self._gate = request_gate.RequestGate(relay_servers.RELAY_THREADS)
+        self._gate = request_gate.RequestGate(relay_servers.MAX_REQUESTS)
         self._links = link.Links(
             settings.link_secret, settings.link_listen.host
         )
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -566,7 +566,7 @@
     with pytest.raises(errors.Saturated):
         harness.await_assignment()
     assert harness.clock.now == began_at
-    assert wait_queue.MAX_WAITING < relay_servers.RELAY_THREADS
+    assert wait_queue.MAX_WAITING < relay_servers.MAX_REQUESTS
 
 
 # With a change of the configuration every quarter of a second, a request was
