Close the link port of a VM whose start failed

Cause: LinkServer.stop and Timer.stop joined a thread that had not been started, so RelayVm.stop raised after a start that failed in its first steps, and left the link port and all that is closed after it open.

Change: both join a thread that runs only.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/link_server.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/link_server.py
@@ -89,7 +89,9 @@
                 return
             self._stopped = True
             self._wake()
-        self._thread.join()
+        if self._thread.is_alive():
+            # Otherwise it was never started, and nothing was accepted.
+            self._thread.join()
         self._workers.shutdown(wait=False, cancel_futures=True)
         self._close_selector()
         with self._lock:
--- a/packages/carobwood/carobwood/timer.py
+++ b/packages/carobwood/carobwood/timer.py
@@ -56,12 +56,14 @@
     def stop(self):
         """Stop calling subscribers and wait for the thread to end.
 
-        A callback that hangs is not waited for.
+        A callback that hangs is not waited for. A timer that was never
+        started can be stopped, too.
         """
         with self._changed:
             self._stopped = True
             self._changed.notify()
-        self._thread.join(STOP_SECONDS)
+        if self._thread.is_alive():
+            self._thread.join(STOP_SECONDS)
 
     def subscribe(self, period, callback):
         """Call a function periodically, the first time after one period.
--- a/tests/test_failed_setups.py
+++ b/tests/test_failed_setups.py
@@ -2,7 +2,13 @@
 
 import socket
 
+from carobwood import timer
+from carobwood_daemon.membership import gossip
+from carobwood_daemon.membership import link_server
+from carobwood_daemon.membership import state_poller
+from carobwood_daemon.relay import http_server
 from carobwood_daemon import relay_vm
+from carobwood_daemon.replication import proposer
 import control_processes
 import fake_endpoint
 import pytest
@@ -15,6 +21,15 @@
     (relay_test_fleet.RelayTestFleet, 'configure', 1),
     (relay_test_fleet.RelayTestFleet, 'announce', 2),
 ]
+# Steps of the start of a VM, in their order.
+VM_STEPS = [
+    timer.Timer,
+    proposer.Proposer,
+    link_server.LinkServer,
+    gossip.Gossip,
+    state_poller.StatePoller,
+    http_server.HttpServer,
+]
 
 
 class _SetupFailed(Exception):
@@ -56,6 +71,8 @@
                 vm._settings.caller_listen,
                 vm._settings.control_listen,
                 vm._settings.link_listen,
+                vm._settings.ready_listen,
+                vm._settings.forward_listen,
             )
             if listen is not None
         ]
@@ -93,6 +110,25 @@
     assert not any(each.is_serving for each in started.endpoints)
 
 
+# A VM whose start failed in its first steps kept its link port bound, and its
+# stop failed.
+@pytest.mark.parametrize('part', VM_STEPS)
+def test_vms_that_fail_in_their_start_leave_no_port_bound(
+    tmp_path, monkeypatch, part
+):
+    started = _Started(monkeypatch)
+
+    def fail(self, *arguments):
+        raise _SetupFailed
+
+    monkeypatch.setattr(part, 'start', fail)
+    with pytest.raises(_SetupFailed) as failure:
+        relay_test_fleet.RelayFleet(tmp_path, control_vm_count=1)
+    assert len(started.vms) == 2
+    assert [port for port in started.ports if not _is_refused(port)] == []
+    assert not hasattr(failure.value, '__notes__'), 'the stop failed as well'
+
+
 # A context manager that fails as it is entered is not left.
 def test_processes_of_a_fleet_that_fails_in_its_start_are_killed(
     tmp_path, monkeypatch
