Leave no worker to read requests whose callers have left in their test

With workers beyond the places such requests are read at once and refused, so that the test could no longer see the fault that it names. Without them it fails if the check of the caller is left out (a trial, reverted: 1 failed), and passes with it.

--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -71,8 +71,16 @@
         connection.close()
 
 
+@pytest.fixture
+def no_extra_workers(monkeypatch):
+    """Leave no worker to read what comes beyond the places."""
+    monkeypatch.setattr(relay_servers, 'EXTRA_CALLER_THREADS', 0)
+
+
 # A request whose caller had left before it was read reached an endpoint.
-def test_a_request_whose_caller_has_left_unread_is_not_sent(fleet, held):
+def test_a_request_whose_caller_has_left_unread_is_not_sent(
+    no_extra_workers, fleet, held
+):
     left = [
         _begin(fleet, '/orders/whole', f'left-{number}') for number in range(2)
     ]
