Soak with callers of many habits, and excuse fewer requests without an answer

Cause: the callers of a soak sent one request at a time with a short body, read at once, and used connections that were idle for a moment only. The checks excused each request without an answer that no endpoint had run and that ended within 0.2 s, at any VM, a connection that was refused by a VM that nobody had disturbed, a request without an answer whose time was over, and one whose answer its endpoint had ended long before the end of a stop.

The excuses hold for a VM that stops or is disturbed only, and for an answer that has begun.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -26,11 +26,13 @@
 import soak_callers  # noqa: E402 (needs the paths above)
 import soak_checks  # noqa: E402 (needs the paths above)
 import soak_faults  # noqa: E402 (needs the paths above)
+import soak_habits  # noqa: E402 (needs the paths above)
 import soak_site  # noqa: E402 (needs the paths above)
 import upgrade  # noqa: E402 (needs the paths above)
 
 SECONDS = 30.0
 CALLER_COUNT = 24
+VARIED_CALLER_COUNT = 8
 # Time in which callers get the ends of their last answers.
 JOIN_SECONDS = 60.0
 
@@ -48,6 +50,8 @@
         kinds: kinds of faults that occur.
         entry_vm_count: number of entry VMs, or 0 to draw it.
         engine_count: number of model endpoints, or 0 to draw it.
+        varied_caller_count: number of further callers, who have a source of
+            random numbers of their own.
     """
 
     seed: int
@@ -58,6 +62,7 @@
     kinds: tuple[str, ...] = soak_faults.KINDS
     entry_vm_count: int = 0
     engine_count: int = 0
+    varied_caller_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -123,6 +128,10 @@
     for _ in range(plan.caller_count):
         caller = soak_callers.KeepingCaller(site, balancer, rng.random())
         targets.append(caller.run)
+    varied_rng = random.Random(f'varied callers {plan.seed}')
+    for _ in range(plan.varied_caller_count):
+        caller = soak_habits.VariedCaller(site, balancer, varied_rng.random())
+        targets.append(caller.run)
     threads = [threading.Thread(target=t, daemon=True) for t in targets]
     for thread in threads:
         thread.start()
@@ -158,12 +167,12 @@
     print(f'  faults: {outcome.fault_counts}', flush=True)
 
 
-def _run_once(plan, log_folder):
+def _run_once(plan, log_folder, keeps_logs):
     pathlib.Path(log_folder).mkdir(parents=True, exist_ok=True)
     folder = tempfile.mkdtemp(prefix=f'seed-{plan.seed}-', dir=log_folder)
     outcome = run(plan, folder)
     print_table(plan, outcome)
-    if outcome.is_kept:
+    if outcome.is_kept and not keeps_logs:
         shutil.rmtree(folder)
     else:
         print(f'  logs: {folder}', flush=True)
@@ -177,12 +186,16 @@
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=SECONDS)
     parser.add_argument('--callers', type=int, default=CALLER_COUNT)
+    parser.add_argument(
+        '--varied-callers', type=int, default=VARIED_CALLER_COUNT
+    )
     parser.add_argument('--entry-vms', type=int, default=0)
     parser.add_argument('--engines', type=int, default=0)
     parser.add_argument('--control', default=builds.WORKING_TREE)
     parser.add_argument('--entry', default=builds.WORKING_TREE)
     parser.add_argument('--kinds', nargs='+', default=soak_faults.KINDS)
     parser.add_argument('--log-folder', default='/tmp/carobwood-soak')
+    parser.add_argument('--keep-logs', action='store_true')
     return parser.parse_args()
 
 
@@ -204,12 +217,15 @@
             tuple(arguments.kinds),
             arguments.entry_vms,
             arguments.engines,
+            arguments.varied_callers,
         )
         broken = [
             seed
             for seed in range(first, first + count)
             if not _run_once(
-                dataclasses.replace(plan, seed=seed), arguments.log_folder
+                dataclasses.replace(plan, seed=seed),
+                arguments.log_folder,
+                arguments.keep_logs,
             )
         ]
     print(f'\n{count} seeds, promises broken in: {broken or "none"}')
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -29,6 +29,7 @@
     """
     records = site.records
     records.runs = [work.run for work in works]
+    records.work_ends_by_id = _work_ends_by_id(works)
     return [
         _check_answered(records),
         check_two_at_once(
@@ -38,6 +39,15 @@
     ]
 
 
+def _work_ends_by_id(works):
+    ends_by_id = {}
+    for work in works:
+        request_id = work.run.request_id
+        ended_at = max(work.ended_at, ends_by_id.get(request_id, 0.0))
+        ends_by_id[request_id] = ended_at
+    return ends_by_id
+
+
 def _check_answered(records):
     """Return whether each request that was read has a complete answer.
 
@@ -70,39 +80,67 @@
 def excuse(records, attempt, has_run):
     """Return what excuses an attempt without an answer, or ''."""
     if attempt.connected_at is None:
-        return 'not connected'
+        # A VM that is not disturbed takes connections.
+        is_disturbed = _is_near(records, attempt, lambda disruption: True)
+        return 'not connected' if is_disturbed else ''
     if _is_disturbed(records, attempt):
         return 'VM killed or paused'
     seconds = attempt.ended_at - attempt.sent_at
-    if seconds > USED_UP_SHARE * soak_site.route_seconds(attempt.route):
+    is_used_up = seconds > USED_UP_SHARE * soak_site.route_seconds(
+        attempt.route
+    )
+    # A request whose answer has not begun is refused once its time is over.
+    if is_used_up and attempt.status:
         return 'time used up'
-    if not has_run and seconds <= upgrade_checks.LOSS_SLACK_SECONDS:
-        return 'crossed a close'
     stops = [d for d in records.disruptions if d.vm_id == attempt.vm_id]
-    is_at_end = any(
-        s.is_planned and _is_end_of_stop(s, attempt) for s in stops
-    )
+    stops = [d for d in stops if d.is_planned]
+    if not has_run and any(_crosses(stop, attempt) for stop in stops):
+        return 'crossed a close'
     # An endpoint must have been at work on it.
-    if has_run and is_at_end:
+    if has_run and any(
+        _is_end_of_stop(records, stop, attempt) for stop in stops
+    ):
         return 'end of a stop'
     return ''
 
 
-def _is_disturbed(records, attempt):
+def _is_near(records, attempt, is_counted):
     return records.has_disruption(
         attempt.sent_at - upgrade_checks.CONTACT_SECONDS,
         attempt.ended_at,
         lambda disruption: (
-            not disruption.is_planned and disruption.vm_id == attempt.vm_id
+            disruption.vm_id == attempt.vm_id and is_counted(disruption)
         ),
     )
 
 
-def _is_end_of_stop(stop, attempt):
+def _crosses(stop, attempt):
+    """Return whether a request crossed a close of a VM that stops.
+
+    No other VM closes a connection without an answer.
+    """
+    seconds = attempt.ended_at - (attempt.all_sent_at or attempt.sent_at)
+    return (
+        seconds <= upgrade_checks.LOSS_SLACK_SECONDS
+        and stop.began_at <= attempt.ended_at
+        and attempt.sent_at <= stop.ended_at
+    )
+
+
+def _is_disturbed(records, attempt):
+    return _is_near(
+        records, attempt, lambda disruption: not disruption.is_planned
+    )
+
+
+def _is_end_of_stop(records, stop, attempt):
     grace = relay_processes.GRACE_SECONDS
+    last_part_at = stop.began_at + LAST_STOP_SHARE * grace
+    work_ended_at = records.work_ends_by_id.get(attempt.id, float('inf'))
     return (
         attempt.sent_at <= stop.began_at + LATEST_SENT_SECONDS
-        and attempt.ended_at >= stop.began_at + LAST_STOP_SHARE * grace
+        and attempt.ended_at >= last_part_at
+        and work_ended_at >= last_part_at
         and attempt.ended_at <= stop.ended_at
     )
 
--- a/bench/upgrade_callers.py
+++ b/bench/upgrade_callers.py
@@ -1,6 +1,5 @@
 """Callers of an upgrade run."""
 
-import dataclasses
 import http.client
 import random
 import select
@@ -94,20 +93,15 @@
     def send(self, attempt):
         """Send an attempt and record it with its answer."""
         attempt.sent_at = time.monotonic()
-        self._records.bodies_by_id[attempt.id] = attempt.id.encode()
-        self._records.paths_by_id[attempt.id] = _path(attempt)
+        self._records.bodies_by_id[attempt.id] = self._body(attempt)
+        self._records.paths_by_id[attempt.id] = path_of(attempt)
         self._records.attempts.append(attempt)
         connection = self._connect(attempt.vm_id)
         try:
             if connection.sock is None:
                 connection.connect()
             attempt.connected_at = time.monotonic()
-            connection.request(
-                'POST',
-                _path(attempt),
-                attempt.id,
-                _headers(attempt, self._deadline_seconds),
-            )
+            self._send_request(connection, attempt)
             self._read_answer(connection, attempt)
         except (OSError, http.client.HTTPException) as error:
             attempt.failure = repr(error)
@@ -117,6 +111,18 @@
         else:
             connection.close()
 
+    def _body(self, attempt):
+        return attempt.id.encode()
+
+    def _send_request(self, connection, attempt):
+        connection.request(
+            'POST',
+            path_of(attempt),
+            self._records.bodies_by_id[attempt.id],
+            headers_of(attempt, self._deadline_seconds),
+        )
+        attempt.all_sent_at = time.monotonic()
+
     def _read_answer(self, connection, attempt):
         leave_after = attempt.event_count
         if attempt.route == 'captions' and not attempt.resumes:
@@ -191,23 +197,19 @@
                 return
             if self._stopped.wait(RETURN_PAUSE_SECONDS):
                 return
-            resumed = dataclasses.replace(
-                attempt,
-                id=self._records.new_request_id(),
-                vm_id=self._rng.choice(ready_ids),
-                resumes=attempt.resumes or attempt.id,
-                first_event=received + 1,
-                connected_at=None,
-                status=0,
-                answered_id='',
-                body=b'',
-                is_complete=False,
-                has_left=False,
-                failure='',
-            )
+            resumed = self._resumed(attempt, self._rng.choice(ready_ids))
             self.send(resumed)
             attempt = resumed
 
+    def _resumed(self, attempt, vm_id):
+        """Return the attempt that goes on after another one's last event."""
+        return attempt.unsent(
+            self._records.new_request_id(),
+            vm_id=vm_id,
+            resumes=attempt.resumes or attempt.id,
+            first_event=attempt.last_event() + 1,
+        )
+
 
 def _is_ended(connection):
     """Return whether an idle connection has been closed, and close it."""
@@ -219,12 +221,14 @@
     return bool(readable)
 
 
-def _path(attempt):
+def path_of(attempt):
+    """Return the path of an ``Attempt``."""
     action = f'paced-{attempt.event_count}' if attempt.event_count else 'named'
     return f'/{attempt.route}/{action}'
 
 
-def _headers(attempt, deadline_seconds):
+def headers_of(attempt, deadline_seconds):
+    """Return the headers of an ``Attempt``, which leave it some time."""
     headers = {
         'X_Carobwood_Deadline_Ms': str(int(deadline_seconds * 1000)),
         'Authorization': f'Bearer {attempt.key}',
--- a/bench/upgrade_records.py
+++ b/bench/upgrade_records.py
@@ -31,6 +31,7 @@
         is_complete: whether the answer ended as its framing says.
         has_left: whether the caller left before the end.
         failure: what ended the connection, for the log.
+        all_sent_at: time at which its last byte was sent, or None.
     """
 
     id: str
@@ -50,6 +51,27 @@
     is_complete: bool = False
     has_left: bool = False
     failure: str = ''
+    all_sent_at: float | None = None
+
+    def unsent(self, request_id, **changes):
+        """Return an attempt like this one that has not been sent.
+
+        Args:
+            request_id: its ID.
+            **changes: fields that differ.
+        """
+        fields = {
+            'id': request_id,
+            'connected_at': None,
+            'status': 0,
+            'answered_id': '',
+            'body': b'',
+            'is_complete': False,
+            'has_left': False,
+            'failure': '',
+            'all_sent_at': None,
+        }
+        return dataclasses.replace(self, **{**fields, **changes})
 
     @property
     def is_served(self):
@@ -183,6 +205,8 @@
         timeouts: what VMs did not become in time.
         bodies_by_id: bodies that callers sent, by request ID.
         paths_by_id: paths that callers sent, by request ID.
+        work_ends_by_id: time at which the last endpoint ended its work on a
+            request, by request ID; infinite if it has not ended.
     """
 
     def __init__(self):
@@ -199,6 +223,7 @@
         self.timeouts = []
         self.bodies_by_id = {}
         self.paths_by_id = {}
+        self.work_ends_by_id = {}
         self._lock = threading.Lock()
         self._request_count = 0
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,3 +92,65 @@
     )
     attempt = _cut_attempt(16.8)
     assert soak_checks.excuse(records, attempt, has_run=False) == ''
+
+
+def _attempt_without_answer(**changes):
+    fields = {
+        'vm_id': 'front-0',
+        'route': 'orders',
+        'event_count': 0,
+        'connected_at': 10.0,
+        'sent_at': 10.0,
+        'all_sent_at': 10.0,
+        'ended_at': 10.1,
+    }
+    return upgrade_records.Attempt(
+        id='q', key='', customer='', **{**fields, **changes}
+    )
+
+
+def _records_with_stop(began_at):
+    records = upgrade_records.Records()
+    records.disruptions.append(
+        upgrade_records.Disruption('front-0', 'SIGTERM', True, began_at, 40.0)
+    )
+    return records
+
+
+@pytest.mark.parametrize(
+    ('stopped_at', 'excuse'), [(9.0, 'crossed a close'), (20.0, '')]
+)
+def test_only_a_vm_that_stops_may_close_an_unread_request(stopped_at, excuse):
+    records = _records_with_stop(stopped_at)
+    attempt = _attempt_without_answer()
+    assert soak_checks.excuse(records, attempt, has_run=False) == excuse
+
+
+@pytest.mark.parametrize(
+    ('stopped_at', 'excuse'), [(9.0, 'not connected'), (20.0, '')]
+)
+def test_a_vm_that_is_not_disturbed_takes_connections(stopped_at, excuse):
+    records = _records_with_stop(stopped_at)
+    attempt = _attempt_without_answer(connected_at=None)
+    assert soak_checks.excuse(records, attempt, has_run=False) == excuse
+
+
+@pytest.mark.parametrize(
+    ('status', 'excuse'), [(200, 'time used up'), (0, '')]
+)
+def test_a_request_whose_time_is_over_is_refused(status, excuse):
+    records = upgrade_records.Records()
+    attempt = _attempt_without_answer(status=status, ended_at=30.0)
+    assert soak_checks.excuse(records, attempt, has_run=True) == excuse
+
+
+@pytest.mark.parametrize(
+    ('work_ended_at', 'excuse'), [(16.8, 'end of a stop'), (12.0, '')]
+)
+def test_an_answer_that_was_made_is_not_excused_by_the_end_of_a_stop(
+    work_ended_at, excuse
+):
+    records = _records_with_stop(10.0)
+    records.work_ends_by_id['q'] = work_ended_at
+    attempt = _cut_attempt(16.8)
+    assert soak_checks.excuse(records, attempt, has_run=True) == excuse
