Wake a listener that stops, which looked for the stop every 0.5 s

Cause: the loop of a listener noticed a stop at the end of its period of 0.5 s.

Change: the stop wakes the selector by a descriptor that is readable. What was ready is left to the stop, which answers it.

Run: the new test failed before and passes after. tests/test_http_server.py, test_crossing_requests.py and test_listener_stops.py: 47 passed.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -5,7 +5,9 @@
 room, and answers close their connections.
 """
 
+import contextlib
 import errno
+import os
 import resource
 import select
 import selectors
@@ -81,13 +83,33 @@
         The kernel resets connections that were not accepted. cheroot would
         connect to the listener before it closes it.
         """
-        super().stop()
+        self._stop_requested = True
+        with self._wake():
+            super().stop()
         if self.server.socket is None:
             return
         self._accept_all()
         self.server.socket.close()
         self.server.socket = None
 
+    @contextlib.contextmanager
+    def _wake(self):
+        """Wake the selector, which would notice a stop later by itself."""
+        try:
+            descriptor = os.eventfd(1)
+        except OSError:
+            # No descriptor is left: it notices the stop after its period.
+            yield
+            return
+        self._selector.register(
+            descriptor, selectors.EVENT_READ, data=self.server
+        )
+        try:
+            yield
+        finally:
+            self._selector.unregister(descriptor)
+            os.close(descriptor)
+
     def put(self, conn):
         """Watch an idle connection; see ``ConnectionManager``."""
         if not conn.is_shaking_hands:
@@ -150,6 +172,9 @@
         except OSError:
             self._remove_invalid_sockets()
             return
+        if self._stop_requested:
+            # ``stop`` and ``close`` answer what has come.
+            return
         for descriptor, connection in ready:
             if connection is self.server:
                 connection = self._from_server_socket(self.server.socket)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -203,6 +203,25 @@
     stopping.join()
 
 
+# Requests on kept connections got no answer: the listener noticed the stop at
+# the end of its period, and the process ended before it had closed them.
+def test_a_stop_does_not_wait_for_the_period_of_its_listener(gateway):
+    gateway.may_answer.set()
+    listener = http_server.HttpServer(
+        addresses.Address('127.0.0.1', 0), gateway, MAX_THREADS
+    )
+    listener._server.expiration_interval = 10 * relay_test_fleet.WAIT_SECONDS
+    listener.start()
+    connection = _send(listener)
+    assert connection.getresponse().read() == gateway.answer
+    stopping = threading.Thread(target=listener.stop, daemon=True)
+    stopping.start()
+    stopping.join(relay_test_fleet.WAIT_SECONDS / 2)
+    has_ended = not stopping.is_alive()
+    connection.close()
+    assert has_ended
+
+
 # A new connection that came while its listener stopped was reset, with the
 # request that had come on it.
 def test_a_connection_that_comes_as_the_listener_stops_is_answered(
