Silence plain endpoints in a soak, and allow more than one

They fell silent in no soak before, and there was one. The kind plain-silence has a source of random numbers of its own.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -27,6 +27,7 @@
 import soak_checks  # noqa: E402 (needs the paths above)
 import soak_faults  # noqa: E402 (needs the paths above)
 import soak_habits  # noqa: E402 (needs the paths above)
+import soak_plain_silences  # noqa: E402 (needs the paths above)
 import soak_site  # noqa: E402 (needs the paths above)
 import upgrade  # noqa: E402 (needs the paths above)
 
@@ -52,6 +53,7 @@
         engine_count: number of model endpoints, or 0 to draw it.
         varied_caller_count: number of further callers, who have a source of
             random numbers of their own.
+        plain_endpoint_count: number of plain endpoints.
     """
 
     seed: int
@@ -63,6 +65,7 @@
     entry_vm_count: int = 0
     engine_count: int = 0
     varied_caller_count: int = 0
+    plain_endpoint_count: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,6 +120,7 @@
         plan.engine_count or engine_count,
         plan.control_build,
         plan.entry_build,
+        plain_endpoint_count=plan.plain_endpoint_count,
     )
 
 
@@ -125,19 +129,32 @@
     targets = [balancer.run, site.operator.read_periodically]
     if 'change' in plan.kinds:
         targets.append(site.operator.change_periodically)
-    for _ in range(plan.caller_count):
-        caller = soak_callers.KeepingCaller(site, balancer, rng.random())
-        targets.append(caller.run)
-    varied_rng = random.Random(f'varied callers {plan.seed}')
-    for _ in range(plan.varied_caller_count):
-        caller = soak_habits.VariedCaller(site, balancer, varied_rng.random())
-        targets.append(caller.run)
+    if soak_plain_silences.KIND in plan.kinds:
+        rng_of_silences = random.Random(f'plain silences {plan.seed}')
+        silences = soak_plain_silences.PlainSilences(site, rng_of_silences)
+        targets.append(silences.run)
+    targets += [
+        caller.run for caller in _draw_callers(plan, site, balancer, rng)
+    ]
     threads = [threading.Thread(target=t, daemon=True) for t in targets]
     for thread in threads:
         thread.start()
     return threads
 
 
+def _draw_callers(plan, site, balancer, rng):
+    varied_rng = random.Random(f'varied callers {plan.seed}')
+    keeping = [
+        soak_callers.KeepingCaller(site, balancer, rng.random())
+        for _ in range(plan.caller_count)
+    ]
+    varied = [
+        soak_habits.VariedCaller(site, balancer, varied_rng.random())
+        for _ in range(plan.varied_caller_count)
+    ]
+    return keeping + varied
+
+
 def _check_end(site):
     """Record what the VMs say once all faults are over."""
     try:
@@ -191,9 +208,15 @@
     )
     parser.add_argument('--entry-vms', type=int, default=0)
     parser.add_argument('--engines', type=int, default=0)
+    parser.add_argument('--plain-endpoints', type=int, default=1)
     parser.add_argument('--control', default=builds.WORKING_TREE)
     parser.add_argument('--entry', default=builds.WORKING_TREE)
-    parser.add_argument('--kinds', nargs='+', default=soak_faults.KINDS)
+    parser.add_argument(
+        '--kinds',
+        nargs='+',
+        default=soak_faults.KINDS,
+        choices=(*soak_faults.KINDS, soak_plain_silences.KIND),
+    )
     parser.add_argument('--log-folder', default='/tmp/carobwood-soak')
     parser.add_argument('--keep-logs', action='store_true')
     return parser.parse_args()
@@ -218,6 +241,7 @@
             arguments.entry_vms,
             arguments.engines,
             arguments.varied_callers,
+            arguments.plain_endpoints,
         )
         broken = [
             seed
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -35,6 +35,7 @@
         control_build: the ``Build`` of the control VMs.
         entry_build: the ``Build`` of the entry VMs.
         max_attempts: attempts of a stream that can be resumed.
+        plain_endpoint_count: number of plain endpoints.
     """
 
     entry_vm_count: int
@@ -42,6 +43,7 @@
     control_build: builds.Build
     entry_build: builds.Build
     max_attempts: int = 2
+    plain_endpoint_count: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,7 +118,7 @@
     Attributes:
         processes: the ``RelayProcesses``.
         engines: the ``EndpointProcess`` of each model endpoint.
-        endpoints: these and the plain one.
+        endpoints: these and the plain ones.
         operator: the ``Operator``.
         records: the ``Records``.
         stopped: event that ends the run.
@@ -151,6 +153,11 @@
         """The model endpoints."""
         return self.endpoints[: self.layout.engine_count]
 
+    @property
+    def plain_endpoints(self):
+        """The plain endpoints."""
+        return self.endpoints[self.layout.engine_count :]
+
     def __enter__(self):
         try:
             self._start()
@@ -168,7 +175,8 @@
         self.operator.put_first()
         for number in range(self.layout.engine_count):
             self._start_endpoint(f'engines-{number}', 'engines')
-        self._start_endpoint('orders-0', 'orders')
+        for number in range(self.layout.plain_endpoint_count):
+            self._start_endpoint(f'orders-{number}', 'orders')
         for vm_id in self.processes.vms_by_id:
             self.processes.await_ready(vm_id)
         self.await_service()
