--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,7 +1,8 @@
 """Faults of a soak, drawn from its seed and injected from outside.
 
-There are three series, whose faults overlap: silences of endpoints, planned
-work on entry VMs, and kills and pauses of VMs.
+There are four series, whose faults overlap: silences of endpoints, planned
+work on entry VMs, kills and pauses of VMs, and restarts of all control VMs,
+one after the other or all at once.
 """
 
 import dataclasses
@@ -18,12 +19,24 @@
 SILENCE_PERIOD_SECONDS = (1.0, 5.0)
 PLANNED_PERIOD_SECONDS = (0.5, 2.0)
 UNPLANNED_PERIOD_SECONDS = (5.0, 12.0)
+CONTROL_PERIOD_SECONDS = (3.0, 8.0)
 # Time from a SIGTERM to the silence beside it.
 BESIDE_STOP_SECONDS = (-0.5, 3.5)
 ALL_SILENT_SHARE = 0.4
 RELOAD_SHARE = 0.2
 SILENCE_BESIDE_STOP_SHARE = 0.6
-KINDS = ('silence', 'stop', 'reload', 'kill', 'pause', 'change')
+# Share of the restarts of all control VMs that are a loss of power.
+POWER_SHARE = 0.4
+KINDS = (
+    'silence',
+    'stop',
+    'reload',
+    'kill',
+    'pause',
+    'change',
+    'core',
+    'power',
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,8 +102,30 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Core:
+    """Control VMs get SIGTERM and are started again, one after the other.
+
+    Attributes:
+        vm_ids: their IDs in this order.
+    """
+
+    vm_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Power:
+    """All control VMs are killed at once and started again.
+
+    Attributes:
+        vm_ids: their IDs.
+    """
+
+    vm_ids: tuple[str, ...]
+
+
 def draw_schedule(rng, kinds, engine_count, entry_ids, control_ids):
-    """Return the three series of faults, each with the pause before it.
+    """Return three series of faults, each with the pause before it.
 
     Args:
         rng: random numbers.
@@ -119,6 +154,29 @@
     )
 
 
+def draw_control_series(rng, kinds, control_ids):
+    """Return the series of restarts of all control VMs.
+
+    Args:
+        rng: random numbers of this series alone.
+        kinds: those of ``KINDS`` that occur.
+        control_ids: IDs of the control VMs.
+    """
+    faults = [_draw_control(rng, kinds, control_ids) for _ in range(STEPS)]
+    return _steps(rng, faults, *CONTROL_PERIOD_SECONDS)
+
+
+def _draw_control(rng, kinds, control_ids):
+    is_power = rng.random() < POWER_SHARE
+    core = Core(tuple(rng.sample(control_ids, len(control_ids))))
+    faults_by_kind = {'core': core, 'power': Power(tuple(control_ids))}
+    preferred = 'power' if is_power else 'core'
+    for kind in (preferred, 'core', 'power'):
+        if kind in kinds:
+            return faults_by_kind[kind]
+    return None
+
+
 def _steps(rng, faults, shortest, longest):
     return tuple(
         (rng.uniform(shortest, longest), fault)
@@ -168,6 +226,8 @@
         self.counts = {}
         self._site = site
         self._ending = threading.Event()
+        # Two series restart control VMs.
+        self._control_lock = threading.Lock()
         self._rollout = upgrade_rollout.Rollout(
             site.processes, None, site.records, self._ending
         )
@@ -211,7 +271,11 @@
             case Reload(vm_id):
                 vms_by_id[vm_id].process.send_signal(signal.SIGHUP)
             case Kill(vm_id):
-                self._restart(vm_id, signal.SIGKILL)
+                self._restart_controls([vm_id], signal.SIGKILL)
+            case Core(vm_ids):
+                self._stop_in_turn(vm_ids)
+            case Power(vm_ids):
+                self._restart_controls(vm_ids, signal.SIGKILL)
             case Pause(vm_id, seconds):
                 self._rollout.pause(vms_by_id[vm_id], seconds)
 
@@ -223,6 +287,18 @@
             self._ending.wait(max(0.0, -fault.silence_after))
         self._restart(fault.vm_id, signal.SIGTERM)
 
+    def _stop_in_turn(self, vm_ids):
+        for vm_id in vm_ids:
+            if self._ending.is_set():
+                return
+            self._restart_controls([vm_id], signal.SIGTERM)
+
+    def _restart_controls(self, vm_ids, number):
+        with self._control_lock:
+            self._rollout.restart_together(
+                vm_ids, number, self._site.layout.control_build
+            )
+
     def _restart(self, vm_id, number):
         build = self._site.build_of(self._site.processes.vms_by_id[vm_id])
         self._rollout.restart(vm_id, number, build)
--- a/bench/upgrade_callers.py
+++ b/bench/upgrade_callers.py
@@ -105,8 +105,9 @@
             connection.request(
                 'POST',
                 _path(attempt),
-                attempt.id,
+                _body(attempt),
                 _headers(attempt, self._deadline_seconds),
+                encode_chunked=attempt.is_chunked,
             )
             self._read_answer(connection, attempt)
         except (OSError, http.client.HTTPException) as error:
@@ -224,12 +225,23 @@
     return f'/{attempt.route}/{action}'
 
 
+def _body(attempt):
+    """Return the body, or its parts if it is sent in chunks."""
+    if not attempt.is_chunked:
+        return attempt.id
+    body = attempt.id.encode()
+    middle = len(body) // 2
+    return iter((body[:middle], body[middle:]))
+
+
 def _headers(attempt, deadline_seconds):
     headers = {
         'X_Carobwood_Deadline_Ms': str(int(deadline_seconds * 1000)),
         'Authorization': f'Bearer {attempt.key}',
         'X_Carobwood_Request_Id': attempt.id,
     }
+    if attempt.is_chunked:
+        headers['Transfer_Encoding'] = 'chunked'
     if attempt.resumes:
         headers['Resumes'] = attempt.resumes
         headers['Last_Event_Id'] = str(attempt.first_event - 1)
--- a/bench/upgrade_records.py
+++ b/bench/upgrade_records.py
@@ -31,6 +31,7 @@
         is_complete: whether the answer ended as its framing says.
         has_left: whether the caller left before the end.
         failure: what ended the connection, for the log.
+        is_chunked: whether its body is sent in chunks.
     """
 
     id: str
@@ -50,6 +51,7 @@
     is_complete: bool = False
     has_left: bool = False
     failure: str = ''
+    is_chunked: bool = False
 
     @property
     def is_served(self):
--- a/bench/upgrade_rollout.py
+++ b/bench/upgrade_rollout.py
@@ -95,16 +95,26 @@
 
     def restart(self, vm_id, number, build):
         """End a VM by a signal, and start it with a ``Build``."""
+        self.restart_together([vm_id], number, build)
+
+    def restart_together(self, vm_ids, number, build):
+        """End all of some VMs by a signal before one is started again."""
         self._note_ended()
-        disruption = self._records.begin_disruption(
-            vm_id,
-            f'{signal.Signals(number).name}, then {build.name}',
-            number == signal.SIGTERM,
-        )
-        self._processes.vms_by_id[vm_id].stop(number)
-        self._processes.start(vm_id, build)
-        self._processes.await_ready(vm_id)
-        disruption.end()
+        disruptions = [
+            self._records.begin_disruption(
+                vm_id,
+                f'{signal.Signals(number).name}, then {build.name}',
+                number == signal.SIGTERM,
+            )
+            for vm_id in vm_ids
+        ]
+        for vm_id in vm_ids:
+            self._processes.vms_by_id[vm_id].stop(number)
+        for vm_id in vm_ids:
+            self._processes.start(vm_id, build)
+        for vm_id, disruption in zip(vm_ids, disruptions, strict=True):
+            self._processes.await_ready(vm_id)
+            disruption.end()
 
     def pause(self, vm, seconds):
         """Stop a VM's process for some time, and wait until it is ready."""
