Restart all control VMs in the soak, and send bodies in chunks

The soak killed one control VM at a time and sent each body with its length. New kinds are core (SIGTERM in turn) and power (all killed at once). The checks are as before; a fault of control VMs excuses no request.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -85,9 +85,15 @@
             [vm.id for vm in site.processes.entry_vms],
             [vm.id for vm in site.processes.control_vms],
         )
+        # Older kinds of faults stay those of their seeds.
+        control_series = soak_faults.draw_control_series(
+            random.Random(f'control {plan.seed}'),
+            plan.kinds,
+            [vm.id for vm in site.processes.control_vms],
+        )
         injector = soak_faults.Injector(site)
         threads = _start_load(plan, site, rng)
-        injector.start(schedule)
+        injector.start((*schedule, control_series))
         site.stopped.wait(plan.seconds)
         injector.stop()
         site.stopped.set()
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -1,8 +1,12 @@
 """Callers of a soak, who use each connection until it is closed."""
 
+import random
+
 import soak_site
 import upgrade_callers
 
+CHUNKED_SHARE = 0.5
+
 
 class KeepingCaller(upgrade_callers.Caller):
     """A caller that keeps its connections.
@@ -26,6 +30,8 @@
             site.stopped,
             soak_site.STREAM_SECONDS,
         )
+        # What else a seed draws stays as it was without chunks.
+        self._chunk_rng = random.Random(f'chunks {seed}')
 
     def open_connection(self, vm_id):
         """Open the connection for the next request to a VM."""
@@ -33,6 +39,13 @@
         connection.connect()
         self._connections_by_vm[vm_id] = connection
 
+    def _new_attempt(self):
+        attempt = super()._new_attempt()
+        if attempt is not None:
+            draw = self._chunk_rng.random()
+            attempt.is_chunked = draw < CHUNKED_SHARE
+        return attempt
+
     def _keeps_connection(self):
         return True
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,12 +4,15 @@
 promise is kept in ``FAILED_SEEDS`` with its cause.
 """
 
+import random
+
 import pytest
 
 import builds
 import soak
 import soak_cases
 import soak_checks
+import soak_faults
 import soak_site
 import upgrade_records
 
@@ -39,6 +42,33 @@
     assert ends == {'whole': case.stream_count}
 
 
+def test_restarts_of_all_control_vms_change_no_other_fault():
+    drawn_by_kinds = [
+        soak_faults.draw_schedule(
+            random.Random(1), kinds, 2, ['front-0'], ['core-0', 'core-1']
+        )
+        for kinds in (
+            soak_faults.KINDS,
+            [k for k in soak_faults.KINDS if k not in ('core', 'power')],
+        )
+    ]
+    assert drawn_by_kinds[0] == drawn_by_kinds[1]
+
+
+def test_only_the_kinds_of_a_plan_restart_all_control_vms():
+    for kind, fault in (
+        ('core', soak_faults.Core),
+        ('power', soak_faults.Power),
+    ):
+        series = soak_faults.draw_control_series(
+            random.Random(1), ('stop', kind), ['core-0', 'core-1']
+        )
+        assert {type(drawn) for _, drawn in series} == {fault}
+    assert not soak_faults.draw_control_series(
+        random.Random(1), ('stop', 'kill'), ['core-0', 'core-1']
+    )
+
+
 def _work(endpoint_id, began_at, ended_at):
     run = upgrade_records.Run(endpoint_id, 'v1', 'q', '', '', b'', began_at)
     return soak_site.Work(run, ended_at)
