--- a/bench/soak_habits.py
+++ b/bench/soak_habits.py
@@ -37,13 +37,11 @@
     """The way in which a caller sends a request and reads its answer.
 
     Attributes:
-        is_chunked: whether its body is sent in chunks, with pauses.
         expects: whether it waits for leave to send its body.
         reads_slowly: whether it pauses while it reads.
         leave_after: events after which it leaves, or 0.
     """
 
-    is_chunked: bool = False
     expects: bool = False
     reads_slowly: bool = False
     leave_after: int = 0
@@ -107,8 +105,9 @@
                 return
 
     def _send_in_chunks(self, attempt):
-        way = Way(is_chunked=True, expects=self._draw_expects())
-        self._send_as(way, attempt)
+        """Send a body in chunks, with pauses."""
+        attempt.is_chunked = True
+        self._send_as(Way(expects=self._draw_expects()), attempt)
 
     def _read_slowly(self, attempt):
         self._send_as(Way(reads_slowly=True), attempt)
@@ -166,9 +165,16 @@
     def _draw_expects(self):
         return self._rng.random() < EXPECT_SHARE
 
+    def _new_attempt(self):
+        attempt = super()._new_attempt()
+        if attempt is not None:
+            # The habit decides.
+            attempt.is_chunked = False
+        return attempt
+
     def _body(self, attempt):
         body = attempt.id.encode()
-        if self._way.is_chunked:
+        if attempt.is_chunked:
             body += b'.' * self._rng.randint(*PIECE_BYTES)
         return body
 
@@ -177,7 +183,7 @@
             connection.sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
             )
-        if not self._way.is_chunked and not self._way.expects:
+        if not attempt.is_chunked and not self._way.expects:
             super()._send_request(connection, attempt)
             return
         body = self._records.bodies_by_id[attempt.id]
@@ -185,7 +191,7 @@
         try:
             if not self._may_send(connection):
                 return
-            self._send_body(connection, body)
+            self._send_body(connection, body, attempt.is_chunked)
             attempt.all_sent_at = time.monotonic()
         except OSError as error:
             # The VM may have answered before it has read the whole body.
@@ -198,9 +204,7 @@
         headers = upgrade_callers.headers_of(attempt, self._deadline_seconds)
         for name, value in headers.items():
             connection.putheader(name, value)
-        if self._way.is_chunked:
-            connection.putheader('Transfer-Encoding', 'chunked')
-        else:
+        if not attempt.is_chunked:
             connection.putheader('Content-Length', str(len(body)))
         if self._way.expects:
             connection.putheader('Expect', '100-continue')
@@ -217,8 +221,8 @@
             return True
         return _peek_status(connection.sock) in (0, http.client.CONTINUE)
 
-    def _send_body(self, connection, body):
-        if not self._way.is_chunked:
+    def _send_body(self, connection, body, is_chunked):
+        if not is_chunked:
             connection.send(body)
             return
         count = self._rng.randint(*PIECE_COUNTS)
--- a/bench/upgrade_callers.py
+++ b/bench/upgrade_callers.py
@@ -118,8 +118,11 @@
         connection.request(
             'POST',
             path_of(attempt),
-            self._records.bodies_by_id[attempt.id],
+            _parts_of(
+                self._records.bodies_by_id[attempt.id], attempt.is_chunked
+            ),
             headers_of(attempt, self._deadline_seconds),
+            encode_chunked=attempt.is_chunked,
         )
         attempt.all_sent_at = time.monotonic()
 
@@ -227,6 +230,14 @@
     return f'/{attempt.route}/{action}'
 
 
+def _parts_of(body, is_chunked):
+    """Return a body, or an iterator over its parts if it goes in chunks."""
+    if not is_chunked:
+        return body
+    middle = len(body) // 2
+    return iter((body[:middle], body[middle:]))
+
+
 def headers_of(attempt, deadline_seconds):
     """Return the headers of an ``Attempt``, which leave it some time."""
     headers = {
@@ -234,6 +245,8 @@
         'Authorization': f'Bearer {attempt.key}',
         'X_Carobwood_Request_Id': attempt.id,
     }
+    if attempt.is_chunked:
+        headers['Transfer_Encoding'] = 'chunked'
     if attempt.resumes:
         headers['Resumes'] = attempt.resumes
         headers['Last_Event_Id'] = str(attempt.first_event - 1)
--- a/bench/upgrade_records.py
+++ b/bench/upgrade_records.py
@@ -32,6 +32,7 @@
         has_left: whether the caller left before the end.
         failure: what ended the connection, for the log.
         all_sent_at: time at which its last byte was sent, or None.
+        is_chunked: whether its body is sent in chunks.
     """
 
     id: str
@@ -52,6 +53,7 @@
     has_left: bool = False
     failure: str = ''
     all_sent_at: float | None = None
+    is_chunked: bool = False
 
     def unsent(self, request_id, **changes):
         """Return an attempt like this one that has not been sent.
