Soak with slow readers of large answers, and notice answers that end early

Change: callers check what is left of the declared length. Slow readers ask for answers of up to 3 MB, for which their VM must wait.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -192,8 +192,8 @@
     if outcome.is_kept and not keeps_logs:
         shutil.rmtree(folder)
     else:
-        print(f'  logs: {folder}', flush=True)
         outcome.records.keep(folder)
+        print(f'  logs: {folder}', flush=True)
     return outcome.is_kept
 
 
--- a/bench/soak_habits.py
+++ b/bench/soak_habits.py
@@ -26,6 +26,11 @@
 EXPECT_SECONDS = 1.0
 READ_BYTES = (1, 64)
 READ_PAUSE_SECONDS = (0.0, 0.6)
+# More than the kernel buffers for a caller who doesn't read.
+LARGE_BYTES = (500_000, 3_000_000)
+# A large answer is read in so many pieces.
+LARGE_PIECES = 10
+LARGE_PAUSE_SECONDS = (0.0, 0.3)
 SMALL_BUFFER_BYTES = 1024
 IDLE_SECONDS = (1.0, 40.0)
 MAX_IDLE_CONNECTIONS = 6
@@ -68,6 +73,7 @@
             self._send_row: 3,
             self._send_in_chunks: 3,
             self._read_slowly: 2,
+            self._read_large_slowly: 2,
             self._open_ahead: 4,
             self._use_oldest_key: 2,
             self._change_vm: 2,
@@ -113,6 +119,13 @@
     def _read_slowly(self, attempt):
         self._send_as(Way(reads_slowly=True), attempt)
 
+    def _read_large_slowly(self, attempt):
+        """Read an answer so that its VM must wait for the caller."""
+        attempt.route = self._rng.choice(('orders', 'lookups'))
+        attempt.event_count = 0
+        attempt.answer_bytes = self._rng.randint(*LARGE_BYTES)
+        self._send_as(Way(reads_slowly=True), attempt)
+
     def _open_ahead(self, attempt):
         """Open a connection, or keep one, to leave it idle for some time."""
         kept = self._connections_by_vm.pop(attempt.vm_id, None)
@@ -235,26 +248,27 @@
         attempt.answered_id = response.headers.get(
             'X-Carobwood-Request-Id', ''
         )
-        while data := self._read_piece(response):
+        while data := self._read_piece(response, attempt.answer_bytes):
             attempt.body += data
             events = attempt.body.count(b'\n\n')
             if events >= self._way.leave_after > 0:
                 attempt.has_left = True
                 return
+        upgrade_callers.check_whole(response)
         attempt.is_complete = True
         if attempt.all_sent_at is None:
             # What is left of the request isn't sent any more.
             connection.close()
 
-    def _read_piece(self, response):
-        """Return the next bytes of an answer; fails if it breaks off."""
+    def _read_piece(self, response, answer_bytes):
+        """Return the next bytes of an answer, none at its end."""
         if not self._way.reads_slowly:
-            data = response.read1()
-        else:
-            time.sleep(self._rng.uniform(*READ_PAUSE_SECONDS))
-            data = response.read1(self._rng.randint(*READ_BYTES))
-        # Fails if the body is shorter than the head says.
-        return data or response.read()
+            return response.read1()
+        if answer_bytes:
+            time.sleep(self._rng.uniform(*LARGE_PAUSE_SECONDS))
+            return response.read(answer_bytes // LARGE_PIECES)
+        time.sleep(self._rng.uniform(*READ_PAUSE_SECONDS))
+        return response.read1(self._rng.randint(*READ_BYTES))
 
 
 def _peek_status(sock):
--- a/bench/upgrade_callers.py
+++ b/bench/upgrade_callers.py
@@ -139,8 +139,7 @@
                 if leave_after < attempt.event_count:
                     attempt.has_left = True
                     return
-        # Fails if the body is shorter than the head says.
-        attempt.body += response.read()
+        check_whole(response)
         attempt.is_complete = True
 
     def _connect(self, vm_id):
@@ -221,9 +220,22 @@
     return bool(readable)
 
 
+def check_whole(response):
+    """Check that no part of an answer of a declared length is missing.
+
+    ``read1`` ends without an error if the connection does.
+    """
+    if response.length:
+        raise http.client.IncompleteRead(b'', response.length)
+
+
 def path_of(attempt):
     """Return the path of an ``Attempt``."""
-    action = f'paced-{attempt.event_count}' if attempt.event_count else 'named'
+    action = 'named'
+    if attempt.event_count:
+        action = f'paced-{attempt.event_count}'
+    elif attempt.answer_bytes:
+        action = f'large-{attempt.answer_bytes}'
     return f'/{attempt.route}/{action}'
 
 
--- a/bench/upgrade_checks.py
+++ b/bench/upgrade_checks.py
@@ -211,7 +211,8 @@
     breaks = [
         describe(a)
         for a in plain
-        if a.body != a.id.encode() or a.answered_id != a.id
+        if a.body != a.id.encode().ljust(a.answer_bytes, b'.')
+        or a.answered_id != a.id
     ]
     return Verdict('answers belong to their requests', len(plain), breaks)
 
--- a/bench/upgrade_records.py
+++ b/bench/upgrade_records.py
@@ -32,6 +32,7 @@
         has_left: whether the caller left before the end.
         failure: what ended the connection, for the log.
         all_sent_at: time at which its last byte was sent, or None.
+        answer_bytes: size of a large plain answer, or 0.
     """
 
     id: str
@@ -52,6 +53,7 @@
     has_left: bool = False
     failure: str = ''
     all_sent_at: float | None = None
+    answer_bytes: int = 0
 
     def unsent(self, request_id, **changes):
         """Return an attempt like this one that has not been sent.
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -27,7 +27,8 @@
     it, ``/…/refused-without-id`` does so in an answer that names no request,
     ``/…/late-refusal`` after a response to another request,
     ``/…/unsigned`` sends a response without a signature, ``/…/silent``
-    sends no response, ``/…/named`` sends the request's id, ``/…/paced-N``
+    sends no response, ``/…/named`` sends the request's id, ``/…/large-N``
+    that and points up to N bytes, ``/…/paced-N``
     sends N events that name it, with pauses, ``/…/unframed`` sends a stream
     that ends with the connection, ``/…/unframed-cut-after-N`` one that ends
     with it inside the event after N events, ``/…/chunked-cut-after-N`` one
@@ -251,6 +252,10 @@
         elif action == 'named':
             name = self.headers['X-Carobwood-Request-Id'].encode()
             self._send_response(200, name, self._signature_headers())
+        elif action.startswith('large-'):
+            name = self.headers['X-Carobwood-Request-Id'].encode()
+            body = name.ljust(int(action.removeprefix('large-')), b'.')
+            self._send_response(200, body, self._signature_headers())
         elif action.startswith('paced-'):
             self._send_paced_events(int(action.removeprefix('paced-')))
         elif action == 'common-silence':
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,9 @@
 promise is kept in ``FAILED_SEEDS`` with its cause.
 """
 
+import http.client
+import socket
+
 import pytest
 
 import builds
@@ -11,6 +14,7 @@
 import soak_cases
 import soak_checks
 import soak_site
+import upgrade_callers
 import upgrade_records
 
 # Seeds that have broken a promise, with the cause.
@@ -154,3 +158,18 @@
     records.work_ends_by_id['q'] = work_ended_at
     attempt = _cut_attempt(16.8)
     assert soak_checks.excuse(records, attempt, has_run=True) == excuse
+
+
+# Such an answer counted as complete.
+def test_an_answer_that_is_shorter_than_declared_is_not_whole():
+    sender, receiver = socket.socketpair()
+    with sender, receiver:
+        sender.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart')
+        sender.shutdown(socket.SHUT_WR)
+        response = http.client.HTTPResponse(receiver)
+        response.begin()
+        while response.read1():
+            pass
+        with pytest.raises(http.client.IncompleteRead):
+            upgrade_callers.check_whole(response)
+        response.close()
