--- a/bench/upgrade_records.py
+++ b/bench/upgrade_records.py
@@ -33,6 +33,7 @@
         failure: what ended the connection, for the log.
         all_sent_at: time at which its last byte was sent, or None.
         is_chunked: whether its body is sent in chunks.
+        answer_bytes: size of a large plain answer, or 0.
     """
 
     id: str
@@ -54,6 +55,7 @@
     failure: str = ''
     all_sent_at: float | None = None
     is_chunked: bool = False
+    answer_bytes: int = 0
 
     def unsent(self, request_id, **changes):
         """Return an attempt like this one that has not been sent.
