--- a/bench/soak_habits.py
+++ b/bench/soak_habits.py
@@ -258,7 +258,7 @@
             if events >= self._way.leave_after > 0:
                 attempt.has_left = True
                 return
-        upgrade_callers.check_whole(response)
+        upgrade_callers.end_answer(response)
         attempt.is_complete = True
         if attempt.all_sent_at is None:
             # What is left of the request isn't sent any more.
--- a/bench/upgrade_callers.py
+++ b/bench/upgrade_callers.py
@@ -142,7 +142,7 @@
                 if leave_after < attempt.event_count:
                     attempt.has_left = True
                     return
-        check_whole(response)
+        end_answer(response)
         attempt.is_complete = True
 
     def _connect(self, vm_id):
@@ -223,13 +223,15 @@
     return bool(readable)
 
 
-def check_whole(response):
-    """Check that no part of an answer of a declared length is missing.
+def end_answer(response):
+    """Free the connection of an answer, of which no part may be missing.
 
-    ``read1`` ends without an error if the connection does.
+    ``read1`` ends without an error if the connection does, and does not free
+    it at the end of an answer of a declared length.
     """
     if response.length:
         raise http.client.IncompleteRead(b'', response.length)
+    response.close()
 
 
 def path_of(attempt):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -200,5 +200,5 @@
         while response.read1():
             pass
         with pytest.raises(http.client.IncompleteRead):
-            upgrade_callers.check_whole(response)
+            upgrade_callers.end_answer(response)
         response.close()
