Count the endpoints that a request was tried at, not the trials

Cause: a second trial at the same silent endpoint used up a further attempt of the route, so that none was tried any more although the endpoint had woken and max_attempts bounds endpoints.

Change: failed attempts and trials keep the ids of their endpoints; each counts once. A trial still takes a retry of the budget.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -51,8 +51,8 @@
         self._trace = trace
         self._set_request(request)
         self._tried = tried_endpoints.TriedEndpoints()
-        # Failed attempts in which the endpoint may have run the request.
-        self._failed_runs = 0
+        # Ids of the endpoints of failed attempts that may have run it.
+        self._failed_ids = set()
         # Error of the last attempt in which the request may have run.
         self._run_error = None
         # When the current attempt began.
@@ -261,7 +261,7 @@
             errors.EndpointTimeout,
             errors.AnswerMismatch,
         ) as error:
-            self._failed_runs += 1
+            self._failed_ids.add(assignment.endpoint.id)
             self._run_error = error
             if self._context.gate.is_interrupted:
                 raise errors.StopTimeout(
@@ -360,13 +360,14 @@
         return None
 
     @property
-    def _run_count(self):
-        """Number of attempts in which the request may have run and failed."""
-        return self._failed_runs + self._failover.run_count
+    def _run_ids(self):
+        """Ids of the endpoints that may have run the request and failed."""
+        return self._failed_ids | self._failover.run_ids
 
     @property
     def _is_last_attempt(self):
-        return self._run_count + 1 >= self._request.route.max_attempts
+        run_ids = self._run_ids | {self._assignment.endpoint.id}
+        return len(run_ids) >= self._request.route.max_attempts
 
     def _note_event(self):
         """Record that an event of the current attempt has come."""
@@ -396,10 +397,10 @@
         if self._failover.has_started:
             # Its retry is spent already.
             return
-        if self._failed_runs:
+        if self._failed_ids:
             if not request.route.is_idempotent:
                 raise error
-            if self._run_count >= request.route.max_attempts:
+            if len(self._run_ids) >= request.route.max_attempts:
                 raise self.final_error(error)
         if self._caller.has_started_response and (
             self._response_forwarder.has_passed_on
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -41,8 +41,8 @@
     """Attempts at other endpoints, made while one is silent.
 
     Attributes:
-        run_count: number of these attempts that failed or were given up after
-            the request may have run.
+        run_ids: ids of the endpoints at which these attempts failed or were
+            given up after the request may have run.
         run_error: error of the last of them, or None.
         has_noted_silence: whether the silence of the current attempt counts
             as a failure of its endpoint already.
@@ -56,7 +56,7 @@
             selector: the ``Selector``.
             caller: the ``CallerRequest``.
         """
-        self.run_count = 0
+        self.run_ids = set()
         self.run_error = None
         self._context = context
         self._selector = selector
@@ -280,7 +280,7 @@
             attempt_log.log_failed(request, assignment, error)
             recorder.note_failed_attempt(assignment, error, sent_at, None)
             self._retry_at_by_id[assignment.endpoint.id] = math.inf
-            self._note_run(error)
+            self._note_run(assignment, error)
             return _StayReason.FAILED
         except BaseException:
             connection.close()
@@ -362,7 +362,7 @@
     def _leave_other(self, sent, error, stay_reason):
         """Cancel the attempt at the other endpoint; return the reason."""
         sent.connection.close()
-        self._note_run(error)
+        self._note_run(sent.assignment, error)
         return stay_reason
 
     def _check_response(self, silent, sent, watch):
@@ -383,8 +383,8 @@
         self._started = silent_attempt.StartedAttempt(sent, response)
         return None
 
-    def _note_run(self, error):
-        self.run_count += 1
+    def _note_run(self, assignment, error):
+        self.run_ids.add(assignment.endpoint.id)
         self.run_error = error
 
 
