Tell the next VM how long a forwarded request has been here

Cause: a VM worked out when a forwarded request without a deadline had come from its own timeout of the route. If the other VM knew another one, the request counted as having come long ago, and was refused in place of waiting.

Change: the VM that forwards sends the time since it read the request (carobwood-time-used-ms). Earlier builds accept the request, as the proof is as before, and drop the header, as Connection names it.

Measured: two cases in tests/test_relay_admission.py fail if the header's value is left out (a mutation), pass with it; with the tests of the headers, formats, unreachable endpoints and patience 58 passed. Not run beside a process of an earlier build.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
@@ -346,6 +346,9 @@
     """Return when the first VM of a request had read it to its end."""
     if forwarded is None:
         return whole_at
+    if forwarded.time_used is not None:
+        return whole_at - forwarded.time_used
+    # Right if both VMs know the same timeout of the route.
     seconds_used = _time_allowed(metadata, route, None) - forwarded.time_left
     return whole_at - max(0.0, seconds_used)
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/forwarding_headers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/forwarding_headers.py
@@ -2,25 +2,32 @@
 
 They are carobwood's own. A message authentication code over them shows that
 a VM of the fleet has sent them; they are never sent to endpoints or callers.
+
+Earlier builds do not know ``TIME_USED``: it is not covered by the code, and
+named in ``Connection``, so that they drop it.
 """
 
 import dataclasses
 import hmac
+import re
 
 from carobwood import errors
 
 VM = 'carobwood-forwarding-vm'
 TIME_LEFT = 'carobwood-time-left-ms'
+TIME_USED = 'carobwood-time-used-ms'
 WITHIN_RATE = 'carobwood-within-rate'
 PROOF = 'carobwood-forwarding-proof'
 # Headers of the response, if it is an error of the VM itself.
 ERROR = 'carobwood-error'
 OUTCOME = 'carobwood-outcome'
 
-ALL = frozenset((VM, TIME_LEFT, WITHIN_RATE, PROOF, ERROR, OUTCOME))
+ALL = frozenset((VM, TIME_LEFT, TIME_USED, WITHIN_RATE, PROOF, ERROR, OUTCOME))
 # Size that the request's headers add at most.
 MAX_BYTES = 1024
 
+_MILLISECONDS = re.compile('[0-9]{1,9}', re.ASCII)
+
 
 @dataclasses.dataclass(frozen=True)
 class ForwardedRequest:
@@ -30,11 +37,14 @@
         vm_id: id of that VM, which has admitted the request.
         time_left: seconds until the response is due.
         is_within_rate: whether the customer's rate limit covers the request.
+        time_used: seconds since it was read to its end, or None if an earlier
+            build has forwarded it.
     """
 
     vm_id: str
     time_left: float
     is_within_rate: bool
+    time_used: float | None = None
 
 
 def format_request(forwarded, method, target, secret):
@@ -51,7 +61,15 @@
         (TIME_LEFT, str(int(max(0.0, forwarded.time_left) * 1000))),
         (WITHIN_RATE, str(int(forwarded.is_within_rate))),
     )
-    return (*pairs, (PROOF, _proof(dict(pairs), method, target, secret)))
+    proof = (PROOF, _proof(dict(pairs), method, target, secret))
+    return (*pairs, proof, *_format_time_used(forwarded.time_used))
+
+
+def _format_time_used(seconds):
+    if seconds is None:
+        return ()
+    milliseconds = str(int(max(0.0, seconds) * 1000))
+    return ((TIME_USED, milliseconds), ('Connection', TIME_USED))
 
 
 def parse_request(headers_by_name, method, target, secret):
@@ -75,10 +93,19 @@
     if not hmac.compare_digest(proof.encode('latin-1'), expected.encode()):
         raise errors.LinkRefused('the request comes from no VM of the fleet')
     return ForwardedRequest(
-        values[VM], int(values[TIME_LEFT]) / 1000, values[WITHIN_RATE] == '1'
+        values[VM],
+        int(values[TIME_LEFT]) / 1000,
+        values[WITHIN_RATE] == '1',
+        _parse_time_used(headers_by_name.get(TIME_USED, '')),
     )
 
 
+def _parse_time_used(value):
+    if not _MILLISECONDS.fullmatch(value):
+        return None
+    return int(value) / 1000
+
+
 def _proof(values, method, target, secret):
     lines = [method, target, *(values[name] for name in sorted(values))]
     text = '\n'.join(lines).encode('latin-1')
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -165,6 +165,7 @@
             self._context.directory.own_vm.id,
             request.seconds_left - RETURN_SECONDS,
             request.is_within_rate,
+            clocks.now() - request.first_arrived_at,
         )
         trace_headers = {}
         trace.propagate(trace_headers)
--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -57,12 +57,13 @@
         self.store.update(fleet, ((version, commands.encode(put)),))
 
     def admit(self, deadline_ms, forwarded=None):
-        """Admit a request with a deadline in milliseconds."""
+        """Admit a request with a deadline in milliseconds, or None."""
         headers = {
             'authorization': f'Bearer {builders.KEY}',
             'x-carobwood-request-id': 'r-1',
-            'x-carobwood-deadline-ms': str(deadline_ms),
         }
+        if deadline_ms is not None:
+            headers['x-carobwood-deadline-ms'] = str(deadline_ms)
         caller = types.SimpleNamespace(
             headers=headers,
             host=builders.HOST,
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -130,6 +130,23 @@
     assert request.first_arrived_at < own.arrived_at - 0.4
 
 
+# Two VMs know different timeouts of a route during a change: a request without
+# a deadline counted as having come long ago, and was refused.
+@pytest.mark.parametrize('timeout_of_the_other', [5.0, 600.0])
+def test_a_request_has_come_when_the_other_vm_says(
+    monkeypatch, timeout_of_the_other
+):
+    setup = admission_builders.AdmissionSetup()
+    setup.configure()
+    now = admission.clocks.now()
+    monkeypatch.setattr(admission.clocks, 'now', lambda: now)
+    forwarded = forwarding_headers.ForwardedRequest(
+        'front-1', timeout_of_the_other - 0.5, True, 0.5
+    )
+    request = setup.admit(None, forwarded)
+    assert request.first_arrived_at == now - 0.5
+
+
 def test_a_request_beyond_the_rate_stays_so_on_another_vm():
     setup = admission_builders.AdmissionSetup()
     setup.configure()
--- a/tests/test_unreachable_endpoints.py
+++ b/tests/test_unreachable_endpoints.py
@@ -114,6 +114,24 @@
     assert 0 < int(received['x-carobwood-deadline-ms']) < 3000
 
 
+def test_a_vm_tells_the_next_one_when_a_request_has_come(
+    fleet, cut_off, monkeypatch
+):
+    parsed = []
+    parse = forwarding_headers.parse_request
+
+    def record(*arguments):
+        parsed.append(parse(*arguments))
+        return parsed[-1]
+
+    monkeypatch.setattr(forwarding_headers, 'parse_request', record)
+    _strand_vm_0(fleet, cut_off)
+    parsed.clear()
+    fleet.fleet.ask('/checks/x')
+    [forwarded] = parsed
+    assert 0 <= forwarded.time_used < relay_test_fleet.WAIT_SECONDS
+
+
 def test_headers_between_vms_do_not_reach_the_caller(fleet, cut_off):
     _strand_vm_0(fleet, cut_off)
     for path in ('/checks/x', '/orders/full'):
