Ask for a permit only for a request that may be sent

Cause: the selector asked the fleet for a permit first, and then looked whether the endpoint takes requests of this VM. If another request had begun to try the endpoint after its pause, the permit was spent for nothing.

Change: the right to try the endpoint comes first; it is given back if the permit is denied or can't be asked for.

Measured: test_no_permit_is_asked_for_while_another_request_tries_the_endpoint failed before, passes after; three cases fail if the right is not given back (a mutation).

--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_availability.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_availability.py
@@ -166,6 +166,16 @@
                     )
         return True
 
+    def give_back(self, endpoint):
+        """Let another request try an endpoint, as this one was not sent."""
+        with self._lock:
+            match self._find(self._unavailable_by_id, endpoint):
+                case Unavailable(_, trial_ends_at) as fact if trial_ends_at:
+                    self._unavailable_by_id[endpoint.id] = (
+                        endpoint.incarnation,
+                        dataclasses.replace(fact, trial_ends_at=0.0),
+                    )
+
     def _end_trial(self, endpoint):
         with self._lock:
             match self._find(self._unavailable_by_id, endpoint):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -187,16 +187,22 @@
         return _Place(choice, candidates, reservation)
 
     def _acquire(self, endpoint, reservation):
-        """Acquire the permit for a place, or give the place up."""
+        """Acquire the permit for a place, or give the place up.
+
+        The permit comes last, as it can't be given back to the fleet.
+        """
         context = self._context
         is_permitted = False
+        is_available = context.availability.acquire(endpoint)
         try:
-            is_permitted = context.rate_limits.acquire(
+            is_permitted = is_available and context.rate_limits.acquire(
                 endpoint
-            ) and context.availability.acquire(endpoint)
+            )
         finally:
             if not is_permitted:
                 reservation.release()
+                if is_available:
+                    context.availability.give_back(endpoint)
         return is_permitted
 
     def seconds_until_open(self, endpoint):
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -473,6 +473,57 @@
     assert asked == [harness.endpoint.id]
 
 
+def _limited_after_pause():
+    """Return a harness whose endpoint has a limit and has ended a pause."""
+    harness = SelectorHarness(_pass_time)
+    _free_capacity(harness)
+    _name_limit(harness)
+    harness.availability.note_head(harness.endpoint, _rejection(1.0))
+    harness.clock.advance(1.0)
+    return harness
+
+
+# A permit of the fleet was spent for a request that was not sent, as another
+# one had begun to try the endpoint after its pause.
+def test_no_permit_is_asked_for_while_another_request_tries_the_endpoint():
+    harness = _limited_after_pause()
+    asked = []
+
+    def grant(endpoint, statement):
+        asked.append(endpoint.id)
+        return endpoint_permits.PermitDecision(True, False, 0.0, statement)
+
+    harness.request_permit = grant
+    reserve = harness.loads.reserve
+
+    def reserve_late(*arguments):
+        assert harness.availability.acquire(harness.endpoint)
+        return reserve(*arguments)
+
+    harness.loads.reserve = reserve_late
+    assert harness.selector.try_assign(harness.request, ()) is None
+    assert asked == []
+
+
+@pytest.mark.parametrize('error', [None, errors.LinkFailed('x'), OSError()])
+def test_an_endpoint_is_tried_by_another_request_if_a_permit_is_denied(error):
+    harness = _limited_after_pause()
+    _deny(harness, 0.1)
+    if error is not None:
+        harness.request_permit = _raise(error)
+    with contextlib.suppress(OSError):
+        assert harness.selector.try_assign(harness.request, ()) is None
+    assert harness.availability.acquire(harness.endpoint)
+    assert not harness.availability.acquire(harness.endpoint)
+
+
+def _raise(error):
+    def fail(*_arguments):
+        raise error
+
+    return fail
+
+
 # A stream went on at another software version, which the VM had not heard of.
 @pytest.mark.parametrize(
     'wanted, announced, age, is_offered',
