Serve with the threads that a listener has

Cause: cheroot starts a further thread on the thread of a listener before its loop. If the system refuses it, the listener's thread ends, and the VM lives on: its port is bound, nobody answers, and a log line (103) is all that tells.

Change: the loop is the listener's own and needs no further thread; it goes on after an error. A refused thread of the listener itself ends the start with 112, as before.

Measured: tests/test_refused_threads.py, the new test fails 2 of 2 before and passes after.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -70,6 +70,19 @@
         self._connections = listener_connections.ListenerConnections(self)
         self.lingering_closes = lingering_close.LingeringCloses()
 
+    def serve(self):
+        """Serve until the stop; see ``HTTPServer``.
+
+        cheroot would start another thread first, for connections beyond the
+        queue of the workers, which has no bound here.
+        """
+        threads.repeat(self._serve_next)
+
+    def _serve_next(self):
+        if self.ready:
+            self._connections.run(self.expiration_interval)
+        return self.ready
+
     def put_conn(self, conn):
         """Watch a connection that a worker gives back; see ``HTTPServer``."""
         if self.ready or not self._connections.last_handshakes.add(conn):
--- a/tests/test_refused_threads.py
+++ b/tests/test_refused_threads.py
@@ -1,10 +1,17 @@
-"""Stops of VMs whose process gets no more threads."""
+"""Starts and stops of VMs whose process gets no more threads."""
 
 import threading
 
 import pytest
 import relay_test_fleet
 
+from carobwood import addresses
+from carobwood_daemon.entry import listener
+from carobwood_daemon.relay import gateway
+from carobwood_daemon.relay import http_server
+
+ANSWER_TIMEOUT_SECONDS = 10.0
+
 
 def _refuse(thread):
     raise RuntimeError("can't start new thread")
@@ -31,3 +38,37 @@
     ports = fleet.fleet.control_ports + fleet.fleet.entry_ports
     reply = relay_test_fleet.ask(ports[number], 'GET', '/v1/config')
     assert reply.status == 0
+
+
+def _make_http_server(address):
+    response = gateway.ApiResponse(200, 'OK', b'answer')
+    api = gateway.make_api_gateway(lambda request: response)
+    return http_server.HttpServer(address, api, 2)
+
+
+def _make_listener(address):
+    return listener.Listener(address, lambda: b'answer', 2)
+
+
+# The thread of a listener ended as it was refused another one. The VM lived
+# on, said that it was ready, and answered nobody.
+@pytest.mark.parametrize('make_server', (_make_http_server, _make_listener))
+def test_a_listener_serves_with_the_threads_that_it_has(
+    monkeypatch, make_server
+):
+    server = make_server(addresses.Address('127.0.0.1', 0))
+    start = threading.Thread.start
+
+    def start_from_here(thread):
+        if threading.current_thread() is not threading.main_thread():
+            _refuse(thread)
+        start(thread)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(threading.Thread, 'start', start_from_here)
+        server.start()
+        reply = relay_test_fleet.ask(
+            server.port, 'GET', '/', timeout=ANSWER_TIMEOUT_SECONDS
+        )
+    server.stop()
+    assert (reply.status, reply.body) == (200, b'answer')
