--- a/bench/soak_habits.py
+++ b/bench/soak_habits.py
@@ -7,7 +7,6 @@
 
 import dataclasses
 import http.client
-import select
 import socket
 import time
 
@@ -223,10 +222,7 @@
         """Return whether no answer has come in place of a leave to send."""
         if not self._way.expects:
             return True
-        readable, _, _ = select.select(
-            [connection.sock], [], [], EXPECT_SECONDS
-        )
-        if not readable:
+        if not upgrade_callers.has_input(connection.sock, EXPECT_SECONDS):
             return True
         return _peek_status(connection.sock) in (0, http.client.CONTINUE)
 
--- a/bench/upgrade_callers.py
+++ b/bench/upgrade_callers.py
@@ -214,10 +214,18 @@
     """Return whether an idle connection has been closed, and close it."""
     if connection.sock is None:
         return False
-    readable, _, _ = select.select([connection.sock], [], [], 0)
-    if readable:
+    is_readable = has_input(connection.sock, 0)
+    if is_readable:
         connection.close()
-    return bool(readable)
+    return is_readable
+
+
+def has_input(sock, seconds):
+    """Return whether a socket has bytes or its end within some seconds."""
+    # The descriptor may be one that select() does not take.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(1000 * seconds))
 
 
 def check_whole(response):
