Tell for how long an endpoint of a soak lacked a processor

A verdict that depends on times cannot be judged if the machine had no processor for its parts. Endpoints note already when they did not run; the table says for how long apart from their silences.

Run: tests/test_soak.py without its three runs of processes, 18 passed.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -70,10 +70,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Outcome(upgrade.Outcome):
-    """The outcome of a run, with its ``Layout`` and number of faults."""
+    """The outcome of a run.
+
+    Attributes:
+        layout: its ``Layout``.
+        fault_counts: number of faults by name.
+        lag_seconds: longest time for which an endpoint that was not silenced
+            did not run, for want of a processor.
+    """
 
     layout: soak_site.Layout
     fault_counts: dict
+    lag_seconds: float
 
 
 def run(plan, folder):
@@ -109,6 +117,18 @@
         site.processes.count_log_lines(upgrade.WATCHED_EVENTS),
         layout,
         {**injector.counts, 'silent endpoints': len(site.records.silences)},
+        _find_lag_seconds(site),
+    )
+
+
+def _find_lag_seconds(site):
+    silences = site.records.silences
+    return max(
+        soak_checks.lag_seconds(
+            endpoint.read_pauses(),
+            [each for each in silences if each.vm_id == endpoint.name],
+        )
+        for endpoint in site.endpoints
     )
 
 
@@ -181,7 +201,11 @@
     )
     excuses = soak_checks.count_excuses(outcome.records)
     print(f'  without an answer, excused: {excuses or "none"}')
-    print(f'  faults: {outcome.fault_counts}', flush=True)
+    print(f'  faults: {outcome.fault_counts}')
+    print(
+        f'  an endpoint lacked a processor: {outcome.lag_seconds:.1f} s',
+        flush=True,
+    )
 
 
 def _run_once(plan, log_folder, keeps_logs):
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -48,6 +48,26 @@
     return ends_by_id
 
 
+def lag_seconds(pauses, silences):
+    """Return for how long an endpoint did not run, apart from its silences.
+
+    The machine had no processor for it: what is judged by times beside that is
+    to be played again.
+
+    Args:
+        pauses: begin and end of each of its pauses.
+        silences: the ``Disruption`` of each of its silences.
+    """
+    return sum(
+        end - begin
+        for begin, end in pauses
+        if not any(
+            silence.began_at <= end and silence.ended_at >= begin
+            for silence in silences
+        )
+    )
+
+
 def _check_answered(records):
     """Return whether each request that was read has a complete answer.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -173,3 +173,10 @@
         with pytest.raises(http.client.IncompleteRead):
             upgrade_callers.check_whole(response)
         response.close()
+
+
+def test_time_without_a_processor_is_told_from_silences():
+    silence = upgrade_records.Disruption('a', 'silence', True, 2.0, 3.0)
+    pauses = [[0.0, 1.0], [2.1, 3.1], [8.0, 10.0]]
+    assert soak_checks.lag_seconds(pauses, [silence]) == 3.0
+    assert soak_checks.lag_seconds([], []) == 0.0
