End attempts at a silent endpoint once another instance answers there

Cause: the host of an endpoint loses power and runs another instance a second later, while no control VM is there to tell of it.

Change: at each look, a silent endpoint is asked for its health on a new connection (`relay/ended_endpoints.py`). Another instance's id, or a 421 that names one, proves that it has ended. The next look ends the attempt as failed: the request goes on elsewhere, or its caller gets the final answer.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
@@ -43,6 +43,7 @@
         target: path with query.
         headers: (name, value) pairs.
         body: the body as bytes, or None.
+        may_reuse: whether it may be sent on an idle connection.
     """
 
     method: str
@@ -50,6 +51,7 @@
     target: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes | None = None
+    may_reuse: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -140,7 +142,7 @@
         _close_all(connection for group in idle for connection in group)
 
     def _call(self, call, allowance):
-        connection = self._take_idle(call.address)
+        connection = self._take_idle(call.address) if call.may_reuse else None
         try:
             if connection is None:
                 connection = _connect(call.address, allowance)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/dialect.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/dialect.py
@@ -119,6 +119,23 @@
             EngineCallFailed: no response was received in time.
         """
 
+    @abc.abstractmethod
+    def read_instance_id(self, address, endpoint_id, path, timeout):
+        """Request the id of the endpoint at an address, on a new connection.
+
+        Args:
+            address: ``host:port`` of the endpoint.
+            endpoint_id: id of the endpoint that is expected there.
+            path: path of its health check.
+            timeout: seconds after which the call has failed.
+
+        Returns:
+            The id that the response names, or empty if it names none.
+
+        Raises:
+            EngineCallFailed: no response was received in time.
+        """
+
     @abc.abstractmethod
     def fetch_cache_events(self, address, position, wait, timeout):
         """Request the ``CacheEventBatch`` of a cache from a position on.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -30,6 +30,8 @@
         kv_stores: the ``KvStores``: contents of the KV cache stores.
         activity: the ``EndpointActivity``: when endpoints were last heard.
         liveness: the ``EndpointLiveness``: whether endpoints answer.
+        ended_endpoints: the ``EndedEndpoints``: which endpoints have ended
+            without closing their connections.
         health: the ``EndpointHealth``: failures of endpoints.
         availability: the ``EndpointAvailability``: what endpoints say about
             the work that they take.
@@ -69,6 +71,7 @@
     kv_stores: object
     activity: object
     liveness: object
+    ended_endpoints: object
     health: object
     availability: object
     rate_limits: object
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -88,7 +88,9 @@
             self._context.health.note_refused(assignment.endpoint)
         elif head.endpoint_id not in ('', assignment.endpoint.id):
             # Another endpoint listens on its address, so it is gone.
-            self._context.directory.drop_endpoint(assignment.endpoint)
+            self._context.ended_endpoints.note_answer(
+                assignment.endpoint, head.endpoint_id
+            )
         elif not self._refresh_weights(assignment):
             self._context.health.note_refused(assignment.endpoint)
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -105,9 +105,11 @@
                 None.
 
         Raises:
+            EndpointFailed: the silent endpoint has ended.
             EndpointTimeout: another endpoint goes on with the request.
             CallerLeft: the caller disconnected meanwhile.
         """
+        self._check_not_ended(silent)
         if stay_reason is None and self._is_awake_again(silent):
             stay_reason = _StayReason.RESUMED
         if stay_reason is None:
@@ -119,6 +121,15 @@
         if stay_reason is None:
             raise errors.EndpointTimeout('another endpoint goes on')
 
+    def _check_not_ended(self, silent):
+        """Give up an endpoint that can't go on with what it had."""
+        if self._context.ended_endpoints.has_ended(
+            silent.assignment.endpoint, _service_of(silent.request)
+        ):
+            raise errors.EndpointFailed(
+                'another instance answers at the address of the endpoint'
+            )
+
     def _is_awake_again(self, silent):
         """Tell whether the endpoint has begun to send events of others.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -8,6 +8,7 @@
 from .membership import leaving_confirmation
 from .relay import admission
 from .relay import control_operations
+from .relay import ended_endpoints
 from .relay import endpoint_activity
 from .relay import endpoint_liveness
 from .relay import fleet_loads
@@ -203,6 +204,9 @@
             liveness=endpoint_liveness.EndpointLiveness(
                 self._dialect, activity
             ),
+            ended_endpoints=ended_endpoints.EndedEndpoints(
+                self._dialect, directory
+            ),
             health=shared.health,
             availability=shared.availability,
             rate_limits=shared.rate_limits,
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -43,6 +43,8 @@
 
     Attributes:
         name: id of the endpoint.
+        instance_id: id of the instance that answers new requests; requests
+            for another one are misdirected.
         service: name of the service that it belongs to.
         version: version of the weights that it has loaded.
         software_version: version of its software.
@@ -72,11 +74,13 @@
             answers nothing; once the ``Event`` is set, it closes them.
         failure_status: HTTP status of its answers, or 0 if it works.
         report_status: HTTP status of its reports.
+        health_status: HTTP status of its answers to health checks.
         address: ``host:port`` that it listens on.
     """
 
     def __init__(self, name, service):
         self.name = name
+        self.instance_id = name
         self.service = service
         self.version = 1
         self.software_version = 'v1'
@@ -98,6 +102,7 @@
         self.ends_freeze = None
         self.failure_status = 0
         self.report_status = 200
+        self.health_status = 200
         self._server = None
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
@@ -191,8 +196,23 @@
             status = self.engine.report_status
             self._send_response(status, json.dumps(body).encode())
             return
+        if self.path == builders.HEALTH_PATH:
+            self._answer_health()
+            return
         self._handle_request()
 
+    def _answer_health(self):
+        """Respond with the id of the instance, as if it had started anew."""
+        headers = {'X-Carobwood-Instance-Id': self.engine.instance_id}
+        status = self.engine.health_status
+        if self._is_misdirected():
+            status = 421
+        self._send_response(status, b'', headers)
+
+    def _is_misdirected(self):
+        expected = self.headers.get('X-Carobwood-Expect-Instance')
+        return expected not in (None, self.engine.instance_id)
+
     def do_POST(self):  # noqa: N802 (named by http.server)
         """Accept an order, or handle a request."""
         length = int(self.headers.get('Content-Length', 0))
@@ -218,6 +238,10 @@
         return True
 
     def _handle_request(self):
+        if self._is_misdirected():
+            headers = {'X-Carobwood-Instance-Id': self.engine.instance_id}
+            self._send_response(421, b'', headers)
+            return
         headers = {name.lower(): value for name, value in self.headers.items()}
         self.engine.requests.append(headers)
         self.engine.received_at.append(time.monotonic())
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -17,6 +17,7 @@
 HOST = 'booths.example'
 KEY = 'key-of-bole-0001'
 MODEL = 'ruling'
+HEALTH_PATH = '/health'
 
 
 class Clock:
--- a/tests/test_silence_failover.py
+++ b/tests/test_silence_failover.py
@@ -89,6 +89,7 @@
         context = stub(
             activity=stub(silent_ids=lambda: frozenset(self.silent_ids)),
             liveness=self.liveness,
+            ended_endpoints=stub(has_ended=lambda endpoint, service: False),
             health=stub(note_result=lambda endpoint, failed: None),
             retry_budget=stub(may_spend=lambda service: True),
             wait_queue=stub(must_queue=lambda *key: False),
