Drop an ended endpoint again when late news brings it back

Cause: drops an endpoint at whose address another instance answers only the first time. One that gossip brings back was offered requests again and again, each of which was answered 421.

Test: fails before, passes after.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -46,6 +46,11 @@
     last_seen_at: float = 0.0
     software_version: str = ''
 
+    @property
+    def instance(self):
+        """Key that no other start of an endpoint has."""
+        return (self.id, self.incarnation)
+
     @property
     def order(self):
         """Key that grows with each announcement of the endpoint."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/ended_endpoints.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/ended_endpoints.py
@@ -37,7 +37,7 @@
         self._directory = directory
         self._checks = liveness.LivenessChecks(self._ask, **options)
         self._lock = threading.Lock()
-        # (id, incarnation) pairs as keys, oldest first.
+        # ``Endpoint.instance`` as keys, oldest first.
         self._ended = collections.OrderedDict()
 
     def has_ended(self, endpoint, service):
@@ -52,7 +52,7 @@
                 configuration does not name it.
         """
         with self._lock:
-            if _key(endpoint) in self._ended:
+            if endpoint.instance in self._ended:
                 return True
         if service is not None and service.health_path:
             self._checks.check(endpoint, service)
@@ -67,19 +67,24 @@
         """
         if instance_id in ('', endpoint.id):
             return
+        if self._add(endpoint):
+            events.emit(
+                events.ENDPOINT_REPLACED,
+                endpoint=endpoint.id,
+                incarnation=endpoint.incarnation,
+                found=instance_id,
+            )
+        # A late announcement may have brought it back.
+        self._directory.drop_endpoint(endpoint)
+
+    def _add(self, endpoint):
+        """Remember that an endpoint has ended; return whether that is new."""
         with self._lock:
-            if _key(endpoint) in self._ended:
-                return
-            self._ended[_key(endpoint)] = True
+            is_new = endpoint.instance not in self._ended
+            self._ended[endpoint.instance] = True
             while len(self._ended) > MAX_ENDED:
                 self._ended.popitem(last=False)
-        events.emit(
-            events.ENDPOINT_REPLACED,
-            endpoint=endpoint.id,
-            incarnation=endpoint.incarnation,
-            found=instance_id,
-        )
-        self._directory.drop_endpoint(endpoint)
+        return is_new
 
     def _ask(self, endpoint, service):
         instance_id = self._dialect.read_instance_id(
@@ -90,7 +95,3 @@
         )
         self.note_answer(endpoint, instance_id)
         return True
-
-
-def _key(endpoint):
-    return (endpoint.id, endpoint.incarnation)
--- a/tests/test_ended_endpoints.py
+++ b/tests/test_ended_endpoints.py
@@ -112,3 +112,11 @@
 def test_an_endpoint_without_health_checks_is_not_asked(site, service):
     assert not site.table.has_ended(ENDPOINT, service)
     assert site.calls == []
+
+
+# An ended endpoint that a late announcement had brought back got requests
+# again and again, as it was dropped only once.
+def test_an_ended_endpoint_that_comes_back_is_dropped_again(site):
+    for _ in range(2):
+        site.table.note_answer(ENDPOINT, 'engine-2')
+    assert site.dropped == [ENDPOINT, ENDPOINT]
