Reuse a connection only for the instance that it was made for

Cause: an endpoint loses power without closing its connections, and another one starts at its address.

Change: an idle connection belongs to the instance (id and incarnation) that it was made for, and is closed when another one is to get a request.

The stubs of pools in test_crash_detection.py, test_endpoint_prober.py and test_leaving_and_refusing_endpoints.py take the new argument; the second also checks that it is the same at both ends. The fake endpoint resets the connections of an earlier instance.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
@@ -1,5 +1,12 @@
-"""Pool of idle connections to endpoints, or to other VMs."""
+"""Pool of idle connections to endpoints, or to other VMs.
 
+Load pattern: several endpoints lose power without closing their connections,
+and others start at their addresses. A request that goes to one of these on a
+connection that its predecessor had is reset, which costs an attempt and a
+retry. So a connection is reused only for the instance that it was made for.
+"""
+
+import dataclasses
 import threading
 
 import urllib3
@@ -27,6 +34,21 @@
 _CONNECT_FAILURES = (OSError, urllib3.exceptions.HTTPError)
 
 
+@dataclasses.dataclass(frozen=True)
+class _IdleConnection:
+    """A connection that may be reused until it expires.
+
+    Attributes:
+        expires_at: monotonic time from which it is not reused.
+        connection: the ``EndpointConnection``.
+        instance: see ``ConnectionPool.acquire``.
+    """
+
+    expires_at: float
+    connection: object
+    instance: object
+
+
 class ConnectionPool:
     """Idle connections to endpoints, by address."""
 
@@ -41,12 +63,16 @@
         self._clock = clock
         self._on_result = on_result or (lambda address, is_made: None)
         self._lock = threading.Lock()
-        # Lists of (expiry time, connection), most recently used last.
+        # Lists of ``_IdleConnection``, most recently used last.
         self._idle_by_address = {}
         self._is_closed = False
 
     def acquire(
-        self, address, may_reuse=True, timeout=CONNECT_TIMEOUT_SECONDS
+        self,
+        address,
+        may_reuse=True,
+        timeout=CONNECT_TIMEOUT_SECONDS,
+        instance=None,
     ):
         """Return a connection, an idle one if one is reusable.
 
@@ -54,6 +80,8 @@
             address: ``host:port`` of the endpoint.
             may_reuse: whether an idle connection may be reused.
             timeout: seconds in which a new connection must be made.
+            instance: what tells the instance that is expected to listen
+                there from earlier ones, such as ``Endpoint.instance``.
 
         Returns:
             The ``EndpointConnection``.
@@ -64,7 +92,7 @@
             LocalPortsUsedUp: this VM can make none to the endpoint.
         """
         while may_reuse:
-            upstream = self._take_idle(address)
+            upstream = self._take_idle(address, instance)
             if upstream is None:
                 break
             if upstream.is_reusable():
@@ -96,7 +124,7 @@
             self._close_all_idle()
             return _connect(address, timeout)
 
-    def release(self, address, upstream, idle_seconds):
+    def release(self, address, upstream, idle_seconds, instance=None):
         """Keep a connection for reuse, or close it if it is not reusable.
 
         Args:
@@ -105,6 +133,7 @@
                 its end.
             idle_seconds: the endpoint's own idle timeout, or None if it
                 announced none.
+            instance: see ``acquire``.
         """
         limit = MAX_IDLE_SECONDS
         if idle_seconds is not None:
@@ -116,12 +145,12 @@
         expires_at = self._clock() + limit
         with self._lock:
             idle = self._idle_by_address.setdefault(address, [])
-            idle.append((expires_at, upstream))
+            idle.append(_IdleConnection(expires_at, upstream, instance))
             kept = 0 if self._is_closed else MAX_IDLE_PER_ADDRESS
             surplus = idle[: max(0, len(idle) - kept)]
             del idle[: len(surplus)]
-        for _, oldest in surplus:
-            oldest.close()
+        for oldest in surplus:
+            oldest.connection.close()
 
     def close(self):
         """Close the idle connections, and others once they are released."""
@@ -139,8 +168,8 @@
         """Close the idle connections to an address."""
         with self._lock:
             idle = self._idle_by_address.pop(address, [])
-        for _, upstream in idle:
-            upstream.close()
+        for entry in idle:
+            entry.connection.close()
 
     def close_expired(self):
         """Close the connections whose idle time has expired."""
@@ -148,23 +177,23 @@
         expired = []
         with self._lock:
             for address, idle in list(self._idle_by_address.items()):
-                expired += [entry for entry in idle if entry[0] <= now]
-                remaining = [entry for entry in idle if entry[0] > now]
+                expired += [e for e in idle if e.expires_at <= now]
+                remaining = [e for e in idle if e.expires_at > now]
                 self._idle_by_address[address] = remaining
                 if not remaining:
                     del self._idle_by_address[address]
-        for _, upstream in expired:
-            upstream.close()
+        for entry in expired:
+            entry.connection.close()
 
-    def _take_idle(self, address):
+    def _take_idle(self, address, instance):
         now = self._clock()
         with self._lock:
             idle = self._idle_by_address.get(address)
             while idle:
-                expires_at, upstream = idle.pop()
-                if expires_at > now:
-                    return upstream
-                upstream.close()
+                newest = idle.pop()
+                if newest.expires_at > now and newest.instance == instance:
+                    return newest.connection
+                newest.connection.close()
         return None
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_prober.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_prober.py
@@ -59,7 +59,10 @@
         """Open a connection to an endpoint and record the result."""
         try:
             connection = self._pool.acquire(
-                endpoint.address, False, PROBE_TIMEOUT_SECONDS
+                endpoint.address,
+                False,
+                PROBE_TIMEOUT_SECONDS,
+                endpoint.instance,
             )
         except errors.DescriptorsUsedUp:
             self._health.request_probe(endpoint)
@@ -67,6 +70,8 @@
         except errors.EndpointUnreachable:
             self._health.note_still_unreachable(endpoint)
             return
-        self._pool.release(endpoint.address, connection, None)
+        self._pool.release(
+            endpoint.address, connection, None, endpoint.instance
+        )
         self._health.note_reachable(endpoint)
         self._on_reachable()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -418,7 +418,7 @@
 
     def _forward_response(self, assignment, response):
         self._response_forwarder.forward(response)
-        response.give_back(self._context.pool, assignment.endpoint.address)
+        response.give_back(self._context.pool, assignment.endpoint)
 
     def _note_answered(self, assignment, response):
         self._recorder.note_answered(assignment, response.head)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -31,15 +31,20 @@
     headers: dict[str, str]
     upstream: endpoint_connections.EndpointConnection
 
-    def give_back(self, pool, address):
+    def give_back(self, pool, endpoint):
         """Return its connection to a pool, or close it.
 
         Args:
             pool: the ``ConnectionPool``.
-            address: the ``Address`` of the endpoint.
+            endpoint: the ``Endpoint``.
         """
         if self.upstream.is_reusable() and not self.head.closes_connection:
-            pool.release(address, self.upstream, self.head.idle_timeout)
+            pool.release(
+                endpoint.address,
+                self.upstream,
+                self.head.idle_timeout,
+                endpoint.instance,
+            )
         else:
             self.upstream.close()
 
@@ -122,7 +127,9 @@
         # retried; it gets a new connection.
         may_reuse = self._request.route.is_idempotent
         connection = self._context.pool.acquire(
-            assignment.endpoint.address, may_reuse
+            assignment.endpoint.address,
+            may_reuse,
+            instance=assignment.endpoint.instance,
         )
         try:
             self._check_serving(assignment.endpoint)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -210,11 +210,16 @@
         """Return the ``EndpointUnreachable`` of a new connection, or None."""
         try:
             connection = self._context.pool.acquire(
-                endpoint.address, False, endpoint_prober.PROBE_TIMEOUT_SECONDS
+                endpoint.address,
+                False,
+                endpoint_prober.PROBE_TIMEOUT_SECONDS,
+                endpoint.instance,
             )
         except errors.EndpointUnreachable as error:
             return error
-        self._context.pool.release(endpoint.address, connection, None)
+        self._context.pool.release(
+            endpoint.address, connection, None, endpoint.instance
+        )
         return None
 
     def _note_version(self, assignment, head):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -269,8 +269,9 @@
             return _StayReason.LEAVING
         stay_reason = self._claim_attempt(request)
         if stay_reason is not None:
+            endpoint = assignment.endpoint
             self._context.pool.release(
-                assignment.endpoint.address, connection, None
+                endpoint.address, connection, None, endpoint.instance
             )
             return stay_reason
         attempt_log.log_sent(request, assignment, silent.last_event_id)
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -3,6 +3,7 @@
 import http.server
 import json
 import socket
+import struct
 import sys
 import threading
 import time
@@ -15,6 +16,8 @@
 COMMON_PACE_SECONDS = 0.05
 # Time after which a freeze ends that its test has not ended.
 MAX_FREEZE_SECONDS = 60.0
+# Value of SO_LINGER with which closing a connection resets it.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class FakeEngine:
@@ -45,6 +48,7 @@
         name: id of the endpoint.
         instance_id: id of the instance that answers new requests; requests
             for another one are misdirected.
+        born: when it started, as its announcements name it.
         service: name of the service that it belongs to.
         version: version of the weights that it has loaded.
         software_version: version of its software.
@@ -81,6 +85,7 @@
     def __init__(self, name, service):
         self.name = name
         self.instance_id = name
+        self.born = 1_700_000_000_000
         self.service = service
         self.version = 1
         self.software_version = 'v1'
@@ -134,7 +139,7 @@
             'state': state,
             'models': [{'name': builders.MODEL, 'version': self.version}],
             'seq_no': sequence,
-            'born': 1_700_000_000_000,
+            'born': self.born,
             'version': self.software_version,
         }
 
@@ -172,6 +177,24 @@
     engine = None
     _body = b''
     _is_chunked = True
+    # Id of the instance that has accepted the connection.
+    _accepting_id = ''
+
+    def setup(self):
+        """Note which instance accepts the connection."""
+        super().setup()
+        self._accepting_id = self.engine.instance_id
+
+    def parse_request(self):
+        """Know no connection of an earlier instance, as the system does."""
+        if self._accepting_id != self.engine.instance_id:
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            self.connection.close()
+            self.close_connection = True
+            return False
+        return super().parse_request()
 
     def log_message(self, *arguments):
         """Log nothing."""
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -33,14 +33,14 @@
         self.error = error
         self.closed = []
 
-    def acquire(self, address, may_reuse, timeout):
+    def acquire(self, address, may_reuse, timeout, instance):
         """See ``ConnectionPool``; the address serves as the connection."""
-        del may_reuse, timeout
+        del may_reuse, timeout, instance
         if address not in self.reachable:
             raise self.error
         return address
 
-    def release(self, address, connection, idle_seconds):
+    def release(self, address, connection, idle_seconds, instance):
         """See ``ConnectionPool``."""
 
     def close_idle(self, address):
--- a/tests/test_endpoint_prober.py
+++ b/tests/test_endpoint_prober.py
@@ -20,18 +20,20 @@
         self.reachable = reachable
         self.kept = []
 
-    def acquire(self, address, may_reuse, timeout):
+    def acquire(self, address, may_reuse, timeout, instance):
         """See ``ConnectionPool``; the address serves as the connection."""
         assert (
             not may_reuse and timeout == endpoint_prober.PROBE_TIMEOUT_SECONDS
         )
+        self.instance = instance
         if not self.reachable:
             raise errors.EndpointUnreachable('unreachable')
         return address
 
-    def release(self, address, upstream, idle_seconds):
+    def release(self, address, upstream, idle_seconds, instance):
         """See ``ConnectionPool``."""
         assert (upstream, idle_seconds) == (address, None)
+        assert instance is not None and instance == self.instance
         self.kept.append(address)
 
 
--- a/tests/test_leaving_and_refusing_endpoints.py
+++ b/tests/test_leaving_and_refusing_endpoints.py
@@ -104,9 +104,9 @@
     acquire = entry_vm.pool.acquire
     told = []
 
-    def acquire_after_news(address, *arguments):
+    def acquire_after_news(address, *arguments, **options):
         # The news comes while the connection is made.
-        connection = acquire(address, *arguments)
+        connection = acquire(address, *arguments, **options)
         if not told:
             told.append(address)
             for endpoint in entry_vm.directory.endpoints():
