--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -88,7 +88,9 @@
             self._context.health.note_refused(assignment.endpoint)
         elif head.endpoint_id not in ('', assignment.endpoint.id):
             # Another endpoint listens on its address, so it is gone.
-            self._context.directory.drop_endpoint(assignment.endpoint)
+            self._context.ended_endpoints.note_answer(
+                assignment.endpoint, head.endpoint_id
+            )
         elif not self._refresh_weights(assignment):
             self._context.health.note_refused(assignment.endpoint)
 
@@ -208,11 +210,16 @@
         """Return the ``EndpointUnreachable`` of a new connection, or None."""
         try:
             connection = self._context.pool.acquire(
-                endpoint.address, False, endpoint_prober.PROBE_TIMEOUT_SECONDS
+                endpoint.address,
+                False,
+                endpoint_prober.PROBE_TIMEOUT_SECONDS,
+                endpoint.instance,
             )
         except errors.EndpointUnreachable as error:
             return error
-        self._context.pool.release(endpoint.address, connection, None)
+        self._context.pool.release(
+            endpoint.address, connection, None, endpoint.instance
+        )
         return None
 
     def _note_version(self, assignment, head):
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -3,6 +3,7 @@
 import http.server
 import json
 import socket
+import struct
 import sys
 import threading
 import time
@@ -15,6 +16,8 @@
 COMMON_PACE_SECONDS = 0.05
 # Time after which a freeze ends that its test has not ended.
 MAX_FREEZE_SECONDS = 60.0
+# Value of SO_LINGER with which closing a connection resets it.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class FakeEngine:
@@ -44,6 +47,9 @@
 
     Attributes:
         name: id of the endpoint.
+        instance_id: id of the instance that answers new requests; requests
+            for another one are misdirected.
+        born: when it started, as its announcements name it.
         service: name of the service that it belongs to.
         version: version of the weights that it has loaded.
         software_version: version of its software.
@@ -73,11 +79,14 @@
             answers nothing; once the ``Event`` is set, it closes them.
         failure_status: HTTP status of its answers, or 0 if it works.
         report_status: HTTP status of its reports.
+        health_status: HTTP status of its answers to health checks.
         address: ``host:port`` that it listens on.
     """
 
     def __init__(self, name, service):
         self.name = name
+        self.instance_id = name
+        self.born = 1_700_000_000_000
         self.service = service
         self.version = 1
         self.software_version = 'v1'
@@ -99,6 +108,7 @@
         self.ends_freeze = None
         self.failure_status = 0
         self.report_status = 200
+        self.health_status = 200
         self._server = None
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
@@ -130,7 +140,7 @@
             'state': state,
             'models': [{'name': builders.MODEL, 'version': self.version}],
             'seq_no': sequence,
-            'born': 1_700_000_000_000,
+            'born': self.born,
             'version': self.software_version,
         }
 
@@ -168,6 +178,24 @@
     engine = None
     _body = b''
     _is_chunked = True
+    # Id of the instance that has accepted the connection.
+    _accepting_id = ''
+
+    def setup(self):
+        """Note which instance accepts the connection."""
+        super().setup()
+        self._accepting_id = self.engine.instance_id
+
+    def parse_request(self):
+        """Know no connection of an earlier instance, as the system does."""
+        if self._accepting_id != self.engine.instance_id:
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            self.connection.close()
+            self.close_connection = True
+            return False
+        return super().parse_request()
 
     def log_message(self, *arguments):
         """Log nothing."""
@@ -192,8 +220,23 @@
             status = self.engine.report_status
             self._send_response(status, json.dumps(body).encode())
             return
+        if self.path == builders.HEALTH_PATH:
+            self._answer_health()
+            return
         self._handle_request()
 
+    def _answer_health(self):
+        """Respond with the id of the instance, as if it had started anew."""
+        headers = {'X-Carobwood-Instance-Id': self.engine.instance_id}
+        status = self.engine.health_status
+        if self._is_misdirected():
+            status = 421
+        self._send_response(status, b'', headers)
+
+    def _is_misdirected(self):
+        expected = self.headers.get('X-Carobwood-Expect-Instance')
+        return expected not in (None, self.engine.instance_id)
+
     def do_POST(self):  # noqa: N802 (named by http.server)
         """Accept an order, or handle a request."""
         length = int(self.headers.get('Content-Length', 0))
@@ -219,6 +262,10 @@
         return True
 
     def _handle_request(self):
+        if self._is_misdirected():
+            headers = {'X-Carobwood-Instance-Id': self.engine.instance_id}
+            self._send_response(421, b'', headers)
+            return
         headers = {name.lower(): value for name, value in self.headers.items()}
         self.engine.requests.append(headers)
         self.engine.received_at.append(time.monotonic())
