Play requests that follow a stream over the stop of its VM

The new case sends a request 0.01 to 0.22 s after a stream that outlasts the time in which a stopping VM takes requests, on its connection.

--- a/bench/soak_cases.py
+++ b/bench/soak_cases.py
@@ -11,6 +11,7 @@
 import dataclasses
 import functools
 import pathlib
+import random
 import shutil
 import signal
 import sys
@@ -34,6 +35,8 @@
 # Time after which all streams are in flight.
 IN_FLIGHT_SECONDS = 0.7
 JOIN_SECONDS = 60.0
+# Pause between a stream and the next request on its connection.
+FOLLOWING_SECONDS = (0.01, 0.22)
 # Time between two changes of the configuration, if it changes.
 CHANGE_SECONDS = 0.3
 # Ends of streams that VMs may not bring about.
@@ -64,6 +67,9 @@
             control VMs are restarted so, or None.
         control_at: its begin.
         is_chunked: whether the bodies are sent in chunks.
+        is_followed: whether a caller sends a further request on the
+            connection of its stream.
+        event_count: number of events of a stream.
     """
 
     name: str
@@ -81,6 +87,8 @@
     control_fault: type | None = None
     control_at: float = 0.0
     is_chunked: bool = False
+    is_followed: bool = False
+    event_count: int = upgrade_callers.LONG_STREAM_EVENTS
 
 
 _with_stop = functools.partial(Case, stop_at=IN_FLIGHT_SECONDS + 0.2)
@@ -127,6 +135,17 @@
     _with_changes('changes-core', 1, 1, 1.3, control_fault=soak_faults.Core),
     _with_changes_and_stop('changes-stop-sound', 1, 0, 0.0),
     _without_power('changes-power-sound', 1, 0, 0.0),
+    # Longer than a VM that stops takes requests.
+    _with_changes(
+        'changes-stop-followed',
+        1,
+        0,
+        0.0,
+        stop_at=FIRST_STREAM_SECONDS + 0.3,
+        stream_count=4,
+        is_followed=True,
+        event_count=40,
+    ),
 )
 CASES_BY_NAME = {case.name: case for case in CASES}
 
@@ -209,25 +228,36 @@
         caller = soak_callers.KeepingCaller(site, None, number)
         caller.leaving_share = 0.0
         caller.open_connection(vm_id)
-        attempt = upgrade_records.Attempt(
-            site.records.new_request_id(),
-            vm_id,
-            case.route,
-            relay_builders.KEY,
-            upgrade_callers.CUSTOMER,
-            upgrade_callers.LONG_STREAM_EVENTS,
-            is_chunked=case.is_chunked,
-        )
         share = number / count
         sender = threading.Timer(
             FIRST_STREAM_SECONDS + case.spread_seconds * share,
-            caller.send,
-            (attempt,),
+            _send,
+            (case, site, caller, vm_id, random.Random(number)),
         )
         senders.append(sender)
     return senders
 
 
+def _send(case, site, caller, vm_id, rng):
+    """Send a stream, and a further request if the case has one."""
+    caller.send(_new_attempt(case, site, vm_id, case.event_count))
+    if case.is_followed:
+        site.stopped.wait(rng.uniform(*FOLLOWING_SECONDS))
+        caller.send(_new_attempt(case, site, vm_id, 0))
+
+
+def _new_attempt(case, site, vm_id, event_count):
+    return upgrade_records.Attempt(
+        site.records.new_request_id(),
+        vm_id,
+        case.route,
+        relay_builders.KEY,
+        upgrade_callers.CUSTOMER,
+        event_count,
+        is_chunked=case.is_chunked,
+    )
+
+
 def count_ends(records):
     """Return the number of streams by how they ended."""
     ends = [_name_end(records, attempt) for attempt in records.attempts]
