Test the bound of TLS handshakes while none has waited for long

Cause: the test of the bound covers handshakes that make room for others; no test failed if more were accepted while none had been idle for a second.

Measured: passes on the code as it is. With the bound left out, its check left out or its result not used (mutations, reverted) the new test fails. The whole file, without the new test, passed with the bound left out.

--- a/tests/test_tls_handshakes.py
+++ b/tests/test_tls_handshakes.py
@@ -197,6 +197,41 @@
     assert _ask(server, context).endswith(b'answer')
 
 
+# No test failed if handshakes had no bound while none had waited for long.
+def test_a_handshake_beyond_the_bound_waits_for_the_end_of_another(
+    server, context, open_sockets, monkeypatch
+):
+    monkeypatch.setattr(listener_connections, 'MAX_HANDSHAKES', CONNECTIONS)
+    monkeypatch.setattr(
+        listener_connections,
+        'MIN_IDLE_SECONDS',
+        2 * relay_test_fleet.WAIT_SECONDS,
+    )
+    silent = [
+        open_sockets.enter_context(_connect(server))
+        for _ in range(CONNECTIONS)
+    ]
+    for each in silent:
+        relay_test_fleet.await_accepted(server, each.getsockname()[1])
+    connections = server._server._connections
+    looks = []
+    has_room = connections._has_room_for_handshake
+
+    def look():
+        looks.append(has_room())
+        return looks[-1]
+
+    connections._has_room_for_handshake = look
+    beyond = open_sockets.enter_context(_connect(server))
+    relay_test_fleet.await_reply(lambda: len(looks), lambda n: n > 1)
+    assert not any(looks)
+    assert len(connections._handshakes) == CONNECTIONS
+    silent[0].close()
+    client = open_sockets.enter_context(_shake_hands(context, beyond))
+    client.sendall(LAST_REQUEST)
+    assert _read_all(client).endswith(b'answer')
+
+
 # They took the descriptors, and kept connections were closed for them.
 def test_silent_connections_make_room_before_those_that_are_kept(
     server, context, open_sockets, monkeypatch
