Keep a connection whose endpoint answers from a closed window

Cause: TCP_USER_TIMEOUT of 3 s is meant for a host that is gone. Linux counts the probes of a closed window to it, answered or not, so that a body whose sound endpoint reads nothing for 3 s ended with 502, while it was sent or while its answer was awaited. Two sockets on loopback show it: probes answered, nothing unacknowledged, ETIMEDOUT between 3.0 and 3.5 s.

Change: each second that a connection is waited for its state is looked at (struct tcp_info). While nothing is unacknowledged, bytes wait to be sent and fewer than 3 probes lack an answer, the timeout is lifted.

A host that goes away was not tried.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -23,14 +23,10 @@
 from ..entry import response_head
 
 from . import request_encoder
+from . import user_timeout
 
 OutgoingRequest = request_encoder.OutgoingRequest
 
-# A connection ends if sent bytes, keep-alive probes included, are not
-# acknowledged in this time. A sound endpoint may be silent for a second or so,
-# which must not end a request; an idle connection is replaced at no cost.
-USER_TIMEOUT_MS = 3000
-IDLE_USER_TIMEOUT_MS = 1500
 # Idle time before the first TCP keep-alive probe, and between two probes.
 KEEPALIVE_INTERVAL_SECONDS = 1
 # Unacknowledged probes after which a connection is closed.
@@ -38,7 +34,7 @@
 
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout.IN_USE_MS),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
@@ -112,14 +108,7 @@
 
     def set_idle(self, is_idle):
         """Set how long the endpoint may acknowledge nothing."""
-        timeout = IDLE_USER_TIMEOUT_MS if is_idle else USER_TIMEOUT_MS
-        try:
-            self._socket.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout
-            )
-        except OSError:
-            # The connection has ended, as its next use shows.
-            pass
+        user_timeout.set_idle(self._socket, is_idle)
 
     def send(self, request, timeout):
         """Send a request.
@@ -351,13 +340,17 @@
         deadline = clocks.now() + timeout
         while True:
             seconds_left = max(0.0, deadline - clocks.now())
-            ready = dict(poller.poll(seconds_left * 1000))
+            seconds = min(seconds_left, user_timeout.LOOK_SECONDS)
+            ready = dict(poller.poll(seconds * 1000))
             if self._socket.fileno() in ready:
                 if ready[self._socket.fileno()] & select.POLLOUT:
                     return WaitResult.WRITABLE
                 return WaitResult.READABLE
             if not ready:
-                return WaitResult.TIMED_OUT
+                if seconds == seconds_left:
+                    return WaitResult.TIMED_OUT
+                user_timeout.follow_window(self._socket)
+                continue
             if is_closed_by_peer(caller_socket):
                 return WaitResult.CALLER_LEFT
             # The caller is still connected; bytes that it has sent, such
--- a/tests/test_silence_in_each_phase.py
+++ b/tests/test_silence_in_each_phase.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from carobwood_daemon.relay import user_timeout
 import cut_off_vm
 import pausing_endpoint
 import pytest
@@ -11,8 +12,12 @@
 DEADLINE_MS = '15000'
 # Blocks its sender if the endpoint does not read it.
 LARGE_BODY = b'x' * 4_000_000
+# Fits into the buffers of both sides, but not into those of the endpoint.
+MIDDLE_BODY = b'x' * 400_000
 # Longer than what a write or a read of a head was given.
 PAUSE_MS = 1500
+# Longer than what the system may leave unacknowledged.
+LONG_PAUSE_MS = user_timeout.IN_USE_MS + 500
 ROUTES = ['orders', 'lookups']
 ANSWER_PLACES = [p for p in pausing_endpoint.PLACES if p != 'unread']
 
@@ -82,6 +87,15 @@
     assert endpoint.runs == 1
 
 
+# The system of the endpoint answered the probes of its closed window, and the
+# connection was ended all the same.
+@pytest.mark.parametrize('body', [LARGE_BODY, MIDDLE_BODY])
+def test_a_body_that_is_not_read_for_long_is_sent(ask, endpoint, body):
+    reply = ask(f'orders/unread-{LONG_PAUSE_MS}', body)
+    assert (reply.status, reply.body) == (200, b'whole')
+    assert endpoint.runs == 1
+
+
 # A read of a head that had come in part ended the request.
 @pytest.mark.parametrize('place', ANSWER_PLACES)
 @pytest.mark.parametrize('route', ROUTES)
