Bound the wait for the begin of a new thread

Cause: a new thread may end for want of memory before it has begun, and Thread.start waits for its begin for ever. A listener starts its workers on the thread of its loop: it accepted nothing any more, while the VM followed the configuration and said that it was ready.

Change: threads.BoundedStart, a start that fails if the thread has not begun within a second. Workers of listeners, StepThread (which takes its step once, here or there) and the threads that follow the configuration, lend tokens, probe endpoints, look for engines that hang and close lingering connections use it.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/hang_detector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/hang_detector.py
@@ -7,6 +7,7 @@
 import time
 
 from carobwood import events
+from carobwood import threads
 
 from ..membership import probe
 
@@ -102,7 +103,7 @@
 
     def _probe_overdue_endpoints(self):
         for endpoint in self._overdue_endpoints():
-            threading.Thread(
+            threads.BoundedThread(
                 target=self._probe,
                 args=(endpoint,),
                 name=f'overdue-{endpoint.id}',
--- a/packages/carobwood-daemon/carobwood_daemon/entry/lingering_close.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/lingering_close.py
@@ -11,6 +11,7 @@
 
 from carobwood import clocks
 from carobwood import events
+from carobwood import threads
 
 from . import request_body
 
@@ -47,7 +48,7 @@
             self._start()
 
     def _start(self):
-        thread = threading.Thread(
+        thread = threads.BoundedThread(
             target=self._run, name='lingering-close', daemon=True
         )
         try:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/server_stop.py
@@ -20,6 +20,10 @@
 MIN_KEPT_SECONDS = 30.0
 
 
+class Worker(threads.BoundedStart, threadpool.WorkerThread):
+    """A worker whose start does not hold its listener up for ever."""
+
+
 class WorkerPool(threadpool.ThreadPool):
     """A thread pool whose ``stop`` returns within its timeout.
 
@@ -42,6 +46,13 @@
         ending.start()
         ending.join(timeout)
 
+    def _spawn_worker(self):
+        """Start a worker and return it; see ``ThreadPool``."""
+        worker = Worker(self.server)
+        worker.name = f'CP Server {worker.name}'
+        worker.start()
+        return worker
+
     @staticmethod
     def _force_close(conn):
         """Leave a connection as it is; see ``ThreadPool``.
--- a/packages/carobwood-daemon/carobwood_daemon/limits/token_borrower.py
+++ b/packages/carobwood-daemon/carobwood_daemon/limits/token_borrower.py
@@ -3,11 +3,11 @@
 import dataclasses
 import queue
 import random
-import threading
 
 from carobwood import clocks
 from carobwood import errors
 from carobwood.gen.links import ttypes
+from carobwood import threads
 
 # Maximum number of VMs that one request tries to borrow from.
 MAX_LENDERS = 8
@@ -79,7 +79,7 @@
     def _borrow_evenly(self, addresses, customer_id, tokens):
         replies = queue.Queue()
         for address in addresses:
-            threading.Thread(
+            threads.BoundedThread(
                 target=lambda lender=address: replies.put(
                     self._request_loan(
                         lender, customer_id, tokens / len(addresses)
--- a/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/state_poller.py
@@ -86,7 +86,7 @@
         self._hinted = threading.Condition()
         self._hint = None
         self._threads = [
-            threading.Thread(
+            threads.BoundedThread(
                 target=threads.repeat, args=(step,), name=name, daemon=True
             )
             for step, name in (
@@ -134,7 +134,7 @@
         """
         replies = queue.Queue()
         for address in addresses:
-            threading.Thread(
+            threads.BoundedThread(
                 target=self._poll_into,
                 args=(address, replies),
                 name='catch-up',
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_prober.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_prober.py
@@ -4,9 +4,8 @@
 a probe has opened a connection to it.
 """
 
-import threading
-
 from carobwood import errors
+from carobwood import threads
 
 from ..membership import periodic_tasks
 
@@ -43,7 +42,7 @@
         for endpoint in self._reachability.pop_unproven_endpoints():
             self._health.request_probe(endpoint)
         for endpoint in self._health.pop_due_probes():
-            threading.Thread(
+            threads.BoundedThread(
                 target=self.probe,
                 args=(endpoint,),
                 name=f'probe-{endpoint.id}',
--- a/packages/carobwood/carobwood/threads.py
+++ b/packages/carobwood/carobwood/threads.py
@@ -7,6 +7,8 @@
 
 # Pause after an exception, so that one that repeats does not fill the log.
 RETRY_PAUSE_SECONDS = 0.25
+# Time in which a new thread begins, unless it had no memory to do so.
+BEGIN_SECONDS = 1.0
 
 
 def repeat(step):
@@ -31,8 +33,40 @@
             time.sleep(RETRY_PAUSE_SECONDS)
 
 
-class StepThread(threading.Thread):
-    """A thread for one step, which is taken in any case."""
+class _Begin(threading.Event):
+    """Set as a thread begins; a wait for that ends in any case."""
+
+    def wait(self, timeout=BEGIN_SECONDS):
+        """Wait for the begin; see ``threading.Event``."""
+        return super().wait(timeout)
+
+
+class BoundedStart:
+    """Base of a ``threading.Thread`` whose start ends in any case.
+
+    A new thread may end for want of memory before it has begun, and the
+    interpreter would wait for its begin for ever.
+    """
+
+    def start(self):
+        """Start the thread.
+
+        Raises:
+            RuntimeError: the system has refused it, or it has not begun in
+                time. It may still begin later.
+        """
+        self._started = _Begin()
+        super().start()
+        if not self._started.is_set():
+            raise RuntimeError('the new thread has not begun')
+
+
+class BoundedThread(BoundedStart, threading.Thread):
+    """A thread whose start ends in any case."""
+
+
+class StepThread(BoundedThread):
+    """A thread for one step, which is taken in any case, and once."""
 
     def __init__(self, step, name):
         """Prepare the thread.
@@ -41,7 +75,9 @@
             step: function without arguments.
             name: name of the thread.
         """
-        super().__init__(target=step, name=name, daemon=True)
+        super().__init__(target=self._take, name=name, daemon=True)
+        self._step = step
+        self._claim = threading.Lock()
         self._ran_here = False
 
     def start(self):
@@ -52,14 +88,20 @@
             events.emit(
                 events.THREAD_REFUSED, thread=self.name, error=repr(error)
             )
-            self._ran_here = True
-            self.run()
+            self._ran_here = self._take()
 
     def join(self, timeout=None):
         """Wait for the end of the step; see ``threading.Thread``."""
         if not self._ran_here:
             super().join(timeout)
 
+    def _take(self):
+        """Take the step, if the other thread has not; return whether."""
+        is_claimed = self._claim.acquire(blocking=False)
+        if is_claimed:
+            self._step()
+        return is_claimed
+
 
 def log_ended_threads():
     """Log each thread that ends with an exception."""
--- a/tests/test_refused_threads.py
+++ b/tests/test_refused_threads.py
@@ -1,11 +1,14 @@
 """Starts and stops of VMs whose process gets no more threads."""
 
+import contextlib
+import http.client
 import threading
 
 import pytest
 import relay_test_fleet
 
 from carobwood import addresses
+from carobwood import threads
 from carobwood_daemon.entry import listener
 from carobwood_daemon.relay import gateway
 from carobwood_daemon.relay import http_server
@@ -72,3 +75,52 @@
         )
     server.stop()
     assert (reply.status, reply.body) == (200, b'answer')
+
+
+def _ask(port, path, stack):
+    connection = http.client.HTTPConnection(
+        '127.0.0.1', port, timeout=ANSWER_TIMEOUT_SECONDS
+    )
+    stack.callback(connection.close)
+    connection.request('GET', path)
+    return connection
+
+
+# A new worker ended for want of memory before it had begun. The listener
+# waited for it for ever, and the VM, which said that it was ready, answered
+# nobody any more.
+def test_a_listener_goes_on_beside_a_thread_that_never_begins(monkeypatch):
+    released = threading.Event()
+
+    def answer(request):
+        if request.path == '/held':
+            released.wait(ANSWER_TIMEOUT_SECONDS)
+        return gateway.ApiResponse(200, 'OK', b'answer')
+
+    server = http_server.HttpServer(
+        addresses.Address('127.0.0.1', 0), gateway.make_api_gateway(answer), 8
+    )
+    server.start()
+    with contextlib.ExitStack() as stack:
+        held = [
+            _ask(server.port, '/held', stack)
+            for _ in range(http_server.MIN_THREADS)
+        ]
+        with monkeypatch.context() as patch:
+            patch.setattr(threading, '_start_new_thread', lambda *_: 0)
+            waiting = _ask(server.port, '/now', stack)
+            released.set()
+            asked = [*held, waiting, _ask(server.port, '/now', stack)]
+            answers = [x.getresponse().read() for x in asked]
+    server.stop()
+    assert answers == [b'answer'] * len(asked)
+
+
+def test_a_step_is_taken_once_although_its_thread_never_begins(monkeypatch):
+    steps = []
+    step = threads.StepThread(lambda: steps.append(1), 'step')
+    monkeypatch.setattr(threading, '_start_new_thread', lambda *_: 0)
+    step.start()
+    step.join()
+    step.run()
+    assert steps == [1]
