--- a/bench/soak_limits.py
+++ b/bench/soak_limits.py
@@ -48,6 +48,8 @@
 ENTRY_PAUSE_SECONDS = (0.5, 1.5)
 CONTROL_PAUSE_SECONDS = (0.2, 1.5)
 PAUSE_PERIOD_SECONDS = (0.3, 1.5)
+SQUEEZE_SECONDS = (0.3, 1.5)
+SPARE_MEGABYTES = 0
 FULL_DISK_SECONDS = (0.3, 1.5)
 SILENCE_SECONDS = (0.8, 1.3)
 STOP_PERIOD_SECONDS = (1.0, 3.0)
@@ -89,6 +91,8 @@
     Case('little-memory', large_count=48, memory_megabytes=96),
     Case('memory-reload-stop', ('reload', 'stop'), 32, 48, 3, 150),
     Case('address-space', large_count=32, address_megabytes=1200),
+    Case('squeezed', ('squeeze',), large_count=32),
+    Case('squeezed-silence', ('squeeze', 'silence'), 100, 8),
     Case('slow-leader', ('pause_leader',)),
     Case('slow-two', ('pause_two',)),
     Case('slow-any', ('pause_control', 'reload')),
@@ -253,6 +257,19 @@
         limits = (limit, resource.RLIM_INFINITY)
         resource.prlimit(vm.process.pid, resource.RLIMIT_FSIZE, limits)
 
+    def squeeze(self):
+        """Leave an entry VM hardly any more address space for a while."""
+        vm = self._rng.choice(self._processes.entry_vms)
+        limit = _read_status(vm, 'VmSize') + SPARE_MEGABYTES
+        self._limit_address_space(vm, limit * KIBIBYTE * KIBIBYTE)
+        self._wait(SQUEEZE_SECONDS)
+        self._limit_address_space(vm, resource.RLIM_INFINITY)
+
+    @staticmethod
+    def _limit_address_space(vm, limit):
+        limits = (limit, resource.RLIM_INFINITY)
+        resource.prlimit(vm.process.pid, resource.RLIMIT_AS, limits)
+
     def reload(self):
         """Send SIGHUP to an entry VM that is ready."""
         vm = self._rng.choice(self._processes.entry_vms)
@@ -389,7 +406,7 @@
     for vm in site.processes.vms_by_id.values():
         if vm.has_ended_by_itself:
             lines.append(f'{vm.id} has ended: {vm.process.returncode}')
-    peaks = [_peak_megabytes(vm) for vm in site.processes.entry_vms]
+    peaks = [_read_status(vm, 'VmHWM') for vm in site.processes.entry_vms]
     lines.append(f'entry VMs: {peaks} MB at most')
     lines += records.timeouts
     lines += [
@@ -413,10 +430,10 @@
     return excuse or ('cut' if attempt.status else 'no answer')
 
 
-def _peak_megabytes(vm):
-    """Return the largest resident memory of a process that runs."""
+def _read_status(vm, name):
+    """Return a size of a process that runs, in megabytes."""
     status = pathlib.Path(f'/proc/{vm.process.pid}/status').read_text()
-    line = next(x for x in status.splitlines() if x.startswith('VmHWM'))
+    line = next(x for x in status.splitlines() if x.startswith(name))
     return int(line.split()[1]) // KIBIBYTE
 
 
