Answer all that waits in a full backlog at a stop

Cause: a listener that stops accepted as many connections as its backlog is asked to hold. The kernel queues one more, and others while the first ones are accepted; what is left is reset as the listener closes, though whole requests may have come on it.

Change: the backlog is set to 0 before, so that no others are queued meanwhile, and one more is accepted.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/listener_connections.py
@@ -33,6 +33,8 @@
 PAUSE_SECONDS = 0.05
 # Time for which descriptors count as short, and between two log lines on it.
 SHORTAGE_SECONDS = 1.0
+# Connections that the kernel queues beyond the number that it is asked for.
+QUEUE_SURPLUS = 1
 # What accepting a connection raises if the process or the system is short.
 _SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -179,7 +181,9 @@
 
     def _accept_all(self):
         ends_at = clocks.now() + self.server.shutdown_timeout
-        for _ in range(self.server.request_queue_size):
+        # No further ones are queued: they could come after the last look.
+        self.server.socket.listen(0)
+        for _ in range(self.server.request_queue_size + QUEUE_SURPLUS):
             is_late = clocks.now() >= ends_at
             if is_late or not _is_readable(self.server.socket):
                 return
