Drop the earlier endpoints of an address with the last

Cause: a VM that starts while control VMs are away gets old lists. At an address of which it knows several endpoints the one that started last counts. Once a 421 has shown that it has ended, the one before it counted, and so on: a request was answered 421 up to 12 times in 40 ms, and each is an arrival that the retry budget doesn't see.

Change: with an endpoint at whose address another instance answers, those that had started there before it are dropped.

Test: test_directory.py, "...the earlier endpoints of an address..."; the method is new, so it wasn't run before.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -314,6 +314,18 @@
                 self._tombstones_by_id[endpoint.id] = endpoint.order
         events.emit(events.ENDPOINT_EXPIRED, endpoint=endpoint.id)
 
+    def drop_replaced(self, endpoint):
+        """Remove an endpoint at whose address another instance answers.
+
+        Those that had started there before it have ended before it.
+        """
+        for other in self.endpoints():
+            if (
+                other.address == endpoint.address
+                and other.incarnation <= endpoint.incarnation
+            ):
+                self.drop_endpoint(other)
+
     def _is_outdated(self, endpoint, known):
         if self.is_named(endpoint) and not self.is_named(known):
             return False
--- a/packages/carobwood-daemon/carobwood_daemon/relay/ended_endpoints.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/ended_endpoints.py
@@ -75,7 +75,7 @@
                 found=instance_id,
             )
         # A late announcement may have brought it back.
-        self._directory.drop_endpoint(endpoint)
+        self._directory.drop_replaced(endpoint)
 
     def _add(self, endpoint):
         """Remember that an endpoint has ended; return whether that is new."""
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -67,6 +67,22 @@
     )
 
 
+# A request was sent to each earlier endpoint of an address in turn, as the
+# next one counted once the last was dropped.
+def test_the_earlier_endpoints_of_an_address_are_dropped_with_the_last():
+    known_fleet = _directory()
+    earlier = dataclasses.replace(ENDPOINT, id='engine-0', incarnation=4)
+    later = dataclasses.replace(ENDPOINT, id='engine-2', incarnation=6)
+    elsewhere = dataclasses.replace(
+        ENDPOINT, id='engine-3', incarnation=4, address='127.0.0.1:8'
+    )
+    for endpoint in (earlier, ENDPOINT, later, elsewhere):
+        known_fleet.merge_endpoint(endpoint)
+    known_fleet.drop_replaced(ENDPOINT)
+    assert {e.id for e in known_fleet.endpoints()} == {'engine-2', 'engine-3'}
+    assert known_fleet.has_ended('engine-0', 4)
+
+
 def test_an_older_incarnation_of_a_vm_does_not_replace_it():
     known_fleet = _directory()
     known_fleet.note_message(dataclasses.replace(OTHER, incarnation=200), 9)
--- a/tests/test_ended_endpoints.py
+++ b/tests/test_ended_endpoints.py
@@ -36,7 +36,7 @@
         self.clock = builders.Clock()
         self.table = ended_endpoints.EndedEndpoints(
             self,
-            types.SimpleNamespace(drop_endpoint=self.dropped.append),
+            types.SimpleNamespace(drop_replaced=self.dropped.append),
             clock=self.clock,
         )
 
