Send no request whose deadline has passed

Cause: the time left was checked before an endpoint was awaited and not again once one was assigned.

Change: the time is checked again before the request is sent: 503 deadline_unreachable, not run.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -167,12 +167,7 @@
         self._check_reachability()
         if self._context.gate.is_interrupted:
             raise self.final_error(errors.Stopping('this VM is shutting down'))
-        if request.seconds_left < MIN_ATTEMPT_SECONDS:
-            raise self.final_error(
-                errors.DeadlineUnreachable(
-                    'the deadline passed before the next attempt'
-                )
-            )
+        self._check_time(MIN_ATTEMPT_SECONDS)
         try:
             self._context.segment_suspects.check(request.segment_keys)
             with self._trace.span('place'):
@@ -187,6 +182,12 @@
         except errors.CarobwoodError as error:
             raise self.final_error(error) from error
 
+    def _check_time(self, least_seconds):
+        """Give the request up if too little of its time is left."""
+        if self._request.seconds_left < least_seconds:
+            reason = 'the deadline passed before the next attempt'
+            raise self.final_error(errors.DeadlineUnreachable(reason))
+
     def _check_reachability(self):
         """Give the request up if this VM reaches no endpoint.
 
@@ -214,6 +215,7 @@
             CarobwoodError: the attempt failed and no retry is allowed.
         """
         if started is None:
+            self._check_time(0.0)
             self._check_segments()
             attempt_log.log_sent(
                 self._request,
