Excuse a slow reader's stream that was cut at the end of a stop

Its reader learned of the cut 4 s later, after the VM's next start, so that the excuse did not hold.

Change: that the cut lies within the stop is told by the end of the endpoint's work too. An endpoint that works on past the stop excuses nothing.

--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -161,7 +161,8 @@
         attempt.sent_at <= stop.began_at + LATEST_SENT_SECONDS
         and attempt.ended_at >= last_part_at
         and work_ended_at >= last_part_at
-        and attempt.ended_at <= stop.ended_at
+        # A slow reader learns of it later.
+        and min(attempt.ended_at, work_ended_at) <= stop.ended_at
     )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -192,3 +192,15 @@
             pass
         upgrade_callers.check_whole(response)
         assert response.isclosed()
+
+
+# A stream that was cut in the last part of a stop counted as lost: its slow
+# reader learned of that only after the VM's next start.
+@pytest.mark.parametrize(
+    ('work_ended_at', 'excuse'), [(16.8, 'end of a stop'), (41.0, '')]
+)
+def test_a_slow_reader_learns_late_of_the_end_of_a_stop(work_ended_at, excuse):
+    records = _records_with_stop(10.0)
+    records.work_ends_by_id['q'] = work_ended_at
+    attempt = _cut_attempt(45.0)
+    assert soak_checks.excuse(records, attempt, has_run=True) == excuse
