Take no endpoint that leaves for ended as its successor listens

Cause: another instance's answer at an endpoint's address ended all silent attempts there. One that leaves may have closed its listener and go on with what it has while the next one listens already.

Change: an endpoint that is known to be leaving is not asked, and an answer of another instance does not tell that it has ended.

The directory that tests/test_ended_endpoints.py passes in knows endpoints now; its cases are as they were, and two were added.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/ended_endpoints.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/ended_endpoints.py
@@ -51,6 +51,8 @@
             service: the ``Service`` that it belongs to, or None if the
                 configuration does not name it.
         """
+        if self._is_leaving(endpoint):
+            return False
         with self._lock:
             if endpoint.instance in self._ended:
                 return True
@@ -65,7 +67,7 @@
             endpoint: the ``Endpoint``.
             instance_id: id that the answer names, or empty.
         """
-        if instance_id in ('', endpoint.id):
+        if instance_id in ('', endpoint.id) or self._is_leaving(endpoint):
             return
         if self._add(endpoint):
             events.emit(
@@ -77,6 +79,18 @@
         # A late announcement may have brought it back.
         self._directory.drop_endpoint(endpoint)
 
+    def _is_leaving(self, endpoint):
+        """Tell whether an endpoint has announced that it leaves.
+
+        It may go on with what it has while the next one listens already.
+        """
+        known = self._directory.find_endpoint(endpoint.id)
+        return (
+            known is not None
+            and known.instance == endpoint.instance
+            and known.leaving
+        )
+
     def _add(self, endpoint):
         """Remember that an endpoint has ended; return whether that is new."""
         with self._lock:
--- a/tests/test_ended_endpoints.py
+++ b/tests/test_ended_endpoints.py
@@ -23,6 +23,7 @@
         table: the ``EndedEndpoints``.
         calls: (address, id) pairs of the questions.
         dropped: the endpoints that the directory has dropped.
+        known: the ``Endpoint`` that the directory knows, or None.
         instance_id: id that the answers name, or None for no answer.
         may_answer: set once the questions get their answers.
     """
@@ -30,13 +31,17 @@
     def __init__(self):
         self.calls = []
         self.dropped = []
+        self.known = ENDPOINT
         self.instance_id = ENDPOINT.id
         self.may_answer = threading.Event()
         self.may_answer.set()
         self.clock = builders.Clock()
         self.table = ended_endpoints.EndedEndpoints(
             self,
-            types.SimpleNamespace(drop_endpoint=self.dropped.append),
+            types.SimpleNamespace(
+                drop_endpoint=self.dropped.append,
+                find_endpoint=lambda _endpoint_id: self.known,
+            ),
             clock=self.clock,
         )
 
@@ -120,3 +125,18 @@
     for _ in range(2):
         site.table.note_answer(ENDPOINT, 'engine-2')
     assert site.dropped == [ENDPOINT, ENDPOINT]
+
+
+# One that had announced that it leaves counted as ended once the next instance
+# listened at its address, though it went on with what it had.
+def test_an_endpoint_that_leaves_has_not_ended(site):
+    site.known = dataclasses.replace(ENDPOINT, leaving=True, sequence=2)
+    site.table.note_answer(ENDPOINT, 'engine-2')
+    assert not site.table.has_ended(ENDPOINT, ORDERS)
+    assert site.calls == site.dropped == []
+
+
+def test_the_next_start_that_leaves_tells_nothing_of_the_one_before(site):
+    site.known = dataclasses.replace(ENDPOINT, incarnation=2, leaving=True)
+    site.table.note_answer(ENDPOINT, 'engine-2')
+    assert site.has_ended
