Believe an endpoint that answers again after another one did

Cause: that an endpoint has ended was remembered for good. If another one had answered at its address for a while, each later silence at it ended the attempt at once, without a question.

Change: an answer of the endpoint itself to a request takes the mark away.

Measured: the second case of tests/test_predecessors_that_drain.py fails before (stream cut), passes after, and fails if only the mark stays.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/ended_endpoints.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/ended_endpoints.py
@@ -79,6 +79,11 @@
         # A late announcement may have brought it back.
         self._directory.drop_endpoint(endpoint)
 
+    def note_own_answer(self, endpoint):
+        """Record that an endpoint itself has answered a request."""
+        with self._lock:
+            self._ended.pop(endpoint.instance, None)
+
     def _is_leaving(self, endpoint):
         """Tell whether an endpoint has announced that it leaves.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -243,9 +243,13 @@
                     assignment, head, sent.sent_at if is_own else None
                 )
             if is_own:
-                return self._check_response(
+                response = self._check_response(
                     EndpointResponse(head, headers, connection)
                 )
+                self._context.ended_endpoints.note_own_answer(
+                    assignment.endpoint
+                )
+                return response
             # A late response to an earlier request on this connection.
             connection.skip_body(LATE_BODY_SECONDS, MAX_LATE_BODY_BYTES)
         raise errors.AnswerMismatch(
--- a/tests/test_ended_endpoints.py
+++ b/tests/test_ended_endpoints.py
@@ -140,3 +140,9 @@
     site.known = dataclasses.replace(ENDPOINT, incarnation=2, leaving=True)
     site.table.note_answer(ENDPOINT, 'engine-2')
     assert site.has_ended
+
+
+def test_an_endpoint_that_answers_a_request_has_not_ended(site):
+    site.table.note_answer(ENDPOINT, 'engine-2')
+    site.table.note_own_answer(ENDPOINT)
+    assert not site.has_ended
--- a/tests/test_predecessors_that_drain.py
+++ b/tests/test_predecessors_that_drain.py
@@ -63,3 +63,23 @@
     reply = _ask(fleet, '/captions/pause-2500-after-2')
     assert (reply.status, reply.body) == (200, EVENTS)
     assert len(engine.requests) == 1
+
+
+# An endpoint at whose address another one had answered once, and which went on
+# after that, lost each stream that was silent for a second.
+def test_an_endpoint_that_answers_again_keeps_its_streams(fleet):
+    engine = fleet.engines[0]
+    engine.instance_id = f'{engine.name}-anew'
+    _vm(fleet).pool.close_idle(engine.address)
+    _ask(fleet, '/captions/x')
+    assert _find(fleet, engine) is None
+    engine.instance_id = engine.name
+    # Only news that differ from what is known reach all VMs at once.
+    for state in ('draining', 'ready'):
+        fleet.announce(engine, state=state)
+    relay_test_fleet.await_reply(
+        lambda: _find(fleet, engine),
+        lambda known: known is not None and not known.leaving,
+    )
+    reply = _ask(fleet, '/captions/pause-2500-after-2')
+    assert (reply.status, reply.body) == (200, EVENTS)
