--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -314,15 +314,22 @@
                 self._tombstones_by_id[endpoint.id] = endpoint.order
         events.emit(events.ENDPOINT_EXPIRED, endpoint=endpoint.id)
 
-    def drop_replaced(self, endpoint):
+    def drop_replaced(self, endpoint, found_id):
         """Remove an endpoint at whose address another instance answers.
 
-        Those that had started there before it have ended before it.
+        Those that had started there before it have ended before it, but for
+        those that leave: they get no requests and end what they have.
+
+        Args:
+            endpoint: the ``Endpoint``.
+            found_id: id of the instance that answers.
         """
         for other in self.endpoints():
             if (
                 other.address == endpoint.address
                 and other.incarnation <= endpoint.incarnation
+                and other.id != found_id
+                and not other.leaving
             ):
                 self.drop_endpoint(other)
 
