--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from . import load_features as features
+
 
 @dataclasses.dataclass(frozen=True)
 class RelayContext:
@@ -55,6 +57,7 @@
         metrics: the ``Metrics``.
         route_durations: the ``RouteDurations``.
         buffers: the ``BufferBudget`` of this VM.
+        load_features: the ``LoadFeatures`` that the settings switch on.
     """
 
     data_centre: str
@@ -88,3 +91,4 @@
     metrics: object
     route_durations: object
     buffers: object
+    load_features: features.LoadFeatures = features.LoadFeatures()
--- a/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
@@ -8,6 +8,7 @@
 from . import settings
 from . import settings_flags
 from .limits import buffer_budget
+from .relay import load_features
 from .relay import quota
 
 
@@ -37,6 +38,23 @@
     quota_tolerance: quota.QuotaTolerance
 
 
+@dataclasses.dataclass(frozen=True)
+class RolloutLimits:
+    """Limits that the operators require of rollouts of software versions.
+
+    Attributes:
+        exposure_share: share of a service's requests that a version may get
+            which turns out to be bad.
+        exposure_slack: requests that it may get in addition.
+        rollback_seconds: time in seconds after which it gets none, once the
+            evidence against it suffices.
+    """
+
+    exposure_share: float
+    exposure_slack: float
+    rollback_seconds: float
+
+
 @dataclasses.dataclass(frozen=True)
 class TraceSettings:
     """Export of the requests' trace spans.
@@ -99,6 +117,8 @@
         fleet_limits: limits that the fleet must keep.
         trace: export of the requests' trace spans.
         memory_limit_bytes: memory that this VM may use.
+        rollout_limits: limits of rollouts, or None if there are none here.
+        load_features: the ``LoadFeatures``.
     """
 
     vm_id: str
@@ -118,3 +138,5 @@
     trace: TraceSettings = TraceSettings()
     forward_listen: addresses.Address | None = None
     memory_limit_bytes: int = buffer_budget.DEFAULT_MEMORY_LIMIT_BYTES
+    rollout_limits: RolloutLimits | None = None
+    load_features: load_features.LoadFeatures = load_features.LoadFeatures()
--- a/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
@@ -1,5 +1,6 @@
 """The part of the replicated state that every VM of a fleet gets."""
 
+import enum
 import functools
 import zlib
 
@@ -103,6 +104,52 @@
     number: int = 0
 
 
+class RolloutPhase(enum.Enum):
+    """Phase of a rollout of a software version.
+
+    Attributes:
+        CANARY: the target version gets few requests, while it is judged.
+        SHIFTING: it is sound so far, and its share of the requests grows.
+        SETTLING: all new requests go to it; those at the former version end.
+        SUCCEEDED: the former version has no requests left.
+        ROLLED_BACK: the target version gets no requests any more.
+    """
+
+    CANARY = 'canary'
+    SHIFTING = 'shifting'
+    SETTLING = 'settling'
+    SUCCEEDED = 'succeeded'
+    ROLLED_BACK = 'rolled-back'
+
+    @property
+    def is_final(self):
+        """Whether the rollout has ended."""
+        return self in (RolloutPhase.SUCCEEDED, RolloutPhase.ROLLED_BACK)
+
+
+class RolloutRecord(msgspec.Struct, frozen=True):
+    """The newest rollout of a service.
+
+    Attributes:
+        index: log index of the order, which identifies the rollout.
+        service: name of the service.
+        target_version: software version that it moves the traffic to.
+        ramp_ms: time in which the operators want the traffic to move.
+        phase: the ``RolloutPhase``.
+        reserved: requests that may have been granted to the target version
+            so far, by all owners together.
+        reason: why it has ended, in words.
+    """
+
+    index: int
+    service: str
+    target_version: str
+    ramp_ms: int
+    phase: RolloutPhase = RolloutPhase.CANARY
+    reserved: int = 0
+    reason: str = ''
+
+
 class FleetState(msgspec.Struct, frozen=True, dict=True):
     """An immutable version of the fleet's state.
 
@@ -121,6 +168,7 @@
         weights_by_model: version of the weights that engines have to
             load, by model.
         orders_hold: the lock on sending orders to engines.
+        rollouts_by_service: the newest rollout of each service.
     """
 
     version: int = 0
@@ -136,6 +184,7 @@
     )
     weights_by_model: dict[str, int] = {}
     orders_hold: OrdersLockState = OrdersLockState()
+    rollouts_by_service: dict[str, RolloutRecord] = {}
 
     def current(self, environment):
         """Return the ``DocumentVersion`` in force, or None."""
--- a/packages/carobwood/carobwood/gen/links/FleetLink.py
+++ b/packages/carobwood/carobwood/gen/links/FleetLink.py
@@ -131,6 +131,14 @@
         """
         pass
 
+    def report_rollouts(self, report):
+        """
+        Parameters:
+         - report
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -587,6 +595,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "find_stream failed: unknown result")
 
+    def report_rollouts(self, report):
+        """
+        Parameters:
+         - report
+
+        """
+        self.send_report_rollouts(report)
+        return self.recv_report_rollouts()
+
+    def send_report_rollouts(self, report):
+        self._oprot.writeMessageBegin('report_rollouts', TMessageType.CALL, self._seqid)
+        args = report_rollouts_args()
+        args.report = report
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_report_rollouts(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = report_rollouts_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "report_rollouts failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -606,6 +646,7 @@
         self._processMap["take_permit"] = Processor.process_take_permit
         self._processMap["record_streams"] = Processor.process_record_streams
         self._processMap["find_stream"] = Processor.process_find_stream
+        self._processMap["report_rollouts"] = Processor.process_report_rollouts
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -950,6 +991,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_report_rollouts(self, seqid, iprot, oprot):
+        args = report_rollouts_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = report_rollouts_result()
+        try:
+            result.success = self._handler.report_rollouts(args.report)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("report_rollouts", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -2700,5 +2764,130 @@
 find_stream_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [StreamReply, None], None, ),  # 0
 )
+
+
+class report_rollouts_args(object):
+    """
+    Attributes:
+     - report
+
+    """
+
+
+    def __init__(self, report=None,):
+        self.report = report
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.report = RolloutReport()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_rollouts_args')
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 1)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_rollouts_args)
+report_rollouts_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'report', [RolloutReport, None], None, ),  # 1
+)
+
+
+class report_rollouts_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = RolloutReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_rollouts_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_rollouts_result)
+report_rollouts_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RolloutReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -63,11 +63,12 @@
      - has_disk
      - takes_callers
      - forward_address
+     - features
 
     """
 
 
-    def __init__(self, vm_id=None, data_centre=None, link_address=None, operator_address=None, incarnation=None, has_disk=None, takes_callers=None, forward_address=None,):
+    def __init__(self, vm_id=None, data_centre=None, link_address=None, operator_address=None, incarnation=None, has_disk=None, takes_callers=None, forward_address=None, features=None,):
         self.vm_id = vm_id
         self.data_centre = data_centre
         self.link_address = link_address
@@ -76,6 +77,7 @@
         self.has_disk = has_disk
         self.takes_callers = takes_callers
         self.forward_address = forward_address
+        self.features = features
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -126,6 +128,16 @@
                     self.forward_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.features = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.features.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -168,6 +180,13 @@
             oprot.writeFieldBegin('forward_address', TType.STRING, 8)
             oprot.writeString(self.forward_address.encode('utf-8') if sys.version_info[0] == 2 else self.forward_address)
             oprot.writeFieldEnd()
+        if self.features is not None:
+            oprot.writeFieldBegin('features', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.features))
+            for iter6 in self.features:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -570,11 +589,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = LogEntry()
-                        _elem5.read(iprot)
-                        self.entries.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = LogEntry()
+                        _elem12.read(iprot)
+                        self.entries.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -625,8 +644,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter6 in self.entries:
-                iter6.write(oprot)
+            for iter13 in self.entries:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -1086,10 +1105,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.payloads = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readBinary()
-                        self.payloads.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readBinary()
+                        self.payloads.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1111,8 +1130,8 @@
         if self.payloads is not None:
             oprot.writeFieldBegin('payloads', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.payloads))
-            for iter13 in self.payloads:
-                oprot.writeBinary(iter13)
+            for iter20 in self.payloads:
+                oprot.writeBinary(iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.timeout_ms is not None:
@@ -1173,10 +1192,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.results = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readBinary()
-                        self.results.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readBinary()
+                        self.results.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1202,8 +1221,8 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.results))
-            for iter20 in self.results:
-                oprot.writeBinary(iter20)
+            for iter27 in self.results:
+                oprot.writeBinary(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leader_address is not None:
@@ -1735,11 +1754,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.commands = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = VersionedCommand()
-                        _elem26.read(iprot)
-                        self.commands.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = VersionedCommand()
+                        _elem33.read(iprot)
+                        self.commands.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1774,8 +1793,8 @@
         if self.commands is not None:
             oprot.writeFieldBegin('commands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.commands))
-            for iter27 in self.commands:
-                iter27.write(oprot)
+            for iter34 in self.commands:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.snapshot is not None:
@@ -2283,11 +2302,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Strike()
-                        _elem33.read(iprot)
-                        self.strikes.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Strike()
+                        _elem40.read(iprot)
+                        self.strikes.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2316,8 +2335,8 @@
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter34 in self.strikes:
-                iter34.write(oprot)
+            for iter41 in self.strikes:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2374,11 +2393,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Strike()
-                        _elem40.read(iprot)
-                        self.strikes.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Strike()
+                        _elem47.read(iprot)
+                        self.strikes.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2399,8 +2418,8 @@
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter41 in self.strikes:
-                iter41.write(oprot)
+            for iter48 in self.strikes:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3304,11 +3323,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = StreamNews()
-                        _elem47.read(iprot)
-                        self.streams.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = StreamNews()
+                        _elem54.read(iprot)
+                        self.streams.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3325,8 +3344,8 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter48 in self.streams:
-                iter48.write(oprot)
+            for iter55 in self.streams:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3522,10 +3541,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.versions.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.versions.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3557,8 +3576,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.versions))
-            for iter55 in self.versions:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.versions:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.covered_ms is not None:
@@ -3846,16 +3865,16 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.seconds_by_customer = {}
-                    (_ktype57, _vtype58, _size56) = iprot.readMapBegin()
-                    for _i60 in range(_size56):
-                        _key61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val62 = []
-                        (_etype66, _size63) = iprot.readListBegin()
-                        for _i67 in range(_size63):
-                            _elem68 = iprot.readI64()
-                            _val62.append(_elem68)
+                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
+                    for _i67 in range(_size63):
+                        _key68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val69 = []
+                        (_etype73, _size70) = iprot.readListBegin()
+                        for _i74 in range(_size70):
+                            _elem75 = iprot.readI64()
+                            _val69.append(_elem75)
                         iprot.readListEnd()
-                        self.seconds_by_customer[_key61] = _val62
+                        self.seconds_by_customer[_key68] = _val69
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3884,11 +3903,11 @@
         if self.seconds_by_customer is not None:
             oprot.writeFieldBegin('seconds_by_customer', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.seconds_by_customer))
-            for kiter69, viter70 in self.seconds_by_customer.items():
-                oprot.writeString(kiter69.encode('utf-8') if sys.version_info[0] == 2 else kiter69)
-                oprot.writeListBegin(TType.I64, len(viter70))
-                for iter71 in viter70:
-                    oprot.writeI64(iter71)
+            for kiter76, viter77 in self.seconds_by_customer.items():
+                oprot.writeString(kiter76.encode('utf-8') if sys.version_info[0] == 2 else kiter76)
+                oprot.writeListBegin(TType.I64, len(viter77))
+                for iter78 in viter77:
+                    oprot.writeI64(iter78)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
@@ -3976,11 +3995,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.spending = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = SpendingNews()
-                        _elem77.read(iprot)
-                        self.spending.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = SpendingNews()
+                        _elem84.read(iprot)
+                        self.spending.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4017,8 +4036,8 @@
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter78 in self.spending:
-                iter78.write(oprot)
+            for iter85 in self.spending:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4136,6 +4155,505 @@
         return not (self == other)
 
 
+class VersionResults(object):
+    """
+    Attributes:
+     - service_name
+     - software_version
+     - route
+     - sent
+     - succeeded
+     - failed
+     - times
+     - pauses
+     - in_flight
+
+    """
+
+
+    def __init__(self, service_name=None, software_version=None, route=None, sent=None, succeeded=None, failed=None, times=None, pauses=None, in_flight=None,):
+        self.service_name = service_name
+        self.software_version = software_version
+        self.route = route
+        self.sent = sent
+        self.succeeded = succeeded
+        self.failed = failed
+        self.times = times
+        self.pauses = pauses
+        self.in_flight = in_flight
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.sent = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.succeeded = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.failed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.times = []
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = iprot.readI64()
+                        self.times.append(_elem91)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.pauses = []
+                    (_etype95, _size92) = iprot.readListBegin()
+                    for _i96 in range(_size92):
+                        _elem97 = iprot.readI64()
+                        self.pauses.append(_elem97)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.in_flight = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VersionResults')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 2)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 3)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.sent is not None:
+            oprot.writeFieldBegin('sent', TType.I64, 4)
+            oprot.writeI64(self.sent)
+            oprot.writeFieldEnd()
+        if self.succeeded is not None:
+            oprot.writeFieldBegin('succeeded', TType.I64, 5)
+            oprot.writeI64(self.succeeded)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.I64, 6)
+            oprot.writeI64(self.failed)
+            oprot.writeFieldEnd()
+        if self.times is not None:
+            oprot.writeFieldBegin('times', TType.LIST, 7)
+            oprot.writeListBegin(TType.I64, len(self.times))
+            for iter98 in self.times:
+                oprot.writeI64(iter98)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.pauses is not None:
+            oprot.writeFieldBegin('pauses', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.pauses))
+            for iter99 in self.pauses:
+                oprot.writeI64(iter99)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.I64, 9)
+            oprot.writeI64(self.in_flight)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.software_version is None:
+            raise TProtocolException(message='Required field software_version is unset!')
+        if self.route is None:
+            raise TProtocolException(message='Required field route is unset!')
+        if self.sent is None:
+            raise TProtocolException(message='Required field sent is unset!')
+        if self.succeeded is None:
+            raise TProtocolException(message='Required field succeeded is unset!')
+        if self.failed is None:
+            raise TProtocolException(message='Required field failed is unset!')
+        if self.times is None:
+            raise TProtocolException(message='Required field times is unset!')
+        if self.pauses is None:
+            raise TProtocolException(message='Required field pauses is unset!')
+        if self.in_flight is None:
+            raise TProtocolException(message='Required field in_flight is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutReport(object):
+    """
+    Attributes:
+     - vm_id
+     - incarnation
+     - number
+     - results
+     - wanted
+
+    """
+
+
+    def __init__(self, vm_id=None, incarnation=None, number=None, results=None, wanted=None,):
+        self.vm_id = vm_id
+        self.incarnation = incarnation
+        self.number = number
+        self.results = results
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.results = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = VersionResults()
+                        _elem105.read(iprot)
+                        self.results.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.wanted = {}
+                    (_ktype107, _vtype108, _size106) = iprot.readMapBegin()
+                    for _i110 in range(_size106):
+                        _key111 = iprot.readI64()
+                        _val112 = iprot.readI64()
+                        self.wanted[_key111] = _val112
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutReport')
+        if self.vm_id is not None:
+            oprot.writeFieldBegin('vm_id', TType.STRING, 1)
+            oprot.writeString(self.vm_id.encode('utf-8') if sys.version_info[0] == 2 else self.vm_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.results is not None:
+            oprot.writeFieldBegin('results', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.results))
+            for iter113 in self.results:
+                iter113.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.MAP, 5)
+            oprot.writeMapBegin(TType.I64, TType.I64, len(self.wanted))
+            for kiter114, viter115 in self.wanted.items():
+                oprot.writeI64(kiter114)
+                oprot.writeI64(viter115)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm_id is None:
+            raise TProtocolException(message='Required field vm_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.results is None:
+            raise TProtocolException(message='Required field results is unset!')
+        if self.wanted is None:
+            raise TProtocolException(message='Required field wanted is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ExposureGrant(object):
+    """
+    Attributes:
+     - rollout
+     - requests
+     - share
+     - valid_ms
+
+    """
+
+
+    def __init__(self, rollout=None, requests=None, share=None, valid_ms=None,):
+        self.rollout = rollout
+        self.requests = requests
+        self.share = share
+        self.valid_ms = valid_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.rollout = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.requests = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.valid_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExposureGrant')
+        if self.rollout is not None:
+            oprot.writeFieldBegin('rollout', TType.I64, 1)
+            oprot.writeI64(self.rollout)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I64, 2)
+            oprot.writeI64(self.requests)
+            oprot.writeFieldEnd()
+        if self.share is not None:
+            oprot.writeFieldBegin('share', TType.DOUBLE, 3)
+            oprot.writeDouble(self.share)
+            oprot.writeFieldEnd()
+        if self.valid_ms is not None:
+            oprot.writeFieldBegin('valid_ms', TType.I32, 4)
+            oprot.writeI32(self.valid_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.rollout is None:
+            raise TProtocolException(message='Required field rollout is unset!')
+        if self.requests is None:
+            raise TProtocolException(message='Required field requests is unset!')
+        if self.share is None:
+            raise TProtocolException(message='Required field share is unset!')
+        if self.valid_ms is None:
+            raise TProtocolException(message='Required field valid_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutReply(object):
+    """
+    Attributes:
+     - is_owner
+     - owner_address
+     - grants
+
+    """
+
+
+    def __init__(self, is_owner=None, owner_address=None, grants=None,):
+        self.is_owner = is_owner
+        self.owner_address = owner_address
+        self.grants = grants
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_owner = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.owner_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = ExposureGrant()
+                        _elem121.read(iprot)
+                        self.grants.append(_elem121)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutReply')
+        if self.is_owner is not None:
+            oprot.writeFieldBegin('is_owner', TType.BOOL, 1)
+            oprot.writeBool(self.is_owner)
+            oprot.writeFieldEnd()
+        if self.owner_address is not None:
+            oprot.writeFieldBegin('owner_address', TType.STRING, 2)
+            oprot.writeString(self.owner_address.encode('utf-8') if sys.version_info[0] == 2 else self.owner_address)
+            oprot.writeFieldEnd()
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter122 in self.grants:
+                iter122.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.is_owner is None:
+            raise TProtocolException(message='Required field is_owner is unset!')
+        if self.grants is None:
+            raise TProtocolException(message='Required field grants is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RosterEntry(object):
     """
     Attributes:
@@ -4254,22 +4772,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = RosterEntry()
-                        _elem84.read(iprot)
-                        self.members.append(_elem84)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = RosterEntry()
+                        _elem128.read(iprot)
+                        self.members.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype88, _size85) = iprot.readListBegin()
-                    for _i89 in range(_size85):
-                        _elem90 = RosterEntry()
-                        _elem90.read(iprot)
-                        self.peers.append(_elem90)
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = RosterEntry()
+                        _elem134.read(iprot)
+                        self.peers.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4298,15 +4816,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter91 in self.members:
-                iter91.write(oprot)
+            for iter135 in self.members:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter92 in self.peers:
-                iter92.write(oprot)
+            for iter136 in self.peers:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4380,120 +4898,120 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.vms = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = VmDescriptor()
-                        _elem98.read(iprot)
-                        self.vms.append(_elem98)
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i141 in range(_size137):
+                        _elem142 = VmDescriptor()
+                        _elem142.read(iprot)
+                        self.vms.append(_elem142)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype102, _size99) = iprot.readListBegin()
-                    for _i103 in range(_size99):
-                        _elem104 = Announcement()
-                        _elem104.read(iprot)
-                        self.announcements.append(_elem104)
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = Announcement()
+                        _elem148.read(iprot)
+                        self.announcements.append(_elem148)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = Strike()
-                        _elem110.read(iprot)
-                        self.strikes.append(_elem110)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = Strike()
+                        _elem154.read(iprot)
+                        self.strikes.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = WeightsNews()
-                        _elem116.read(iprot)
-                        self.weights.append(_elem116)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = WeightsNews()
+                        _elem160.read(iprot)
+                        self.weights.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.placements = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = PlacementNews()
-                        _elem122.read(iprot)
-                        self.placements.append(_elem122)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = PlacementNews()
+                        _elem166.read(iprot)
+                        self.placements.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.rosters = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = Roster()
-                        _elem128.read(iprot)
-                        self.rosters.append(_elem128)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = Roster()
+                        _elem172.read(iprot)
+                        self.rosters.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.stores = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = StoreNews()
-                        _elem134.read(iprot)
-                        self.stores.append(_elem134)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = StoreNews()
+                        _elem178.read(iprot)
+                        self.stores.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = RateLimitNews()
-                        _elem140.read(iprot)
-                        self.rate_limits.append(_elem140)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = RateLimitNews()
+                        _elem184.read(iprot)
+                        self.rate_limits.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = LeavingNews()
-                        _elem146.read(iprot)
-                        self.leaving.append(_elem146)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = LeavingNews()
+                        _elem190.read(iprot)
+                        self.leaving.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.cut_off_vms = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = CutOffNews()
-                        _elem152.read(iprot)
-                        self.cut_off_vms.append(_elem152)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = CutOffNews()
+                        _elem196.read(iprot)
+                        self.cut_off_vms.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.foreign = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = iprot.readBinary()
-                        self.foreign.append(_elem158)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = iprot.readBinary()
+                        self.foreign.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4510,78 +5028,78 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter159 in self.vms:
-                iter159.write(oprot)
+            for iter203 in self.vms:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter160 in self.announcements:
-                iter160.write(oprot)
+            for iter204 in self.announcements:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter161 in self.strikes:
-                iter161.write(oprot)
+            for iter205 in self.strikes:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter162 in self.weights:
-                iter162.write(oprot)
+            for iter206 in self.weights:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.placements is not None:
             oprot.writeFieldBegin('placements', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter163 in self.placements:
-                iter163.write(oprot)
+            for iter207 in self.placements:
+                iter207.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rosters is not None:
             oprot.writeFieldBegin('rosters', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rosters))
-            for iter164 in self.rosters:
-                iter164.write(oprot)
+            for iter208 in self.rosters:
+                iter208.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stores is not None:
             oprot.writeFieldBegin('stores', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stores))
-            for iter165 in self.stores:
-                iter165.write(oprot)
+            for iter209 in self.stores:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter166 in self.rate_limits:
-                iter166.write(oprot)
+            for iter210 in self.rate_limits:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter167 in self.leaving:
-                iter167.write(oprot)
+            for iter211 in self.leaving:
+                iter211.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cut_off_vms is not None:
             oprot.writeFieldBegin('cut_off_vms', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.cut_off_vms))
-            for iter168 in self.cut_off_vms:
-                iter168.write(oprot)
+            for iter212 in self.cut_off_vms:
+                iter212.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.foreign is not None:
             oprot.writeFieldBegin('foreign', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.foreign))
-            for iter169 in self.foreign:
-                oprot.writeBinary(iter169)
+            for iter213 in self.foreign:
+                oprot.writeBinary(iter213)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4747,10 +5265,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem175)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4763,11 +5281,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = LoadNews()
-                        _elem181.read(iprot)
-                        self.loads.append(_elem181)
+                    (_etype223, _size220) = iprot.readListBegin()
+                    for _i224 in range(_size220):
+                        _elem225 = LoadNews()
+                        _elem225.read(iprot)
+                        self.loads.append(_elem225)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4812,8 +5330,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter182 in self.withdrawn_digests:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter226 in self.withdrawn_digests:
+                oprot.writeString(iter226.encode('utf-8') if sys.version_info[0] == 2 else iter226)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
@@ -4823,8 +5341,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter183 in self.loads:
-                iter183.write(oprot)
+            for iter227 in self.loads:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
@@ -4935,10 +5453,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype187, _size184) = iprot.readListBegin()
-                    for _i188 in range(_size184):
-                        _elem189 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem189)
+                    (_etype231, _size228) = iprot.readListBegin()
+                    for _i232 in range(_size228):
+                        _elem233 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem233)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4962,10 +5480,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.silent_endpoints = []
-                    (_etype193, _size190) = iprot.readListBegin()
-                    for _i194 in range(_size190):
-                        _elem195 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent_endpoints.append(_elem195)
+                    (_etype237, _size234) = iprot.readListBegin()
+                    for _i238 in range(_size234):
+                        _elem239 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem239)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4977,44 +5495,44 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = LoadNews()
-                        _elem201.read(iprot)
-                        self.loads.append(_elem201)
+                    (_etype243, _size240) = iprot.readListBegin()
+                    for _i244 in range(_size240):
+                        _elem245 = LoadNews()
+                        _elem245.read(iprot)
+                        self.loads.append(_elem245)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype205, _size202) = iprot.readListBegin()
-                    for _i206 in range(_size202):
-                        _elem207 = GroupReport()
-                        _elem207.read(iprot)
-                        self.groups.append(_elem207)
+                    (_etype249, _size246) = iprot.readListBegin()
+                    for _i250 in range(_size246):
+                        _elem251 = GroupReport()
+                        _elem251.read(iprot)
+                        self.groups.append(_elem251)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.own_units = {}
-                    (_ktype209, _vtype210, _size208) = iprot.readMapBegin()
-                    for _i212 in range(_size208):
-                        _key213 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val214 = iprot.readI64()
-                        self.own_units[_key213] = _val214
+                    (_ktype253, _vtype254, _size252) = iprot.readMapBegin()
+                    for _i256 in range(_size252):
+                        _key257 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val258 = iprot.readI64()
+                        self.own_units[_key257] = _val258
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.past_spending = []
-                    (_etype218, _size215) = iprot.readListBegin()
-                    for _i219 in range(_size215):
-                        _elem220 = PastSpendingNews()
-                        _elem220.read(iprot)
-                        self.past_spending.append(_elem220)
+                    (_etype262, _size259) = iprot.readListBegin()
+                    for _i263 in range(_size259):
+                        _elem264 = PastSpendingNews()
+                        _elem264.read(iprot)
+                        self.past_spending.append(_elem264)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5047,8 +5565,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter221 in self.withdrawn_digests:
-                oprot.writeString(iter221.encode('utf-8') if sys.version_info[0] == 2 else iter221)
+            for iter265 in self.withdrawn_digests:
+                oprot.writeString(iter265.encode('utf-8') if sys.version_info[0] == 2 else iter265)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepted is not None:
@@ -5066,8 +5584,8 @@
         if self.silent_endpoints is not None:
             oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
-            for iter222 in self.silent_endpoints:
-                oprot.writeString(iter222.encode('utf-8') if sys.version_info[0] == 2 else iter222)
+            for iter266 in self.silent_endpoints:
+                oprot.writeString(iter266.encode('utf-8') if sys.version_info[0] == 2 else iter266)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.period_ms is not None:
@@ -5077,30 +5595,30 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter223 in self.loads:
-                iter223.write(oprot)
+            for iter267 in self.loads:
+                iter267.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter224 in self.groups:
-                iter224.write(oprot)
+            for iter268 in self.groups:
+                iter268.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own_units is not None:
             oprot.writeFieldBegin('own_units', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
-            for kiter225, viter226 in self.own_units.items():
-                oprot.writeString(kiter225.encode('utf-8') if sys.version_info[0] == 2 else kiter225)
-                oprot.writeI64(viter226)
+            for kiter269, viter270 in self.own_units.items():
+                oprot.writeString(kiter269.encode('utf-8') if sys.version_info[0] == 2 else kiter269)
+                oprot.writeI64(viter270)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.past_spending is not None:
             oprot.writeFieldBegin('past_spending', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter227 in self.past_spending:
-                iter227.write(oprot)
+            for iter271 in self.past_spending:
+                iter271.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5144,6 +5662,7 @@
     (6, TType.BOOL, 'has_disk', None, None, ),  # 6
     (7, TType.BOOL, 'takes_callers', None, None, ),  # 7
     (8, TType.STRING, 'forward_address', 'UTF8', None, ),  # 8
+    (9, TType.LIST, 'features', (TType.STRING, 'UTF8', False), None, ),  # 9
 )
 all_structs.append(LogEntry)
 LogEntry.thrift_spec = (
@@ -5462,6 +5981,43 @@
     (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
     (3, TType.BOOL, 'present', None, None, ),  # 3
 )
+all_structs.append(VersionResults)
+VersionResults.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'route', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'sent', None, None, ),  # 4
+    (5, TType.I64, 'succeeded', None, None, ),  # 5
+    (6, TType.I64, 'failed', None, None, ),  # 6
+    (7, TType.LIST, 'times', (TType.I64, None, False), None, ),  # 7
+    (8, TType.LIST, 'pauses', (TType.I64, None, False), None, ),  # 8
+    (9, TType.I64, 'in_flight', None, None, ),  # 9
+)
+all_structs.append(RolloutReport)
+RolloutReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.LIST, 'results', (TType.STRUCT, [VersionResults, None], False), None, ),  # 4
+    (5, TType.MAP, 'wanted', (TType.I64, None, TType.I64, None, False), None, ),  # 5
+)
+all_structs.append(ExposureGrant)
+ExposureGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'rollout', None, None, ),  # 1
+    (2, TType.I64, 'requests', None, None, ),  # 2
+    (3, TType.DOUBLE, 'share', None, None, ),  # 3
+    (4, TType.I32, 'valid_ms', None, None, ),  # 4
+)
+all_structs.append(RolloutReply)
+RolloutReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_owner', None, None, ),  # 1
+    (2, TType.STRING, 'owner_address', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'grants', (TType.STRUCT, [ExposureGrant, None], False), None, ),  # 3
+)
 all_structs.append(RosterEntry)
 RosterEntry.thrift_spec = (
     None,  # 0
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -13,6 +13,9 @@
   7: bool takes_callers
   // Where it takes requests that another VM forwards; empty if it takes none.
   8: string forward_address
+  // Names of the parts of the product that its build knows beyond those that
+  // every build of protocol version 5 knows.
+  9: optional list<string> features
 }
 
 struct LogEntry {
@@ -347,6 +350,56 @@
   3: required bool present
 }
 
+// Results of the requests that an incarnation of a VM has sent to one software
+// version of a service on one route since a rollout began. All counts grow.
+struct VersionResults {
+  1: required string service_name
+  2: required string software_version
+  3: required string route
+  // Requests sent there.
+  4: required i64 sent
+  // Answers that succeeded and those that failed, were wrong or broke off.
+  5: required i64 succeeded
+  6: required i64 failed
+  // Numbers of answers by the bucket of their time, and of their longest
+  // pause; see rollouts/evidence.py.
+  7: required list<i64> times
+  8: required list<i64> pauses
+  // Requests that are at an endpoint now.
+  9: required i64 in_flight
+}
+
+// What a VM asks of the VM that owns the rollouts, and reports to it.
+struct RolloutReport {
+  1: required string vm_id
+  2: required i64 incarnation
+  // Grows with each report of the incarnation.
+  3: required i64 number
+  4: required list<VersionResults> results
+  // Requests that the VM may want to send to the target version before its
+  // next report, by the log index of the rollout.
+  5: required map<i64, i64> wanted
+}
+
+// The right to send requests to the target version of a rollout.
+struct ExposureGrant {
+  // Log index of the rollout's order.
+  1: required i64 rollout
+  // Number of requests; -1 if the share alone decides.
+  2: required i64 requests
+  // Share of the VM's requests, 0 to 1.
+  3: required double share
+  4: required i32 valid_ms
+}
+
+struct RolloutReply {
+  // Whether the replying VM owns the rollouts; nothing else counts if not.
+  1: required bool is_owner
+  // Link address of the owner if the replying VM knows another one.
+  2: string owner_address
+  3: required list<ExposureGrant> grants
+}
+
 struct RosterEntry {
   1: required string vm_id
   // Latest version of the replicated state that the VM reported.
@@ -450,4 +503,5 @@
   PermitReply take_permit(1: PermitRequest request)
   StreamReportReply record_streams(1: StreamReport report)
   StreamReply find_stream(1: StreamQuery query)
+  RolloutReply report_rollouts(1: RolloutReport report)
 }
