--- a/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
@@ -8,7 +8,7 @@
 from . import settings
 from . import settings_flags
 from .limits import buffer_budget
-from .relay import load_features
+from .relay import load_features as features
 from .relay import quota
 
 
@@ -139,4 +139,4 @@
     forward_listen: addresses.Address | None = None
     memory_limit_bytes: int = buffer_budget.DEFAULT_MEMORY_LIMIT_BYTES
     rollout_limits: RolloutLimits | None = None
-    load_features: load_features.LoadFeatures = load_features.LoadFeatures()
+    load_features: features.LoadFeatures = features.LoadFeatures()
--- a/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
@@ -104,7 +104,7 @@
     number: int = 0
 
 
-class RolloutPhase(enum.Enum):
+class RolloutPhase(enum.StrEnum):
     """Phase of a rollout of a software version.
 
     Attributes:
@@ -135,7 +135,7 @@
         service: name of the service.
         target_version: software version that it moves the traffic to.
         ramp_ms: time in which the operators want the traffic to move.
-        phase: the ``RolloutPhase``.
+        phase: value of the ``RolloutPhase``; a newer build may have others.
         reserved: requests that may have been granted to the target version
             so far, by all owners together.
         reason: why it has ended, in words.
@@ -145,7 +145,7 @@
     service: str
     target_version: str
     ramp_ms: int
-    phase: RolloutPhase = RolloutPhase.CANARY
+    phase: str = RolloutPhase.CANARY.value
     reserved: int = 0
     reason: str = ''
 
