--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -28,3 +28,9 @@
     record_formats.write(samples)
     script = str(pathlib.Path(record_formats.__file__))
     build.run_python(sys.executable, [script, 'check', str(samples)])
+
+
+def test_this_build_reads_all_that_it_has_written(tmp_path):
+    samples = tmp_path / 'samples'
+    record_formats.write(samples)
+    assert record_formats.check(samples, is_own=True) == []
