Take no malformed status line for an answer

Cause: http.client takes any number from 100 to 999 for a status, in any form that int() reads. The status 000 was refused (502), but 600 to 999 went to callers as answers, 0200, +200 and 2_00 as successes, and HTTP/0.9 or a line that begins with a space as an answer.

Change: the first line of each head, of interim ones too, must be a status line of HTTP/1 with a status of 100 to 599; at every reader of an answer: the relay, the hop between VMs, the callers' own interface and a VM's own calls.

Early answers without a length whose connection is reset during the upload: no path took the part for whole, and none needed a change.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
@@ -2,27 +2,44 @@
 
 ``http.client`` takes the end of a connection for the end of the head, and a
 length or an encoding that it cannot read for none. A response that broke off
-there would look like a whole one with an empty or a short body.
+there would look like a whole one with an empty or a short body. It also takes
+any number below 1000 for a status, in any form that Python reads as a number.
 """
 
 import http.client
 import re
 
+# Bytes of a malformed line that its error quotes.
+MAX_QUOTED_BYTES = 100
 _END_OF_HEAD = (b'\r\n', b'\n')
 _LENGTH = re.compile(r'[0-9]{1,18}')
+# RFC 9112, 4; a reason may be missing with the space before it.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [1-5][0-9]{2}( [^\r\n]*)?\r?\n')
 
 
 class _HeadLines:
-    """Reads lines for ``http.client`` and notes how the last one ended."""
+    """Reads lines for ``http.client``, and checks the first one of a head.
+
+    Attributes:
+        has_ended: whether the last line ended a head.
+    """
 
     def __init__(self, reader):
         self._reader = reader
+        self._begins_head = True
         self.has_ended = False
 
     def readline(self, limit=-1):
-        """Return the next line; see ``io.IOBase.readline``."""
+        """Return the next line; see ``io.IOBase.readline``.
+
+        Raises:
+            http.client.BadStatusLine: it should be a status line and is none.
+        """
         line = self._reader.readline(limit)
+        if self._begins_head and line and not _STATUS_LINE.fullmatch(line):
+            raise http.client.BadStatusLine(repr(line[:MAX_QUOTED_BYTES]))
         self.has_ended = line in _END_OF_HEAD
+        self._begins_head = self.has_ended
         return line
 
     def close(self):
--- /dev/null
+++ b/tests/test_malformed_status_lines.py
@@ -0,0 +1,106 @@
+"""Bytes that are no status line of HTTP/1 are never taken for an answer."""
+
+import socket
+
+from carobwood import addresses
+from carobwood import errors
+from carobwood_daemon.entry import bounded_call
+from carobwood_daemon.relay import endpoint_connections
+import pytest
+import raw_answers
+
+READ_SECONDS = 5.0
+MAX_BYTES = 1000
+# Status lines with a status that HTTP does not have, or with a form that only
+# a lenient reader takes for one that it has.
+MALFORMED_LINES = [
+    b'HTTP/1.1 000 OK',
+    b'HTTP/1.1 0 OK',
+    b'HTTP/1.1 099 OK',
+    b'HTTP/1.1 600 OK',
+    b'HTTP/1.1 999 OK',
+    b'HTTP/1.1 20 OK',
+    b'HTTP/1.1 2000 OK',
+    b'HTTP/1.1 0200 OK',
+    b'HTTP/1.1 +200 OK',
+    b'HTTP/1.1 2_00 OK',
+    b'HTTP/1.1 -200 OK',
+    b'HTTP/1.1 200OK',
+    b'HTTP/1.1\t200 OK',
+    b'HTTP/1.x 200 OK',
+    b'HTTP/0.9 200 OK',
+    b'HTTP/2 200 OK',
+    b' HTTP/1.1 200 OK',
+]
+VALID_LINES = [
+    b'HTTP/1.1 200 OK',
+    b'HTTP/1.1 200 ',
+    b'HTTP/1.1 200',
+    b'HTTP/1.0 200 OK',
+    b'HTTP/1.1 599 Odd',
+]
+BODY = b'whole'
+
+
+def _answer(line):
+    return line + b'\r\nContent-Length: %d\r\n\r\n%s' % (len(BODY), BODY)
+
+
+def _read_by_relay(line):
+    """Return the status and the body that the relay reads."""
+    own, peer = socket.socketpair()
+    peer.sendall(_answer(line))
+    peer.close()
+    connection = endpoint_connections.EndpointConnection(
+        addresses.Address('127.0.0.1', 1), own
+    )
+    try:
+        status, _ = connection.read_head('POST', READ_SECONDS)
+        return status, connection.read_available(READ_SECONDS)
+    finally:
+        connection.close()
+
+
+def _read_by_entry(line):
+    """Return the status and the body that the callers' interface reads."""
+    return raw_answers.read_by_entry(_answer(line), READ_SECONDS)
+
+
+def _read_by_call(line):
+    """Return the status and the body that a call of the VM itself reads."""
+    with raw_answers.RawEndpoint(_answer(line)) as endpoint:
+        caller = bounded_call.HttpCaller()
+        answer = caller.call(
+            bounded_call.Call('GET', endpoint.address, '/'),
+            bounded_call.CallBounds(READ_SECONDS, MAX_BYTES),
+        )
+        caller.close()
+        return answer.status, answer.data
+
+
+READERS = [_read_by_relay, _read_by_entry, _read_by_call]
+
+
+# An engine in trouble sent an answer whose status was 000, and others with
+# statuses beyond 599; their callers got them as answers.
+@pytest.mark.parametrize('read', READERS)
+@pytest.mark.parametrize('line', MALFORMED_LINES)
+def test_a_malformed_status_line_is_no_answer(read, line):
+    with pytest.raises(errors.CarobwoodError):
+        read(line)
+
+
+@pytest.mark.parametrize('read', READERS)
+@pytest.mark.parametrize('line', VALID_LINES)
+def test_a_status_line_may_lack_its_reason(read, line):
+    status, body = read(line)
+    assert status == int(line.split()[1])
+    assert body == BODY
+
+
+@pytest.mark.parametrize('read', [_read_by_relay, _read_by_entry])
+def test_an_interim_answer_with_a_malformed_status_line_is_no_answer(read):
+    with pytest.raises(errors.CarobwoodError):
+        read(b'HTTP/1.1 0100 Continue\r\n\r\nHTTP/1.1 200 OK')
+    status, body = read(b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK')
+    assert (status, body) == (200, BODY)
