Do not wait a second for a seed that is still without power

Cause: after a loss of power of all VMs, one that was up first asked a seed for gossip that was not, and its connection timed out after a second. Until then it knew neither endpoints nor the usage of others: requests ended 429 or 503. Traced with the logs of a small twin: 1.1 s from the start of an entry VM to its first request at an endpoint, 0.3 s of them for the configuration.

Change: the first connection to a VM has 0.2 s, twice as long after each failure up to the former second, and a VM that has never answered is asked again after that time.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
@@ -16,6 +16,9 @@
 INITIAL_PERIOD_SECONDS = 0.1
 # Period at which a VM that needs no uplink checks whether it does.
 IDLE_PERIOD_SECONDS = 0.5
+# Time for the first connection to a VM. One that starts at the same time takes
+# no packet yet, and the lost one would only be sent again after a second.
+FIRST_CONNECT_SECONDS = 0.2
 # Minimum time between two exchanges, also if more is to be sent.
 MIN_PAUSE_SECONDS = 0.03
 # Time for which an address that has failed or refused is not tried again.
@@ -42,6 +45,7 @@
         self._is_woken = False
         self._is_silent = False
         self._refreshed_at = float('-inf')
+        self._first_connect_seconds = FIRST_CONNECT_SECONDS
         self.period = INITIAL_PERIOD_SECONDS
 
     def run(self):
@@ -85,10 +89,28 @@
             self._refreshed_at = now
             message.records.announcements += self._gossip.refreshed_endpoints()
 
+    def _call(self, link, message, has_answered):
+        """Send a message and return the reply.
+
+        Args:
+            link: the ``Link`` to the other VM.
+            message: the ``GossipMessage``.
+            has_answered: whether the VM has answered this thread before.
+
+        Raises:
+            LinkFailed: no reply arrived.
+        """
+        seconds = CALL_TIMEOUT_SECONDS
+        if not has_answered:
+            seconds = min(seconds, self._first_connect_seconds)
+        return link.call('gossip', message, CALL_TIMEOUT_SECONDS, seconds)
+
     def _note_failure(self, error):
         if not self._is_silent:
             events.emit(events.VM_SILENT, reason=error.detail)
         self._is_silent = True
+        # VMs that have much to do at their start may need longer.
+        self._first_connect_seconds *= 2
 
     def _note_reply(self, reply):
         if self._is_silent:
@@ -124,10 +146,10 @@
             self._members_sent_until
         )
         try:
-            reply = self._link.call('gossip', message, CALL_TIMEOUT_SECONDS)
+            reply = self._call(self._link, message, bool(self._incarnation))
         except errors.LinkFailed as error:
+            self.period = self._silent_period()
             self._note_failure(error)
-            self.period = SILENT_PERIOD_SECONDS
             return
         self._note_reply(reply)
         self.period = self._gossip.mesh_period
@@ -142,6 +164,15 @@
             self._incarnation = reply.vm.incarnation
         self._gossip.merge_reply(reply)
 
+    def _silent_period(self):
+        """Return the seconds until a VM that has not answered is asked again.
+
+        One that has never answered may be about to start, as this VM was.
+        """
+        if self._incarnation:
+            return SILENT_PERIOD_SECONDS
+        return min(SILENT_PERIOD_SECONDS, self._first_connect_seconds)
+
 
 class MemberNotifier(threading.Thread):
     """Tells the members of this VM's group that there is news.
@@ -194,6 +225,7 @@
         self._links = links
         self._address = None
         self._is_accepted = False
+        self._has_joined = False
         self._vm_id = ''
         self._incarnation = 0
         self._reviewed_at = float('-inf')
@@ -208,6 +240,8 @@
         self._review_address()
         if self._address is None:
             self.period = IDLE_PERIOD_SECONDS
+            if not self._has_joined:
+                self.period = INITIAL_PERIOD_SECONDS
             return
         message, next_position = self._gossip.make_message(
             ttypes.SenderRole.MEMBER,
@@ -219,7 +253,7 @@
         self._add_refreshed_endpoints(message)
         link = self._links.to(self._address)
         try:
-            reply = link.call('gossip', message, CALL_TIMEOUT_SECONDS)
+            reply = self._call(link, message, self._is_accepted)
         except errors.LinkFailed as error:
             self._note_failure(error)
             self._leave()
@@ -239,6 +273,7 @@
             return
         if not self._is_accepted:
             self._is_accepted = True
+            self._has_joined = True
             events.emit(
                 events.AGGREGATOR_JOINED,
                 vm=reply.vm.vm_id,
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -136,7 +136,7 @@
         self._vm = vm
         self.address = address
 
-    def call(self, method, message, timeout):
+    def call(self, method, message, timeout, connect_timeout=1.0):
         """Pass a message on and return the reply."""
         assert method == 'gossip'
         self._vm.calls += 1
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -23,12 +23,14 @@
 
     def __init__(self):
         self.messages = []
+        self.connect_seconds = []
         self.incarnation = 7
         self.fails = False
 
-    def call(self, method, message, timeout):
+    def call(self, method, message, timeout, connect_timeout):
         """Answer a gossip message."""
         assert method == 'gossip'
+        self.connect_seconds.append(connect_timeout)
         if self.fails:
             raise errors.LinkFailed('the link is broken')
         self.messages.append(message)
@@ -152,3 +154,29 @@
         fields for event, fields in logged if event is events.AGGREGATOR_JOINED
     ]
     assert joined == [{'vm': 'vm2', 'data_centre': 'bole', 'period': 0.1}]
+
+
+# All VMs lost power. One that was up first waited a second for a connection to
+# a seed that took no packet yet, and knew no endpoint until then.
+@both_kinds
+def test_a_starting_vm_does_not_wait_for_another_that_starts_later(kind):
+    link = FakeLink()
+    thread = _make_thread(kind, crash_suspects.CrashSuspects(), link)
+    link.fails = True
+    while len(link.connect_seconds) < 5:
+        thread.exchange()
+        assert thread.period <= link.connect_seconds[-1]
+    assert link.connect_seconds == [0.2, 0.4, 0.8, 1.0, 1.0]
+
+
+@both_kinds
+def test_a_vm_that_has_answered_gets_the_usual_time(kind):
+    link = FakeLink()
+    thread = _make_thread(kind, crash_suspects.CrashSuspects(), link)
+    thread.exchange()
+    thread.exchange()
+    assert link.connect_seconds == [0.2, gossip_peers.CALL_TIMEOUT_SECONDS]
+    link.fails = True
+    thread.exchange()
+    if kind == 'aggregator':
+        assert thread.period == gossip_peers.SILENT_PERIOD_SECONDS
