Load the schema library with the first document

Cause: a VM of the relay loads jsonschema at its start, for documents that it never has.

Change: it is loaded when a document is checked for the first time.

--- a/packages/carobwood/carobwood/document.py
+++ b/packages/carobwood/carobwood/document.py
@@ -6,7 +6,6 @@
 import importlib.resources
 import json
 
-import jsonschema
 import msgspec
 from returns import result
 import yaml
@@ -282,6 +281,9 @@
 
 @functools.cache
 def _validator():
+    # A VM of the relay has no document, and starts sooner without it.
+    import jsonschema
+
     package = importlib.resources.files(__package__)
     schema = json.loads((package / 'document.schema.json').read_text())
     return jsonschema.Draft202012Validator(schema)
