Share the connections that endpoints accept between VMs

Cause: an endpoint's limit of connections was read by no code. Each VM kept up to 16 idle connections to each endpoint, and had all endpoints probed each time two could not be reached in a row; a success forgot that, so a dozen dark endpoints had all others probed without end, and each probe left an idle connection.

Change, where the settings switch shares_connections on: each VM keeps within an equal share of the limit and no more idle connections than it reuses; a reset begins a back-off, is no crash and no ejection; only newly lost endpoints have others probed, two at first. Off: as before.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/connect_errors.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/connect_errors.py
@@ -70,6 +70,17 @@
     return isinstance(error, TIMEOUT_ERRORS) and not is_refused
 
 
+def is_reset(error):
+    """Tell whether an endpoint accepted a connection and reset it at once.
+
+    A port without a listener refuses the connection instead.
+
+    Args:
+        error: the exception of the system or of urllib3.
+    """
+    return errno.ECONNRESET in _system_errors(error)
+
+
 def _system_errors(error):
     """Return the error numbers of an exception and of its cause."""
     # urllib3 raises an error of its own from that of the system.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/connection_pool.py
@@ -50,7 +50,14 @@
 
 
 class ConnectionPool:
-    """Idle connections to endpoints, by address."""
+    """Idle connections to endpoints, by address.
+
+    Attributes:
+        tells_resets: whether an endpoint that resets a new connection counts
+            as one that has too many, and not as one that is gone.
+    """
+
+    tells_resets = False
 
     def __init__(self, clock=clocks.now, on_result=None):
         """Create an empty pool.
@@ -108,12 +115,29 @@
             connection = self._connect_with_room(address, timeout)
         except errors.DescriptorsUsedUp:
             raise
-        except errors.EndpointUnreachable:
-            self._on_result(address, False)
+        except errors.EndpointUnreachable as error:
+            self._note_not_made(address, error)
             raise
         self._on_result(address, True)
         return connection
 
+    def full_addresses(self):
+        """Return the addresses to which this VM may open no connection."""
+        return frozenset()
+
+    def seconds_until_open(self, address):
+        """Return the seconds for which no new connection may be opened."""
+        return 0.0
+
+    def note_reset(self, address):
+        """Record that a new connection was reset before an answer."""
+
+    def note_accepted(self, address):
+        """Record that an endpoint has answered on a new connection."""
+
+    def _note_not_made(self, address, error):
+        self._on_result(address, False)
+
     def _connect_with_room(self, address, timeout):
         try:
             return _connect(address, timeout)
@@ -135,9 +159,7 @@
                 announced none.
             instance: see ``acquire``.
         """
-        limit = MAX_IDLE_SECONDS
-        if idle_seconds is not None:
-            limit = min(limit, idle_seconds * IDLE_TIMEOUT_SHARE)
+        limit = self._max_idle_seconds(idle_seconds)
         if limit <= 0 or not upstream.is_reusable():
             upstream.close()
             return
@@ -146,12 +168,21 @@
         with self._lock:
             idle = self._idle_by_address.setdefault(address, [])
             idle.append(_IdleConnection(expires_at, upstream, instance))
-            kept = 0 if self._is_closed else MAX_IDLE_PER_ADDRESS
+            kept = 0 if self._is_closed else self._max_kept(address)
             surplus = idle[: max(0, len(idle) - kept)]
             del idle[: len(surplus)]
         for oldest in surplus:
             oldest.connection.close()
 
+    def _max_idle_seconds(self, idle_seconds):
+        if idle_seconds is None:
+            return MAX_IDLE_SECONDS
+        return min(MAX_IDLE_SECONDS, idle_seconds * IDLE_TIMEOUT_SHARE)
+
+    def _max_kept(self, address):
+        """Return how many idle connections to an address are kept."""
+        return MAX_IDLE_PER_ADDRESS
+
     def close(self):
         """Close the idle connections, and others once they are released."""
         with self._lock:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -72,6 +72,9 @@
 
     Attributes:
         is_new: whether it has not been taken from the idle connections.
+        is_closed: whether this VM has closed it.
+        has_written: whether any byte has been written to it.
+        has_read: whether a whole head of a response has come on it.
     """
 
     def __init__(self, address, sock):
@@ -82,6 +85,9 @@
             sock: the connected socket.
         """
         self.is_new = True
+        self.is_closed = False
+        self.has_written = False
+        self.has_read = False
         self._address = address
         self._socket = sock
         # One buffered reader serves all responses, since a reader per
@@ -153,6 +159,7 @@
                     count = self._socket.send(self._unsent[0])
                 except BlockingIOError:
                     return False
+                self.has_written = True
                 self._unsent[0] = self._unsent[0][count:]
                 if not self._unsent[0]:
                     self._unsent.popleft()
@@ -225,6 +232,7 @@
             # it is closed or collected.
             response.fp = None
         self._awaits_head = False
+        self.has_read = True
         self._closes_after_response = response.will_close
         return response.status, {
             name.lower(): value for name, value in response.getheaders()
@@ -393,6 +401,7 @@
         It is reset then, so that nothing of the request that a partition
         holds up is delivered later.
         """
+        self.is_closed = True
         if self._awaits_head or (self._body and not self._body.is_complete):
             self._reset_on_close()
         self._reader.close()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_prober.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_prober.py
@@ -66,11 +66,13 @@
         except errors.DescriptorsUsedUp:
             self._health.request_probe(endpoint)
             return
-        except errors.EndpointUnreachable:
-            self._health.note_still_unreachable(endpoint)
-            return
-        self._pool.release(
-            endpoint.address, connection, None, endpoint.instance
-        )
+        except errors.EndpointUnreachable as error:
+            if not error.is_reset:
+                self._health.note_still_unreachable(endpoint)
+                return
+        else:
+            self._pool.release(
+                endpoint.address, connection, None, endpoint.instance
+            )
         self._health.note_reachable(endpoint)
         self._on_reachable()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -15,6 +15,8 @@
 MAX_LATE_RESPONSES = 2
 # Largest body of a late response that is skipped.
 MAX_LATE_BODY_BYTES = 64 * 1024 * 1024
+# What reading or writing raises if the endpoint has reset the connection.
+_RESETS = (ConnectionResetError, BrokenPipeError)
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -156,7 +158,7 @@
             CallerLeft: the caller disconnected meanwhile.
         """
         sent_at = heard_at = clocks.now()
-        with self._guarded(connection):
+        with self._guarded(connection, assignment.endpoint):
             connection.begin_request(
                 self._outgoing_request(assignment, resume_id)
             )
@@ -172,19 +174,49 @@
 
         Its connection is closed on failure.
         """
-        with self._guarded(sent.connection):
+        with self._guarded(sent.connection, sent.assignment.endpoint):
             return self._await_response(sent, watch)
 
     @contextlib.contextmanager
-    def _guarded(self, connection):
+    def _guarded(self, connection, endpoint):
         """Let a stop interrupt a connection, and close it on failure."""
         try:
             with self._context.gate.interruptible(connection.interrupt):
                 yield
+        except errors.EndpointFailed as error:
+            connection.close()
+            if self._is_reset_unanswered(connection, error):
+                self._check_sent(connection, endpoint, error)
+                error.is_reset = True
+            raise
         except BaseException:
             connection.close()
             raise
 
+    def _is_reset_unanswered(self, connection, error):
+        """Return whether a new connection was reset before an answer."""
+        return (
+            self._context.pool.tells_resets
+            and connection.is_new
+            and not connection.has_read
+            and isinstance(error.__cause__, _RESETS)
+        )
+
+    def _check_sent(self, connection, endpoint, error):
+        """Check that something was sent on a connection that was reset.
+
+        Raises:
+            EndpointUnreachable: nothing was.
+        """
+        if connection.has_written:
+            return
+        self._context.pool.note_reset(endpoint.address)
+        unsent = errors.EndpointUnreachable(
+            'the endpoint reset the connection before the request was sent'
+        )
+        unsent.is_reset = True
+        raise unsent from error
+
     def _check_serving(self, endpoint):
         """Check that an endpoint has not begun to leave meanwhile."""
         found = self._context.directory.find_endpoint(endpoint.id)
@@ -249,6 +281,10 @@
                 self._context.ended_endpoints.note_own_answer(
                     assignment.endpoint
                 )
+                if connection.is_new:
+                    self._context.pool.note_accepted(
+                        assignment.endpoint.address
+                    )
                 return response
             # A late response to an earlier request on this connection.
             connection.skip_body(LATE_BODY_SECONDS, MAX_LATE_BODY_BYTES)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -71,6 +71,9 @@
             assignment: the ``Assignment`` that the request was sent to.
             error: the ``EndpointUnreachable``.
         """
+        if error.is_reset:
+            # It is there; the pool has begun a back-off.
+            return
         self._context.health.note_unreachable(assignment.endpoint)
         if not error.is_timeout:
             self._context.pool.close_idle(assignment.endpoint.address)
@@ -126,10 +129,14 @@
             return False
         connect_error = self._find_connect_error(endpoint)
         if connect_error is None:
+            if error.is_reset:
+                self._context.pool.note_reset(endpoint.address)
             return False
         if isinstance(connect_error, errors.DescriptorsUsedUp):
             # It tells of this VM, not of the endpoint.
             return False
+        if connect_error.is_reset:
+            return False
         self.note_unreachable(assignment, connect_error)
         if not self._reaches_another(endpoint):
             return False
@@ -204,7 +211,8 @@
 
     def _is_reachable(self, endpoint):
         """Return whether an endpoint accepts a new connection."""
-        return self._find_connect_error(endpoint) is None
+        error = self._find_connect_error(endpoint)
+        return error is None or error.is_reset
 
     def _find_connect_error(self, endpoint):
         """Return the ``EndpointUnreachable`` of a new connection, or None."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -126,10 +126,12 @@
     def _find_candidates(self, request, excluded):
         context = self._context
         self._check_configuration(request)
+        full_addresses = context.pool.full_addresses()
         endpoints = [
             endpoint
             for endpoint in self.endpoints(request)
             if endpoint.id not in excluded
+            and endpoint.address not in full_addresses
             and not context.health.is_ejected(endpoint)
             and not self.seconds_until_open(endpoint)
         ]
@@ -210,6 +212,7 @@
         return max(
             self._context.availability.seconds_until_available(endpoint),
             self._context.rate_limits.seconds_until_next(endpoint),
+            self._context.pool.seconds_until_open(endpoint.address),
         )
 
     def release(self, assignment):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -9,8 +9,10 @@
 
 from . import configuration_store
 from . import connection_pool
+from . import connection_shares
 from . import endpoint_availability
 from . import endpoint_health
+from . import endpoint_limits
 from . import endpoint_rate_limits
 from . import endpoint_reachability
 from . import engine_weights
@@ -19,6 +21,7 @@
 from . import kv_stores
 from . import past_usage
 from . import quota
+from . import shared_connection_pool
 from . import stream_resumption
 from . import wait_queue
 
@@ -125,8 +128,9 @@
         settings.fleet_limits.quota_tolerance, settings.is_first_start
     )
     queue = wait_queue.WaitQueue()
+    shares_connections = settings.load_features.shares_connections
     reachability = endpoint_reachability.EndpointReachability(
-        directory.serving_endpoints
+        directory.serving_endpoints, probes_few=shares_connections
     )
     peers = forwarding_peers.ForwardingPeers(directory)
     reachability.on_change(peers.set_own_state)
@@ -164,7 +168,13 @@
         endpoint_rate_limits.EndpointRateLimits(request_permit, metrics.count),
         reachability,
         peers,
-        connection_pool.ConnectionPool(on_result=reachability.note),
+        _make_pool(
+            shares_connections,
+            relay_configuration,
+            directory,
+            metrics,
+            reachability,
+        ),
         connection_pool.ConnectionPool(),
         kv_stores.KvStores(dialect),
         past_usage_table,
@@ -172,3 +182,20 @@
         resumption,
         buffers,
     )
+
+
+def _make_pool(
+    shares_connections, configurations, directory, metrics, reachability
+):
+    """Return the ``ConnectionPool`` of connections to endpoints."""
+    if not shares_connections:
+        return connection_pool.ConnectionPool(on_result=reachability.note)
+    shares = connection_shares.ConnectionShares(
+        lambda: endpoint_limits.find_limits(
+            configurations.configuration, directory.serving_endpoints()
+        ),
+        lambda: len(directory.entry_vms()),
+    )
+    return shared_connection_pool.SharedConnectionPool(
+        shares, metrics, reachability.note
+    )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/tried_endpoints.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/tried_endpoints.py
@@ -1,10 +1,12 @@
 """Endpoints that one request was tried at.
 
-An endpoint that accepts no connection in time may only be silent. Nothing was
-sent to it, so it stays a candidate after all others, for a while.
+An endpoint that accepts no connection in time may only be silent, and one that
+resets a connection may have too many. Nothing was sent to it, so it stays a
+candidate after all others, for a while.
 """
 
 from carobwood import clocks
+from carobwood import errors
 
 from ..entry import silence
 
@@ -30,7 +32,7 @@
             endpoint_id: id of the endpoint.
             error: the ``CarobwoodError`` of the attempt.
         """
-        if not getattr(error, 'is_timeout', False):
+        if not _is_unsent_for_now(error):
             self._excluded_ids.add(endpoint_id)
             return
         self._silent_until_by_id.setdefault(
@@ -56,3 +58,10 @@
     def all_ids(self):
         """Ids of all endpoints that the request was tried at."""
         return self._excluded_ids | self._silent_until_by_id.keys()
+
+
+def _is_unsent_for_now(error):
+    """Return whether an endpoint took no connection, but may do so soon."""
+    return isinstance(error, errors.EndpointUnreachable) and (
+        error.is_timeout or error.is_reset
+    )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
@@ -131,6 +131,8 @@
     except errors.DescriptorsUsedUp:
         return True
     except errors.EndpointUnreachable as error:
+        if error.is_reset:
+            return True
         events.emit(
             events.ENDPOINT_UNREACHED,
             endpoint=endpoint.id,
--- a/packages/carobwood/carobwood/endpoint_errors.py
+++ b/packages/carobwood/carobwood/endpoint_errors.py
@@ -8,12 +8,14 @@
 
     Attributes:
         is_timeout: whether the endpoint was only silent.
+        is_reset: whether it has reset the connection as one too many.
     """
 
     code = 'endpoint_unreachable'
     status = 503
     retry_after = 1
     is_timeout = False
+    is_reset = False
 
 
 class DescriptorsUsedUp(EndpointUnreachable):
@@ -55,12 +57,18 @@
 
 
 class EndpointFailed(base_errors.CarobwoodError):
-    """The endpoint failed after the request was sent."""
+    """The endpoint failed after the request was sent.
+
+    Attributes:
+        is_reset: whether it reset a new connection before any answer, which
+            it does also if it has too many.
+    """
 
     code = 'endpoint_failed'
     status = 502
     outcome = base_errors.Outcome.UNKNOWN
     retry_after = 1
+    is_reset = False
 
 
 class EndpointTimeout(base_errors.CarobwoodError):
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -15,6 +15,7 @@
 from carobwood_daemon.entry import silence
 from carobwood_daemon.limits import endpoint_permits
 from carobwood_daemon.relay import assignment_queue
+from carobwood_daemon.relay import connection_pool
 from carobwood_daemon.relay import endpoint_availability
 from carobwood_daemon.relay import endpoint_health
 from carobwood_daemon.relay import endpoint_rate_limits
@@ -83,6 +84,7 @@
             ),
             health=endpoint_health.EndpointHealth(self.clock),
             availability=self.availability,
+            pool=connection_pool.ConnectionPool(),
             rate_limits=self.rate_limits,
             reachability=self.reachability,
             segment_suspects=stub(check=lambda keys: self.check(keys)),
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -9,6 +9,7 @@
 
 from carobwood import errors
 from carobwood_daemon.entry import request_gate
+from carobwood_daemon.relay import connection_pool
 from carobwood_daemon.relay import endpoint_availability
 from carobwood_daemon.relay import endpoint_health
 from carobwood_daemon.relay import endpoint_rate_limits
@@ -68,6 +69,7 @@
             news_age=lambda endpoint: 0.0,
         ),
         health=endpoint_health.EndpointHealth(clock),
+        pool=connection_pool.ConnectionPool(),
         availability=endpoint_availability.EndpointAvailability(
             clock, lambda limit: 0.0
         ),
