--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -80,6 +80,8 @@
         failure_status: HTTP status of its answers, or 0 if it works.
         report_status: HTTP status of its reports.
         health_status: HTTP status of its answers to health checks.
+        max_connections: connections beyond which it resets new ones, or None.
+        connection_resets: connections that it has reset for that.
         address: ``host:port`` that it listens on.
     """
 
@@ -109,6 +111,8 @@
         self.failure_status = 0
         self.report_status = 200
         self.health_status = 200
+        self.max_connections = None
+        self.connection_resets = 0
         self._server = None
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
@@ -117,6 +121,7 @@
         self._server = _Server(
             ('127.0.0.1', port), type('Handler', (_Handler,), {'engine': self})
         )
+        self._server.engine = self
         self._server.daemon_threads = True
         threading.Thread(
             target=self._server.serve_forever, daemon=True
@@ -164,6 +169,27 @@
     # With the default of 5, the kernel drops connections beyond and the
     # caller's next try comes after a second.
     request_queue_size = 128
+    engine = None
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._open = set()
+
+    def verify_request(self, request, client_address):
+        """Reset a connection beyond the limit."""
+        limit = self.engine.max_connections
+        if limit is None or len(self._open) < limit:
+            self._open.add(request)
+            return True
+        self.engine.connection_resets += 1
+        request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        request.close()
+        return False
+
+    def shutdown_request(self, request):
+        """Count a connection that ends no longer."""
+        self._open.discard(request)
+        super().shutdown_request(request)
 
     def handle_error(self, request, client_address):
         """Print errors, but not that a VM has closed its connection."""
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -10,6 +10,7 @@
 
 from carobwood import addresses
 from carobwood_daemon.limits import buffer_budget
+from carobwood_daemon.relay import load_features as features
 from carobwood_daemon.relay import quota
 from carobwood_daemon import relay_settings
 from carobwood_daemon import relay_vm
@@ -79,6 +80,7 @@
         trace=relay_settings.TraceSettings(),
         retry_ratio=0.2,
         retry_slack=56.0,
+        load_features=features.LoadFeatures(),
     ):
         """Start the VMs.
 
@@ -91,6 +93,7 @@
             trace: the ``TraceSettings`` of the VMs.
             retry_ratio: retries of all VMs in a window for each request.
             retry_slack: further retries of all VMs in a window.
+            load_features: the ``LoadFeatures`` of the VMs.
         """
         count = 2 * control_vm_count + 4 * entry_vm_count
         ports = [fleets.free_port() for _ in range(count)]
@@ -106,6 +109,7 @@
         self._trace = trace
         self._retry_ratio = retry_ratio
         self._retry_slack = retry_slack
+        self._load_features = load_features
         self.vms = []
         self.budgets_by_vm = {}
         self.control_ports = other_ports[:control_vm_count]
@@ -199,6 +203,7 @@
                 quota.QuotaTolerance(8, 0, 0),
             ),
             'trace': self._trace,
+            'load_features': self._load_features,
         }
         vm_settings = relay_settings.RelaySettings(**{**fields, **changes})
         buffers = buffer_budget.BufferBudget(
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -127,6 +127,19 @@
     assert not _has_strike(suspects)
 
 
+# An endpoint that had too many connections was taken for crashed, ejected and
+# probed, and the request was refused as the cause.
+def test_an_endpoint_with_too_many_connections_has_not_crashed():
+    endpoints = _endpoints(2)
+    error = errors.EndpointUnreachable('reset')
+    error.is_reset = True
+    context, recorder = _harness(endpoints, endpoints[1:], error)
+    assert not recorder.note_failed(_assignment(endpoints[0]), FAILURE)
+    assert not _has_strike(context.crash_suspects)
+    assert not context.health.is_ejected(endpoints[0])
+    assert context.pool.closed == []
+
+
 # A VM without a descriptor took an endpoint for crashed, and the request for
 # the cause.
 def test_a_shortage_of_the_vm_is_not_taken_for_a_crash():
--- a/tests/test_endpoint_reachability.py
+++ b/tests/test_endpoint_reachability.py
@@ -68,6 +68,39 @@
     assert table.is_cut_off
 
 
+# Each VM probed all endpoints again and again while a dozen were dark, until
+# idle connections of probes filled the limits of the others.
+def test_endpoints_that_stay_dark_have_others_probed_a_few_times_only():
+    endpoints = _endpoints(45)
+    table = endpoint_reachability.EndpointReachability(
+        lambda: endpoints, builders.Clock(), probes_few=True
+    )
+    dark, others = endpoints[:11], endpoints[11:]
+    probed = []
+    for _ in range(20):
+        for endpoint in dark:
+            table.note(endpoint.address, False)
+            found = table.pop_unproven_endpoints()
+            probed += found
+            for other in found:
+                table.note(other.address, other in others)
+    assert not table.is_cut_off
+    assert len(set(probed) & set(others)) <= len(dark)
+
+
+def test_all_endpoints_are_probed_in_three_rounds_if_none_is_reached():
+    endpoints = _endpoints(45)
+    table = endpoint_reachability.EndpointReachability(
+        lambda: endpoints, builders.Clock(), probes_few=True
+    )
+    for endpoint in endpoints[:2]:
+        table.note(endpoint.address, False)
+    for _ in range(3):
+        for endpoint in table.pop_unproven_endpoints():
+            table.note(endpoint.address, False)
+    assert table.is_cut_off
+
+
 def test_failures_between_connections_raise_no_suspicion():
     endpoints = _endpoints(9)
     table, _ = _table(endpoints)
