--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -284,6 +284,11 @@
             attempt_log.log_failed(request, assignment, error)
             recorder.note_not_run(assignment, error.head)
             return _StayReason.REFUSED
+        except errors.EndpointUnreachable as error:
+            # The connection was reset before anything was sent.
+            attempt_log.log_failed(request, assignment, error)
+            recorder.note_unreachable(assignment, error)
+            return _StayReason.UNREACHABLE
         except (
             errors.EndpointFailed,
             errors.EndpointTimeout,
--- a/tests/test_silence_failover.py
+++ b/tests/test_silence_failover.py
@@ -37,7 +37,13 @@
         for endpoint in self._endpoints:
             if endpoint.id == only_id and only_id not in excluded:
                 self.assigned_ids.append(only_id)
-                return types.SimpleNamespace(endpoint=endpoint)
+                return types.SimpleNamespace(
+                    endpoint=endpoint,
+                    weights_version=0,
+                    fetch_from='',
+                    save_to='',
+                    decision_inputs={},
+                )
         return None
 
     def release(self, assignment):
@@ -73,6 +79,20 @@
         raise errors.EndpointLeft('the endpoint leaves')
 
 
+class _ResetSender(_Sender):
+    """Reaches endpoints that reset connections before they are used."""
+
+    def connect(self, assignment):
+        """See ``RequestSender``."""
+        return types.SimpleNamespace(close=lambda: None)
+
+    def send_on(self, connection, assignment, resume_id, watch):
+        """See ``RequestSender``."""
+        error = errors.EndpointUnreachable('reset')
+        error.is_reset = True
+        raise error
+
+
 class _Site:
     """A request at a silent endpoint, with others in the selector's order.
 
@@ -82,7 +102,7 @@
         selector: the ``_Selector``.
     """
 
-    def __init__(self, liveness_by_id):
+    def __init__(self, liveness_by_id, sender=None):
         self.liveness = _Liveness(liveness_by_id)
         self.silent_ids = set()
         stub = types.SimpleNamespace
@@ -91,7 +111,15 @@
             liveness=self.liveness,
             ended_endpoints=stub(has_ended=lambda endpoint, service: False),
             health=stub(note_result=lambda endpoint, failed: None),
-            retry_budget=stub(may_spend=lambda service: True),
+            retry_budget=stub(
+                may_spend=lambda service: True,
+                try_spend=lambda service: True,
+            ),
+            segment_suspects=stub(check_before_send=lambda keys: None),
+            crash_suspects=stub(
+                add_running=lambda endpoint, fingerprint: None,
+                remove_running=lambda endpoint, fingerprint: None,
+            ),
             wait_queue=stub(must_queue=lambda *key: False),
         )
         self.selector = _Selector(
@@ -109,9 +137,13 @@
                 soft_deadline_at=0.0,
                 seconds_left=10.0,
                 configuration=stub(services_by_name={}),
-                metadata=stub(request_id='r-1'),
+                metadata=stub(
+                    request_id='r-1', resumed_request_id='', resume_id=''
+                ),
+                fingerprint='request',
+                segment_keys=(),
             ),
-            sender=_Sender(),
+            sender=sender or _Sender(),
             assignment=stub(endpoint=builders.endpoint('silent')),
             excluded_ids=frozenset({'silent'}),
             connection=None,
@@ -183,3 +215,11 @@
     assert site.liveness.asked_ids == []
     site.look()
     assert site.liveness.asked_ids == ['a']
+
+
+# The request was taken for one that had reached no endpoint, though the silent
+# one still had it.
+def test_a_reset_of_the_next_endpoint_leaves_the_request_where_it_is():
+    site = _Site({'a': AWAKE}, _ResetSender())
+    site.look()
+    assert site.selector.assigned_ids == ['a']
