Control the admission to engines under overload

Cause: under a surge of a less urgent kind, goodput collapses: all VMs send into the same free places, requests of two kinds rank alike where their customers do, and what is late already is still served.

Change: modules for the order of urgency, places kept for the more urgent, the time to the first event, a share of contended places, the forecast of a wait and the time of a return; a gate connects them with the relay. Off unless the settings switch on the control of admission.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -22,6 +22,7 @@
 from . import caller_patience
 from . import fleet_loads
 from . import stop_admission
+from . import urgency
 
 # Endpoints whose load is written to one log line; keeps the line short.
 MAX_LOGGED_ENDPOINTS = 16
@@ -30,15 +31,17 @@
 class AssignmentQueue:
     """Assigns endpoints to one request in the order of the wait queue."""
 
-    def __init__(self, context, selector):
+    def __init__(self, context, selector, gate=None):
         """Create the queue.
 
         Args:
             context: the ``RelayContext``.
             selector: the ``Selector``.
+            gate: the ``OverloadGate`` of the request, or None.
         """
         self._context = context
         self._selector = selector
+        self._gate = gate
         # When the current wait ends, whatever changes meanwhile.
         self._wait_ends_at = math.inf
 
@@ -72,13 +75,12 @@
                 configuration.
         """
         wait_queue = self._context.wait_queue
-        queue_key = (
-            request.service,
-            request.priority,
-            request.soft_deadline_at,
-        )
-        if not wait_queue.must_queue(*queue_key):
-            assignment = self._try_assign(request, tried)
+        key = queue_key(self._context, request)
+        room = None
+        if self._gate is not None:
+            room = self._gate.room_for(request, tried, caller)
+        if not wait_queue.must_queue(*key):
+            assignment = self._try_assign(request, tried, room)
             if assignment is not None:
                 self._wait_ends_at = math.inf
                 return assignment
@@ -96,8 +98,10 @@
             excluded,
             wait_queue.max_wait(request.deadline_at, latest_end),
         )
+        if room is not None:
+            room.begin_wait(wait_queue.count_ahead(*key))
         entry = wait_queue.enqueue(
-            *queue_key,
+            *key,
             request.deadline_at,
             is_apart=self._waits_for_silent_only(request, tried),
             latest_end=latest_end,
@@ -109,7 +113,9 @@
         outcome = 'broken-off'
         try:
             self._log_waiting(request, tried.all_ids, entry)
-            assignment = self._wait_in_queue(request, tried, caller, entry)
+            assignment = self._wait_in_queue(
+                request, tried, caller, entry, room
+            )
             outcome = 'placed'
             self._wait_ends_at = math.inf
             return assignment
@@ -125,8 +131,16 @@
                 seconds=round(clocks.now() - began_at, 4),
             )
 
-    def _try_assign(self, request, tried):
+    def _try_assign(self, request, tried, room):
         """Assign an endpoint now, one that was silent only after others."""
+        if room is not None:
+            # It has been tried at none.
+            assignment = self._selector.try_assign(
+                request, frozenset(), filter_room=room.filter
+            )
+            if assignment is not None:
+                room.note_placed(assignment)
+            return assignment
         assignment = self._selector.try_assign(request, tried.all_ids)
         if assignment is None and tried.all_ids != tried.excluded_ids:
             assignment = self._selector.try_assign(request, tried.excluded_ids)
@@ -142,7 +156,7 @@
         if not self._selector.has_untried_endpoint(request, excluded):
             raise errors.NoEndpoint('the service has no untried endpoint')
 
-    def _wait_in_queue(self, request, tried, caller, entry):
+    def _wait_in_queue(self, request, tried, caller, entry, room):
         wait_queue = self._context.wait_queue
         while True:
             excluded = tried.excluded_ids
@@ -158,10 +172,12 @@
                 stop_admission.refuse_if_too_late(self._context, request)
             self._context.segment_suspects.check(request.segment_keys)
             if wait_queue.is_first(entry):
-                assignment = self._try_assign(request, tried)
+                assignment = self._try_assign(request, tried, room)
                 if assignment is not None:
                     return assignment
             self._refuse_if_cut_off(caller)
+            if room is not None:
+                room.check_wait()
             self._refuse_if_unavailable(
                 request, excluded, wait_queue.seconds_left(entry)
             )
@@ -250,6 +266,21 @@
         )
 
 
+def queue_key(context, request):
+    """Return the service, the priority and the latest time of an answer.
+
+    They are what the wait queue orders requests by.
+
+    Args:
+        context: the ``RelayContext``.
+        request: the ``AdmittedRequest``.
+    """
+    priority = request.priority
+    if context.load_features.controls_admission:
+        priority = urgency.of(request)
+    return request.service, priority, request.soft_deadline_at
+
+
 def _load_summary(load):
     """Return a load for the log.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
@@ -182,6 +182,17 @@
             default=0.0,
         )
 
+    def last_report_at(self):
+        """Return when the last report of another VM came, or 0."""
+        with self._lock:
+            return max(
+                (
+                    report.received_at
+                    for report in self._reports_by_vm.values()
+                ),
+                default=0.0,
+            )
+
     def local_loads(self):
         """Return this VM's loads by endpoint id."""
         with self._lock:
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
@@ -0,0 +1,266 @@
+"""Decides which requests go to engines, wait or are refused under overload.
+
+Load pattern: for some seconds, customers ask for 1.5 to 4 times what the
+engines can serve on time, mostly of a less urgent kind. Each of many VMs has
+a few of the requests and hears of the others' after 0.1 to 1 s.
+
+A request that can be on time goes to an engine that has a place for its kind
+(``engine_room``), within this VM's share of the places (``place_shares``).
+One that is expected to wait until it is late (``wait_forecast``), or whose
+first event no engine can produce in time any more, takes spare room or is
+refused at once with a time at which to return (``return_times``). One that
+has come back after a refusal waits for spare room instead.
+"""
+
+import dataclasses
+import math
+import random
+import threading
+
+from carobwood import clocks
+
+from . import concurrency_average
+from . import concurrency_limit
+from . import engine_room
+from . import place_shares
+from . import return_times
+from . import urgency as urgencies
+from . import wait_forecast
+
+# Part of an engine's places that late requests leave free.
+LATE_RESERVE_FRACTION = 0.25
+# Part of its target latency that a request may spend on its own prompt. What
+# a larger prompt takes beyond that does not make the request late here, so
+# that large and small requests have the same time to wait.
+OWN_PROMPT_FRACTION = 0.5
+# Age that the contents of a report have at least when it comes.
+MIN_REPORT_AGE_SECONDS = 0.1
+# Most requests that one engine gets, over the mean of all.
+UNEVENNESS = 3.0
+# Average number of more urgent requests below which none are expected.
+MIN_MEAN_CONCURRENCY = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """What a request needs to be on time.
+
+    Attributes:
+        service: name of its service.
+        urgency: its ``Urgency``.
+        target_latency: seconds from its arrival within which its first event
+            is on time.
+        late_at: when its first event is late.
+        own_tokens: prompt tokens that it shares with no other request.
+        has_returned: whether it comes after a refusal.
+    """
+
+    service: str
+    urgency: urgencies.Urgency
+    target_latency: float
+    late_at: float
+    own_tokens: int = 0
+    has_returned: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Offer:
+    """An engine as it may be offered a request.
+
+    Attributes:
+        endpoint_id: id of the engine.
+        state: its ``EngineState``.
+        tokens: prompt tokens of the request that it would prefill.
+    """
+
+    endpoint_id: str
+    state: engine_room.EngineState
+    tokens: int
+
+
+class OverloadControl:
+    """Admission of this VM's requests to the engines."""
+
+    def __init__(self, clock=clocks.now, count_vms=lambda: 1, source=random):
+        """Create the control.
+
+        Args:
+            clock: function that returns the monotonic time in seconds.
+            count_vms: function without arguments; returns the number of VMs
+                that take callers.
+            source: source of random numbers.
+        """
+        self._clock = clock
+        self._count_vms = count_vms
+        self._concurrency = concurrency_average.ConcurrencyAverage(clock)
+        self._limit = concurrency_limit.ConcurrencyLimit(clock)
+        self._forecast = wait_forecast.WaitForecast(clock)
+        self._shares = place_shares.PlaceShares(count_vms, source)
+        self._deadlines = return_times.UsualDeadlines(clock)
+        self._lock = threading.Lock()
+        self._targets_by_service = {}
+
+    def note_arrival(self, need):
+        """Record that a request has been admitted."""
+        with self._lock:
+            targets = self._targets_by_service.setdefault(need.service, {})
+            targets[need.urgency] = need.target_latency
+        self._concurrency.add(need.service, need.urgency)
+
+    def note_end(self, need):
+        """Record that a request has ended, however it did."""
+        self._concurrency.remove(need.service, need.urgency)
+
+    def note_placed(self, need, endpoint_id):
+        """Record that a request has got a place on an engine."""
+        self._forecast.note_start(need.service, need.urgency)
+        self._shares.take(endpoint_id)
+
+    def note_answer(self, service, longest_pause, target_pause):
+        """Record the longest pause of an answered stream.
+
+        Args:
+            service: name of the service.
+            longest_pause: seconds between two of its events.
+            target_pause: seconds that are on time, or None.
+        """
+        if target_pause is not None:
+            self._limit.note_answer(service, longest_pause > target_pause)
+
+    def limit_fraction(self, service):
+        """Return the part of the engines' slots that is used now."""
+        return self._limit.fraction(service)
+
+    def can_be_on_time(self, need, offers):
+        """Return whether any engine can still answer a request on time.
+
+        Args:
+            need: the ``Need``.
+            offers: an ``Offer`` of each engine, with or without a place.
+        """
+        fastest = max((o.state.prefill_speed for o in offers), default=0.0)
+        if not fastest:
+            return self._clock() <= need.late_at
+        terms = engine_room.Terms(self._seconds_left(need, fastest))
+        return any(
+            engine_room.is_in_time(offer.state, offer.tokens, terms)
+            for offer in offers
+        )
+
+    def select(self, need, offers, report, is_waiting):
+        """Return the ids of the engines that a request may go to now.
+
+        Args:
+            need: the ``Need``.
+            offers: an ``Offer`` of each engine.
+            report: identifies the last report on the engines' loads: when
+                it came.
+            is_waiting: whether the request has waited for a place.
+        """
+        if not offers:
+            return set()
+        terms = self._terms(need, offers)
+        unseen = self._unseen_arrivals(need, report, len(offers))
+        selected = set()
+        for offer in offers:
+            state = offer.state
+            if not engine_room.has_place(state, offer.tokens, terms):
+                continue
+            if not engine_room.is_in_time(state, offer.tokens, terms):
+                continue
+            free = state.slots - terms.reserved_places - state.running
+            if (is_waiting or free <= unseen) and not self._shares.may_take(
+                report, offer.endpoint_id, free
+            ):
+                continue
+            selected.add(offer.endpoint_id)
+        return selected
+
+    def is_worth_waiting(self, need, ahead):
+        """Return whether a request is expected to get a place in time.
+
+        Args:
+            need: the ``Need``.
+            ahead: number of waiting requests that go before it.
+        """
+        return self._forecast.is_worth_waiting(
+            need.service, need.urgency, ahead, need.late_at - self._clock()
+        )
+
+    def has_returned(self, route_name, seconds):
+        """Return whether a request seems to come after a refusal.
+
+        Args:
+            route_name: name of its route.
+            seconds: time to the deadline that its caller names, or None.
+        """
+        return self._deadlines.has_returned(route_name, seconds)
+
+    def note_wait(self, need, was_placed):
+        """Record whether a request that waited got a place in time."""
+        if not need.has_returned:
+            self._forecast.note_wait(need.service, need.urgency, was_placed)
+
+    def level(self, need):
+        """Return the level of admission to the wait, 1 if fully open."""
+        return self._forecast.level(need.service, need.urgency)
+
+    def forecast_seconds(self, service, ahead):
+        """Return the expected wait behind a number of requests."""
+        return self._forecast.wait_seconds(service, ahead)
+
+    def _seconds_left(self, need, prefill_speed):
+        own_seconds = need.own_tokens / prefill_speed
+        extra = own_seconds - OWN_PROMPT_FRACTION * need.target_latency
+        return need.late_at - self._clock() + max(0.0, extra)
+
+    def _terms(self, need, offers):
+        slots = max(offer.state.slots for offer in offers)
+        speed = max(offer.state.prefill_speed for offer in offers)
+        reserved = engine_room.reserved_places(
+            self._mean_above_per_engine(need, len(offers)), slots
+        )
+        seconds_left = self._seconds_left(need, speed)
+        if not self.can_be_on_time(need, offers):
+            seconds_left = math.inf
+            if not need.has_returned:
+                late_reserve = math.ceil(LATE_RESERVE_FRACTION * slots)
+                reserved = max(reserved, late_reserve)
+        return engine_room.Terms(
+            seconds_left,
+            reserved,
+            self._max_ahead_seconds(need),
+            self._limit.fraction(need.service),
+        )
+
+    def _mean_above_per_engine(self, need, engines):
+        own = self._concurrency.mean_above(need.service, need.urgency)
+        return own * self._count_vms() / max(1, engines)
+
+    def _max_ahead_seconds(self, need):
+        """Return how long an engine's queued prompts may take after it."""
+        mean = self._concurrency.mean_above(need.service, need.urgency)
+        if mean < MIN_MEAN_CONCURRENCY:
+            return math.inf
+        with self._lock:
+            targets = dict(self._targets_by_service.get(need.service, {}))
+        shortest = min(
+            (
+                target
+                for urgency, target in targets.items()
+                if urgency < need.urgency
+            ),
+            default=math.inf,
+        )
+        return engine_room.MAX_WORK_AHEAD_FRACTION * shortest
+
+    def _unseen_arrivals(self, need, report, engines):
+        """Return how many requests an engine may have got unseen.
+
+        Only requests at least as urgent count: the places that are kept for
+        them are not taken by others.
+        """
+        age = max(0.0, self._clock() - report) + MIN_REPORT_AGE_SECONDS
+        rate = self._forecast.observed_rate(need.service, need.urgency)
+        rate *= self._count_vms()
+        return UNEVENNESS * rate * age / max(1, engines)
--- /dev/null
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -0,0 +1,214 @@
+"""Connects a relayed request with the overload control of its VM.
+
+Load pattern: see ``overload_control``. Requests that have a response already,
+or were tried at an endpoint before, pass as if there were no control: they
+hold work that would be lost. So do requests for plain services.
+"""
+
+from carobwood import clocks
+from carobwood import errors
+from carobwood import events
+
+from . import engine_room
+from . import fleet_loads
+from . import overload_control
+from . import placement
+from . import return_times
+from . import urgency
+
+
+class OverloadGate:
+    """Admission of one request to the engines of its service."""
+
+    def __init__(self, context, request):
+        """Count a request among those that wait or run.
+
+        Args:
+            context: the ``RelayContext``.
+            request: the ``AdmittedRequest``.
+        """
+        self._context = context
+        self._control = context.overload
+        self._need = None
+        if self._control is not None and _has_engines(request):
+            self._need = self._make_need(request)
+            self._control.note_arrival(self._need)
+
+    def close(self):
+        """Count the request no more; it has ended."""
+        if self._need is not None:
+            self._control.note_end(self._need)
+            self._need = None
+
+    def room_for(self, request, tried, caller):
+        """Return the ``Room`` that a request needs, or None for any.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            tried: the ``TriedEndpoints`` of the request.
+            caller: the ``CallerRequest``.
+        """
+        if self._need is None or not _has_engines(request):
+            return None
+        if tried.all_ids or caller.has_started_response:
+            return None
+        return Room(self._context, request, self._make_need(request))
+
+    def note_answer(self, request, longest_pause):
+        """Record the longest pause of an answered stream in seconds."""
+        if self._need is not None:
+            self._control.note_answer(
+                request.service, longest_pause, request.route.target_pause
+            )
+
+    def _make_need(self, request):
+        has_returned = self._control.has_returned(
+            request.route.name, request.metadata.deadline
+        )
+        if self._need is not None:
+            # It was looked at as it came; later looks would count it twice.
+            has_returned = self._need.has_returned
+        return overload_control.Need(
+            request.service,
+            urgency.of(request),
+            request.route.target_latency,
+            request.soft_deadline_at,
+            request.demand.own_tokens,
+            has_returned,
+        )
+
+
+class Room:
+    """Looks for room for one request until it gets a place."""
+
+    def __init__(self, context, request, need):
+        """Create the search.
+
+        Args:
+            context: the ``RelayContext``.
+            request: the ``AdmittedRequest``.
+            need: its ``Need``.
+        """
+        self._context = context
+        self._control = context.overload
+        self._request = request
+        self._need = need
+        self._is_waiting = False
+        self._can_be_on_time = True
+
+    def filter(self, candidates):
+        """Return the candidates that have room for the request now.
+
+        Args:
+            candidates: ``Candidate`` records.
+        """
+        offers = _offers(candidates, self._request.demand)
+        self._can_be_on_time = self._control.can_be_on_time(self._need, offers)
+        selected = self._control.select(
+            self._need,
+            offers,
+            self._context.loads.last_report_at(),
+            self._is_waiting,
+        )
+        return [c for c in candidates if c.endpoint.id in selected]
+
+    def note_placed(self, assignment):
+        """Record that the request has got a place."""
+        self._control.note_placed(self._need, assignment.endpoint.id)
+        if self._is_waiting:
+            self._control.note_wait(self._need, True)
+
+    def begin_wait(self, ahead):
+        """Begin to wait, or refuse the request.
+
+        Args:
+            ahead: number of waiting requests that go before it.
+
+        Raises:
+            Saturated: it can't be on time.
+        """
+        self._is_waiting = True
+        if self._need.has_returned:
+            return
+        if not self._may_be_on_time or not self._control.is_worth_waiting(
+            self._need, ahead
+        ):
+            raise self._refusal('the request is expected to be late', ahead)
+
+    def check_wait(self):
+        """Refuse the request if it can't be on time any more.
+
+        Raises:
+            Saturated: it can't.
+        """
+        if self._need.has_returned or self._may_be_on_time:
+            return
+        self._control.note_wait(self._need, False)
+        raise self._refusal('the request can no longer be on time', 0)
+
+    @property
+    def _may_be_on_time(self):
+        return self._can_be_on_time and clocks.now() <= self._need.late_at
+
+    def _refusal(self, reason, ahead):
+        """Log a refusal and return its error."""
+        retry_after = return_times.seconds_until_return(
+            self._request.seconds_left
+        )
+        context = self._context
+        request = self._request
+        now = clocks.now()
+        events.emit(
+            events.OVERLOAD_REFUSED,
+            request_id=request.metadata.request_id,
+            service=request.service,
+            route=request.route.name,
+            customer=request.customer_name,
+            priority=request.priority,
+            route_priority=request.route.priority,
+            reason=reason,
+            left=round(self._need.late_at - now, 3),
+            ahead=ahead,
+            level=round(self._control.level(self._need), 2),
+            forecast=round(
+                self._control.forecast_seconds(request.service, ahead), 3
+            ),
+            limit=round(self._control.limit_fraction(request.service), 2),
+            waiting=context.wait_queue.count(request.service),
+            heard=round(now - context.loads.last_report_at(), 2),
+            retry_after=round(retry_after, 1),
+        )
+        context.metrics.count(f'overload.refused.{request.route.name}')
+        return errors.Saturated(reason, retry_after)
+
+
+def _has_engines(request):
+    service = request.configuration.services_by_name.get(request.service)
+    return service is not None and service.engine is not None
+
+
+def _offers(candidates, demand):
+    """Return an ``Offer`` for each candidate."""
+    cached_by_version = {}
+    for candidate in candidates:
+        version = candidate.weights_version
+        cached_by_version[version] = max(
+            candidate.cached_tokens, cached_by_version.get(version, 0)
+        )
+    return [
+        overload_control.Offer(
+            candidate.endpoint.id,
+            engine_room.EngineState(
+                candidate.slots,
+                candidate.load.running,
+                candidate.load.prefill_tokens,
+                fleet_loads.PREFILL_TOKENS_PER_SECOND,
+            ),
+            placement.load_of(
+                candidate,
+                demand,
+                cached_by_version[candidate.weights_version],
+            ).prefill_tokens,
+        )
+        for candidate in candidates
+    ]
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -175,8 +175,7 @@
         headers = [('Content-Type', 'application/json')]
         headers += self._context.dialect.format_error_headers(request_id)
         if error.retry_after is not None:
-            seconds = math.ceil(error.retry_after)
-            headers.append(('Retry-After', str(seconds)))
+            headers.append(('Retry-After', self._format_retry_after(error)))
         if forwarded is not None:
             headers.append((forwarding_headers.ERROR, error.code))
             headers.append((forwarding_headers.OUTCOME, error.outcome.value))
@@ -187,6 +186,16 @@
         except errors.CallerLeft:
             caller.abort_response()
 
+    def _format_retry_after(self, error):
+        """Return the seconds after which a caller may retry.
+
+        Where admission is controlled, callers understand fractions, and
+        returns are spread by them.
+        """
+        if self._context.load_features.controls_admission:
+            return str(math.ceil(10 * error.retry_after) / 10)
+        return str(math.ceil(error.retry_after))
+
     def _parse_request_headers(self, caller):
         try:
             return self._context.dialect.parse_request_headers(caller.headers)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -14,6 +14,7 @@
 
 from . import assignment_queue
 from . import attempt_log
+from . import overload_gate
 from . import request_sender
 from . import response_forwarder
 from . import result_recorder
@@ -44,8 +45,9 @@
         self._context = context
         self._selector = selector
         self._readmit = readmit
+        self._gate = overload_gate.OverloadGate(context, request)
         self._assignment_queue = assignment_queue.AssignmentQueue(
-            context, selector
+            context, selector, self._gate
         )
         self._caller = caller
         self._trace = trace
@@ -104,6 +106,7 @@
 
     def close(self):
         """Drop what refers back to this forwarder, and so to its request."""
+        self._gate.close()
         self._response_forwarder.end()
         self._run_error = None
         self._failover.run_error = None
@@ -431,6 +434,9 @@
             )
         seconds = clocks.now() - self._request.arrived_at
         self._context.route_durations.note(self._request.route.name, seconds)
+        self._gate.note_answer(
+            self._request, self._response_forwarder.longest_pause
+        )
         self._context.metrics.timing('request', seconds)
         self._context.metrics.timing(
             'first-byte', self._response_forwarder.first_byte_seconds
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -8,6 +8,7 @@
 
 from . import endpoint_connections
 from . import messages
+from . import urgency
 
 # Time for the body of a late response to an earlier request.
 LATE_BODY_SECONDS = 1.0
@@ -196,6 +197,14 @@
         if not is_serving or self._context.availability.is_leaving(endpoint):
             raise errors.EndpointLeft('the endpoint has begun to leave')
 
+    def _engine_priority(self, assignment):
+        """Return the priority within an engine, None for plain services."""
+        if not assignment.cache_salt:
+            return None
+        if self._context.load_features.controls_admission:
+            return urgency.engine_rank(self._request)
+        return self._request.priority
+
     def _outgoing_request(self, assignment, resume_id):
         request = self._request
         dialect = self._context.dialect
@@ -207,9 +216,7 @@
             assignment.weights_version,
             fetch_from=assignment.fetch_from,
             save_to=assignment.save_to,
-            engine_priority=request.priority
-            if assignment.cache_salt
-            else None,
+            engine_priority=self._engine_priority(assignment),
             resume_id=resume_id or request.metadata.resume_id,
         )
         trace_headers = {}
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -74,13 +74,16 @@
         self._check_configuration(request)
         return False
 
-    def try_assign(self, request, excluded, only_id=None):
+    def try_assign(self, request, excluded, only_id=None, filter_room=None):
         """Assign an endpoint to a request without waiting.
 
         Args:
             request: the ``AdmittedRequest``.
             excluded: ids of endpoints that it must not go to.
             only_id: id of the one endpoint that it may go to, or None.
+            filter_room: called with ``Candidate`` records; returns those that
+                have room for the request. None if all have that have
+                capacity.
 
         Returns:
             An ``Assignment``, or None if no endpoint has capacity now.
@@ -91,7 +94,7 @@
         """
         denied_ids = set()
         while place := self._take_place(
-            request, excluded, only_id, denied_ids
+            request, excluded, only_id, denied_ids, filter_room
         ):
             endpoint = place.choice.candidate.endpoint
             if self._acquire(endpoint, place.reservation):
@@ -99,6 +102,18 @@
             denied_ids.add(endpoint.id)
         return None
 
+    def candidates(self, request, excluded):
+        """Return the ``Candidate`` records of a request, full ones included.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            excluded: ids of endpoints that it must not go to.
+
+        Raises:
+            ConfigurationChanged: see ``try_assign``.
+        """
+        return self._find_candidates(request, excluded)
+
     def find_endpoint(self, request, excluded):
         """Return the ``Endpoint`` that would be assigned first, or None.
 
@@ -158,7 +173,7 @@
                 return choice
         return None
 
-    def _take_place(self, request, excluded, only_id, denied_ids):
+    def _take_place(self, request, excluded, only_id, denied_ids, filter_room):
         """Choose an endpoint and reserve the capacity there.
 
         Args:
@@ -166,6 +181,7 @@
             excluded: ids of endpoints that it must not go to.
             only_id: id of the one endpoint that it may go to, or None.
             denied_ids: ids of endpoints to which it may not be sent now.
+            filter_room: see ``try_assign``.
 
         Returns:
             The ``_Place``, or None if no endpoint has capacity now.
@@ -178,6 +194,8 @@
                 if only_id in (None, candidate.endpoint.id)
                 and candidate.endpoint.id not in denied_ids
             ]
+            if filter_room is not None:
+                allowed = filter_room(allowed)
             choice = self._choose(allowed, request.demand)
             if choice is None:
                 return None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -20,6 +20,7 @@
 from ..entry import liveness as liveness_checks
 from ..entry import silence
 
+from . import assignment_queue
 from . import attempt_log
 from . import endpoint_connections
 from . import result_recorder
@@ -222,7 +223,7 @@
 
     def _must_queue(self, request):
         return self._context.wait_queue.must_queue(
-            request.service, request.priority, request.soft_deadline_at
+            *assignment_queue.queue_key(self._context, request)
         )
 
     def _silent_ids(self):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
@@ -36,7 +36,7 @@
     Attributes:
         number: arrival number; it breaks ties.
         service: name of the service that the request is for.
-        priority: priority, 0 first.
+        priority: priority, 0 first, or an ``Urgency``.
         soft_deadline_at: latest time, on the queue's clock, of an answer on
             time.
         wait_ends_at: time at which the request is refused.
@@ -107,7 +107,8 @@
 
         Args:
             service: name of the service.
-            priority: priority of the request, 0 first.
+            priority: priority of the request, 0 first, or its ``Urgency``;
+                all requests of a VM have the same one of these.
             soft_deadline_at: latest time of an answer on time.
             deadline_at: deadline of the request.
             is_apart: see ``QueueEntry``.
@@ -156,10 +157,14 @@
 
     def must_queue(self, service, priority, soft_deadline_at):
         """Return whether queued requests go before a new request."""
+        return self.count_ahead(service, priority, soft_deadline_at) > 0
+
+    def count_ahead(self, service, priority, soft_deadline_at):
+        """Return how many queued requests go before a new request."""
         now = self._clock()
         rank = (now > soft_deadline_at, priority, soft_deadline_at)
         with self._changed:
-            return any(
+            return sum(
                 entry.rank(now) < rank
                 for entry in self._entries_by_service.get(service, ())
                 if not entry.is_apart
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -16,6 +16,7 @@
 from .relay import forwarding_headers
 from .relay import gateway
 from .relay import http_server
+from .relay import overload_control
 from .relay import planned_work
 from .relay import relay
 from .relay import relay_context
@@ -233,6 +234,7 @@
             route_durations=stop_admission.RouteDurations(),
             buffers=shared.buffers,
             load_features=self._settings.load_features,
+            overload=self._make_overload_control(directory),
         )
         return relay.Relay(
             context,
@@ -253,6 +255,14 @@
             ),
         )
 
+    def _make_overload_control(self, directory):
+        """Return the ``OverloadControl``, or None if it is switched off."""
+        if not self._settings.load_features.controls_admission:
+            return None
+        return overload_control.OverloadControl(
+            count_vms=lambda: len(directory.entry_vms())
+        )
+
     def _describe_vm(self):
         return planned_work.log_fields(
             self._gate, self._shared.configuration_store
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -21,6 +21,7 @@
 from carobwood_daemon.relay import endpoint_reachability
 from carobwood_daemon.relay import engine_weights
 from carobwood_daemon.relay import fleet_loads
+from carobwood_daemon.relay import load_features
 from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import placement
 from carobwood_daemon.relay import selector
@@ -92,6 +93,7 @@
             prefill_shares=fleet_loads.PrefillShares(self.clock),
             configuration_store=stub(configuration=CONFIGURATION),
             wait_queue=self.queue,
+            load_features=load_features.LoadFeatures(),
             engine_weights=engine_weights.EngineWeights(),
             gate=request_gate.RequestGate(100),
         )
--- a/tests/test_silence_failover.py
+++ b/tests/test_silence_failover.py
@@ -4,6 +4,7 @@
 
 from carobwood import errors
 from carobwood_daemon.entry import liveness
+from carobwood_daemon.relay import load_features
 from carobwood_daemon.relay import silence_failover
 from carobwood_daemon.relay import silent_attempt
 import pytest
@@ -93,6 +94,7 @@
             health=stub(note_result=lambda endpoint, failed: None),
             retry_budget=stub(may_spend=lambda service: True),
             wait_queue=stub(must_queue=lambda *key: False),
+            load_features=load_features.LoadFeatures(),
         )
         self.selector = _Selector(
             [builders.endpoint(name) for name in liveness_by_id]
