--- a/packages/carobwood-daemon/carobwood_daemon/relay/concurrency_limit.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/concurrency_limit.py
@@ -80,12 +80,12 @@
         seconds = now - self._began_at
         if 0 <= seconds < PERIOD_SECONDS:
             return
+        periods = max(1, int(seconds / PERIOD_SECONDS))
         if self.answers >= MIN_ANSWERS and (
             self.late > MAX_LATE_SHARE * self.answers
         ):
             self.fraction = max(MIN_FRACTION, self.fraction * DECREASE_FACTOR)
-        else:
-            periods = max(1, int(seconds / PERIOD_SECONDS))
-            self.fraction = min(1.0, self.fraction + periods * INCREASE_STEP)
+            periods -= 1
+        self.fraction = min(1.0, self.fraction + periods * INCREASE_STEP)
         self.answers = self.late = 0
         self._began_at = now
--- a/packages/carobwood-daemon/carobwood_daemon/relay/engine_room.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/engine_room.py
@@ -17,10 +17,10 @@
 # are kept.
 RESERVE_DEVIATIONS = 2.0
 # Largest part of an engine's places that is kept for more urgent requests.
-MAX_RESERVED_FRACTION = 0.5
+MAX_RESERVED_FRACTION = 1 / 6
 # Part of the time to the first event of the most urgent request that work of
 # less urgent ones may take.
-MAX_WORK_AHEAD_FRACTION = 0.5
+MAX_WORK_AHEAD_FRACTION = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
@@ -22,21 +22,26 @@
 from . import concurrency_average
 from . import concurrency_limit
 from . import engine_room
+from . import fleet_loads
 from . import place_shares
 from . import return_times
 from . import urgency as urgencies
 from . import wait_forecast
 
 # Part of an engine's places that late requests leave free.
-LATE_RESERVE_FRACTION = 0.25
+LATE_RESERVE_FRACTION = 1 / 6
 # Part of its target latency that a request may spend on its own prompt. What
 # a larger prompt takes beyond that does not make the request late here, so
 # that large and small requests have the same time to wait.
 OWN_PROMPT_FRACTION = 0.5
 # Age that the contents of a report have at least when it comes.
 MIN_REPORT_AGE_SECONDS = 0.1
+# Age from which reports do not count any more.
+MAX_REPORT_AGE_SECONDS = fleet_loads.PEER_REPORT_MAX_AGE_SECONDS
 # Most requests that one engine gets, over the mean of all.
 UNEVENNESS = 3.0
+# Change of the level of admission that is reported.
+REPORTED_LEVEL_STEP = 0.25
 # Average number of more urgent requests below which none are expected.
 MIN_MEAN_CONCURRENCY = 0.01
 
@@ -95,10 +100,11 @@
         self._concurrency = concurrency_average.ConcurrencyAverage(clock)
         self._limit = concurrency_limit.ConcurrencyLimit(clock)
         self._forecast = wait_forecast.WaitForecast(clock)
-        self._shares = place_shares.PlaceShares(count_vms, source)
+        self._shares = place_shares.PlaceShares(count_vms, clock, source)
         self._deadlines = return_times.UsualDeadlines(clock)
         self._lock = threading.Lock()
         self._targets_by_service = {}
+        self._reported_levels_by_key = {}
 
     def note_arrival(self, need):
         """Record that a request has been admitted."""
@@ -160,7 +166,10 @@
         if not offers:
             return set()
         terms = self._terms(need, offers)
-        unseen = self._unseen_arrivals(need, report, len(offers))
+        age = self._load_age(report)
+        unseen = self._arrivals_per_engine(need, age, len(offers))
+        unseen_above = self._arrivals_above(need, age, len(offers))
+        kept = terms.reserved_places + unseen_above
         selected = set()
         for offer in offers:
             state = offer.state
@@ -168,9 +177,9 @@
                 continue
             if not engine_room.is_in_time(state, offer.tokens, terms):
                 continue
-            free = state.slots - terms.reserved_places - state.running
-            if (is_waiting or free <= unseen) and not self._shares.may_take(
-                report, offer.endpoint_id, free
+            free = state.slots - kept - state.running
+            if (is_waiting or free <= UNEVENNESS * unseen) and not (
+                self._shares.may_take(report, offer.endpoint_id, free)
             ):
                 continue
             selected.add(offer.endpoint_id)
@@ -205,6 +214,22 @@
         """Return the level of admission to the wait, 1 if fully open."""
         return self._forecast.level(need.service, need.urgency)
 
+    def take_changed_level(self, need):
+        """Return the level if it has moved since it was last returned.
+
+        Returns:
+            The level, or None if it has moved by less than
+            ``REPORTED_LEVEL_STEP``.
+        """
+        level = self.level(need)
+        key = (need.service, need.urgency)
+        with self._lock:
+            former = self._reported_levels_by_key.get(key, 1.0)
+            if abs(level - former) < REPORTED_LEVEL_STEP:
+                return None
+            self._reported_levels_by_key[key] = level
+        return level
+
     def forecast_seconds(self, service, ahead):
         """Return the expected wait behind a number of requests."""
         return self._forecast.wait_seconds(service, ahead)
@@ -223,9 +248,8 @@
         seconds_left = self._seconds_left(need, speed)
         if not self.can_be_on_time(need, offers):
             seconds_left = math.inf
-            if not need.has_returned:
-                late_reserve = math.ceil(LATE_RESERVE_FRACTION * slots)
-                reserved = max(reserved, late_reserve)
+            late_reserve = math.ceil(LATE_RESERVE_FRACTION * slots)
+            reserved = max(reserved, late_reserve)
         return engine_room.Terms(
             seconds_left,
             reserved,
@@ -254,13 +278,21 @@
         )
         return engine_room.MAX_WORK_AHEAD_FRACTION * shortest
 
-    def _unseen_arrivals(self, need, report, engines):
-        """Return how many requests an engine may have got unseen.
+    def _load_age(self, report):
+        """Return the age in seconds of what is known of the loads."""
+        age = max(0.0, self._clock() - report)
+        return min(age, MAX_REPORT_AGE_SECONDS) + MIN_REPORT_AGE_SECONDS
+
+    def _arrivals_per_engine(self, need, age, engines):
+        """Return how many requests an engine may have got in a time.
 
         Only requests at least as urgent count: the places that are kept for
         them are not taken by others.
         """
-        age = max(0.0, self._clock() - report) + MIN_REPORT_AGE_SECONDS
         rate = self._forecast.observed_rate(need.service, need.urgency)
-        rate *= self._count_vms()
-        return UNEVENNESS * rate * age / max(1, engines)
+        return rate * self._count_vms() * age / max(1, engines)
+
+    def _arrivals_above(self, need, age, engines):
+        """Return how many more urgent requests an engine may have got."""
+        rate = self._forecast.rate_above(need.service, need.urgency)
+        return rate * self._count_vms() * age / max(1, engines)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -54,12 +54,23 @@
             return None
         return Room(self._context, request, self._make_need(request))
 
-    def note_answer(self, request, longest_pause):
-        """Record the longest pause of an answered stream in seconds."""
-        if self._need is not None:
-            self._control.note_answer(
-                request.service, longest_pause, request.route.target_pause
-            )
+    def note_answer(self, request, first_byte_seconds, longest_pause):
+        """Record an answer.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            first_byte_seconds: time until the response began.
+            longest_pause: longest time between two events of a stream.
+        """
+        if self._need is None:
+            return
+        self._control.note_answer(
+            request.service, longest_pause, request.route.target_pause
+        )
+        is_late = first_byte_seconds > request.route.target_latency
+        outcome = 'late' if is_late else 'on-time'
+        for name in (request.route.name, request.customer_name):
+            self._context.metrics.count(f'overload.{outcome}.{name}')
 
     def _make_need(self, request):
         has_returned = self._control.has_returned(
@@ -116,7 +127,7 @@
         """Record that the request has got a place."""
         self._control.note_placed(self._need, assignment.endpoint.id)
         if self._is_waiting:
-            self._control.note_wait(self._need, True)
+            self._note_wait(True)
 
     def begin_wait(self, ahead):
         """Begin to wait, or refuse the request.
@@ -143,9 +154,35 @@
         """
         if self._need.has_returned or self._may_be_on_time:
             return
-        self._control.note_wait(self._need, False)
+        self._note_wait(False)
         raise self._refusal('the request can no longer be on time', 0)
 
+    def _note_wait(self, was_placed):
+        """Record how the wait has ended; log what that changes."""
+        self._control.note_wait(self._need, was_placed)
+        level = self._control.take_changed_level(self._need)
+        if level is None:
+            return
+        service = self._need.service
+        context = self._context
+        events.emit(
+            events.OVERLOAD_LEVEL,
+            service=service,
+            priority=self._need.urgency.priority,
+            route_priority=self._need.urgency.route_priority,
+            level=round(level, 2),
+            limit=round(self._control.limit_fraction(service), 2),
+            forecast=round(self._control.forecast_seconds(service, 1), 3),
+            waiting=context.wait_queue.count(service),
+            heard=self._report_age(),
+        )
+        context.metrics.gauge(f'overload.level.{service}', level)
+
+    def _report_age(self):
+        """Return the age in seconds of the last report on the loads."""
+        age = clocks.now() - self._context.loads.last_report_at()
+        return round(age, 2)
+
     @property
     def _may_be_on_time(self):
         return self._can_be_on_time and clocks.now() <= self._need.late_at
@@ -157,7 +194,7 @@
         )
         context = self._context
         request = self._request
-        now = clocks.now()
+        waiting = context.wait_queue.count(request.service)
         events.emit(
             events.OVERLOAD_REFUSED,
             request_id=request.metadata.request_id,
@@ -167,18 +204,20 @@
             priority=request.priority,
             route_priority=request.route.priority,
             reason=reason,
-            left=round(self._need.late_at - now, 3),
+            left=round(self._need.late_at - clocks.now(), 3),
             ahead=ahead,
             level=round(self._control.level(self._need), 2),
             forecast=round(
                 self._control.forecast_seconds(request.service, ahead), 3
             ),
             limit=round(self._control.limit_fraction(request.service), 2),
-            waiting=context.wait_queue.count(request.service),
-            heard=round(now - context.loads.last_report_at(), 2),
+            waiting=waiting,
+            heard=self._report_age(),
             retry_after=round(retry_after, 1),
         )
-        context.metrics.count(f'overload.refused.{request.route.name}')
+        context.metrics.gauge(f'overload.waiting.{request.service}', waiting)
+        for name in (request.route.name, request.customer_name):
+            context.metrics.count(f'overload.refused.{name}')
         return errors.Saturated(reason, retry_after)
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -435,7 +435,9 @@
         seconds = clocks.now() - self._request.arrived_at
         self._context.route_durations.note(self._request.route.name, seconds)
         self._gate.note_answer(
-            self._request, self._response_forwarder.longest_pause
+            self._request,
+            self._response_forwarder.first_byte_seconds,
+            self._response_forwarder.longest_pause,
         )
         self._context.metrics.timing('request', seconds)
         self._context.metrics.timing(
--- a/packages/carobwood-daemon/carobwood_daemon/relay/wait_forecast.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/wait_forecast.py
@@ -100,13 +100,22 @@
             service: name of the service.
             lowest: the lowest ``Urgency`` that counts, or None for all.
         """
+        return self._rate(
+            service, lambda urgency: lowest is None or urgency <= lowest
+        )
+
+    def rate_above(self, service, limit):
+        """Return the rate of the requests more urgent than an ``Urgency``."""
+        return self._rate(service, lambda urgency: urgency < limit)
+
+    def _rate(self, service, is_counted):
         now = self._clock()
         with self._lock:
             starts = list(self._starts_by_key.items())
         number = sum(
             _decayed(number, now - at)
             for (name, urgency), (number, at) in starts
-            if name == service and (lowest is None or urgency <= lowest)
+            if name == service and is_counted(urgency)
         )
         return number / AVERAGE_SECONDS
 
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -134,6 +134,7 @@
 RELOAD_REQUESTED = Event(443, 'reload-requested', logging.INFO)
 LOG_LINES_DROPPED = Event(441, 'log-lines-dropped', logging.WARNING)
 OVERLOAD_REFUSED = Event(470, 'overload-refused', logging.INFO)
+OVERLOAD_LEVEL = Event(471, 'overload-level', logging.INFO)
 
 
 def all_events():
