--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
@@ -22,6 +22,7 @@
 from . import concurrency_average
 from . import concurrency_limit
 from . import engine_room
+from . import first_event_delay
 from . import fleet_loads
 from . import place_shares
 from . import return_times
@@ -42,6 +43,8 @@
 UNEVENNESS = 3.0
 # Change of the level of admission that is reported.
 REPORTED_LEVEL_STEP = 0.25
+# Part of the target latency that the delay at engines may take.
+MAX_DELAY_FRACTION = 0.5
 # Average number of more urgent requests below which none are expected.
 MIN_MEAN_CONCURRENCY = 0.01
 
@@ -99,6 +102,7 @@
         self._count_vms = count_vms
         self._concurrency = concurrency_average.ConcurrencyAverage(clock)
         self._limit = concurrency_limit.ConcurrencyLimit(clock)
+        self._delay = first_event_delay.FirstEventDelay(clock)
         self._forecast = wait_forecast.WaitForecast(clock)
         self._shares = place_shares.PlaceShares(count_vms, clock, source)
         self._deadlines = return_times.UsualDeadlines(clock)
@@ -122,6 +126,16 @@
         self._forecast.note_start(need.service, need.urgency)
         self._shares.take(endpoint_id)
 
+    def note_first_event(self, need, expected, actual):
+        """Record the first event of an answer.
+
+        Args:
+            need: the ``Need`` of the request.
+            expected: seconds from sending it in which the event was expected.
+            actual: seconds in which it came.
+        """
+        self._delay.note(need.service, need.urgency, expected, actual)
+
     def note_answer(self, service, longest_pause, target_pause):
         """Record the longest pause of an answered stream.
 
@@ -237,7 +251,10 @@
     def _seconds_left(self, need, prefill_speed):
         own_seconds = need.own_tokens / prefill_speed
         extra = own_seconds - OWN_PROMPT_FRACTION * need.target_latency
-        return need.late_at - self._clock() + max(0.0, extra)
+        delay = self._delay.seconds(need.service, need.urgency)
+        # What a request without a wait can't meet is no reason to refuse it.
+        delay = min(delay, MAX_DELAY_FRACTION * need.target_latency)
+        return need.late_at - self._clock() + max(0.0, extra) - delay
 
     def _terms(self, need, offers):
         slots = max(offer.state.slots for offer in offers)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -30,6 +30,7 @@
         self._context = context
         self._control = context.overload
         self._need = None
+        self._room = None
         if self._control is not None and _has_engines(request):
             self._need = self._make_need(request)
             self._control.note_arrival(self._need)
@@ -52,7 +53,18 @@
             return None
         if tried.all_ids or caller.has_started_response:
             return None
-        return Room(self._context, request, self._make_need(request))
+        self._room = Room(self._context, request, self._make_need(request))
+        return self._room
+
+    def note_first_event(self, seconds):
+        """Record the first event of an attempt.
+
+        Args:
+            seconds: time since the request was sent.
+        """
+        if self._room is not None:
+            self._room.note_first_event(seconds)
+            self._room = None
 
     def note_answer(self, request, first_byte_seconds, longest_pause):
         """Record an answer.
@@ -106,6 +118,8 @@
         self._need = need
         self._is_waiting = False
         self._can_be_on_time = True
+        self._offers_by_id = {}
+        self._expected_seconds = None
 
     def filter(self, candidates):
         """Return the candidates that have room for the request now.
@@ -114,6 +128,7 @@
             candidates: ``Candidate`` records.
         """
         offers = _offers(candidates, self._request.demand)
+        self._offers_by_id = {offer.endpoint_id: offer for offer in offers}
         self._can_be_on_time = self._control.can_be_on_time(self._need, offers)
         selected = self._control.select(
             self._need,
@@ -125,10 +140,20 @@
 
     def note_placed(self, assignment):
         """Record that the request has got a place."""
-        self._control.note_placed(self._need, assignment.endpoint.id)
+        endpoint_id = assignment.endpoint.id
+        self._control.note_placed(self._need, endpoint_id)
+        offer = self._offers_by_id[endpoint_id]
+        self._expected_seconds = offer.state.first_event_seconds(offer.tokens)
         if self._is_waiting:
             self._note_wait(True)
 
+    def note_first_event(self, seconds):
+        """Record that the first event came after some seconds."""
+        if self._expected_seconds is not None:
+            self._control.note_first_event(
+                self._need, self._expected_seconds, seconds
+            )
+
     def begin_wait(self, ahead):
         """Begin to wait, or refuse the request.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -381,6 +381,7 @@
             self._context.activity.note_event(endpoint_id)
             return
         self._is_streaming = True
+        self._gate.note_first_event(clocks.now() - self._sent_at)
         self._context.activity.begin(endpoint_id)
 
     def _bind_stream(self):
--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -81,6 +81,7 @@
     event_at: float = 0.0
     told_after: float = 0.0
     wait_ends_at: float = 0.0
+    expected_seconds: float = 0.0
 
     @property
     def is_on_time(self):
@@ -244,6 +245,7 @@
             request.event_at = self.simulation.now
             self.prefill[index] -= request.tokens
             prefilled.append(True)
+            self._policy.first_event(request, request.event_at - sent_at)
 
         def on_end(outcome):
             request.outcome = outcome
@@ -257,6 +259,7 @@
                 self.prefill[index] -= request.tokens
 
         prefilled = []
+        sent_at = self.simulation.now
         self._policy.placed(request, engine.name)
         if not engine.send(
             request, self._policy.engine_rank(request), on_event, on_end
