--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -79,6 +79,7 @@
         trace=relay_settings.TraceSettings(),
         retry_ratio=0.2,
         retry_slack=56.0,
+        vm_changes=None,
     ):
         """Start the VMs.
 
@@ -91,6 +92,7 @@
             trace: the ``TraceSettings`` of the VMs.
             retry_ratio: retries of all VMs in a window for each request.
             retry_slack: further retries of all VMs in a window.
+            vm_changes: fields of the ``RelaySettings`` of all VMs by name.
         """
         count = 2 * control_vm_count + 4 * entry_vm_count
         ports = [fleets.free_port() for _ in range(count)]
@@ -106,6 +108,7 @@
         self._trace = trace
         self._retry_ratio = retry_ratio
         self._retry_slack = retry_slack
+        self._vm_changes = vm_changes or {}
         self.vms = []
         self.budgets_by_vm = {}
         self.control_ports = other_ports[:control_vm_count]
@@ -200,6 +203,7 @@
             ),
             'trace': self._trace,
         }
+        fields.update(self._vm_changes)
         vm_settings = relay_settings.RelaySettings(**{**fields, **changes})
         buffers = buffer_budget.BufferBudget(
             buffer_budget.budget_bytes(vm_settings.memory_limit_bytes)
