--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
@@ -86,6 +86,20 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Selection:
+    """Engines that a request may go to now.
+
+    Attributes:
+        endpoint_ids: ids of the engines.
+        can_be_on_time: whether any engine can still answer it on time, with
+            or without a place now.
+    """
+
+    endpoint_ids: frozenset[str]
+    can_be_on_time: bool
+
+
 class OverloadControl:
     """Admission of this VM's requests to the engines."""
 
@@ -168,7 +182,7 @@
         )
 
     def select(self, need, offers, report, is_waiting):
-        """Return the ids of the engines that a request may go to now.
+        """Return the ``Selection`` for a request.
 
         Args:
             need: the ``Need``.
@@ -177,27 +191,30 @@
                 it came.
             is_waiting: whether the request has waited for a place.
         """
+        can_be_on_time = self.can_be_on_time(need, offers)
         if not offers:
-            return set()
-        terms = self._terms(need, offers)
+            return Selection(frozenset(), can_be_on_time)
+        terms = self._terms(need, offers, can_be_on_time)
         age = self._load_age(report)
         unseen = self._arrivals_per_engine(need, age, len(offers))
         unseen_above = self._arrivals_above(need, age, len(offers))
         kept = terms.reserved_places + unseen_above
-        selected = set()
+        contended = kept + UNEVENNESS * unseen
+        selected = []
         for offer in offers:
             state = offer.state
             if not engine_room.has_place(state, offer.tokens, terms):
                 continue
             if not engine_room.is_in_time(state, offer.tokens, terms):
                 continue
-            free = state.slots - kept - state.running
-            if (is_waiting or free <= UNEVENNESS * unseen) and not (
-                self._shares.may_take(report, offer.endpoint_id, free)
-            ):
-                continue
-            selected.add(offer.endpoint_id)
-        return selected
+            free = state.slots - state.running
+            if is_waiting or free <= contended:
+                if not self._shares.may_take(
+                    report, offer.endpoint_id, free - kept
+                ):
+                    continue
+            selected.append(offer.endpoint_id)
+        return Selection(frozenset(selected), can_be_on_time)
 
     def is_worth_waiting(self, need, ahead):
         """Return whether a request is expected to get a place in time.
@@ -256,14 +273,14 @@
         delay = min(delay, MAX_DELAY_FRACTION * need.target_latency)
         return need.late_at - self._clock() + max(0.0, extra) - delay
 
-    def _terms(self, need, offers):
+    def _terms(self, need, offers, can_be_on_time):
         slots = max(offer.state.slots for offer in offers)
         speed = max(offer.state.prefill_speed for offer in offers)
         reserved = engine_room.reserved_places(
             self._mean_above_per_engine(need, len(offers)), slots
         )
         seconds_left = self._seconds_left(need, speed)
-        if not self.can_be_on_time(need, offers):
+        if not can_be_on_time:
             seconds_left = math.inf
             late_reserve = math.ceil(LATE_RESERVE_FRACTION * slots)
             reserved = max(reserved, late_reserve)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -130,13 +130,18 @@
         offers = _offers(candidates, self._request.demand)
         self._offers_by_id = {offer.endpoint_id: offer for offer in offers}
         self._can_be_on_time = self._control.can_be_on_time(self._need, offers)
-        selected = self._control.select(
+        selection = self._control.select(
             self._need,
             offers,
             self._context.loads.last_report_at(),
             self._is_waiting,
         )
-        return [c for c in candidates if c.endpoint.id in selected]
+        self._can_be_on_time = selection.can_be_on_time
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.endpoint.id in selection.endpoint_ids
+        ]
 
     def note_placed(self, assignment):
         """Record that the request has got a place."""
--- a/tests/overload_policies.py
+++ b/tests/overload_policies.py
@@ -173,7 +173,7 @@
     def choose(self, request):
         """See ``Today``."""
         offers = self._offers(request)
-        selected = self._control.select(
+        selection = self._control.select(
             request.need,
             offers,
             self._vm.report_at,
@@ -182,7 +182,7 @@
         costs = [
             (offer.state.first_event_seconds(offer.tokens), index)
             for index, offer in enumerate(offers)
-            if offer.endpoint_id in selected
+            if offer.endpoint_id in selection.endpoint_ids
         ]
         index = self._cheapest(request, costs)
         if index is not None:
--- a/tests/test_overload_modules.py
+++ b/tests/test_overload_modules.py
@@ -48,6 +48,10 @@
     ]
 
 
+def _select(control, need, offers, report, is_waiting=False):
+    return control.select(need, offers, report, is_waiting).endpoint_ids
+
+
 def _control(clock, vms=1):
     return overload_control.OverloadControl(
         clock, lambda: vms, random.Random(1)
@@ -170,7 +174,7 @@
     control.note_wait(need, was_placed=False)
     clock.advance(-100)
     need = _need(clock)
-    assert control.select(need, _offers(), clock.now, False)
+    assert _select(control, need, _offers(), clock.now)
     assert 0 < control.level(need) <= 1
 
 
@@ -204,7 +208,7 @@
     need = _need(clock)
     for _ in range(100):
         control.note_arrival(need)
-        assert control.select(need, _offers(running=3), clock.now, False)
+        assert _select(control, need, _offers(running=3), clock.now)
 
 
 def test_a_late_request_takes_spare_room_only():
@@ -212,15 +216,15 @@
     control = _control(clock)
     need = _need(clock, late_at=clock.now - 0.1)
     assert not control.can_be_on_time(need, _offers())
-    assert control.select(need, _offers(running=10), clock.now, False)
-    assert not control.select(need, _offers(running=20), clock.now, False)
+    assert _select(control, need, _offers(running=10), clock.now)
+    assert not _select(control, need, _offers(running=20), clock.now)
     assert not control.is_worth_waiting(need, 1)
 
 
 def test_a_vm_that_has_just_started_serves_at_once():
     clock = builders.Clock()
     control = _control(clock, vms=200)
-    assert control.select(_need(clock), _offers(), 0.0, False)
+    assert _select(control, _need(clock), _offers(), 0.0)
 
 
 # The aggregator is frozen or cut off: no report comes any more.
@@ -232,7 +236,7 @@
     for _ in range(200):
         clock.advance(0.1)
         need = _need(clock)
-        selected = control.select(need, _offers(), report, True)
+        selected = _select(control, need, _offers(), report, True)
         if selected:
             served += 1
             control.note_placed(need, min(selected))
