--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -31,7 +31,11 @@
         self._control = context.overload
         self._need = None
         self._room = None
+        self._has_returned = False
         if self._control is not None and _has_engines(request):
+            self._has_returned = self._control.has_returned(
+                request.route.name, request.metadata.deadline
+            )
             self._need = self._make_need(request)
             self._control.note_arrival(self._need)
 
@@ -81,23 +85,16 @@
         )
         is_late = first_byte_seconds > request.route.target_latency
         outcome = 'late' if is_late else 'on-time'
-        for name in (request.route.name, request.customer_name):
-            self._context.metrics.count(f'overload.{outcome}.{name}')
+        _count(self._context.metrics, outcome, request)
 
     def _make_need(self, request):
-        has_returned = self._control.has_returned(
-            request.route.name, request.metadata.deadline
-        )
-        if self._need is not None:
-            # It was looked at as it came; later looks would count it twice.
-            has_returned = self._need.has_returned
         return overload_control.Need(
             request.service,
             urgency.of(request),
             request.route.target_latency,
             request.soft_deadline_at,
             request.demand.own_tokens,
-            has_returned,
+            self._has_returned,
         )
 
 
@@ -168,6 +165,11 @@
             Saturated: it can't be on time.
         """
         self._is_waiting = True
+        service = self._request.service
+        self._context.metrics.gauge(
+            f'overload.waiting.{service}',
+            self._context.wait_queue.count(service),
+        )
         if self._need.has_returned:
             return
         if not self._may_be_on_time or not self._control.is_worth_waiting(
@@ -244,12 +246,17 @@
             heard=self._report_age(),
             retry_after=round(retry_after, 1),
         )
-        context.metrics.gauge(f'overload.waiting.{request.service}', waiting)
-        for name in (request.route.name, request.customer_name):
-            context.metrics.count(f'overload.refused.{name}')
+        _count(context.metrics, 'refused', request)
         return errors.Saturated(reason, retry_after)
 
 
+def _count(metrics, outcome, request):
+    """Count a request by its route and by its customer."""
+    for name in (request.route.name, request.customer_name):
+        if name:
+            metrics.count(f'overload.{outcome}.{name}')
+
+
 def _has_engines(request):
     service = request.configuration.services_by_name.get(request.service)
     return service is not None and service.engine is not None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -45,9 +45,9 @@
         self._context = context
         self._selector = selector
         self._readmit = readmit
-        self._gate = overload_gate.OverloadGate(context, request)
+        self._overload_gate = overload_gate.OverloadGate(context, request)
         self._assignment_queue = assignment_queue.AssignmentQueue(
-            context, selector, self._gate
+            context, selector, self._overload_gate
         )
         self._caller = caller
         self._trace = trace
@@ -106,7 +106,7 @@
 
     def close(self):
         """Drop what refers back to this forwarder, and so to its request."""
-        self._gate.close()
+        self._overload_gate.close()
         self._response_forwarder.end()
         self._run_error = None
         self._failover.run_error = None
@@ -381,7 +381,7 @@
             self._context.activity.note_event(endpoint_id)
             return
         self._is_streaming = True
-        self._gate.note_first_event(clocks.now() - self._sent_at)
+        self._overload_gate.note_first_event(clocks.now() - self._sent_at)
         self._context.activity.begin(endpoint_id)
 
     def _bind_stream(self):
@@ -435,7 +435,7 @@
             )
         seconds = clocks.now() - self._request.arrived_at
         self._context.route_durations.note(self._request.route.name, seconds)
-        self._gate.note_answer(
+        self._overload_gate.note_answer(
             self._request,
             self._response_forwarder.first_byte_seconds,
             self._response_forwarder.longest_pause,
