--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -9,6 +9,7 @@
 
 import overload_policies as policies
 import overload_replay as replay
+import overload_results as results
 import pytest
 
 SEEDS = range(3)
@@ -51,20 +52,21 @@
 
 def _value(policy, vms, factor, span=SURGE):
     return statistics.mean(
-        replay.value_per_second(run, *span)
+        results.value_per_second(run, *span)
         for run in _replay(policy, vms, factor)
     )
 
 
 def _value_share_after(policy, vms, factor):
     return statistics.mean(
-        replay.value_share(run, *AFTER) for run in _replay(policy, vms, factor)
+        results.value_share(run, *AFTER)
+        for run in _replay(policy, vms, factor)
     )
 
 
 def _urgent_share(policy, vms, factor):
     return statistics.mean(
-        replay.on_time_share(run, replay.URGENT, *SURGE)
+        results.on_time_share(run, replay.URGENT, *SURGE)
         for run in _replay(policy, vms, factor)
     )
 
