--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -81,6 +81,7 @@
         retry_ratio=0.2,
         retry_slack=56.0,
         load_features=features.LoadFeatures(),
+        vm_changes=None,
     ):
         """Start the VMs.
 
@@ -94,6 +95,7 @@
             retry_ratio: retries of all VMs in a window for each request.
             retry_slack: further retries of all VMs in a window.
             load_features: the ``LoadFeatures`` of the VMs.
+            vm_changes: fields of the ``RelaySettings`` of all VMs by name.
         """
         count = 2 * control_vm_count + 4 * entry_vm_count
         ports = [fleets.free_port() for _ in range(count)]
@@ -110,6 +112,7 @@
         self._retry_ratio = retry_ratio
         self._retry_slack = retry_slack
         self._load_features = load_features
+        self._vm_changes = vm_changes or {}
         self.vms = []
         self.budgets_by_vm = {}
         self.control_ports = other_ports[:control_vm_count]
@@ -205,6 +208,7 @@
             'trace': self._trace,
             'load_features': self._load_features,
         }
+        fields.update(self._vm_changes)
         vm_settings = relay_settings.RelaySettings(**{**fields, **changes})
         buffers = buffer_budget.BufferBudget(
             buffer_budget.budget_bytes(vm_settings.memory_limit_bytes)
