Explain where a request would go now, on an entry VM

Operators could see only afterwards, in the log, why a request went to an endpoint, waited or was refused. The selector's steps are now shared by the assignment and by a look that reserves nothing; the quota and the admission under overload can be asked without a count. The entry VM answers on its listener for metrics, with a token derived from the fleet's secret.

--- a/packages/carobwood-client/carobwood_client/cli.py
+++ b/packages/carobwood-client/carobwood_client/cli.py
@@ -8,6 +8,7 @@
 
 from . import connection as connections
 from . import exit_codes
+from . import explain
 from . import printer as printers
 from . import verbs
 
@@ -37,7 +38,7 @@
     arguments = parser.parse_args(argv)
     printer = printers.Printer(arguments.json, output, error_output)
     try:
-        connection = _connect(arguments)
+        connection = arguments.connect(arguments)
         return arguments.function(connection, arguments, printer)
     except errors.ClientUsage as error:
         printer.print_error(error)
@@ -83,6 +84,7 @@
     _add_endpoint_verbs(nouns)
     _add_order_verbs(nouns)
     _add_vm_verbs(nouns)
+    _add_explain(nouns)
     _add_verb(
         nouns, 'status', verbs.status, 'show the fleet as one VM sees it'
     )
@@ -111,7 +113,7 @@
     parser.add_argument(
         '--json', action='store_true', help='print JSON, not a table'
     )
-    parser.set_defaults(function=function)
+    parser.set_defaults(function=function, connect=_connect)
     return parser
 
 
@@ -254,3 +256,39 @@
         parsers, 'forget', verbs.vm_forget, 'remove a VM that will not return'
     )
     parser.add_argument('vm', help='id of the VM')
+
+
+def _add_explain(nouns):
+    parser = _add_verb(
+        nouns,
+        'explain',
+        explain.explain,
+        'explain where a VM of the relay would send a request now, and why; '
+        'nothing is sent or counted',
+    )
+    parser.set_defaults(connect=explain.connect)
+    parser.add_argument(
+        '--vm', required=True, help="IP:PORT of the entry VM's metrics"
+    )
+    parser.add_argument(
+        '--secret-file', required=True, help="file with the fleet's secret"
+    )
+    parser.add_argument('host', help='host of the request')
+    parser.add_argument('path', help='path of the request')
+    sender = parser.add_mutually_exclusive_group()
+    sender.add_argument('--key-file', help="file with the caller's key")
+    sender.add_argument('--customer', default='', help='name of the customer')
+    parser.add_argument('--model', default='', help='requested model')
+    parser.add_argument(
+        '--part',
+        action='append',
+        default=[],
+        metavar='ID:TOKENS',
+        help='a part of the prompt, in order; the last one is not shared',
+    )
+    parser.add_argument(
+        '--prompt-tokens', type=int, help='length of the whole prompt'
+    )
+    parser.add_argument(
+        '--output-tokens', type=int, default=0, help='most tokens of output'
+    )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/admission.py
@@ -169,7 +169,7 @@
         if route is None:
             raise errors.RouteNotFound('no route matches the host and path')
         metadata = self._dialect.parse_request_headers(caller.headers)
-        customer = _find_customer(configuration, route, metadata)
+        customer = find_customer(configuration, route, metadata)
         deadline_at = arrived_at + _time_allowed(metadata, route, forwarded)
         body_began_at = clocks.now()
         body = caller.read_body(deadline_at - body_began_at)
@@ -185,7 +185,7 @@
             arrived_at,
             _first_arrival(metadata, route, whole_at, forwarded),
             deadline_at,
-            _count_units(metadata, customer),
+            count_units(metadata, customer),
             _fingerprint(caller, customer, body),
             configuration,
         )
@@ -240,7 +240,7 @@
             configuration=configuration,
             route=route,
             service=service,
-            customer=_find_customer(configuration, route, request.metadata),
+            customer=find_customer(configuration, route, request.metadata),
             deadline_at=min(
                 request.deadline_at, request.arrived_at + route.timeout
             ),
@@ -325,7 +325,17 @@
     )
 
 
-def _find_customer(configuration, route, metadata):
+def find_customer(configuration, route, metadata):
+    """Return the ``Customer`` of a request, or None.
+
+    Args:
+        configuration: the ``Configuration``.
+        route: the ``Route`` of the request.
+        metadata: its ``RequestMetadata``.
+
+    Raises:
+        KeyRefused: the route needs a key, and the request's is unknown.
+    """
     if not configuration.needs_keys:
         return None
     customer = configuration.customers_by_key.get(metadata.api_key)
@@ -353,7 +363,8 @@
     return whole_at - max(0.0, seconds_used)
 
 
-def _count_units(metadata, customer):
+def count_units(metadata, customer):
+    """Return the units that a request takes from its customer's limit."""
     if customer is None or not customer.limits_tokens:
         return 1
     if metadata.prompt_tokens is None:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -204,14 +204,7 @@
             Saturated: all endpoints have asked for no requests for longer,
                 or have a rate limit that leaves none for this VM.
         """
-        seconds = min(
-            (
-                self._selector.seconds_until_open(endpoint)
-                for endpoint in self._selector.endpoints(request)
-                if endpoint.id not in excluded
-            ),
-            default=0.0,
-        )
+        seconds = self._selector.seconds_until_any_open(request, excluded)
         # One that takes requests now has no room, which the wait is for.
         if seconds > max(0.0, max_wait):
             raise errors.Saturated(
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
@@ -202,12 +202,9 @@
         contended = kept + UNEVENNESS * unseen
         selected = []
         for offer in offers:
-            state = offer.state
-            if not engine_room.has_place(state, offer.tokens, terms):
+            if not _has_room(offer, terms):
                 continue
-            if not engine_room.is_in_time(state, offer.tokens, terms):
-                continue
-            free = state.slots - state.running
+            free = offer.state.slots - offer.state.running
             if is_waiting or free <= contended:
                 if not self._shares.may_take(
                     report, offer.endpoint_id, free - kept
@@ -216,6 +213,22 @@
             selected.append(offer.endpoint_id)
         return Selection(frozenset(selected), can_be_on_time)
 
+    def ids_with_room(self, need, offers):
+        """Return the ids of the engines that have room for a request.
+
+        The places of other VMs are not left out, as in ``select``.
+
+        Args:
+            need: the ``Need``.
+            offers: an ``Offer`` of each engine.
+        """
+        if not offers:
+            return frozenset()
+        terms = self._terms(need, offers, self.can_be_on_time(need, offers))
+        return frozenset(
+            offer.endpoint_id for offer in offers if _has_room(offer, terms)
+        )
+
     def is_worth_waiting(self, need, ahead):
         """Return whether a request is expected to get a place in time.
 
@@ -330,3 +343,10 @@
         """Return how many more urgent requests an engine may have got."""
         rate = self._forecast.rate_above(need.service, need.urgency)
         return rate * self._count_vms() * age / max(1, engines)
+
+
+def _has_room(offer, terms):
+    """Return whether an engine has a place, and can answer in time."""
+    return engine_room.has_place(
+        offer.state, offer.tokens, terms
+    ) and engine_room.is_in_time(offer.state, offer.tokens, terms)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -32,7 +32,7 @@
         self._need = None
         self._room = None
         self._has_returned = False
-        if self._control is not None and _has_engines(request):
+        if self._control is not None and has_engines(request):
             self._has_returned = self._control.has_returned(
                 request.route.name, request.metadata.deadline
             )
@@ -53,7 +53,7 @@
             tried: the ``TriedEndpoints`` of the request.
             caller: the ``CallerRequest``.
         """
-        if self._need is None or not _has_engines(request):
+        if self._need is None or not has_engines(request):
             return None
         if tried.all_ids or caller.has_started_response:
             return None
@@ -88,14 +88,7 @@
         _count(self._context.metrics, outcome, request)
 
     def _make_need(self, request):
-        return overload_control.Need(
-            request.service,
-            urgency.of(request),
-            request.route.target_latency,
-            request.soft_deadline_at,
-            request.demand.own_tokens,
-            self._has_returned,
-        )
+        return make_need(request, self._has_returned)
 
 
 class Room:
@@ -124,7 +117,7 @@
         Args:
             candidates: ``Candidate`` records.
         """
-        offers = _offers(candidates, self._request.demand)
+        offers = make_offers(candidates, self._request.demand)
         self._offers_by_id = {offer.endpoint_id: offer for offer in offers}
         selection = self._control.select(
             self._need,
@@ -257,13 +250,36 @@
             metrics.count(f'overload.{outcome}.{name}')
 
 
-def _has_engines(request):
+def make_need(request, has_returned=False):
+    """Return the ``Need`` of a request.
+
+    Args:
+        request: the ``AdmittedRequest``.
+        has_returned: whether it comes after a refusal.
+    """
+    return overload_control.Need(
+        request.service,
+        urgency.of(request),
+        request.route.target_latency,
+        request.soft_deadline_at,
+        request.demand.own_tokens,
+        has_returned,
+    )
+
+
+def has_engines(request):
+    """Return whether the service of a request consists of engines."""
     service = request.configuration.services_by_name.get(request.service)
     return service is not None and service.engine is not None
 
 
-def _offers(candidates, demand):
-    """Return an ``Offer`` for each candidate."""
+def make_offers(candidates, demand):
+    """Return an ``Offer`` for each candidate.
+
+    Args:
+        candidates: ``Candidate`` records.
+        demand: the ``Demand``.
+    """
     cached_by_version = {}
     for candidate in candidates:
         version = candidate.weights_version
--- a/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
@@ -119,6 +119,19 @@
     prefill_share: float = 0.0
     weights_version: int = 0
 
+    def fits(self, demand):
+        """Return whether it has capacity for a ``Demand`` now."""
+        if self.load.running >= self.slots:
+            return False
+        if not self.kv_cache_tokens:
+            return True
+        needed = (
+            self.load.kv_cache_tokens
+            + demand.own_tokens
+            + demand.output_tokens
+        )
+        return needed <= self.kv_cache_tokens * MAX_MEMORY_FRACTION
+
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
@@ -144,17 +157,12 @@
     Returns:
         The ``Choice``, or None if no candidate has capacity now.
     """
-    fitting = [c for c in candidates if _fits(c, demand)]
+    fitting = [c for c in candidates if c.fits(demand)]
     if not fitting:
         return None
     # Breaks ties at random; otherwise all VMs would choose the same one.
     source.shuffle(fitting)
-    peer_tokens_by_version = {}
-    for candidate in candidates:
-        version = candidate.weights_version
-        peer_tokens_by_version[version] = max(
-            candidate.cached_tokens, peer_tokens_by_version.get(version, 0)
-        )
+    peer_tokens_by_version = _peer_tokens_by_version(candidates)
     best = min(
         fitting,
         key=lambda c: _cost_seconds(
@@ -184,16 +192,33 @@
     )
 
 
-def _fits(candidate, demand):
-    if candidate.load.running >= candidate.slots:
-        return False
-    if not candidate.kv_cache_tokens:
-        return True
-    needed = (
-        candidate.load.kv_cache_tokens
-        + load_of(candidate, demand).kv_cache_tokens
-    )
-    return needed <= candidate.kv_cache_tokens * MAX_MEMORY_FRACTION
+def costs_by_id(candidates, demand):
+    """Return the cost in seconds of each candidate by endpoint id.
+
+    Args:
+        candidates: ``Candidate`` records, with or without capacity.
+        demand: the ``Demand``.
+    """
+    peer_tokens_by_version = _peer_tokens_by_version(candidates)
+    return {
+        candidate.endpoint.id: _cost_seconds(
+            candidate,
+            demand,
+            peer_tokens_by_version[candidate.weights_version],
+        )
+        for candidate in candidates
+    }
+
+
+def _peer_tokens_by_version(candidates):
+    """Return the most cached tokens of any candidate, by its weights."""
+    peer_tokens_by_version = {}
+    for candidate in candidates:
+        version = candidate.weights_version
+        peer_tokens_by_version[version] = max(
+            candidate.cached_tokens, peer_tokens_by_version.get(version, 0)
+        )
+    return peer_tokens_by_version
 
 
 def _cost_seconds(candidate, demand, peer_tokens):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
@@ -28,10 +28,6 @@
 from . import reporting_vms
 from . import usage_reports
 
-# Part of the tolerance that a VM uses. The rest covers usage that is
-# reported late, and units that starting VMs admit before they receive the
-# usage of the others.
-USABLE_TOLERANCE_SHARE = 0.5
 # Seconds within which a restarted VM receives the usage of the others.
 WARM_UP_SECONDS = 1.0
 # Seconds before a VM's stop whose usage it may not have reported.
@@ -81,31 +77,6 @@
     awaits_usage: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
-class QuotaTolerance:
-    """By how much the usage in a window may exceed a customer's limit.
-
-    Attributes:
-        window: length of the sliding window in seconds.
-        overshoot: allowed excess as a fraction of the limit.
-        slack: allowed excess in units, in addition to ``overshoot``.
-    """
-
-    window: float
-    overshoot: float
-    slack: float
-
-    def limit(self, rate, burst):
-        """Return the units that rate and burst allow in a window."""
-        return rate * self.window + burst
-
-    def bound(self, rate, burst):
-        """Return the units that a window may hold with the tolerance."""
-        limit = self.limit(rate, burst)
-        excess = self.overshoot * limit + self.slack
-        return limit + USABLE_TOLERANCE_SHARE * excess
-
-
 class FleetQuota:
     """Rate limits of all customers that have one.
 
@@ -208,50 +179,65 @@
         """
         now = self._clock()
         with self._lock:
+            decision = self._decide(name, units, now)
             customer_quota = self._quotas_by_customer.get(name)
-            if customer_quota is None:
-                return QuotaDecision(Verdict.WITHIN_RATE)
-            if now < self._warm_up_ends_at and not self._usage_known.is_set():
-                return QuotaDecision(
-                    Verdict.REFUSED,
-                    retry_after=self._warm_up_ends_at - now,
-                    awaits_usage=True,
-                )
-            self._advance(customer_quota, now)
-            unseen = self._unseen(customer_quota, now)
-            level = customer_quota.level - unseen
-            recent = customer_quota.recent + unseen
-            bound = self._reporting_vms.limit_share(
-                now
-            ) * self._tolerance.bound(
+            if customer_quota is not None:
+                if decision.verdict is not Verdict.REFUSED:
+                    customer_quota.consume_locally(now, units)
+            return decision
+
+    def preview(self, name, units):
+        """Return the ``QuotaDecision`` on a request; consume nothing.
+
+        Args:
+            name: the customer's name.
+            units: units that the request needs.
+        """
+        with self._lock:
+            return self._decide(name, units, self._clock())
+
+    def _decide(self, name, units, now):
+        customer_quota = self._quotas_by_customer.get(name)
+        if customer_quota is None:
+            return QuotaDecision(Verdict.WITHIN_RATE)
+        if now < self._warm_up_ends_at and not self._usage_known.is_set():
+            return QuotaDecision(
+                Verdict.REFUSED,
+                retry_after=self._warm_up_ends_at - now,
+                awaits_usage=True,
+            )
+        self._advance(customer_quota, now)
+        return self._decide_by_usage(customer_quota, units, now)
+
+    def _decide_by_usage(self, customer_quota, units, now):
+        unseen = self._unseen(customer_quota, now)
+        level = customer_quota.level - unseen
+        recent = customer_quota.recent + unseen
+        bound = self._reporting_vms.limit_share(now) * self._tolerance.bound(
+            customer_quota.rate, customer_quota.burst
+        )
+        is_within = level > 0
+        if now < self._strict_until:
+            # The level of the bucket is only an estimate here, so the
+            # units counted in the window must fit the limit as well.
+            limit = self._tolerance.limit(
                 customer_quota.rate, customer_quota.burst
             )
-            is_within = level > 0
-            if now < self._strict_until:
-                # The level of the bucket is only an estimate here, so the
-                # units counted in the window must fit the limit as well.
-                limit = self._tolerance.limit(
-                    customer_quota.rate, customer_quota.burst
-                )
-                limit -= UNREPORTED_SECONDS * customer_quota.rate
-                is_within = is_within and recent + units <= limit
-            if is_within:
-                customer_quota.consume_locally(now, units)
-                return QuotaDecision(Verdict.WITHIN_RATE, level, recent, bound)
-            if now < self._strict_until:
-                bound = 0.0
-            excess = recent + units - bound
-            if excess > 0:
-                retry_after = customer_quota.seconds_until_freed(
-                    now, self._tolerance.window, excess
-                )
-                return QuotaDecision(
-                    Verdict.REFUSED, level, recent, bound, retry_after
-                )
-            customer_quota.consume_locally(now, units)
+            limit -= UNREPORTED_SECONDS * customer_quota.rate
+            is_within = is_within and recent + units <= limit
+        if is_within:
+            return QuotaDecision(Verdict.WITHIN_RATE, level, recent, bound)
+        if now < self._strict_until:
+            bound = 0.0
+        excess = recent + units - bound
+        if excess > 0:
+            retry_after = customer_quota.seconds_until_freed(
+                now, self._tolerance.window, excess
+            )
             return QuotaDecision(
-                Verdict.WITHIN_TOLERANCE, level, recent, bound
+                Verdict.REFUSED, level, recent, bound, retry_after
             )
+        return QuotaDecision(Verdict.WITHIN_TOLERANCE, level, recent, bound)
 
     def _unseen(self, customer_quota, now):
         """Return the units that others may have admitted but not reported.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -15,6 +15,7 @@
 from . import block_digests
 from . import cache_transfers
 from . import fleet_loads
+from . import obstacles
 from . import placement
 from ..routing import rendezvous
 
@@ -130,6 +131,55 @@
         choice = self._choose(candidates, request.demand)
         return choice.candidate.endpoint if choice else None
 
+    def survey(self, request, filter_room=None):
+        """Return what would be known and chosen for a request now.
+
+        Nothing is reserved or counted, and no permit is asked for.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            filter_room: see ``try_assign``.
+
+        Returns:
+            The ``Survey``.
+
+        Raises:
+            ConfigurationChanged: see ``try_assign``.
+        """
+        self._check_configuration(request)
+        full_addresses = self._context.pool.full_addresses()
+        endpoints = self.endpoints(request)
+        obstacles_by_id = {
+            endpoint.id: self._obstacle(endpoint, full_addresses)
+            for endpoint in endpoints
+        }
+        loads_by_id = self._context.loads.total_loads()
+        candidates = self._candidates(
+            request,
+            [e for e in endpoints if obstacles_by_id[e.id] is None],
+            loads_by_id,
+        )
+        allowed = filter_room(candidates) if filter_room else candidates
+        choice = self._choose(allowed, request.demand)
+        return obstacles.Survey(
+            loads_by_id, obstacles_by_id, candidates, choice
+        )
+
+    def _obstacle(self, endpoint, full_addresses):
+        """Return the ``Obstacle`` that keeps requests from an endpoint."""
+        context = self._context
+        if endpoint.address in full_addresses:
+            return obstacles.Obstacle.NO_CONNECTION
+        if context.health.is_ejected(endpoint):
+            return obstacles.Obstacle.EJECTED
+        if context.availability.seconds_until_available(endpoint):
+            return obstacles.Obstacle.UNAVAILABLE
+        if context.rate_limits.seconds_until_next(endpoint):
+            return obstacles.Obstacle.NO_PERMIT
+        if context.pool.seconds_until_open(endpoint.address):
+            return obstacles.Obstacle.BACKED_OFF
+        return None
+
     def _check_configuration(self, request):
         """Check that a request was admitted under the one in force."""
         in_force = self._context.configuration_store.configuration
@@ -146,9 +196,7 @@
             endpoint
             for endpoint in self.endpoints(request)
             if endpoint.id not in excluded
-            and endpoint.address not in full_addresses
-            and not context.health.is_ejected(endpoint)
-            and not self.seconds_until_open(endpoint)
+            and self._obstacle(endpoint, full_addresses) is None
         ]
         loads_by_id = context.loads.total_loads()
         context.prefill_shares.add_sample(loads_by_id)
@@ -233,6 +281,22 @@
             self._context.pool.seconds_until_open(endpoint.address),
         )
 
+    def seconds_until_any_open(self, request, excluded):
+        """Return the seconds until any endpoint takes a request, or 0.0.
+
+        Args:
+            request: the ``AdmittedRequest``.
+            excluded: ids of endpoints that it must not go to.
+        """
+        return min(
+            (
+                self.seconds_until_open(endpoint)
+                for endpoint in self.endpoints(request)
+                if endpoint.id not in excluded
+            ),
+            default=0.0,
+        )
+
     def release(self, assignment):
         """Release the capacity that an assignment reserves."""
         assignment.reservation.release()
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -11,6 +11,8 @@
 from .relay import ended_endpoints
 from .relay import endpoint_activity
 from .relay import endpoint_liveness
+from .relay import explainer
+from .relay import explanation_api
 from .relay import fleet_loads
 from .relay import fleet_retry_budget
 from .relay import forwarding_headers
@@ -65,6 +67,8 @@
         self._shared = shared
         self._gate = gate
         self._tracer = tracer
+        # The ``Explainer`` of an entry VM.
+        self._explainer = None
 
     def create_servers(self, directory, gossip, proposer, make_control_api):
         """Create an ``HttpServer`` for each listen address that is set.
@@ -92,7 +96,7 @@
             ),
             (
                 settings.metrics_listen,
-                self._report_metrics,
+                self._make_metrics_handler(),
                 STATUS_API_THREADS,
                 STATUS_API_BODY_BYTES,
             ),
@@ -236,6 +240,15 @@
             load_features=self._settings.load_features,
             overload=self._make_overload_control(directory),
         )
+        own_selector = selector.Selector(context)
+        self._explainer = explainer.Explainer(
+            context,
+            own_selector,
+            shared.quota,
+            lambda service: shared.store.fleet.rollouts_by_service.get(
+                service
+            ),
+        )
         return relay.Relay(
             context,
             admission.Admission(
@@ -246,7 +259,7 @@
                 suspects,
                 _choose_share,
             ),
-            selector.Selector(context),
+            own_selector,
             vm_forwarder.VmForwarder(
                 context,
                 shared.peers,
@@ -282,6 +295,20 @@
             status = http.HTTPStatus.OK
         return gateway.ApiResponse(status.value, status.phrase)
 
+    def _make_metrics_handler(self):
+        """Return the handler of the listener that operators reach."""
+        explain = self._explainer.explain if self._explainer else None
+        api = explanation_api.ExplanationApi(
+            explain, self._settings.link_secret
+        )
+
+        def handle(request):
+            if request.path == explanation_api.PATH:
+                return api.handle(request)
+            return self._report_metrics(request)
+
+        return handle
+
     def _report_metrics(self, request):
         del request
         self._gauge_followed_state()
--- a/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_settings.py
@@ -9,7 +9,7 @@
 from . import settings_flags
 from .limits import buffer_budget
 from .relay import load_features as features
-from .relay import quota
+from .relay import quota_tolerance
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,7 +35,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_seconds: float
-    quota_tolerance: quota.QuotaTolerance
+    quota_tolerance: quota_tolerance.QuotaTolerance
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -10,7 +10,7 @@
 from carobwood_daemon.relay import fleet_loads
 from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import placement
-from carobwood_daemon.relay import quota
+from carobwood_daemon.relay import quota_tolerance
 from carobwood_daemon.replication import commands
 from carobwood_platform import dialect
 
@@ -57,7 +57,7 @@
 def tolerance(**changes):
     """Return a tolerance with a window of 8 s."""
     fields = {'window': 8.0, 'overshoot': 0.1, 'slack': 1000.0}
-    return quota.QuotaTolerance(**{**fields, **changes})
+    return quota_tolerance.QuotaTolerance(**{**fields, **changes})
 
 
 def admitted_request(metadata, route, seconds_left=10.0, **changes):
--- a/tests/relay_test_fleet.py
+++ b/tests/relay_test_fleet.py
@@ -11,7 +11,7 @@
 from carobwood import addresses
 from carobwood_daemon.limits import buffer_budget
 from carobwood_daemon.relay import load_features as features
-from carobwood_daemon.relay import quota
+from carobwood_daemon.relay import quota_tolerance
 from carobwood_daemon import relay_settings
 from carobwood_daemon import relay_vm
 from carobwood_daemon.replication import timing
@@ -203,7 +203,7 @@
                 self._retry_ratio,
                 self._retry_slack,
                 10.0,
-                quota.QuotaTolerance(8, 0, 0),
+                quota_tolerance.QuotaTolerance(8, 0, 0),
             ),
             'trace': self._trace,
             'load_features': self._load_features,
