--- a/packages/carobwood-client/carobwood_client/connection.py
+++ b/packages/carobwood-client/carobwood_client/connection.py
@@ -82,7 +82,7 @@
         """
         return self._call_first_reachable('GET', path, None, fields)
 
-    def post(self, path, read_timeout=READ_TIMEOUT_SECONDS, **fields):
+    def post(self, path, /, read_timeout=READ_TIMEOUT_SECONDS, **fields):
         """Return the decoded response to a POST request.
 
         If a VM does not answer, the request is sent to the next one.
--- a/packages/carobwood-client/carobwood_client/explain.py
+++ b/packages/carobwood-client/carobwood_client/explain.py
@@ -18,6 +18,7 @@
     'slots',
     'kv_cache_used_tokens',
     'prefill_tokens',
+    'needs_permit',
     'seconds_until_open',
     'news_age',
     'data_centre',
--- a/packages/carobwood-daemon/carobwood_daemon/relay/explainer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/explainer.py
@@ -179,6 +179,7 @@
             endpoint.software_version,
             weights_version or 0,
             obstacle.value if obstacle else '',
+            context.rate_limits.is_limited(endpoint),
             round(self._selector.seconds_until_open(endpoint), 3),
             None if cost is None else round(cost, 4),
             candidate.cached_tokens if candidate else 0,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/explanation.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/explanation.py
@@ -68,6 +68,8 @@
         software_version: its software version, or empty.
         weights_version: version of its weights, or 0.
         obstacle: why it would not get the request, or empty.
+        needs_permit: whether a request to it needs a permit, which is not
+            asked for here.
         seconds_until_open: seconds until it takes requests of this VM.
         cost_seconds: estimated cost of sending the request there, or None
             if it is no candidate.
@@ -84,6 +86,7 @@
     software_version: str
     weights_version: int
     obstacle: str
+    needs_permit: bool
     seconds_until_open: float
     cost_seconds: float | None
     cached_tokens: int
