--- a/packages/carobwood-daemon/carobwood_daemon/relay/explanation_api.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/explanation_api.py
@@ -65,9 +65,20 @@
             raise errors.MalformedRequest(
                 'the body is not a valid query'
             ) from error
+        if min(_token_counts(query)) < 0:
+            raise errors.MalformedRequest('a number of tokens is negative')
         return self._explain(query)
 
 
+def _token_counts(query):
+    segments = query.prompt_segments
+    return (
+        query.prompt_tokens or 0,
+        query.output_tokens,
+        *(segment.tokens for segment in segments),
+    )
+
+
 def _error_body(error):
     return {'error': {'code': error.code, 'message': error.detail}}
 
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -276,6 +276,11 @@
         ({'secret': b'another'}, 401, 'operator_refused'),
         ({'method': 'GET'}, 405, 'method_not_allowed'),
         ({'body': {'host': 1}}, 400, 'malformed_request'),
+        (
+            {'body': {'host': 'h', 'path': '/', 'output_tokens': -1}},
+            400,
+            'malformed_request',
+        ),
         ({'body': {'host': 'h', 'path': '/'}}, 404, 'route_not_found'),
     ],
 )
