Add commands and records of rollouts, behind a gate of features

Cause: no command could start a rollout, and a build that does not know one would skip it, so that its state would differ.

Change: StartRollout, ReserveExposure, AdvanceRollout and the linearizable ReadRollout, applied alike on each VM; each VM names the features of its build in its descriptor, and a command behind the gate is refused while a live VM, or one with a replica, does not name it. Nothing proposes them yet.

--- a/bench/record_formats.py
+++ b/bench/record_formats.py
@@ -53,7 +53,15 @@
 )
 # Commands and results of the log, which are proposed only once all VMs know
 # them:
-ADDED_LOG_CLASSES = frozenset()
+ADDED_LOG_CLASSES = frozenset(
+    (
+        'AdvanceRollout',
+        'ReadRollout',
+        'ReserveExposure',
+        'RolloutHeld',
+        'StartRollout',
+    )
+)
 # Fields of ``FleetState``, which a build that does not know them drops:
 ADDED_FIELDS = frozenset(('rollouts_by_service',))
 
--- a/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
@@ -36,6 +36,8 @@
         is_member: whether its messages come as a member of this VM's group.
         forward_address: ``host:port`` at which it takes requests that other
             VMs forward, or empty.
+        features: names of the parts of the product that its build knows
+            beyond those that every build knows.
     """
 
     id: str
@@ -49,6 +51,7 @@
     version: int = 0
     is_member: bool = False
     forward_address: str = ''
+    features: frozenset[str] = frozenset()
 
     def is_silent(self, now):
         """Tell whether the VM has sent no message for a while.
@@ -206,10 +209,18 @@
                 return
             known = self._vms_by_id.get(vm.id)
             if known is not None and known.incarnation >= vm.incarnation:
+                self._add_features(known, vm)
                 return
             self._vms_by_id[vm.id] = vm
         self._announce_start(vm, known)
 
+    def _add_features(self, known, vm):
+        """Add features that an aggregator of an older build had dropped."""
+        if known.incarnation == vm.incarnation and vm.features:
+            self._vms_by_id[vm.id] = dataclasses.replace(
+                known, features=vm.features
+            )
+
     def merge_roster(self, roster):
         """Merge the thrift ``Roster`` of another aggregator."""
         with self._lock:
@@ -369,6 +380,7 @@
         bool(descriptor.has_disk),
         bool(descriptor.takes_callers),
         forward_address=descriptor.forward_address or '',
+        features=frozenset(descriptor.features or ()),
     )
 
 
@@ -383,4 +395,5 @@
         vm.has_disk,
         vm.takes_callers,
         vm.forward_address,
+        sorted(vm.features) or None,
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_membership.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_membership.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from .membership import build_features
 from .membership import directory as directories
 from .membership import gossip as gossips
 from .membership import incarnations
@@ -52,6 +53,7 @@
         data_folder is not None,
         settings.caller_listen is not None,
         forward_address=str(settings.forward_listen or ''),
+        features=build_features.OWN_FEATURES,
     )
     directory = directories.Directory(own_vm, settings.seeds)
     replica_runner = None
--- a/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/commands.py
@@ -6,6 +6,17 @@
 
 import msgspec
 
+from . import command_bases
+from . import rollout_commands
+
+Command = command_bases.Command
+Result = command_bases.Result
+StartRollout = rollout_commands.StartRollout
+ReserveExposure = rollout_commands.ReserveExposure
+AdvanceRollout = rollout_commands.AdvanceRollout
+ReadRollout = rollout_commands.ReadRollout
+RolloutHeld = rollout_commands.RolloutHeld
+
 
 class Member(msgspec.Struct, frozen=True):
     """A replica in the membership of the log.
@@ -21,10 +32,6 @@
     address: str
 
 
-class Command(msgspec.Struct, frozen=True, tag=True):
-    """Base of all commands."""
-
-
 class NoOperation(Command, frozen=True, tag=True):
     """An empty command that a new leader appends.
 
@@ -278,13 +285,13 @@
     | OpenClaim
     | SettleClaim
     | ReleaseClaim
+    | StartRollout
+    | ReserveExposure
+    | AdvanceRollout
+    | ReadRollout
 )
 
 
-class Result(msgspec.Struct, frozen=True, tag=True):
-    """Base of all results."""
-
-
 class Applied(Result, frozen=True, tag=True):
     """The command was applied.
 
@@ -366,6 +373,7 @@
     | ClaimAnswered
     | ClaimUnsettled
     | ClaimMismatched
+    | RolloutHeld
 )
 
 CLAIM_COMMANDS = (OpenClaim, SettleClaim, ReleaseClaim, AdvanceTime)
--- a/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/fleet_state.py
@@ -1,6 +1,5 @@
 """The part of the replicated state that every VM of a fleet gets."""
 
-import enum
 import functools
 import zlib
 
@@ -10,7 +9,10 @@
 from carobwood import events
 
 from . import commands
+from . import rollout_records
 
+RolloutPhase = rollout_records.RolloutPhase
+RolloutRecord = rollout_records.RolloutRecord
 # Results kept for retries of operations; the oldest are dropped first.
 MAX_OPERATION_RESULTS = 10000
 # Finished orders that are kept; the oldest are dropped first.
@@ -104,52 +106,6 @@
     number: int = 0
 
 
-class RolloutPhase(enum.StrEnum):
-    """Phase of a rollout of a software version.
-
-    Attributes:
-        CANARY: the target version gets few requests, while it is judged.
-        SHIFTING: it is sound so far, and its share of the requests grows.
-        SETTLING: all new requests go to it; those at the former version end.
-        SUCCEEDED: the former version has no requests left.
-        ROLLED_BACK: the target version gets no requests any more.
-    """
-
-    CANARY = 'canary'
-    SHIFTING = 'shifting'
-    SETTLING = 'settling'
-    SUCCEEDED = 'succeeded'
-    ROLLED_BACK = 'rolled-back'
-
-    @property
-    def is_final(self):
-        """Whether the rollout has ended."""
-        return self in (RolloutPhase.SUCCEEDED, RolloutPhase.ROLLED_BACK)
-
-
-class RolloutRecord(msgspec.Struct, frozen=True):
-    """The newest rollout of a service.
-
-    Attributes:
-        index: log index of the order, which identifies the rollout.
-        service: name of the service.
-        target_version: software version that it moves the traffic to.
-        ramp_ms: time in which the operators want the traffic to move.
-        phase: value of the ``RolloutPhase``; a newer build may have others.
-        reserved: requests that may have been granted to the target version
-            so far, by all owners together.
-        reason: why it has ended, in words.
-    """
-
-    index: int
-    service: str
-    target_version: str
-    ramp_ms: int
-    phase: str = RolloutPhase.CANARY.value
-    reserved: int = 0
-    reason: str = ''
-
-
 class FleetState(msgspec.Struct, frozen=True, dict=True):
     """An immutable version of the fleet's state.
 
@@ -290,6 +246,15 @@
                 return self._name_weights(model, version), applied
             case commands.HoldOrders():
                 return self._hold_orders(command), applied
+            case (
+                commands.StartRollout()
+                | commands.ReserveExposure()
+                | commands.AdvanceRollout()
+            ):
+                rollouts, held = rollout_records.apply(
+                    self.rollouts_by_service, index, command
+                )
+                return self._with(rollouts_by_service=rollouts), held
             case commands.UnknownCommand():
                 emit_command_failed(index, command, 'unknown to this build')
                 return self, None
--- a/packages/carobwood-daemon/carobwood_daemon/replication/state_machine.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/state_machine.py
@@ -6,6 +6,7 @@
 from . import commands
 from . import fleet_state
 from . import log_membership
+from . import rollout_records
 from . import stored_values
 
 
@@ -91,6 +92,10 @@
                 return self.claims.apply(command)
             case commands.ReadConfiguration():
                 return self.fleet.configuration
+            case commands.ReadRollout(service=service):
+                return rollout_records.held(
+                    self.fleet.rollouts_by_service.get(service)
+                )
         self.fleet, result = self.fleet.apply(entry.index, command)
         return result
 
@@ -138,6 +143,7 @@
             | commands.ReleaseClaim()
             | commands.AdvanceTime()
             | commands.ReadConfiguration()
+            | commands.ReadRollout()
         ):
             return False
     return True
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -75,6 +75,10 @@
 AlreadyFounded = operator_errors.AlreadyFounded
 ReplacementRefused = operator_errors.ReplacementRefused
 ChangeUncertain = operator_errors.ChangeUncertain
+RolloutInvalid = operator_errors.RolloutInvalid
+RolloutConflict = operator_errors.RolloutConflict
+RolloutMissing = operator_errors.RolloutMissing
+FeatureMissing = operator_errors.FeatureMissing
 
 NotLeader = replication_errors.NotLeader
 LogDamaged = replication_errors.LogDamaged
--- a/packages/carobwood/carobwood/operator_errors.py
+++ b/packages/carobwood/carobwood/operator_errors.py
@@ -104,3 +104,47 @@
     status = 504
     outcome = base_errors.Outcome.UNKNOWN
     retry_after = 1
+
+
+class RolloutInvalid(base_errors.RequestRefused):
+    """The order of a rollout is not valid.
+
+    Attributes:
+        field: name of the field that is wrong.
+    """
+
+    code = 'rollout_invalid'
+
+    def __init__(self, field, fault):
+        super().__init__(f'{field}: {fault}')
+        self.field = field
+
+
+class RolloutConflict(base_errors.RequestRefused):
+    """Another version of the service is being rolled out."""
+
+    code = 'rollout_conflict'
+    status = 409
+
+
+class RolloutMissing(base_errors.RequestRefused):
+    """No rollout of the service has been ordered."""
+
+    code = 'rollout_missing'
+    status = 404
+
+
+class FeatureMissing(base_errors.RequestRefused):
+    """VMs of an older build do not know a command; nothing was changed.
+
+    Attributes:
+        vm_ids: ids of those VMs.
+    """
+
+    code = 'feature_missing'
+    status = 503
+    retry_after = 1
+
+    def __init__(self, feature, vm_ids):
+        super().__init__(f'{feature}: unknown to {", ".join(vm_ids)}')
+        self.vm_ids = tuple(vm_ids)
--- a/tests/test_state_machine.py
+++ b/tests/test_state_machine.py
@@ -38,6 +38,14 @@
             commands.SettleClaim(f'c{number - 3}', 'c', name, 201, (), b'a'),
             commands.ReleaseClaim(f'c{number - 2}', 'c', name),
             commands.HoldOrders(name, rng.randrange(4), number, ''),
+            commands.StartRollout(name, f'v{rng.randrange(3)}', 1000),
+            commands.ReserveExposure(
+                name, rng.randrange(ENTRY_COUNT), rng.randrange(99)
+            ),
+            commands.AdvanceRollout(
+                name, rng.randrange(ENTRY_COUNT), 'succeeded', 'canary', ''
+            ),
+            commands.ReadRollout(name),
             commands.PutDocument(
                 operation,
                 'production',
