Take orders of rollouts by the control API

Cause: an order of a rollout was answered 404.

Change: POST /v1/rollouts and GET /v1/rollouts/SERVICE, where the settings allow rollouts.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
@@ -25,9 +25,21 @@
     A change of the configuration or of the wanted weights has been
     committed to the replicated log when the call returns. Announcements of
     endpoints go to the directory.
+
+    Attributes:
+        rollouts: the ``RolloutOperations``, or None if the settings allow no
+            rollouts.
     """
 
-    def __init__(self, proposer, directory, dialect, weights, confirm_leaving):
+    def __init__(
+        self,
+        proposer,
+        directory,
+        dialect,
+        weights,
+        confirm_leaving,
+        rollouts=None,
+    ):
         """Create the operations.
 
         Args:
@@ -36,7 +48,9 @@
             dialect: the ``Dialect``, the protocol adapter of the platform.
             weights: the ``EngineWeights``.
             confirm_leaving: see ``LeavingConfirmation.confirm``.
+            rollouts: the ``RolloutOperations``, or None.
         """
+        self.rollouts = rollouts
         self._proposer = proposer
         self._directory = directory
         self._dialect = dialect
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -65,7 +65,9 @@
         self._gate = gate
         self._tracer = tracer
 
-    def create_servers(self, directory, gossip, proposer, make_control_api):
+    def create_servers(
+        self, directory, gossip, proposer, make_control_api, rollouts=None
+    ):
         """Create an ``HttpServer`` for each listen address that is set.
 
         Args:
@@ -74,6 +76,8 @@
             proposer: the ``Proposer`` of commands for the replicated log.
             make_control_api: called with the ``ControlOperations``; returns a
                 function from an ``ApiRequest`` to an ``ApiResponse``.
+            rollouts: the ``RolloutOperations``, or None if there are no
+                rollouts.
 
         Returns:
             The servers, as a list; none of them is started.
@@ -108,6 +112,7 @@
                 self._dialect,
                 self._shared.engine_weights,
                 confirmation.confirm,
+                rollouts,
             )
             api = make_control_api(operations)
             apis.append(
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -33,6 +33,7 @@
 from .relay import shared_components
 from .relay import stream_resumption
 from .replication import data_folder
+from .rollouts import operations
 from .routing import software_versions
 from .routing import stream_origins
 
@@ -111,7 +112,11 @@
             settings, dialect, self._shared, self._gate, self._tracer
         )
         self._servers = server_factory.create_servers(
-            self._directory, self._gossip, self._proposer, make_control_api
+            self._directory,
+            self._gossip,
+            self._proposer,
+            make_control_api,
+            self._make_rollout_operations(),
         )
 
     @property
@@ -303,6 +308,25 @@
             self._settings.link_listen, self._settings.link_secret, handler
         )
 
+    def _make_rollout_operations(self):
+        if self._settings.rollout_limits is None:
+            return None
+        return operations.RolloutOperations(
+            self._proposer,
+            self._directory,
+            self._shared.configuration_store,
+            self._software_versions,
+            self._log_member_ids,
+        )
+
+    def _log_member_ids(self):
+        """Return the ids of the VMs with a member of the replicated log."""
+        runner = self._replica_runner
+        if runner is None or not runner.is_running:
+            return frozenset()
+        members = runner.replica.membership.members_by_id.values()
+        return frozenset(member.vm_id for member in members)
+
     def _make_persisters(self):
         if self._data_folder is None:
             return []
--- a/tests/test_platform_control_api.py
+++ b/tests/test_platform_control_api.py
@@ -5,6 +5,8 @@
 from carobwood import errors
 from carobwood import events
 from carobwood_daemon.relay import gateway
+from carobwood_daemon.replication import commands
+from carobwood_daemon.rollouts import operations
 from carobwood_platform import control_api
 import pytest
 
@@ -186,3 +188,111 @@
     path = '/v1/instances/i-1'
     assert _request_status(control, 'DELETE', path, {'born': 'x'}) == 400
     assert control.calls == []
+
+
+ROLLOUT = {'service': 'engines', 'to': 'v2', 'ramp_s': 12}
+
+
+class StandInControlOfRollouts(StandInControl):
+    """Stands in for ``ControlOperations`` of a VM that serves rollouts."""
+
+    def __init__(self, failure=None, phase='canary'):
+        super().__init__()
+        self.rollouts = StandInControl(failure)
+        self.rollouts.read = lambda service: commands.RolloutHeld(
+            5, 'v2', phase
+        )
+
+
+def _call(control, method, path, body=b''):
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    request = gateway.ApiRequest(method, path, {}, body)
+    return control_api.ControlApi(control).handle(request)
+
+
+def test_an_order_of_a_rollout_is_translated():
+    control = StandInControlOfRollouts()
+    assert _request_status(control, 'POST', '/v1/rollouts', ROLLOUT) == 200
+    order = operations.RolloutOrder('engines', 'v2', 12_000)
+    assert control.rollouts.calls == [('start', order)]
+
+
+@pytest.mark.parametrize(
+    ('phase', 'state'),
+    [
+        ('canary', 'running'),
+        ('shifting', 'running'),
+        ('settling', 'running'),
+        ('a-phase-of-a-newer-build', 'running'),
+        ('succeeded', 'succeeded'),
+        ('rolled-back', 'rolled_back'),
+    ],
+)
+def test_the_state_of_a_rollout_is_translated(phase, state):
+    control = StandInControlOfRollouts(phase=phase)
+    reply = _call(control, 'GET', '/v1/rollouts/engines')
+    assert reply.status == 200
+    assert json.loads(reply.body) == {'state': state, 'to': 'v2'}
+
+
+@pytest.mark.parametrize(
+    ('field', 'change'),
+    [
+        ('service', {'service': 7}),
+        ('service', {'service': ''}),
+        ('to', {'to': 2}),
+        ('to', {'to': None}),
+        ('ramp_s', {'ramp_s': 0}),
+        ('ramp_s', {'ramp_s': -1}),
+        ('ramp_s', {'ramp_s': '12'}),
+        ('ramp_s', {'ramp_s': True}),
+        ('ramp_s', {'ramp_s': float('nan')}),
+        ('ramp_s', {'ramp_s': float('inf')}),
+        ('ramp_s', {'ramp_s': 1e300}),
+        ('speed', {'speed': 1}),
+    ],
+)
+def test_a_wrong_field_of_an_order_is_named(field, change):
+    control = StandInControlOfRollouts()
+    reply = _call(control, 'POST', '/v1/rollouts', {**ROLLOUT, **change})
+    assert reply.status == 400
+    [fault] = json.loads(reply.body)['faults']
+    assert fault.startswith(f'{field}: ')
+    assert control.rollouts.calls == []
+
+
+@pytest.mark.parametrize('field', sorted(ROLLOUT))
+def test_a_missing_field_of_an_order_is_named(field):
+    body = {name: ROLLOUT[name] for name in ROLLOUT if name != field}
+    reply = _call(StandInControlOfRollouts(), 'POST', '/v1/rollouts', body)
+    assert reply.status == 400
+    assert json.loads(reply.body)['faults'] == [f'{field}: is missing']
+
+
+@pytest.mark.parametrize('body', [b'', b'{', b'[]', b'7', b'\xff'])
+def test_an_order_that_is_no_object_is_refused(body):
+    control = StandInControlOfRollouts()
+    assert _request_status(control, 'POST', '/v1/rollouts', body) == 400
+
+
+@pytest.mark.parametrize(
+    ('failure', 'status'),
+    [
+        (errors.RolloutInvalid('to', 'wrong'), 400),
+        (errors.RolloutConflict('another'), 409),
+        (errors.FeatureMissing('rollouts', ['a']), 503),
+        (errors.ConfigurationMissing('none'), 503),
+        (errors.ChangeUncertain('no quorum'), 503),
+    ],
+)
+def test_a_refused_order_of_a_rollout_has_its_status(failure, status):
+    control = StandInControlOfRollouts(failure)
+    assert _request_status(control, 'POST', '/v1/rollouts', ROLLOUT) == status
+
+
+def test_a_deployment_without_rollouts_knows_no_such_path():
+    control = StandInControl()
+    control.rollouts = None
+    assert _request_status(control, 'POST', '/v1/rollouts', ROLLOUT) == 404
+    assert _request_status(control, 'GET', '/v1/rollouts/engines') == 404
