Own rollouts on the leader of the replicated log

Change: the leader takes the reports of entry VMs, grants them requests to the target version and moves rollouts from phase to phase.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -28,6 +28,7 @@
         crash_suspects,
         permit_table,
         stream_origin_keeper,
+        rollout_owner=None,
     ):
         self._replica_runner = replica_runner
         self._store = store
@@ -37,6 +38,8 @@
         self._crash_suspects = crash_suspects
         self._permit_table = permit_table
         self._stream_origin_keeper = stream_origin_keeper
+        # None on a VM that cannot own rollouts.
+        self._rollout_owner = rollout_owner
 
     def request_vote(self, request):
         """See ``ReplicaRequests.handle_vote``."""
@@ -161,6 +164,12 @@
         """See ``stream_origin_links.StreamOriginKeeper``."""
         return self._stream_origin_keeper.find_stream(query)
 
+    def report_rollouts(self, report):
+        """See ``RolloutOwner.report_rollouts``."""
+        if self._rollout_owner is None:
+            return ttypes.RolloutReply(False, '', [])
+        return self._rollout_owner.report_rollouts(report)
+
     def _contact_age_ms(self):
         age = self._store.contact_age()
         return NO_CONTACT if math.isinf(age) else int(age * 1000)
--- a/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
@@ -13,6 +13,7 @@
 from .relay import endpoint_prober
 from .relay import engine_cache_monitors
 from .relay import usage_persister
+from .rollouts import owner
 
 
 def make_persisters(folder, directory, shared):
@@ -96,6 +97,27 @@
     )
 
 
+def make_rollout_owner(settings, replica_runner, directory, shared):
+    """Return the ``RolloutOwner`` of a control VM, or None.
+
+    Args:
+        settings: the ``RelaySettings``.
+        replica_runner: the ``ReplicaRunner``, or None.
+        directory: the ``Directory`` of VMs and endpoints.
+        shared: the ``SharedComponents``.
+    """
+    if settings.rollout_limits is None or replica_runner is None:
+        return None
+    return owner.RolloutOwner(
+        replica_runner,
+        shared.store,
+        directory,
+        shared.configuration_store,
+        shared.metrics,
+        settings.rollout_limits,
+    )
+
+
 def make_control_tasks(
     settings, dialect, replica_runner, directory, shared, push, links
 ):
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -105,6 +105,9 @@
         self._resources = resources.ResourceWatch(
             self._shared.metrics, settings.memory_limit_bytes, self._buffers
         )
+        self._rollout_owner = relay_tasks.make_rollout_owner(
+            settings, self._replica_runner, self._directory, self._shared
+        )
         self._build_membership()
         self._persisters = self._make_persisters()
         self._periodic_tasks = self._make_periodic_tasks()
@@ -303,6 +306,7 @@
                 self._software_versions,
                 self._directory.own_vm.incarnation,
             ),
+            self._rollout_owner,
         )
         self._link_server = link_server.LinkServer(
             self._settings.link_listen, self._settings.link_secret, handler
@@ -356,6 +360,8 @@
                 self._gossip.push,
                 self._links,
             )
+        if self._rollout_owner is not None:
+            all_tasks.append(self._rollout_owner)
         return all_tasks
 
     def _update_contact(self):
