--- a/tests/test_rollout_owner.py
+++ b/tests/test_rollout_owner.py
@@ -5,9 +5,9 @@
 from carobwood_daemon.replication import commands
 import pytest
 import rollout_builders as builders
-import rollout_simulation
+import owner_simulation
 
-Fault = rollout_simulation.Fault
+Fault = owner_simulation.Fault
 # More seeds are drawn by hand: ROLLOUT_SEEDS=200.
 SEEDS = range(int(os.environ.get('ROLLOUT_SEEDS', '10')))
 RAMP_SECONDS = 10.0
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_a_sound_version_gets_all_requests(seed):
-    simulation = rollout_simulation.Simulation(seed)
+    simulation = owner_simulation.Simulation(seed)
     assert _run_to_the_end(simulation) == 'succeeded', simulation.record
     assert simulation.phases == GOOD_PHASES
     began_at = simulation.clock.now - 1000.0
@@ -42,7 +42,7 @@
 @pytest.mark.parametrize('seed', SEEDS)
 @pytest.mark.parametrize('fault', BAD_KINDS.values(), ids=BAD_KINDS)
 def test_a_bad_version_goes_back_within_its_exposure(seed, fault):
-    simulation = rollout_simulation.Simulation(seed, fault=fault)
+    simulation = owner_simulation.Simulation(seed, fault=fault)
     assert _run_to_the_end(simulation) == 'rolled-back'
     exposed = simulation.exposed
     for _ in range(40):
@@ -57,7 +57,7 @@
 
 @pytest.mark.parametrize('count', [8, 75, 200])
 def test_a_canary_stays_within_its_exposure(count):
-    simulation = rollout_simulation.Simulation(2, vm_count=count)
+    simulation = owner_simulation.Simulation(2, vm_count=count)
 
     def check():
         if simulation.record.phase == 'canary':
@@ -69,7 +69,7 @@
 
 @pytest.mark.parametrize('phase', GOOD_PHASES[:3])
 def test_a_new_leader_goes_on_from_each_phase(phase):
-    simulation = rollout_simulation.Simulation(3)
+    simulation = owner_simulation.Simulation(3)
     simulation.run(60.0, lambda: _elect_once_in(simulation, phase))
     assert simulation.record.phase == 'succeeded'
     assert simulation.phases == GOOD_PHASES
@@ -79,13 +79,13 @@
 @pytest.mark.parametrize('phase', GOOD_PHASES[:2])
 def test_a_new_leader_rolls_a_bad_version_back(phase):
     fault = Fault(failure_share=0.3, after=2.0 if phase == 'canary' else 7.0)
-    simulation = rollout_simulation.Simulation(4, fault=fault)
+    simulation = owner_simulation.Simulation(4, fault=fault)
     simulation.run(60.0, lambda: _elect_once_in(simulation, phase))
     assert simulation.record.phase == 'rolled-back'
 
 
 def test_changes_of_leader_keep_the_exposure():
-    simulation = rollout_simulation.Simulation(5)
+    simulation = owner_simulation.Simulation(5)
     for _ in range(12):
         simulation.run(0.9)
         simulation.elect()
@@ -94,7 +94,7 @@
 
 
 def test_a_deposed_leader_grants_nothing():
-    simulation = rollout_simulation.Simulation(6)
+    simulation = owner_simulation.Simulation(6)
     simulation.run(2.0)
     former = simulation.owner
     simulation.elect()
@@ -109,7 +109,7 @@
 
 
 def test_a_leader_that_loses_its_lease_for_a_moment_goes_on():
-    simulation = rollout_simulation.Simulation(7)
+    simulation = owner_simulation.Simulation(7)
     simulation.run(4.0)
     simulation.has_quorum = False
     simulation.run(1.0)
@@ -119,7 +119,7 @@
 
 
 def test_a_vm_that_is_cut_off_gets_no_further_requests_to_the_target():
-    simulation = rollout_simulation.Simulation(8)
+    simulation = owner_simulation.Simulation(8)
     simulation.run(3.0)
     lost = simulation.vms[0]
     lost.is_cut_off = True
@@ -130,7 +130,7 @@
 
 
 def test_a_rollout_without_endpoints_goes_back_and_keeps_callers_served():
-    simulation = rollout_simulation.Simulation(9)
+    simulation = owner_simulation.Simulation(9)
     target = simulation.directory.find_endpoint('engine-v2')
     simulation.directory.drop_endpoint(target)
     assert _run_to_the_end(simulation) == 'rolled-back'
@@ -138,7 +138,7 @@
 
 
 def test_a_rollout_whose_endpoints_vanish_goes_back():
-    simulation = rollout_simulation.Simulation(10)
+    simulation = owner_simulation.Simulation(10)
 
     def drop():
         if simulation.record.phase == 'shifting':
@@ -151,12 +151,12 @@
 
 
 def test_a_service_with_hardly_any_requests_gets_to_its_end():
-    simulation = rollout_simulation.Simulation(11, rate=0.5)
+    simulation = owner_simulation.Simulation(11, rate=0.5)
     assert _run_to_the_end(simulation) == 'succeeded'
 
 
 def test_a_rollout_that_operators_cancel_ends():
-    simulation = rollout_simulation.Simulation(12)
+    simulation = owner_simulation.Simulation(12)
     simulation.run(3.0)
     cancel = commands.AdvanceRollout(
         builders.SERVICE,
