Choose between software versions by rollout, and collect evidence

Cause: nothing on an entry VM told the versions of a service apart, so a version that is being tried got its full share.

Nothing of it is built where the settings name no limits of rollouts.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from ..rollouts import entry_rollouts
+
 from . import load_features as features
 
 
@@ -57,6 +59,7 @@
         metrics: the ``Metrics``.
         route_durations: the ``RouteDurations``.
         buffers: the ``BufferBudget`` of this VM.
+        rollouts: the ``EntryRollouts``, or ``NoRollouts``.
         load_features: the ``LoadFeatures`` that the settings switch on.
     """
 
@@ -91,4 +94,5 @@
     metrics: object
     route_durations: object
     buffers: object
+    rollouts: object = entry_rollouts.NoRollouts()
     load_features: features.LoadFeatures = features.LoadFeatures()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -255,6 +255,9 @@
             self._raise_unless_retryable(assignment, error)
         except errors.EndpointLeft as error:
             self._raise_unless_retryable(assignment, error)
+        except errors.VersionNotAllowed as error:
+            # The next attempt is made by what is allowed then.
+            attempt_log.log_failed(self._request, assignment, error)
         except errors.EndpointNotRun as error:
             self._recorder.note_not_run(assignment, error.head)
             self._raise_unless_retryable(assignment, error)
@@ -265,6 +268,7 @@
         ) as error:
             self._failed_ids.add(assignment.endpoint.id)
             self._run_error = error
+            self._recorder.note_evidence(assignment)
             if self._context.gate.is_interrupted:
                 raise errors.StopTimeout(
                     'the VM stopped before the response'
@@ -374,6 +378,7 @@
     def _note_event(self):
         """Record that an event of the current attempt has come."""
         endpoint_id = self._assignment.endpoint.id
+        self._context.rollouts.note_event(self._assignment)
         if self._is_streaming:
             self._context.activity.note_event(endpoint_id)
             return
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_sender.py
@@ -100,6 +100,8 @@
                 sent.
             EndpointLeft: the endpoint began to leave after it was chosen;
                 nothing was sent.
+            VersionNotAllowed: its software version may not get the request
+                any more; nothing was sent.
             EndpointNotRun: the endpoint states that it did not run the
                 request.
             EndpointFailed: the connection failed, or the response is
@@ -151,12 +153,15 @@
             The ``SentRequest``.
 
         Raises:
+            VersionNotAllowed: the endpoint's software version may not get it
+                any more; nothing was sent.
             EndpointFailed: the request could not be sent, but may have run.
             EndpointTimeout: the endpoint did not read it in time.
             CallerLeft: the caller disconnected meanwhile.
         """
         sent_at = heard_at = clocks.now()
         with self._guarded(connection):
+            self._context.rollouts.begin_attempt(self._request, assignment)
             connection.begin_request(
                 self._outgoing_request(assignment, resume_id)
             )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -62,8 +62,25 @@
             assignment.endpoint, head.status >= 500
         )
         self._context.crash_suspects.expire_strikes(self._request.fingerprint)
+        self._context.rollouts.note_answered(assignment, head.status)
         self._note_version(assignment, head)
 
+    def note_evidence(self, assignment):
+        """Count a failed attempt for the software version of its endpoint.
+
+        To be called before ``note_failed``, which may suspect the request.
+
+        Args:
+            assignment: the ``Assignment`` that the request was sent to.
+        """
+        context = self._context
+        is_spoiled = (
+            context.reachability.is_cut_off
+            or context.gate.is_interrupted
+            or context.crash_suspects.is_suspect(self._request.fingerprint)
+        )
+        context.rollouts.note_failed(assignment, is_spoiled)
+
     def note_unreachable(self, assignment, error):
         """Record that an endpoint has accepted no connection.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -111,9 +111,12 @@
         Raises:
             ConfigurationChanged: see ``try_assign``.
         """
-        candidates = self._find_candidates(request, excluded)
-        choice = self._choose(candidates, request.demand)
-        return choice.candidate.endpoint if choice else None
+        for endpoints in self._version_groups(request, excluded):
+            candidates = self._find_candidates(request, endpoints, excluded)
+            choice = self._choose(candidates, request.demand)
+            if choice is not None:
+                return choice.candidate.endpoint
+        return None
 
     def _check_configuration(self, request):
         """Check that a request was admitted under the one in force."""
@@ -123,12 +126,22 @@
                 'the configuration has changed since the admission'
             )
 
-    def _find_candidates(self, request, excluded):
-        context = self._context
+    def _version_groups(self, request, excluded):
+        """Return the endpoints that may take a request now, in groups.
+
+        The endpoints of a later group are for requests that find no room in
+        an earlier one.
+        """
         self._check_configuration(request)
+        return self._context.rollouts.find_groups(
+            request, self.endpoints(request), excluded
+        )
+
+    def _find_candidates(self, request, endpoints, excluded):
+        context = self._context
         endpoints = [
             endpoint
-            for endpoint in self.endpoints(request)
+            for endpoint in endpoints
             if endpoint.id not in excluded
             and not context.health.is_ejected(endpoint)
             and not self.seconds_until_open(endpoint)
@@ -171,20 +184,24 @@
             The ``_Place``, or None if no endpoint has capacity now.
         """
         with self._reserving:
-            candidates = self._find_candidates(request, excluded)
-            allowed = [
-                candidate
-                for candidate in candidates
-                if only_id in (None, candidate.endpoint.id)
-                and candidate.endpoint.id not in denied_ids
-            ]
-            choice = self._choose(allowed, request.demand)
-            if choice is None:
-                return None
-            reservation = self._context.loads.reserve(
-                choice.candidate.endpoint.id, choice.load
-            )
-        return _Place(choice, candidates, reservation)
+            for endpoints in self._version_groups(request, excluded):
+                candidates = self._find_candidates(
+                    request, endpoints, excluded
+                )
+                allowed = [
+                    candidate
+                    for candidate in candidates
+                    if only_id in (None, candidate.endpoint.id)
+                    and candidate.endpoint.id not in denied_ids
+                ]
+                choice = self._choose(allowed, request.demand)
+                if choice is None:
+                    continue
+                reservation = self._context.loads.reserve(
+                    choice.candidate.endpoint.id, choice.load
+                )
+                return _Place(choice, candidates, reservation)
+        return None
 
     def _acquire(self, endpoint, reservation):
         """Acquire the permit for a place, or give the place up.
@@ -215,6 +232,7 @@
     def release(self, assignment):
         """Release the capacity that an assignment reserves."""
         assignment.reservation.release()
+        self._context.rollouts.end_attempt(assignment)
         self._context.wait_queue.notify_all()
 
     def release_prefill(self, assignment):
@@ -224,13 +242,14 @@
 
     def endpoints(self, request):
         """Return the endpoints that may take a request, now or later."""
-        return [
+        endpoints = [
             endpoint
             for endpoint in self._context.directory.serving_endpoints()
             if endpoint.pool == request.service
             and self._fits_version(request.software_version, endpoint)
             and not self._context.availability.is_leaving(endpoint)
         ]
+        return self._context.rollouts.find_possible(request, endpoints)
 
     def _fits_version(self, version, endpoint):
         """Return whether a stream of a software version may go on there.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -4,6 +4,7 @@
 
 from ..limits import buffer_budget
 from ..observe import metrics as metric_clients
+from ..rollouts import entry_rollouts
 from ..routing import crash_suspects
 from ..routing import prefix_cache_index
 
@@ -49,6 +50,7 @@
         metrics: the ``PrometheusMetrics``.
         stream_resumption: the ``StreamResumption``.
         buffers: the ``BufferBudget`` of the VM.
+        rollouts: the ``EntryRollouts``, or ``NoRollouts``.
     """
 
     store: object
@@ -71,6 +73,7 @@
     metrics: metric_clients.PrometheusMetrics
     stream_resumption: stream_resumption.StreamResumption
     buffers: buffer_budget.BufferBudget
+    rollouts: object
 
     def update_endpoint(self, endpoint):
         """Record the weights that an endpoint announces.
@@ -171,4 +174,11 @@
         metrics,
         resumption,
         buffers,
+        entry_rollouts.follow_rollouts(
+            settings.rollout_limits,
+            store,
+            directory,
+            metrics,
+            queue.notify_all,
+        ),
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -280,6 +280,9 @@
         suspects.add_running(assignment.endpoint, request.fingerprint)
         try:
             return self._try_request(silent, assignment, connection)
+        except errors.VersionNotAllowed as error:
+            attempt_log.log_failed(request, assignment, error)
+            return _StayReason.NO_PLACE
         except errors.EndpointNotRun as error:
             attempt_log.log_failed(request, assignment, error)
             recorder.note_not_run(assignment, error.head)
@@ -290,6 +293,7 @@
             errors.AnswerMismatch,
         ) as error:
             attempt_log.log_failed(request, assignment, error)
+            recorder.note_evidence(assignment)
             recorder.note_failed_attempt(assignment, error, sent_at, None)
             self._retry_at_by_id[assignment.endpoint.id] = math.inf
             self._note_run(assignment, error)
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -232,6 +232,7 @@
             metrics=shared.metrics,
             route_durations=stop_admission.RouteDurations(),
             buffers=shared.buffers,
+            rollouts=shared.rollouts,
             load_features=self._settings.load_features,
         )
         return relay.Relay(
--- a/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
@@ -13,6 +13,7 @@
 from .relay import endpoint_prober
 from .relay import engine_cache_monitors
 from .relay import usage_persister
+from .rollouts import reporter
 
 
 def make_persisters(folder, directory, shared):
@@ -44,15 +45,17 @@
     )
 
 
-def make_entry_tasks(directory, dialect, shared):
+def make_entry_tasks(settings, directory, dialect, shared, calls):
     """Return the further tasks of an entry VM.
 
     Args:
+        settings: the ``RelaySettings``.
         directory: the ``Directory`` of VMs and endpoints.
         dialect: the ``Dialect`` of the platform.
         shared: the ``SharedComponents``.
+        calls: the ``VmCalls``.
     """
-    return [
+    tasks = [
         endpoint_prober.EndpointProber(
             shared.health,
             shared.reachability,
@@ -66,6 +69,17 @@
             shared.prefix_cache_index,
         ),
     ]
+    if settings.rollout_limits is not None:
+        tasks.append(
+            reporter.RolloutReporter(
+                shared.rollouts,
+                calls,
+                lambda: len(directory.entry_vms()),
+                shared.metrics,
+                shared.wait_queue.notify_all,
+            )
+        )
+    return tasks
 
 
 def make_rollout(settings, dialect, replica_runner, directory, shared, push):
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -89,14 +89,16 @@
         self._directory = replicated.directory
         self._replica_runner = replicated.replica_runner
         self._proposer = replicated.proposer
-        calls = vm_calls.VmCalls(self._directory, self._links)
-        self._build_stream_resumption(calls)
+        self._calls = vm_calls.VmCalls(self._directory, self._links)
+        self._build_stream_resumption(self._calls)
         self._permit_table = endpoint_permits.PermitTable()
         self._shared = shared_components.make_shared_components(
             settings,
             dialect,
             self._store,
-            permit_client.PermitClient(self._permit_table, calls).request,
+            permit_client.PermitClient(
+                self._permit_table, self._calls
+            ).request,
             self._stream_resumption,
             self._directory,
             self._buffers,
@@ -320,7 +322,11 @@
             )
             all_tasks.append(self.silent_endpoint_prober)
             all_tasks += relay_tasks.make_entry_tasks(
-                self._directory, self._dialect, self._shared
+                self._settings,
+                self._directory,
+                self._dialect,
+                self._shared,
+                self._calls,
             )
         if self._replica_runner is not None:
             all_tasks += relay_tasks.make_control_tasks(
--- a/packages/carobwood/carobwood/endpoint_errors.py
+++ b/packages/carobwood/carobwood/endpoint_errors.py
@@ -36,6 +36,14 @@
     retry_after = 1
 
 
+class VersionNotAllowed(base_errors.RequestRefused):
+    """The endpoint's software version may not get the request now."""
+
+    code = 'version_not_allowed'
+    status = 503
+    retry_after = 1
+
+
 class EndpointNotRun(base_errors.RequestRefused):
     """The endpoint reports that it did not run the request.
 
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -53,6 +53,7 @@
 DescriptorsUsedUp = endpoint_errors.DescriptorsUsedUp
 LocalPortsUsedUp = endpoint_errors.LocalPortsUsedUp
 EndpointLeft = endpoint_errors.EndpointLeft
+VersionNotAllowed = endpoint_errors.VersionNotAllowed
 EndpointNotRun = endpoint_errors.EndpointNotRun
 EndpointFailed = endpoint_errors.EndpointFailed
 EndpointTimeout = endpoint_errors.EndpointTimeout
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -132,6 +132,10 @@
 SETTINGS_RELOADED = Event(440, 'settings-reloaded', logging.INFO)
 SETTINGS_REFUSED = Event(442, 'settings-refused', logging.ERROR)
 RELOAD_REQUESTED = Event(443, 'reload-requested', logging.INFO)
+ROLLOUT_FOLLOWED = Event(460, 'rollout-followed', logging.INFO)
+VERSION_HELD = Event(461, 'version-held', logging.INFO)
+ROLLOUT_OWNER = Event(462, 'rollout-owner', logging.INFO)
+EXPOSURE_CHANGED = Event(463, 'exposure-changed', logging.INFO)
 LOG_LINES_DROPPED = Event(441, 'log-lines-dropped', logging.WARNING)
 
 
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -27,6 +27,7 @@
 from carobwood_daemon.relay import tried_endpoints
 from carobwood_daemon.relay import wait_queue
 from carobwood_daemon import relay_servers
+from carobwood_daemon.rollouts import entry_rollouts
 
 # Time in which two threads meet that both look at the load of an endpoint.
 MEETING_SECONDS = 0.3
@@ -94,6 +95,7 @@
             wait_queue=self.queue,
             engine_weights=engine_weights.EngineWeights(),
             gate=request_gate.RequestGate(100),
+            rollouts=entry_rollouts.NoRollouts(),
         )
         self.selector = selector.Selector(self.context)
         self.assignment_queue = assignment_queue.AssignmentQueue(
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -15,6 +15,7 @@
 from carobwood_daemon.relay import fleet_loads
 from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import selector
+from carobwood_daemon.rollouts import entry_rollouts
 from carobwood_platform import dialect
 
 SEGMENTS = (
@@ -84,6 +85,7 @@
         kv_stores=stub(find_available=lambda: None),
         engine_weights=Weights(itertools.cycle(versions)),
         gate=request_gate.RequestGate(10),
+        rollouts=entry_rollouts.NoRollouts(),
     )
 
 
