--- a/tests/test_evidence_collector.py
+++ b/tests/test_evidence_collector.py
@@ -101,7 +101,9 @@
 
 def test_totals_begin_anew_with_each_rollout():
     harness = CollectorHarness()
-    harness.rollouts.note_answered(harness.begin(), 500)
+    assignment = harness.begin()
+    harness.rollouts.note_answered(assignment, 500)
+    harness.rollouts.end_attempt(assignment)
     harness.collector.set_rollouts({builders.SERVICE: builders.ROLLOUT + 1})
     assert harness.collector.results() == {}
 
