--- a/tests/test_evidence_collector.py
+++ b/tests/test_evidence_collector.py
@@ -1,7 +1,7 @@
 """Tests of what is counted for the versions of a service."""
 
 import relay_builders
-import rollout_builders as builders
+import version_builders as builders
 
 from carobwood_daemon.observe import metrics as metric_clients
 from carobwood_daemon.rollouts import entry_rollouts
--- a/tests/test_version_policy.py
+++ b/tests/test_version_policy.py
@@ -1,7 +1,7 @@
 """Tests of the choice between software versions, without a network."""
 
 import pytest
-import rollout_builders as builders
+import version_builders as builders
 
 from carobwood_daemon.rollouts import exposure_grants
 from carobwood_daemon.rollouts import version_history
