--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
@@ -9,15 +9,15 @@
 from carobwood import errors
 from carobwood import events
 
-from ..replication import fleet_state
+from ..replication import rollout_records
 
 from . import evidence_collector
 from . import version_policy
 
 _HASHES = 2**32
 _TRIAL_PHASES = (
-    fleet_state.RolloutPhase.CANARY.value,
-    fleet_state.RolloutPhase.SHIFTING.value,
+    rollout_records.RolloutPhase.CANARY.value,
+    rollout_records.RolloutPhase.SHIFTING.value,
 )
 
 
@@ -82,7 +82,7 @@
             {
                 record.service: record.index
                 for record in self.policy.records()
-                if not is_ended(record)
+                if not record.has_ended
             }
         )
         for record in changed:
@@ -201,14 +201,6 @@
         self.collector.end(assignment)
 
 
-def is_ended(record):
-    """Return whether the rollout of a ``RolloutRecord`` has ended."""
-    return record.phase in (
-        fleet_state.RolloutPhase.SUCCEEDED.value,
-        fleet_state.RolloutPhase.ROLLED_BACK.value,
-    )
-
-
 def is_trial(record):
     """Return whether the target of a ``RolloutRecord`` needs grants."""
     return record.phase in _TRIAL_PHASES
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
@@ -75,9 +75,7 @@
         """Report once if a rollout runs."""
         self.period = report_period(self._count_entry_vms())
         running = [
-            record
-            for record in self._policy.records()
-            if not entry_rollouts.is_ended(record)
+            record for record in self._policy.records() if not record.has_ended
         ]
         if running:
             self._report(running)
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
@@ -16,7 +16,7 @@
 
 from carobwood import clocks
 
-from ..replication import fleet_state
+from ..replication import rollout_records
 
 from . import exposure_grants
 from . import version_history
@@ -29,7 +29,7 @@
 # off, so that no version that is being tried gets its requests.
 CUT_OFF_SECONDS = 2.0
 
-_Phase = fleet_state.RolloutPhase
+_Phase = rollout_records.RolloutPhase
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/version_builders.py
+++ b/tests/version_builders.py
@@ -5,7 +5,7 @@
 import relay_builders
 
 from carobwood_daemon.relay import assignments
-from carobwood_daemon.replication import fleet_state
+from carobwood_daemon.replication import rollout_records
 from carobwood_daemon.rollouts import exposure_grants
 from carobwood_daemon.rollouts import version_policy
 
@@ -14,7 +14,7 @@
 TARGET = 'v2'
 BOTH = frozenset({FORMER, TARGET})
 ROLLOUT = 7
-Phase = fleet_state.RolloutPhase
+Phase = rollout_records.RolloutPhase
 
 
 def record(phase=Phase.CANARY, **changes):
@@ -26,7 +26,7 @@
         'ramp_ms': 12_000,
         'phase': phase.value,
     }
-    return fleet_state.RolloutRecord(**{**fields, **changes})
+    return rollout_records.RolloutRecord(**{**fields, **changes})
 
 
 def count_grant(requests, ends_at, rollout=ROLLOUT):
