--- /dev/null
+++ b/tests/rollout_simulation.py
@@ -0,0 +1,479 @@
+"""Simulation of a fleet that rolls a version out, without a network.
+
+Entry VMs choose versions by their ``VersionPolicy`` and report what their
+``EvidenceCollector`` has counted. The owner is made of the parts that decide
+on the owner's side. Reports are lost and late, VMs are cut off and stand
+still, and the owner is replaced.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+
+from carobwood_daemon.rollouts import evidence
+from carobwood_daemon.rollouts import evidence_collector
+from carobwood_daemon.rollouts import exposure
+from carobwood_daemon.rollouts import exposure_grants
+from carobwood_daemon.rollouts import judge
+from carobwood_daemon.rollouts import reporter
+from carobwood_daemon.rollouts import version_policy
+import relay_builders
+import version_builders as builders
+
+REQUESTS_PER_SECOND = 225.0
+RAMP_SECONDS = 12.0
+# Time from the order until the operators look at the rollout.
+DURATION_SECONDS = 40.0
+EXPOSURE = exposure.ExposureBounds(0.1, 50.0)
+GRANT_SECONDS = 1.0
+MEDIAN_SECONDS = 0.12
+ROUTES = ('checks', 'captions')
+ROUTE_WEIGHTS = (1, 2)
+# Bad answers after which a version counts as known to be bad.
+KNOWN_BAD_ANSWERS = 50
+
+_Phase = builders.Phase
+
+
+@dataclasses.dataclass(frozen=True)
+class Badness:
+    """How a version is bad.
+
+    Attributes:
+        failure_share: share of its answers that are failures.
+        slowness: factor on its times.
+        begins_at: time after the order from which it is so.
+        route: the only route on which it is so, or empty.
+        load_share: share of the requests in flight that it must have for it.
+    """
+
+    failure_share: float = 0.0
+    slowness: float = 1.0
+    begins_at: float = 0.0
+    route: str = ''
+    load_share: float = 0.0
+
+
+BAD_KINDS = {
+    'fails': Badness(failure_share=0.3),
+    'fails-rarely': Badness(failure_share=0.2),
+    'slow': Badness(slowness=4.0),
+    'fails-later': Badness(failure_share=0.4, begins_at=7.0),
+    'slow-later': Badness(slowness=6.0, begins_at=7.0),
+    'fails-on-a-route': Badness(failure_share=0.4, route='checks'),
+    'slow-on-a-route': Badness(slowness=5.0, route='checks'),
+    'fails-under-load': Badness(failure_share=0.4, load_share=0.3),
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Faults:
+    """What goes wrong in the fleet.
+
+    Attributes:
+        loss: share of reports that are lost, and of replies.
+        delay: longest time that a report or a reply takes, in seconds.
+        cut_share: share of the VMs that are cut off for some seconds.
+        frozen_share: share of the VMs that stand still for some seconds.
+        owner_losses: times after the order at which the owner is lost.
+    """
+
+    loss: float = 0.0
+    delay: float = 0.02
+    cut_share: float = 0.0
+    frozen_share: float = 0.0
+    owner_losses: tuple[float, ...] = ()
+
+
+@dataclasses.dataclass
+class Result:
+    """What a simulated rollout came to.
+
+    Attributes:
+        phase: the ``RolloutPhase`` at the end.
+        sent: requests that the service got.
+        exposed: those of them that VMs in touch sent to the target.
+        known_bad_at: time of the answer by which the version is known to be
+            bad, or None.
+        last_sent_at: time of the last request to the target from a VM in
+            touch.
+        untouched_sent: requests that VMs which were cut off for longer than
+            their grants sent to the target before it was settled.
+        refused: requests that no version could take.
+    """
+
+    phase: object = None
+    sent: int = 0
+    exposed: int = 0
+    known_bad_at: float | None = None
+    last_sent_at: float = 0.0
+    untouched_sent: int = 0
+    refused: int = 0
+
+
+class _Vm:
+    """An entry VM."""
+
+    def __init__(self, number, clock):
+        self.number = number
+        self.cut_off_at = None
+        self.frozen_until = 0.0
+        self.report_number = 0
+        self.policy = version_policy.VersionPolicy(self._is_in_touch, clock)
+        self.collector = evidence_collector.EvidenceCollector(clock)
+        self._clock = clock
+
+    def _is_in_touch(self):
+        return self.cut_off_for() < version_policy.CUT_OFF_SECONDS
+
+    def cut_off_for(self):
+        """Return for how many seconds it has been cut off."""
+        if self.cut_off_at is None:
+            return 0.0
+        return self._clock() - self.cut_off_at
+
+
+class _Owner:
+    """The owner of the rollout, made of the pure parts."""
+
+    def __init__(self, record, now, rng):
+        self.budget = exposure.ExposureBudget(EXPOSURE, record.reserved, rng)
+        self._judge = judge.Judge()
+        self._results_by_vm = {}
+        self._wanted_by_vm = {}
+        self._judged_by_key = {}
+        self._totals_by_key = collections.defaultdict(evidence.RouteResults)
+        self._began_at = now
+
+    def note(self, vm_number, number, results, wanted):
+        """Note a report with cumulative totals."""
+        known_number, known = self._results_by_vm.get(vm_number, (0, {}))
+        if number <= known_number:
+            return
+        self._results_by_vm[vm_number] = (number, results)
+        self._wanted_by_vm[vm_number] = wanted
+        for key, each in results.items():
+            before = known.get(key, evidence.RouteResults())
+            self._totals_by_key[key] = self._totals_by_key[key].plus(
+                _difference(each, before)
+            )
+
+    @property
+    def sent(self):
+        """Requests to the service as reported."""
+        return sum(each.sent for each in self._totals_by_key.values())
+
+    @property
+    def all_wanted(self):
+        """Requests to the target that all VMs want to send."""
+        return sum(self._wanted_by_vm.values())
+
+    def grant(self, wanted):
+        """Return the number of requests that a VM may send."""
+        return self.budget.grant(wanted, self.all_wanted)
+
+    def verdict(self, now):
+        """Judge the results since the last call."""
+        results_by_route = {}
+        for route in ROUTES:
+            pairs = [evidence.RouteResults()] * 2
+            for key, total in self._totals_by_key.items():
+                if key.route == route:
+                    before = self._judged_by_key.get(
+                        key, evidence.RouteResults()
+                    )
+                    index = int(key.software_version != builders.TARGET)
+                    pairs[index] = pairs[index].plus(
+                        _difference(total, before)
+                    )
+            results_by_route[route] = tuple(pairs)
+        self._judged_by_key = dict(self._totals_by_key)
+        self._judge.note(now, results_by_route)
+        return self._judge.verdict()
+
+    def has_former_in_flight(self):
+        """Return whether the former version has requests left."""
+        return any(
+            each.in_flight
+            for key, each in self._totals_by_key.items()
+            if key.software_version == builders.FORMER
+        )
+
+
+class RolloutSimulation:
+    """One rollout of a fleet."""
+
+    def __init__(self, vm_count, badness, faults, seed):
+        """Prepare it.
+
+        Args:
+            vm_count: number of entry VMs.
+            badness: tuple of ``Badness``; empty for a sound version.
+            faults: the ``Faults``.
+            seed: seed of all that is random.
+        """
+        self._random = random.Random(seed)
+        self._clock = relay_builders.Clock(0.0)
+        self._badness = badness
+        self._faults = faults
+        self._vms = [_Vm(n, self._clock) for n in range(vm_count)]
+        self._record = builders.record()
+        self._owner = _Owner(self._record, 0.0, self._random)
+        self._phase_began_at = 0.0
+        self._queue = []
+        self._sequence = itertools.count()
+        self._in_flight = collections.Counter()
+        self._bad_answers = 0
+        self.result = Result()
+
+    def run(self):
+        """Run it and return the ``Result``."""
+        for vm in self._vms:
+            self._publish(vm)
+            period = reporter.report_period(len(self._vms))
+            self._at(self._random.uniform(0.0, period), self._report, vm)
+        self._plan_faults()
+        self._at(0.0, self._arrive)
+        self._at(0.25, self._advance)
+        while self._queue:
+            at, _, action, arguments = heapq.heappop(self._queue)
+            if at > DURATION_SECONDS:
+                break
+            self._clock.now = at
+            action(*arguments)
+        self.result.phase = _Phase(self._record.phase)
+        return self.result
+
+    def _at(self, time, action, *arguments):
+        entry = (time, next(self._sequence), action, arguments)
+        heapq.heappush(self._queue, entry)
+
+    def _after(self, seconds, action, *arguments):
+        self._at(self._clock.now + seconds, action, *arguments)
+
+    def _plan_faults(self):
+        for vm in self._vms:
+            if self._random.random() < self._faults.cut_share:
+                at = self._random.uniform(1.0, RAMP_SECONDS)
+                self._at(at, self._cut_off, vm)
+                back = at + self._random.uniform(0.5, 15.0)
+                self._at(back, self._reconnect, vm)
+            if self._random.random() < self._faults.frozen_share:
+                at = self._random.uniform(1.0, RAMP_SECONDS)
+                self._at(at, self._freeze, vm, self._random.uniform(1.0, 8.0))
+        for at in self._faults.owner_losses:
+            self._at(at, self._lose_owner)
+
+    def _cut_off(self, vm):
+        vm.cut_off_at = self._clock.now
+
+    def _reconnect(self, vm):
+        vm.cut_off_at = None
+        self._publish(vm)
+
+    def _freeze(self, vm, seconds):
+        vm.frozen_until = self._clock.now + seconds
+
+    def _lose_owner(self):
+        self._owner = None
+        self._after(self._random.uniform(0.5, 4.0), self._elect_owner)
+
+    def _elect_owner(self):
+        self._owner = _Owner(self._record, self._clock.now, self._random)
+
+    def _publish(self, vm):
+        """Bring the replicated state to a VM, later if it stands still."""
+        if vm.cut_off_at is not None:
+            return
+        if vm.frozen_until > self._clock.now:
+            self._at(vm.frozen_until, self._publish, vm)
+            return
+        vm.policy.follow({builders.SERVICE: self._record})
+        running = {}
+        if not self._record.has_ended:
+            running = {builders.SERVICE: self._record.index}
+        vm.collector.set_rollouts(running)
+
+    def _change(self, **changes):
+        """Commit a change of the record."""
+        fields = {
+            name: getattr(self._record, name)
+            for name in self._record.__struct_fields__
+        }
+        self._record = type(self._record)(**{**fields, **changes})
+        for vm in self._vms:
+            self._after(self._random.uniform(0.01, 0.4), self._publish, vm)
+
+    def _enter(self, phase):
+        self._phase_began_at = self._clock.now
+        self._change(phase=phase.value)
+
+    def _advance(self):
+        """Go on with the phases as the owner."""
+        if self._owner is not None and not self._record.has_ended:
+            self._advance_as(self._owner)
+        self._after(0.25, self._advance)
+
+    def _advance_as(self, owner):
+        now = self._clock.now
+        verdict = owner.verdict(now)
+        if verdict is judge.Verdict.BAD:
+            self._enter(_Phase.ROLLED_BACK)
+            return
+        match _Phase(self._record.phase):
+            case _Phase.CANARY:
+                total = owner.budget.wanted_reservation(
+                    owner.sent, owner.all_wanted
+                )
+                if total > owner.budget.reserved:
+                    owner.budget.note_reserved(total)
+                    self._change(reserved=total)
+                is_sound = verdict is judge.Verdict.SOUND
+                if is_sound and now >= RAMP_SECONDS / 2:
+                    self._enter(_Phase.SHIFTING)
+            case _Phase.SHIFTING if self._share() >= 1.0:
+                self._enter(_Phase.SETTLING)
+            case _Phase.SETTLING:
+                settled_for = now - self._phase_began_at
+                if settled_for > 3.0 and not owner.has_former_in_flight():
+                    self._enter(_Phase.SUCCEEDED)
+
+    def _share(self):
+        passed = self._clock.now - self._phase_began_at
+        return min(1.0, 0.1 + passed / (RAMP_SECONDS / 2))
+
+    def _report(self, vm):
+        period = reporter.report_period(len(self._vms))
+        self._after(period, self._report, vm)
+        is_frozen = vm.frozen_until > self._clock.now
+        if is_frozen or vm.cut_off_at is not None:
+            return
+        vm.report_number += 1
+        if self._random.random() < self._faults.loss:
+            return
+        wanted = vm.policy.rate(builders.SERVICE)
+        self._after(
+            self._random.uniform(0.0, self._faults.delay),
+            self._receive,
+            vm,
+            vm.report_number,
+            vm.collector.results(),
+            round(wanted + 0.5),
+            self._clock.now,
+        )
+
+    def _receive(self, vm, number, results, wanted, sent_at):
+        if self._owner is None or self._record.has_ended:
+            return
+        self._owner.note(vm.number, number, results, wanted)
+        match _Phase(self._record.phase):
+            case _Phase.CANARY:
+                requests, share = self._owner.grant(wanted), 0.0
+            case _Phase.SHIFTING:
+                requests, share = exposure_grants.NO_COUNT, self._share()
+            case _:
+                return
+        if self._random.random() < self._faults.loss:
+            return
+        grant = exposure_grants.Grant(
+            self._record.index, requests, share, sent_at + GRANT_SECONDS
+        )
+        delay = self._random.uniform(0.0, self._faults.delay)
+        self._after(delay, self._take_grant, vm, grant)
+
+    def _take_grant(self, vm, grant):
+        if vm.cut_off_at is None:
+            vm.policy.add_grants([grant])
+
+    def _arrive(self):
+        self._after(
+            self._random.expovariate(REQUESTS_PER_SECOND), self._arrive
+        )
+        vm = self._random.choice(self._vms)
+        if vm.frozen_until > self._clock.now:
+            self._at(vm.frozen_until, self._send, vm)
+        else:
+            self._send(vm)
+
+    def _send(self, vm):
+        query = builders.query(draw=self._random.random())
+        for versions in vm.policy.find_groups(query, builders.BOTH):
+            for version in sorted(versions):
+                if vm.policy.take(builders.SERVICE, version):
+                    self._begin(vm, version)
+                    return
+        self.result.refused += 1
+
+    def _begin(self, vm, version):
+        self.result.sent += 1
+        route = self._random.choices(ROUTES, ROUTE_WEIGHTS)[0]
+        if version == builders.TARGET:
+            self._note_exposed(vm)
+        assignment = builders.assignment(version)
+        key = evidence_collector.ResultKey(builders.SERVICE, version, route)
+        vm.collector.begin(assignment, key)
+        self._in_flight[version] += 1
+        factor, failure_share = self._quality(version, route)
+        seconds = self._random.lognormvariate(0.0, 0.6) * MEDIAN_SECONDS
+        is_failed = self._random.random() < failure_share
+        self._after(
+            seconds * factor,
+            self._end,
+            vm,
+            assignment,
+            is_failed,
+            factor > 1.0 or is_failed,
+        )
+
+    def _note_exposed(self, vm):
+        if vm.cut_off_for() > GRANT_SECONDS:
+            phase = _Phase(vm.policy.records()[0].phase)
+            if phase in (_Phase.CANARY, _Phase.SHIFTING):
+                self.result.untouched_sent += 1
+            return
+        self.result.exposed += 1
+        self.result.last_sent_at = self._clock.now
+
+    def _quality(self, version, route):
+        """Return the factor on times and the share of failures."""
+        factor, failure_share = 1.0, 0.0
+        if version != builders.TARGET:
+            return factor, failure_share
+        load = self._in_flight[version] / sum(self._in_flight.values())
+        for badness in self._badness:
+            if (
+                self._clock.now >= badness.begins_at
+                and badness.route in ('', route)
+                and load >= badness.load_share
+            ):
+                factor *= badness.slowness
+                failure_share = max(failure_share, badness.failure_share)
+        return factor, failure_share
+
+    def _end(self, vm, assignment, is_failed, is_bad):
+        self._in_flight[assignment.endpoint.software_version] -= 1
+        if is_failed:
+            vm.collector.note_failed(assignment)
+        else:
+            vm.collector.note_succeeded(assignment)
+        vm.collector.end(assignment)
+        if is_bad:
+            self._bad_answers += 1
+            if self._bad_answers == KNOWN_BAD_ANSWERS:
+                self.result.known_bad_at = self._clock.now
+
+
+def _difference(results, before):
+    """Return the ``RouteResults`` since earlier totals."""
+    return evidence.RouteResults(
+        results.sent - before.sent,
+        results.succeeded - before.succeeded,
+        results.failed - before.failed,
+        tuple(a - b for a, b in zip(results.times, before.times, strict=True)),
+        tuple(
+            a - b for a, b in zip(results.pauses, before.pauses, strict=True)
+        ),
+        results.in_flight - before.in_flight,
+    )
