--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -99,7 +99,8 @@
         entry = wait_queue.enqueue(
             *queue_key,
             request.deadline_at,
-            is_apart=self._waits_for_silent_only(request, tried),
+            is_apart=self._context.rollouts.waits_for_right(request)
+            or self._waits_for_silent_only(request, tried),
             latest_end=latest_end,
         )
         if entry is None:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -135,6 +135,14 @@
     reachability.on_change(peers.set_own_state)
     # Waiting requests are forwarded, or go to endpoints again.
     reachability.on_change(lambda is_cut_off: queue.notify_all())
+    # Before the configuration, which lets requests in.
+    rollouts = entry_rollouts.follow_rollouts(
+        settings.rollout_limits,
+        store,
+        directory,
+        metrics,
+        queue.notify_all,
+    )
     relay_configuration = configuration_store.ConfigurationStore(
         store, dialect, weights
     )
@@ -174,11 +182,5 @@
         metrics,
         resumption,
         buffers,
-        entry_rollouts.follow_rollouts(
-            settings.rollout_limits,
-            store,
-            directory,
-            metrics,
-            queue.notify_all,
-        ),
+        rollouts,
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
@@ -41,7 +41,8 @@
             time.
         wait_ends_at: time at which the request is refused.
         is_apart: whether it waits only for endpoints that were silent to
-            it; it does not hold up the others.
+            it, or for a right that others do not need; it does not hold up
+            the others.
     """
 
     number: int
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
@@ -34,6 +34,11 @@
         del request, tried_ids
         return (endpoints,)
 
+    def waits_for_right(self, request):
+        """Return False; see ``EntryRollouts``."""
+        del request
+        return False
+
     def begin_attempt(self, request, assignment):
         """See ``EntryRollouts``."""
 
@@ -143,6 +148,10 @@
         groups = self.policy.find_groups(query, _versions(endpoints))
         return tuple(_of_versions(endpoints, group) for group in groups)
 
+    def waits_for_right(self, request):
+        """Return whether a request waits for a right rather than for room."""
+        return self.policy.needs_grant(_query(request, 0.0))
+
     def begin_attempt(self, request, assignment):
         """Use the right to send a request, just before it is sent.
 
@@ -178,7 +187,11 @@
         if status >= 500:
             self.collector.note_failed(assignment)
         elif status < 400:
-            self.collector.note_succeeded(assignment)
+            seconds = self.collector.note_succeeded(assignment)
+            if seconds is not None:
+                version = assignment.endpoint.software_version
+                name = f'rollout.{assignment.endpoint.pool}.{version}'
+                self._metrics.timing(name, seconds)
         else:
             self.collector.leave_out(assignment)
 
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/evidence_collector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/evidence_collector.py
@@ -142,12 +142,16 @@
         attempt.last_event_at = now
 
     def note_succeeded(self, assignment):
-        """Note that the answer to an attempt was whole and no failure."""
+        """Note that the answer to an attempt was whole and no failure.
+
+        Returns:
+            Its time in seconds if it counts for a rollout, or None.
+        """
         now = self._clock()
         with self._lock:
             attempt = self._claim(assignment)
             if attempt is None:
-                return
+                return None
             totals = self._totals(attempt.key)
             totals.succeeded += 1
             is_stream = attempt.first_event_at is not None
@@ -157,6 +161,7 @@
             if is_stream:
                 bucket = evidence.bucket_of(attempt.longest_pause)
                 totals.pauses[bucket] += 1
+            return seconds
 
     def note_failed(self, assignment):
         """Note that an attempt failed, or its answer was wrong or broke off.
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
@@ -73,11 +73,11 @@
 
     def run_once(self):
         """Report once if a rollout runs."""
-        self.period = report_period(self._count_entry_vms())
         running = [
             record for record in self._policy.records() if not record.has_ended
         ]
         if running:
+            self.period = report_period(self._count_entry_vms())
             self._report(running)
         self._note_rights(running)
 
@@ -181,6 +181,8 @@
                     rollout=record.index,
                     is_granted=is_granted,
                 )
+            share = self._policy.granted_share(record.service)
+            self._metrics.gauge(f'rollout.share.{record.service}', share)
         self._granted_services = granted
 
     def _gauge(self, results):
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
@@ -152,6 +152,28 @@
             meter = self._meters_by_service.get(service)
             return meter.rate(self._clock()) if meter else 0.0
 
+    def granted_share(self, service):
+        """Return the share of the requests that the target may get now."""
+        rate = self.rate(service)
+        now = self._clock()
+        with self._lock:
+            rollout = self._rollouts_by_service.get(service)
+            if rollout is None:
+                return 0.0
+            if rollout.phase in (_Phase.SETTLING, _Phase.SUCCEEDED):
+                return 1.0
+            return rollout.grants.share(now, rate)
+
+    def needs_grant(self, query):
+        """Return whether only a grant lets a stream go on."""
+        rollout = self._rollouts_by_service.get(query.service)
+        if rollout is None or query.bound_version is None:
+            return False
+        is_trial = rollout.phase in (_Phase.CANARY, _Phase.SHIFTING)
+        return is_trial and query.bound_version == (
+            rollout.record.target_version
+        )
+
     def decides_on(self, service):
         """Return whether the versions of a service are told apart now."""
         if service in self._rollouts_by_service:
--- a/tests/test_version_policy.py
+++ b/tests/test_version_policy.py
@@ -121,6 +121,8 @@
     bound = builders.query(bound_version=TARGET)
     assert TARGET in harness.policy.find_possible(bound, builders.BOTH)
     assert not harness.allows(TARGET, bound_version=TARGET)
+    assert harness.policy.needs_grant(bound)
+    assert not harness.policy.needs_grant(builders.query())
     harness.grant(1)
     assert harness.allows(TARGET, draw=0.99, bound_version=TARGET)
 
