--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Number of test files that run in parallel, at most 4: each worker has
 # a port range of its own, and there are ranges for 4.
 WORKERS ?= 2
-.PHONY: demo test lint format bench upgrade soak capacity generate clean
+.PHONY: demo rollout-demo test lint format bench upgrade soak capacity generate clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(PACKAGES:%=%/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -19,6 +19,9 @@
 demo: $(STAMP)
 	$(PYTHON) examples/demo.py
 
+rollout-demo: $(STAMP)
+	$(PYTHON) examples/rollout_demo.py
+
 test: $(STAMP)
 	$(PYTHON) -m pytest -q -n $(WORKERS) --dist loadfile \
 		--max-worker-restart 0 --durations=10 tests
--- a/bench/relay_processes.py
+++ b/bench/relay_processes.py
@@ -32,6 +32,9 @@
     'quota_window_s': 8,
     'quota_overshoot': 0.1,
     'quota_slack': 20,
+    'canary_share': 0.1,
+    'canary_slack': 50,
+    'rollback_ms': 5000,
 }
 
 
@@ -106,7 +109,15 @@
         ports: the ``Ports``.
     """
 
-    def __init__(self, folder, entry_vm_count=ENTRY_VM_COUNT):
+    def __init__(self, folder, entry_vm_count=ENTRY_VM_COUNT, contracts=()):
+        """Plan the VMs.
+
+        Args:
+            folder: path of the folder of all VMs.
+            entry_vm_count: number of entry VMs.
+            contracts: parts of the product that the settings switch on.
+        """
+        self._contracts = list(contracts)
         self.folder = pathlib.Path(folder)
         self.ports = Ports(
             fleets.free_port(),
@@ -234,6 +245,7 @@
             'data_dir': str(vm.folder / 'data') if vm.is_control else None,
             'fault_tolerance': {'machines': 1},
             'bounds': BOUNDS,
+            'contracts': self._contracts,
         }
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/membership/vm_calls.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/vm_calls.py
@@ -18,14 +18,23 @@
 class VmCalls:
     """Calls VMs, and avoids those that have not answered lately."""
 
-    def __init__(self, directory, links, clock=clocks.now):
+    def __init__(
+        self,
+        directory,
+        links,
+        clock=clocks.now,
+        avoid_seconds=AVOID_SECONDS,
+    ):
         """Create the caller.
 
         Args:
             directory: the ``Directory``.
             links: the ``Links``.
             clock: function that returns the monotonic time in seconds.
+            avoid_seconds: time for which a VM that did not answer is not
+                called.
         """
+        self._avoid_seconds = avoid_seconds
         self._directory = directory
         self._links = links
         self._clock = clock
@@ -82,7 +91,7 @@
         except errors.LinkFailed as error:
             with self._lock:
                 self._avoided_until_by_id[vm.id] = (
-                    self._clock() + AVOID_SECONDS
+                    self._clock() + self._avoid_seconds
                 )
             events.emit(
                 events.VM_CALL_FAILED,
--- a/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_tasks.py
@@ -53,7 +53,7 @@
         directory: the ``Directory`` of VMs and endpoints.
         dialect: the ``Dialect`` of the platform.
         shared: the ``SharedComponents``.
-        calls: the ``VmCalls``.
+        calls: the ``VmCalls`` of the reports of rollouts.
     """
     tasks = [
         endpoint_prober.EndpointProber(
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -34,6 +34,7 @@
 from .relay import stream_resumption
 from .replication import data_folder
 from .rollouts import operations
+from .rollouts import reporter
 from .routing import software_versions
 from .routing import stream_origins
 
@@ -90,16 +91,14 @@
         self._directory = replicated.directory
         self._replica_runner = replicated.replica_runner
         self._proposer = replicated.proposer
-        self._calls = vm_calls.VmCalls(self._directory, self._links)
-        self._build_stream_resumption(self._calls)
+        calls = vm_calls.VmCalls(self._directory, self._links)
+        self._build_stream_resumption(calls)
         self._permit_table = endpoint_permits.PermitTable()
         self._shared = shared_components.make_shared_components(
             settings,
             dialect,
             self._store,
-            permit_client.PermitClient(
-                self._permit_table, self._calls
-            ).request,
+            permit_client.PermitClient(self._permit_table, calls).request,
             self._stream_resumption,
             self._directory,
             self._buffers,
@@ -350,7 +349,11 @@
                 self._directory,
                 self._dialect,
                 self._shared,
-                self._calls,
+                vm_calls.VmCalls(
+                    self._directory,
+                    self._links,
+                    avoid_seconds=reporter.AVOID_SECONDS,
+                ),
             )
         if self._replica_runner is not None:
             all_tasks += relay_tasks.make_control_tasks(
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
@@ -26,6 +26,8 @@
 # Calls within one run: the VM believed to be the owner, another one, and the
 # owner that this one names.
 MAX_CALLS = 3
+# Time for which a VM that did not answer is not asked.
+AVOID_SECONDS = 0.5
 # Time for which the requests that a VM asks for may come.
 WANTED_SECONDS = 1.0
 # Rate below which a VM asks for no requests.
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -2,6 +2,7 @@
 
 import http.server
 import json
+import random
 import socket
 import struct
 import sys
@@ -78,6 +79,7 @@
         ends_freeze: while it is set, the engine accepts connections and
             answers nothing; once the ``Event`` is set, it closes them.
         failure_status: HTTP status of its answers, or 0 if it works.
+        failure_share: share of its answers that have that status.
         report_status: HTTP status of its reports.
         health_status: HTTP status of its answers to health checks.
         address: ``host:port`` that it listens on.
@@ -107,12 +109,18 @@
         self.on_report = lambda: None
         self.ends_freeze = None
         self.failure_status = 0
+        self.failure_share = 1.0
         self.report_status = 200
         self.health_status = 200
         self._server = None
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
 
+    def fails_next(self):
+        """Return whether the next answer has the failure status."""
+        is_drawn = random.random() < self.failure_share
+        return bool(self.failure_status) and is_drawn
+
     def _serve(self, port):
         self._server = _Server(
             ('127.0.0.1', port), type('Handler', (_Handler,), {'engine': self})
@@ -281,7 +289,7 @@
             self.engine.on_refusal()
             self._send_response(503, b'', headers)
             return
-        if self.engine.failure_status:
+        if self.engine.fails_next():
             status = self.engine.failure_status
             self._send_response(status, b'', self._signature_headers())
             return
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -27,7 +27,10 @@
 from carobwood_daemon.relay import tried_endpoints
 from carobwood_daemon.relay import wait_queue
 from carobwood_daemon import relay_servers
+from carobwood_daemon.replication import rollout_records
 from carobwood_daemon.rollouts import entry_rollouts
+from carobwood_daemon.rollouts import exposure_grants
+from carobwood_daemon.rollouts import version_policy
 
 # Time in which two threads meet that both look at the load of an endpoint.
 MEETING_SECONDS = 0.3
@@ -682,3 +685,48 @@
     harness = SelectorHarness(_free_capacity)
     harness.await_assignment()
     assert lines[0][1]['patience_left'] is None
+
+
+def _rollout_harness(on_recheck, **request_changes):
+    """Return a harness whose endpoint runs the target of a rollout."""
+    harness = SelectorHarness(on_recheck)
+    harness.reservation.release()
+    harness.policy = version_policy.VersionPolicy(lambda: True, harness.clock)
+    harness.policy.follow(
+        {'orders': rollout_records.RolloutRecord(7, 'orders', 'v1', 6000)}
+    )
+    harness.context.rollouts = entry_rollouts.EntryRollouts(
+        harness.policy, None, None, harness.queue.notify_all
+    )
+    harness.request.arrived_at = harness.clock.now
+    for name, value in request_changes.items():
+        setattr(harness.request, name, value)
+    return harness
+
+
+def _grant_a_unit(harness):
+    harness.policy.add_grants(
+        [exposure_grants.Grant(7, 1, 0.0, harness.clock.now + 1)]
+    )
+
+
+def test_only_the_target_of_a_rollout_without_a_right_counts_as_no_endpoint():
+    harness = _rollout_harness(lambda harness: False)
+    with pytest.raises(errors.NoEndpoint):
+        harness.await_assignment()
+    _grant_a_unit(harness)
+    assert harness.await_assignment().endpoint is harness.endpoint
+
+
+def test_a_stream_that_waits_for_a_right_holds_up_no_other_request():
+    must_queue = []
+
+    def look_and_grant(harness):
+        other = ('orders', 9, harness.clock.now + 100)
+        must_queue.append(harness.queue.must_queue(*other))
+        _grant_a_unit(harness)
+        return False
+
+    harness = _rollout_harness(look_and_grant, software_version='v1')
+    assert harness.await_assignment().endpoint is harness.endpoint
+    assert must_queue == [False]
