Send nothing to a former version that was chosen before settling

Cause: a request whose endpoint was chosen before this VM learned of settling could be sent to a former version after this VM had reported none in flight there, and be cut as that version stops. A stream that is bound to a former version could go there after the success.

Change: the choice is made over all endpoints of the service before a stream's own version is looked for, and is checked again at the send in each phase.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -246,10 +246,15 @@
             endpoint
             for endpoint in self._context.directory.serving_endpoints()
             if endpoint.pool == request.service
-            and self._fits_version(request.software_version, endpoint)
             and not self._context.availability.is_leaving(endpoint)
         ]
-        return self._context.rollouts.find_possible(request, endpoints)
+        return [
+            endpoint
+            for endpoint in self._context.rollouts.find_possible(
+                request, endpoints
+            )
+            if self._fits_version(request.software_version, endpoint)
+        ]
 
     def _fits_version(self, version, endpoint):
         """Return whether a stream of a software version may go on there.
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
@@ -116,7 +116,7 @@
 
         Args:
             request: the ``AdmittedRequest``.
-            endpoints: the endpoints of its service.
+            endpoints: all endpoints of its service.
         """
         if not self.policy.decides_on(request.service):
             return endpoints
@@ -163,7 +163,7 @@
             VersionNotAllowed: the version of the endpoint may not get it.
         """
         version = assignment.endpoint.software_version
-        if not self.policy.take(request.service, version):
+        if not self.policy.take(_query(request, 0.0), version):
             self._metrics.count('rollout.denied')
             raise errors.VersionNotAllowed(
                 f'no request may be sent to version {version} now'
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
@@ -56,6 +56,8 @@
     def __init__(self, record, now):
         self.record = record
         self.changed_at = now
+        # Whether an endpoint of the target was known at the last look.
+        self.has_target = False
         self.grants = exposure_grants.ExposureGrants()
 
     @property
@@ -185,7 +187,7 @@
 
         Args:
             query: the ``VersionQuery``.
-            versions: versions of the endpoints of its service, as a set.
+            versions: versions of all endpoints of its service, as a set.
         """
         now = self._clock()
         is_in_touch = self._is_in_touch()
@@ -194,19 +196,19 @@
             if rollout is None:
                 return versions
             target = rollout.record.target_version
-            former = versions - {target}
-            match rollout.phase:
-                case _Phase.ROLLED_BACK:
-                    return former
-                case _Phase.SETTLING:
-                    return self._settling_versions(query, target, versions)
-                case _Phase.SUCCEEDED:
-                    if now - rollout.changed_at > FORMER_EXCLUDED_SECONDS:
-                        return versions
-                    return _target_if_known(target, versions)
+            rollout.has_target = target in versions
+            if rollout.phase is _Phase.ROLLED_BACK:
+                return versions - {target}
+            if rollout.phase in (_Phase.SETTLING, _Phase.SUCCEEDED):
+                return frozenset(
+                    version
+                    for version in versions
+                    if _may_follow(rollout, query, version, now)
+                )
             is_bound = query.bound_version == target
             is_granted = is_in_touch and rollout.grants.has_right(now)
-            return versions if is_bound or is_granted else former
+            is_possible = is_bound or is_granted
+            return versions if is_possible else versions - {target}
 
     def find_groups(self, query, versions):
         """Return the versions that a request may go to now, in order.
@@ -215,43 +217,43 @@
 
         Args:
             query: the ``VersionQuery``.
-            versions: versions of the endpoints of its service, as a set.
+            versions: the versions that it may go to, now or later.
 
         Returns:
             Sets of versions, as a tuple.
         """
-        possible = self.find_possible(query, versions)
         now = self._clock()
         is_in_touch = self._is_in_touch()
         with self._lock:
             rollout = self._rollouts_by_service.get(query.service)
             if rollout is None:
                 held = self._history.new_versions(query.service, versions, now)
-                return (possible - held,)
+                return (versions - held,)
             if rollout.phase not in (_Phase.CANARY, _Phase.SHIFTING):
-                return (possible,)
+                return (versions,)
             target = rollout.record.target_version
             if not is_in_touch or not rollout.grants.has_right(now):
-                return (possible - {target},)
-            return self._trial_groups(rollout, query, possible, now)
+                return (versions - {target},)
+            return self._trial_groups(rollout, query, versions, now)
 
-    def take(self, service, version):
-        """Use the right to send a request to a version of a service now.
+    def take(self, query, version):
+        """Use the right to send a request to a version now.
 
         Args:
-            service: name of the service.
+            query: the ``VersionQuery``.
             version: software version of the endpoint.
 
         Returns:
             Whether it may be sent.
         """
         now = self._clock()
+        service = query.service
         # Asked without the lock, as the answer takes that of the state.
         is_in_touch = (
             service not in self._rollouts_by_service or self._is_in_touch()
         )
         with self._lock:
-            if not self._take(service, version, now, is_in_touch):
+            if not self._take(query, version, now, is_in_touch):
                 return False
             meter = self._meters_by_service.get(service)
             if meter is None:
@@ -260,23 +262,18 @@
             meter.note(now)
             return True
 
-    def _take(self, service, version, now, is_in_touch):
-        rollout = self._rollouts_by_service.get(service)
-        if rollout is None or version != rollout.record.target_version:
+    def _take(self, query, version, now, is_in_touch):
+        rollout = self._rollouts_by_service.get(query.service)
+        if rollout is None:
             return True
-        match rollout.phase:
-            case _Phase.ROLLED_BACK:
-                return False
-            case _Phase.SETTLING | _Phase.SUCCEEDED:
-                return True
+        if rollout.phase in (_Phase.SETTLING, _Phase.SUCCEEDED):
+            return _may_follow(rollout, query, version, now)
+        if version != rollout.record.target_version:
+            return True
+        if rollout.phase is _Phase.ROLLED_BACK:
+            return False
         return is_in_touch and rollout.grants.take(now)
 
-    def _settling_versions(self, query, target, versions):
-        """A stream of the former version can go on nowhere else."""
-        if query.bound_version not in (None, target):
-            return versions
-        return _target_if_known(target, versions)
-
     def _trial_groups(self, rollout, query, possible, now):
         """Return the groups while the target is granted to few requests."""
         target = rollout.record.target_version
@@ -298,6 +295,16 @@
         return (former, frozenset({target}))
 
 
-def _target_if_known(target, versions):
-    """Return the target alone unless it has no endpoint at all."""
-    return frozenset({target}) if target in versions else versions
+def _may_follow(rollout, query, version, now):
+    """Return whether a version may serve once the traffic has shifted.
+
+    Former versions serve what callers would not be served else: requests
+    while no endpoint of the target is known, and until the rollout has
+    succeeded the streams that they began.
+    """
+    target = rollout.record.target_version
+    if version == target or not rollout.has_target:
+        return True
+    if rollout.phase is _Phase.SETTLING:
+        return query.bound_version == version
+    return now - rollout.changed_at > FORMER_EXCLUDED_SECONDS
--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -401,9 +401,10 @@
 
     def _send(self, vm):
         query = builders.query(draw=self._random.random())
-        for versions in vm.policy.find_groups(query, builders.BOTH):
+        possible = vm.policy.find_possible(query, builders.BOTH)
+        for versions in vm.policy.find_groups(query, possible):
             for version in sorted(versions):
-                if vm.policy.take(builders.SERVICE, version):
+                if vm.policy.take(query, version):
                     self._begin(vm, version)
                     return
         self.result.refused += 1
--- a/tests/test_evidence_collector.py
+++ b/tests/test_evidence_collector.py
@@ -132,7 +132,7 @@
         )
     ]
     harness.policy_harness.follow(builders.Phase.SETTLING)
-    groups = harness.rollouts.find_groups(
-        builders.request(), endpoints, frozenset()
-    )
+    request = builders.request()
+    possible = harness.rollouts.find_possible(request, endpoints)
+    groups = harness.rollouts.find_groups(request, possible, frozenset())
     assert [[each.id for each in group] for group in groups] == [['b']]
--- a/tests/test_version_policy.py
+++ b/tests/test_version_policy.py
@@ -116,6 +116,16 @@
     assert not harness.allows(FORMER, bound_version=FORMER)
 
 
+def test_a_request_chosen_before_the_settling_is_not_sent_to_the_former():
+    harness = builders.PolicyHarness(Phase.SHIFTING)
+    assert harness.allows(FORMER)
+    harness.follow(Phase.SETTLING)
+    assert not harness.take(FORMER)
+    assert harness.take(FORMER, bound_version=FORMER)
+    assert harness.allows(FORMER, {FORMER})
+    assert harness.take(FORMER)
+
+
 def test_a_stream_of_a_canary_waits_for_a_unit():
     harness = builders.PolicyHarness(Phase.CANARY)
     bound = builders.query(bound_version=TARGET)
--- a/tests/version_builders.py
+++ b/tests/version_builders.py
@@ -106,13 +106,15 @@
 
     def groups(self, versions=BOTH, **changes):
         """Return the groups of versions for a request."""
-        return self.policy.find_groups(query(**changes), frozenset(versions))
+        asked = query(**changes)
+        possible = self.policy.find_possible(asked, frozenset(versions))
+        return self.policy.find_groups(asked, possible)
 
     def allows(self, version, versions=BOTH, **changes):
         """Return whether a request may go to a version now."""
         groups = self.groups(versions, **changes)
         return any(version in group for group in groups)
 
-    def take(self, version=TARGET):
+    def take(self, version=TARGET, **changes):
         """Use the right to send a request to a version."""
-        return self.policy.take(SERVICE, version)
+        return self.policy.take(query(**changes), version)
