--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -34,6 +34,7 @@
 from .relay import stream_resumption
 from .replication import data_folder
 from .rollouts import operations
+from .rollouts import reporter
 from .routing import software_versions
 from .routing import stream_origins
 
@@ -348,7 +349,15 @@
             )
             all_tasks.append(self.silent_endpoint_prober)
             all_tasks += relay_tasks.make_entry_tasks(
-                self._directory, self._dialect, self._shared
+                self._settings,
+                self._directory,
+                self._dialect,
+                self._shared,
+                vm_calls.VmCalls(
+                    self._directory,
+                    self._links,
+                    avoid_seconds=reporter.AVOID_SECONDS,
+                ),
             )
         if self._replica_runner is not None:
             all_tasks += relay_tasks.make_control_tasks(
