--- a/tests/test_rollout_owner.py
+++ b/tests/test_rollout_owner.py
@@ -3,9 +3,9 @@
 import os
 
 from carobwood_daemon.replication import commands
+import owner_simulation
 import pytest
 import rollout_builders as builders
-import owner_simulation
 
 Fault = owner_simulation.Fault
 # More seeds are drawn by hand: ROLLOUT_SEEDS=200.
