Roll versions out over processes, in a demonstration and in tests

Change: a rolled back version is counted from when all entry VMs know of it; the demonstration says what it shows.

--- a/bench/rollout_site.py
+++ b/bench/rollout_site.py
@@ -118,6 +118,16 @@
             lambda: self._count_answered(since) >= count, 'answers'
         )
 
+    def await_followed(self, phase):
+        """Wait until all entry VMs know of a phase and act on it."""
+        for vm in self.processes.entry_vms:
+            fleets.wait_until(
+                lambda: f'"phase": "{phase}"' in vm.log_path.read_text(),
+                f'{vm.id} to follow',
+            )
+        # Those that were being sent have arrived by then.
+        self.await_answers(CALLER_COUNT)
+
     def await_exposed(self, version):
         """Wait until a version gets requests."""
         fleets.wait_until(lambda: self.count_requests(version), 'requests')
--- a/examples/rollout_demo.py
+++ b/examples/rollout_demo.py
@@ -35,8 +35,10 @@
 
 def _roll_out(site, version, failure_share):
     """Order a rollout, print how it goes and return its last state."""
-    quality = f'fails in {failure_share:.0%}' if failure_share else 'is sound'
-    print(f'\n== Roll {version} out, which {quality} of its answers')
+    quality = 'is sound'
+    if failure_share:
+        quality = f'fails in {failure_share:.0%} of its answers'
+    print(f'\n== Roll {version} out, which {quality}')
     former = {each.software_version for each in site.endpoints}
     began_at = time.monotonic()
     print('order:', site.order(version, RAMP_SECONDS).status)
