--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/operations.py
@@ -12,9 +12,9 @@
 # Timeout of a proposal to the replicated log. Operators try another control
 # VM after a second without a response.
 PROPOSAL_TIMEOUT_SECONDS = 0.9
-# Time for which this VM must have looked at the endpoints before it refuses
-# an order because of the versions that they run.
-MIN_VIEW_SECONDS = 5.0
+# Time for which this VM must have looked at the endpoints before it decides by
+# the versions that they run.
+MIN_VIEW_SECONDS = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,8 +81,7 @@
         """
         self._require_gate()
         self._require_service(order.service)
-        if self._is_in_force(order):
-            self._require_repeated(order)
+        if self._may_be_in_force(order) and self._is_repeated(order):
             return
         held = self._submit(
             commands.StartRollout(
@@ -161,16 +160,21 @@
             raise errors.ChangeUncertain('a newer configuration is coming')
         raise errors.RolloutInvalid('service', f'{service} is unknown')
 
-    def _is_in_force(self, order):
-        """Tell whether all endpoints of a service run the target version."""
+    def _may_be_in_force(self, order):
+        """Tell whether no endpoint is known to run another version."""
         view = self._software_versions.view(order.service)
-        return view.seconds >= MIN_VIEW_SECONDS and view.versions == {
-            order.target_version
-        }
+        if not view.versions and view.seconds >= MIN_VIEW_SECONDS:
+            return False
+        return view.versions <= {order.target_version}
 
-    def _require_repeated(self, order):
+    def _is_repeated(self, order):
+        """Return True if an order that may be in force was taken before."""
         held = self._submit(commands.ReadRollout(order.service))
-        if held.target_version != order.target_version:
-            raise errors.RolloutInvalid(
-                'to', f'{order.target_version} is the version in force'
-            )
+        if held.target_version == order.target_version:
+            return True
+        view = self._software_versions.view(order.service)
+        if view.seconds < MIN_VIEW_SECONDS:
+            raise errors.ChangeUncertain('not all endpoints are known yet')
+        raise errors.RolloutInvalid(
+            'to', f'{order.target_version} is the version in force'
+        )
--- a/tests/test_rollout_operations.py
+++ b/tests/test_rollout_operations.py
@@ -98,12 +98,20 @@
 
 def test_an_accepted_order_is_taken_again_when_only_its_version_is_left():
     fleet = Fleet()
+    fleet.serve()
     fleet.operations.start(ORDER)
     fleet.serve('v2')
     fleet.operations.start(ORDER)
     assert fleet.operations.read(builders.SERVICE).index == 1
 
 
+def test_a_vm_that_has_just_started_takes_no_version_for_a_new_one():
+    fleet = Fleet()
+    with pytest.raises(errors.ChangeUncertain):
+        fleet.operations.start(ORDER)
+    assert fleet.records == {}
+
+
 def test_a_version_that_is_the_only_one_in_force_is_refused(fleet):
     order = dataclasses.replace(ORDER, target_version='v1')
     with pytest.raises(errors.RolloutInvalid) as raised:
