--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/owner.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/owner.py
@@ -20,7 +20,7 @@
 from . import rollout_tracker
 from . import vm_reports
 
-PERIOD_SECONDS = 0.2
+PERIOD_SECONDS = 0.1
 PROPOSE_TIMEOUT_SECONDS = 1.0
 # Period of log lines on the evidence of a running rollout.
 EVIDENCE_LOG_SECONDS = 2.0
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
@@ -90,8 +90,9 @@
 
     def grant(self, report, now):
         """Return the ``ExposureGrant`` in reply to a report, or None."""
+        is_bad = self._judge.verdict() is judge.Verdict.BAD
         match self.phase:
-            case _ if self._judge.verdict() is judge.Verdict.BAD:
+            case Phase.CANARY if is_bad:
                 return None
             case Phase.CANARY:
                 requests = self.budget.grant(
@@ -99,7 +100,9 @@
                 )
                 return self._make_grant(requests, 0.0)
             case Phase.SHIFTING | Phase.SETTLING:
-                return self._make_grant(NO_COUNT, self.share(now))
+                # A share of 0 takes the place of a grant that still counts.
+                share = 0.0 if is_bad else self.share(now)
+                return self._make_grant(NO_COUNT, share)
         return None
 
     def share(self, now):
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -20,7 +20,7 @@
 LIMITS = relay_settings.RolloutLimits(0.1, 50.0, 5.0)
 TICK_SECONDS = 0.05
 REPORT_TICKS = 5
-OWNER_TICKS = 4
+OWNER_TICKS = 2
 # Time after which VMs learn of a change of the replicated state.
 SPREAD_SECONDS = 0.3
 ANSWER_SECONDS = 0.1
