--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -1,24 +1,25 @@
 """Simulation of a fleet that rolls a version out, without a network.
 
 Entry VMs choose versions by their ``VersionPolicy`` and report what their
-``EvidenceCollector`` has counted. The owner is made of the parts that decide
-on the owner's side. Reports are lost and late, VMs are cut off and stand
-still, and the owner is replaced.
+``EvidenceCollector`` has counted to an owner, a ``RolloutTracker``. Reports
+are lost and late, VMs are cut off and stand still, and the owner is replaced.
 """
 
 import collections
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
-from carobwood_daemon.rollouts import evidence
+from carobwood_daemon import relay_settings
 from carobwood_daemon.rollouts import evidence_collector
 from carobwood_daemon.rollouts import exposure
 from carobwood_daemon.rollouts import exposure_grants
-from carobwood_daemon.rollouts import judge
 from carobwood_daemon.rollouts import reporter
+from carobwood_daemon.rollouts import rollout_tracker
 from carobwood_daemon.rollouts import version_policy
+from carobwood_daemon.rollouts import vm_reports
 import relay_builders
 import version_builders as builders
 
@@ -26,8 +27,8 @@
 RAMP_SECONDS = 12.0
 # Time from the order until the operators look at the rollout.
 DURATION_SECONDS = 40.0
-EXPOSURE = exposure.ExposureBounds(0.1, 50.0)
-GRANT_SECONDS = 1.0
+LIMITS = relay_settings.RolloutLimits(0.1, 50.0, 5.0)
+TIMEOUT_SECONDS = 6.0
 MEDIAN_SECONDS = 0.12
 ROUTES = ('checks', 'captions')
 ROUTE_WEIGHTS = (1, 2)
@@ -116,8 +117,10 @@
 class _Vm:
     """An entry VM."""
 
+    incarnation = 1
+
     def __init__(self, number, clock):
-        self.number = number
+        self.id = f'front-{number}'
         self.cut_off_at = None
         self.frozen_until = 0.0
         self.report_number = 0
@@ -135,72 +138,6 @@
         return self._clock() - self.cut_off_at
 
 
-class _Owner:
-    """The owner of the rollout, made of the pure parts."""
-
-    def __init__(self, record, rng):
-        self.budget = exposure.ExposureBudget(EXPOSURE, record.reserved, rng)
-        self._judge = judge.Judge()
-        self._results_by_vm = {}
-        self._wanted_by_vm = {}
-        self._judged_by_key = {}
-        self._totals_by_key = collections.defaultdict(evidence.RouteResults)
-
-    def note(self, vm_number, number, results, wanted):
-        """Note a report with cumulative totals."""
-        known_number, known = self._results_by_vm.get(vm_number, (0, {}))
-        if number <= known_number:
-            return
-        self._results_by_vm[vm_number] = (number, results)
-        self._wanted_by_vm[vm_number] = wanted
-        for key, each in results.items():
-            before = known.get(key, evidence.RouteResults())
-            self._totals_by_key[key] = self._totals_by_key[key].plus(
-                _difference(each, before)
-            )
-
-    @property
-    def sent(self):
-        """Requests to the service as reported."""
-        return sum(each.sent for each in self._totals_by_key.values())
-
-    @property
-    def all_wanted(self):
-        """Requests to the target that all VMs want to send."""
-        return sum(self._wanted_by_vm.values())
-
-    def grant(self, wanted):
-        """Return the number of requests that a VM may send."""
-        return self.budget.grant(wanted, self.all_wanted)
-
-    def verdict(self, now):
-        """Judge the results since the last call."""
-        results_by_route = {}
-        for route in ROUTES:
-            pairs = [evidence.RouteResults()] * 2
-            for key, total in self._totals_by_key.items():
-                if key.route == route:
-                    before = self._judged_by_key.get(
-                        key, evidence.RouteResults()
-                    )
-                    index = int(key.software_version != builders.TARGET)
-                    pairs[index] = pairs[index].plus(
-                        _difference(total, before)
-                    )
-            results_by_route[route] = tuple(pairs)
-        self._judged_by_key = dict(self._totals_by_key)
-        self._judge.note(now, results_by_route)
-        return self._judge.verdict()
-
-    def has_former_in_flight(self):
-        """Return whether the former version has requests left."""
-        return any(
-            each.in_flight
-            for key, each in self._totals_by_key.items()
-            if key.software_version == builders.FORMER
-        )
-
-
 class RolloutSimulation:
     """One rollout of a fleet."""
 
@@ -219,8 +156,7 @@
         self._faults = faults
         self._vms = [_Vm(n, self._clock) for n in range(vm_count)]
         self._record = builders.record()
-        self._owner = _Owner(self._record, self._random)
-        self._phase_began_at = 0.0
+        self._owner = self._make_owner(is_new=True)
         self._queue = []
         self._sequence = itertools.count()
         self._in_flight = collections.Counter()
@@ -279,8 +215,21 @@
         self._owner = None
         self._after(self._random.uniform(0.5, 4.0), self._elect_owner)
 
+    def _make_owner(self, is_new):
+        owner = rollout_tracker.RolloutTracker(
+            self._record, LIMITS, is_new, self._clock.now
+        )
+        owner.budget = exposure.ExposureBudget(
+            exposure.ExposureBounds(
+                LIMITS.exposure_share, LIMITS.exposure_slack
+            ),
+            self._record.reserved,
+            self._random,
+        )
+        return owner
+
     def _elect_owner(self):
-        self._owner = _Owner(self._record, self._random)
+        self._owner = self._make_owner(is_new=False)
         # A version counts as known to be bad by what a steady owner can see.
         self._bad_answers = 0
         self.result.known_bad_at = None
@@ -308,10 +257,6 @@
         for vm in self._vms:
             self._after(self._random.uniform(0.01, 0.4), self._publish, vm)
 
-    def _enter(self, phase):
-        self._phase_began_at = self._clock.now
-        self._change(phase=phase.value)
-
     def _advance(self):
         """Go on with the phases as the owner."""
         if self._owner is not None and not self._record.has_ended:
@@ -320,31 +265,24 @@
 
     def _advance_as(self, owner):
         now = self._clock.now
-        verdict = owner.verdict(now)
-        if verdict is judge.Verdict.BAD:
-            self._enter(_Phase.ROLLED_BACK)
-            return
-        match _Phase(self._record.phase):
-            case _Phase.CANARY:
-                total = owner.budget.wanted_reservation(
-                    owner.sent, owner.all_wanted
-                )
-                if total > owner.budget.reserved:
-                    owner.budget.note_reserved(total)
-                    self._change(reserved=total)
-                is_sound = verdict is judge.Verdict.SOUND
-                if is_sound and now >= RAMP_SECONDS / 2:
-                    self._enter(_Phase.SHIFTING)
-            case _Phase.SHIFTING if self._share() >= 1.0:
-                self._enter(_Phase.SETTLING)
-            case _Phase.SETTLING:
-                settled_for = now - self._phase_began_at
-                if settled_for > 3.0 and not owner.has_former_in_flight():
-                    self._enter(_Phase.SUCCEEDED)
-
-    def _share(self):
-        passed = self._clock.now - self._phase_began_at
-        return min(1.0, 0.1 + passed / (RAMP_SECONDS / 2))
+        owner.judge_news(now)
+        step = owner.next_step(self._view, now)
+        reservation = owner.wanted_reservation(now)
+        if step is not None:
+            owner.note_phase(step.phase, now)
+            self._change(phase=step.phase.value)
+        elif reservation:
+            owner.budget.note_reserved(reservation)
+            self._change(reserved=reservation)
+
+    @property
+    def _view(self):
+        live_vms = tuple(
+            vm
+            for vm in self._vms
+            if vm.cut_off_at is None and vm.frozen_until <= self._clock.now
+        )
+        return rollout_tracker.FleetView(live_vms, 3, TIMEOUT_SECONDS)
 
     def _report(self, vm):
         period = reporter.report_period(len(self._vms))
@@ -361,26 +299,27 @@
             self._receive,
             vm,
             vm.report_number,
-            vm.collector.results(),
-            round(wanted + 0.5),
+            _by_version_route(vm.collector.results()),
+            math.ceil(wanted),
             self._clock.now,
         )
 
-    def _receive(self, vm, number, results, wanted, sent_at):
+    def _receive(self, vm, number, results_by_key, wanted, sent_at):
         if self._owner is None or self._record.has_ended:
             return
-        self._owner.note(vm.number, number, results, wanted)
-        match _Phase(self._record.phase):
-            case _Phase.CANARY:
-                requests, share = self._owner.grant(wanted), 0.0
-            case _Phase.SHIFTING:
-                requests, share = exposure_grants.NO_COUNT, self._share()
-            case _:
-                return
-        if self._random.random() < self._faults.loss:
+        now = self._clock.now
+        report = vm_reports.VmReport(
+            vm.id, vm.incarnation, number, wanted, results_by_key, now
+        )
+        self._owner.add_report(report)
+        reply = self._owner.grant(report, now)
+        if reply is None or self._random.random() < self._faults.loss:
             return
         grant = exposure_grants.Grant(
-            self._record.index, requests, share, sent_at + GRANT_SECONDS
+            reply.rollout,
+            reply.requests,
+            reply.share,
+            sent_at + reply.valid_ms / 1000,
         )
         delay = self._random.uniform(0.0, self._faults.delay)
         self._after(delay, self._take_grant, vm, grant)
@@ -431,7 +370,7 @@
         )
 
     def _note_exposed(self, vm):
-        if vm.cut_off_for() > GRANT_SECONDS:
+        if vm.cut_off_for() > rollout_tracker.GRANT_SECONDS:
             phase = _Phase(vm.policy.records()[0].phase)
             if phase in (_Phase.CANARY, _Phase.SHIFTING):
                 self.result.untouched_sent += 1
@@ -468,15 +407,9 @@
                 self.result.known_bad_at = self._clock.now
 
 
-def _difference(results, before):
-    """Return the ``RouteResults`` since earlier totals."""
-    return evidence.RouteResults(
-        results.sent - before.sent,
-        results.succeeded - before.succeeded,
-        results.failed - before.failed,
-        tuple(a - b for a, b in zip(results.times, before.times, strict=True)),
-        tuple(
-            a - b for a, b in zip(results.pauses, before.pauses, strict=True)
-        ),
-        results.in_flight - before.in_flight,
-    )
+def _by_version_route(results):
+    """Return ``RouteResults`` as the owner keeps them."""
+    return {
+        vm_reports.VersionRoute(key.software_version, key.route): each
+        for key, each in results.items()
+    }
