Sum the reports of a rollout once

Cause: the owner summed all reports of all VMs in each run: 12.5 ms of processor time a run with 360 VMs and 4 routes.

Change: totals are kept, and the fields of log lines made only for a line.

--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/evidence.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/evidence.py
@@ -2,6 +2,7 @@
 
 import bisect
 import dataclasses
+import operator
 
 # Upper bounds in seconds of the buckets of times and pauses; the last bucket
 # has none. Neighbours differ by a factor of 1.5, so that answers that take
@@ -52,4 +53,4 @@
 
 
 def _sums(counts, others):
-    return tuple(a + b for a, b in zip(counts, others, strict=True))
+    return tuple(map(operator.add, counts, others))
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/owner.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/owner.py
@@ -175,11 +175,10 @@
             now = self._clock()
             tracker.judge_news(now)
             step = tracker.next_step(view, now)
-            reservation = tracker.wanted_reservation(now)
-            fields = tracker.describe(view, now)
-        self._publish(fields, now)
+            reservation = tracker.wanted_reservation()
+        self._publish(tracker, view, now)
         if step is not None:
-            self._advance(tracker, step, fields)
+            self._advance(tracker, step, view)
         elif reservation:
             self._reserve(tracker, reservation)
 
@@ -222,8 +221,10 @@
         )
         return tracker
 
-    def _advance(self, tracker, step, fields):
+    def _advance(self, tracker, step, view):
         record = tracker.record
+        with self._lock:
+            fields = tracker.describe(view, self._clock())
         held = self._propose(
             commands.AdvanceRollout(
                 record.service,
@@ -283,20 +284,24 @@
             default=0.0,
         )
 
-    def _publish(self, fields, now):
+    def _publish(self, tracker, view, now):
         """Set the metrics, and log the evidence now and then."""
-        prefix = f'rollout.{fields["service"]}.{fields["target"]}'
-        for name in ('share', 'granted', 'reserved', 'level'):
-            self._metrics.gauge(f'{prefix}.{name}', fields[name])
-        logged_at = self._logged_at_by_index.get(fields['rollout'])
-        if logged_at is None or now - logged_at >= EVIDENCE_LOG_SECONDS:
-            self._logged_at_by_index = {
-                index: at
-                for index, at in self._logged_at_by_index.items()
-                if index in self._trackers_by_index
-            }
-            self._logged_at_by_index[fields['rollout']] = now
-            events.emit(events.ROLLOUT_EVIDENCE, **fields)
+        record = tracker.record
+        prefix = f'rollout.{record.service}.{record.target_version}'
+        for name, value in tracker.figures(now).items():
+            self._metrics.gauge(f'{prefix}.{name}', value)
+        logged_at = self._logged_at_by_index.get(record.index)
+        if logged_at is not None and now - logged_at < EVIDENCE_LOG_SECONDS:
+            return
+        self._logged_at_by_index = {
+            index: at
+            for index, at in self._logged_at_by_index.items()
+            if index in self._trackers_by_index
+        }
+        self._logged_at_by_index[record.index] = now
+        with self._lock:
+            fields = tracker.describe(view, now)
+        events.emit(events.ROLLOUT_EVIDENCE, **fields)
 
 
 def _report_on(record, report, now):
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
@@ -64,6 +64,9 @@
         self._judge = judge.Judge()
         self._reports = vm_reports.VmReports(record.target_version)
         self._news_by_route = {}
+        # As of the last comparison: hundreds of reports come between two.
+        self._verdict = judge.Verdict.UNDECIDED
+        self._all_wanted = 0
         self._began_at = now if is_new else None
         self._phase_began_at = now
         self._endpoint_seen_at = now
@@ -90,14 +93,12 @@
 
     def grant(self, report, now):
         """Return the ``ExposureGrant`` in reply to a report, or None."""
-        is_bad = self._judge.verdict() is judge.Verdict.BAD
+        is_bad = self._verdict is judge.Verdict.BAD
         match self.phase:
             case Phase.CANARY if is_bad:
                 return None
             case Phase.CANARY:
-                requests = self.budget.grant(
-                    report.wanted, self._reports.wanted(now)
-                )
+                requests = self.budget.grant(report.wanted, self._all_wanted)
                 return self._make_grant(requests, 0.0)
             case Phase.SHIFTING | Phase.SETTLING:
                 # A share of 0 takes the place of a grant that still counts.
@@ -116,12 +117,12 @@
                 return 1.0
         return 0.0
 
-    def wanted_reservation(self, now):
+    def wanted_reservation(self):
         """Return the total of exposure to reserve, or 0 if none is due."""
         if self.phase is not Phase.CANARY:
             return 0
         total = self.budget.wanted_reservation(
-            self._reports.sent(), self._reports.wanted(now)
+            self._reports.sent(), self._all_wanted
         )
         return total if total > self.budget.reserved else 0
 
@@ -129,6 +130,8 @@
         """Compare the versions by what has been reported since last time."""
         news_by_route, self._news_by_route = self._news_by_route, {}
         self._judge.note(now, news_by_route)
+        self._verdict = self._judge.verdict()
+        self._all_wanted = self._reports.wanted(now)
 
     def next_step(self, view, now):
         """Return the ``Step`` that is due, or None.
@@ -140,13 +143,11 @@
         if view.target_endpoints:
             self._endpoint_seen_at = now
         situation = phases.Situation(
-            self._judge.verdict(),
+            self._verdict,
             self._judge.worst(),
             now - self._phase_began_at,
             now - self._endpoint_seen_at,
-            self._reports.has_left_others(
-                self._phase_began_at + phases.SPREAD_SECONDS, view.entry_vms
-            ),
+            self._has_left_others(view),
             view.longest_timeout,
         )
         return phases.next_step(
@@ -160,6 +161,15 @@
         self._phase_began_at = now
         self._shift_seconds = phases.shift_seconds(self._ramp, age)
 
+    def figures(self, now):
+        """Return the values of the metrics by name."""
+        return {
+            'share': round(self.share(now), 3),
+            'granted': self.budget.granted,
+            'reserved': self.budget.reserved,
+            'level': round(self._judge.worst().level, 1),
+        }
+
     def describe(self, view, now):
         """Return the fields of a log line on the rollout."""
         target, others = self._reports.totals()
@@ -169,21 +179,26 @@
             'service': self.record.service,
             'target': self.record.target_version,
             'phase': self.record.phase,
-            'share': round(self.share(now), 3),
-            'granted': self.budget.granted,
-            'reserved': self.budget.reserved,
+            **self.figures(now),
             'sent': target.sent,
             'failed': target.failed,
             'others_sent': others.sent,
             'others_failed': others.failed,
-            'level': round(finding.level, 1),
             'limit': judge.LIMIT,
             'worst': f'{finding.quantity} on {finding.route}',
-            'verdict': self._judge.verdict().value,
+            'verdict': self._verdict.value,
             'endpoints': view.target_endpoints,
             'evidence_age': self._evidence_age(view, now),
         }
 
+    def _has_left_others(self, view):
+        """Tell whether VMs have left the other versions, in settling."""
+        if self.phase is not Phase.SETTLING:
+            return False
+        return self._reports.has_left_others(
+            self._phase_began_at + phases.SPREAD_SECONDS, view.entry_vms
+        )
+
     def _evidence_age(self, view, now):
         """Return the age of the oldest report, or None if one is missing."""
         age = self._reports.oldest_age(now, view.entry_vms)
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/vm_reports.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/vm_reports.py
@@ -4,13 +4,14 @@
 or late counts once. What a VM reported before it was lost stays.
 """
 
-import collections
 import dataclasses
+import operator
 
 from . import evidence
 
 # Time after which a VM that has not reported is not counted on.
 REPORT_LIFETIME_SECONDS = 2.0
+_NO_COUNTS = (0,) * evidence.BUCKETS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,6 +55,8 @@
     def __init__(self, target_version):
         self._target_version = target_version
         self._reports_by_incarnation = {}
+        self._target_totals = evidence.RouteResults()
+        self._other_totals = evidence.RouteResults()
 
     def add(self, report):
         """Add a ``VmReport`` and return what is new in it.
@@ -67,15 +70,14 @@
         if known is not None and known.number >= report.number:
             return {}
         self._reports_by_incarnation[key] = report
-        return self._news(known.results_by_key if known else {}, report)
+        known_by_key = known.results_by_key if known else {}
+        news_by_route = self._news(known_by_key, report)
+        self._add_totals(news_by_route)
+        return news_by_route
 
     def sent(self):
         """Return the requests that all VMs have sent, to any version."""
-        return sum(
-            results.sent
-            for report in self._reports_by_incarnation.values()
-            for results in report.results_by_key.values()
-        )
+        return self._target_totals.sent + self._other_totals.sent
 
     def wanted(self, now):
         """Return the requests that VMs in touch want to send."""
@@ -109,16 +111,17 @@
         return all(self._has_left_others(vm, since) for vm in live_vms)
 
     def totals(self):
-        """Return the sums of the target's and of the others' results."""
-        target = evidence.RouteResults()
-        others = evidence.RouteResults()
-        for report in self._reports_by_incarnation.values():
-            for key, results in report.results_by_key.items():
-                if key.software_version == self._target_version:
-                    target = target.plus(results)
-                else:
-                    others = others.plus(results)
-        return target, others
+        """Return the totals of the target and of the others, without times.
+
+        Returns:
+            Two ``RouteResults``.
+        """
+        return self._target_totals, self._other_totals
+
+    def _add_totals(self, news_by_route):
+        for target, others in news_by_route.values():
+            self._target_totals = _counts(self._target_totals, target)
+            self._other_totals = _counts(self._other_totals, others)
 
     def _received_at(self, vm):
         report = self._reports_by_incarnation.get((vm.id, vm.incarnation))
@@ -136,15 +139,16 @@
 
     def _news(self, known_by_key, report):
         none = evidence.RouteResults()
-        news = collections.defaultdict(lambda: (none, none))
+        news_by_route = {}
         for key, results in report.results_by_key.items():
             new = _difference(results, known_by_key.get(key, none))
-            target, others = news[key.route]
+            target, others = news_by_route.get(key.route, (none, none))
             if key.software_version == self._target_version:
-                news[key.route] = (target.plus(new), others)
+                target = new
             else:
-                news[key.route] = (target, others.plus(new))
-        return dict(news)
+                others = new if others is none else others.plus(new)
+            news_by_route[key.route] = (target, others)
+        return news_by_route
 
 
 def _difference(results, known):
@@ -159,7 +163,16 @@
 
 
 def _differences(counts, known_counts):
-    return tuple(
-        max(0, count - known)
-        for count, known in zip(counts, known_counts, strict=True)
+    if counts == known_counts:
+        return _NO_COUNTS
+    differences = map(operator.sub, counts, known_counts)
+    return tuple(max(0, difference) for difference in differences)
+
+
+def _counts(results, others):
+    """Return the sum of the counts of two results, without times."""
+    return evidence.RouteResults(
+        results.sent + others.sent,
+        results.succeeded + others.succeeded,
+        results.failed + others.failed,
     )
