--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/evidence_collector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/evidence_collector.py
@@ -164,17 +164,11 @@
             return seconds
 
     def note_failed(self, assignment):
-        """Note that an attempt failed, or its answer was wrong or broke off.
-
-        Returns:
-            Whether it counts against its version.
-        """
+        """Note that an attempt failed or its answer was wrong or broke off."""
         with self._lock:
             attempt = self._claim(assignment)
-            if attempt is None:
-                return False
-            self._totals(attempt.key).failed += 1
-            return True
+            if attempt is not None:
+                self._totals(attempt.key).failed += 1
 
     def leave_out(self, assignment):
         """Note that the result of an attempt tells nothing of its version."""
