Send nothing to a rolled back version while the next one is rolled out

Cause: only the target of the newest rollout was kept from requests, so an order of a third version gave the one that was rolled back, whose endpoints may still drain, a former version's share again.

Change: the policy keeps the versions that were rolled back until one of them is ordered again.

--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
@@ -53,13 +53,26 @@
 class _Rollout:
     """The newest rollout of a service as this VM follows it."""
 
-    def __init__(self, record, now):
+    def __init__(self, record, now, former=None):
         self.record = record
         self.changed_at = now
+        # Versions that earlier rollouts of the service have rolled back.
+        self.rejected_versions = frozenset()
+        if former is not None:
+            self.rejected_versions = former.all_rejected_versions - {
+                record.target_version
+            }
         # Whether an endpoint of the target was known at the last look.
         self.has_target = False
         self.grants = exposure_grants.ExposureGrants()
 
+    @property
+    def all_rejected_versions(self):
+        """Versions that get no requests, this rollout's target included."""
+        if self.phase is _Phase.ROLLED_BACK:
+            return self.rejected_versions | {self.record.target_version}
+        return self.rejected_versions
+
     @property
     def phase(self):
         """The ``RolloutPhase``; one that this build lacks needs grants."""
@@ -102,7 +115,9 @@
             for service, record in records_by_service.items():
                 known = self._rollouts_by_service.get(service)
                 if known is None or known.record.index < record.index:
-                    self._rollouts_by_service[service] = _Rollout(record, now)
+                    self._rollouts_by_service[service] = _Rollout(
+                        record, now, known
+                    )
                     changed.append(record)
                 elif known.record.index == record.index:
                     if known.record.phase != record.phase:
@@ -197,8 +212,9 @@
                 return versions
             target = rollout.record.target_version
             rollout.has_target = target in versions
+            versions -= rollout.all_rejected_versions
             if rollout.phase is _Phase.ROLLED_BACK:
-                return versions - {target}
+                return versions
             if rollout.phase in (_Phase.SETTLING, _Phase.SUCCEEDED):
                 return frozenset(
                     version
@@ -266,12 +282,12 @@
         rollout = self._rollouts_by_service.get(query.service)
         if rollout is None:
             return True
+        if version in rollout.all_rejected_versions:
+            return False
         if rollout.phase in (_Phase.SETTLING, _Phase.SUCCEEDED):
             return _may_follow(rollout, query, version, now)
         if version != rollout.record.target_version:
             return True
-        if rollout.phase is _Phase.ROLLED_BACK:
-            return False
         return is_in_touch and rollout.grants.take(now)
 
     def _trial_groups(self, rollout, query, possible, now):
--- a/tests/test_version_policy.py
+++ b/tests/test_version_policy.py
@@ -173,6 +173,25 @@
     assert not harness.take()
 
 
+def test_a_version_that_was_rolled_back_gets_nothing_in_the_next_rollout():
+    harness = builders.PolicyHarness(Phase.ROLLED_BACK)
+    next_fields = {'index': builders.ROLLOUT + 1, 'target_version': 'v3'}
+    harness.follow(Phase.CANARY, **next_fields)
+    all_versions = {FORMER, TARGET, 'v3'}
+    assert not harness.allows(TARGET, all_versions)
+    assert not harness.take(TARGET)
+    assert harness.allows(FORMER, all_versions)
+    harness.follow(Phase.CANARY, index=builders.ROLLOUT + 2)
+    harness.policy.add_grants(
+        [
+            builders.count_grant(
+                1, harness.clock.now + 1, rollout=builders.ROLLOUT + 2
+            )
+        ]
+    )
+    assert harness.allows(TARGET)
+
+
 def test_a_version_that_is_new_to_the_vm_is_held_back_for_a_moment():
     harness = builders.PolicyHarness()
     assert _new_version_appears(harness)
