Take all rights back by a share of 0

Cause: the owner grants a share of 0 once it has found a version bad, before the rollback is committed; a request that was chosen before, or a stream of that version, was still sent.

Change: while a share is granted, only it counts, and 0 gives no right. The simulation calls the owner as it is now.

--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/exposure_grants.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/exposure_grants.py
@@ -66,7 +66,8 @@
     """The grants of one rollout that this VM holds.
 
     Grants of a number of requests add up. Of those that give a share, the
-    latest one counts.
+    latest one counts, and while it does, only it: a share of 0 takes all
+    rights back.
     """
 
     def __init__(self):
@@ -86,7 +87,9 @@
 
     def has_right(self, now):
         """Return whether a request may be sent to the target version."""
-        return self.has_share(now) or self.units_left(now) > 0
+        if self.has_share(now):
+            return self._share > 0.0
+        return self.units_left(now) > 0
 
     def has_share(self, now):
         """Return whether a share is granted, even one of 0."""
@@ -119,7 +122,7 @@
     def take(self, now):
         """Use the right to send one request; return whether there was one."""
         if self.has_share(now):
-            return True
+            return self._share > 0.0
         self._drop_ended(now)
         if not self._units:
             return False
--- a/tests/test_version_policy.py
+++ b/tests/test_version_policy.py
@@ -94,6 +94,18 @@
     assert harness.groups(draw=0.41) == (former,)
 
 
+def test_a_share_of_0_takes_the_rights_back():
+    harness = builders.PolicyHarness(Phase.SHIFTING)
+    harness.grant(5)
+    harness.grant_share(1.0)
+    assert harness.allows(TARGET)
+    harness.grant_share(0.0, seconds=1.1)
+    assert not harness.allows(TARGET)
+    assert not harness.allows(TARGET, {TARGET})
+    assert not harness.allows(TARGET, bound_version=TARGET)
+    assert not harness.take()
+
+
 def test_without_a_former_endpoint_the_target_takes_what_it_is_granted():
     harness = builders.PolicyHarness(Phase.SHIFTING)
     harness.grant_share(0.4)
