--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/owner.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/owner.py
@@ -175,7 +175,7 @@
             now = self._clock()
             tracker.judge_news(now)
             step = tracker.next_step(view, now)
-            reservation = tracker.wanted_reservation()
+            reservation = tracker.wanted_reservation(now)
         self._publish(tracker, view, now)
         if step is not None:
             self._advance(tracker, step, view)
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
@@ -117,12 +117,12 @@
                 return 1.0
         return 0.0
 
-    def wanted_reservation(self):
+    def wanted_reservation(self, now):
         """Return the total of exposure to reserve, or 0 if none is due."""
         if self.phase is not Phase.CANARY:
             return 0
         total = self.budget.wanted_reservation(
-            self._reports.sent(), self._all_wanted
+            self._reports.sent(), self._reports.wanted(now)
         )
         return total if total > self.budget.reserved else 0
 
