--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -267,7 +267,7 @@
         now = self._clock.now
         owner.judge_news(now)
         step = owner.next_step(self._view, now)
-        reservation = owner.wanted_reservation()
+        reservation = owner.wanted_reservation(now)
         if step is not None:
             owner.note_phase(step.phase, now)
             self._change(phase=step.phase.value)
