--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -66,7 +66,9 @@
         self._gate = gate
         self._tracer = tracer
 
-    def create_servers(self, directory, gossip, proposer, make_control_api):
+    def create_servers(
+        self, directory, gossip, proposer, make_control_api, rollouts=None
+    ):
         """Create an ``HttpServer`` for each listen address that is set.
 
         Args:
@@ -75,6 +77,8 @@
             proposer: the ``Proposer`` of commands for the replicated log.
             make_control_api: called with the ``ControlOperations``; returns a
                 function from an ``ApiRequest`` to an ``ApiResponse``.
+            rollouts: the ``RolloutOperations``, or None if there are no
+                rollouts.
 
         Returns:
             The servers, as a list; none of them is started.
@@ -109,6 +113,7 @@
                 self._dialect,
                 self._shared.engine_weights,
                 confirmation.confirm,
+                rollouts,
             )
             api = make_control_api(operations)
             apis.append(
@@ -233,6 +238,7 @@
             metrics=shared.metrics,
             route_durations=stop_admission.RouteDurations(),
             buffers=shared.buffers,
+            rollouts=shared.rollouts,
             load_features=self._settings.load_features,
             overload=self._make_overload_control(directory),
         )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -33,6 +33,8 @@
 from .relay import shared_components
 from .relay import stream_resumption
 from .replication import data_folder
+from .rollouts import operations
+from .rollouts import reporter
 from .routing import software_versions
 from .routing import stream_origins
 
@@ -104,6 +106,9 @@
         self._resources = resources.ResourceWatch(
             self._shared.metrics, settings.memory_limit_bytes, self._buffers
         )
+        self._rollout_owner = relay_tasks.make_rollout_owner(
+            settings, self._replica_runner, self._directory, self._shared
+        )
         self._build_membership()
         self._persisters = self._make_persisters()
         self._periodic_tasks = self._make_periodic_tasks()
@@ -111,7 +116,11 @@
             settings, dialect, self._shared, self._gate, self._tracer
         )
         self._servers = server_factory.create_servers(
-            self._directory, self._gossip, self._proposer, make_control_api
+            self._directory,
+            self._gossip,
+            self._proposer,
+            make_control_api,
+            self._make_rollout_operations(),
         )
 
     @property
@@ -298,11 +307,31 @@
                 self._software_versions,
                 self._directory.own_vm.incarnation,
             ),
+            self._rollout_owner,
         )
         self._link_server = link_server.LinkServer(
             self._settings.link_listen, self._settings.link_secret, handler
         )
 
+    def _make_rollout_operations(self):
+        if self._settings.rollout_limits is None:
+            return None
+        return operations.RolloutOperations(
+            self._proposer,
+            self._directory,
+            self._shared.configuration_store,
+            self._software_versions,
+            self._log_member_ids,
+        )
+
+    def _log_member_ids(self):
+        """Return the ids of the VMs with a member of the replicated log."""
+        runner = self._replica_runner
+        if runner is None or not runner.is_running:
+            return frozenset()
+        members = runner.replica.membership.members_by_id.values()
+        return frozenset(member.vm_id for member in members)
+
     def _make_persisters(self):
         if self._data_folder is None:
             return []
@@ -320,7 +349,15 @@
             )
             all_tasks.append(self.silent_endpoint_prober)
             all_tasks += relay_tasks.make_entry_tasks(
-                self._directory, self._dialect, self._shared
+                self._settings,
+                self._directory,
+                self._dialect,
+                self._shared,
+                vm_calls.VmCalls(
+                    self._directory,
+                    self._links,
+                    avoid_seconds=reporter.AVOID_SECONDS,
+                ),
             )
         if self._replica_runner is not None:
             all_tasks += relay_tasks.make_control_tasks(
@@ -332,6 +369,8 @@
                 self._gossip.push,
                 self._links,
             )
+        if self._rollout_owner is not None:
+            all_tasks.append(self._rollout_owner)
         return all_tasks
 
     def _update_contact(self):
