--- a/bench/record_formats.py
+++ b/bench/record_formats.py
@@ -46,6 +46,7 @@
         'ExposureGrant',
         'RolloutReply',
         'RolloutReport',
+        'SpeedNews',
         'VersionResults',
         'report_rollouts_args',
         'report_rollouts_result',
--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignments.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignments.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from . import engine_speeds
 from . import fleet_loads
 
 # Leading bytes of a block digest that are logged; enough to tell the blocks
@@ -29,6 +30,8 @@
             prefix, or empty.
         decision_inputs: values on which the choice was based, as log line
             fields.
+        work: the ``PromptWork`` until the first event, or None for a plain
+            service.
     """
 
     endpoint: object
@@ -39,6 +42,7 @@
     fetch_from: str
     save_to: str
     decision_inputs: dict
+    work: engine_speeds.PromptWork | None = None
 
 
 def summarise_segments(request, block_digests):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
@@ -44,13 +44,14 @@
     prefill_tokens: int = 0
     streams: int = 0
 
-    def after_prefill(self, seconds):
+    def after_prefill(self, seconds, speed=PREFILL_TOKENS_PER_SECOND):
         """Return this load after some seconds of prefill.
 
         Args:
             seconds: age of the report that the load comes from.
+            speed: tokens that the endpoint prefills in a second.
         """
-        prefilled = int(seconds * PREFILL_TOKENS_PER_SECOND)
+        prefilled = int(seconds * speed)
         return dataclasses.replace(
             self, prefill_tokens=max(0, self.prefill_tokens - prefilled)
         )
@@ -224,16 +225,22 @@
         """Return local loads plus those of recent reports that are wanted."""
         now = self._clock()
         totals = dict(self._local_by_endpoint)
-        for vm_id, report in list(self._reports_by_vm.items()):
+        for report in self._recent_reports(now):
+            if not is_wanted(report):
+                continue
             age = now - report.received_at
-            if age > PEER_REPORT_MAX_AGE_SECONDS:
-                del self._reports_by_vm[vm_id]
-            elif is_wanted(report):
-                for endpoint_id, load in report.loads_by_endpoint.items():
-                    current = totals.get(endpoint_id, Load())
-                    totals[endpoint_id] = current.plus(load.after_prefill(age))
+            for endpoint_id, load in report.loads_by_endpoint.items():
+                current = totals.get(endpoint_id, Load())
+                totals[endpoint_id] = current.plus(load.after_prefill(age))
         return totals
 
+    def _recent_reports(self, now):
+        """Return the reports of VMs that report; forget the others."""
+        for vm_id, report in list(self._reports_by_vm.items()):
+            if now - report.received_at > PEER_REPORT_MAX_AGE_SECONDS:
+                del self._reports_by_vm[vm_id]
+        return list(self._reports_by_vm.values())
+
 
 class PrefillShares:
     """Share of its recent time that each engine spends on prefill.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
@@ -105,6 +105,7 @@
         is_remote: whether it is in another data centre than this VM.
         prefill_share: share of its time spent on prefill.
         weights_version: weights version of its cached blocks.
+        prefill_speed: prompt tokens that it prefills in a second.
     """
 
     endpoint: object
@@ -118,6 +119,20 @@
     is_remote: bool = False
     prefill_share: float = 0.0
     weights_version: int = 0
+    prefill_speed: float = fleet_loads.PREFILL_TOKENS_PER_SECOND
+
+    def fits(self, demand):
+        """Return whether it has capacity for a ``Demand`` now."""
+        if self.load.running >= self.slots:
+            return False
+        if not self.kv_cache_tokens:
+            return True
+        needed = (
+            self.load.kv_cache_tokens
+            + demand.own_tokens
+            + demand.output_tokens
+        )
+        return needed <= self.kv_cache_tokens * MAX_MEMORY_FRACTION
 
 
 @dataclasses.dataclass(frozen=True)
@@ -144,11 +159,26 @@
     Returns:
         The ``Choice``, or None if no candidate has capacity now.
     """
-    fitting = [c for c in candidates if _fits(c, demand)]
+    fitting = [c for c in candidates if c.fits(demand)]
     if not fitting:
         return None
     # Breaks ties at random; otherwise all VMs would choose the same one.
     source.shuffle(fitting)
+    return best_of(fitting, candidates, demand)
+
+
+def best_of(fitting, candidates, demand):
+    """Choose the candidate with the lowest cost, the first of equals.
+
+    Args:
+        fitting: ``Candidate`` records to choose from; they have capacity.
+        candidates: all ``Candidate`` records, from which cached tokens may
+            be fetched.
+        demand: the ``Demand``.
+
+    Returns:
+        The ``Choice``.
+    """
     peer_tokens_by_version = {}
     for candidate in candidates:
         version = candidate.weights_version
@@ -184,18 +214,6 @@
     )
 
 
-def _fits(candidate, demand):
-    if candidate.load.running >= candidate.slots:
-        return False
-    if not candidate.kv_cache_tokens:
-        return True
-    needed = (
-        candidate.load.kv_cache_tokens
-        + load_of(candidate, demand).kv_cache_tokens
-    )
-    return needed <= candidate.kv_cache_tokens * MAX_MEMORY_FRACTION
-
-
 def _cost_seconds(candidate, demand, peer_tokens):
     """Return the cost of a candidate.
 
@@ -212,15 +230,13 @@
     if candidate.has_affinity:
         missing *= 1 - AFFINITY_DISCOUNT
     tokens = candidate.load.prefill_tokens + demand.own_tokens + missing
-    seconds = tokens / fleet_loads.PREFILL_TOKENS_PER_SECOND
+    seconds = tokens / candidate.prefill_speed
     seconds += DUPLICATE_COPY_FACTOR * fetched / FETCH_TOKENS_PER_SECOND
     seconds += candidate.load.running * STEP_SECONDS_PER_REQUEST
     if not candidate.kv_cache_tokens:
         seconds += candidate.load.running / candidate.slots
     if not candidate.has_affinity:
-        shared_seconds = (
-            demand.shared_tokens / fleet_loads.PREFILL_TOKENS_PER_SECOND
-        )
+        shared_seconds = demand.shared_tokens / candidate.prefill_speed
         seconds += NON_AFFINITY_PENALTY * shared_seconds
     if tokens - candidate.load.prefill_tokens >= MIN_LONG_PREFILL_TOKENS:
         seconds += STREAM_STALL_PENALTY_SECONDS * candidate.load.streams
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -58,6 +58,7 @@
         route_durations: the ``RouteDurations``.
         buffers: the ``BufferBudget`` of this VM.
         load_features: the ``LoadFeatures`` that the settings switch on.
+        engine_speeds: the ``EngineSpeeds``, or None if they are not learned.
     """
 
     data_centre: str
@@ -92,3 +93,4 @@
     route_durations: object
     buffers: object
     load_features: features.LoadFeatures = features.LoadFeatures()
+    engine_speeds: object = None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -379,6 +379,9 @@
             return
         self._is_streaming = True
         self._context.activity.begin(endpoint_id)
+        self._recorder.note_first_event(
+            self._assignment, clocks.now() - self._sent_at
+        )
 
     def _bind_stream(self):
         """Have later attempts go on at the same software version."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -64,6 +64,19 @@
         self._context.crash_suspects.expire_strikes(self._request.fingerprint)
         self._note_version(assignment, head)
 
+    def note_first_event(self, assignment, seconds):
+        """Record what the first event of an answer took.
+
+        Args:
+            assignment: the ``Assignment`` that the request was sent to.
+            seconds: time from sending the request to the event.
+        """
+        speeds = self._context.engine_speeds
+        if speeds is not None and assignment.work is not None:
+            speeds.note_first_event(
+                assignment.endpoint, assignment.work, seconds
+            )
+
     def note_unreachable(self, assignment, error):
         """Record that an endpoint has accepted no connection.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -11,12 +11,15 @@
 
 from carobwood import errors
 
+from ..routing import rendezvous
+
 from . import assignments
 from . import block_digests
 from . import cache_transfers
+from . import engine_speeds
 from . import fleet_loads
 from . import placement
-from ..routing import rendezvous
+from . import sampled_choice
 
 # Time after the target weights version rises during which engines with an
 # older version are not penalised.
@@ -153,11 +156,16 @@
     def _choose(self, candidates, demand):
         """Return the ``Choice`` of a candidate, or None."""
         for group in self._groups(candidates):
-            choice = placement.choose(group, demand)
+            choice = self._choose_in(group, demand)
             if choice is not None:
                 return choice
         return None
 
+    def _choose_in(self, candidates, demand):
+        if self._context.engine_speeds is None:
+            return placement.choose(candidates, demand)
+        return sampled_choice.choose(candidates, demand)
+
     def _take_place(self, request, excluded, only_id, denied_ids):
         """Choose an endpoint and reserve the capacity there.
 
@@ -318,8 +326,15 @@
             endpoint.data_centre != self._context.data_centre,
             self._context.prefill_shares.share(endpoint.id),
             weights_version,
+            self._prefill_speed(endpoint),
         )
 
+    def _prefill_speed(self, endpoint):
+        speeds = self._context.engine_speeds
+        if speeds is None:
+            return fleet_loads.PREFILL_TOKENS_PER_SECOND
+        return speeds.speed(endpoint)
+
     def _affinity_id(self, request, endpoints):
         """Return the id of the prefix's first endpoint in hash order."""
         shared_segments = request.metadata.prompt_segments[:-1]
@@ -402,6 +417,9 @@
                 ),
             }
             | assignments.decision_inputs(chosen, place.candidates),
+            engine_speeds.PromptWork(
+                place.choice.load.prefill_tokens, chosen.load.prefill_tokens
+            ),
         )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -13,10 +13,12 @@
 from . import endpoint_health
 from . import endpoint_rate_limits
 from . import endpoint_reachability
+from . import engine_speeds
 from . import engine_weights
 from . import fleet_loads
 from . import forwarding_peers
 from . import kv_stores
+from . import load_estimates
 from . import past_usage
 from . import quota
 from . import stream_resumption
@@ -49,6 +51,7 @@
         metrics: the ``PrometheusMetrics``.
         stream_resumption: the ``StreamResumption``.
         buffers: the ``BufferBudget`` of the VM.
+        engine_speeds: the ``EngineSpeeds``, or None if they are not learned.
     """
 
     store: object
@@ -71,6 +74,7 @@
     metrics: metric_clients.PrometheusMetrics
     stream_resumption: stream_resumption.StreamResumption
     buffers: buffer_budget.BufferBudget
+    engine_speeds: engine_speeds.EngineSpeeds | None
 
     def update_endpoint(self, endpoint):
         """Record the weights that an endpoint announces.
@@ -117,7 +121,11 @@
     metrics = metric_clients.PrometheusMetrics()
     buffers.set_metrics(metrics)
     weights = engine_weights.EngineWeights()
+    speeds = None
     loads = fleet_loads.FleetLoads()
+    if settings.load_features.learns_engines:
+        speeds = engine_speeds.EngineSpeeds()
+        loads = load_estimates.EstimatedLoads(speeds.speed_of_id)
     past_usage_table = past_usage.PastUsageTable(
         settings.fleet_limits.quota_tolerance.window
     )
@@ -171,4 +179,5 @@
         metrics,
         resumption,
         buffers,
+        speeds,
     )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_membership.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_membership.py
@@ -10,6 +10,7 @@
 from .relay import gossip_topic
 from .relay import leaving_records
 from .relay import rate_limit_records
+from .relay import speed_gossip
 from .relay import weights_records
 from .replication import proposer as proposers
 from .replication import replica_runner as replica_runners
@@ -87,6 +88,9 @@
         settings.fleet_limits.quota_tolerance.window,
         shared.wait_queue.notify_all,
     )
+    topics = [topic]
+    if shared.engine_speeds is not None:
+        topics.append(speed_gossip.SpeedGossipTopic(shared.engine_speeds))
     return gossips.Gossip(
         directory,
         withdrawal_sets.Withdrawals(),
@@ -94,7 +98,7 @@
         shared.prefix_cache_index,
         store,
         links,
-        topics=(topic,),
+        topics=tuple(topics),
         sources=(
             weights_records.WeightsRecords(shared.engine_weights),
             rate_limit_records.RateLimitRecords(shared.rate_limits),
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -233,6 +233,7 @@
             route_durations=stop_admission.RouteDurations(),
             buffers=shared.buffers,
             load_features=self._settings.load_features,
+            engine_speeds=shared.engine_speeds,
         )
         return relay.Relay(
             context,
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -3725,6 +3725,101 @@
         return not (self == other)
 
 
+class SpeedNews(object):
+    """
+    Attributes:
+     - endpoint_id
+     - incarnation
+     - weights_by_bucket
+
+    """
+
+
+    def __init__(self, endpoint_id=None, incarnation=None, weights_by_bucket=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.weights_by_bucket = weights_by_bucket
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.weights_by_bucket = {}
+                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
+                    for _i67 in range(_size63):
+                        _key68 = iprot.readI16()
+                        _val69 = iprot.readI32()
+                        self.weights_by_bucket[_key68] = _val69
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SpeedNews')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.weights_by_bucket is not None:
+            oprot.writeFieldBegin('weights_by_bucket', TType.MAP, 3)
+            oprot.writeMapBegin(TType.I16, TType.I32, len(self.weights_by_bucket))
+            for kiter70, viter71 in self.weights_by_bucket.items():
+                oprot.writeI16(kiter70)
+                oprot.writeI32(viter71)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint_id is None:
+            raise TProtocolException(message='Required field endpoint_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.weights_by_bucket is None:
+            raise TProtocolException(message='Required field weights_by_bucket is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SpendingNews(object):
     """
     Attributes:
@@ -3865,16 +3960,16 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.seconds_by_customer = {}
-                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
-                    for _i67 in range(_size63):
-                        _key68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val69 = []
-                        (_etype73, _size70) = iprot.readListBegin()
-                        for _i74 in range(_size70):
-                            _elem75 = iprot.readI64()
-                            _val69.append(_elem75)
+                    (_ktype73, _vtype74, _size72) = iprot.readMapBegin()
+                    for _i76 in range(_size72):
+                        _key77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val78 = []
+                        (_etype82, _size79) = iprot.readListBegin()
+                        for _i83 in range(_size79):
+                            _elem84 = iprot.readI64()
+                            _val78.append(_elem84)
                         iprot.readListEnd()
-                        self.seconds_by_customer[_key68] = _val69
+                        self.seconds_by_customer[_key77] = _val78
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3903,11 +3998,11 @@
         if self.seconds_by_customer is not None:
             oprot.writeFieldBegin('seconds_by_customer', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.seconds_by_customer))
-            for kiter76, viter77 in self.seconds_by_customer.items():
-                oprot.writeString(kiter76.encode('utf-8') if sys.version_info[0] == 2 else kiter76)
-                oprot.writeListBegin(TType.I64, len(viter77))
-                for iter78 in viter77:
-                    oprot.writeI64(iter78)
+            for kiter85, viter86 in self.seconds_by_customer.items():
+                oprot.writeString(kiter85.encode('utf-8') if sys.version_info[0] == 2 else kiter85)
+                oprot.writeListBegin(TType.I64, len(viter86))
+                for iter87 in viter86:
+                    oprot.writeI64(iter87)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
@@ -3995,11 +4090,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.spending = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = SpendingNews()
-                        _elem84.read(iprot)
-                        self.spending.append(_elem84)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = SpendingNews()
+                        _elem93.read(iprot)
+                        self.spending.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4036,8 +4131,8 @@
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter85 in self.spending:
-                iter85.write(oprot)
+            for iter94 in self.spending:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4224,20 +4319,20 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.times = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = iprot.readI64()
-                        self.times.append(_elem91)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = iprot.readI64()
+                        self.times.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = iprot.readI64()
-                        self.pauses.append(_elem97)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = iprot.readI64()
+                        self.pauses.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4283,15 +4378,15 @@
         if self.times is not None:
             oprot.writeFieldBegin('times', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.times))
-            for iter98 in self.times:
-                oprot.writeI64(iter98)
+            for iter107 in self.times:
+                oprot.writeI64(iter107)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.pauses))
-            for iter99 in self.pauses:
-                oprot.writeI64(iter99)
+            for iter108 in self.pauses:
+                oprot.writeI64(iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
@@ -4380,22 +4475,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.results = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = VersionResults()
-                        _elem105.read(iprot)
-                        self.results.append(_elem105)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = VersionResults()
+                        _elem114.read(iprot)
+                        self.results.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.wanted = {}
-                    (_ktype107, _vtype108, _size106) = iprot.readMapBegin()
-                    for _i110 in range(_size106):
-                        _key111 = iprot.readI64()
-                        _val112 = iprot.readI64()
-                        self.wanted[_key111] = _val112
+                    (_ktype116, _vtype117, _size115) = iprot.readMapBegin()
+                    for _i119 in range(_size115):
+                        _key120 = iprot.readI64()
+                        _val121 = iprot.readI64()
+                        self.wanted[_key120] = _val121
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -4424,16 +4519,16 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.results))
-            for iter113 in self.results:
-                iter113.write(oprot)
+            for iter122 in self.results:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.MAP, 5)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.wanted))
-            for kiter114, viter115 in self.wanted.items():
-                oprot.writeI64(kiter114)
-                oprot.writeI64(viter115)
+            for kiter123, viter124 in self.wanted.items():
+                oprot.writeI64(kiter123)
+                oprot.writeI64(viter124)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4599,11 +4694,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = ExposureGrant()
-                        _elem121.read(iprot)
-                        self.grants.append(_elem121)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = ExposureGrant()
+                        _elem130.read(iprot)
+                        self.grants.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4628,8 +4723,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter122 in self.grants:
-                iter122.write(oprot)
+            for iter131 in self.grants:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4772,22 +4867,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = RosterEntry()
-                        _elem128.read(iprot)
-                        self.members.append(_elem128)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = RosterEntry()
+                        _elem137.read(iprot)
+                        self.members.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = RosterEntry()
-                        _elem134.read(iprot)
-                        self.peers.append(_elem134)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = RosterEntry()
+                        _elem143.read(iprot)
+                        self.peers.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4816,15 +4911,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter135 in self.members:
-                iter135.write(oprot)
+            for iter144 in self.members:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter136 in self.peers:
-                iter136.write(oprot)
+            for iter145 in self.peers:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4898,120 +4993,120 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.vms = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = VmDescriptor()
-                        _elem142.read(iprot)
-                        self.vms.append(_elem142)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = VmDescriptor()
+                        _elem151.read(iprot)
+                        self.vms.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = Announcement()
-                        _elem148.read(iprot)
-                        self.announcements.append(_elem148)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = Announcement()
+                        _elem157.read(iprot)
+                        self.announcements.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = Strike()
-                        _elem154.read(iprot)
-                        self.strikes.append(_elem154)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = Strike()
+                        _elem163.read(iprot)
+                        self.strikes.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = WeightsNews()
-                        _elem160.read(iprot)
-                        self.weights.append(_elem160)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = WeightsNews()
+                        _elem169.read(iprot)
+                        self.weights.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.placements = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = PlacementNews()
-                        _elem166.read(iprot)
-                        self.placements.append(_elem166)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = PlacementNews()
+                        _elem175.read(iprot)
+                        self.placements.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.rosters = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = Roster()
-                        _elem172.read(iprot)
-                        self.rosters.append(_elem172)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = Roster()
+                        _elem181.read(iprot)
+                        self.rosters.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.stores = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = StoreNews()
-                        _elem178.read(iprot)
-                        self.stores.append(_elem178)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = StoreNews()
+                        _elem187.read(iprot)
+                        self.stores.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype182, _size179) = iprot.readListBegin()
-                    for _i183 in range(_size179):
-                        _elem184 = RateLimitNews()
-                        _elem184.read(iprot)
-                        self.rate_limits.append(_elem184)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = RateLimitNews()
+                        _elem193.read(iprot)
+                        self.rate_limits.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = LeavingNews()
-                        _elem190.read(iprot)
-                        self.leaving.append(_elem190)
+                    (_etype197, _size194) = iprot.readListBegin()
+                    for _i198 in range(_size194):
+                        _elem199 = LeavingNews()
+                        _elem199.read(iprot)
+                        self.leaving.append(_elem199)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.cut_off_vms = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = CutOffNews()
-                        _elem196.read(iprot)
-                        self.cut_off_vms.append(_elem196)
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = CutOffNews()
+                        _elem205.read(iprot)
+                        self.cut_off_vms.append(_elem205)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.foreign = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = iprot.readBinary()
-                        self.foreign.append(_elem202)
+                    (_etype209, _size206) = iprot.readListBegin()
+                    for _i210 in range(_size206):
+                        _elem211 = iprot.readBinary()
+                        self.foreign.append(_elem211)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5028,78 +5123,78 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter203 in self.vms:
-                iter203.write(oprot)
+            for iter212 in self.vms:
+                iter212.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter204 in self.announcements:
-                iter204.write(oprot)
+            for iter213 in self.announcements:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter205 in self.strikes:
-                iter205.write(oprot)
+            for iter214 in self.strikes:
+                iter214.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter206 in self.weights:
-                iter206.write(oprot)
+            for iter215 in self.weights:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.placements is not None:
             oprot.writeFieldBegin('placements', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter207 in self.placements:
-                iter207.write(oprot)
+            for iter216 in self.placements:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rosters is not None:
             oprot.writeFieldBegin('rosters', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rosters))
-            for iter208 in self.rosters:
-                iter208.write(oprot)
+            for iter217 in self.rosters:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stores is not None:
             oprot.writeFieldBegin('stores', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stores))
-            for iter209 in self.stores:
-                iter209.write(oprot)
+            for iter218 in self.stores:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter210 in self.rate_limits:
-                iter210.write(oprot)
+            for iter219 in self.rate_limits:
+                iter219.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter211 in self.leaving:
-                iter211.write(oprot)
+            for iter220 in self.leaving:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cut_off_vms is not None:
             oprot.writeFieldBegin('cut_off_vms', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.cut_off_vms))
-            for iter212 in self.cut_off_vms:
-                iter212.write(oprot)
+            for iter221 in self.cut_off_vms:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.foreign is not None:
             oprot.writeFieldBegin('foreign', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.foreign))
-            for iter213 in self.foreign:
-                oprot.writeBinary(iter213)
+            for iter222 in self.foreign:
+                oprot.writeBinary(iter222)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5217,11 +5312,12 @@
      - loads
      - group
      - position
+     - speeds
 
     """
 
 
-    def __init__(self, vm=None, version=None, fleet_id=None, role=None, withdrawn_digests=None, records=None, loads=None, group=None, position=None,):
+    def __init__(self, vm=None, version=None, fleet_id=None, role=None, withdrawn_digests=None, records=None, loads=None, group=None, position=None, speeds=None,):
         self.vm = vm
         self.version = version
         self.fleet_id = fleet_id
@@ -5231,6 +5327,7 @@
         self.loads = loads
         self.group = group
         self.position = position
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5265,10 +5362,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype217, _size214) = iprot.readListBegin()
-                    for _i218 in range(_size214):
-                        _elem219 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem219)
+                    (_etype226, _size223) = iprot.readListBegin()
+                    for _i227 in range(_size223):
+                        _elem228 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem228)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5281,11 +5378,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype223, _size220) = iprot.readListBegin()
-                    for _i224 in range(_size220):
-                        _elem225 = LoadNews()
-                        _elem225.read(iprot)
-                        self.loads.append(_elem225)
+                    (_etype232, _size229) = iprot.readListBegin()
+                    for _i233 in range(_size229):
+                        _elem234 = LoadNews()
+                        _elem234.read(iprot)
+                        self.loads.append(_elem234)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5301,6 +5398,17 @@
                     self.position.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype238, _size235) = iprot.readListBegin()
+                    for _i239 in range(_size235):
+                        _elem240 = SpeedNews()
+                        _elem240.read(iprot)
+                        self.speeds.append(_elem240)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5330,8 +5438,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter226 in self.withdrawn_digests:
-                oprot.writeString(iter226.encode('utf-8') if sys.version_info[0] == 2 else iter226)
+            for iter241 in self.withdrawn_digests:
+                oprot.writeString(iter241.encode('utf-8') if sys.version_info[0] == 2 else iter241)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
@@ -5341,8 +5449,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter227 in self.loads:
-                iter227.write(oprot)
+            for iter242 in self.loads:
+                iter242.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
@@ -5353,6 +5461,13 @@
             oprot.writeFieldBegin('position', TType.STRUCT, 9)
             self.position.write(oprot)
             oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter243 in self.speeds:
+                iter243.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5400,11 +5515,12 @@
      - groups
      - own_units
      - past_spending
+     - speeds
 
     """
 
 
-    def __init__(self, vm=None, version=None, fleet_id=None, contact_age_ms=None, withdrawn_digests=None, accepted=None, records=None, position=None, silent_endpoints=None, period_ms=None, loads=None, groups=None, own_units=None, past_spending=None,):
+    def __init__(self, vm=None, version=None, fleet_id=None, contact_age_ms=None, withdrawn_digests=None, accepted=None, records=None, position=None, silent_endpoints=None, period_ms=None, loads=None, groups=None, own_units=None, past_spending=None, speeds=None,):
         self.vm = vm
         self.version = version
         self.fleet_id = fleet_id
@@ -5419,6 +5535,7 @@
         self.groups = groups
         self.own_units = own_units
         self.past_spending = past_spending
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5453,10 +5570,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype231, _size228) = iprot.readListBegin()
-                    for _i232 in range(_size228):
-                        _elem233 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem233)
+                    (_etype247, _size244) = iprot.readListBegin()
+                    for _i248 in range(_size244):
+                        _elem249 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem249)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5480,10 +5597,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.silent_endpoints = []
-                    (_etype237, _size234) = iprot.readListBegin()
-                    for _i238 in range(_size234):
-                        _elem239 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent_endpoints.append(_elem239)
+                    (_etype253, _size250) = iprot.readListBegin()
+                    for _i254 in range(_size250):
+                        _elem255 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem255)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5495,44 +5612,55 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype243, _size240) = iprot.readListBegin()
-                    for _i244 in range(_size240):
-                        _elem245 = LoadNews()
-                        _elem245.read(iprot)
-                        self.loads.append(_elem245)
+                    (_etype259, _size256) = iprot.readListBegin()
+                    for _i260 in range(_size256):
+                        _elem261 = LoadNews()
+                        _elem261.read(iprot)
+                        self.loads.append(_elem261)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype249, _size246) = iprot.readListBegin()
-                    for _i250 in range(_size246):
-                        _elem251 = GroupReport()
-                        _elem251.read(iprot)
-                        self.groups.append(_elem251)
+                    (_etype265, _size262) = iprot.readListBegin()
+                    for _i266 in range(_size262):
+                        _elem267 = GroupReport()
+                        _elem267.read(iprot)
+                        self.groups.append(_elem267)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.own_units = {}
-                    (_ktype253, _vtype254, _size252) = iprot.readMapBegin()
-                    for _i256 in range(_size252):
-                        _key257 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val258 = iprot.readI64()
-                        self.own_units[_key257] = _val258
+                    (_ktype269, _vtype270, _size268) = iprot.readMapBegin()
+                    for _i272 in range(_size268):
+                        _key273 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val274 = iprot.readI64()
+                        self.own_units[_key273] = _val274
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.past_spending = []
-                    (_etype262, _size259) = iprot.readListBegin()
-                    for _i263 in range(_size259):
-                        _elem264 = PastSpendingNews()
-                        _elem264.read(iprot)
-                        self.past_spending.append(_elem264)
+                    (_etype278, _size275) = iprot.readListBegin()
+                    for _i279 in range(_size275):
+                        _elem280 = PastSpendingNews()
+                        _elem280.read(iprot)
+                        self.past_spending.append(_elem280)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype284, _size281) = iprot.readListBegin()
+                    for _i285 in range(_size281):
+                        _elem286 = SpeedNews()
+                        _elem286.read(iprot)
+                        self.speeds.append(_elem286)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5565,8 +5693,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter265 in self.withdrawn_digests:
-                oprot.writeString(iter265.encode('utf-8') if sys.version_info[0] == 2 else iter265)
+            for iter287 in self.withdrawn_digests:
+                oprot.writeString(iter287.encode('utf-8') if sys.version_info[0] == 2 else iter287)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepted is not None:
@@ -5584,8 +5712,8 @@
         if self.silent_endpoints is not None:
             oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
-            for iter266 in self.silent_endpoints:
-                oprot.writeString(iter266.encode('utf-8') if sys.version_info[0] == 2 else iter266)
+            for iter288 in self.silent_endpoints:
+                oprot.writeString(iter288.encode('utf-8') if sys.version_info[0] == 2 else iter288)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.period_ms is not None:
@@ -5595,30 +5723,37 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter267 in self.loads:
-                iter267.write(oprot)
+            for iter289 in self.loads:
+                iter289.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter268 in self.groups:
-                iter268.write(oprot)
+            for iter290 in self.groups:
+                iter290.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own_units is not None:
             oprot.writeFieldBegin('own_units', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
-            for kiter269, viter270 in self.own_units.items():
-                oprot.writeString(kiter269.encode('utf-8') if sys.version_info[0] == 2 else kiter269)
-                oprot.writeI64(viter270)
+            for kiter291, viter292 in self.own_units.items():
+                oprot.writeString(kiter291.encode('utf-8') if sys.version_info[0] == 2 else kiter291)
+                oprot.writeI64(viter292)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.past_spending is not None:
             oprot.writeFieldBegin('past_spending', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter271 in self.past_spending:
-                iter271.write(oprot)
+            for iter293 in self.past_spending:
+                iter293.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter294 in self.speeds:
+                iter294.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5948,6 +6083,13 @@
     (4, TType.I64, 'unread_tokens', None, None, ),  # 4
     (5, TType.I32, 'streams', None, None, ),  # 5
 )
+all_structs.append(SpeedNews)
+SpeedNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.MAP, 'weights_by_bucket', (TType.I16, None, TType.I32, None, False), None, ),  # 3
+)
 all_structs.append(SpendingNews)
 SpendingNews.thrift_spec = (
     None,  # 0
@@ -6067,6 +6209,8 @@
     (7, TType.LIST, 'loads', (TType.STRUCT, [LoadNews, None], False), None, ),  # 7
     (8, TType.STRUCT, 'group', [GroupReport, None], None, ),  # 8
     (9, TType.STRUCT, 'position', [LogPosition, None], None, ),  # 9
+    None,  # 10
+    (11, TType.LIST, 'speeds', (TType.STRUCT, [SpeedNews, None], False), None, ),  # 11
 )
 all_structs.append(GossipReply)
 GossipReply.thrift_spec = (
@@ -6085,6 +6229,8 @@
     (12, TType.LIST, 'groups', (TType.STRUCT, [GroupReport, None], False), None, ),  # 12
     (13, TType.MAP, 'own_units', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
     (14, TType.LIST, 'past_spending', (TType.STRUCT, [PastSpendingNews, None], False), None, ),  # 14
+    None,  # 15
+    (16, TType.LIST, 'speeds', (TType.STRUCT, [SpeedNews, None], False), None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -8,13 +8,16 @@
 
 import collections
 import dataclasses
+import enum
 import heapq
 import random
 
 import relay_builders as builders
 
 from carobwood_daemon.relay import fleet_loads
+from carobwood_daemon.relay import load_estimates
 from carobwood_daemon.relay import placement
+from carobwood_daemon.relay import sampled_choice
 from carobwood_daemon.routing import prefix_cache_index
 
 PREFILL_TOKENS_PER_SECOND = 40_800.0
@@ -55,12 +58,36 @@
         refused: requests for which no engine had capacity.
         repeated_prefill_tokens: prefix tokens that were prefilled more
             than once.
+        prefix_hits: requests whose prefix their engine had cached.
+        work_by_second: seconds of prefill that each engine was assigned, by
+            the second of the arrival.
     """
 
     requests: int = 0
     on_time: int = 0
     refused: int = 0
     repeated_prefill_tokens: int = 0
+    prefix_hits: int = 0
+    work_by_second: dict[int, dict[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def hit_share(self):
+        """Share of requests whose prefix their engine had cached."""
+        return self.prefix_hits / self.requests
+
+    def unevenness(self, first_second=0):
+        """Return the work of the busiest engine by the mean, by second.
+
+        Args:
+            first_second: the first second that counts.
+        """
+        return [
+            max(work.values()) * len(work) / sum(work.values())
+            for second, work in sorted(self.work_by_second.items())
+            if second >= first_second
+        ]
 
     @property
     def on_time_share(self):
@@ -155,8 +182,10 @@
 class Engine:
     """A simulated engine."""
 
-    def __init__(self, name):
+    def __init__(self, name, speed=1.0):
         self.name = name
+        # Multiplies ``PREFILL_TOKENS_PER_SECOND``.
+        self.speed = speed
         self.prefill_ends_at = 0.0
         self.running = []
         self.cached = collections.OrderedDict()
@@ -188,7 +217,8 @@
         first_token_at = (
             starts_at
             + fetch_seconds
-            + (shared_prefill + demand.own_tokens) / PREFILL_TOKENS_PER_SECOND
+            + (shared_prefill + demand.own_tokens)
+            / (PREFILL_TOKENS_PER_SECOND * self.speed)
         )
         self.prefill_ends_at = first_token_at
         ends_at = first_token_at + STEP_SECONDS * demand.output_tokens / 4
@@ -204,6 +234,20 @@
         return first_token_at, shared_prefill, evicted
 
 
+class Estimate(enum.Enum):
+    """What the VMs of a simulation choose by.
+
+    Attributes:
+        CONSTANT: late reports and one speed for all engines.
+        SPEEDS: late reports and the speed of each engine.
+        FRESH: the loads of all VMs at the moment, and the speeds.
+    """
+
+    CONSTANT = 'constant'
+    SPEEDS = 'speeds'
+    FRESH = 'fresh'
+
+
 class Simulation:
     """Entry VMs that choose engines for arrivals, with late load reports."""
 
@@ -217,6 +261,8 @@
         has_store=False,
         report_period=REPORT_PERIOD_SECONDS,
         slots=64,
+        speeds=(1.0,),
+        estimate=Estimate.CONSTANT,
     ):
         """Create the simulation.
 
@@ -231,14 +277,18 @@
             has_store: whether a store keeps each prefix that was prefilled.
             report_period: seconds between two sums of the loads.
             slots: maximum number of concurrent requests of an engine.
+            speeds: speeds of the engines, in turn.
+            estimate: the ``Estimate`` by which VMs choose.
         """
         self._choose = choose
         self._random = random.Random(seed)
         self._engines = {
-            f'engine-{n}': Engine(f'engine-{n}') for n in range(engines)
+            f'engine-{n}': Engine(f'engine-{n}', speeds[n % len(speeds)])
+            for n in range(engines)
         }
         self._clock = builders.Clock(0.0)
-        self._vms = [fleet_loads.FleetLoads(self._clock) for _ in range(vms)]
+        self._estimate = estimate
+        self._vms = [self._make_loads() for _ in range(vms)]
         self._prefilled_before = set()
         self._has_store = has_store
         self._stored_at = {}
@@ -263,12 +313,36 @@
             self._serve(arrival, number, result)
         return result
 
+    def _make_loads(self):
+        if self._estimate is Estimate.CONSTANT:
+            return fleet_loads.FleetLoads(self._clock)
+        return load_estimates.EstimatedLoads(self._speed_of, self._clock)
+
+    def _speed_of(self, name):
+        """Return the speed that the VMs assume for an engine."""
+        if self._estimate is Estimate.CONSTANT:
+            return fleet_loads.PREFILL_TOKENS_PER_SECOND
+        return PREFILL_TOKENS_PER_SECOND * self._engines[name].speed
+
+    def _known_loads(self, vm):
+        """Return the loads that a VM chooses by."""
+        if self._estimate is not Estimate.FRESH:
+            return vm.total_loads()
+        totals = {}
+        for other in self._vms:
+            for name, load in other.local_loads().items():
+                current = totals.get(name, fleet_loads.Load())
+                totals[name] = current.plus(load)
+        return totals
+
     def _exchange_reports(self):
         """Deliver the sums of the previous time and compute new ones."""
         for vm, sums in zip(self._vms, self._sums_on_the_way):
             # Aggregators reduce the loads by what was prefilled meanwhile.
             arrived = {
-                name: load.after_prefill(self._report_period)
+                name: load.after_prefill(
+                    self._report_period, self._speed_of(name)
+                )
                 for name, load in sums.items()
             }
             vm.set_peer_loads(fleet_loads.AGGREGATOR, arrived)
@@ -297,9 +371,11 @@
         name = choice.candidate.endpoint.id
         engine = self._engines[name]
         can_fetch = self._can_fetch(arrival, choice.candidate, candidates)
+        result.prefix_hits += arrival.prefix in engine.cached
         first_token_at, shared_prefill, evicted = engine.serve(
             arrival, arrival.at, can_fetch
         )
+        self._note_work(arrival, name, shared_prefill, result)
         self._caches.note_sent(name, arrival.prefix)
         self._caches.note_evicted(name, evicted)
         if shared_prefill and arrival.prefix in self._prefilled_before:
@@ -318,6 +394,14 @@
         for order, (at, release) in enumerate(releases):
             heapq.heappush(self._releases, (at, 2 * number + order, release))
 
+    def _note_work(self, arrival, name, shared_prefill, result):
+        work = result.work_by_second.setdefault(
+            int(arrival.at), dict.fromkeys(self._engines, 0.0)
+        )
+        tokens = shared_prefill + arrival.demand.own_tokens
+        speed = PREFILL_TOKENS_PER_SECOND * self._engines[name].speed
+        work[name] += tokens / speed
+
     def _can_fetch(self, arrival, chosen, candidates):
         """Return whether the source named to the engine has the prefix."""
         if chosen.cached_tokens:
@@ -330,7 +414,7 @@
         return self._has_store and stored_at <= arrival.at
 
     def _candidates(self, arrival, vm):
-        totals = vm.total_loads()
+        totals = self._known_loads(vm)
         affinity_name = f'engine-{arrival.prefix * 7919 % len(self._engines)}'
         return [
             builders.candidate(
@@ -342,6 +426,7 @@
                 if self._caches.holds(name, arrival.prefix)
                 else 0,
                 has_affinity=name == affinity_name,
+                prefill_speed=self._speed_of(name),
             )
             for name in self._engines
         ]
@@ -360,6 +445,11 @@
     return placement.choose(candidates, demand, source)
 
 
+def by_sampled_cost(candidates, demand, source):
+    """Choose with ``sampled_choice.choose``, as VMs that learn speeds do."""
+    return sampled_choice.choose(candidates, demand, source)
+
+
 def at_random(candidates, demand, source):
     """Choose an engine at random."""
     chosen = source.choice(candidates)
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -90,6 +90,7 @@
             loads=self.loads,
             prefix_cache_index=stub(record_use=lambda *arguments: None),
             prefill_shares=fleet_loads.PrefillShares(self.clock),
+            engine_speeds=None,
             configuration_store=stub(configuration=CONFIGURATION),
             wait_queue=self.queue,
             engine_weights=engine_weights.EngineWeights(),
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -77,6 +77,7 @@
         loads=fleet_loads.FleetLoads(clock),
         push_loads=lambda: None,
         prefill_shares=fleet_loads.PrefillShares(clock),
+        engine_speeds=None,
         prefix_cache_index=stub(
             record_use=lambda *arguments: None,
             count_cached_blocks=lambda *arguments: 0,
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -308,6 +308,14 @@
   5: required i32 streams
 }
 
+// Samples of the prefill speed of an engine that VMs have seen.
+struct SpeedNews {
+  1: required string endpoint_id
+  2: required i64 incarnation
+  // Sums of the weights of samples, in hundredths, by bucket of the speed.
+  3: required map<i16, i32> weights_by_bucket
+}
+
 // Rate-limit units that a VM, or a group of VMs, has admitted for a customer.
 struct SpendingNews {
   1: required string customer
@@ -463,6 +471,8 @@
   // Position in the receiver's logs; not set by aggregators, which are sent
   // records in messages of their own.
   9: LogPosition position
+  // Sums over the sender's group; not set in every message.
+  11: list<SpeedNews> speeds
 }
 
 struct GossipReply {
@@ -486,6 +496,8 @@
   // Units of the member itself within the report of the receiver's group.
   13: map<string, i64> own_units
   14: list<PastSpendingNews> past_spending
+  // Sums over all VMs of the fleet; not set in every reply.
+  16: list<SpeedNews> speeds
 }
 
 service FleetLink {
