Always draw the affinity engine, and only the holders of the longest part

Cause: engines that have only the common start of a prompt counted as its holders, so the engine with the whole prefix was often not drawn.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/sampled_choice.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/sampled_choice.py
@@ -7,21 +7,22 @@
 
 Each VM draws a few engines and takes the one with the lowest cost of these,
 so VMs that choose at the same moment choose different ones (Mitzenmacher,
-"How Useful Is Old Information?", 2000). Some of those drawn have the prefix
-cached, so it stays on few engines; the others take it on when those are
-loaded for longer than another copy costs. A prefix so gets as many engines
-as its demand needs, and loses them as they evict what goes unused.
+"How Useful Is Old Information?", 2000). The prefix's affinity engine and
+engines that have most of it cached are among them, so it stays on few
+engines. Another one takes it on when those are loaded for longer than a
+further copy costs. A prefix so gets as many engines as its demand needs, and
+loses them as they evict what goes unused.
 """
 
 import random
 
 from . import placement
 
-# Engines that are drawn of those that have the prefix cached, or are its
-# affinity engine.
+# Engines that are drawn of those that have most of the prefix cached, beside
+# its affinity engine.
 HOLDER_SAMPLES = 2
-# Engines that are drawn in all.
-SAMPLES = 4
+# Engines that are drawn of all the others.
+OTHER_SAMPLES = 2
 
 
 def choose(candidates, demand, source=random):
@@ -39,8 +40,21 @@
     if not fitting:
         return None
     source.shuffle(fitting)
-    holders = [c for c in fitting if c.cached_tokens or c.has_affinity]
-    others = [c for c in fitting if not (c.cached_tokens or c.has_affinity)]
-    drawn = holders[:HOLDER_SAMPLES]
-    drawn += others[: SAMPLES - len(drawn)]
-    return placement.best_of(drawn, candidates, demand)
+    return placement.best_of(_draw(fitting), candidates, demand)
+
+
+def _draw(candidates):
+    """Return the first candidates of each kind, of a shuffled list."""
+    most_tokens = max(candidate.cached_tokens for candidate in candidates)
+    drawn = []
+    holders = []
+    others = []
+    for candidate in candidates:
+        if candidate.has_affinity:
+            drawn.append(candidate)
+        elif candidate.cached_tokens == most_tokens > 0:
+            holders.append(candidate)
+        else:
+            others.append(candidate)
+    drawn += holders[:HOLDER_SAMPLES]
+    return drawn + others[:OTHER_SAMPLES]
