Learn speeds as multiples of the pool's, and log them

Cause: in the replay, speeds by the median of all first events fell for all engines under load, since a VM does not know of the latest requests before its own. Change: samples without queue and fetch only, the 0.75 quantile, relative to the pool, with a prior of four samples. An event tells speeds and evenness.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/engine_speeds.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/engine_speeds.py
@@ -6,9 +6,14 @@
 
 Each VM counts its samples of each engine by the speed that they show, in
 buckets that grow by a constant factor. Counts are added up over the fleet,
-and the median of the sum is the speed of the engine, so single slow answers
-do not matter. Samples decay, and those of a former incarnation are dropped.
+and a quantile of the sum is the speed of the engine, so single answers do
+not matter. Samples decay, and those of a former incarnation are dropped.
 An engine with few samples is taken to be as fast as the others of its pool.
+
+Requests of which a VM has not heard yet make an answer slower. So the
+quantile is a high one, and what is learned is how much faster an engine is
+than the others of its pool: under load all of them would look slow, and
+prefixes would be torn apart to relieve them.
 """
 
 import collections
@@ -22,17 +27,22 @@
 from . import fleet_loads
 
 # Time in which the weight of a sample halves.
-SAMPLE_HALF_LIFE_SECONDS = 5.0
+SAMPLE_HALF_LIFE_SECONDS = 10.0
 # Weight below which the samples of a bucket are dropped.
 MIN_SAMPLE_WEIGHT = 0.05
 # Speed of bucket 0, and the number of buckets for each doubling.
 LOWEST_TOKENS_PER_SECOND = 1000.0
 BUCKETS_PER_DOUBLING = 4
 LAST_BUCKET = 40
+# Share of the samples of an engine that show no higher speed than it has.
+SPEED_QUANTILE = 0.75
 # Weight of the speed of the pool in that of an engine, in samples.
-PRIOR_WEIGHT = 1.0
+PRIOR_WEIGHT = 4.0
 # Prompts below it tell about the time beside the prefill, not about speed.
 MIN_SPEED_TOKENS = 2000
+# Tokens before a prompt, as a share of its own, beyond which it tells nothing
+# about speed: they are known from old news only.
+MAX_QUEUED_SHARE = 0.25
 # Short prompts that the time beside the prefill is estimated from.
 OVERHEAD_SAMPLES = 32
 # Age from which the samples that another VM has reported are ignored.
@@ -40,6 +50,9 @@
 # Age up to which computed speeds are used again.
 SPEEDS_MAX_AGE_SECONDS = 0.25
 
+# Speed of the usual engine of a pool.
+_USUAL_SPEED = fleet_loads.PREFILL_TOKENS_PER_SECOND
+
 
 @dataclasses.dataclass(frozen=True)
 class PromptWork:
@@ -48,15 +61,25 @@
     Attributes:
         own_tokens: tokens of the request itself.
         queued_tokens: tokens of other requests before it.
+        fetched_tokens: cached tokens that it fetches first.
     """
 
     own_tokens: int
     queued_tokens: int
+    fetched_tokens: int = 0
 
     @property
     def shows_speed(self):
         """Whether the time of the request tells the speed of the engine."""
-        return self.own_tokens >= max(MIN_SPEED_TOKENS, self.queued_tokens)
+        if self.fetched_tokens or self.own_tokens < MIN_SPEED_TOKENS:
+            return False
+        return self.queued_tokens <= self.own_tokens * MAX_QUEUED_SHARE
+
+    @property
+    def shows_overhead(self):
+        """Whether the time of the request is mostly not for its prompt."""
+        is_alone = not self.queued_tokens and not self.fetched_tokens
+        return is_alone and self.own_tokens < MIN_SPEED_TOKENS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,8 +114,8 @@
         weights.update(other.weights_by_bucket)
         return SpeedSamples(self.incarnation, dict(weights))
 
-    def median(self, prior=None):
-        """Return the median speed in tokens per second, or None.
+    def speed(self, prior=None):
+        """Return the speed in tokens per second, or None without samples.
 
         Args:
             prior: speed that counts like ``PRIOR_WEIGHT`` samples, or None.
@@ -102,13 +125,13 @@
             weights[bucket_of(prior)] += PRIOR_WEIGHT
         if not weights:
             return None
-        half = sum(weights.values()) / 2
+        rank = sum(weights.values()) * SPEED_QUANTILE
         for bucket in sorted(weights):
-            if weights[bucket] >= half:
-                # Place of the median within its bucket.
-                offset = half / weights[bucket] - 0.5
+            if weights[bucket] >= rank:
+                # Place of the quantile within its bucket.
+                offset = rank / weights[bucket] - 0.5
                 return speed_of(bucket + offset)
-            half -= weights[bucket]
+            rank -= weights[bucket]
         return speed_of(max(weights))
 
 
@@ -156,7 +179,6 @@
         self._reports_by_vm = {}
         self._overheads = collections.deque(maxlen=OVERHEAD_SAMPLES)
         self._speeds_by_id = {}
-        self._speeds_by_pool = {}
         self._computed_at = float('-inf')
 
     def note_first_event(self, endpoint, work, seconds):
@@ -168,9 +190,9 @@
             seconds: time from sending the request to the event.
         """
         tokens = work.own_tokens + work.queued_tokens
+        if work.shows_overhead:
+            self._note_overhead(endpoint, tokens, seconds)
         if not work.shows_speed:
-            if not work.queued_tokens:
-                self._note_overhead(endpoint, tokens, seconds)
             return
         prefill_seconds = max(seconds - self._overhead(), seconds / 10)
         bucket = bucket_of(tokens / prefill_seconds)
@@ -191,21 +213,23 @@
             known = self._speeds_by_id.get(endpoint.id)
             if known is not None and known[0] >= endpoint.incarnation:
                 return known[1]
-            return self._speeds_by_pool.get(
-                endpoint.pool, fleet_loads.PREFILL_TOKENS_PER_SECOND
-            )
+            return _USUAL_SPEED
 
     def speed_of_id(self, endpoint_id):
         """Return the prefill speed of an engine by its id."""
         with self._lock:
             self._compute_if_old()
             known = self._speeds_by_id.get(endpoint_id)
-            if known is not None:
-                return known[1]
-            return self._speeds_by_pool.get(
-                self._pools_by_id.get(endpoint_id),
-                fleet_loads.PREFILL_TOKENS_PER_SECOND,
-            )
+            return known[1] if known else _USUAL_SPEED
+
+    def learned_speeds(self):
+        """Return the speeds of the engines with samples, by endpoint id."""
+        with self._lock:
+            self._compute_if_old()
+            return {
+                endpoint_id: known[1]
+                for endpoint_id, known in self._speeds_by_id.items()
+            }
 
     def set_report(self, vm_id, samples_by_id, is_from_member=False):
         """Replace what another VM has reported.
@@ -306,23 +330,21 @@
             return
         self._computed_at = now
         samples_by_id = self._fleet_samples()
-        medians_by_pool = collections.defaultdict(list)
+        speeds_by_pool = collections.defaultdict(list)
         for endpoint_id, samples in samples_by_id.items():
-            median = samples.median()
-            if median is not None:
+            speed = samples.speed()
+            if speed is not None:
                 pool = self._pools_by_id.get(endpoint_id)
-                medians_by_pool[pool].append(median)
-        self._speeds_by_pool = {
-            pool: statistics.median(medians)
-            for pool, medians in medians_by_pool.items()
+                speeds_by_pool[pool].append(speed)
+        priors_by_pool = {
+            pool: statistics.median(speeds)
+            for pool, speeds in speeds_by_pool.items()
         }
         self._speeds_by_id = {}
         for endpoint_id, samples in samples_by_id.items():
-            prior = self._speeds_by_pool.get(
-                self._pools_by_id.get(endpoint_id)
-            )
+            prior = priors_by_pool.get(self._pools_by_id.get(endpoint_id))
             if prior is not None:
                 self._speeds_by_id[endpoint_id] = (
                     samples.incarnation,
-                    samples.median(prior),
+                    _USUAL_SPEED * samples.speed(prior) / prior,
                 )
--- a/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
@@ -147,6 +147,12 @@
     candidate: Candidate
     load: fleet_loads.Load
 
+    def fetched_tokens(self, demand):
+        """Return the cached tokens of a ``Demand`` that it fetches."""
+        prompt_tokens = demand.shared_tokens + demand.own_tokens
+        known_tokens = self.candidate.cached_tokens + self.load.prefill_tokens
+        return prompt_tokens - known_tokens
+
 
 def choose(candidates, demand, source=random):
     """Choose the candidate with the lowest cost.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -418,7 +418,9 @@
             }
             | assignments.decision_inputs(chosen, place.candidates),
             engine_speeds.PromptWork(
-                place.choice.load.prefill_tokens, chosen.load.prefill_tokens
+                place.choice.load.prefill_tokens,
+                chosen.load.prefill_tokens,
+                place.choice.fetched_tokens(request.demand),
             ),
         )
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -30,6 +30,7 @@
 from .membership import vm_calls
 from .observe import process_resources as resources
 from .observe import tracing
+from .relay import engine_speed_reporter
 from .relay import shared_components
 from .relay import stream_resumption
 from .replication import data_folder
@@ -168,6 +169,7 @@
             task.start()
         if self._settings.caller_listen is not None:
             self._stream_reporter.start()
+            self._start_engine_speed_reporter()
         self._timer.subscribe(
             software_versions.SAMPLE_PERIOD_SECONDS,
             self._software_versions.sample,
@@ -192,6 +194,19 @@
             first=self._settings.is_first_start,
         )
 
+    def _start_engine_speed_reporter(self):
+        if self._shared.engine_speeds is None:
+            return
+        reporter = engine_speed_reporter.EngineSpeedReporter(
+            self._shared.engine_speeds,
+            self._shared.loads,
+            self._directory,
+            self._shared.metrics,
+        )
+        self._timer.subscribe(
+            engine_speed_reporter.SAMPLE_PERIOD_SECONDS, reporter.sample
+        )
+
     def stop(self, asked_at=None):
         """Stop gracefully and let requests in flight finish.
 
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -133,6 +133,7 @@
 SETTINGS_REFUSED = Event(442, 'settings-refused', logging.ERROR)
 RELOAD_REQUESTED = Event(443, 'reload-requested', logging.INFO)
 LOG_LINES_DROPPED = Event(441, 'log-lines-dropped', logging.WARNING)
+ENGINE_SPEEDS = Event(490, 'engine-speeds', logging.INFO)
 
 
 def all_events():
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -14,6 +14,7 @@
 
 import relay_builders as builders
 
+from carobwood_daemon.relay import engine_speeds
 from carobwood_daemon.relay import fleet_loads
 from carobwood_daemon.relay import load_estimates
 from carobwood_daemon.relay import placement
@@ -179,6 +180,21 @@
     return arrivals
 
 
+@dataclasses.dataclass(frozen=True)
+class SpeedChange:
+    """An engine's speed changes.
+
+    Attributes:
+        at: time in seconds.
+        engine: name of the engine.
+        speed: its speed from then on.
+    """
+
+    at: float
+    engine: str
+    speed: float
+
+
 class Engine:
     """A simulated engine."""
 
@@ -240,11 +256,13 @@
     Attributes:
         CONSTANT: late reports and one speed for all engines.
         SPEEDS: late reports and the speed of each engine.
+        LEARNED: late reports, and speeds learned from first events.
         FRESH: the loads of all VMs at the moment, and the speeds.
     """
 
     CONSTANT = 'constant'
     SPEEDS = 'speeds'
+    LEARNED = 'learned'
     FRESH = 'fresh'
 
 
@@ -263,6 +281,7 @@
         slots=64,
         speeds=(1.0,),
         estimate=Estimate.CONSTANT,
+        speed_changes=(),
     ):
         """Create the simulation.
 
@@ -279,6 +298,7 @@
             slots: maximum number of concurrent requests of an engine.
             speeds: speeds of the engines, in turn.
             estimate: the ``Estimate`` by which VMs choose.
+            speed_changes: ``SpeedChange`` records, in order.
         """
         self._choose = choose
         self._random = random.Random(seed)
@@ -288,7 +308,11 @@
         }
         self._clock = builders.Clock(0.0)
         self._estimate = estimate
-        self._vms = [self._make_loads() for _ in range(vms)]
+        self._speed_changes = collections.deque(speed_changes)
+        self._speeds_by_vm = [
+            engine_speeds.EngineSpeeds(self._clock) for _ in range(vms)
+        ]
+        self._vms = [self._make_loads(s) for s in self._speeds_by_vm]
         self._prefilled_before = set()
         self._has_store = has_store
         self._stored_at = {}
@@ -307,21 +331,43 @@
         for number, arrival in enumerate(arrivals):
             self._clock.now = arrival.at
             self._release_until(arrival.at)
+            self._change_speeds(arrival.at)
             if arrival.at >= next_report_at:
                 self._exchange_reports()
                 next_report_at = arrival.at + self._report_period
             self._serve(arrival, number, result)
         return result
 
-    def _make_loads(self):
+    def _make_loads(self, speeds):
         if self._estimate is Estimate.CONSTANT:
             return fleet_loads.FleetLoads(self._clock)
-        return load_estimates.EstimatedLoads(self._speed_of, self._clock)
+        return load_estimates.EstimatedLoads(
+            lambda name: self._speed_of(name, speeds), self._clock
+        )
+
+    def _change_speeds(self, now):
+        while self._speed_changes and self._speed_changes[0].at <= now:
+            change = self._speed_changes.popleft()
+            self._engines[change.engine].speed = change.speed
 
-    def _speed_of(self, name):
-        """Return the speed that the VMs assume for an engine."""
+    def _exchange_speeds(self):
+        """Deliver the sums of what all VMs have seen."""
+        if self._estimate is not Estimate.LEARNED:
+            return
+        totals = {}
+        for speeds in self._speeds_by_vm:
+            for name, samples in speeds.group_samples().items():
+                known = totals.get(name)
+                totals[name] = known.plus(samples) if known else samples
+        for speeds in self._speeds_by_vm:
+            speeds.set_report(fleet_loads.AGGREGATOR, totals)
+
+    def _speed_of(self, name, speeds):
+        """Return the speed that a VM assumes for an engine."""
         if self._estimate is Estimate.CONSTANT:
             return fleet_loads.PREFILL_TOKENS_PER_SECOND
+        if self._estimate is Estimate.LEARNED:
+            return speeds.speed(builders.endpoint(name))
         return PREFILL_TOKENS_PER_SECOND * self._engines[name].speed
 
     def _known_loads(self, vm):
@@ -337,11 +383,14 @@
 
     def _exchange_reports(self):
         """Deliver the sums of the previous time and compute new ones."""
-        for vm, sums in zip(self._vms, self._sums_on_the_way):
+        self._exchange_speeds()
+        for vm, speeds, sums in zip(
+            self._vms, self._speeds_by_vm, self._sums_on_the_way
+        ):
             # Aggregators reduce the loads by what was prefilled meanwhile.
             arrived = {
                 name: load.after_prefill(
-                    self._report_period, self._speed_of(name)
+                    self._report_period, self._speed_of(name, speeds)
                 )
                 for name, load in sums.items()
             }
@@ -362,8 +411,9 @@
 
     def _serve(self, arrival, number, result):
         result.requests += 1
-        vm = self._random.choice(self._vms)
-        candidates = self._candidates(arrival, vm)
+        vm_number = self._random.randrange(len(self._vms))
+        vm, speeds = self._vms[vm_number], self._speeds_by_vm[vm_number]
+        candidates = self._candidates(arrival, vm, speeds)
         choice = self._choose(candidates, arrival.demand, self._random)
         if choice is None:
             result.refused += 1
@@ -387,8 +437,20 @@
         result.on_time += first_token_at - arrival.at <= 0.6
         reservation = vm.reserve(name, choice.load)
         ends_at = engine.running[-1][0]
+        work = engine_speeds.PromptWork(
+            choice.load.prefill_tokens,
+            choice.candidate.load.prefill_tokens,
+            choice.fetched_tokens(arrival.demand),
+        )
+
+        def note_first_token():
+            reservation.release_prefill()
+            speeds.note_first_event(
+                choice.candidate.endpoint, work, first_token_at - arrival.at
+            )
+
         releases = (
-            (first_token_at, reservation.release_prefill),
+            (first_token_at, note_first_token),
             (ends_at, reservation.release),
         )
         for order, (at, release) in enumerate(releases):
@@ -413,7 +475,7 @@
         stored_at = self._stored_at.get(arrival.prefix, float('inf'))
         return self._has_store and stored_at <= arrival.at
 
-    def _candidates(self, arrival, vm):
+    def _candidates(self, arrival, vm, speeds):
         totals = self._known_loads(vm)
         affinity_name = f'engine-{arrival.prefix * 7919 % len(self._engines)}'
         return [
@@ -426,7 +488,7 @@
                 if self._caches.holds(name, arrival.prefix)
                 else 0,
                 has_affinity=name == affinity_name,
-                prefill_speed=self._speed_of(name),
+                prefill_speed=self._speed_of(name, speeds),
             )
             for name in self._engines
         ]
--- a/tests/test_load_simulation.py
+++ b/tests/test_load_simulation.py
@@ -113,3 +113,99 @@
     few = _fleet_on_time_share(load_simulation.by_cost, 8)
     many = _fleet_on_time_share(load_simulation.by_cost, 200)
     assert many >= 0.95 * few
+
+
+# Engines of three speeds, whose room is used to about 0.8.
+UNEVEN_RATE = 215.0
+UNEVEN_SPEEDS = (0.6, 1.0, 1.6)
+UNEVEN_VMS = {8: 0.1, 69: 0.3, 200: 0.4}
+UNEVEN_SEEDS = range(3)
+
+
+@functools.cache
+def _uneven_results(choose, vms, estimate, speed_changes=()):
+    """Return the results of a steady load on 24 engines of three speeds."""
+    results = []
+    for seed in UNEVEN_SEEDS:
+        arrivals = load_simulation.burst(
+            seed, rate=UNEVEN_RATE, factor=1.0, seconds=9.0, prefixes=280
+        )
+        simulation = load_simulation.Simulation(
+            choose,
+            seed,
+            engines=24,
+            vms=vms,
+            has_store=True,
+            report_period=UNEVEN_VMS[vms],
+            speeds=UNEVEN_SPEEDS,
+            estimate=estimate,
+            speed_changes=speed_changes,
+        )
+        results.append(simulation.run(arrivals))
+    return results
+
+
+def _mean(values):
+    values = list(values)
+    return sum(values) / len(values)
+
+
+def _unevenness(results):
+    # The first seconds fill the caches, and the last one is incomplete.
+    return _mean(value for r in results for value in r.unevenness(2)[:-1])
+
+
+def _today(vms):
+    return _uneven_results(
+        load_simulation.by_cost, vms, load_simulation.Estimate.CONSTANT
+    )
+
+
+def _learned(vms, speed_changes=()):
+    return _uneven_results(
+        load_simulation.by_sampled_cost,
+        vms,
+        load_simulation.Estimate.LEARNED,
+        speed_changes,
+    )
+
+
+@pytest.mark.parametrize('vms', UNEVEN_VMS)
+def test_uneven_engines_answer_more_on_time_with_learned_speeds(vms):
+    assert _mean(r.on_time_share for r in _learned(vms)) > _mean(
+        r.on_time_share for r in _today(vms)
+    )
+
+
+@pytest.mark.parametrize('vms', UNEVEN_VMS)
+def test_uneven_engines_get_a_more_even_load_with_learned_speeds(vms):
+    assert _unevenness(_learned(vms)) < _unevenness(_today(vms))
+
+
+@pytest.mark.parametrize('vms', UNEVEN_VMS)
+def test_prefixes_are_found_as_often_with_learned_speeds(vms):
+    assert _mean(r.hit_share for r in _learned(vms)) >= _mean(
+        r.hit_share for r in _today(vms)
+    )
+
+
+def _work_shares(results, engine):
+    """Return an engine's share of the tokens in each second."""
+    return [
+        _mean(
+            r.work_by_second[second][engine]
+            / sum(r.work_by_second[second].values())
+            for r in results
+        )
+        for second in range(2, 8)
+    ]
+
+
+def test_an_engine_that_turns_four_times_slower_is_not_overrun_in_turns():
+    slowed = load_simulation.SpeedChange(3.0, 'engine-1', 0.25)
+    results = _learned(69, (slowed,))
+    shares = _work_shares(results, 'engine-1')
+    # Its time goes back to about that of the others, and stays there.
+    assert max(shares[-2:]) < 0.5 * max(shares)
+    others = _mean(r.on_time_share for r in results)
+    assert others > 0.9 * _mean(r.on_time_share for r in _learned(69))
