--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -163,10 +163,11 @@
 
     def _demand(self, request):
         """Return the ``Demand`` of a request, with the allowed pause."""
-        pause = request.route.target_pause
-        if self._context.engine_speeds is None or not pause:
+        if self._context.engine_speeds is None:
             return request.demand
-        return dataclasses.replace(request.demand, pause_seconds=pause)
+        return dataclasses.replace(
+            request.demand, pause_seconds=request.route.target_pause
+        )
 
     def _choose_in(self, candidates, demand):
         if self._context.engine_speeds is None:
