Take back the weighing of prompts by the allowed pause

Conclusion: short streams are late between events, not at the first one; what stalls them has to be traced by their engine before it is weighed.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
@@ -38,13 +38,6 @@
 MIN_LONG_PREFILL_TOKENS = 6000
 # Penalty of a long prefill for each stream that it would stall.
 STREAM_STALL_PENALTY_SECONDS = 0.04
-# Output length from which a stream has several events, where callers count
-# the pauses between them.
-MIN_PAUSE_TOKENS = 16
-# Share of the pause that callers allow from which a prefill stalls streams.
-STALL_RISE_FRACTION = 0.5
-# Penalty of a prefill for each stream that it makes late.
-LATE_STREAM_PENALTY_SECONDS = 0.3
 # Penalty of a stream on an engine that prefills all the time; scaled by the
 # engine's share of time spent on prefill.
 PREFILL_PENALTY_SECONDS = 0.4
@@ -75,20 +68,15 @@
             requests.
         own_tokens: prompt tokens of this request alone.
         output_tokens: upper bound of the generated tokens.
-        pause_seconds: longest pause that callers of the service allow, or
-            None if it is not to be kept to.
     """
 
     shared_tokens: int = 0
     own_tokens: int = 0
     output_tokens: int = 0
-    pause_seconds: float | None = None
 
     @property
     def is_stream(self):
         """Whether the output is long enough to count as a stream."""
-        if self.pause_seconds is not None:
-            return self.output_tokens >= MIN_PAUSE_TOKENS
         return self.output_tokens >= MIN_STREAM_TOKENS
 
     @property
@@ -256,10 +244,8 @@
     if not candidate.has_affinity:
         shared_seconds = demand.shared_tokens / candidate.prefill_speed
         seconds += NON_AFFINITY_PENALTY * shared_seconds
-    prefill_tokens = tokens - candidate.load.prefill_tokens
-    seconds += candidate.load.streams * _stall_penalty(
-        candidate, demand, prefill_tokens
-    )
+    if tokens - candidate.load.prefill_tokens >= MIN_LONG_PREFILL_TOKENS:
+        seconds += STREAM_STALL_PENALTY_SECONDS * candidate.load.streams
     if demand.is_stream:
         seconds += PREFILL_PENALTY_SECONDS * candidate.prefill_share
     if candidate.has_old_weights:
@@ -267,21 +253,3 @@
     if candidate.is_remote:
         seconds += REMOTE_PENALTY_SECONDS
     return seconds + candidate.failure_rate * FAILURE_PENALTY_SECONDS
-
-
-def _stall_penalty(candidate, demand, prefill_tokens):
-    """Return the penalty for each stream that a prefill would stall.
-
-    Args:
-        candidate: the ``Candidate``.
-        demand: the ``Demand`` that is prefilled.
-        prefill_tokens: tokens that the candidate prefills for it.
-    """
-    if demand.pause_seconds is None:
-        if prefill_tokens < MIN_LONG_PREFILL_TOKENS:
-            return 0.0
-        return STREAM_STALL_PENALTY_SECONDS
-    prefill_seconds = prefill_tokens / candidate.prefill_speed
-    pause_share = prefill_seconds / demand.pause_seconds
-    rise = (pause_share - STALL_RISE_FRACTION) / (1.0 - STALL_RISE_FRACTION)
-    return LATE_STREAM_PENALTY_SECONDS * min(1.0, max(0.0, rise))
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -115,7 +115,7 @@
             ConfigurationChanged: see ``try_assign``.
         """
         candidates = self._find_candidates(request, excluded)
-        choice = self._choose(candidates, self._demand(request))
+        choice = self._choose(candidates, request.demand)
         return choice.candidate.endpoint if choice else None
 
     def _check_configuration(self, request):
@@ -161,14 +161,6 @@
                 return choice
         return None
 
-    def _demand(self, request):
-        """Return the ``Demand`` of a request, with the allowed pause."""
-        if self._context.engine_speeds is None:
-            return request.demand
-        return dataclasses.replace(
-            request.demand, pause_seconds=request.route.target_pause
-        )
-
     def _choose_in(self, candidates, demand):
         if self._context.engine_speeds is None:
             return placement.choose(candidates, demand)
@@ -194,7 +186,7 @@
                 if only_id in (None, candidate.endpoint.id)
                 and candidate.endpoint.id not in denied_ids
             ]
-            choice = self._choose(allowed, self._demand(request))
+            choice = self._choose(allowed, request.demand)
             if choice is None:
                 return None
             reservation = self._context.loads.reserve(
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -113,29 +113,3 @@
 def test_tokens_that_can_be_fetched_are_not_counted_as_prefill():
     load = placement.load_of(builders.candidate(), DEMAND, peer_tokens=6300)
     assert load.prefill_tokens == 2900
-
-
-def test_a_prompt_that_would_stall_streams_too_long_avoids_them():
-    demand = placement.Demand(6300, 20_000, 7, pause_seconds=0.6)
-    streams = fleet_loads.Load(2, 200, 0, 2)
-    slow = builders.candidate(
-        'slow', load=streams, prefill_speed=24_000, cached_tokens=6300
-    )
-    other = builders.candidate('other', prefill_speed=24_000)
-    assert _chosen(slow, other, demand=demand) == 'other'
-
-
-def test_a_prompt_that_stalls_streams_no_longer_than_allowed_stays():
-    demand = placement.Demand(6300, 8000, 7, pause_seconds=0.6)
-    streams = fleet_loads.Load(2, 200, 0, 2)
-    caching = builders.candidate(
-        'caching', load=streams, cached_tokens=6300, prefill_speed=64_000
-    )
-    other = builders.candidate('other', prefill_speed=64_000)
-    assert _chosen(caching, other, demand=demand) == 'caching'
-
-
-def test_short_outputs_count_as_streams_where_pauses_count():
-    assert placement.Demand(0, 600, 36, pause_seconds=0.6).is_stream
-    assert not placement.Demand(0, 600, 7, pause_seconds=0.6).is_stream
-    assert not placement.Demand(0, 600, 36).is_stream
