--- a/packages/carobwood-daemon/carobwood_daemon/relay/sampled_choice.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/sampled_choice.py
@@ -12,14 +12,10 @@
 engines. Another one takes it on when those are loaded for longer than a
 further copy costs. A prefix so gets as many engines as its demand needs, and
 loses them as they evict what goes unused.
-
-A short prompt adds too little load to overrun an engine, but is late behind
-a long one. All engines are looked at for it.
 """
 
 import random
 
-from . import fleet_loads
 from . import placement
 
 # Engines that are drawn of those that have most of the prefix cached, beside
@@ -44,10 +40,7 @@
     if not fitting:
         return None
     source.shuffle(fitting)
-    prompt_tokens = demand.shared_tokens + demand.own_tokens
-    if prompt_tokens >= fleet_loads.URGENT_PREFILL_TOKENS:
-        fitting = _draw(fitting)
-    return placement.best_of(fitting, candidates, demand)
+    return placement.best_of(_draw(fitting), candidates, demand)
 
 
 def _draw(candidates):
