--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -10,7 +10,6 @@
 from carobwood import events
 
 from . import engine_room
-from . import fleet_loads
 from . import overload_control
 from . import placement
 from . import return_times
@@ -277,7 +276,7 @@
                 candidate.slots,
                 candidate.load.running,
                 candidate.load.prefill_tokens,
-                fleet_loads.PREFILL_TOKENS_PER_SECOND,
+                candidate.prefill_speed,
             ),
             placement.load_of(
                 candidate,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -62,6 +62,7 @@
         rollouts: the ``EntryRollouts``, or ``NoRollouts``.
         load_features: the ``LoadFeatures`` that the settings switch on.
         overload: the ``OverloadControl``, or None if it is switched off.
+        engine_speeds: the ``EngineSpeeds``, or None if they are not learned.
     """
 
     data_centre: str
@@ -98,3 +99,4 @@
     rollouts: object = entry_rollouts.NoRollouts()
     load_features: features.LoadFeatures = features.LoadFeatures()
     overload: object = None
+    engine_speeds: object = None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -388,6 +388,9 @@
         self._is_streaming = True
         self._overload_gate.note_first_event(clocks.now() - self._sent_at)
         self._context.activity.begin(endpoint_id)
+        self._recorder.note_first_event(
+            self._assignment, clocks.now() - self._sent_at
+        )
 
     def _bind_stream(self):
         """Have later attempts go on at the same software version."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -16,10 +16,12 @@
 from . import endpoint_limits
 from . import endpoint_rate_limits
 from . import endpoint_reachability
+from . import engine_speeds
 from . import engine_weights
 from . import fleet_loads
 from . import forwarding_peers
 from . import kv_stores
+from . import load_estimates
 from . import past_usage
 from . import quota
 from . import shared_connection_pool
@@ -54,6 +56,7 @@
         stream_resumption: the ``StreamResumption``.
         buffers: the ``BufferBudget`` of the VM.
         rollouts: the ``EntryRollouts``, or ``NoRollouts``.
+        engine_speeds: the ``EngineSpeeds``, or None if they are not learned.
     """
 
     store: object
@@ -77,6 +80,7 @@
     stream_resumption: stream_resumption.StreamResumption
     buffers: buffer_budget.BufferBudget
     rollouts: object
+    engine_speeds: engine_speeds.EngineSpeeds | None
 
     def update_endpoint(self, endpoint):
         """Record the weights that an endpoint announces.
@@ -123,7 +127,11 @@
     metrics = metric_clients.PrometheusMetrics()
     buffers.set_metrics(metrics)
     weights = engine_weights.EngineWeights()
+    speeds = None
     loads = fleet_loads.FleetLoads()
+    if settings.load_features.learns_engines:
+        speeds = engine_speeds.EngineSpeeds()
+        loads = load_estimates.EstimatedLoads(speeds.speed_of_id)
     past_usage_table = past_usage.PastUsageTable(
         settings.fleet_limits.quota_tolerance.window
     )
@@ -193,6 +201,7 @@
         resumption,
         buffers,
         rollouts,
+        speeds,
     )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -241,6 +241,7 @@
             rollouts=shared.rollouts,
             load_features=self._settings.load_features,
             overload=self._make_overload_control(directory),
+            engine_speeds=shared.engine_speeds,
         )
         return relay.Relay(
             context,
