--- a/packages/carobwood-daemon/carobwood_daemon/relay/explainer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/explainer.py
@@ -131,8 +131,9 @@
         )
 
     def _view_endpoints(self, request, survey, ids_with_room):
-        candidates_by_id = {c.endpoint.id: c for c in survey.candidates}
-        costs_by_id = placement.costs_by_id(survey.candidates, request.demand)
+        costs_by_id = placement.costs_by_id(
+            survey.candidates_by_id.values(), request.demand
+        )
         find_obstacle = functools.partial(
             explanation.find_obstacle,
             survey=survey,
@@ -152,7 +153,7 @@
                     endpoint,
                     obstacle,
                     survey.loads_by_id.get(endpoint.id, fleet_loads.Load()),
-                    candidates_by_id.get(endpoint.id),
+                    survey.candidates_by_id.get(endpoint.id),
                     costs_by_id.get(endpoint.id),
                 )
             )
@@ -212,11 +213,11 @@
         """Return the candidates with room; see ``Selector.try_assign``."""
         if self._control is None:
             return candidates
-        self._offers = overload_gate.make_offers(
-            candidates, self._request.demand
-        )
-        self.ids = self._control.ids_with_room(self._need, self._offers)
-        return [c for c in candidates if c.endpoint.id in self.ids]
+        offers = overload_gate.make_offers(candidates, self._request.demand)
+        ids = self._control.ids_with_room(self._need, offers)
+        self._offers += offers
+        self.ids = (self.ids or frozenset()) | ids
+        return [c for c in candidates if c.endpoint.id in ids]
 
     def view(self, ahead):
         """Return the ``OverloadView``, or None without such an admission.
--- a/packages/carobwood-daemon/carobwood_daemon/relay/explanation.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/explanation.py
@@ -286,8 +286,7 @@
     obstacle = survey.obstacles_by_id[endpoint_id]
     if obstacle is not None:
         return obstacle
-    candidates_by_id = {c.endpoint.id: c for c in survey.candidates}
-    candidate = candidates_by_id.get(endpoint_id)
+    candidate = survey.candidates_by_id.get(endpoint_id)
     if candidate is None:
         return obstacles.Obstacle.CHANGING_WEIGHTS
     if not candidate.fits(demand):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/obstacles.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/obstacles.py
@@ -13,7 +13,8 @@
     Attributes:
         DRAINED: it takes no new work, or another one has its address.
         LEAVING: it has said that it shuts down.
-        OTHER_VERSION: its software version may not run the request.
+        OTHER_VERSION: its software version may not run the request, or gets
+            none in a rollout now.
         NO_CONNECTION: this VM has all connections to it that it may have.
         BACKED_OFF: it has reset new connections of this VM.
         EJECTED: it gets no requests until a probe reaches it.
@@ -46,11 +47,12 @@
         loads_by_id: ``Load`` by endpoint id.
         obstacles_by_id: the ``Obstacle`` or None, by the id of each endpoint
             that may take the request now or later.
-        candidates: the ``Candidate`` records, full ones included.
+        candidates_by_id: the ``Candidate`` records by endpoint id, full ones
+            included.
         choice: the ``Choice`` among them, or None.
     """
 
     loads_by_id: dict[str, fleet_loads.Load]
     obstacles_by_id: dict[str, Obstacle | None]
-    candidates: list[placement.Candidate]
+    candidates_by_id: dict[str, placement.Candidate]
     choice: placement.Choice | None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -10,7 +10,6 @@
 from carobwood import events
 
 from . import engine_room
-from . import fleet_loads
 from . import overload_control
 from . import placement
 from . import return_times
@@ -293,7 +292,7 @@
                 candidate.slots,
                 candidate.load.running,
                 candidate.load.prefill_tokens,
-                fleet_loads.PREFILL_TOKENS_PER_SECOND,
+                candidate.prefill_speed,
             ),
             placement.load_of(
                 candidate,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/placement.py
@@ -105,6 +105,7 @@
         is_remote: whether it is in another data centre than this VM.
         prefill_share: share of its time spent on prefill.
         weights_version: weights version of its cached blocks.
+        prefill_speed: prompt tokens that it prefills in a second.
     """
 
     endpoint: object
@@ -118,6 +119,7 @@
     is_remote: bool = False
     prefill_share: float = 0.0
     weights_version: int = 0
+    prefill_speed: float = fleet_loads.PREFILL_TOKENS_PER_SECOND
 
     def fits(self, demand):
         """Return whether it has capacity for a ``Demand`` now."""
@@ -145,6 +147,12 @@
     candidate: Candidate
     load: fleet_loads.Load
 
+    def fetched_tokens(self, demand):
+        """Return the cached tokens of a ``Demand`` that it fetches."""
+        prompt_tokens = demand.shared_tokens + demand.own_tokens
+        known_tokens = self.candidate.cached_tokens + self.load.prefill_tokens
+        return prompt_tokens - known_tokens
+
 
 def choose(candidates, demand, source=random):
     """Choose the candidate with the lowest cost.
@@ -162,6 +170,21 @@
         return None
     # Breaks ties at random; otherwise all VMs would choose the same one.
     source.shuffle(fitting)
+    return best_of(fitting, candidates, demand)
+
+
+def best_of(fitting, candidates, demand):
+    """Choose the candidate with the lowest cost, the first of equals.
+
+    Args:
+        fitting: ``Candidate`` records to choose from; they have capacity.
+        candidates: all ``Candidate`` records, from which cached tokens may
+            be fetched.
+        demand: the ``Demand``.
+
+    Returns:
+        The ``Choice``.
+    """
     peer_tokens_by_version = _peer_tokens_by_version(candidates)
     best = min(
         fitting,
@@ -237,15 +260,13 @@
     if candidate.has_affinity:
         missing *= 1 - AFFINITY_DISCOUNT
     tokens = candidate.load.prefill_tokens + demand.own_tokens + missing
-    seconds = tokens / fleet_loads.PREFILL_TOKENS_PER_SECOND
+    seconds = tokens / candidate.prefill_speed
     seconds += DUPLICATE_COPY_FACTOR * fetched / FETCH_TOKENS_PER_SECOND
     seconds += candidate.load.running * STEP_SECONDS_PER_REQUEST
     if not candidate.kv_cache_tokens:
         seconds += candidate.load.running / candidate.slots
     if not candidate.has_affinity:
-        shared_seconds = (
-            demand.shared_tokens / fleet_loads.PREFILL_TOKENS_PER_SECOND
-        )
+        shared_seconds = demand.shared_tokens / candidate.prefill_speed
         seconds += NON_AFFINITY_PENALTY * shared_seconds
     if tokens - candidate.load.prefill_tokens >= MIN_LONG_PREFILL_TOKENS:
         seconds += STREAM_STALL_PENALTY_SECONDS * candidate.load.streams
--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from ..rollouts import entry_rollouts
+
 from . import load_features as features
 
 
@@ -57,8 +59,10 @@
         metrics: the ``Metrics``.
         route_durations: the ``RouteDurations``.
         buffers: the ``BufferBudget`` of this VM.
+        rollouts: the ``EntryRollouts``, or ``NoRollouts``.
         load_features: the ``LoadFeatures`` that the settings switch on.
         overload: the ``OverloadControl``, or None if it is switched off.
+        engine_speeds: the ``EngineSpeeds``, or None if they are not learned.
     """
 
     data_centre: str
@@ -92,5 +96,7 @@
     metrics: object
     route_durations: object
     buffers: object
+    rollouts: object = entry_rollouts.NoRollouts()
     load_features: features.LoadFeatures = features.LoadFeatures()
     overload: object = None
+    engine_speeds: object = None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -258,6 +258,9 @@
             self._raise_unless_retryable(assignment, error)
         except errors.EndpointLeft as error:
             self._raise_unless_retryable(assignment, error)
+        except errors.VersionNotAllowed as error:
+            # The next attempt is made by what is allowed then.
+            attempt_log.log_failed(self._request, assignment, error)
         except errors.EndpointNotRun as error:
             self._recorder.note_not_run(assignment, error.head)
             self._raise_unless_retryable(assignment, error)
@@ -268,6 +271,7 @@
         ) as error:
             self._failed_ids.add(assignment.endpoint.id)
             self._run_error = error
+            self._recorder.note_evidence(assignment)
             if self._context.gate.is_interrupted:
                 raise errors.StopTimeout(
                     'the VM stopped before the response'
@@ -377,12 +381,16 @@
     def _note_event(self):
         """Record that an event of the current attempt has come."""
         endpoint_id = self._assignment.endpoint.id
+        self._context.rollouts.note_event(self._assignment)
         if self._is_streaming:
             self._context.activity.note_event(endpoint_id)
             return
         self._is_streaming = True
         self._overload_gate.note_first_event(clocks.now() - self._sent_at)
         self._context.activity.begin(endpoint_id)
+        self._recorder.note_first_event(
+            self._assignment, clocks.now() - self._sent_at
+        )
 
     def _bind_stream(self):
         """Have later attempts go on at the same software version."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -11,13 +11,16 @@
 
 from carobwood import errors
 
+from ..routing import rendezvous
+
 from . import assignments
 from . import block_digests
 from . import cache_transfers
+from . import engine_speeds
 from . import fleet_loads
 from . import obstacles
 from . import placement
-from ..routing import rendezvous
+from . import sampled_choice
 
 # Time after the target weights version rises during which engines with an
 # older version are not penalised.
@@ -103,18 +106,6 @@
             denied_ids.add(endpoint.id)
         return None
 
-    def candidates(self, request, excluded):
-        """Return the ``Candidate`` records of a request, full ones included.
-
-        Args:
-            request: the ``AdmittedRequest``.
-            excluded: ids of endpoints that it must not go to.
-
-        Raises:
-            ConfigurationChanged: see ``try_assign``.
-        """
-        return self._find_candidates(request, excluded)
-
     def find_endpoint(self, request, excluded):
         """Return the ``Endpoint`` that would be assigned first, or None.
 
@@ -127,9 +118,12 @@
         Raises:
             ConfigurationChanged: see ``try_assign``.
         """
-        candidates = self._find_candidates(request, excluded)
-        choice = self._choose(candidates, request.demand)
-        return choice.candidate.endpoint if choice else None
+        for endpoints in self._version_groups(request, excluded):
+            candidates = self._find_candidates(request, endpoints, excluded)
+            choice = self._choose(candidates, request.demand)
+            if choice is not None:
+                return choice.candidate.endpoint
+        return None
 
     def survey(self, request, filter_room=None):
         """Return what would be known and chosen for a request now.
@@ -146,23 +140,31 @@
         Raises:
             ConfigurationChanged: see ``try_assign``.
         """
-        self._check_configuration(request)
         full_addresses = self._context.pool.full_addresses()
-        endpoints = self.endpoints(request)
+        loads_by_id = self._context.loads.total_loads()
         obstacles_by_id = {
-            endpoint.id: self._obstacle(endpoint, full_addresses)
-            for endpoint in endpoints
+            endpoint.id: obstacles.Obstacle.OTHER_VERSION
+            for endpoint in self.endpoints(request)
         }
-        loads_by_id = self._context.loads.total_loads()
-        candidates = self._candidates(
-            request,
-            [e for e in endpoints if obstacles_by_id[e.id] is None],
-            loads_by_id,
-        )
-        allowed = filter_room(candidates) if filter_room else candidates
-        choice = self._choose(allowed, request.demand)
+        candidates_by_id = {}
+        choice = None
+        for endpoints in self._version_groups(request, frozenset()):
+            for endpoint in endpoints:
+                obstacles_by_id[endpoint.id] = self._obstacle(
+                    endpoint, full_addresses
+                )
+            candidates = self._candidates(
+                request,
+                [e for e in endpoints if obstacles_by_id[e.id] is None],
+                loads_by_id,
+            )
+            allowed = filter_room(candidates) if filter_room else candidates
+            if choice is None:
+                choice = self._choose(allowed, request.demand)
+            for candidate in candidates:
+                candidates_by_id.setdefault(candidate.endpoint.id, candidate)
         return obstacles.Survey(
-            loads_by_id, obstacles_by_id, candidates, choice
+            loads_by_id, obstacles_by_id, candidates_by_id, choice
         )
 
     def _obstacle(self, endpoint, full_addresses):
@@ -188,13 +190,23 @@
                 'the configuration has changed since the admission'
             )
 
-    def _find_candidates(self, request, excluded):
-        context = self._context
+    def _version_groups(self, request, excluded):
+        """Return the endpoints that may take a request now, in groups.
+
+        The endpoints of a later group are for requests that find no room in
+        an earlier one.
+        """
         self._check_configuration(request)
+        return self._context.rollouts.find_groups(
+            request, self.endpoints(request), excluded
+        )
+
+    def _find_candidates(self, request, endpoints, excluded):
+        context = self._context
         full_addresses = context.pool.full_addresses()
         endpoints = [
             endpoint
-            for endpoint in self.endpoints(request)
+            for endpoint in endpoints
             if endpoint.id not in excluded
             and self._obstacle(endpoint, full_addresses) is None
         ]
@@ -218,11 +230,16 @@
     def _choose(self, candidates, demand):
         """Return the ``Choice`` of a candidate, or None."""
         for group in self._groups(candidates):
-            choice = placement.choose(group, demand)
+            choice = self._choose_in(group, demand)
             if choice is not None:
                 return choice
         return None
 
+    def _choose_in(self, candidates, demand):
+        if self._context.engine_speeds is None:
+            return placement.choose(candidates, demand)
+        return sampled_choice.choose(candidates, demand)
+
     def _take_place(self, request, excluded, only_id, denied_ids, filter_room):
         """Choose an endpoint and reserve the capacity there.
 
@@ -237,22 +254,26 @@
             The ``_Place``, or None if no endpoint has capacity now.
         """
         with self._reserving:
-            candidates = self._find_candidates(request, excluded)
-            allowed = [
-                candidate
-                for candidate in candidates
-                if only_id in (None, candidate.endpoint.id)
-                and candidate.endpoint.id not in denied_ids
-            ]
-            if filter_room is not None:
-                allowed = filter_room(allowed)
-            choice = self._choose(allowed, request.demand)
-            if choice is None:
-                return None
-            reservation = self._context.loads.reserve(
-                choice.candidate.endpoint.id, choice.load
-            )
-        return _Place(choice, candidates, reservation)
+            for endpoints in self._version_groups(request, excluded):
+                candidates = self._find_candidates(
+                    request, endpoints, excluded
+                )
+                allowed = [
+                    candidate
+                    for candidate in candidates
+                    if only_id in (None, candidate.endpoint.id)
+                    and candidate.endpoint.id not in denied_ids
+                ]
+                if filter_room is not None:
+                    allowed = filter_room(allowed)
+                choice = self._choose(allowed, request.demand)
+                if choice is None:
+                    continue
+                reservation = self._context.loads.reserve(
+                    choice.candidate.endpoint.id, choice.load
+                )
+                return _Place(choice, candidates, reservation)
+        return None
 
     def _acquire(self, endpoint, reservation):
         """Acquire the permit for a place, or give the place up.
@@ -300,6 +321,7 @@
     def release(self, assignment):
         """Release the capacity that an assignment reserves."""
         assignment.reservation.release()
+        self._context.rollouts.end_attempt(assignment)
         self._context.wait_queue.notify_all()
 
     def release_prefill(self, assignment):
@@ -309,13 +331,19 @@
 
     def endpoints(self, request):
         """Return the endpoints that may take a request, now or later."""
-        return [
+        endpoints = [
             endpoint
             for endpoint in self._context.directory.serving_endpoints()
             if endpoint.pool == request.service
-            and self._fits_version(request.software_version, endpoint)
             and not self._context.availability.is_leaving(endpoint)
         ]
+        return [
+            endpoint
+            for endpoint in self._context.rollouts.find_possible(
+                request, endpoints
+            )
+            if self._fits_version(request.software_version, endpoint)
+        ]
 
     def _fits_version(self, version, endpoint):
         """Return whether a stream of a software version may go on there.
@@ -403,8 +431,15 @@
             endpoint.data_centre != self._context.data_centre,
             self._context.prefill_shares.share(endpoint.id),
             weights_version,
+            self._prefill_speed(endpoint),
         )
 
+    def _prefill_speed(self, endpoint):
+        speeds = self._context.engine_speeds
+        if speeds is None:
+            return fleet_loads.PREFILL_TOKENS_PER_SECOND
+        return speeds.speed(endpoint)
+
     def _affinity_id(self, request, endpoints):
         """Return the id of the prefix's first endpoint in hash order."""
         shared_segments = request.metadata.prompt_segments[:-1]
@@ -487,6 +522,11 @@
                 ),
             }
             | assignments.decision_inputs(chosen, place.candidates),
+            engine_speeds.PromptWork(
+                place.choice.load.prefill_tokens,
+                chosen.load.prefill_tokens,
+                place.choice.fetched_tokens(request.demand),
+            ),
         )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -4,6 +4,7 @@
 
 from ..limits import buffer_budget
 from ..observe import metrics as metric_clients
+from ..rollouts import entry_rollouts
 from ..routing import crash_suspects
 from ..routing import prefix_cache_index
 
@@ -15,10 +16,12 @@
 from . import endpoint_limits
 from . import endpoint_rate_limits
 from . import endpoint_reachability
+from . import engine_speeds
 from . import engine_weights
 from . import fleet_loads
 from . import forwarding_peers
 from . import kv_stores
+from . import load_estimates
 from . import past_usage
 from . import quota
 from . import shared_connection_pool
@@ -52,6 +55,8 @@
         metrics: the ``PrometheusMetrics``.
         stream_resumption: the ``StreamResumption``.
         buffers: the ``BufferBudget`` of the VM.
+        rollouts: the ``EntryRollouts``, or ``NoRollouts``.
+        engine_speeds: the ``EngineSpeeds``, or None if they are not learned.
     """
 
     store: object
@@ -74,6 +79,8 @@
     metrics: metric_clients.PrometheusMetrics
     stream_resumption: stream_resumption.StreamResumption
     buffers: buffer_budget.BufferBudget
+    rollouts: object
+    engine_speeds: engine_speeds.EngineSpeeds | None
 
     def update_endpoint(self, endpoint):
         """Record the weights that an endpoint announces.
@@ -120,7 +127,11 @@
     metrics = metric_clients.PrometheusMetrics()
     buffers.set_metrics(metrics)
     weights = engine_weights.EngineWeights()
+    speeds = None
     loads = fleet_loads.FleetLoads()
+    if settings.load_features.learns_engines:
+        speeds = engine_speeds.EngineSpeeds()
+        loads = load_estimates.EstimatedLoads(speeds.speed_of_id)
     past_usage_table = past_usage.PastUsageTable(
         settings.fleet_limits.quota_tolerance.window
     )
@@ -136,6 +147,14 @@
     reachability.on_change(peers.set_own_state)
     # Waiting requests are forwarded, or go to endpoints again.
     reachability.on_change(lambda is_cut_off: queue.notify_all())
+    # Before the configuration, which lets requests in.
+    rollouts = entry_rollouts.follow_rollouts(
+        settings.rollout_limits,
+        store,
+        directory,
+        metrics,
+        queue.notify_all,
+    )
     relay_configuration = configuration_store.ConfigurationStore(
         store, dialect, weights
     )
@@ -181,6 +200,8 @@
         metrics,
         resumption,
         buffers,
+        rollouts,
+        speeds,
     )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_vm.py
@@ -30,9 +30,12 @@
 from .membership import vm_calls
 from .observe import process_resources as resources
 from .observe import tracing
+from .relay import engine_speed_reporter
 from .relay import shared_components
 from .relay import stream_resumption
 from .replication import data_folder
+from .rollouts import operations
+from .rollouts import reporter
 from .routing import software_versions
 from .routing import stream_origins
 
@@ -104,6 +107,9 @@
         self._resources = resources.ResourceWatch(
             self._shared.metrics, settings.memory_limit_bytes, self._buffers
         )
+        self._rollout_owner = relay_tasks.make_rollout_owner(
+            settings, self._replica_runner, self._directory, self._shared
+        )
         self._build_membership()
         self._persisters = self._make_persisters()
         self._periodic_tasks = self._make_periodic_tasks()
@@ -111,7 +117,11 @@
             settings, dialect, self._shared, self._gate, self._tracer
         )
         self._servers = server_factory.create_servers(
-            self._directory, self._gossip, self._proposer, make_control_api
+            self._directory,
+            self._gossip,
+            self._proposer,
+            make_control_api,
+            self._make_rollout_operations(),
         )
 
     @property
@@ -168,6 +178,7 @@
             task.start()
         if self._settings.caller_listen is not None:
             self._stream_reporter.start()
+            self._start_engine_speed_reporter()
         self._timer.subscribe(
             software_versions.SAMPLE_PERIOD_SECONDS,
             self._software_versions.sample,
@@ -192,6 +203,19 @@
             first=self._settings.is_first_start,
         )
 
+    def _start_engine_speed_reporter(self):
+        if self._shared.engine_speeds is None:
+            return
+        reporter = engine_speed_reporter.EngineSpeedReporter(
+            self._shared.engine_speeds,
+            self._shared.loads,
+            self._directory,
+            self._shared.metrics,
+        )
+        self._timer.subscribe(
+            engine_speed_reporter.SAMPLE_PERIOD_SECONDS, reporter.sample
+        )
+
     def stop(self, asked_at=None):
         """Stop gracefully and let requests in flight finish.
 
@@ -298,11 +322,31 @@
                 self._software_versions,
                 self._directory.own_vm.incarnation,
             ),
+            self._rollout_owner,
         )
         self._link_server = link_server.LinkServer(
             self._settings.link_listen, self._settings.link_secret, handler
         )
 
+    def _make_rollout_operations(self):
+        if self._settings.rollout_limits is None:
+            return None
+        return operations.RolloutOperations(
+            self._proposer,
+            self._directory,
+            self._shared.configuration_store,
+            self._software_versions,
+            self._log_member_ids,
+        )
+
+    def _log_member_ids(self):
+        """Return the ids of the VMs with a member of the replicated log."""
+        runner = self._replica_runner
+        if runner is None or not runner.is_running:
+            return frozenset()
+        members = runner.replica.membership.members_by_id.values()
+        return frozenset(member.vm_id for member in members)
+
     def _make_persisters(self):
         if self._data_folder is None:
             return []
@@ -320,7 +364,15 @@
             )
             all_tasks.append(self.silent_endpoint_prober)
             all_tasks += relay_tasks.make_entry_tasks(
-                self._directory, self._dialect, self._shared
+                self._settings,
+                self._directory,
+                self._dialect,
+                self._shared,
+                vm_calls.VmCalls(
+                    self._directory,
+                    self._links,
+                    avoid_seconds=reporter.AVOID_SECONDS,
+                ),
             )
         if self._replica_runner is not None:
             all_tasks += relay_tasks.make_control_tasks(
@@ -332,6 +384,8 @@
                 self._gossip.push,
                 self._links,
             )
+        if self._rollout_owner is not None:
+            all_tasks.append(self._rollout_owner)
         return all_tasks
 
     def _update_contact(self):
--- a/tests/explanation_builders.py
+++ b/tests/explanation_builders.py
@@ -19,6 +19,7 @@
 from carobwood_daemon.relay import quota
 from carobwood_daemon.relay import selector
 from carobwood_daemon.relay import wait_queue
+from carobwood_daemon.rollouts import entry_rollouts
 from carobwood_daemon.routing import prefix_cache_index
 from carobwood_platform import dialect
 
@@ -51,6 +52,7 @@
         drained: engines that take no new work.
         request_permit: called with an endpoint and a statement to ask for a
             permit; None, which can't be called, unless a test replaces it.
+        context: what stands for the ``RelayContext``.
         explainer: the ``Explainer``.
     """
 
@@ -93,10 +95,10 @@
         self.overload = None
         if has_overload_control:
             self.overload = overload_control.OverloadControl()
-        context = self._make_context()
-        self.selector = selector.Selector(context)
+        self.context = self._make_context()
+        self.selector = selector.Selector(self.context)
         self.explainer = explainer.Explainer(
-            context,
+            self.context,
             self.selector,
             self.quota,
             lambda service: self.rollouts_by_service.get(service),
@@ -133,6 +135,8 @@
             ),
             engine_weights=self.weights,
             overload=self.overload,
+            rollouts=entry_rollouts.NoRollouts(),
+            engine_speeds=None,
         )
 
     def explain(self, **changes):
--- a/tests/load_simulation.py
+++ b/tests/load_simulation.py
@@ -8,13 +8,17 @@
 
 import collections
 import dataclasses
+import enum
 import heapq
 import random
 
 import relay_builders as builders
 
+from carobwood_daemon.relay import engine_speeds
 from carobwood_daemon.relay import fleet_loads
+from carobwood_daemon.relay import load_estimates
 from carobwood_daemon.relay import placement
+from carobwood_daemon.relay import sampled_choice
 from carobwood_daemon.routing import prefix_cache_index
 
 PREFILL_TOKENS_PER_SECOND = 40_800.0
@@ -55,12 +59,36 @@
         refused: requests for which no engine had capacity.
         repeated_prefill_tokens: prefix tokens that were prefilled more
             than once.
+        prefix_hits: requests whose prefix their engine had cached.
+        work_by_second: seconds of prefill that each engine was assigned, by
+            the second of the arrival.
     """
 
     requests: int = 0
     on_time: int = 0
     refused: int = 0
     repeated_prefill_tokens: int = 0
+    prefix_hits: int = 0
+    work_by_second: dict[int, dict[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def hit_share(self):
+        """Share of requests whose prefix their engine had cached."""
+        return self.prefix_hits / self.requests
+
+    def unevenness(self, first_second=0):
+        """Return the work of the busiest engine by the mean, by second.
+
+        Args:
+            first_second: the first second that counts.
+        """
+        return [
+            max(work.values()) * len(work) / sum(work.values())
+            for second, work in sorted(self.work_by_second.items())
+            if second >= first_second
+        ]
 
     @property
     def on_time_share(self):
@@ -152,11 +180,28 @@
     return arrivals
 
 
+@dataclasses.dataclass(frozen=True)
+class SpeedChange:
+    """An engine's speed changes.
+
+    Attributes:
+        at: time in seconds.
+        engine: name of the engine.
+        speed: its speed from then on.
+    """
+
+    at: float
+    engine: str
+    speed: float
+
+
 class Engine:
     """A simulated engine."""
 
-    def __init__(self, name):
+    def __init__(self, name, speed=1.0):
         self.name = name
+        # Multiplies ``PREFILL_TOKENS_PER_SECOND``.
+        self.speed = speed
         self.prefill_ends_at = 0.0
         self.running = []
         self.cached = collections.OrderedDict()
@@ -188,7 +233,8 @@
         first_token_at = (
             starts_at
             + fetch_seconds
-            + (shared_prefill + demand.own_tokens) / PREFILL_TOKENS_PER_SECOND
+            + (shared_prefill + demand.own_tokens)
+            / (PREFILL_TOKENS_PER_SECOND * self.speed)
         )
         self.prefill_ends_at = first_token_at
         ends_at = first_token_at + STEP_SECONDS * demand.output_tokens / 4
@@ -204,6 +250,22 @@
         return first_token_at, shared_prefill, evicted
 
 
+class Estimate(enum.Enum):
+    """What the VMs of a simulation choose by.
+
+    Attributes:
+        CONSTANT: late reports and one speed for all engines.
+        SPEEDS: late reports and the speed of each engine.
+        LEARNED: late reports, and speeds learned from first events.
+        FRESH: the loads of all VMs at the moment, and the speeds.
+    """
+
+    CONSTANT = 'constant'
+    SPEEDS = 'speeds'
+    LEARNED = 'learned'
+    FRESH = 'fresh'
+
+
 class Simulation:
     """Entry VMs that choose engines for arrivals, with late load reports."""
 
@@ -217,6 +279,9 @@
         has_store=False,
         report_period=REPORT_PERIOD_SECONDS,
         slots=64,
+        speeds=(1.0,),
+        estimate=Estimate.CONSTANT,
+        speed_changes=(),
     ):
         """Create the simulation.
 
@@ -231,14 +296,23 @@
             has_store: whether a store keeps each prefix that was prefilled.
             report_period: seconds between two sums of the loads.
             slots: maximum number of concurrent requests of an engine.
+            speeds: speeds of the engines, in turn.
+            estimate: the ``Estimate`` by which VMs choose.
+            speed_changes: ``SpeedChange`` records, in order.
         """
         self._choose = choose
         self._random = random.Random(seed)
         self._engines = {
-            f'engine-{n}': Engine(f'engine-{n}') for n in range(engines)
+            f'engine-{n}': Engine(f'engine-{n}', speeds[n % len(speeds)])
+            for n in range(engines)
         }
         self._clock = builders.Clock(0.0)
-        self._vms = [fleet_loads.FleetLoads(self._clock) for _ in range(vms)]
+        self._estimate = estimate
+        self._speed_changes = collections.deque(speed_changes)
+        self._speeds_by_vm = [
+            engine_speeds.EngineSpeeds(self._clock) for _ in range(vms)
+        ]
+        self._vms = [self._make_loads(s) for s in self._speeds_by_vm]
         self._prefilled_before = set()
         self._has_store = has_store
         self._stored_at = {}
@@ -257,18 +331,67 @@
         for number, arrival in enumerate(arrivals):
             self._clock.now = arrival.at
             self._release_until(arrival.at)
+            self._change_speeds(arrival.at)
             if arrival.at >= next_report_at:
                 self._exchange_reports()
                 next_report_at = arrival.at + self._report_period
             self._serve(arrival, number, result)
         return result
 
+    def _make_loads(self, speeds):
+        if self._estimate is Estimate.CONSTANT:
+            return fleet_loads.FleetLoads(self._clock)
+        return load_estimates.EstimatedLoads(
+            lambda name: self._speed_of(name, speeds), self._clock
+        )
+
+    def _change_speeds(self, now):
+        while self._speed_changes and self._speed_changes[0].at <= now:
+            change = self._speed_changes.popleft()
+            self._engines[change.engine].speed = change.speed
+
+    def _exchange_speeds(self):
+        """Deliver the sums of what all VMs have seen."""
+        if self._estimate is not Estimate.LEARNED:
+            return
+        totals = {}
+        for speeds in self._speeds_by_vm:
+            for name, samples in speeds.group_samples().items():
+                known = totals.get(name)
+                totals[name] = known.plus(samples) if known else samples
+        for speeds in self._speeds_by_vm:
+            speeds.set_report(fleet_loads.AGGREGATOR, totals)
+
+    def _speed_of(self, name, speeds):
+        """Return the speed that a VM assumes for an engine."""
+        if self._estimate is Estimate.CONSTANT:
+            return fleet_loads.PREFILL_TOKENS_PER_SECOND
+        if self._estimate is Estimate.LEARNED:
+            return speeds.speed(builders.endpoint(name))
+        return PREFILL_TOKENS_PER_SECOND * self._engines[name].speed
+
+    def _known_loads(self, vm):
+        """Return the loads that a VM chooses by."""
+        if self._estimate is not Estimate.FRESH:
+            return vm.total_loads()
+        totals = {}
+        for other in self._vms:
+            for name, load in other.local_loads().items():
+                current = totals.get(name, fleet_loads.Load())
+                totals[name] = current.plus(load)
+        return totals
+
     def _exchange_reports(self):
         """Deliver the sums of the previous time and compute new ones."""
-        for vm, sums in zip(self._vms, self._sums_on_the_way):
+        self._exchange_speeds()
+        for vm, speeds, sums in zip(
+            self._vms, self._speeds_by_vm, self._sums_on_the_way
+        ):
             # Aggregators reduce the loads by what was prefilled meanwhile.
             arrived = {
-                name: load.after_prefill(self._report_period)
+                name: load.after_prefill(
+                    self._report_period, self._speed_of(name, speeds)
+                )
                 for name, load in sums.items()
             }
             vm.set_peer_loads(fleet_loads.AGGREGATOR, arrived)
@@ -288,8 +411,9 @@
 
     def _serve(self, arrival, number, result):
         result.requests += 1
-        vm = self._random.choice(self._vms)
-        candidates = self._candidates(arrival, vm)
+        vm_number = self._random.randrange(len(self._vms))
+        vm, speeds = self._vms[vm_number], self._speeds_by_vm[vm_number]
+        candidates = self._candidates(arrival, vm, speeds)
         choice = self._choose(candidates, arrival.demand, self._random)
         if choice is None:
             result.refused += 1
@@ -297,9 +421,11 @@
         name = choice.candidate.endpoint.id
         engine = self._engines[name]
         can_fetch = self._can_fetch(arrival, choice.candidate, candidates)
+        result.prefix_hits += arrival.prefix in engine.cached
         first_token_at, shared_prefill, evicted = engine.serve(
             arrival, arrival.at, can_fetch
         )
+        self._note_work(arrival, name, shared_prefill, result)
         self._caches.note_sent(name, arrival.prefix)
         self._caches.note_evicted(name, evicted)
         if shared_prefill and arrival.prefix in self._prefilled_before:
@@ -311,13 +437,33 @@
         result.on_time += first_token_at - arrival.at <= 0.6
         reservation = vm.reserve(name, choice.load)
         ends_at = engine.running[-1][0]
+        work = engine_speeds.PromptWork(
+            choice.load.prefill_tokens,
+            choice.candidate.load.prefill_tokens,
+            choice.fetched_tokens(arrival.demand),
+        )
+
+        def note_first_token():
+            reservation.release_prefill()
+            speeds.note_first_event(
+                choice.candidate.endpoint, work, first_token_at - arrival.at
+            )
+
         releases = (
-            (first_token_at, reservation.release_prefill),
+            (first_token_at, note_first_token),
             (ends_at, reservation.release),
         )
         for order, (at, release) in enumerate(releases):
             heapq.heappush(self._releases, (at, 2 * number + order, release))
 
+    def _note_work(self, arrival, name, shared_prefill, result):
+        work = result.work_by_second.setdefault(
+            int(arrival.at), dict.fromkeys(self._engines, 0.0)
+        )
+        tokens = shared_prefill + arrival.demand.own_tokens
+        speed = PREFILL_TOKENS_PER_SECOND * self._engines[name].speed
+        work[name] += tokens / speed
+
     def _can_fetch(self, arrival, chosen, candidates):
         """Return whether the source named to the engine has the prefix."""
         if chosen.cached_tokens:
@@ -329,8 +475,8 @@
         stored_at = self._stored_at.get(arrival.prefix, float('inf'))
         return self._has_store and stored_at <= arrival.at
 
-    def _candidates(self, arrival, vm):
-        totals = vm.total_loads()
+    def _candidates(self, arrival, vm, speeds):
+        totals = self._known_loads(vm)
         affinity_name = f'engine-{arrival.prefix * 7919 % len(self._engines)}'
         return [
             builders.candidate(
@@ -342,6 +488,7 @@
                 if self._caches.holds(name, arrival.prefix)
                 else 0,
                 has_affinity=name == affinity_name,
+                prefill_speed=self._speed_of(name, speeds),
             )
             for name in self._engines
         ]
@@ -360,6 +507,11 @@
     return placement.choose(candidates, demand, source)
 
 
+def by_sampled_cost(candidates, demand, source):
+    """Choose with ``sampled_choice.choose``, as VMs that learn speeds do."""
+    return sampled_choice.choose(candidates, demand, source)
+
+
 def at_random(candidates, demand, source):
     """Choose an engine at random."""
     chosen = source.choice(candidates)
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import types
 
 import explanation_builders as setups
 import pytest
@@ -17,7 +18,7 @@
 from carobwood_daemon.relay import fleet_loads
 from carobwood_daemon.relay import gateway
 from carobwood_daemon.relay import messages
-from carobwood_daemon.replication import fleet_state
+from carobwood_daemon.replication import rollout_records
 
 LATE = explanation.OverloadView(1.0, 1.0, 0.5, False, True)
 SECRET = b'a secret of the fleet'
@@ -214,13 +215,34 @@
 
 
 def test_a_rollout_of_the_service_is_told(vm):
-    vm.rollouts_by_service['engines'] = fleet_state.RolloutRecord(
+    vm.rollouts_by_service['engines'] = rollout_records.RolloutRecord(
         7, 'engines', 'v2', 4000
     )
     _, service = vm.explain()
     assert service.rollout == explanation.RolloutView('v2', 'canary', '')
 
 
+def test_versions_come_in_the_order_of_the_rollout(vm):
+    vm.context.rollouts = types.SimpleNamespace(
+        find_possible=lambda request, endpoints: endpoints,
+        find_groups=lambda request, endpoints, tried_ids: (
+            endpoints[:1],
+            endpoints[1:2],
+        ),
+    )
+    vm.fill(vm.engines[0], 63)
+    _, service = vm.explain()
+    assert service.endpoint_id == 'engine-0'
+    vm.fill(vm.engines[0], 1)
+    _, service = vm.explain()
+    assert service.endpoint_id == 'engine-1'
+    assert vm.obstacles() == {
+        'engine-0': 'full',
+        'engine-1': '',
+        'engine-2': 'other-version',
+    }
+
+
 def test_a_key_is_found_by_its_digest(vm):
     found, _ = vm.explain(
         customer='', key_digest=keys.digest_key(builders.KEY)
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -16,6 +16,7 @@
 from carobwood_daemon.relay import fleet_loads
 from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import selector
+from carobwood_daemon.rollouts import entry_rollouts
 from carobwood_platform import dialect
 
 SEGMENTS = (
@@ -79,6 +80,7 @@
         loads=fleet_loads.FleetLoads(clock),
         push_loads=lambda: None,
         prefill_shares=fleet_loads.PrefillShares(clock),
+        engine_speeds=None,
         prefix_cache_index=stub(
             record_use=lambda *arguments: None,
             count_cached_blocks=lambda *arguments: 0,
@@ -86,6 +88,7 @@
         kv_stores=stub(find_available=lambda: None),
         engine_weights=Weights(itertools.cycle(versions)),
         gate=request_gate.RequestGate(10),
+        rollouts=entry_rollouts.NoRollouts(),
     )
 
 
