Name refused callers no time beyond what they honour

Cause: the time to return was rounded up to tenths of a second, past the third of the time left that callers honour; 1.7 s of 5.0 s, one draw in ten.

Change: it is rounded down to hundredths as it is drawn.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay.py
@@ -17,6 +17,7 @@
 from . import messages
 from . import planned_work
 from . import request_forwarder
+from . import return_times
 from . import stop_admission
 
 # Requests of other VMs that are in flight here at most. The rest of the
@@ -175,7 +176,7 @@
         headers = [('Content-Type', 'application/json')]
         headers += self._context.dialect.format_error_headers(request_id)
         if error.retry_after is not None:
-            headers.append(('Retry-After', self._format_retry_after(error)))
+            headers.append(('Retry-After', self.retry_after(error)))
         if forwarded is not None:
             headers.append((forwarding_headers.ERROR, error.code))
             headers.append((forwarding_headers.OUTCOME, error.outcome.value))
@@ -186,14 +187,17 @@
         except errors.CallerLeft:
             caller.abort_response()
 
-    def _format_retry_after(self, error):
-        """Return the seconds after which a caller may retry.
+    def retry_after(self, error):
+        """Return the seconds after which a caller may retry, as a string.
 
         Where admission is controlled, callers understand fractions, and
         returns are spread by them.
         """
         if self._context.load_features.controls_admission:
-            return str(math.ceil(10 * error.retry_after) / 10)
+            parts = error.retry_after * return_times.PARTS_OF_SECOND
+            # What is whole in decimals may be a little more in binary.
+            whole = math.ceil(round(parts, 6))
+            return str(whole / return_times.PARTS_OF_SECOND)
         return str(math.ceil(error.retry_after))
 
     def _parse_request_headers(self, caller):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/return_times.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/return_times.py
@@ -10,6 +10,7 @@
 others of its route has come back; it is not refused at once again.
 """
 
+import math
 import random
 import threading
 
@@ -17,6 +18,9 @@
 
 # Part of the time left that callers wait before they return.
 HONOURED_FRACTION = 1 / 3
+# Parts of a second in which times are named. They are rounded down: a time
+# beyond what callers honour has them return at once.
+PARTS_OF_SECOND = 100
 # Earliest return, as a part of the latest.
 EARLIEST_FRACTION = 0.6
 # A caller that names less than this part of the usual time has come back.
@@ -33,7 +37,8 @@
         source: source of random numbers.
     """
     latest = max(0.0, seconds_left) * HONOURED_FRACTION
-    return latest * source.uniform(EARLIEST_FRACTION, 1.0)
+    seconds = latest * source.uniform(EARLIEST_FRACTION, 1.0)
+    return math.floor(seconds * PARTS_OF_SECOND) / PARTS_OF_SECOND
 
 
 class UsualDeadlines:
