Refuse a ramp that no floating-point number can hold

Cause: an integer of 309 to 4,300 digits as ramp or as a number of a configuration raised OverflowError in the check for finite numbers, which nothing turned into a refusal.

--- a/tests/test_platform_control_api.py
+++ b/tests/test_platform_control_api.py
@@ -250,6 +250,10 @@
         ('ramp_s', {'ramp_s': float('nan')}),
         ('ramp_s', {'ramp_s': float('inf')}),
         ('ramp_s', {'ramp_s': 1e300}),
+        ('ramp_s', {'ramp_s': 10**400}),
+        ('ramp_s', {'ramp_s': None}),
+        ('service', {'service': ['engines']}),
+        ('to', {'to': '\ud800'}),
         ('speed', {'speed': 1}),
     ],
 )
