Count the crash of an endpoint as three failures at most

Cause: each request that a crash broke off counted as a failure of the software version. 6 failures in a row suffice for the judge, so that one crash with 10 to 60 requests in flight took a sound version back. The reports are sums by version and tell nothing of endpoints, and a bound in each VM alone would let 75 VMs count 75 failures.

Change: three VMs, chosen by a hash of endpoint, incarnation and VM, count a crash once each. It is told from an answer that breaks off by what the recorder finds out already: the endpoint accepts no connection and another one does. Evidence is noted after that, so that what shows a VM to be cut off is known by then; whether the request was a suspect is asked before.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/request_forwarder.py
@@ -268,7 +268,6 @@
         ) as error:
             self._failed_ids.add(assignment.endpoint.id)
             self._run_error = error
-            self._recorder.note_evidence(assignment)
             if self._context.gate.is_interrupted:
                 raise errors.StopTimeout(
                     'the VM stopped before the response'
@@ -306,7 +305,7 @@
         """Record that the current attempt has failed after it may have run."""
         is_timeout = isinstance(error, errors.EndpointTimeout)
         if is_timeout and self._failover.has_noted_silence:
-            # The silence is recorded already.
+            self._recorder.note_silent(assignment)
             return
         self._recorder.note_failed_attempt(
             assignment,
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -65,21 +65,34 @@
         self._context.rollouts.note_answered(assignment, head.status)
         self._note_version(assignment, head)
 
-    def note_evidence(self, assignment):
-        """Count a failed attempt for the software version of its endpoint.
+    def note_silent(self, assignment):
+        """Record an attempt whose endpoint's silence is recorded already.
 
-        To be called before ``note_failed``, which may suspect the request.
+        Args:
+            assignment: the ``Assignment`` that the request was sent to.
+        """
+        self._note_evidence(assignment, self._is_suspect(), False)
+
+    def _is_suspect(self):
+        suspects = self._context.crash_suspects
+        return suspects.is_suspect(self._request.fingerprint)
+
+    def _note_evidence(self, assignment, is_suspect, has_crashed):
+        """Count a failed attempt for the software version of its endpoint.
 
         Args:
             assignment: the ``Assignment`` that the request was sent to.
+            is_suspect: whether the request was suspected of crashing
+                endpoints before the attempt failed.
+            has_crashed: whether the endpoint has crashed.
         """
         context = self._context
         is_spoiled = (
-            context.reachability.is_cut_off
+            is_suspect
+            or context.reachability.is_cut_off
             or context.gate.is_interrupted
-            or context.crash_suspects.is_suspect(self._request.fingerprint)
         )
-        context.rollouts.note_failed(assignment, is_spoiled)
+        context.rollouts.note_failed(assignment, is_spoiled, has_crashed)
 
     def note_unreachable(self, assignment, error):
         """Record that an endpoint has accepted no connection.
@@ -120,7 +133,10 @@
             sent_at: when the attempt began, by ``clocks.now``.
             first_event_at: when its first event came, or None.
         """
-        if self.note_failed(assignment, error):
+        is_suspect = self._is_suspect()
+        has_crashed = self.note_failed(assignment, error)
+        self._note_evidence(assignment, is_suspect, has_crashed)
+        if has_crashed:
             self._note_crash(assignment, sent_at, first_event_at)
 
     def note_failed(self, assignment, error):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/silence_failover.py
@@ -293,7 +293,6 @@
             errors.AnswerMismatch,
         ) as error:
             attempt_log.log_failed(request, assignment, error)
-            recorder.note_evidence(assignment)
             recorder.note_failed_attempt(assignment, error, sent_at, None)
             self._retry_at_by_id[assignment.endpoint.id] = math.inf
             self._note_run(assignment, error)
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
@@ -11,6 +11,7 @@
 
 from ..replication import rollout_records
 
+from . import crash_counter
 from . import evidence_collector
 from . import version_policy
 
@@ -48,7 +49,7 @@
     def note_answered(self, assignment, status):
         """See ``EntryRollouts``."""
 
-    def note_failed(self, assignment, is_spoiled):
+    def note_failed(self, assignment, is_spoiled, has_crashed=False):
         """See ``EntryRollouts``."""
 
     def end_attempt(self, assignment):
@@ -63,7 +64,7 @@
         collector: the ``EvidenceCollector``.
     """
 
-    def __init__(self, policy, collector, metrics, notify_waiting):
+    def __init__(self, policy, collector, metrics, notify_waiting, crashes):
         """Create the rollouts of a VM.
 
         Args:
@@ -72,11 +73,13 @@
             metrics: the ``Metrics``.
             notify_waiting: function without arguments that makes queued
                 requests look for an endpoint again.
+            crashes: the ``CrashCounter``.
         """
         self.policy = policy
         self.collector = collector
         self._metrics = metrics
         self._notify_waiting = notify_waiting
+        self._crashes = crashes
 
     def follow(self, fleet):
         """Take over the rollouts of a ``FleetState``."""
@@ -195,7 +198,7 @@
         else:
             self.collector.leave_out(assignment)
 
-    def note_failed(self, assignment, is_spoiled):
+    def note_failed(self, assignment, is_spoiled, has_crashed=False):
         """Note that an attempt has failed after it may have run.
 
         Args:
@@ -203,8 +206,13 @@
             is_spoiled: whether the failure tells nothing of the version: the
                 request is suspected of crashing endpoints, this VM reaches
                 no endpoint, or it stops.
+            has_crashed: whether the endpoint has crashed, which may have
+                ended many requests at once.
         """
-        if is_spoiled:
+        counts = not is_spoiled and (
+            not has_crashed or self._crashes.counts(assignment.endpoint)
+        )
+        if not counts:
             self.collector.leave_out(assignment)
         else:
             self.collector.note_failed(assignment)
@@ -236,6 +244,10 @@
         evidence_collector.EvidenceCollector(),
         metrics,
         notify_waiting,
+        crash_counter.CrashCounter(
+            directory.own_vm.id,
+            lambda: [vm.id for vm in directory.entry_vms()],
+        ),
     )
     store.add_change_listener(rollouts.follow)
     directory.on_endpoint_change(rollouts.note_endpoint)
--- a/tests/test_rollout_reporter.py
+++ b/tests/test_rollout_reporter.py
@@ -49,6 +49,7 @@
             self.collector,
             self.metrics,
             lambda: None,
+            builders.crash_counter(),
         )
         self.reporter = reporter.RolloutReporter(
             self.rollouts,
