Let only VMs that follow settling say that nothing is left behind

Cause: the owner took a report that came 1.5 s after settling began as a sign that its VM sends nothing to the former version any more. A VM that stood still, or whose call took long, between counting and the arrival of its report had counted by the phase before: it said that nothing was in flight and sent requests to the former version right after it, whose endpoints stop without draining as soon as success is told.

The wait of 1.5 s stays.

--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/owner.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/owner.py
@@ -320,6 +320,7 @@
         report.wanted[record.index],
         results_by_key,
         now,
+        (report.phases or {}).get(record.index, ''),
     )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
@@ -102,6 +102,7 @@
             self._number,
             [to_thrift(key, each) for key, each in results.items()],
             {record.index: self._count_wanted(record) for record in running},
+            {record.index: record.phase for record in running},
         )
         sent_at = self._clock()
         reply = self._call_owner(report)
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
@@ -196,7 +196,9 @@
         if self.phase is not Phase.SETTLING:
             return False
         return self._reports.has_left_others(
-            self._phase_began_at + phases.SPREAD_SECONDS, view.entry_vms
+            self.record.phase,
+            self._phase_began_at + phases.SPREAD_SECONDS,
+            view.entry_vms,
         )
 
     def _evidence_age(self, view, now):
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/vm_reports.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/vm_reports.py
@@ -39,6 +39,8 @@
             before its next report.
         results_by_key: its ``RouteResults`` by ``VersionRoute``.
         received_at: time of the report, in seconds.
+        phase: phase of the rollout by which it chose versions before it
+            counted the results; empty if it does not say.
     """
 
     vm_id: str
@@ -47,6 +49,7 @@
     wanted: int
     results_by_key: dict[VersionRoute, evidence.RouteResults]
     received_at: float
+    phase: str = ''
 
 
 class VmReports:
@@ -101,14 +104,16 @@
             (now - self._received_at(vm) for vm in live_vms), default=0.0
         )
 
-    def has_left_others(self, since, live_vms):
+    def has_left_others(self, phase, since, live_vms):
         """Tell whether no live VM has a request at another version.
 
         Args:
+            phase: the phase that each VM must have followed before it
+                counted, as it may else send further requests there.
             since: time from which on the reports must be.
             live_vms: the entry VMs that are not silent.
         """
-        return all(self._has_left_others(vm, since) for vm in live_vms)
+        return all(self._has_left_others(vm, phase, since) for vm in live_vms)
 
     def totals(self):
         """Return the totals of the target and of the others, without times.
@@ -127,10 +132,12 @@
         report = self._reports_by_incarnation.get((vm.id, vm.incarnation))
         return report.received_at if report else float('-inf')
 
-    def _has_left_others(self, vm, since):
+    def _has_left_others(self, vm, phase, since):
         report = self._reports_by_incarnation.get((vm.id, vm.incarnation))
         if report is None or report.received_at < since:
             return False
+        if report.phase != phase:
+            return False
         return not any(
             results.in_flight
             for key, results in report.results_by_key.items()
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -4342,16 +4342,18 @@
      - number
      - results
      - wanted
+     - phases
 
     """
 
 
-    def __init__(self, vm_id=None, incarnation=None, number=None, results=None, wanted=None,):
+    def __init__(self, vm_id=None, incarnation=None, number=None, results=None, wanted=None, phases=None,):
         self.vm_id = vm_id
         self.incarnation = incarnation
         self.number = number
         self.results = results
         self.wanted = wanted
+        self.phases = phases
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4399,6 +4401,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.phases = {}
+                    (_ktype114, _vtype115, _size113) = iprot.readMapBegin()
+                    for _i117 in range(_size113):
+                        _key118 = iprot.readI64()
+                        _val119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.phases[_key118] = _val119
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4424,16 +4437,24 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.results))
-            for iter113 in self.results:
-                iter113.write(oprot)
+            for iter120 in self.results:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.MAP, 5)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.wanted))
-            for kiter114, viter115 in self.wanted.items():
-                oprot.writeI64(kiter114)
-                oprot.writeI64(viter115)
+            for kiter121, viter122 in self.wanted.items():
+                oprot.writeI64(kiter121)
+                oprot.writeI64(viter122)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.phases is not None:
+            oprot.writeFieldBegin('phases', TType.MAP, 6)
+            oprot.writeMapBegin(TType.I64, TType.STRING, len(self.phases))
+            for kiter123, viter124 in self.phases.items():
+                oprot.writeI64(kiter123)
+                oprot.writeString(viter124.encode('utf-8') if sys.version_info[0] == 2 else viter124)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4599,11 +4620,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = ExposureGrant()
-                        _elem121.read(iprot)
-                        self.grants.append(_elem121)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = ExposureGrant()
+                        _elem130.read(iprot)
+                        self.grants.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4628,8 +4649,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter122 in self.grants:
-                iter122.write(oprot)
+            for iter131 in self.grants:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4772,22 +4793,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = RosterEntry()
-                        _elem128.read(iprot)
-                        self.members.append(_elem128)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = RosterEntry()
+                        _elem137.read(iprot)
+                        self.members.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = RosterEntry()
-                        _elem134.read(iprot)
-                        self.peers.append(_elem134)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = RosterEntry()
+                        _elem143.read(iprot)
+                        self.peers.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4816,15 +4837,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter135 in self.members:
-                iter135.write(oprot)
+            for iter144 in self.members:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter136 in self.peers:
-                iter136.write(oprot)
+            for iter145 in self.peers:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4898,120 +4919,120 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.vms = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = VmDescriptor()
-                        _elem142.read(iprot)
-                        self.vms.append(_elem142)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = VmDescriptor()
+                        _elem151.read(iprot)
+                        self.vms.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = Announcement()
-                        _elem148.read(iprot)
-                        self.announcements.append(_elem148)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = Announcement()
+                        _elem157.read(iprot)
+                        self.announcements.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = Strike()
-                        _elem154.read(iprot)
-                        self.strikes.append(_elem154)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = Strike()
+                        _elem163.read(iprot)
+                        self.strikes.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = WeightsNews()
-                        _elem160.read(iprot)
-                        self.weights.append(_elem160)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = WeightsNews()
+                        _elem169.read(iprot)
+                        self.weights.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.placements = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = PlacementNews()
-                        _elem166.read(iprot)
-                        self.placements.append(_elem166)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = PlacementNews()
+                        _elem175.read(iprot)
+                        self.placements.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.rosters = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = Roster()
-                        _elem172.read(iprot)
-                        self.rosters.append(_elem172)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = Roster()
+                        _elem181.read(iprot)
+                        self.rosters.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.stores = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = StoreNews()
-                        _elem178.read(iprot)
-                        self.stores.append(_elem178)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = StoreNews()
+                        _elem187.read(iprot)
+                        self.stores.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype182, _size179) = iprot.readListBegin()
-                    for _i183 in range(_size179):
-                        _elem184 = RateLimitNews()
-                        _elem184.read(iprot)
-                        self.rate_limits.append(_elem184)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = RateLimitNews()
+                        _elem193.read(iprot)
+                        self.rate_limits.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = LeavingNews()
-                        _elem190.read(iprot)
-                        self.leaving.append(_elem190)
+                    (_etype197, _size194) = iprot.readListBegin()
+                    for _i198 in range(_size194):
+                        _elem199 = LeavingNews()
+                        _elem199.read(iprot)
+                        self.leaving.append(_elem199)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.cut_off_vms = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = CutOffNews()
-                        _elem196.read(iprot)
-                        self.cut_off_vms.append(_elem196)
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = CutOffNews()
+                        _elem205.read(iprot)
+                        self.cut_off_vms.append(_elem205)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.foreign = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = iprot.readBinary()
-                        self.foreign.append(_elem202)
+                    (_etype209, _size206) = iprot.readListBegin()
+                    for _i210 in range(_size206):
+                        _elem211 = iprot.readBinary()
+                        self.foreign.append(_elem211)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5028,78 +5049,78 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter203 in self.vms:
-                iter203.write(oprot)
+            for iter212 in self.vms:
+                iter212.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter204 in self.announcements:
-                iter204.write(oprot)
+            for iter213 in self.announcements:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter205 in self.strikes:
-                iter205.write(oprot)
+            for iter214 in self.strikes:
+                iter214.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter206 in self.weights:
-                iter206.write(oprot)
+            for iter215 in self.weights:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.placements is not None:
             oprot.writeFieldBegin('placements', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter207 in self.placements:
-                iter207.write(oprot)
+            for iter216 in self.placements:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rosters is not None:
             oprot.writeFieldBegin('rosters', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rosters))
-            for iter208 in self.rosters:
-                iter208.write(oprot)
+            for iter217 in self.rosters:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stores is not None:
             oprot.writeFieldBegin('stores', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stores))
-            for iter209 in self.stores:
-                iter209.write(oprot)
+            for iter218 in self.stores:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter210 in self.rate_limits:
-                iter210.write(oprot)
+            for iter219 in self.rate_limits:
+                iter219.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter211 in self.leaving:
-                iter211.write(oprot)
+            for iter220 in self.leaving:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cut_off_vms is not None:
             oprot.writeFieldBegin('cut_off_vms', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.cut_off_vms))
-            for iter212 in self.cut_off_vms:
-                iter212.write(oprot)
+            for iter221 in self.cut_off_vms:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.foreign is not None:
             oprot.writeFieldBegin('foreign', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.foreign))
-            for iter213 in self.foreign:
-                oprot.writeBinary(iter213)
+            for iter222 in self.foreign:
+                oprot.writeBinary(iter222)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5265,10 +5286,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype217, _size214) = iprot.readListBegin()
-                    for _i218 in range(_size214):
-                        _elem219 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem219)
+                    (_etype226, _size223) = iprot.readListBegin()
+                    for _i227 in range(_size223):
+                        _elem228 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem228)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5281,11 +5302,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype223, _size220) = iprot.readListBegin()
-                    for _i224 in range(_size220):
-                        _elem225 = LoadNews()
-                        _elem225.read(iprot)
-                        self.loads.append(_elem225)
+                    (_etype232, _size229) = iprot.readListBegin()
+                    for _i233 in range(_size229):
+                        _elem234 = LoadNews()
+                        _elem234.read(iprot)
+                        self.loads.append(_elem234)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5330,8 +5351,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter226 in self.withdrawn_digests:
-                oprot.writeString(iter226.encode('utf-8') if sys.version_info[0] == 2 else iter226)
+            for iter235 in self.withdrawn_digests:
+                oprot.writeString(iter235.encode('utf-8') if sys.version_info[0] == 2 else iter235)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
@@ -5341,8 +5362,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter227 in self.loads:
-                iter227.write(oprot)
+            for iter236 in self.loads:
+                iter236.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
@@ -5453,10 +5474,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype231, _size228) = iprot.readListBegin()
-                    for _i232 in range(_size228):
-                        _elem233 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem233)
+                    (_etype240, _size237) = iprot.readListBegin()
+                    for _i241 in range(_size237):
+                        _elem242 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem242)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5480,10 +5501,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.silent_endpoints = []
-                    (_etype237, _size234) = iprot.readListBegin()
-                    for _i238 in range(_size234):
-                        _elem239 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent_endpoints.append(_elem239)
+                    (_etype246, _size243) = iprot.readListBegin()
+                    for _i247 in range(_size243):
+                        _elem248 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem248)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5495,44 +5516,44 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype243, _size240) = iprot.readListBegin()
-                    for _i244 in range(_size240):
-                        _elem245 = LoadNews()
-                        _elem245.read(iprot)
-                        self.loads.append(_elem245)
+                    (_etype252, _size249) = iprot.readListBegin()
+                    for _i253 in range(_size249):
+                        _elem254 = LoadNews()
+                        _elem254.read(iprot)
+                        self.loads.append(_elem254)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype249, _size246) = iprot.readListBegin()
-                    for _i250 in range(_size246):
-                        _elem251 = GroupReport()
-                        _elem251.read(iprot)
-                        self.groups.append(_elem251)
+                    (_etype258, _size255) = iprot.readListBegin()
+                    for _i259 in range(_size255):
+                        _elem260 = GroupReport()
+                        _elem260.read(iprot)
+                        self.groups.append(_elem260)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.own_units = {}
-                    (_ktype253, _vtype254, _size252) = iprot.readMapBegin()
-                    for _i256 in range(_size252):
-                        _key257 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val258 = iprot.readI64()
-                        self.own_units[_key257] = _val258
+                    (_ktype262, _vtype263, _size261) = iprot.readMapBegin()
+                    for _i265 in range(_size261):
+                        _key266 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val267 = iprot.readI64()
+                        self.own_units[_key266] = _val267
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.past_spending = []
-                    (_etype262, _size259) = iprot.readListBegin()
-                    for _i263 in range(_size259):
-                        _elem264 = PastSpendingNews()
-                        _elem264.read(iprot)
-                        self.past_spending.append(_elem264)
+                    (_etype271, _size268) = iprot.readListBegin()
+                    for _i272 in range(_size268):
+                        _elem273 = PastSpendingNews()
+                        _elem273.read(iprot)
+                        self.past_spending.append(_elem273)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5565,8 +5586,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter265 in self.withdrawn_digests:
-                oprot.writeString(iter265.encode('utf-8') if sys.version_info[0] == 2 else iter265)
+            for iter274 in self.withdrawn_digests:
+                oprot.writeString(iter274.encode('utf-8') if sys.version_info[0] == 2 else iter274)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepted is not None:
@@ -5584,8 +5605,8 @@
         if self.silent_endpoints is not None:
             oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
-            for iter266 in self.silent_endpoints:
-                oprot.writeString(iter266.encode('utf-8') if sys.version_info[0] == 2 else iter266)
+            for iter275 in self.silent_endpoints:
+                oprot.writeString(iter275.encode('utf-8') if sys.version_info[0] == 2 else iter275)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.period_ms is not None:
@@ -5595,30 +5616,30 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter267 in self.loads:
-                iter267.write(oprot)
+            for iter276 in self.loads:
+                iter276.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter268 in self.groups:
-                iter268.write(oprot)
+            for iter277 in self.groups:
+                iter277.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own_units is not None:
             oprot.writeFieldBegin('own_units', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
-            for kiter269, viter270 in self.own_units.items():
-                oprot.writeString(kiter269.encode('utf-8') if sys.version_info[0] == 2 else kiter269)
-                oprot.writeI64(viter270)
+            for kiter278, viter279 in self.own_units.items():
+                oprot.writeString(kiter278.encode('utf-8') if sys.version_info[0] == 2 else kiter278)
+                oprot.writeI64(viter279)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.past_spending is not None:
             oprot.writeFieldBegin('past_spending', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter271 in self.past_spending:
-                iter271.write(oprot)
+            for iter280 in self.past_spending:
+                iter280.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6002,6 +6023,7 @@
     (3, TType.I64, 'number', None, None, ),  # 3
     (4, TType.LIST, 'results', (TType.STRUCT, [VersionResults, None], False), None, ),  # 4
     (5, TType.MAP, 'wanted', (TType.I64, None, TType.I64, None, False), None, ),  # 5
+    (6, TType.MAP, 'phases', (TType.I64, None, TType.STRING, 'UTF8', False), None, ),  # 6
 )
 all_structs.append(ExposureGrant)
 ExposureGrant.thrift_spec = (
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -140,6 +140,7 @@
                 for version, results in self._results_by_version.items()
             ],
             {record.index: round(self._rate + 0.5)},
+            {record.index: record.phase},
         )
         reply = self._simulation.owner.report_rollouts(report)
         for grant in reply.grants if reply.is_owner else ():
--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -302,14 +302,15 @@
             _by_version_route(vm.collector.results()),
             math.ceil(wanted),
             self._clock.now,
+            ''.join(record.phase for record in vm.policy.records()),
         )
 
-    def _receive(self, vm, number, results_by_key, wanted, sent_at):
+    def _receive(self, vm, number, results_by_key, wanted, sent_at, phase):
         if self._owner is None or self._record.has_ended:
             return
         now = self._clock.now
         report = vm_reports.VmReport(
-            vm.id, vm.incarnation, number, wanted, results_by_key, now
+            vm.id, vm.incarnation, number, wanted, results_by_key, now, phase
         )
         self._owner.add_report(report)
         reply = self._owner.grant(report, now)
--- a/tests/test_rollout_reporter.py
+++ b/tests/test_rollout_reporter.py
@@ -151,6 +151,13 @@
     assert harness.reports[1].wanted == {builders.ROLLOUT: 3}
 
 
+def test_a_report_tells_the_phase_that_the_vm_has_followed():
+    harness = ReporterHarness()
+    harness.policy_harness.follow(builders.Phase.SETTLING)
+    harness.reporter.run_once()
+    assert harness.reports[0].phases == {builders.ROLLOUT: 'settling'}
+
+
 def test_reports_of_a_large_fleet_are_rarer():
     assert reporter.report_period(8) == reporter.MIN_PERIOD_SECONDS
     rates = [n / reporter.report_period(n) for n in (8, 75, 120)]
--- a/tests/test_vm_reports.py
+++ b/tests/test_vm_reports.py
@@ -19,10 +19,15 @@
             FORMER: builders.results(former),
         },
         'received_at': 1000.0,
+        'phase': 'settling',
     }
     return vm_reports.VmReport(**{**fields, **changes})
 
 
+def _has_left(reports, since, vms):
+    return reports.has_left_others('settling', since, vms)
+
+
 @pytest.fixture
 def reports():
     """Return a table without reports."""
@@ -61,17 +66,27 @@
 def test_a_version_is_left_once_each_live_vm_has_said_so(reports):
     vms = [builders.vm('front-0'), builders.vm('front-1')]
     reports.add(_report(1))
-    assert not reports.has_left_others(1000.0, vms)
+    assert not _has_left(reports, 1000.0, vms)
     reports.add(_report(1, vm_id='front-1'))
-    assert reports.has_left_others(1000.0, vms)
-    assert not reports.has_left_others(1000.1, vms)
+    assert _has_left(reports, 1000.0, vms)
+    assert not _has_left(reports, 1000.1, vms)
     busy = {FORMER: builders.results(in_flight=1)}
     reports.add(_report(2, results_by_key=busy))
-    assert not reports.has_left_others(1000.0, vms)
+    assert not _has_left(reports, 1000.0, vms)
 
 
 def test_a_vm_that_has_started_again_has_not_reported(reports):
     reports.add(_report(1))
     restarted = [builders.vm('front-0', incarnation=2)]
-    assert not reports.has_left_others(1000.0, restarted)
+    assert not _has_left(reports, 1000.0, restarted)
     assert reports.oldest_age(1001.0, restarted) == float('inf')
+
+
+# A VM that stood still between counting and sending reported nothing in
+# flight, and sent to the former version as it went on.
+def test_a_report_from_before_a_vm_knew_of_the_phase_does_not_count(reports):
+    vms = [builders.vm('front-0')]
+    reports.add(_report(1, phase='shifting', received_at=1009.0))
+    assert not _has_left(reports, 1000.0, vms)
+    reports.add(_report(2, phase='settling', received_at=1009.0))
+    assert _has_left(reports, 1000.0, vms)
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -379,6 +379,9 @@
   // Requests that the VM may want to send to the target version before its
   // next report, by the log index of the rollout.
   5: required map<i64, i64> wanted
+  // Phases of the rollouts by which the VM chose versions before it counted
+  // the results, by the log index of the rollout.
+  6: optional map<i64, string> phases
 }
 
 // The right to send requests to the target version of a rollout.
