Serve callers at the target when no former version is left

Cause: in canary and shifting a VM sent only what it had rights for, also if no endpoint of a former version was known any more. All others were refused until the rollout had moved on, though endpoints of the target served.

Weighed: the bound on the exposure keeps callers from a version that may be bad. Without any other version it serves nobody, so it gives way after 3 s without a former endpoint. It holds for a VM that is cut off, whose view may be old, for a version that the owner has found bad, and after going back. What is sent so counts as granted. It is logged (464) and counted.

--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/exposure.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/exposure.py
@@ -82,6 +82,14 @@
         """Note that a total has been committed to the replicated log."""
         self.reserved = max(self.reserved, total)
 
+    def note_sent(self, number):
+        """Note how many requests the target version has got.
+
+        More than were granted if no other version was left to serve; they
+        leave less to grant.
+        """
+        self.granted = max(self.granted, number)
+
     def grant(self, wanted, all_wanted):
         """Grant a VM its part of the requests that are left.
 
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/exposure_grants.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/exposure_grants.py
@@ -91,6 +91,10 @@
             return self._share > 0.0
         return self.units_left(now) > 0
 
+    def is_taken_back(self, now):
+        """Return whether the owner has granted a share of 0."""
+        return self.has_share(now) and self._share == 0.0
+
     def has_share(self, now):
         """Return whether a share is granted, even one of 0."""
         return now < self._share_ends_at
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/reporter.py
@@ -72,6 +72,8 @@
         self._owner_address = ''
         # Services whose target had a right at the last report.
         self._granted_services = frozenset()
+        # Services whose target served as the only version then.
+        self._alone_services = frozenset()
 
     def run_once(self):
         """Report once if a rollout runs."""
@@ -187,6 +189,22 @@
             share = self._policy.granted_share(record.service)
             self._metrics.gauge(f'rollout.share.{record.service}', share)
         self._granted_services = granted
+        self._note_alone(running)
+
+    def _note_alone(self, running):
+        """Log where a target begins or ceases to serve for want of others."""
+        alone = frozenset(
+            record.service
+            for record in running
+            if self._policy.is_alone(record.service)
+        )
+        for service in alone ^ self._alone_services:
+            is_alone = service in alone
+            self._metrics.gauge(f'rollout.alone.{service}', int(is_alone))
+            events.emit(
+                events.TARGET_ALONE, service=service, is_alone=is_alone
+            )
+        self._alone_services = alone
 
     def _gauge(self, results):
         totals_by_version = {}
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
@@ -132,6 +132,8 @@
         self._judge.note(now, news_by_route)
         self._verdict = self._judge.verdict()
         self._all_wanted = self._reports.wanted(now)
+        target, _ = self._reports.totals()
+        self.budget.note_sent(target.sent)
 
     def next_step(self, view, now):
         """Return the ``Step`` that is due, or None.
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
@@ -29,6 +29,10 @@
 # off, so that no version that is being tried gets its requests.
 CUT_OFF_SECONDS = 2.0
 
+# Time without any endpoint of a former version after which the target serves
+# without a right, rather than nobody.
+MISSING_FORMER_SECONDS = 3.0
+
 _Phase = rollout_records.RolloutPhase
 
 
@@ -64,8 +68,33 @@
             }
         # Whether an endpoint of the target was known at the last look.
         self.has_target = False
+        # Time since which no look has found an endpoint of a former version,
+        # or None.
+        self._missing_since = None
         self.grants = exposure_grants.ExposureGrants()
 
+    def look(self, versions, now):
+        """Note the versions of all endpoints of the service."""
+        target = self.record.target_version
+        self.has_target = target in versions
+        if versions - self.all_rejected_versions - {target}:
+            self._missing_since = None
+        elif self._missing_since is None:
+            self._missing_since = now
+
+    def is_alone(self, now):
+        """Return whether only the target is left to serve callers.
+
+        It is not once the owner has found it bad.
+        """
+        return (
+            self.has_target
+            and self._missing_since is not None
+            and now - self._missing_since >= MISSING_FORMER_SECONDS
+            and self.phase in (_Phase.CANARY, _Phase.SHIFTING)
+            and not self.grants.is_taken_back(now)
+        )
+
     @property
     def all_rejected_versions(self):
         """Versions that get no requests, this rollout's target included."""
@@ -163,6 +192,16 @@
                 rollout is not None and rollout.grants.has_right(now)
             )
 
+    def is_alone(self, service):
+        """Return whether a target serves without a right, as nobody else."""
+        now = self._clock()
+        is_in_touch = self._is_in_touch()
+        with self._lock:
+            rollout = self._rollouts_by_service.get(service)
+            return (
+                is_in_touch and rollout is not None and (rollout.is_alone(now))
+            )
+
     def rate(self, service):
         """Return the requests per second that this VM sends to a service."""
         with self._lock:
@@ -211,7 +250,7 @@
             if rollout is None:
                 return versions
             target = rollout.record.target_version
-            rollout.has_target = target in versions
+            rollout.look(versions, now)
             versions -= rollout.all_rejected_versions
             if rollout.phase is _Phase.ROLLED_BACK:
                 return versions
@@ -222,7 +261,9 @@
                     if _may_follow(rollout, query, version, now)
                 )
             is_bound = query.bound_version == target
-            is_granted = is_in_touch and rollout.grants.has_right(now)
+            is_granted = is_in_touch and (
+                rollout.grants.has_right(now) or rollout.is_alone(now)
+            )
             is_possible = is_bound or is_granted
             return versions if is_possible else versions - {target}
 
@@ -248,6 +289,8 @@
             if rollout.phase not in (_Phase.CANARY, _Phase.SHIFTING):
                 return (versions,)
             target = rollout.record.target_version
+            if is_in_touch and rollout.is_alone(now):
+                return (versions,)
             if not is_in_touch or not rollout.grants.has_right(now):
                 return (versions - {target},)
             return self._trial_groups(rollout, query, versions, now)
@@ -288,7 +331,9 @@
             return _may_follow(rollout, query, version, now)
         if version != rollout.record.target_version:
             return True
-        return is_in_touch and rollout.grants.take(now)
+        return is_in_touch and (
+            rollout.grants.take(now) or rollout.is_alone(now)
+        )
 
     def _trial_groups(self, rollout, query, possible, now):
         """Return the groups while the target is granted to few requests."""
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -142,6 +142,7 @@
 VERSION_HELD = Event(461, 'version-held', logging.INFO)
 ROLLOUT_OWNER = Event(462, 'rollout-owner', logging.INFO)
 EXPOSURE_CHANGED = Event(463, 'exposure-changed', logging.INFO)
+TARGET_ALONE = Event(464, 'target-alone', logging.WARNING)
 LOG_LINES_DROPPED = Event(441, 'log-lines-dropped', logging.WARNING)
 
 
--- a/tests/test_exposure.py
+++ b/tests/test_exposure.py
@@ -137,3 +137,13 @@
     assert budget.grant(0, 10) == 0
     assert budget.grant(5, 10) == 5
     assert abs(budget.grant(2_000_000, 8_000_000) - 250_000) < 10
+
+
+def test_requests_that_nobody_granted_leave_less_to_grant():
+    bounds = exposure.ExposureBounds(0.1, 50.0)
+    budget = exposure.ExposureBudget(bounds, 16)
+    budget.note_reserved(40)
+    budget.note_sent(39)
+    assert budget.grant(10, 10) == 1
+    budget.note_sent(60)
+    assert budget.grant(10, 10) == 0
--- a/tests/test_version_policy.py
+++ b/tests/test_version_policy.py
@@ -114,6 +114,47 @@
     assert not harness.allows(TARGET, {TARGET}, draw=0.9)
 
 
+def _lose_former(harness):
+    """Look without an endpoint of the former version until it is missed."""
+    assert not harness.allows(TARGET, {TARGET})
+    harness.clock.advance(version_policy.MISSING_FORMER_SECONDS)
+
+
+# Callers were refused until the canary ended, though the target served.
+@pytest.mark.parametrize('phase', [Phase.CANARY, Phase.SHIFTING])
+def test_the_target_serves_once_no_former_version_is_left(phase):
+    harness = builders.PolicyHarness(phase)
+    _lose_former(harness)
+    assert harness.allows(TARGET, {TARGET})
+    assert harness.take()
+    assert harness.policy.is_alone(builders.SERVICE)
+    assert not harness.allows(TARGET)
+    assert not harness.take()
+
+
+def test_a_gap_between_two_requests_is_no_loss_of_the_former_version():
+    harness = builders.PolicyHarness(Phase.CANARY)
+    assert not harness.allows(TARGET)
+    harness.clock.advance(60.0)
+    assert not harness.allows(TARGET, {TARGET})
+
+
+def test_a_vm_that_is_cut_off_does_not_try_the_target_for_want_of_others():
+    harness = builders.PolicyHarness(Phase.CANARY)
+    _lose_former(harness)
+    harness.is_in_touch = False
+    assert not harness.allows(TARGET, {TARGET})
+    assert not harness.take()
+
+
+def test_a_target_found_bad_does_not_serve_for_want_of_others():
+    harness = builders.PolicyHarness(Phase.SHIFTING)
+    _lose_former(harness)
+    harness.grant_share(0.0)
+    assert not harness.allows(TARGET, {TARGET})
+    assert not harness.take()
+
+
 @pytest.mark.parametrize('phase', [Phase.SETTLING, Phase.SUCCEEDED])
 def test_after_the_shift_only_the_target_gets_new_requests(phase):
     harness = builders.PolicyHarness(phase)
