Choose endpoints without a second look where no version is asked for

Cause: since rollouts, the endpoints of a service were filtered twice for each request, and the clock was read to find out that nothing is held back.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -248,12 +248,14 @@
             if endpoint.pool == request.service
             and not self._context.availability.is_leaving(endpoint)
         ]
+        endpoints = self._context.rollouts.find_possible(request, endpoints)
+        version = request.software_version
+        if version is None:
+            return endpoints
         return [
             endpoint
-            for endpoint in self._context.rollouts.find_possible(
-                request, endpoints
-            )
-            if self._fits_version(request.software_version, endpoint)
+            for endpoint in endpoints
+            if self._fits_version(version, endpoint)
         ]
 
     def _fits_version(self, version, endpoint):
@@ -262,8 +264,6 @@
         Endpoints do not check it. What this VM believes of one that it has
         not heard of lately may be that of its former start.
         """
-        if version is None:
-            return True
         if not version or version != endpoint.software_version:
             return False
         age = self._context.directory.news_age(endpoint)
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/version_history.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/version_history.py
@@ -33,6 +33,11 @@
         self._versions_by_service = {}
         self._newest_at = None
 
+    @property
+    def has_new(self):
+        """Whether any version was ever new to this VM."""
+        return self._newest_at is not None
+
     def note(self, service, version, now):
         """Note an endpoint; return whether its version is new here."""
         seen = self._versions_by_service.get(service)
@@ -52,10 +57,7 @@
 
     def may_hold(self, now):
         """Return whether any version may be held back now."""
-        return (
-            self._newest_at is not None
-            and now - self._newest_at < HOLD_SECONDS
-        )
+        return self.has_new and now - self._newest_at < HOLD_SECONDS
 
     def new_versions(self, service, versions, now):
         """Return those of some versions that are new to this VM.
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
@@ -234,7 +234,9 @@
         """Return whether the versions of a service are told apart now."""
         if service in self._rollouts_by_service:
             return True
-        return self._history.may_hold(self._clock())
+        return self._history.has_new and (
+            self._history.may_hold(self._clock())
+        )
 
     def find_possible(self, query, versions):
         """Return the versions that a request may go to, now or later.
