--- a/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/relay_context.py
@@ -61,6 +61,8 @@
         buffers: the ``BufferBudget`` of this VM.
         rollouts: the ``EntryRollouts``, or ``NoRollouts``.
         load_features: the ``LoadFeatures`` that the settings switch on.
+        overload: the ``OverloadControl``, or None if it is switched off.
+        engine_speeds: the ``EngineSpeeds``, or None if they are not learned.
     """
 
     data_centre: str
@@ -96,3 +98,5 @@
     buffers: object
     rollouts: object = entry_rollouts.NoRollouts()
     load_features: features.LoadFeatures = features.LoadFeatures()
+    overload: object = None
+    engine_speeds: object = None
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -94,6 +94,19 @@
         )
         context.rollouts.note_failed(assignment, is_spoiled, has_crashed)
 
+    def note_first_event(self, assignment, seconds):
+        """Record what the first event of an answer took.
+
+        Args:
+            assignment: the ``Assignment`` that the request was sent to.
+            seconds: time from sending the request to the event.
+        """
+        speeds = self._context.engine_speeds
+        if speeds is not None and assignment.work is not None:
+            speeds.note_first_event(
+                assignment.endpoint, assignment.work, seconds
+            )
+
     def note_unreachable(self, assignment, error):
         """Record that an endpoint has accepted no connection.
 
@@ -101,6 +114,9 @@
             assignment: the ``Assignment`` that the request was sent to.
             error: the ``EndpointUnreachable``.
         """
+        if error.is_reset:
+            # It is there; the pool has begun a back-off.
+            return
         self._context.health.note_unreachable(assignment.endpoint)
         if not error.is_timeout:
             self._context.pool.close_idle(assignment.endpoint.address)
@@ -159,10 +175,14 @@
             return False
         connect_error = self._find_connect_error(endpoint)
         if connect_error is None:
+            if error.is_reset:
+                self._context.pool.note_reset(endpoint.address)
             return False
         if isinstance(connect_error, errors.DescriptorsUsedUp):
             # It tells of this VM, not of the endpoint.
             return False
+        if connect_error.is_reset:
+            return False
         self.note_unreachable(assignment, connect_error)
         if not self._reaches_another(endpoint):
             return False
@@ -237,7 +257,8 @@
 
     def _is_reachable(self, endpoint):
         """Return whether an endpoint accepts a new connection."""
-        return self._find_connect_error(endpoint) is None
+        error = self._find_connect_error(endpoint)
+        return error is None or error.is_reset
 
     def _find_connect_error(self, endpoint):
         """Return the ``EndpointUnreachable`` of a new connection, or None."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/selector.py
@@ -11,12 +11,15 @@
 
 from carobwood import errors
 
+from ..routing import rendezvous
+
 from . import assignments
 from . import block_digests
 from . import cache_transfers
+from . import engine_speeds
 from . import fleet_loads
 from . import placement
-from ..routing import rendezvous
+from . import sampled_choice
 
 # Time after the target weights version rises during which engines with an
 # older version are not penalised.
@@ -74,13 +77,16 @@
         self._check_configuration(request)
         return False
 
-    def try_assign(self, request, excluded, only_id=None):
+    def try_assign(self, request, excluded, only_id=None, filter_room=None):
         """Assign an endpoint to a request without waiting.
 
         Args:
             request: the ``AdmittedRequest``.
             excluded: ids of endpoints that it must not go to.
             only_id: id of the one endpoint that it may go to, or None.
+            filter_room: called with ``Candidate`` records; returns those that
+                have room for the request. None if all have that have
+                capacity.
 
         Returns:
             An ``Assignment``, or None if no endpoint has capacity now.
@@ -91,7 +97,7 @@
         """
         denied_ids = set()
         while place := self._take_place(
-            request, excluded, only_id, denied_ids
+            request, excluded, only_id, denied_ids, filter_room
         ):
             endpoint = place.choice.candidate.endpoint
             if self._acquire(endpoint, place.reservation):
@@ -139,10 +145,12 @@
 
     def _find_candidates(self, request, endpoints, excluded):
         context = self._context
+        full_addresses = context.pool.full_addresses()
         endpoints = [
             endpoint
             for endpoint in endpoints
             if endpoint.id not in excluded
+            and endpoint.address not in full_addresses
             and not context.health.is_ejected(endpoint)
             and not self.seconds_until_open(endpoint)
         ]
@@ -166,12 +174,17 @@
     def _choose(self, candidates, demand):
         """Return the ``Choice`` of a candidate, or None."""
         for group in self._groups(candidates):
-            choice = placement.choose(group, demand)
+            choice = self._choose_in(group, demand)
             if choice is not None:
                 return choice
         return None
 
-    def _take_place(self, request, excluded, only_id, denied_ids):
+    def _choose_in(self, candidates, demand):
+        if self._context.engine_speeds is None:
+            return placement.choose(candidates, demand)
+        return sampled_choice.choose(candidates, demand)
+
+    def _take_place(self, request, excluded, only_id, denied_ids, filter_room):
         """Choose an endpoint and reserve the capacity there.
 
         Args:
@@ -179,6 +192,7 @@
             excluded: ids of endpoints that it must not go to.
             only_id: id of the one endpoint that it may go to, or None.
             denied_ids: ids of endpoints to which it may not be sent now.
+            filter_room: see ``try_assign``.
 
         Returns:
             The ``_Place``, or None if no endpoint has capacity now.
@@ -194,6 +208,8 @@
                     if only_id in (None, candidate.endpoint.id)
                     and candidate.endpoint.id not in denied_ids
                 ]
+                if filter_room is not None:
+                    allowed = filter_room(allowed)
                 choice = self._choose(allowed, request.demand)
                 if choice is None:
                     continue
@@ -227,6 +243,7 @@
         return max(
             self._context.availability.seconds_until_available(endpoint),
             self._context.rate_limits.seconds_until_next(endpoint),
+            self._context.pool.seconds_until_open(endpoint.address),
         )
 
     def release(self, assignment):
@@ -342,8 +359,15 @@
             endpoint.data_centre != self._context.data_centre,
             self._context.prefill_shares.share(endpoint.id),
             weights_version,
+            self._prefill_speed(endpoint),
         )
 
+    def _prefill_speed(self, endpoint):
+        speeds = self._context.engine_speeds
+        if speeds is None:
+            return fleet_loads.PREFILL_TOKENS_PER_SECOND
+        return speeds.speed(endpoint)
+
     def _affinity_id(self, request, endpoints):
         """Return the id of the prefix's first endpoint in hash order."""
         shared_segments = request.metadata.prompt_segments[:-1]
@@ -426,6 +450,11 @@
                 ),
             }
             | assignments.decision_inputs(chosen, place.candidates),
+            engine_speeds.PromptWork(
+                place.choice.load.prefill_tokens,
+                chosen.load.prefill_tokens,
+                place.choice.fetched_tokens(request.demand),
+            ),
         )
 
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/shared_components.py
@@ -10,16 +10,21 @@
 
 from . import configuration_store
 from . import connection_pool
+from . import connection_shares
 from . import endpoint_availability
 from . import endpoint_health
+from . import endpoint_limits
 from . import endpoint_rate_limits
 from . import endpoint_reachability
+from . import engine_speeds
 from . import engine_weights
 from . import fleet_loads
 from . import forwarding_peers
 from . import kv_stores
+from . import load_estimates
 from . import past_usage
 from . import quota
+from . import shared_connection_pool
 from . import stream_resumption
 from . import wait_queue
 
@@ -51,6 +56,7 @@
         stream_resumption: the ``StreamResumption``.
         buffers: the ``BufferBudget`` of the VM.
         rollouts: the ``EntryRollouts``, or ``NoRollouts``.
+        engine_speeds: the ``EngineSpeeds``, or None if they are not learned.
     """
 
     store: object
@@ -74,6 +80,7 @@
     stream_resumption: stream_resumption.StreamResumption
     buffers: buffer_budget.BufferBudget
     rollouts: object
+    engine_speeds: engine_speeds.EngineSpeeds | None
 
     def update_endpoint(self, endpoint):
         """Record the weights that an endpoint announces.
@@ -120,7 +127,11 @@
     metrics = metric_clients.PrometheusMetrics()
     buffers.set_metrics(metrics)
     weights = engine_weights.EngineWeights()
+    speeds = None
     loads = fleet_loads.FleetLoads()
+    if settings.load_features.learns_engines:
+        speeds = engine_speeds.EngineSpeeds()
+        loads = load_estimates.EstimatedLoads(speeds.speed_of_id)
     past_usage_table = past_usage.PastUsageTable(
         settings.fleet_limits.quota_tolerance.window
     )
@@ -128,8 +139,9 @@
         settings.fleet_limits.quota_tolerance, settings.is_first_start
     )
     queue = wait_queue.WaitQueue()
+    shares_connections = settings.load_features.shares_connections
     reachability = endpoint_reachability.EndpointReachability(
-        directory.serving_endpoints
+        directory.serving_endpoints, probes_few=shares_connections
     )
     peers = forwarding_peers.ForwardingPeers(directory)
     reachability.on_change(peers.set_own_state)
@@ -175,7 +187,13 @@
         endpoint_rate_limits.EndpointRateLimits(request_permit, metrics.count),
         reachability,
         peers,
-        connection_pool.ConnectionPool(on_result=reachability.note),
+        _make_pool(
+            shares_connections,
+            relay_configuration,
+            directory,
+            metrics,
+            reachability,
+        ),
         connection_pool.ConnectionPool(),
         kv_stores.KvStores(dialect),
         past_usage_table,
@@ -183,4 +201,22 @@
         resumption,
         buffers,
         rollouts,
+        speeds,
+    )
+
+
+def _make_pool(
+    shares_connections, configurations, directory, metrics, reachability
+):
+    """Return the ``ConnectionPool`` of connections to endpoints."""
+    if not shares_connections:
+        return connection_pool.ConnectionPool(on_result=reachability.note)
+    shares = connection_shares.ConnectionShares(
+        lambda: endpoint_limits.find_limits(
+            configurations.configuration, directory.serving_endpoints()
+        ),
+        lambda: len(directory.entry_vms()),
+    )
+    return shared_connection_pool.SharedConnectionPool(
+        shares, metrics, reachability.note
     )
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -3725,6 +3725,101 @@
         return not (self == other)
 
 
+class SpeedNews(object):
+    """
+    Attributes:
+     - endpoint_id
+     - incarnation
+     - weights_by_bucket
+
+    """
+
+
+    def __init__(self, endpoint_id=None, incarnation=None, weights_by_bucket=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.weights_by_bucket = weights_by_bucket
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.weights_by_bucket = {}
+                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
+                    for _i67 in range(_size63):
+                        _key68 = iprot.readI16()
+                        _val69 = iprot.readI32()
+                        self.weights_by_bucket[_key68] = _val69
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SpeedNews')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.weights_by_bucket is not None:
+            oprot.writeFieldBegin('weights_by_bucket', TType.MAP, 3)
+            oprot.writeMapBegin(TType.I16, TType.I32, len(self.weights_by_bucket))
+            for kiter70, viter71 in self.weights_by_bucket.items():
+                oprot.writeI16(kiter70)
+                oprot.writeI32(viter71)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint_id is None:
+            raise TProtocolException(message='Required field endpoint_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.weights_by_bucket is None:
+            raise TProtocolException(message='Required field weights_by_bucket is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SpendingNews(object):
     """
     Attributes:
@@ -3865,16 +3960,16 @@
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.seconds_by_customer = {}
-                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
-                    for _i67 in range(_size63):
-                        _key68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val69 = []
-                        (_etype73, _size70) = iprot.readListBegin()
-                        for _i74 in range(_size70):
-                            _elem75 = iprot.readI64()
-                            _val69.append(_elem75)
+                    (_ktype73, _vtype74, _size72) = iprot.readMapBegin()
+                    for _i76 in range(_size72):
+                        _key77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val78 = []
+                        (_etype82, _size79) = iprot.readListBegin()
+                        for _i83 in range(_size79):
+                            _elem84 = iprot.readI64()
+                            _val78.append(_elem84)
                         iprot.readListEnd()
-                        self.seconds_by_customer[_key68] = _val69
+                        self.seconds_by_customer[_key77] = _val78
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3903,11 +3998,11 @@
         if self.seconds_by_customer is not None:
             oprot.writeFieldBegin('seconds_by_customer', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.seconds_by_customer))
-            for kiter76, viter77 in self.seconds_by_customer.items():
-                oprot.writeString(kiter76.encode('utf-8') if sys.version_info[0] == 2 else kiter76)
-                oprot.writeListBegin(TType.I64, len(viter77))
-                for iter78 in viter77:
-                    oprot.writeI64(iter78)
+            for kiter85, viter86 in self.seconds_by_customer.items():
+                oprot.writeString(kiter85.encode('utf-8') if sys.version_info[0] == 2 else kiter85)
+                oprot.writeListBegin(TType.I64, len(viter86))
+                for iter87 in viter86:
+                    oprot.writeI64(iter87)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
@@ -3995,11 +4090,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.spending = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = SpendingNews()
-                        _elem84.read(iprot)
-                        self.spending.append(_elem84)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = SpendingNews()
+                        _elem93.read(iprot)
+                        self.spending.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4036,8 +4131,8 @@
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter85 in self.spending:
-                iter85.write(oprot)
+            for iter94 in self.spending:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4224,20 +4319,20 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.times = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = iprot.readI64()
-                        self.times.append(_elem91)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = iprot.readI64()
+                        self.times.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = iprot.readI64()
-                        self.pauses.append(_elem97)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = iprot.readI64()
+                        self.pauses.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4283,15 +4378,15 @@
         if self.times is not None:
             oprot.writeFieldBegin('times', TType.LIST, 7)
             oprot.writeListBegin(TType.I64, len(self.times))
-            for iter98 in self.times:
-                oprot.writeI64(iter98)
+            for iter107 in self.times:
+                oprot.writeI64(iter107)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.pauses))
-            for iter99 in self.pauses:
-                oprot.writeI64(iter99)
+            for iter108 in self.pauses:
+                oprot.writeI64(iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
@@ -4382,33 +4477,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.results = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = VersionResults()
-                        _elem105.read(iprot)
-                        self.results.append(_elem105)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = VersionResults()
+                        _elem114.read(iprot)
+                        self.results.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.wanted = {}
-                    (_ktype107, _vtype108, _size106) = iprot.readMapBegin()
-                    for _i110 in range(_size106):
-                        _key111 = iprot.readI64()
-                        _val112 = iprot.readI64()
-                        self.wanted[_key111] = _val112
+                    (_ktype116, _vtype117, _size115) = iprot.readMapBegin()
+                    for _i119 in range(_size115):
+                        _key120 = iprot.readI64()
+                        _val121 = iprot.readI64()
+                        self.wanted[_key120] = _val121
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.phases = {}
-                    (_ktype114, _vtype115, _size113) = iprot.readMapBegin()
-                    for _i117 in range(_size113):
-                        _key118 = iprot.readI64()
-                        _val119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.phases[_key118] = _val119
+                    (_ktype123, _vtype124, _size122) = iprot.readMapBegin()
+                    for _i126 in range(_size122):
+                        _key127 = iprot.readI64()
+                        _val128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.phases[_key127] = _val128
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -4437,24 +4532,24 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.results))
-            for iter120 in self.results:
-                iter120.write(oprot)
+            for iter129 in self.results:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.MAP, 5)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.wanted))
-            for kiter121, viter122 in self.wanted.items():
-                oprot.writeI64(kiter121)
-                oprot.writeI64(viter122)
+            for kiter130, viter131 in self.wanted.items():
+                oprot.writeI64(kiter130)
+                oprot.writeI64(viter131)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.phases is not None:
             oprot.writeFieldBegin('phases', TType.MAP, 6)
             oprot.writeMapBegin(TType.I64, TType.STRING, len(self.phases))
-            for kiter123, viter124 in self.phases.items():
-                oprot.writeI64(kiter123)
-                oprot.writeString(viter124.encode('utf-8') if sys.version_info[0] == 2 else viter124)
+            for kiter132, viter133 in self.phases.items():
+                oprot.writeI64(kiter132)
+                oprot.writeString(viter133.encode('utf-8') if sys.version_info[0] == 2 else viter133)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4620,11 +4715,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = ExposureGrant()
-                        _elem130.read(iprot)
-                        self.grants.append(_elem130)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = ExposureGrant()
+                        _elem139.read(iprot)
+                        self.grants.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4649,8 +4744,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter131 in self.grants:
-                iter131.write(oprot)
+            for iter140 in self.grants:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4793,22 +4888,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = RosterEntry()
-                        _elem137.read(iprot)
-                        self.members.append(_elem137)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = RosterEntry()
+                        _elem146.read(iprot)
+                        self.members.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = RosterEntry()
-                        _elem143.read(iprot)
-                        self.peers.append(_elem143)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = RosterEntry()
+                        _elem152.read(iprot)
+                        self.peers.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4837,15 +4932,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter144 in self.members:
-                iter144.write(oprot)
+            for iter153 in self.members:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter145 in self.peers:
-                iter145.write(oprot)
+            for iter154 in self.peers:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4919,120 +5014,120 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.vms = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = VmDescriptor()
-                        _elem151.read(iprot)
-                        self.vms.append(_elem151)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = VmDescriptor()
+                        _elem160.read(iprot)
+                        self.vms.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = Announcement()
-                        _elem157.read(iprot)
-                        self.announcements.append(_elem157)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = Announcement()
+                        _elem166.read(iprot)
+                        self.announcements.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = Strike()
-                        _elem163.read(iprot)
-                        self.strikes.append(_elem163)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = Strike()
+                        _elem172.read(iprot)
+                        self.strikes.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype167, _size164) = iprot.readListBegin()
-                    for _i168 in range(_size164):
-                        _elem169 = WeightsNews()
-                        _elem169.read(iprot)
-                        self.weights.append(_elem169)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = WeightsNews()
+                        _elem178.read(iprot)
+                        self.weights.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.placements = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = PlacementNews()
-                        _elem175.read(iprot)
-                        self.placements.append(_elem175)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = PlacementNews()
+                        _elem184.read(iprot)
+                        self.placements.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.rosters = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = Roster()
-                        _elem181.read(iprot)
-                        self.rosters.append(_elem181)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = Roster()
+                        _elem190.read(iprot)
+                        self.rosters.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.stores = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = StoreNews()
-                        _elem187.read(iprot)
-                        self.stores.append(_elem187)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = StoreNews()
+                        _elem196.read(iprot)
+                        self.stores.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = RateLimitNews()
-                        _elem193.read(iprot)
-                        self.rate_limits.append(_elem193)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = RateLimitNews()
+                        _elem202.read(iprot)
+                        self.rate_limits.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = LeavingNews()
-                        _elem199.read(iprot)
-                        self.leaving.append(_elem199)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = LeavingNews()
+                        _elem208.read(iprot)
+                        self.leaving.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.cut_off_vms = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = CutOffNews()
-                        _elem205.read(iprot)
-                        self.cut_off_vms.append(_elem205)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = CutOffNews()
+                        _elem214.read(iprot)
+                        self.cut_off_vms.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.foreign = []
-                    (_etype209, _size206) = iprot.readListBegin()
-                    for _i210 in range(_size206):
-                        _elem211 = iprot.readBinary()
-                        self.foreign.append(_elem211)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = iprot.readBinary()
+                        self.foreign.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5049,78 +5144,78 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter212 in self.vms:
-                iter212.write(oprot)
+            for iter221 in self.vms:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter213 in self.announcements:
-                iter213.write(oprot)
+            for iter222 in self.announcements:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter214 in self.strikes:
-                iter214.write(oprot)
+            for iter223 in self.strikes:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter215 in self.weights:
-                iter215.write(oprot)
+            for iter224 in self.weights:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.placements is not None:
             oprot.writeFieldBegin('placements', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter216 in self.placements:
-                iter216.write(oprot)
+            for iter225 in self.placements:
+                iter225.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rosters is not None:
             oprot.writeFieldBegin('rosters', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rosters))
-            for iter217 in self.rosters:
-                iter217.write(oprot)
+            for iter226 in self.rosters:
+                iter226.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stores is not None:
             oprot.writeFieldBegin('stores', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stores))
-            for iter218 in self.stores:
-                iter218.write(oprot)
+            for iter227 in self.stores:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter219 in self.rate_limits:
-                iter219.write(oprot)
+            for iter228 in self.rate_limits:
+                iter228.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter220 in self.leaving:
-                iter220.write(oprot)
+            for iter229 in self.leaving:
+                iter229.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cut_off_vms is not None:
             oprot.writeFieldBegin('cut_off_vms', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.cut_off_vms))
-            for iter221 in self.cut_off_vms:
-                iter221.write(oprot)
+            for iter230 in self.cut_off_vms:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.foreign is not None:
             oprot.writeFieldBegin('foreign', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.foreign))
-            for iter222 in self.foreign:
-                oprot.writeBinary(iter222)
+            for iter231 in self.foreign:
+                oprot.writeBinary(iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5238,11 +5333,12 @@
      - loads
      - group
      - position
+     - speeds
 
     """
 
 
-    def __init__(self, vm=None, version=None, fleet_id=None, role=None, withdrawn_digests=None, records=None, loads=None, group=None, position=None,):
+    def __init__(self, vm=None, version=None, fleet_id=None, role=None, withdrawn_digests=None, records=None, loads=None, group=None, position=None, speeds=None,):
         self.vm = vm
         self.version = version
         self.fleet_id = fleet_id
@@ -5252,6 +5348,7 @@
         self.loads = loads
         self.group = group
         self.position = position
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5286,10 +5383,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype226, _size223) = iprot.readListBegin()
-                    for _i227 in range(_size223):
-                        _elem228 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem228)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5302,11 +5399,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype232, _size229) = iprot.readListBegin()
-                    for _i233 in range(_size229):
-                        _elem234 = LoadNews()
-                        _elem234.read(iprot)
-                        self.loads.append(_elem234)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = LoadNews()
+                        _elem243.read(iprot)
+                        self.loads.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5322,6 +5419,17 @@
                     self.position.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype247, _size244) = iprot.readListBegin()
+                    for _i248 in range(_size244):
+                        _elem249 = SpeedNews()
+                        _elem249.read(iprot)
+                        self.speeds.append(_elem249)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5351,8 +5459,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter235 in self.withdrawn_digests:
-                oprot.writeString(iter235.encode('utf-8') if sys.version_info[0] == 2 else iter235)
+            for iter250 in self.withdrawn_digests:
+                oprot.writeString(iter250.encode('utf-8') if sys.version_info[0] == 2 else iter250)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
@@ -5362,8 +5470,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter236 in self.loads:
-                iter236.write(oprot)
+            for iter251 in self.loads:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
@@ -5374,6 +5482,13 @@
             oprot.writeFieldBegin('position', TType.STRUCT, 9)
             self.position.write(oprot)
             oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter252 in self.speeds:
+                iter252.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5421,11 +5536,12 @@
      - groups
      - own_units
      - past_spending
+     - speeds
 
     """
 
 
-    def __init__(self, vm=None, version=None, fleet_id=None, contact_age_ms=None, withdrawn_digests=None, accepted=None, records=None, position=None, silent_endpoints=None, period_ms=None, loads=None, groups=None, own_units=None, past_spending=None,):
+    def __init__(self, vm=None, version=None, fleet_id=None, contact_age_ms=None, withdrawn_digests=None, accepted=None, records=None, position=None, silent_endpoints=None, period_ms=None, loads=None, groups=None, own_units=None, past_spending=None, speeds=None,):
         self.vm = vm
         self.version = version
         self.fleet_id = fleet_id
@@ -5440,6 +5556,7 @@
         self.groups = groups
         self.own_units = own_units
         self.past_spending = past_spending
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5474,10 +5591,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype240, _size237) = iprot.readListBegin()
-                    for _i241 in range(_size237):
-                        _elem242 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem242)
+                    (_etype256, _size253) = iprot.readListBegin()
+                    for _i257 in range(_size253):
+                        _elem258 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem258)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5501,10 +5618,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.silent_endpoints = []
-                    (_etype246, _size243) = iprot.readListBegin()
-                    for _i247 in range(_size243):
-                        _elem248 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent_endpoints.append(_elem248)
+                    (_etype262, _size259) = iprot.readListBegin()
+                    for _i263 in range(_size259):
+                        _elem264 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem264)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5516,44 +5633,55 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype252, _size249) = iprot.readListBegin()
-                    for _i253 in range(_size249):
-                        _elem254 = LoadNews()
-                        _elem254.read(iprot)
-                        self.loads.append(_elem254)
+                    (_etype268, _size265) = iprot.readListBegin()
+                    for _i269 in range(_size265):
+                        _elem270 = LoadNews()
+                        _elem270.read(iprot)
+                        self.loads.append(_elem270)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype258, _size255) = iprot.readListBegin()
-                    for _i259 in range(_size255):
-                        _elem260 = GroupReport()
-                        _elem260.read(iprot)
-                        self.groups.append(_elem260)
+                    (_etype274, _size271) = iprot.readListBegin()
+                    for _i275 in range(_size271):
+                        _elem276 = GroupReport()
+                        _elem276.read(iprot)
+                        self.groups.append(_elem276)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.own_units = {}
-                    (_ktype262, _vtype263, _size261) = iprot.readMapBegin()
-                    for _i265 in range(_size261):
-                        _key266 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val267 = iprot.readI64()
-                        self.own_units[_key266] = _val267
+                    (_ktype278, _vtype279, _size277) = iprot.readMapBegin()
+                    for _i281 in range(_size277):
+                        _key282 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val283 = iprot.readI64()
+                        self.own_units[_key282] = _val283
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.past_spending = []
-                    (_etype271, _size268) = iprot.readListBegin()
-                    for _i272 in range(_size268):
-                        _elem273 = PastSpendingNews()
-                        _elem273.read(iprot)
-                        self.past_spending.append(_elem273)
+                    (_etype287, _size284) = iprot.readListBegin()
+                    for _i288 in range(_size284):
+                        _elem289 = PastSpendingNews()
+                        _elem289.read(iprot)
+                        self.past_spending.append(_elem289)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype293, _size290) = iprot.readListBegin()
+                    for _i294 in range(_size290):
+                        _elem295 = SpeedNews()
+                        _elem295.read(iprot)
+                        self.speeds.append(_elem295)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5586,8 +5714,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter274 in self.withdrawn_digests:
-                oprot.writeString(iter274.encode('utf-8') if sys.version_info[0] == 2 else iter274)
+            for iter296 in self.withdrawn_digests:
+                oprot.writeString(iter296.encode('utf-8') if sys.version_info[0] == 2 else iter296)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepted is not None:
@@ -5605,8 +5733,8 @@
         if self.silent_endpoints is not None:
             oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
-            for iter275 in self.silent_endpoints:
-                oprot.writeString(iter275.encode('utf-8') if sys.version_info[0] == 2 else iter275)
+            for iter297 in self.silent_endpoints:
+                oprot.writeString(iter297.encode('utf-8') if sys.version_info[0] == 2 else iter297)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.period_ms is not None:
@@ -5616,30 +5744,37 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter276 in self.loads:
-                iter276.write(oprot)
+            for iter298 in self.loads:
+                iter298.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter277 in self.groups:
-                iter277.write(oprot)
+            for iter299 in self.groups:
+                iter299.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own_units is not None:
             oprot.writeFieldBegin('own_units', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
-            for kiter278, viter279 in self.own_units.items():
-                oprot.writeString(kiter278.encode('utf-8') if sys.version_info[0] == 2 else kiter278)
-                oprot.writeI64(viter279)
+            for kiter300, viter301 in self.own_units.items():
+                oprot.writeString(kiter300.encode('utf-8') if sys.version_info[0] == 2 else kiter300)
+                oprot.writeI64(viter301)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.past_spending is not None:
             oprot.writeFieldBegin('past_spending', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter280 in self.past_spending:
-                iter280.write(oprot)
+            for iter302 in self.past_spending:
+                iter302.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter303 in self.speeds:
+                iter303.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5969,6 +6104,13 @@
     (4, TType.I64, 'unread_tokens', None, None, ),  # 4
     (5, TType.I32, 'streams', None, None, ),  # 5
 )
+all_structs.append(SpeedNews)
+SpeedNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.MAP, 'weights_by_bucket', (TType.I16, None, TType.I32, None, False), None, ),  # 3
+)
 all_structs.append(SpendingNews)
 SpendingNews.thrift_spec = (
     None,  # 0
@@ -6089,6 +6231,8 @@
     (7, TType.LIST, 'loads', (TType.STRUCT, [LoadNews, None], False), None, ),  # 7
     (8, TType.STRUCT, 'group', [GroupReport, None], None, ),  # 8
     (9, TType.STRUCT, 'position', [LogPosition, None], None, ),  # 9
+    None,  # 10
+    (11, TType.LIST, 'speeds', (TType.STRUCT, [SpeedNews, None], False), None, ),  # 11
 )
 all_structs.append(GossipReply)
 GossipReply.thrift_spec = (
@@ -6107,6 +6251,8 @@
     (12, TType.LIST, 'groups', (TType.STRUCT, [GroupReport, None], False), None, ),  # 12
     (13, TType.MAP, 'own_units', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
     (14, TType.LIST, 'past_spending', (TType.STRUCT, [PastSpendingNews, None], False), None, ),  # 14
+    None,  # 15
+    (16, TType.LIST, 'speeds', (TType.STRUCT, [SpeedNews, None], False), None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -15,12 +15,14 @@
 from carobwood_daemon.entry import silence
 from carobwood_daemon.limits import endpoint_permits
 from carobwood_daemon.relay import assignment_queue
+from carobwood_daemon.relay import connection_pool
 from carobwood_daemon.relay import endpoint_availability
 from carobwood_daemon.relay import endpoint_health
 from carobwood_daemon.relay import endpoint_rate_limits
 from carobwood_daemon.relay import endpoint_reachability
 from carobwood_daemon.relay import engine_weights
 from carobwood_daemon.relay import fleet_loads
+from carobwood_daemon.relay import load_features
 from carobwood_daemon.relay import messages
 from carobwood_daemon.relay import placement
 from carobwood_daemon.relay import selector
@@ -87,6 +89,7 @@
             ),
             health=endpoint_health.EndpointHealth(self.clock),
             availability=self.availability,
+            pool=connection_pool.ConnectionPool(),
             rate_limits=self.rate_limits,
             reachability=self.reachability,
             segment_suspects=stub(check=lambda keys: self.check(keys)),
@@ -94,8 +97,10 @@
             loads=self.loads,
             prefix_cache_index=stub(record_use=lambda *arguments: None),
             prefill_shares=fleet_loads.PrefillShares(self.clock),
+            engine_speeds=None,
             configuration_store=stub(configuration=CONFIGURATION),
             wait_queue=self.queue,
+            load_features=load_features.LoadFeatures(),
             engine_weights=engine_weights.EngineWeights(),
             gate=request_gate.RequestGate(100),
             rollouts=entry_rollouts.NoRollouts(),
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -9,6 +9,7 @@
 
 from carobwood import errors
 from carobwood_daemon.entry import request_gate
+from carobwood_daemon.relay import connection_pool
 from carobwood_daemon.relay import endpoint_availability
 from carobwood_daemon.relay import endpoint_health
 from carobwood_daemon.relay import endpoint_rate_limits
@@ -69,6 +70,7 @@
             news_age=lambda endpoint: 0.0,
         ),
         health=endpoint_health.EndpointHealth(clock),
+        pool=connection_pool.ConnectionPool(),
         availability=endpoint_availability.EndpointAvailability(
             clock, lambda limit: 0.0
         ),
@@ -78,6 +80,7 @@
         loads=fleet_loads.FleetLoads(clock),
         push_loads=lambda: None,
         prefill_shares=fleet_loads.PrefillShares(clock),
+        engine_speeds=None,
         prefix_cache_index=stub(
             record_use=lambda *arguments: None,
             count_cached_blocks=lambda *arguments: 0,
