Cancel a rollout that enters another phase meanwhile

Cause: the command expects the phase that was read; if the owner had moved the rollout on, the cancel had no effect and returned as if it had. It is proposed again with the phase that the log holds.

--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/operations.py
@@ -128,15 +128,20 @@
             RolloutMissing, FeatureMissing, ChangeUncertain: see ``read``.
         """
         held = self.read(service)
-        return self._submit(
-            commands.AdvanceRollout(
-                service,
-                held.index,
-                'rolled-back',
-                held.phase,
-                f'cancelled by {operator}',
+        while True:
+            expected = held.phase
+            held = self._submit(
+                commands.AdvanceRollout(
+                    service,
+                    held.index,
+                    'rolled-back',
+                    expected,
+                    f'cancelled by {operator}',
+                )
             )
-        )
+            # It may have entered another phase meanwhile.
+            if held.phase in (expected, 'rolled-back', 'succeeded'):
+                return held
 
     def _submit(self, command):
         return self._proposer.submit(command, PROPOSAL_TIMEOUT_SECONDS)
--- a/tests/test_rollout_operations.py
+++ b/tests/test_rollout_operations.py
@@ -168,6 +168,21 @@
         fleet.operations.read(builders.SERVICE)
 
 
+# A cancel that met a change of phase had no effect and told no error.
+def test_a_rollout_that_moves_on_meanwhile_is_cancelled(fleet, monkeypatch):
+    fleet.operations.start(ORDER)
+    held = fleet.operations.read(builders.SERVICE)
+    fleet.submit(
+        commands.AdvanceRollout(
+            builders.SERVICE, held.index, 'shifting', held.phase, ''
+        ),
+        1.0,
+    )
+    monkeypatch.setattr(fleet.operations, 'read', lambda service: held)
+    held = fleet.operations.cancel(builders.SERVICE, 'ada')
+    assert (held.phase, held.reason) == ('rolled-back', 'cancelled by ada')
+
+
 def test_a_cancelled_rollout_is_rolled_back_once(fleet):
     fleet.operations.start(ORDER)
     held = fleet.operations.cancel(builders.SERVICE, 'ada')
