--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/rollout_tracker.py
@@ -132,6 +132,8 @@
         self._judge.note(now, news_by_route)
         self._verdict = self._judge.verdict()
         self._all_wanted = self._reports.wanted(now)
+        target, _ = self._reports.totals()
+        self.budget.note_sent(target.sent)
 
     def next_step(self, view, now):
         """Return the ``Step`` that is due, or None.
@@ -196,7 +198,9 @@
         if self.phase is not Phase.SETTLING:
             return False
         return self._reports.has_left_others(
-            self._phase_began_at + phases.SPREAD_SECONDS, view.entry_vms
+            self.record.phase,
+            self._phase_began_at + phases.SPREAD_SECONDS,
+            view.entry_vms,
         )
 
     def _evidence_age(self, view, now):
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -4437,16 +4437,18 @@
      - number
      - results
      - wanted
+     - phases
 
     """
 
 
-    def __init__(self, vm_id=None, incarnation=None, number=None, results=None, wanted=None,):
+    def __init__(self, vm_id=None, incarnation=None, number=None, results=None, wanted=None, phases=None,):
         self.vm_id = vm_id
         self.incarnation = incarnation
         self.number = number
         self.results = results
         self.wanted = wanted
+        self.phases = phases
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4494,6 +4496,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.phases = {}
+                    (_ktype123, _vtype124, _size122) = iprot.readMapBegin()
+                    for _i126 in range(_size122):
+                        _key127 = iprot.readI64()
+                        _val128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.phases[_key127] = _val128
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4519,16 +4532,24 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.results))
-            for iter122 in self.results:
-                iter122.write(oprot)
+            for iter129 in self.results:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.MAP, 5)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.wanted))
-            for kiter123, viter124 in self.wanted.items():
-                oprot.writeI64(kiter123)
-                oprot.writeI64(viter124)
+            for kiter130, viter131 in self.wanted.items():
+                oprot.writeI64(kiter130)
+                oprot.writeI64(viter131)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.phases is not None:
+            oprot.writeFieldBegin('phases', TType.MAP, 6)
+            oprot.writeMapBegin(TType.I64, TType.STRING, len(self.phases))
+            for kiter132, viter133 in self.phases.items():
+                oprot.writeI64(kiter132)
+                oprot.writeString(viter133.encode('utf-8') if sys.version_info[0] == 2 else viter133)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4694,11 +4715,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = ExposureGrant()
-                        _elem130.read(iprot)
-                        self.grants.append(_elem130)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = ExposureGrant()
+                        _elem139.read(iprot)
+                        self.grants.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4723,8 +4744,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter131 in self.grants:
-                iter131.write(oprot)
+            for iter140 in self.grants:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4867,22 +4888,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = RosterEntry()
-                        _elem137.read(iprot)
-                        self.members.append(_elem137)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = RosterEntry()
+                        _elem146.read(iprot)
+                        self.members.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = RosterEntry()
-                        _elem143.read(iprot)
-                        self.peers.append(_elem143)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = RosterEntry()
+                        _elem152.read(iprot)
+                        self.peers.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4911,15 +4932,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter144 in self.members:
-                iter144.write(oprot)
+            for iter153 in self.members:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter145 in self.peers:
-                iter145.write(oprot)
+            for iter154 in self.peers:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4993,120 +5014,120 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.vms = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = VmDescriptor()
-                        _elem151.read(iprot)
-                        self.vms.append(_elem151)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = VmDescriptor()
+                        _elem160.read(iprot)
+                        self.vms.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.announcements = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = Announcement()
-                        _elem157.read(iprot)
-                        self.announcements.append(_elem157)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = Announcement()
+                        _elem166.read(iprot)
+                        self.announcements.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.strikes = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = Strike()
-                        _elem163.read(iprot)
-                        self.strikes.append(_elem163)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = Strike()
+                        _elem172.read(iprot)
+                        self.strikes.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.weights = []
-                    (_etype167, _size164) = iprot.readListBegin()
-                    for _i168 in range(_size164):
-                        _elem169 = WeightsNews()
-                        _elem169.read(iprot)
-                        self.weights.append(_elem169)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = WeightsNews()
+                        _elem178.read(iprot)
+                        self.weights.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.placements = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = PlacementNews()
-                        _elem175.read(iprot)
-                        self.placements.append(_elem175)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = PlacementNews()
+                        _elem184.read(iprot)
+                        self.placements.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.rosters = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = Roster()
-                        _elem181.read(iprot)
-                        self.rosters.append(_elem181)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = Roster()
+                        _elem190.read(iprot)
+                        self.rosters.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.stores = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = StoreNews()
-                        _elem187.read(iprot)
-                        self.stores.append(_elem187)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = StoreNews()
+                        _elem196.read(iprot)
+                        self.stores.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.rate_limits = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = RateLimitNews()
-                        _elem193.read(iprot)
-                        self.rate_limits.append(_elem193)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = RateLimitNews()
+                        _elem202.read(iprot)
+                        self.rate_limits.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = LeavingNews()
-                        _elem199.read(iprot)
-                        self.leaving.append(_elem199)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = LeavingNews()
+                        _elem208.read(iprot)
+                        self.leaving.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.cut_off_vms = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = CutOffNews()
-                        _elem205.read(iprot)
-                        self.cut_off_vms.append(_elem205)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = CutOffNews()
+                        _elem214.read(iprot)
+                        self.cut_off_vms.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.foreign = []
-                    (_etype209, _size206) = iprot.readListBegin()
-                    for _i210 in range(_size206):
-                        _elem211 = iprot.readBinary()
-                        self.foreign.append(_elem211)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = iprot.readBinary()
+                        self.foreign.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5123,78 +5144,78 @@
         if self.vms is not None:
             oprot.writeFieldBegin('vms', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.vms))
-            for iter212 in self.vms:
-                iter212.write(oprot)
+            for iter221 in self.vms:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.announcements is not None:
             oprot.writeFieldBegin('announcements', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.announcements))
-            for iter213 in self.announcements:
-                iter213.write(oprot)
+            for iter222 in self.announcements:
+                iter222.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strikes is not None:
             oprot.writeFieldBegin('strikes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.strikes))
-            for iter214 in self.strikes:
-                iter214.write(oprot)
+            for iter223 in self.strikes:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.weights is not None:
             oprot.writeFieldBegin('weights', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.weights))
-            for iter215 in self.weights:
-                iter215.write(oprot)
+            for iter224 in self.weights:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.placements is not None:
             oprot.writeFieldBegin('placements', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.placements))
-            for iter216 in self.placements:
-                iter216.write(oprot)
+            for iter225 in self.placements:
+                iter225.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rosters is not None:
             oprot.writeFieldBegin('rosters', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.rosters))
-            for iter217 in self.rosters:
-                iter217.write(oprot)
+            for iter226 in self.rosters:
+                iter226.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stores is not None:
             oprot.writeFieldBegin('stores', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stores))
-            for iter218 in self.stores:
-                iter218.write(oprot)
+            for iter227 in self.stores:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rate_limits is not None:
             oprot.writeFieldBegin('rate_limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
-            for iter219 in self.rate_limits:
-                iter219.write(oprot)
+            for iter228 in self.rate_limits:
+                iter228.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter220 in self.leaving:
-                iter220.write(oprot)
+            for iter229 in self.leaving:
+                iter229.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cut_off_vms is not None:
             oprot.writeFieldBegin('cut_off_vms', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.cut_off_vms))
-            for iter221 in self.cut_off_vms:
-                iter221.write(oprot)
+            for iter230 in self.cut_off_vms:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.foreign is not None:
             oprot.writeFieldBegin('foreign', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.foreign))
-            for iter222 in self.foreign:
-                oprot.writeBinary(iter222)
+            for iter231 in self.foreign:
+                oprot.writeBinary(iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5362,10 +5383,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype226, _size223) = iprot.readListBegin()
-                    for _i227 in range(_size223):
-                        _elem228 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem228)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5378,11 +5399,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype232, _size229) = iprot.readListBegin()
-                    for _i233 in range(_size229):
-                        _elem234 = LoadNews()
-                        _elem234.read(iprot)
-                        self.loads.append(_elem234)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = LoadNews()
+                        _elem243.read(iprot)
+                        self.loads.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5401,11 +5422,11 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype238, _size235) = iprot.readListBegin()
-                    for _i239 in range(_size235):
-                        _elem240 = SpeedNews()
-                        _elem240.read(iprot)
-                        self.speeds.append(_elem240)
+                    (_etype247, _size244) = iprot.readListBegin()
+                    for _i248 in range(_size244):
+                        _elem249 = SpeedNews()
+                        _elem249.read(iprot)
+                        self.speeds.append(_elem249)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5438,8 +5459,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter241 in self.withdrawn_digests:
-                oprot.writeString(iter241.encode('utf-8') if sys.version_info[0] == 2 else iter241)
+            for iter250 in self.withdrawn_digests:
+                oprot.writeString(iter250.encode('utf-8') if sys.version_info[0] == 2 else iter250)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.records is not None:
@@ -5449,8 +5470,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter242 in self.loads:
-                iter242.write(oprot)
+            for iter251 in self.loads:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
@@ -5464,8 +5485,8 @@
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter243 in self.speeds:
-                iter243.write(oprot)
+            for iter252 in self.speeds:
+                iter252.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5570,10 +5591,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.withdrawn_digests = []
-                    (_etype247, _size244) = iprot.readListBegin()
-                    for _i248 in range(_size244):
-                        _elem249 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn_digests.append(_elem249)
+                    (_etype256, _size253) = iprot.readListBegin()
+                    for _i257 in range(_size253):
+                        _elem258 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn_digests.append(_elem258)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5597,10 +5618,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.silent_endpoints = []
-                    (_etype253, _size250) = iprot.readListBegin()
-                    for _i254 in range(_size250):
-                        _elem255 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent_endpoints.append(_elem255)
+                    (_etype262, _size259) = iprot.readListBegin()
+                    for _i263 in range(_size259):
+                        _elem264 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent_endpoints.append(_elem264)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5612,55 +5633,55 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype259, _size256) = iprot.readListBegin()
-                    for _i260 in range(_size256):
-                        _elem261 = LoadNews()
-                        _elem261.read(iprot)
-                        self.loads.append(_elem261)
+                    (_etype268, _size265) = iprot.readListBegin()
+                    for _i269 in range(_size265):
+                        _elem270 = LoadNews()
+                        _elem270.read(iprot)
+                        self.loads.append(_elem270)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype265, _size262) = iprot.readListBegin()
-                    for _i266 in range(_size262):
-                        _elem267 = GroupReport()
-                        _elem267.read(iprot)
-                        self.groups.append(_elem267)
+                    (_etype274, _size271) = iprot.readListBegin()
+                    for _i275 in range(_size271):
+                        _elem276 = GroupReport()
+                        _elem276.read(iprot)
+                        self.groups.append(_elem276)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.own_units = {}
-                    (_ktype269, _vtype270, _size268) = iprot.readMapBegin()
-                    for _i272 in range(_size268):
-                        _key273 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val274 = iprot.readI64()
-                        self.own_units[_key273] = _val274
+                    (_ktype278, _vtype279, _size277) = iprot.readMapBegin()
+                    for _i281 in range(_size277):
+                        _key282 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val283 = iprot.readI64()
+                        self.own_units[_key282] = _val283
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.past_spending = []
-                    (_etype278, _size275) = iprot.readListBegin()
-                    for _i279 in range(_size275):
-                        _elem280 = PastSpendingNews()
-                        _elem280.read(iprot)
-                        self.past_spending.append(_elem280)
+                    (_etype287, _size284) = iprot.readListBegin()
+                    for _i288 in range(_size284):
+                        _elem289 = PastSpendingNews()
+                        _elem289.read(iprot)
+                        self.past_spending.append(_elem289)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype284, _size281) = iprot.readListBegin()
-                    for _i285 in range(_size281):
-                        _elem286 = SpeedNews()
-                        _elem286.read(iprot)
-                        self.speeds.append(_elem286)
+                    (_etype293, _size290) = iprot.readListBegin()
+                    for _i294 in range(_size290):
+                        _elem295 = SpeedNews()
+                        _elem295.read(iprot)
+                        self.speeds.append(_elem295)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5693,8 +5714,8 @@
         if self.withdrawn_digests is not None:
             oprot.writeFieldBegin('withdrawn_digests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn_digests))
-            for iter287 in self.withdrawn_digests:
-                oprot.writeString(iter287.encode('utf-8') if sys.version_info[0] == 2 else iter287)
+            for iter296 in self.withdrawn_digests:
+                oprot.writeString(iter296.encode('utf-8') if sys.version_info[0] == 2 else iter296)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepted is not None:
@@ -5712,8 +5733,8 @@
         if self.silent_endpoints is not None:
             oprot.writeFieldBegin('silent_endpoints', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.silent_endpoints))
-            for iter288 in self.silent_endpoints:
-                oprot.writeString(iter288.encode('utf-8') if sys.version_info[0] == 2 else iter288)
+            for iter297 in self.silent_endpoints:
+                oprot.writeString(iter297.encode('utf-8') if sys.version_info[0] == 2 else iter297)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.period_ms is not None:
@@ -5723,37 +5744,37 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter289 in self.loads:
-                iter289.write(oprot)
+            for iter298 in self.loads:
+                iter298.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter290 in self.groups:
-                iter290.write(oprot)
+            for iter299 in self.groups:
+                iter299.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own_units is not None:
             oprot.writeFieldBegin('own_units', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_units))
-            for kiter291, viter292 in self.own_units.items():
-                oprot.writeString(kiter291.encode('utf-8') if sys.version_info[0] == 2 else kiter291)
-                oprot.writeI64(viter292)
+            for kiter300, viter301 in self.own_units.items():
+                oprot.writeString(kiter300.encode('utf-8') if sys.version_info[0] == 2 else kiter300)
+                oprot.writeI64(viter301)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.past_spending is not None:
             oprot.writeFieldBegin('past_spending', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.past_spending))
-            for iter293 in self.past_spending:
-                iter293.write(oprot)
+            for iter302 in self.past_spending:
+                iter302.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter294 in self.speeds:
-                iter294.write(oprot)
+            for iter303 in self.speeds:
+                iter303.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6144,6 +6165,7 @@
     (3, TType.I64, 'number', None, None, ),  # 3
     (4, TType.LIST, 'results', (TType.STRUCT, [VersionResults, None], False), None, ),  # 4
     (5, TType.MAP, 'wanted', (TType.I64, None, TType.I64, None, False), None, ),  # 5
+    (6, TType.MAP, 'phases', (TType.I64, None, TType.STRING, 'UTF8', False), None, ),  # 6
 )
 all_structs.append(ExposureGrant)
 ExposureGrant.thrift_spec = (
