Forget addresses without connections in use

Cause: the table of connections in use kept an empty entry for each address that ever had one; a connection that was dropped or released left it behind. Change: an empty entry is removed with its last connection.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/open_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/open_connections.py
@@ -52,6 +52,7 @@
         """Remove a connection that is idle from now on."""
         with self._lock:
             self._uses_by_address.get(address, {}).pop(connection, None)
+            self._forget_if_unused(address)
 
     def count(self, address):
         """Return the ``UseCounts`` of an address."""
@@ -68,7 +69,7 @@
             counts = {
                 address: self._count(address)
                 for address, uses in list(self._uses_by_address.items())
-                if len(uses) >= least
+                if len(uses) >= least or not uses
             }
         return {
             address: count
@@ -83,6 +84,9 @@
         for connection in list(uses):
             if connection.is_closed:
                 del uses[connection]
-        if not uses:
-            del self._uses_by_address[address]
+        self._forget_if_unused(address)
         return UseCounts(len(uses), sum(uses.values()))
+
+    def _forget_if_unused(self, address):
+        if not self._uses_by_address.get(address, True):
+            del self._uses_by_address[address]
