Bound the time after which refused callers return

Cause: a third of the time left was named however long that was; callers with an hour left were sent away for twelve minutes for a surge of seconds. Change: at most 10 s. Nothing changes for callers with up to 30 s.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/return_times.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/return_times.py
@@ -17,6 +17,8 @@
 
 # Part of the time left that callers wait before they return.
 HONOURED_FRACTION = 1 / 3
+# Latest return: surges last for seconds, also where callers name hours.
+MAX_SECONDS_UNTIL_RETURN = 10.0
 # Earliest return, as a part of the latest.
 EARLIEST_FRACTION = 0.6
 # A caller that names less than this part of the usual time has come back.
@@ -33,6 +35,7 @@
         source: source of random numbers.
     """
     latest = max(0.0, seconds_left) * HONOURED_FRACTION
+    latest = min(latest, MAX_SECONDS_UNTIL_RETURN)
     return latest * source.uniform(EARLIEST_FRACTION, 1.0)
 
 
