Keep old reports and former routes from closing the admission

Cause: three ways in which a less urgent request found no place on idle engines. The urgent requests that may have come since the last report were kept free without a bound: with reports of 1.5 s or more (aggregator frozen, data centre alone) that is all places. The target latency of a route counted for as long as the VM ran, also after the route had gone. A request whose shared prefix no engine has cached counted as late before it had begun, so its session was refused as long as there was no spare room. Change: at most half of the places are kept; targets count while requests of their urgency come; prompt tokens that every engine would prefill count like those of the request alone. Need.own_tokens goes.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/concurrency_average.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/concurrency_average.py
@@ -37,14 +37,18 @@
 
     def mean_above(self, service, urgency):
         """Return the average number of more urgent requests."""
+        return sum(self.means_above(service, urgency).values())
+
+    def means_above(self, service, urgency):
+        """Return the averages of more urgent requests, by ``Urgency``."""
         now = self._clock()
         with self._lock:
             counts = self._counts_by_service.get(service, {})
-            return sum(
-                count.mean(now)
+            return {
+                other: count.mean(now)
                 for other, count in counts.items()
                 if other < urgency
-            )
+            }
 
     def _change(self, service, urgency, difference):
         now = self._clock()
--- a/packages/carobwood-daemon/carobwood_daemon/relay/engine_room.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/engine_room.py
@@ -18,6 +18,9 @@
 RESERVE_DEVIATIONS = 2.0
 # Largest part of an engine's places that is kept for more urgent requests.
 MAX_RESERVED_FRACTION = 1 / 6
+# Largest part that is kept for them beside what may have come since the last
+# report, so that old reports leave room to the others.
+MAX_KEPT_FRACTION = 0.5
 # Part of the time to the first event of the most urgent request that work of
 # less urgent ones may take.
 MAX_WORK_AHEAD_FRACTION = 0.25
@@ -80,6 +83,17 @@
     return min(places, int(slots * MAX_RESERVED_FRACTION))
 
 
+def kept_places(reserved, unseen, slots):
+    """Return how many places are not shared with less urgent requests.
+
+    Args:
+        reserved: places that are reserved for more urgent requests.
+        unseen: more urgent requests that may have come unseen.
+        slots: requests that the engine processes concurrently.
+    """
+    return min(reserved + unseen, slots * MAX_KEPT_FRACTION)
+
+
 def is_in_time(engine, tokens, terms):
     """Return whether a first event would come in time from an engine."""
     return engine.first_event_seconds(tokens) <= terms.seconds_left
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
@@ -31,10 +31,11 @@
 
 # Part of an engine's places that late requests leave free.
 LATE_RESERVE_FRACTION = 1 / 6
-# Part of its target latency that a request may spend on its own prompt. What
-# a larger prompt takes beyond that does not make the request late here, so
-# that large and small requests have the same time to wait.
-OWN_PROMPT_FRACTION = 0.5
+# Part of its target latency that a request may spend on the prompt tokens that
+# every engine would have to prefill. What these take beyond that does not make
+# the request late here, so that large and small requests, and those whose
+# prefix is cached nowhere, have the same time to wait.
+PREFILL_FRACTION = 0.5
 # Age that the contents of a report have at least when it comes.
 MIN_REPORT_AGE_SECONDS = 0.1
 # Age from which reports do not count any more.
@@ -59,7 +60,6 @@
         target_latency: seconds from its arrival within which its first event
             is on time.
         late_at: when its first event is late.
-        own_tokens: prompt tokens that it shares with no other request.
         has_returned: whether it comes after a refusal.
     """
 
@@ -67,7 +67,6 @@
     urgency: urgencies.Urgency
     target_latency: float
     late_at: float
-    own_tokens: int = 0
     has_returned: bool = False
 
 
@@ -172,10 +171,9 @@
             need: the ``Need``.
             offers: an ``Offer`` of each engine, with or without a place.
         """
-        fastest = max((o.state.prefill_speed for o in offers), default=0.0)
-        if not fastest:
+        if not offers:
             return self._clock() <= need.late_at
-        terms = engine_room.Terms(self._seconds_left(need, fastest))
+        terms = engine_room.Terms(self._seconds_left(need, offers))
         return any(
             engine_room.is_in_time(offer.state, offer.tokens, terms)
             for offer in offers
@@ -198,8 +196,6 @@
         age = self._load_age(report)
         unseen = self._arrivals_per_engine(need, age, len(offers))
         unseen_above = self._arrivals_above(need, age, len(offers))
-        kept = terms.reserved_places + unseen_above
-        contended = kept + UNEVENNESS * unseen
         selected = []
         for offer in offers:
             state = offer.state
@@ -208,6 +204,10 @@
             if not engine_room.is_in_time(state, offer.tokens, terms):
                 continue
             free = state.slots - state.running
+            kept = engine_room.kept_places(
+                terms.reserved_places, unseen_above, state.slots
+            )
+            contended = kept + UNEVENNESS * unseen
             if is_waiting or free <= contended:
                 if not self._shares.may_take(
                     report, offer.endpoint_id, free - kept
@@ -265,9 +265,10 @@
         """Return the expected wait behind a number of requests."""
         return self._forecast.wait_seconds(service, ahead)
 
-    def _seconds_left(self, need, prefill_speed):
-        own_seconds = need.own_tokens / prefill_speed
-        extra = own_seconds - OWN_PROMPT_FRACTION * need.target_latency
+    def _seconds_left(self, need, offers):
+        speed = max(offer.state.prefill_speed for offer in offers)
+        prefill_seconds = min(offer.tokens for offer in offers) / speed
+        extra = prefill_seconds - PREFILL_FRACTION * need.target_latency
         delay = self._delay.seconds(need.service, need.urgency)
         # What a request without a wait can't meet is no reason to refuse it.
         delay = min(delay, MAX_DELAY_FRACTION * need.target_latency)
@@ -275,11 +276,10 @@
 
     def _terms(self, need, offers, can_be_on_time):
         slots = max(offer.state.slots for offer in offers)
-        speed = max(offer.state.prefill_speed for offer in offers)
         reserved = engine_room.reserved_places(
             self._mean_above_per_engine(need, len(offers)), slots
         )
-        seconds_left = self._seconds_left(need, speed)
+        seconds_left = self._seconds_left(need, offers)
         if not can_be_on_time:
             seconds_left = math.inf
             late_reserve = math.ceil(LATE_RESERVE_FRACTION * slots)
@@ -297,19 +297,18 @@
 
     def _max_ahead_seconds(self, need):
         """Return how long an engine's queued prompts may take after it."""
-        mean = self._concurrency.mean_above(need.service, need.urgency)
-        if mean < MIN_MEAN_CONCURRENCY:
-            return math.inf
+        means = self._concurrency.means_above(need.service, need.urgency)
         with self._lock:
-            targets = dict(self._targets_by_service.get(need.service, {}))
-        shortest = min(
-            (
-                target
-                for urgency, target in targets.items()
-                if urgency < need.urgency
-            ),
-            default=math.inf,
-        )
+            targets = self._targets_by_service.get(need.service, {})
+            # Targets of routes that have gone, or lie idle, do not count.
+            shortest = min(
+                (
+                    targets.get(urgency, math.inf)
+                    for urgency, mean in means.items()
+                    if mean >= MIN_MEAN_CONCURRENCY
+                ),
+                default=math.inf,
+            )
         return engine_room.MAX_WORK_AHEAD_FRACTION * shortest
 
     def _load_age(self, report):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -93,7 +93,6 @@
             urgency.of(request),
             request.route.target_latency,
             request.soft_deadline_at,
-            request.demand.own_tokens,
             self._has_returned,
         )
 
--- a/tests/overload_policies.py
+++ b/tests/overload_policies.py
@@ -123,7 +123,6 @@
             urgency.Urgency(1, request.kind.priority),
             request.kind.target,
             request.first_at + request.kind.target,
-            request.tokens,
             request.has_returned,
         )
         self._control.note_arrival(request.need)
--- a/tests/test_overload_modules.py
+++ b/tests/test_overload_modules.py
@@ -36,7 +36,6 @@
         'urgency': OTHER,
         'target_latency': 1.0,
         'late_at': clock.now + 1.0,
-        'own_tokens': 700,
     }
     return overload_control.Need(**{**fields, **changes})
 
@@ -251,3 +250,67 @@
     control.note_wait(need, was_placed=False)
     assert control.take_changed_level(need) == pytest.approx(0.5)
     assert control.take_changed_level(need) is None
+
+
+# Arrivals that may have come since the last report filled whole engines.
+def test_old_reports_leave_idle_engines_to_less_urgent_requests():
+    clock = builders.Clock()
+    control = _control(clock, vms=64)
+    report = clock.now
+    urgent = _need(clock, urgency=URGENT)
+    served = 0
+    for _ in range(100):
+        clock.advance(0.25)
+        control.note_arrival(urgent)
+        control.note_placed(urgent, 'engine-0')
+        control.note_end(urgent)
+        need = _need(clock)
+        selected = _select(control, need, _offers(12), report, True)
+        if selected:
+            served += 1
+            control.note_placed(need, min(selected))
+    assert served >= 25
+
+
+# A route with a short target kept others off busy engines after it had gone.
+def test_targets_of_routes_that_have_gone_do_not_count():
+    clock = builders.Clock()
+    control = _control(clock)
+    former = _need(clock, urgency=urgency.Urgency(0, 0), target_latency=0.01)
+    control.note_arrival(former)
+    control.note_end(former)
+    control.note_arrival(_need(clock, urgency=URGENT))
+    clock.advance(30)
+    need = _need(clock)
+    busy = _offers(prefill_tokens=2_000)
+    assert _select(control, need, busy, clock.now)
+    control.note_arrival(former)
+    clock.advance(1)
+    need = _need(clock)
+    assert not _select(control, need, busy, clock.now)
+
+
+# The first requests of a long prefix were late before they began, and refused
+# as long as there was no spare room.
+def test_a_prefix_that_is_cached_nowhere_does_not_make_a_request_late():
+    clock = builders.Clock()
+    control = _control(clock)
+    need = _need(clock)
+    uncached = [
+        overload_control.Offer(f'engine-{n}', _state(), 60_000)
+        for n in range(3)
+    ]
+    assert control.can_be_on_time(need, uncached)
+    # Beside an engine that has it, the others are too slow.
+    cached = overload_control.Offer('engine-3', _state(), 700)
+    offers = [*uncached, cached]
+    assert _select(control, need, offers, clock.now) == {'engine-3'}
+
+
+# A caller with an hour left was told to return after twelve minutes or more.
+def test_returns_come_within_seconds_where_callers_have_hours():
+    latest = return_times.MAX_SECONDS_UNTIL_RETURN
+    source = random.Random(1)
+    for _ in range(20):
+        seconds = return_times.seconds_until_return(3600.0, source)
+        assert 0.5 * latest < seconds <= latest
