--- a/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/assignment_queue.py
@@ -99,15 +99,18 @@
             wait_queue.max_wait(request.deadline_at, latest_end),
         )
         if room is not None:
+            if not room.has_looked:
+                room.filter(self._selector.candidates(request, excluded))
             room.begin_wait(wait_queue.count_ahead(*key))
         entry = wait_queue.enqueue(
             *key,
             request.deadline_at,
             is_apart=self._waits_for_silent_only(request, tried),
             latest_end=latest_end,
+            gives_way=room is not None,
         )
         if entry is None:
-            raise errors.Saturated('the wait queue of the service is full')
+            raise _saturated('the wait queue of the service is full', room)
         self._wait_ends_at = entry.wait_ends_at
         began_at = clocks.now()
         outcome = 'broken-off'
@@ -182,9 +185,10 @@
                 request, excluded, wait_queue.seconds_left(entry)
             )
             if not wait_queue.wait_for_change(entry):
-                raise errors.Saturated(
-                    'no endpoint had capacity within the maximum wait'
-                )
+                reason = 'no endpoint had capacity within the maximum wait'
+                if wait_queue.seconds_left(entry) > 0:
+                    reason = 'a request that goes first has taken its turn'
+                raise _saturated(reason, room)
 
     def _refuse_if_cut_off(self, caller):
         if not self._context.reachability.is_cut_off:
@@ -281,6 +285,13 @@
     return request.service, priority, request.soft_deadline_at
 
 
+def _saturated(reason, room):
+    """Return the error of a request that can't wait or has in vain."""
+    if room is None:
+        return errors.Saturated(reason)
+    return room.end_in_vain(reason)
+
+
 def _load_summary(load):
     """Return a load for the log.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -98,7 +98,11 @@
 
 
 class Room:
-    """Looks for room for one request until it gets a place."""
+    """Looks for room for one request until it gets a place.
+
+    Attributes:
+        has_looked: whether it has looked at the engines.
+    """
 
     def __init__(self, context, request, need):
         """Create the search.
@@ -112,6 +116,7 @@
         self._control = context.overload
         self._request = request
         self._need = need
+        self.has_looked = False
         self._is_waiting = False
         self._can_be_on_time = True
         self._offers_by_id = {}
@@ -123,6 +128,7 @@
         Args:
             candidates: ``Candidate`` records.
         """
+        self.has_looked = True
         offers = _offers(candidates, self._request.demand)
         self._offers_by_id = {offer.endpoint_id: offer for offer in offers}
         selection = self._control.select(
@@ -184,8 +190,16 @@
         """
         if self._need.has_returned or self._may_be_on_time:
             return
+        raise self.end_in_vain('the request can no longer be on time')
+
+    def end_in_vain(self, reason):
+        """Record that the wait was in vain; return the ``Saturated`` error.
+
+        Args:
+            reason: why it ends.
+        """
         self._note_wait(False)
-        raise self._refusal('the request can no longer be on time', 0)
+        return self._refusal(reason, 0)
 
     def _note_wait(self, was_placed):
         """Record how the wait has ended; log what that changes."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/wait_queue.py
@@ -42,6 +42,8 @@
         wait_ends_at: time at which the request is refused.
         is_apart: whether it waits only for endpoints that were silent to
             it; it does not hold up the others.
+        gives_way: whether the last such request leaves a full queue to one
+            that goes before it.
     """
 
     number: int
@@ -50,6 +52,7 @@
     soft_deadline_at: float
     wait_ends_at: float
     is_apart: bool = False
+    gives_way: bool = False
 
     def rank(self, now):
         """Return the sort key in the queue at a time; lowest goes first."""
@@ -102,6 +105,7 @@
         deadline_at,
         is_apart=False,
         latest_end=math.inf,
+        gives_way=False,
     ):
         """Queue a request.
 
@@ -113,6 +117,7 @@
             deadline_at: deadline of the request.
             is_apart: see ``QueueEntry``.
             latest_end: time at which it is refused at the latest.
+            gives_way: see ``QueueEntry``.
 
         Returns:
             The ``QueueEntry``, or None if the service's queue is full.
@@ -121,8 +126,6 @@
         max_wait = self.max_wait(deadline_at, latest_end)
         with self._changed:
             entries = self._entries_by_service.setdefault(service, set())
-            if len(entries) >= MAX_WAITING:
-                return None
             entry = QueueEntry(
                 next(self._numbers),
                 service,
@@ -130,16 +133,35 @@
                 soft_deadline_at,
                 now + max_wait,
                 is_apart,
+                gives_way,
             )
+            if len(entries) >= MAX_WAITING and not (
+                gives_way and self._displace(entries, entry, now)
+            ):
+                return None
             entries.add(entry)
             return entry
 
+    def _displace(self, entries, new, now):
+        """Drop the last entry if a new one goes before it; return whether."""
+        last = max(
+            (entry for entry in entries if entry.gives_way),
+            key=lambda entry: entry.rank(now),
+            default=None,
+        )
+        if last is None or last.rank(now) <= new.rank(now):
+            return False
+        entries.discard(last)
+        self._changed.notify_all()
+        return True
+
     def remove(self, entry):
         """Remove a request from its queue."""
         with self._changed:
-            entries = self._entries_by_service[entry.service]
+            # One that was displaced is not there any more.
+            entries = self._entries_by_service.get(entry.service, set())
             entries.discard(entry)
-            if not entries:
+            if not entries and entry.service in self._entries_by_service:
                 del self._entries_by_service[entry.service]
             self._changed.notify_all()
 
@@ -149,10 +171,12 @@
         with self._changed:
             entries = [
                 other
-                for other in self._entries_by_service[entry.service]
+                for other in self._entries_by_service.get(entry.service, ())
                 if entry.is_apart or not other.is_apart
             ]
-            first = min(entries, key=lambda other: other.rank(now))
+            first = min(
+                entries, key=lambda other: other.rank(now), default=None
+            )
             return first is entry
 
     def must_queue(self, service, priority, soft_deadline_at):
@@ -174,9 +198,12 @@
         """Wait for a wake-up, but no longer than ``RECHECK_SECONDS``.
 
         Returns:
-            False once the request has reached its maximum wait.
+            False once the request has reached its maximum wait, or has given
+            way to another one.
         """
         with self._changed:
+            if entry not in self._entries_by_service.get(entry.service, ()):
+                return False
             seconds_left = self.seconds_left(entry)
             if seconds_left <= 0:
                 return False
--- a/tests/test_overload_gate.py
+++ b/tests/test_overload_gate.py
@@ -15,6 +15,7 @@
 from carobwood_daemon.relay import overload_control
 from carobwood_daemon.relay import overload_gate
 from carobwood_daemon.relay import tried_endpoints
+from carobwood_daemon.relay import wait_forecast
 from carobwood_daemon.relay import wait_queue
 from carobwood_platform import configuration
 
@@ -146,3 +147,84 @@
     harness.gate.close()
     harness.gate.close()
     assert len(ended) == 1
+
+
+class _QueueHarness(GateHarness):
+    """A queue for one request, with an engine that never has a place."""
+
+    def __init__(self, load, is_behind=False):
+        """Create the harness.
+
+        Args:
+            load: the ``Load`` of the engine.
+            is_behind: whether another request waits already.
+        """
+        super().__init__()
+        stub = types.SimpleNamespace
+        self.context.is_discovery_done = lambda: True
+        self.context.reachability = stub(is_cut_off=False)
+        self.context.gate = stub(is_interrupted=False, is_ready=True)
+        self.context.segment_suspects = stub(check=lambda keys: None)
+        self.context.availability = stub(
+            seconds_until_available=lambda endpoint: 0.0
+        )
+        self.context.health = stub(is_ejected=lambda endpoint: False)
+        self.context.rate_limits = stub(is_limited=lambda endpoint: False)
+        self.caller.has_disconnected = lambda: False
+        self.candidates = [builders.candidate(load=load)]
+        endpoints = [candidate.endpoint for candidate in self.candidates]
+        selector = stub(
+            candidates=lambda request, excluded: self.candidates,
+            try_assign=self._try_assign,
+            endpoints=lambda request: endpoints,
+            eligible_ids=lambda request, endpoints, loads: set(),
+            has_untried_endpoint=lambda request, excluded: True,
+            seconds_until_open=lambda endpoint: 0.0,
+        )
+        self.queue = assignment_queue.AssignmentQueue(
+            self.context, selector, self.gate
+        )
+        if is_behind:
+            service, rank, late_at = assignment_queue.queue_key(
+                self.context, self.request
+            )
+            self.context.wait_queue.enqueue(
+                service, rank, late_at - 0.1, self.request.deadline_at
+            )
+
+    def _try_assign(self, request, excluded, filter_room):
+        filter_room(self.candidates)
+
+    def refusal(self):
+        """Return the error that the request ends with."""
+        with pytest.raises(errors.Saturated) as refusal:
+            self.queue.await_assignment(self.request, self.tried, self.caller)
+        return refusal.value
+
+
+# The level did not fall, and all were told to return after one second.
+def test_a_wait_that_runs_out_counts_as_one_in_vain(monkeypatch):
+    monkeypatch.setattr(wait_queue, 'MAX_WAIT_FRACTION', 0.02)
+    harness = _QueueHarness(FULL)
+    refusal = harness.refusal()
+    assert harness.control.level(harness.gate._need) < 0.75
+    assert 'overload.refused.checks' in harness.counts
+    assert refusal.retry_after != wait_queue.RETRY_AFTER_SECONDS
+
+
+def test_a_full_queue_names_a_time_that_callers_honour(monkeypatch):
+    monkeypatch.setattr(wait_queue, 'MAX_WAITING', 0)
+    harness = _QueueHarness(FULL)
+    harness.refusal()
+    assert 'overload.refused.checks' in harness.counts
+
+
+# A request behind others waited until it was late without a look at engines.
+def test_a_request_behind_others_is_refused_if_engines_are_late(monkeypatch):
+    # The wait itself would be worth it.
+    monkeypatch.setattr(wait_forecast, 'MIN_START_RATE', 1000.0)
+    slow = fleet_loads.Load(running=64, prefill_tokens=400_000)
+    harness = _QueueHarness(slow, is_behind=True)
+    refusal = harness.refusal()
+    assert 'expected to be late' in str(refusal)
+    assert harness.context.wait_queue.count('engines') == 1
--- a/tests/test_wait_queue.py
+++ b/tests/test_wait_queue.py
@@ -79,3 +79,53 @@
     )
     assert queue.is_first(other)
     assert not queue.is_first(apart)
+
+
+# Requests that had come back after a refusal kept urgent ones out.
+def test_the_last_of_a_full_queue_gives_way_to_an_urgent_request():
+    clock, queue = _queue()
+    entries = [
+        queue.enqueue(
+            'engines', 1, clock.now + 1, clock.now + 9, gives_way=True
+        )
+        for _ in range(wait_queue.MAX_WAITING)
+    ]
+    urgent = queue.enqueue(
+        'engines', 0, clock.now + 1, clock.now + 9, gives_way=True
+    )
+    assert queue.is_first(urgent)
+    assert queue.count('engines') == wait_queue.MAX_WAITING
+    assert not queue.wait_for_change(entries[-1])
+    # One that goes after all others displaces none.
+    last = queue.enqueue(
+        'engines', 1, clock.now + 2, clock.now + 9, gives_way=True
+    )
+    assert last is None
+
+
+def test_a_request_that_gave_way_ends_after_all_others():
+    clock, queue = _queue()
+    entries = [
+        queue.enqueue(
+            'engines', 1, clock.now + 1, clock.now + 9, gives_way=True
+        )
+        for _ in range(wait_queue.MAX_WAITING)
+    ]
+    urgent = queue.enqueue(
+        'engines', 0, clock.now + 1, clock.now + 9, gives_way=True
+    )
+    for entry in [urgent, *entries[:-1]]:
+        queue.remove(entry)
+    assert not queue.is_first(entries[-1])
+    assert not queue.wait_for_change(entries[-1])
+    queue.remove(entries[-1])
+
+
+def test_a_request_that_has_a_response_never_gives_way():
+    clock, queue = _queue()
+    for _ in range(wait_queue.MAX_WAITING):
+        assert queue.enqueue('engines', 1, clock.now + 1, clock.now + 9)
+    urgent = queue.enqueue(
+        'engines', 0, clock.now + 1, clock.now + 9, gives_way=True
+    )
+    assert urgent is None
