Sum the reported loads with one object each

Cause: each load of a report made three objects (a default, one after prefill and the sum) in each decision. The sums are the same. Result: paired in one process, 90 engines, own loads and one report: 0.10 ms of processor time, 0.34 ms before (medians, load average 15).

--- a/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/fleet_loads.py
@@ -50,10 +50,7 @@
         Args:
             seconds: age of the report that the load comes from.
         """
-        prefilled = int(seconds * PREFILL_TOKENS_PER_SECOND)
-        return dataclasses.replace(
-            self, prefill_tokens=max(0, self.prefill_tokens - prefilled)
-        )
+        return Load().plus_report(self, _prefilled_tokens(seconds))
 
     def plus(self, other):
         """Return the sum of two loads."""
@@ -64,6 +61,20 @@
             self.streams + other.streams,
         )
 
+    def plus_report(self, other, prefilled):
+        """Return the sum of this load and a reported one.
+
+        Args:
+            other: the reported ``Load``.
+            prefilled: tokens that have been prefilled since the report.
+        """
+        return Load(
+            self.running + other.running,
+            self.kv_cache_tokens + other.kv_cache_tokens,
+            self.prefill_tokens + max(0, other.prefill_tokens - prefilled),
+            self.streams + other.streams,
+        )
+
     def minus(self, other):
         """Return the difference of two loads."""
         return Load(
@@ -74,6 +85,10 @@
         )
 
 
+def _prefilled_tokens(seconds):
+    return int(seconds * PREFILL_TOKENS_PER_SECOND)
+
+
 class Reservation:
     """Load of one request that is counted on an endpoint.
 
@@ -235,14 +250,16 @@
         """Return local loads plus those of recent reports that are wanted."""
         now = self._clock()
         totals = dict(self._local_by_endpoint)
+        none = Load()
         for vm_id, report in list(self._reports_by_vm.items()):
             age = now - report.received_at
             if age > PEER_REPORT_MAX_AGE_SECONDS:
                 del self._reports_by_vm[vm_id]
             elif is_wanted(report):
+                prefilled = _prefilled_tokens(age)
                 for endpoint_id, load in report.loads_by_endpoint.items():
-                    current = totals.get(endpoint_id, Load())
-                    totals[endpoint_id] = current.plus(load.after_prefill(age))
+                    current = totals.get(endpoint_id, none)
+                    totals[endpoint_id] = current.plus_report(load, prefilled)
         return totals
 
 
