Compute what engines share once in a decision under load

Cause: prompt tokens to prefill and kept places were computed for each engine, though they are the same for all with one version and capacity.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_control.py
@@ -195,7 +195,12 @@
         terms = self._terms(need, offers, can_be_on_time)
         age = self._load_age(report)
         unseen = self._arrivals_per_engine(need, age, len(offers))
-        unseen_above = self._arrivals_above(need, age, len(offers))
+        kept = engine_room.kept_places(
+            terms.reserved_places,
+            self._arrivals_above(need, age, len(offers)),
+            max(offer.state.slots for offer in offers),
+        )
+        contended = kept + UNEVENNESS * unseen
         selected = []
         for offer in offers:
             state = offer.state
@@ -204,10 +209,6 @@
             if not engine_room.is_in_time(state, offer.tokens, terms):
                 continue
             free = state.slots - state.running
-            kept = engine_room.kept_places(
-                terms.reserved_places, unseen_above, state.slots
-            )
-            contended = kept + UNEVENNESS * unseen
             if is_waiting or free <= contended:
                 if not self._shares.may_take(
                     report, offer.endpoint_id, free - kept
--- a/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/overload_gate.py
@@ -12,7 +12,6 @@
 from . import engine_room
 from . import fleet_loads
 from . import overload_control
-from . import placement
 from . import return_times
 from . import urgency
 
@@ -277,12 +276,7 @@
 
 def _offers(candidates, demand):
     """Return an ``Offer`` for each candidate."""
-    cached_by_version = {}
-    for candidate in candidates:
-        version = candidate.weights_version
-        cached_by_version[version] = max(
-            candidate.cached_tokens, cached_by_version.get(version, 0)
-        )
+    tokens_by_version = _tokens_by_version(candidates, demand)
     return [
         overload_control.Offer(
             candidate.endpoint.id,
@@ -292,11 +286,25 @@
                 candidate.load.prefill_tokens,
                 fleet_loads.PREFILL_TOKENS_PER_SECOND,
             ),
-            placement.load_of(
-                candidate,
-                demand,
-                cached_by_version[candidate.weights_version],
-            ).prefill_tokens,
+            tokens_by_version[candidate.weights_version],
         )
         for candidate in candidates
     ]
+
+
+def _tokens_by_version(candidates, demand):
+    """Return the tokens to prefill, by the weights version of the engine.
+
+    What one engine has cached, all others with its weights can fetch.
+    """
+    cached_by_version = {}
+    for candidate in candidates:
+        version = candidate.weights_version
+        cached_by_version[version] = max(
+            candidate.cached_tokens, cached_by_version.get(version, 0)
+        )
+    total = demand.shared_tokens + demand.own_tokens
+    return {
+        version: total - cached
+        for version, cached in cached_by_version.items()
+    }
