Wait for no probes of endpoints that have gone

Cause: where few endpoints are probed at a time, a probe that was due at an endpoint that left the directory counted as under way for good; with two of them a VM that was cut off probed no other, and learned of it late. Change: what has gone counts no longer. Result: the new test fails before and passes.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_reachability.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_reachability.py
@@ -95,6 +95,8 @@
             known = self._failed_addresses | self._probed_addresses
             unproven = [e for e in endpoints if e.address not in known]
             if self._probes_few:
+                # An endpoint that has gone is probed no more.
+                self._probed_addresses &= {e.address for e in endpoints}
                 unproven = self._select_few(unproven)
             self._probed_addresses.update(e.address for e in unproven)
         return unproven
--- a/tests/test_endpoint_reachability.py
+++ b/tests/test_endpoint_reachability.py
@@ -117,3 +117,16 @@
     table.note('10.0.0.9:1', False)
     assert not table.is_cut_off
     assert changes == []
+
+
+# Probes that were due at endpoints that had gone held up all others.
+def test_probes_of_endpoints_that_have_gone_are_not_waited_for():
+    endpoints = _endpoints(20)
+    table = endpoint_reachability.EndpointReachability(
+        lambda: endpoints, builders.Clock(), probes_few=True
+    )
+    for endpoint in endpoints[:2]:
+        table.note(endpoint.address, False)
+    for endpoint in table.pop_unproven_endpoints():
+        endpoints.remove(endpoint)
+    assert table.pop_unproven_endpoints()
