--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_reachability.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_reachability.py
@@ -33,7 +33,13 @@
 class EndpointReachability:
     """Results of the latest connections to endpoints, by address."""
 
-    def __init__(self, find_endpoints, clock=clocks.now, probes_few=False):
+    def __init__(
+        self,
+        find_endpoints,
+        clock=clocks.now,
+        probes_few=False,
+        source=random,
+    ):
         """Create the table.
 
         Args:
@@ -41,7 +47,9 @@
                 the view of this VM.
             clock: function that returns the monotonic time in seconds.
             probes_few: whether only a few endpoints are probed at a time.
+            source: source of random numbers.
         """
+        self._source = source
         self._find_endpoints = find_endpoints
         self._clock = clock
         self._probes_few = probes_few
@@ -107,7 +115,7 @@
         failed = len(self._probed_addresses & self._failed_addresses)
         allowed = FIRST_PROBES + PROBES_PER_FAILED_PROBE * failed
         count = max(0, allowed - pending)
-        return random.sample(unproven, min(count, len(unproven)))
+        return self._source.sample(unproven, min(count, len(unproven)))
 
     def _note_made(self, address):
         with self._lock:
