Log when the aggregator of a VM is without contact to a leader

Change: a reply of gossip tells the age of the contact that the replica of the sender itself has had with a leader (an added field, 17, which earlier builds pass over and do not send). Events 338 and 339 at the members tell when it is over a second, and when it is not any more. Nothing is decided by it. The comparison with messages of earlier builds names the added field.

--- a/bench/record_formats.py
+++ b/bench/record_formats.py
@@ -70,7 +70,7 @@
 ADDED_MESSAGE_FIELDS = {
     'VmDescriptor': ('features',),
     'GossipMessage': ('speeds',),
-    'GossipReply': ('speeds',),
+    'GossipReply': ('speeds', 'leader_contact_ms'),
 }
 
 SAMPLES_FILE = 'formats.json'
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -42,6 +42,9 @@
 
     Attributes:
         fleet_id: function that returns the id of the fleet, or ''.
+        leader_contact_age: function that returns the seconds since the
+            replica of this VM was in contact with a leader, or None if it
+            has none.
         on_newer_version: called with a link address and a version of the
             replicated state that the VM there has and this one lacks.
         save_endpoints: function that saves the known endpoints on the disk of
@@ -73,6 +76,7 @@
             sources: further records; see ``gossip_records.RecordSource``.
         """
         self.fleet_id = lambda: ''
+        self.leader_contact_age = lambda: None
         self.on_newer_version = lambda address, version: None
         self.save_endpoints = lambda: True
         self.foreign_records = foreign_records.ForeignRecords(
@@ -362,7 +366,8 @@
 
     def _make_reply(self):
         age = self._store.contact_age()
-        return ttypes.GossipReply(
+        leader_contact_age = self.leader_contact_age()
+        reply = ttypes.GossipReply(
             directories.vm_to_thrift(self._directory.own_vm),
             self._store.version,
             self.fleet_id(),
@@ -371,6 +376,9 @@
             True,
             ttypes.Records(),
         )
+        if leader_contact_age is not None:
+            reply.leader_contact_ms = int(1000 * leader_contact_age)
+        return reply
 
     def _withdrawn_digests(self):
         committed = self._store.fleet.withdrawn_digests
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
@@ -9,6 +9,7 @@
 from carobwood import events
 from carobwood.gen.links import ttypes
 
+from . import aggregator_contact
 from . import topology
 
 CALL_TIMEOUT_SECONDS = 1.0
@@ -234,6 +235,7 @@
         self._received_position = None
         # Whether the aggregator may lack records of other aggregators.
         self._sends_all = False
+        self._contact = aggregator_contact.AggregatorContact()
 
     def exchange(self):
         """Exchange messages with the best aggregator."""
@@ -282,6 +284,7 @@
             )
         self.period = reply.period_ms / 1000
         self._gossip.merge_summary(message, reply)
+        self._contact.note_reply(reply)
 
     def _review_address(self):
         now = clocks.now()
--- a/packages/carobwood-daemon/carobwood_daemon/membership/membership_status.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/membership_status.py
@@ -38,6 +38,16 @@
         in_contact = replica.contact_age() < state_poller.STALE_CONTACT_SECONDS
         return replica.is_member and in_contact
 
+    def leader_contact_age(self):
+        """Return the age of the replica's contact, or None without one.
+
+        See ``Replica.contact_age``. What this VM has heard of a leader by way
+        of other VMs does not count.
+        """
+        if not self._has_replica():
+            return None
+        return self._replica_runner.replica.contact_age()
+
     def note_contact(self):
         """If this VM leads, record its last contact with a quorum.
 
@@ -73,6 +83,7 @@
     """
     status = MembershipStatus(replica_runner, store)
     gossip.fleet_id = status.fleet_id
+    gossip.leader_contact_age = status.leader_contact_age
     poller = state_poller.StatePoller(
         store, directory, links, status.is_member, gossip.contact_age
     )
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -96,6 +96,10 @@
 RECORD_UNKNOWN = Event(334, 'record-unknown', logging.INFO)
 RECORD_REFUSED = Event(335, 'record-refused', logging.WARNING)
 ENDPOINT_REPLACED = Event(336, 'endpoint-replaced', logging.WARNING)
+AGGREGATOR_WITHOUT_CONTACT = Event(
+    338, 'aggregator-without-contact', logging.WARNING
+)
+AGGREGATOR_IN_CONTACT = Event(339, 'aggregator-in-contact', logging.INFO)
 ORDER_CALL_FAILED = Event(340, 'order-call-failed', logging.WARNING)
 CACHE_LOST = Event(315, 'cache-lost', logging.WARNING)
 CACHE_REGAINED = Event(316, 'cache-regained', logging.INFO)
--- a/packages/carobwood/carobwood/gen/links/ttypes.py
+++ b/packages/carobwood/carobwood/gen/links/ttypes.py
@@ -5537,11 +5537,12 @@
      - own_units
      - past_spending
      - speeds
+     - leader_contact_ms
 
     """
 
 
-    def __init__(self, vm=None, version=None, fleet_id=None, contact_age_ms=None, withdrawn_digests=None, accepted=None, records=None, position=None, silent_endpoints=None, period_ms=None, loads=None, groups=None, own_units=None, past_spending=None, speeds=None,):
+    def __init__(self, vm=None, version=None, fleet_id=None, contact_age_ms=None, withdrawn_digests=None, accepted=None, records=None, position=None, silent_endpoints=None, period_ms=None, loads=None, groups=None, own_units=None, past_spending=None, speeds=None, leader_contact_ms=None,):
         self.vm = vm
         self.version = version
         self.fleet_id = fleet_id
@@ -5557,6 +5558,7 @@
         self.own_units = own_units
         self.past_spending = past_spending
         self.speeds = speeds
+        self.leader_contact_ms = leader_contact_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5685,6 +5687,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.leader_contact_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5777,6 +5784,10 @@
                 iter303.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.leader_contact_ms is not None:
+            oprot.writeFieldBegin('leader_contact_ms', TType.I64, 17)
+            oprot.writeI64(self.leader_contact_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6253,6 +6264,7 @@
     (14, TType.LIST, 'past_spending', (TType.STRUCT, [PastSpendingNews, None], False), None, ),  # 14
     None,  # 15
     (16, TType.LIST, 'speeds', (TType.STRUCT, [SpeedNews, None], False), None, ),  # 16
+    (17, TType.I64, 'leader_contact_ms', None, None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/links.thrift
+++ b/thrift/links.thrift
@@ -501,6 +501,9 @@
   14: list<PastSpendingNews> past_spending
   // Sums over all VMs of the fleet; not set in every reply.
   16: list<SpeedNews> speeds
+  // Milliseconds since the replica of the receiver was in contact with a
+  // leader, or as the leader with a quorum. Not set without a replica.
+  17: i64 leader_contact_ms
 }
 
 service FleetLink {
