Replay control VMs that are cut off from the other control VMs only

Seen: with one or half of four control VMs cut off from the others, and entry VMs that reach all of them, the members of those go on sending to an endpoint 5 s after the cut and 2 s after its leaving was acknowledged; a withdrawn key stays in use there; a customer at 1.7, 3 and 6 times its rate gets 12,080, 14,680 and 14,990 units in a window (one cut off) and 13,685, 14,940, 14,985 (half), 10,900 allowed. So one cut breaks DRAIN and QUOTA.

The entry VMs that are late are those of the data centre of the control VM: they hear of it when the cut ends, 7.4 s after the acknowledgement, or never in those 24 s.

--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -77,6 +77,9 @@
             FakeLinks(fleet, self),
             topics=(topic,),
         )
+        self.gossip.leader_contact_age = lambda: fleet.leader_contact_age(
+            own_vm
+        )
         confirmation = leaving_confirmation.LeavingConfirmation(
             self.directory, self.gossip.send_endpoint, TOLERATED_LOSSES
         )
@@ -182,7 +185,9 @@
         self.vms_by_id = {}
         self._incarnation = 0
         self._cut_data_centres = set()
+        self._separated_at_by_id = {}
         self.frozen_ids = set()
+        self.has_leader = True
         self._data_centres = data_centres
         for number in range(data_centres):
             self.start(f'core-{number}')
@@ -222,11 +227,36 @@
         """Join a data centre with the others again."""
         self._cut_data_centres.discard(data_centre)
 
+    def separate(self, *vm_ids):
+        """Cut control VMs off from the other control VMs only.
+
+        The leader of the replicated state is among the others.
+        """
+        for vm_id in vm_ids:
+            self._separated_at_by_id[vm_id] = self.clock.now
+
+    def rejoin(self):
+        """End the separation of all control VMs."""
+        self._separated_at_by_id.clear()
+
+    def leader_contact_age(self, own_vm):
+        """Return what ``Gossip.leader_contact_age`` of a VM returns."""
+        if not own_vm.has_disk:
+            return None
+        if not self.has_leader:
+            return self.clock.now
+        separated_at = self._separated_at_by_id.get(own_vm.id)
+        return 0.0 if separated_at is None else self.clock.now - separated_at
+
     def reachable_vm(self, vm, address):
         """Return the VM at an address, or None if it cannot be reached."""
         target = self.vms_by_id.get(address.split(':')[0])
         if target is None or target.own_vm.id in self.frozen_ids:
             return None
+        if vm.own_vm.has_disk and target.own_vm.has_disk:
+            separated = self._separated_at_by_id
+            if (vm.own_vm.id in separated) != (target.own_vm.id in separated):
+                return None
         ends = {vm.own_vm.data_centre, target.own_vm.data_centre}
         if len(ends) > 1 and ends & self._cut_data_centres:
             return None
