Leave an aggregator that is without contact to a leader

Customers got up to 1.7 times their limit on each side.

Cause: an entry VM exchanges gossip with one aggregator and stayed with it as long as it answered. Cut off from all others, it hears no leaving, withdrawn key, strike, load or usage of the rest of the fleet, and neither do its members. For the others these members were silent, so that keys withdrawn by broadcast did not reach them. The contact that an aggregator told looked recent: it had it from its own members.

Change: a member whose aggregator's replica has had no contact with a leader for a second asks the other VMs with a disk, one after the other, in the background, and moves to the first one that is in contact. Until one is found it goes on as before, as in a data centre that is cut off whole or while there is no leader. A leader reaches a quorum, so both sides cannot look right.

Why it works: news comes from the side that can commit and acknowledge, and a member follows that side.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
@@ -10,6 +10,7 @@
 from carobwood.gen.links import ttypes
 
 from . import aggregator_contact
+from . import aggregator_search
 from . import topology
 
 CALL_TIMEOUT_SECONDS = 1.0
@@ -24,6 +25,9 @@
 MIN_PAUSE_SECONDS = 0.03
 # Time for which an address that has failed or refused is not tried again.
 AVOID_SECONDS = 2.0
+# Time for which an aggregator without contact to a leader is not joined again.
+# By then this VM takes it for silent, unless other aggregators hear it.
+AVOID_WITHOUT_CONTACT_SECONDS = 4.0
 # Period at which a member looks for a better aggregator.
 REVIEW_PERIOD_SECONDS = 2.0
 # Time between two messages to an aggregator that does not answer.
@@ -236,6 +240,7 @@
         # Whether the aggregator may lack records of other aggregators.
         self._sends_all = False
         self._contact = aggregator_contact.AggregatorContact()
+        self._search = aggregator_search.AggregatorSearch(self._ask, self.wake)
 
     def exchange(self):
         """Exchange messages with the best aggregator."""
@@ -285,6 +290,43 @@
         self.period = reply.period_ms / 1000
         self._gossip.merge_summary(message, reply)
         self._contact.note_reply(reply)
+        found_address = self._search.take_found()
+        if self._contact.is_lost:
+            self._replace_aggregator(found_address)
+
+    def stop(self):
+        """End the thread after its current exchange."""
+        super().stop()
+        self._search.stop()
+
+    def _replace_aggregator(self, found_address):
+        """Move to the VM that was found in contact, or search for one.
+
+        Until one is found, this VM goes on with its aggregator: in a data
+        centre that is cut off, no other one answers.
+        """
+        now = clocks.now()
+        if found_address is None:
+            own_vm, vms = self._directory.own_vm, self._directory.vms()
+            addresses = topology.contact_addresses(own_vm, vms, now)
+            self._search.start(
+                [a for a in addresses if a != self._address],
+            )
+            return
+        events.emit(
+            events.AGGREGATOR_LEFT, vm=self._vm_id, address=found_address
+        )
+        self._avoided_until_by_address[self._address] = (
+            now + AVOID_WITHOUT_CONTACT_SECONDS
+        )
+        self._reviewed_at = now
+        self._move_to(found_address)
+
+    def _ask(self, address, seconds):
+        message = self._gossip.make_notification()
+        return self._links.to(address).call(
+            'gossip', message, seconds, seconds
+        )
 
     def _review_address(self):
         now = clocks.now()
--- a/packages/carobwood-daemon/carobwood_daemon/membership/topology.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/topology.py
@@ -90,6 +90,27 @@
     return [address for address in dict.fromkeys(addresses) if address != own]
 
 
+def contact_addresses(own_vm, vms, now):
+    """Return the addresses at which an aggregator with a disk may listen.
+
+    Args:
+        own_vm: the ``Vm`` that looks for one.
+        vms: the ``Vm`` records of all VMs that it knows.
+        now: current time in seconds.
+
+    Returns:
+        Link addresses of VMs with a disk that aggregate or seem silent, which
+        they may not be: those of the own data centre first, then in another
+        order for each VM.
+    """
+    others = [vm for vm in vms if vm.id != own_vm.id and vm.has_disk]
+    found = [vm for vm in others if vm.is_silent(now)]
+    found += aggregators(others, now)
+    ranked = rendezvous.rank(own_vm.id.encode('utf-8'), found)
+    ranked.sort(key=lambda vm: vm.data_centre != own_vm.data_centre)
+    return [vm.link_address for vm in ranked]
+
+
 def mesh_addresses(own_vm, vms, seeds, now):
     """Return the addresses that an aggregator exchanges sums with.
 
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -96,6 +96,7 @@
 RECORD_UNKNOWN = Event(334, 'record-unknown', logging.INFO)
 RECORD_REFUSED = Event(335, 'record-refused', logging.WARNING)
 ENDPOINT_REPLACED = Event(336, 'endpoint-replaced', logging.WARNING)
+AGGREGATOR_LEFT = Event(337, 'aggregator-left', logging.INFO)
 AGGREGATOR_WITHOUT_CONTACT = Event(
     338, 'aggregator-without-contact', logging.WARNING
 )
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -4,6 +4,8 @@
 cut, and VMs may be stopped or frozen.
 """
 
+import concurrent.futures
+
 from carobwood import clocks
 from carobwood import errors
 from carobwood.gen.links import ttypes
@@ -77,6 +79,7 @@
             FakeLinks(fleet, self),
             topics=(topic,),
         )
+        self.gossip._uplink._search._executor = SynchronousExecutor()
         self.gossip.leader_contact_age = lambda: fleet.leader_contact_age(
             own_vm
         )
@@ -119,6 +122,16 @@
         return {vm.id for vm in self.directory.vms() if not vm.is_silent(now)}
 
 
+class SynchronousExecutor:
+    """Runs what it is given at once, on the thread that asks for it."""
+
+    def submit(self, function, *arguments):
+        """Call a function and return a future that is done."""
+        future = concurrent.futures.Future()
+        future.set_result(function(*arguments))
+        return future
+
+
 class FakeLinks:
     """Links of one VM, which pass calls to the other VM directly."""
 
--- a/tests/simulated_usage.py
+++ b/tests/simulated_usage.py
@@ -1,4 +1,4 @@
-"""A customer that sends beyond its rate through all VMs of a ``GossipFleet``."""
+"""A customer that sends beyond its rate through a simulated fleet."""
 
 import itertools
 
--- a/tests/test_separated_control_vms.py
+++ b/tests/test_separated_control_vms.py
@@ -88,3 +88,45 @@
     fleet.rejoin()
     fleet.run(10.0, usage.send)
     assert usage.worst_window() <= usage.bound
+
+
+def _aggregators(fleet):
+    return {
+        vm.own_vm.id: vm.gossip._uplink._address for vm in fleet.entry_vms()
+    }
+
+
+def test_members_of_a_separated_control_vm_that_never_come_back(monkeypatch):
+    fleet = _fleet(monkeypatch, 24)
+    before = _aggregators(fleet)
+    fleet.separate(*ONE)
+    fleet.run(CONTACT_SECONDS)
+    assert 'core-1:1' not in _aggregators(fleet).values()
+    fleet.rejoin()
+    fleet.run(2 * CONTACT_SECONDS)
+    assert _aggregators(fleet) == before
+
+
+def test_members_that_move_while_no_control_vm_has_contact(monkeypatch):
+    fleet = _fleet(monkeypatch, 24)
+    before = _aggregators(fleet)
+    fleet.has_leader = False
+    fleet.run(CONTACT_SECONDS)
+    assert _aggregators(fleet) == before
+
+
+def test_members_of_a_cut_off_data_centre_that_lose_each_other(monkeypatch):
+    fleet = _fleet(monkeypatch, 24)
+    before = _aggregators(fleet)
+    fleet.cut('dc-1')
+    fleet.separate(*ONE)
+    for _ in range(20):
+        fleet.run(0.5)
+        assert _aggregators(fleet) == before
+
+
+def test_members_that_move_to_a_control_vm_that_is_separated_too(monkeypatch):
+    fleet = _fleet(monkeypatch, 24)
+    fleet.separate(*HALF)
+    fleet.run(CONTACT_SECONDS)
+    assert set(_aggregators(fleet).values()) == {'core-0:1', 'core-1:1'}
