Count usage as reported only once an aggregator in contact has it

Cause: a VM tells the next aggregator only what no aggregator has counted yet. What the one that was cut off had counted since the cut reached nobody else.

Change: units count as reported only if the aggregator's replica was in contact with a leader 0.3 s ago or later (heartbeats come every 0.1 s). The next aggregator counts the rest anew; the one that was cut off counts from its own record, so nothing is counted twice there.

A customer at 0.8 of its rate is refused nothing during the cut and after it, although for the others what was reported in between counts twice for a window: a test, which passes before and after.

Why it works: an acknowledgement of usage now means that the others can know of it.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/aggregator_contact.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/aggregator_contact.py
@@ -13,6 +13,8 @@
 # Age of the contact from which on an aggregator counts as without contact.
 # Leaders send heartbeats ten times as often.
 WITHOUT_CONTACT_SECONDS = 1.0
+# Age of the contact up to which an aggregator passes on what it is told.
+RECENT_CONTACT_SECONDS = 0.3
 
 
 class AggregatorContact:
@@ -47,6 +49,15 @@
         self._is_lost = age > WITHOUT_CONTACT_SECONDS
 
 
+def passes_news_on(reply):
+    """Return whether the sender of a reply reaches other aggregators.
+
+    One that does not tell of its contact is taken to reach them.
+    """
+    age = leader_contact_age(reply)
+    return age is None or age <= RECENT_CONTACT_SECONDS
+
+
 def leader_contact_age(reply):
     """Return the age that a ``GossipReply`` tells in seconds, or None."""
     if reply.leader_contact_ms is None:
--- a/packages/carobwood-daemon/carobwood_daemon/relay/gossip_topic.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/gossip_topic.py
@@ -13,6 +13,8 @@
 from carobwood import clocks
 from carobwood.gen.links import ttypes
 
+from ..membership import aggregator_contact
+
 from . import fleet_loads
 from . import group_usage
 from . import usage_reports
@@ -143,7 +145,8 @@
         self._loads.set_peer_loads(
             fleet_loads.AGGREGATOR, _loads_from_thrift(reply.loads)
         )
-        self._fleet_quota.acknowledge(_usage_from_thrift(message.group))
+        if aggregator_contact.passes_news_on(reply):
+            self._fleet_quota.acknowledge(_usage_from_thrift(message.group))
         self._fleet_quota.set_known_vm_count(len(self._directory.entry_vms()))
         own_group_id = reply.vm.vm_id
         for report in reply.groups or ():
--- a/tests/simulated_usage.py
+++ b/tests/simulated_usage.py
@@ -16,6 +16,7 @@
 
     Attributes:
         admitted: (time, units) pairs.
+        refused: the ``QuotaDecision`` on each refused request.
         bound: units that a window may hold.
     """
 
@@ -27,6 +28,7 @@
             load_factor: multiple of its rate at which it sends.
         """
         self.admitted = []
+        self.refused = []
         customer = builders.customer()
         tolerance = builders.tolerance()
         limit = tolerance.limit(customer.rate, customer.burst)
@@ -43,10 +45,11 @@
         for _ in range(self._requests_per_step):
             vm = vms[STRIDE * next(self._numbers) % len(vms)]
             decision = vm.quota.admit(self._customer.name, UNITS_PER_REQUEST)
-            if decision.verdict is not quota.Verdict.REFUSED:
-                self.admitted.append(
-                    (self._fleet.clock.now, UNITS_PER_REQUEST)
-                )
+            if decision.verdict is quota.Verdict.REFUSED:
+                self.refused.append(decision)
+            else:
+                now = self._fleet.clock.now
+                self.admitted.append((now, UNITS_PER_REQUEST))
 
     def worst_window(self):
         """Return the most units that any window has held."""
--- a/tests/test_separated_control_vms.py
+++ b/tests/test_separated_control_vms.py
@@ -130,3 +130,17 @@
     fleet.separate(*HALF)
     fleet.run(CONTACT_SECONDS)
     assert set(_aggregators(fleet).values()) == {'core-0:1', 'core-1:1'}
+
+
+@pytest.mark.parametrize('separated', [ONE, HALF], ids=['one', 'half'])
+def test_usage_within_the_rate_that_is_refused_beside_a_separation(
+    monkeypatch, separated
+):
+    fleet = _fleet(monkeypatch, 24)
+    usage = simulated_usage.SimulatedUsage(fleet, 0.8)
+    fleet.run(10.0, usage.send)
+    fleet.separate(*separated)
+    fleet.run(14.0, usage.send)
+    fleet.rejoin()
+    fleet.run(10.0, usage.send)
+    assert not usage.refused
