Estimate unreported usage for as long as the reports are old

Cause: a VM assumes that the others have admitted as much in proportion as it has itself, but always for 0.5 s. Members that have not left the control VM yet get reports that are up to 1.3 s old, and so do the others of them.

Change: the time is the mean age of the reports, 0.5 s for each at least. How the usage is spread is taken from the time that the reports cover. As before while reports are recent.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/customer_quota.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/customer_quota.py
@@ -8,8 +8,8 @@
 
 import collections
 
-# Seconds until the usage that a VM admits is known to all others.
-UNSEEN_SECONDS = 0.5
+from . import reporting_vms
+
 # Limit of what is assumed, as a multiple of the reported usage of that time.
 MAX_UNSEEN_FACTOR = 2.0
 # Seconds over which a VM compares its own usage with that of the others.
@@ -117,22 +117,32 @@
         self.local_entries.append((now, units))
         self.local_total += units
 
-    def unseen(self, now, other_vm_count):
+    def unseen(
+        self, now, other_vm_count, report_age=reporting_vms.SPREAD_SECONDS
+    ):
         """Return the units that others may have admitted but not reported.
 
         Args:
             now: the current time.
             other_vm_count: number of other VMs that report.
+            report_age: age of their reports in seconds, at least
+                ``reporting_vms.SPREAD_SECONDS``.
         """
-        own_units = _units_since(self.local_entries, now - RATIO_SECONDS)
+        # How the usage is spread shows in the time that the reports cover.
+        covered_until = now - (report_age - reporting_vms.SPREAD_SECONDS)
+        started_at = covered_until - RATIO_SECONDS
+        own_units = _units_since(self.local_entries, started_at)
         if own_units <= 0:
             return 0.0
-        all_units = _units_since(self.fleet_entries, now - RATIO_SECONDS)
+        unconfirmed = _units_since(self.local_entries, now - report_age)
+        all_units = _units_since(self.fleet_entries, started_at)
         other_units = max(0, all_units - own_units)
-        ratio = min(other_vm_count, other_units / own_units)
-        unconfirmed = _units_since(self.local_entries, now - UNSEEN_SECONDS)
+        own_units -= _units_since(self.local_entries, covered_until)
+        ratio = other_vm_count
+        if own_units > 0:
+            ratio = min(other_vm_count, other_units / own_units)
         # A few large requests of this VM do not tell much of the others.
-        usual = other_units * UNSEEN_SECONDS / RATIO_SECONDS
+        usual = other_units * report_age / RATIO_SECONDS
         return min(ratio * unconfirmed, MAX_UNSEEN_FACTOR * usual)
 
     def set_limits(self, customer):
--- a/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/quota.py
@@ -247,7 +247,11 @@
         """
         if now < self._first_window_ends_at:
             return 0.0
-        return customer_quota.unseen(now, self._reporting_vms.other_count)
+        return customer_quota.unseen(
+            now,
+            self._reporting_vms.other_count,
+            self._reporting_vms.report_age(now),
+        )
 
     def refund(self, name, units):
         """Return the units of an admitted request that has not run."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay/reporting_vms.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/reporting_vms.py
@@ -7,6 +7,8 @@
 
 import collections
 
+# Seconds until the usage that a VM admits is known to all others.
+SPREAD_SECONDS = 0.5
 # Seconds without a report after which a VM's usage counts as unknown.
 SILENT_AFTER_SECONDS = 1.5
 # Seconds without a report after which a VM no longer has a share of the
@@ -66,6 +68,24 @@
         """Number of other VMs that reported when it was last counted."""
         return self._counts[-1][1] - 1 if self._counts else 0
 
+    def report_age(self, now):
+        """Return how old in seconds the usage of others is that is known.
+
+        It is the mean over all VMs but those that count as silent, which
+        ``limit_share`` takes into account.
+
+        Args:
+            now: the current time.
+        """
+        total_age = 0.0
+        vm_count = 0
+        for report in self.reports_by_vm.values():
+            age = now - report.received_at
+            if age < SILENT_AFTER_SECONDS:
+                total_age += max(SPREAD_SECONDS, age) * report.vm_count
+                vm_count += report.vm_count
+        return total_age / vm_count if vm_count else SPREAD_SECONDS
+
     def limit_share(self, now):
         """Return the part of each limit that this VM may use."""
         reporting = self._count(now)
