Acknowledge no announcement at a control VM that is cut off

Since members leave a control VM that is cut off, an endpoint that announces itself there is unknown to all entry VMs until the cut ends, and a leaving that two such VMs save is known to none.

Cause: an acknowledgement promised for the fleet what one side knows. Each control VM acknowledged announcements on its own; leaving once enough of them had saved it, also if these are all on the side without a leader.

Change: a control VM that is without contact to a leader for a second, and hears nothing of another control VM, keeps and spreads what it is told, but answers 503 (announcement_unheard), so that the endpoint tells the next one. While there is only no leader, it acknowledges as before.

Evidence: five of the new tests failed before.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -16,6 +16,7 @@
 
 from ..routing import cache_update_log
 
+from . import aggregator_contact
 from . import directory as directories
 from . import foreign_records
 from . import gossip_peers
@@ -258,6 +259,20 @@
             self._contact_at = max(self._contact_at, clocks.now() - age)
             self._store.record_contact(age)
 
+    def is_cut_off(self):
+        """Return whether a control VM may be cut off from others.
+
+        It is without contact to a leader, and hears nothing of a control VM.
+        While there is no leader, but all of them hear each other, it is not.
+        """
+        age = self.leader_contact_age()
+        if age is None or age <= aggregator_contact.WITHOUT_CONTACT_SECONDS:
+            return False
+        now = clocks.now()
+        return any(
+            vm.has_disk and vm.is_silent(now) for vm in self._directory.vms()
+        )
+
     def contact_age(self):
         """Return the age of the last contact with a leader that was told.
 
--- a/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
@@ -39,6 +39,7 @@
         weights,
         confirm_leaving,
         rollouts=None,
+        is_cut_off=lambda: False,
     ):
         """Create the operations.
 
@@ -49,6 +50,7 @@
             weights: the ``EngineWeights``.
             confirm_leaving: see ``LeavingConfirmation.confirm``.
             rollouts: the ``RolloutOperations``, or None.
+            is_cut_off: see ``Gossip.is_cut_off``.
         """
         self.rollouts = rollouts
         self._proposer = proposer
@@ -56,6 +58,7 @@
         self._dialect = dialect
         self._weights = weights
         self._confirm_leaving = confirm_leaving
+        self._is_cut_off = is_cut_off
 
     def put_configuration(self, content):
         """Put a configuration in force unless a newer one is in force.
@@ -127,6 +130,8 @@
             endpoint: the ``Endpoint``.
 
         Raises:
+            AnnouncementUnheard: this VM may be cut off from other control
+                VMs; the endpoint must tell another one.
             LeavingUnconfirmed: it leaves, and the fleet may forget that.
         """
         is_news = self._directory.merge_endpoint(endpoint, is_direct=True)
@@ -144,6 +149,7 @@
             self._weights.record_version(
                 endpoint, int(endpoint.weights_version)
             )
+        self._require_hearers()
         if endpoint.leaving:
             self._confirm_leaving(endpoint)
 
@@ -157,6 +163,8 @@
         Raises:
             EndpointUnknown: this VM does not know the endpoint, and another
                 one may; it must tell that one.
+            AnnouncementUnheard: this VM may be cut off from other control
+                VMs; the endpoint must tell another one.
             LeavingUnconfirmed: the fleet may forget it.
         """
         endpoint = self._directory.find_endpoint(endpoint_id)
@@ -164,6 +172,7 @@
         if endpoint is not None and ended is None:
             ended = endpoint.incarnation
         if self._directory.has_ended(endpoint_id, ended):
+            self._require_hearers()
             return
         if endpoint is None or endpoint.incarnation < ended:
             raise errors.EndpointUnknown('this VM does not know the endpoint')
@@ -175,8 +184,16 @@
         )
         is_news = self._directory.merge_endpoint(retired)
         _log_leaving('retire', retired, is_news)
+        self._require_hearers()
         self._confirm_leaving(retired)
 
+    def _require_hearers(self):
+        """Refuse to acknowledge what much of the fleet may not hear."""
+        if self._is_cut_off():
+            raise errors.AnnouncementUnheard(
+                'this VM may be cut off from other control VMs'
+            )
+
 
 def _log_leaving(verb, endpoint, is_news):
     """Log that an endpoint has told this VM that it leaves."""
--- a/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_servers.py
@@ -118,6 +118,7 @@
                 self._shared.engine_weights,
                 confirmation.confirm,
                 rollouts,
+                gossip.is_cut_off,
             )
             api = make_control_api(operations)
             apis.append(
--- a/packages/carobwood/carobwood/endpoint_errors.py
+++ b/packages/carobwood/carobwood/endpoint_errors.py
@@ -127,6 +127,18 @@
     retry_after = 1
 
 
+class AnnouncementUnheard(base_errors.CarobwoodError):
+    """This VM is cut off from other control VMs; another one must be told.
+
+    The VMs that hear from this one know of the announcement all the same.
+    """
+
+    code = 'announcement_unheard'
+    status = 503
+    outcome = base_errors.Outcome.UNKNOWN
+    retry_after = 1
+
+
 class EngineCallFailed(base_errors.CarobwoodError):
     """A VM's own call to an engine failed.
 
--- a/packages/carobwood/carobwood/errors.py
+++ b/packages/carobwood/carobwood/errors.py
@@ -60,6 +60,7 @@
 AnswerMismatch = endpoint_errors.AnswerMismatch
 StreamBroken = endpoint_errors.StreamBroken
 EndpointUnknown = endpoint_errors.EndpointUnknown
+AnnouncementUnheard = endpoint_errors.AnnouncementUnheard
 LeavingUnconfirmed = endpoint_errors.LeavingUnconfirmed
 EngineCallFailed = endpoint_errors.EngineCallFailed
 CallOutOfBounds = endpoint_errors.CallOutOfBounds
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -92,6 +92,7 @@
             None,
             engine_weights.EngineWeights(),
             confirmation.confirm,
+            is_cut_off=self.gossip.is_cut_off,
         )
         self.calls = 0
         self.served = 0
--- a/tests/test_separated_control_vms.py
+++ b/tests/test_separated_control_vms.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from carobwood import errors
 import gossip_fleet
 import pytest
 import relay_builders as builders
@@ -29,10 +30,10 @@
     return fleet
 
 
-def _announce(fleet, **changes):
+def _announce(fleet, vm_id='core-0', **changes):
     endpoint = builders.endpoint(last_seen_at=fleet.clock.now)
     endpoint = dataclasses.replace(endpoint, **changes)
-    fleet.vms_by_id['core-0'].control.record_announcement(endpoint)
+    fleet.vms_by_id[vm_id].control.record_announcement(endpoint)
     return endpoint
 
 
@@ -144,3 +145,63 @@
     fleet.rejoin()
     fleet.run(10.0, usage.send)
     assert not usage.refused
+
+
+# The endpoint goes on announcing itself there, and nobody sends it requests.
+@pytest.mark.parametrize('separated', [ONE, HALF], ids=['one', 'half'])
+def test_an_announcement_that_only_a_separated_control_vm_hears(
+    monkeypatch, separated
+):
+    fleet = _fleet(monkeypatch)
+    fleet.separate(*separated)
+    fleet.run(CONTACT_SECONDS)
+    with pytest.raises(errors.AnnouncementUnheard):
+        _announce(fleet, separated[0])
+    _announce(fleet, 'core-0')
+    fleet.run(1.0)
+    assert len(_serving_vm_ids(fleet)) == len(fleet.entry_vms())
+
+
+@pytest.mark.parametrize('separated', [ONE, HALF], ids=['one', 'half'])
+@pytest.mark.parametrize('is_retired', [False, True])
+def test_a_leaving_that_only_separated_control_vms_acknowledge(
+    monkeypatch, separated, is_retired
+):
+    fleet = _fleet(monkeypatch)
+    endpoint = _announce(fleet)
+    fleet.run(2.0)
+    fleet.separate(*separated)
+    fleet.run(CONTACT_SECONDS)
+    control = fleet.vms_by_id[separated[0]].control
+    with pytest.raises(errors.CarobwoodError):
+        if is_retired:
+            control.retire_endpoint(endpoint.id)
+        else:
+            _announce(fleet, separated[0], leaving=True, sequence=9)
+
+
+def test_announcements_that_are_refused_while_all_hear_them(monkeypatch):
+    fleet = _fleet(monkeypatch)
+    fleet.has_leader = False
+    fleet.run(CONTACT_SECONDS)
+    _announce(fleet, 'core-1')
+    fleet.run(1.0)
+    assert len(_serving_vm_ids(fleet)) == len(fleet.entry_vms())
+
+
+def test_an_endpoint_of_a_cut_off_data_centre_that_its_vms_do_not_know(
+    monkeypatch,
+):
+    fleet = _fleet(monkeypatch)
+    fleet.cut('dc-1')
+    fleet.separate(*ONE)
+    fleet.run(CONTACT_SECONDS)
+    with pytest.raises(errors.AnnouncementUnheard):
+        _announce(fleet, 'core-1')
+    fleet.run(1.0)
+    near = {
+        vm.own_vm.id
+        for vm in fleet.entry_vms()
+        if vm.own_vm.data_centre == 'dc-1'
+    }
+    assert _serving_vm_ids(fleet) == near
