Move the uplink and broadcasts out of the gossip modules

Result: test_gossip, test_separated_control_vms, test_leaving_announcements, test_start_imports, test_keys: 67 passed, 1 expected failure.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -6,23 +6,23 @@
 and the reports of further topics.
 """
 
-import concurrent.futures
 import threading
 
 from carobwood import clocks
 from carobwood import errors
-from carobwood import events
 from carobwood.gen.links import ttypes
 
 from ..routing import cache_update_log
 
 from . import aggregator_contact
+from . import broadcast
 from . import directory as directories
 from . import foreign_records
 from . import gossip_peers
 from . import gossip_records
 from . import strike_messages
 from . import topology
+from . import uplink
 
 # Period of the search for new peers and of the check for silent members.
 CHECK_PERIOD_SECONDS = 0.5
@@ -31,9 +31,6 @@
 MEMBER_PERIOD_SECONDS = 0.01
 MIN_PERIOD_SECONDS = 0.1
 MAX_PERIOD_SECONDS = 0.4
-# Calls in progress while a record is sent to all VMs.
-BROADCAST_THREADS = 8
-BROADCAST_CALL_SECONDS = 1.0
 # Stands for the age of a contact that never was.
 NO_CONTACT = -1
 
@@ -89,9 +86,10 @@
         self._crash_suspects = crash_suspects
         self._store = store
         self._links = links
+        self._broadcast = broadcast.Broadcast(directory, links)
         self._lock = threading.Lock()
         self._peers_by_address = {}
-        self._uplink = gossip_peers.Uplink(self, directory, links)
+        self._uplink = uplink.Uplink(self, directory, links)
         self._notifier = gossip_peers.MemberNotifier(self, directory, links)
         self._records = gossip_records.RecordExchange(
             directory,
@@ -153,14 +151,7 @@
         message = self._make_message(
             ttypes.SenderRole.BROADCASTER, self._broadcast_records(record)
         )
-        executor = concurrent.futures.ThreadPoolExecutor(BROADCAST_THREADS)
-        addresses_by_call = {
-            executor.submit(self._send, address, message): address
-            for address in self._live_addresses()
-        }
-        done, _ = concurrent.futures.wait(addresses_by_call, timeout)
-        executor.shutdown(wait=False, cancel_futures=True)
-        return {addresses_by_call[call] for call in done if call.result()}
+        return self._broadcast.send_to_all(message, timeout)
 
     def send_endpoint(self, endpoint, vm):
         """Send the announcement of an endpoint to a VM, which saves it.
@@ -181,7 +172,7 @@
             ttypes.SenderRole.BROADCASTER,
             ttypes.Records(announcements=[announcement]),
         )
-        return self._send(vm.link_address, message)
+        return self._broadcast.send(vm.link_address, message)
 
     def receive(self, message):
         """Merge another VM's message and return the reply.
@@ -407,29 +398,6 @@
         ]
         return ttypes.Records(strikes=strikes)
 
-    def _live_addresses(self):
-        now = clocks.now()
-        return [
-            vm.link_address
-            for vm in self._directory.vms()[1:]
-            if not vm.is_silent(now)
-        ]
-
-    def _send(self, address, message):
-        """Send a message without waiting longer than a call may take.
-
-        Returns:
-            Whether the VM has accepted it.
-        """
-        try:
-            reply = self._links.to(address).call(
-                'gossip', message, BROADCAST_CALL_SECONDS
-            )
-        except errors.LinkFailed as error:
-            events.emit(events.VM_SILENT, reason=error.detail)
-            return False
-        return reply.accepted
-
     def _check_peers(self):
         """Start and stop the exchange with aggregators as they change."""
         now = clocks.now()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -6,6 +6,7 @@
 from carobwood_daemon.membership import directory
 from carobwood_daemon.membership import gossip
 from carobwood_daemon.membership import gossip_peers
+from carobwood_daemon.membership import uplink
 from carobwood_daemon.membership import withdrawals
 from carobwood_daemon.replication import state_store
 from carobwood_daemon.routing import crash_suspects
@@ -66,7 +67,7 @@
     )
     if kind == 'aggregator':
         return gossip_peers.AggregatorPeer(vm_gossip, link)
-    return gossip_peers.Uplink(vm_gossip, known_fleet, FakeLinks(link))
+    return uplink.Uplink(vm_gossip, known_fleet, FakeLinks(link))
 
 
 def _strikes(message):
