End the search for an aggregator when its VM stops

Cause: found in reading. The thread of a search is joined as the process ends, and went on asking all VMs that it had been given, 0.3 s for each that is dark; nobody told the uplink of a stop.

Change: a stop of gossip stops the uplink, and the search ends after the VM that is being asked.

Evidence: test_a_search_that_goes_on_after_a_stop failed before. A search goes on past VMs without an answer, ends at the first one in contact, and begins again after half a second: three further tests.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/aggregator_search.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/aggregator_search.py
@@ -35,6 +35,7 @@
         self._executor = concurrent.futures.ThreadPoolExecutor(
             1, thread_name_prefix='aggregator-search'
         )
+        self._is_stopped = False
         self._search = None
         self._started_at = float('-inf')
         self._found_address = None
@@ -47,7 +48,8 @@
         """
         now = clocks.now()
         is_running = self._search is not None and not self._search.done()
-        if is_running or now - self._started_at < PERIOD_SECONDS:
+        is_early = now - self._started_at < PERIOD_SECONDS
+        if self._is_stopped or is_running or is_early:
             return
         self._started_at = now
         self._search = self._executor.submit(self._find, addresses)
@@ -59,10 +61,12 @@
 
     def stop(self):
         """End the search after the VM that is being asked."""
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        self._is_stopped = True
 
     def _find(self, addresses):
         for address in addresses:
+            if self._is_stopped:
+                return
             if self._is_in_contact(address):
                 self._found_address = address
                 self._on_found()
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -129,6 +129,7 @@
         """Stop all threads."""
         self._stopped = True
         self.push()
+        self._uplink.stop()
         self._notifier.wake()
 
     def push(self):
