Refuse answers with a malformed field line in a head

Callers saw: a 200 of an engine in trouble whose head held a field name with a blank or a control byte. By the position of that line they got the answer without the fields behind it, the line itself passed on, or a body that was not the engine's: with the framing forgotten, the body was read until the connection closed, chunk sizes and all.

Cause: http.client gives the head to the parser of the email package. That parser ends a head at a line that is no field in its eyes, and drops the rest; it splits lines at a bare CR, joins folded lines, and takes any name and value otherwise. Interim heads were skipped unread.

Evidence: tests/test_malformed_field_lines.py sends 21 malformed lines at each position of the head, in each framing, to plain requests and streams, through the VM that has the endpoint, through one that passes the request on, from a stand-in for that other VM, and to calls of the VM's own.

Change: the reader of head lines that all readers of answers share checks each field line, of interim heads too, by the grammar of RFC 9110 and 9112. A head with any other line is no answer: the request has failed at its endpoint, and goes to another one or gets 502 as for other malformed heads. The error names the line by its number, as callers must not get its bytes.

Folded values and blanks between name and colon are refused, too; a proxy may do that (RFC 9112, 5.2) and a reader could take them for other fields.

The stand-in's announcement and look-up of headers move out of test_early_answers.py, since both tests need them.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
@@ -4,11 +4,15 @@
 length or an encoding that it cannot read for none. A response that broke off
 there would look like a whole one with an empty or a short body. It also takes
 any number below 1000 for a status, in any form that Python reads as a number.
+Its parser of fields ends a head at a line that it cannot read, and forgets the
+fields after that line, those of the framing among them.
 """
 
 import http.client
 import re
 
+from carobwood import http_grammar
+
 # Bytes of a malformed line that its error quotes.
 MAX_QUOTED_BYTES = 100
 _END_OF_HEAD = (b'\r\n', b'\n')
@@ -17,8 +21,15 @@
 _STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [1-5][0-9]{2}( [^\r\n]*)?\r?\n')
 
 
+class BadFieldLine(http.client.HTTPException):
+    """A line should be a field and is none.
+
+    Its bytes are not quoted: callers get the text of the error.
+    """
+
+
 class _HeadLines:
-    """Reads lines for ``http.client``, and checks the first one of a head.
+    """Reads lines for ``http.client``, and checks those of each head.
 
     Attributes:
         has_ended: whether the last line ended a head.
@@ -26,7 +37,8 @@
 
     def __init__(self, reader):
         self._reader = reader
-        self._begins_head = True
+        # Lines of the current head that have been read.
+        self._count = 0
         self.has_ended = False
 
     def readline(self, limit=-1):
@@ -34,19 +46,32 @@
 
         Raises:
             http.client.BadStatusLine: it should be a status line and is none.
+            BadFieldLine: it should be a field and is none.
         """
         line = self._reader.readline(limit)
-        if self._begins_head and line and not _STATUS_LINE.fullmatch(line):
-            raise http.client.BadStatusLine(repr(line[:MAX_QUOTED_BYTES]))
-        self.has_ended = line in _END_OF_HEAD
-        self._begins_head = self.has_ended
+        self.has_ended = self._count > 0 and line in _END_OF_HEAD
+        if self._count == 0:
+            _check_status_line(line)
+        elif line.endswith(b'\n') and not self.has_ended:
+            self._check_field_line(line)
+        self._count = 0 if self.has_ended else self._count + 1
         return line
 
+    def _check_field_line(self, line):
+        if http_grammar.parse_field_line(line) is None:
+            raise BadFieldLine(f'line {self._count + 1} of a head')
+
     def close(self):
         """Close the reader."""
         self._reader.close()
 
 
+def _check_status_line(line):
+    # An empty one is the end of the connection.
+    if line and not _STATUS_LINE.fullmatch(line):
+        raise http.client.BadStatusLine(repr(line[:MAX_QUOTED_BYTES]))
+
+
 class StrictResponse(http.client.HTTPResponse):
     """A response that is refused if its head is truncated or ambiguous."""
 
--- /dev/null
+++ b/packages/carobwood/carobwood/http_grammar.py
@@ -0,0 +1,29 @@
+"""Grammar of the lines of an HTTP/1 response.
+
+Source: RFC 9110, sections 5.1, 5.5 and 5.6.2; RFC 9112, sections 2.2 and 5.
+A line may end with LF alone. Folded lines are refused, as a proxy may do.
+"""
+
+import re
+
+# A tab, visible characters with blanks between them, and bytes beyond ASCII.
+_TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
+_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+_LINE_END = rb'\r?\n'
+_BLANKS = b' \t'
+_FIELD_LINE = re.compile(rb'(' + _TOKEN + rb'):(' + _TEXT + rb')' + _LINE_END)
+
+
+def parse_field_line(line):
+    """Return the name and the value of a field, or None if it is malformed.
+
+    Args:
+        line: bytes of the line, with its end.
+
+    Returns:
+        Both as bytes; the value is without the blanks around it.
+    """
+    match = _FIELD_LINE.fullmatch(line)
+    if match is None:
+        return None
+    return match[1], match[2].strip(_BLANKS)
--- /dev/null
+++ b/tests/broken_answers.py
@@ -0,0 +1,262 @@
+"""Answers of endpoints in trouble, and what their callers get of them."""
+
+import dataclasses
+import enum
+import http.client
+import io
+import socket
+
+import cut_off_vm
+import raw_answers
+import relay_builders
+import relay_test_fleet
+
+BODY = b'the whole answer'
+EVENTS = b'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'
+STATUS_LINE = b'HTTP/1.1 200 OK'
+TIMEOUT_SECONDS = 30.0
+# Lines that RFC 9110 and 9112 do not allow for a field, by their fault.
+MALFORMED_FIELD_LINES = {
+    'blank in the name': b'X Name: value',
+    'blank before the name': b' X-Name: value',
+    'tab before the name': b'\tX-Name: value',
+    'blank after the name': b'X-Name : value',
+    'tab after the name': b'X-Name\t: value',
+    'NUL in the name': b'X\x00Name: value',
+    'control byte in the name': b'X\x01Name: value',
+    'control byte before the name': b'\x1fX-Name: value',
+    'vertical tab in the name': b'X\x0bName: value',
+    'DEL in the name': b'X\x7fName: value',
+    'CR in the name': b'X\rName: value',
+    'byte beyond ASCII in the name': b'X\xa0Name: value',
+    'delimiter in the name': b'X(Name): value',
+    'no name': b': value',
+    'no colon': b'X-Name',
+    'NUL in the value': b'X-Name: a\x00value',
+    'control byte in the value': b'X-Name: a\x1bvalue',
+    'DEL in the value': b'X-Name: a\x7fvalue',
+    'CR in the value': b'X-Name: a\rvalue',
+    'CR at the end of the value': b'X-Name: value\r',
+    'folded value': b'X-Name: a\r\n value',
+}
+
+
+class Framing(enum.Enum):
+    """How an endpoint tells the end of a body.
+
+    Attributes:
+        LENGTH: by ``Content-Length``.
+        CHUNKED: by the last chunk.
+        UNTIL_CLOSE: by the end of the connection.
+    """
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    UNTIL_CLOSE = 'until-close'
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """An answer to one request, which may be broken.
+
+    Attributes:
+        framing: the ``Framing`` of its body.
+        is_stream: whether it is an event stream.
+        status_line: its first line.
+        interim: bytes before that line.
+        malformed_line: a further line of the head, or empty.
+        position: number of sound field lines before that one.
+        trailer: lines behind the last chunk, each with its CRLF.
+    """
+
+    framing: Framing
+    is_stream: bool = False
+    status_line: bytes = STATUS_LINE
+    interim: bytes = b''
+    malformed_line: bytes = b''
+    position: int = 0
+    trailer: bytes = b''
+
+    @property
+    def body(self):
+        """The body without its framing."""
+        return EVENTS if self.is_stream else BODY
+
+    def encode(self, request_id):
+        """Return its bytes.
+
+        Args:
+            request_id: id of the request that is answered, as bytes.
+        """
+        lines = self._field_lines(request_id)
+        if self.malformed_line:
+            lines.insert(self.position, self.malformed_line)
+        head = b'\r\n'.join([self.status_line, *lines, b'', b''])
+        return self.interim + head + self._encode_body()
+
+    def positions(self):
+        """Return all positions that a further line of the head may have."""
+        return range(len(self._field_lines(b'')) + 1)
+
+    def _field_lines(self, request_id):
+        kind = b'text/event-stream' if self.is_stream else b'text/plain'
+        lines = [
+            b'X-Carobwood-Response-Stamp: stamp-of-the-endpoint',
+            b'X-Carobwood-Request-Id: ' + request_id,
+            b'X-Request-Id: ' + request_id,
+            b'X-Weights-Version: 2026-11',
+            b'Content-Type: ' + kind,
+        ]
+        match self.framing:
+            case Framing.LENGTH:
+                lines.append(b'Content-Length: %d' % len(self.body))
+            case Framing.CHUNKED:
+                lines.append(b'Transfer-Encoding: chunked')
+        return lines
+
+    def _encode_body(self):
+        if self.framing is not Framing.CHUNKED:
+            return self.body
+        size = len(self.body)
+        return b'%x\r\n%s\r\n0\r\n%s\r\n' % (size, self.body, self.trailer)
+
+
+class AnsweringEndpoint(raw_answers.RawEndpoint):
+    """An endpoint that answers each request with an ``Answer``.
+
+    Health checks and engine reports get sound answers.
+
+    Attributes:
+        name: id of the endpoint.
+        chosen: the ``Answer``.
+    """
+
+    def __init__(self, name, service):
+        self.name = name
+        self.chosen = Answer(Framing.LENGTH)
+        self._service = service
+        super().__init__(self._make_answer, raw_answers.Manner(reads_all=True))
+
+    def announcement(self, sequence=1, state='ready'):
+        """Return its announcement to control VMs."""
+        models = [{'name': relay_builders.MODEL, 'version': 1}]
+        return raw_answers.announcement(
+            self.address, self._service, sequence, state, models=models
+        )
+
+    def _make_answer(self, head):
+        target = head.split(b' ')[1]
+        if target == b'/health' or target.startswith(b'/v1/report'):
+            return b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+        return self.chosen.encode(
+            raw_answers.find_header(head, b'x-carobwood-request-id')
+            or raw_answers.find_header(head, b'x-request-id')
+        )
+
+
+def ask(port, path, request_id, headers, body=b'prompt', method='POST'):
+    """Send a request and return all bytes that come until the end.
+
+    A lenient reader would hide what is wrong with them.
+
+    Args:
+        port: port of a VM for callers.
+        path: path of the request.
+        request_id: id of the request.
+        headers: further headers by name.
+        body: body of the request.
+        method: HTTP method.
+    """
+    lines = [f'{method} {path} HTTP/1.1']
+    all_headers = {
+        'Host': relay_builders.HOST,
+        **headers,
+        'X-Carobwood-Request-Id': request_id,
+        'Content-Length': str(len(body)),
+        'Connection': 'close',
+    }
+    lines += [f'{name}: {value}' for name, value in all_headers.items()]
+    head = '\r\n'.join([*lines, '', '']).encode()
+    data = b''
+    with socket.create_connection(('127.0.0.1', port)) as connection:
+        connection.settimeout(TIMEOUT_SECONDS)
+        connection.sendall(head + body)
+        try:
+            while part := connection.recv(65536):
+                data += part
+        except ConnectionError:
+            pass
+    return data
+
+
+class RelayCaller:
+    """A caller of the entry VMs of a ``RelayTestFleet``."""
+
+    def __init__(self, test_fleet):
+        self._fleet = test_fleet.fleet
+        self._asked = 0
+
+    def entry_vm(self, number):
+        """Return an entry VM by its index."""
+        return self._fleet.vms[cut_off_vm.FIRST_ENTRY_VM + number]
+
+    def ask(self, path, number):
+        """Return the bytes of the answer once a request has been sent on.
+
+        A VM refuses requests, as not run, while their endpoint is ejected.
+
+        Args:
+            path: path of the request.
+            number: index of the entry VM.
+        """
+        return relay_test_fleet.await_reply(
+            lambda: self._ask_once(path, number),
+            lambda data: not data.startswith(b'HTTP/1.1 503 '),
+        )
+
+    def _ask_once(self, path, number):
+        self._asked += 1
+        return ask(
+            self._fleet.entry_ports[number],
+            path,
+            f'r-{number}-{self._asked}',
+            relay_test_fleet.caller_headers(),
+        )
+
+
+class _GivenBytes:
+    """A socket that gives bytes which have been received before."""
+
+    def __init__(self, data):
+        self._data = data
+
+    def makefile(self, mode):
+        """Return a reader of the bytes."""
+        return io.BytesIO(self._data)
+
+
+def parse(data):
+    """Return the status and the body of a sound answer.
+
+    Args:
+        data: its bytes.
+    """
+    response = http.client.HTTPResponse(_GivenBytes(data))
+    response.begin()
+    return response.status, response.read()
+
+
+def is_refusal(data, statuses=(502,)):
+    """Tell whether a VM has answered that it got no sound answer.
+
+    Nothing of the endpoint's answer may be in it.
+
+    Args:
+        data: all bytes that the caller got.
+        statuses: the statuses that say so.
+    """
+    starts = tuple(b'HTTP/1.1 %d ' % status for status in statuses)
+    return data.startswith(starts) and not any(
+        part in data
+        for part in (b'stamp-of-the-endpoint', BODY, EVENTS, b'X-Name')
+    )
--- a/tests/raw_answers.py
+++ b/tests/raw_answers.py
@@ -22,10 +22,13 @@
     Attributes:
         resets: whether it resets the connection; it closes it otherwise.
         pause_seconds: time between the answer and that.
+        reads_all: whether it first reads until the caller has closed. A
+            connection that is closed with unread bytes is reset.
     """
 
     resets: bool = False
     pause_seconds: float = 0.0
+    reads_all: bool = False
 
 
 class RawEndpoint(accepting_endpoint.AcceptingEndpoint):
@@ -72,12 +75,52 @@
             answer = answer(head.partition(b'\r\n\r\n')[0])
         connection.sendall(answer)
         self._ended.wait(self.manner.pause_seconds)
+        if self.manner.reads_all:
+            connection.shutdown(socket.SHUT_WR)
+            while connection.recv(_READ_BYTES):
+                pass
         if self.manner.resets:
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
 
 
+def announcement(address, service, sequence, state, **changes):
+    """Return what an endpoint announces to control VMs.
+
+    Args:
+        address: its ``host:port``.
+        service: name of the service that it belongs to.
+        sequence: number of the announcement.
+        state: its state.
+        **changes: further fields.
+    """
+    return {
+        'service': service,
+        'address': address,
+        'zone': 'bole',
+        'state': state,
+        'seq_no': sequence,
+        'born': 1_700_000_000_000,
+        'version': 'v1',
+        **changes,
+    }
+
+
+def find_header(head, name):
+    """Return the value of a header of a request, or empty.
+
+    Args:
+        head: the bytes of the head.
+        name: name of the header in lower case, as bytes.
+    """
+    for line in head.split(b'\r\n'):
+        key, _, value = line.partition(b': ')
+        if key.lower() == name:
+            return value
+    return b''
+
+
 class _Connection(http.client.HTTPConnection):
     """A connection whose socket a test has made."""
 
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -75,15 +75,9 @@
 
     def announcement(self, sequence=1, state='ready'):
         """Return its announcement to control VMs."""
-        return {
-            'service': 'orders',
-            'address': self.address,
-            'zone': 'bole',
-            'state': state,
-            'seq_no': sequence,
-            'born': 1_700_000_000_000,
-            'version': 'v1',
-        }
+        return raw_answers.announcement(
+            self.address, 'orders', sequence, state
+        )
 
     def set_case(self, case):
         """Answer later requests as a ``Case`` says."""
@@ -91,7 +85,7 @@
         self.manner = raw_answers.Manner(True, case.pause_seconds)
 
     def _make_answer(self, head):
-        request_id = _find_header(head, b'x-carobwood-request-id')
+        request_id = raw_answers.find_header(head, b'x-carobwood-request-id')
         kind = b'text/plain'
         part = b'x' * PART_BYTES
         if self.is_stream:
@@ -105,14 +99,6 @@
         )
 
 
-def _find_header(head, name):
-    for line in head.split(b'\r\n'):
-        key, _, value = line.partition(b': ')
-        if key.lower() == name:
-            return value
-    return b''
-
-
 @pytest.fixture(scope='module')
 def endpoint():
     """Yield the endpoint."""
--- /dev/null
+++ b/tests/test_malformed_field_lines.py
@@ -0,0 +1,195 @@
+"""An answer with a malformed field line in a head reaches no caller.
+
+An engine in trouble sent a head in which the name of a field held a blank or
+a control byte. The line was passed on, or it ended the head for its reader, so
+that the framing was lost and callers got a body that was not the engine's.
+"""
+
+import contextlib
+import dataclasses
+import itertools
+
+import broken_answers
+from carobwood import errors
+from carobwood_daemon.entry import bounded_call
+import cut_off_vm
+import pytest
+import raw_answers
+import relay_test_fleet
+
+LINES = list(broken_answers.MALFORMED_FIELD_LINES.values())
+LINE_IDS = list(broken_answers.MALFORMED_FIELD_LINES)
+FRAMINGS = list(broken_answers.Framing)
+FRAMING_IDS = [framing.value for framing in FRAMINGS]
+SOUND_LINES = [
+    b'X-Name:',
+    b'X-Name:value',
+    b'X-Name: \t value \t ',
+    b'X-Name: one\ttwo  three',
+    b'X-Name: caf\xe9',
+    b"!#$%&'*+.^_`|~-9: value",
+]
+# Of requests that run once at most, and of those that may run again.
+PATHS = ('/orders/x', '/lookups/x')
+STREAM_PATHS = ('/checks/x', '/captions/x')
+INTERIM_STATUSES = (b'100 Continue', b'103 Early Hints')
+CALL_SECONDS = 5.0
+MAX_BYTES = 1000
+
+
+@pytest.fixture(scope='module')
+def endpoints():
+    """Yield the endpoints of all services by path prefix."""
+    with (
+        broken_answers.AnsweringEndpoint('orders-0', 'orders') as plain,
+        broken_answers.AnsweringEndpoint('engine-0', 'engines') as engine,
+    ):
+        yield plain, engine
+
+
+@pytest.fixture(scope='module')
+def caller(tmp_path_factory, endpoints):
+    """Yield a caller of a fleet that has these endpoints only.
+
+    Its entry VM 0 reaches no endpoint and passes requests on to VM 1.
+    """
+    folder = tmp_path_factory.mktemp('fleet')
+    with relay_test_fleet.RelayTestFleet(folder, ('v1',)) as test_fleet:
+        for endpoint in endpoints:
+            test_fleet.announce(endpoint, 1000)
+        relay_caller = broken_answers.RelayCaller(test_fleet)
+        _await_sound(relay_caller, 1, endpoints)
+        with cut_off_vm.cut_off(test_fleet, 0):
+            _await_sound(relay_caller, 0, endpoints)
+            yield relay_caller
+
+
+def _await_sound(caller, number, endpoints):
+    for endpoint, path in zip(endpoints, ('/orders/x', '/checks/x')):
+        endpoint.chosen = broken_answers.Answer(broken_answers.Framing.LENGTH)
+        relay_test_fleet.await_reply(
+            lambda path=path: caller.ask(path, number),
+            lambda data: broken_answers.BODY in data,
+        )
+
+
+def _ask_for(caller, endpoints, answer, path, number):
+    for endpoint in endpoints:
+        endpoint.chosen = answer
+    return caller.ask(path, number)
+
+
+@pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
+@pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
+@pytest.mark.parametrize('framing', FRAMINGS, ids=FRAMING_IDS)
+@pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
+def test_an_answer_with_a_malformed_field_line_is_no_answer(
+    caller, endpoints, line, framing, is_stream, number
+):
+    sound = broken_answers.Answer(framing, is_stream)
+    paths = STREAM_PATHS if is_stream else PATHS
+    for position, path in itertools.product(sound.positions(), paths):
+        answer = dataclasses.replace(
+            sound, malformed_line=line, position=position
+        )
+        data = _ask_for(caller, endpoints, answer, path, number)
+        assert broken_answers.is_refusal(data), (position, path, data)
+
+
+@pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
+@pytest.mark.parametrize('status', INTERIM_STATUSES)
+@pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
+def test_a_malformed_field_line_of_an_interim_head_is_no_answer(
+    caller, endpoints, line, status, number
+):
+    for is_last in (False, True):
+        lines = (b'X-Sound: value', line) if is_last else (line, b'X-Sound: v')
+        interim = b'\r\n'.join((b'HTTP/1.1 ' + status, *lines, b'', b''))
+        answer = broken_answers.Answer(
+            broken_answers.Framing.LENGTH, interim=interim
+        )
+        data = _ask_for(caller, endpoints, answer, PATHS[0], number)
+        assert broken_answers.is_refusal(data), (is_last, data)
+
+
+@pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
+@pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
+@pytest.mark.parametrize('framing', FRAMINGS, ids=FRAMING_IDS)
+@pytest.mark.parametrize('line', SOUND_LINES)
+def test_an_answer_with_an_odd_but_sound_field_line_is_delivered(
+    caller, endpoints, line, framing, is_stream, number
+):
+    sound = broken_answers.Answer(framing, is_stream)
+    path = STREAM_PATHS[0] if is_stream else PATHS[0]
+    for position in sound.positions():
+        answer = dataclasses.replace(
+            sound, malformed_line=line, position=position
+        )
+        data = _ask_for(caller, endpoints, answer, path, number)
+        assert broken_answers.parse(data) == (200, sound.body), position
+
+
+class _StandInVm(raw_answers.RawEndpoint):
+    """Stands in for the VM that another one passes its requests on to.
+
+    Attributes:
+        chosen: the ``Answer`` to each request.
+    """
+
+    def __init__(self):
+        self.chosen = broken_answers.Answer(broken_answers.Framing.LENGTH)
+        super().__init__(
+            lambda head: self.chosen.encode(
+                raw_answers.find_header(head, b'x-carobwood-request-id')
+            ),
+            raw_answers.Manner(reads_all=True),
+        )
+
+
+@pytest.fixture
+def stand_in_vm(caller, monkeypatch):
+    """Yield the stand-in that the cut off VM 0 passes its requests on to."""
+    pool = caller.entry_vm(0)._shared.peer_pool
+    connect = pool.connect
+    with _StandInVm() as vm:
+        monkeypatch.setattr(
+            pool, 'connect', lambda _, seconds: connect(vm.address, seconds)
+        )
+        pool.close_idle(caller.entry_vm(1).directory.own_vm.forward_address)
+        yield vm
+
+
+@pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
+@pytest.mark.parametrize('framing', FRAMINGS[:2], ids=FRAMING_IDS[:2])
+@pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
+def test_a_malformed_field_line_of_another_vm_is_no_answer(
+    caller, stand_in_vm, line, framing, is_stream
+):
+    sound = broken_answers.Answer(framing, is_stream)
+    for position in sound.positions():
+        stand_in_vm.chosen = dataclasses.replace(
+            sound, malformed_line=line, position=position
+        )
+        data = caller.ask(PATHS[0], 0)
+        assert broken_answers.is_refusal(data), (position, data)
+
+
+@pytest.mark.parametrize('framing', FRAMINGS, ids=FRAMING_IDS)
+@pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
+def test_a_malformed_field_line_ends_a_call_of_a_vm(line, framing):
+    sound = broken_answers.Answer(framing)
+    for position in sound.positions():
+        answer = dataclasses.replace(
+            sound, malformed_line=line, position=position
+        )
+        with (
+            raw_answers.RawEndpoint(
+                answer.encode(b'r-1'), raw_answers.Manner(reads_all=True)
+            ) as endpoint,
+            contextlib.closing(bounded_call.HttpCaller()) as http_caller,
+            pytest.raises(errors.EngineCallFailed),
+        ):
+            http_caller.call(
+                bounded_call.Call('GET', endpoint.address, '/'),
+                bounded_call.CallBounds(CALL_SECONDS, MAX_BYTES),
+            )
