Read the framing of answers without the blanks behind its value

Callers saw: a 200 whose body held the sizes of the chunks, if blanks stood behind "Transfer-Encoding: chunked"; 502 for a sound answer, if they stood behind the number of Content-Length.

Cause: http.client compares the whole value with "chunked", blanks included, and takes any other for none: the body was read until the connection closed. The own check of the encoding had removed the blanks before it compared. RFC 9112, 5 excludes them from the value.

Evidence: 32 cases of blanks behind either field, in plain answers, streams, the hop between VMs, calls and the upstreams of the callers' own interface; on the code before all failed, those with chunks with a 200 and b'10\r\nthe whole answer\r\n0\r\n\r\n' as the body.

Change: the reader of head lines gives http.client each field as the grammar has read it, name and value without blanks.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
@@ -53,13 +53,19 @@
         if self._count == 0:
             _check_status_line(line)
         elif line.endswith(b'\n') and not self.has_ended:
-            self._check_field_line(line)
+            line = self._normalize_field_line(line)
         self._count = 0 if self.has_ended else self._count + 1
         return line
 
-    def _check_field_line(self, line):
-        if http_grammar.parse_field_line(line) is None:
+    def _normalize_field_line(self, line):
+        """Return the line of a field without the blanks around its value.
+
+        ``http.client`` compares values with the blanks behind them.
+        """
+        field = http_grammar.parse_field_line(line)
+        if field is None:
             raise BadFieldLine(f'line {self._count + 1} of a head')
+        return b'%s: %s\r\n' % field
 
     def close(self):
         """Close the reader."""
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -66,6 +66,8 @@
         interim: bytes before that line.
         malformed_line: a further line of the head, or empty.
         position: number of sound field lines before that one.
+        framing_blanks: what follows the value of the field that tells the
+            framing.
         trailer: lines behind the last chunk, each with its CRLF.
     """
 
@@ -75,6 +77,7 @@
     interim: bytes = b''
     malformed_line: bytes = b''
     position: int = 0
+    framing_blanks: bytes = b''
     trailer: bytes = b''
 
     @property
@@ -109,9 +112,11 @@
         ]
         match self.framing:
             case Framing.LENGTH:
-                lines.append(b'Content-Length: %d' % len(self.body))
+                length = b'Content-Length: %d' % len(self.body)
+                lines.append(length + self.framing_blanks)
             case Framing.CHUNKED:
-                lines.append(b'Transfer-Encoding: chunked')
+                encoding = b'Transfer-Encoding: chunked'
+                lines.append(encoding + self.framing_blanks)
         return lines
 
     def _encode_body(self):
--- a/tests/test_malformed_field_lines.py
+++ b/tests/test_malformed_field_lines.py
@@ -29,6 +29,8 @@
     b'X-Name: caf\xe9',
     b"!#$%&'*+.^_`|~-9: value",
 ]
+# RFC 9112, 5: blanks around a value are none of it.
+BLANKS = (b' ', b'\t', b' \t ')
 # Of requests that run once at most, and of those that may run again.
 PATHS = ('/orders/x', '/lookups/x')
 STREAM_PATHS = ('/checks/x', '/captions/x')
@@ -129,6 +131,28 @@
         assert broken_answers.parse(data) == (200, sound.body), position
 
 
+@pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
+@pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
+@pytest.mark.parametrize('blanks', BLANKS)
+@pytest.mark.parametrize('framing', FRAMINGS[:2], ids=FRAMING_IDS[:2])
+def test_blanks_behind_the_framing_of_an_answer_do_not_change_its_body(
+    caller, endpoints, framing, blanks, is_stream, number
+):
+    answer = broken_answers.Answer(framing, is_stream, framing_blanks=blanks)
+    path = STREAM_PATHS[0] if is_stream else PATHS[0]
+    data = _ask_for(caller, endpoints, answer, path, number)
+    assert broken_answers.parse(data) == (200, answer.body)
+
+
+@pytest.mark.parametrize('blanks', BLANKS)
+@pytest.mark.parametrize('framing', FRAMINGS[:2], ids=FRAMING_IDS[:2])
+def test_blanks_behind_the_framing_of_a_call_do_not_change_its_body(
+    framing, blanks
+):
+    answer = broken_answers.Answer(framing, framing_blanks=blanks)
+    assert _call(answer) == (200, answer.body)
+
+
 class _StandInVm(raw_answers.RawEndpoint):
     """Stands in for the VM that another one passes its requests on to.
 
@@ -182,14 +206,19 @@
         answer = dataclasses.replace(
             sound, malformed_line=line, position=position
         )
-        with (
-            raw_answers.RawEndpoint(
-                answer.encode(b'r-1'), raw_answers.Manner(reads_all=True)
-            ) as endpoint,
-            contextlib.closing(bounded_call.HttpCaller()) as http_caller,
-            pytest.raises(errors.EngineCallFailed),
-        ):
-            http_caller.call(
-                bounded_call.Call('GET', endpoint.address, '/'),
-                bounded_call.CallBounds(CALL_SECONDS, MAX_BYTES),
-            )
+        with pytest.raises(errors.EngineCallFailed):
+            _call(answer)
+
+
+def _call(answer):
+    """Return the status and the body that a call of a VM's own reads."""
+    manner = raw_answers.Manner(reads_all=True)
+    with (
+        raw_answers.RawEndpoint(answer.encode(b'r-1'), manner) as endpoint,
+        contextlib.closing(bounded_call.HttpCaller()) as http_caller,
+    ):
+        received = http_caller.call(
+            bounded_call.Call('GET', endpoint.address, '/'),
+            bounded_call.CallBounds(CALL_SECONDS, MAX_BYTES),
+        )
+        return received.status, received.data
--- a/tests/test_malformed_field_lines_for_carobwoodd.py
+++ b/tests/test_malformed_field_lines_for_carobwoodd.py
@@ -65,6 +65,14 @@
                 _read(endpoint.address)
 
 
+@pytest.mark.parametrize('framing', FRAMINGS[:2], ids=FRAMING_IDS[:2])
+def test_blanks_behind_the_framing_do_not_change_the_body(framing):
+    answer = broken_answers.Answer(framing, framing_blanks=b' \t ')
+    manner = raw_answers.Manner(reads_all=True)
+    with raw_answers.RawEndpoint(answer.encode(b'r-1'), manner) as endpoint:
+        assert _read(endpoint.address) == (200, answer.body)
+
+
 @pytest.fixture(scope='module')
 def endpoints():
     """Yield the endpoints that all services and models have."""
