Refuse bodies with a malformed chunk

Callers saw: a 200 whose body was cut where the chunk said, though other bytes than its CRLF followed, so that its size was wrong; and bodies whose sizes were written as "0x10", behind blanks or line feeds, or before control bytes.

Cause: the reader of chunks counted the CRLF behind the data and did not look at it, and let int() decide what a hexadecimal number is.

Change: the two bytes behind a chunk must be its CRLF, also if they come in separate reads, and the size line follows the grammar of RFC 9112, 7.1, which stands with that of the head.

The fleet whose endpoints give the answers of a test is a shared fixture now.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
@@ -9,6 +9,7 @@
 import http.client
 
 from carobwood import clocks
+from carobwood import http_grammar
 
 READ_BYTES = 64 * 1024
 MAX_CHUNK_SIZE_LINE_BYTES = 1024
@@ -21,6 +22,10 @@
 _END_OF_TRAILER = _CRLF + _CRLF
 
 
+class BadChunk(http.client.HTTPException):
+    """A chunk does not have the size that it declares, or declares none."""
+
+
 class Framing(enum.Enum):
     """How the end of a body is found (RFC 9112, 6.3).
 
@@ -247,20 +252,21 @@
             if len(buffer) - position > MAX_CHUNK_SIZE_LINE_BYTES:
                 raise http.client.LineTooLong('chunk size')
             return None, position
-        digits = buffer[position:end].partition(b';')[0].strip()
-        if not digits or len(digits) > 12 or not digits.isalnum():
-            raise http.client.IncompleteRead(b'')
-        return int(digits, 16), end + len(_CRLF)
+        size = http_grammar.parse_chunk_size(buffer[position:end])
+        if size is None:
+            raise BadChunk('size')
+        return size, end + len(_CRLF)
 
     def _strip_trailing_crlf(self, piece):
-        # Number of bytes of the CRLF received so far. It is 0 or less while
-        # chunk data is missing.
-        crlf_bytes = len(_CRLF) - self._remaining
-        if crlf_bytes <= 0:
+        # Number of bytes of the CRLF received so far, and of those in the
+        # piece. Both are 0 while chunk data is missing.
+        received = max(0, len(_CRLF) - self._remaining)
+        count = min(received, len(piece))
+        if count == 0:
             return piece
-        if crlf_bytes >= len(piece):
-            return b''
-        return piece[:-crlf_bytes]
+        if piece[-count:] != _CRLF[received - count : received]:
+            raise BadChunk('end')
+        return piece[:-count]
 
 
 def open_body(response):
--- a/packages/carobwood/carobwood/http_grammar.py
+++ b/packages/carobwood/carobwood/http_grammar.py
@@ -1,7 +1,8 @@
 """Grammar of the lines of an HTTP/1 response.
 
-Source: RFC 9110, sections 5.1, 5.5 and 5.6.2; RFC 9112, sections 2.2 and 5.
-A line may end with LF alone. Folded lines are refused, as a proxy may do.
+Source: RFC 9110, sections 5.1, 5.5 and 5.6.2; RFC 9112, sections 2.2, 5 and
+7.1. A line of a head may end with LF alone. Folded lines are refused, as a
+proxy may do.
 """
 
 import re
@@ -11,6 +12,8 @@
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _LINE_END = rb'\r?\n'
 _BLANKS = b' \t'
+# More digits than the largest size of any body needs are refused.
+_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,12})[ \t]*(;' + _TEXT + rb')?')
 _FIELD_LINE = re.compile(rb'(' + _TOKEN + rb'):(' + _TEXT + rb')' + _LINE_END)
 
 
@@ -27,3 +30,16 @@
     if match is None:
         return None
     return match[1], match[2].strip(_BLANKS)
+
+
+def parse_chunk_size(line):
+    """Return the size that begins a chunk, or None if it is malformed.
+
+    Args:
+        line: bytes of the line, without its end.
+
+    Returns:
+        The size in bytes; extensions are left out.
+    """
+    match = _CHUNK_SIZE.fullmatch(line)
+    return None if match is None else int(match[1], 16)
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -1,5 +1,6 @@
 """Answers of endpoints in trouble, and what their callers get of them."""
 
+import contextlib
 import dataclasses
 import enum
 import http.client
@@ -15,6 +16,9 @@
 EVENTS = b'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'
 STATUS_LINE = b'HTTP/1.1 200 OK'
 TIMEOUT_SECONDS = 30.0
+# Of requests that run once at most, and of those that may run again.
+PATHS = ('/orders/x', '/lookups/x')
+STREAM_PATHS = ('/checks/x', '/captions/x')
 # Lines that RFC 9110 and 9112 do not allow for a field, by their fault.
 MALFORMED_FIELD_LINES = {
     'blank in the name': b'X Name: value',
@@ -68,6 +72,7 @@
         position: number of sound field lines before that one.
         framing_blanks: what follows the value of the field that tells the
             framing.
+        framed_body: bytes in place of the body in its framing, or empty.
         trailer: lines behind the last chunk, each with its CRLF.
     """
 
@@ -78,6 +83,7 @@
     malformed_line: bytes = b''
     position: int = 0
     framing_blanks: bytes = b''
+    framed_body: bytes = b''
     trailer: bytes = b''
 
     @property
@@ -120,6 +126,8 @@
         return lines
 
     def _encode_body(self):
+        if self.framed_body:
+            return self.framed_body
         if self.framing is not Framing.CHUNKED:
             return self.body
         size = len(self.body)
@@ -195,16 +203,27 @@
 
 
 class RelayCaller:
-    """A caller of the entry VMs of a ``RelayTestFleet``."""
+    """A caller of a fleet whose endpoints give the answers of a test.
 
-    def __init__(self, test_fleet):
+    Entry VM 1 has the endpoints of all services; entry VM 0 reaches none and
+    passes its requests on to VM 1.
+    """
+
+    def __init__(self, test_fleet, endpoints):
         self._fleet = test_fleet.fleet
+        self._endpoints = endpoints
         self._asked = 0
 
     def entry_vm(self, number):
         """Return an entry VM by its index."""
         return self._fleet.vms[cut_off_vm.FIRST_ENTRY_VM + number]
 
+    def ask_for(self, answer, path, number):
+        """Have the endpoints give an ``Answer``; see ``ask``."""
+        for endpoint in self._endpoints:
+            endpoint.chosen = answer
+        return self.ask(path, number)
+
     def ask(self, path, number):
         """Return the bytes of the answer once a request has been sent on.
 
@@ -219,6 +238,15 @@
             lambda data: not data.startswith(b'HTTP/1.1 503 '),
         )
 
+    def await_sound(self, number):
+        """Wait until an entry VM uses the endpoints."""
+        answer = Answer(Framing.LENGTH)
+        for path in (PATHS[0], STREAM_PATHS[0]):
+            relay_test_fleet.await_reply(
+                lambda path=path: self.ask_for(answer, path, number),
+                lambda data: BODY in data,
+            )
+
     def _ask_once(self, path, number):
         self._asked += 1
         return ask(
@@ -229,6 +257,33 @@
         )
 
 
+@contextlib.contextmanager
+def relay_caller(folder):
+    """Yield the ``RelayCaller`` of a new fleet.
+
+    Args:
+        folder: path of the folder of its data.
+    """
+    with contextlib.ExitStack() as stack:
+        endpoints = [
+            stack.enter_context(AnsweringEndpoint(name, service))
+            for name, service in (
+                ('orders-0', 'orders'),
+                ('engine-0', 'engines'),
+            )
+        ]
+        test_fleet = stack.enter_context(
+            relay_test_fleet.RelayTestFleet(folder, ('v1',))
+        )
+        for endpoint in endpoints:
+            test_fleet.announce(endpoint, 1000)
+        caller = RelayCaller(test_fleet, endpoints)
+        caller.await_sound(1)
+        stack.enter_context(cut_off_vm.cut_off(test_fleet, 0))
+        caller.await_sound(0)
+        yield caller
+
+
 class _GivenBytes:
     """A socket that gives bytes which have been received before."""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,7 @@
 sys.path.insert(0, str(ROOT))
 sys.path.insert(0, str(ROOT.parent / 'platform'))
 
+import broken_answers  # noqa: E402 (needs the paths above)
 import builders  # noqa: E402 (needs the paths above)
 import fleet as fleets  # noqa: E402 (needs the paths above)
 import relay_test_fleet  # noqa: E402 (needs the paths above)
@@ -75,6 +76,14 @@
         yield new_world
 
 
+@pytest.fixture(scope='module')
+def relay_caller(tmp_path_factory):
+    """Yield a ``RelayCaller`` of endpoints with answers of the test."""
+    folder = tmp_path_factory.mktemp('fleet')
+    with broken_answers.relay_caller(folder) as caller:
+        yield caller
+
+
 @pytest.fixture(scope='module')
 def _shared_fleet(tmp_path_factory):
     relay_fleet = relay_test_fleet.RelayTestFleet(
--- a/tests/test_malformed_field_lines.py
+++ b/tests/test_malformed_field_lines.py
@@ -12,10 +12,8 @@
 import broken_answers
 from carobwood import errors
 from carobwood_daemon.entry import bounded_call
-import cut_off_vm
 import pytest
 import raw_answers
-import relay_test_fleet
 
 LINES = list(broken_answers.MALFORMED_FIELD_LINES.values())
 LINE_IDS = list(broken_answers.MALFORMED_FIELD_LINES)
@@ -31,70 +29,25 @@
 ]
 # RFC 9112, 5: blanks around a value are none of it.
 BLANKS = (b' ', b'\t', b' \t ')
-# Of requests that run once at most, and of those that may run again.
-PATHS = ('/orders/x', '/lookups/x')
-STREAM_PATHS = ('/checks/x', '/captions/x')
 INTERIM_STATUSES = (b'100 Continue', b'103 Early Hints')
 CALL_SECONDS = 5.0
 MAX_BYTES = 1000
 
 
-@pytest.fixture(scope='module')
-def endpoints():
-    """Yield the endpoints of all services by path prefix."""
-    with (
-        broken_answers.AnsweringEndpoint('orders-0', 'orders') as plain,
-        broken_answers.AnsweringEndpoint('engine-0', 'engines') as engine,
-    ):
-        yield plain, engine
-
-
-@pytest.fixture(scope='module')
-def caller(tmp_path_factory, endpoints):
-    """Yield a caller of a fleet that has these endpoints only.
-
-    Its entry VM 0 reaches no endpoint and passes requests on to VM 1.
-    """
-    folder = tmp_path_factory.mktemp('fleet')
-    with relay_test_fleet.RelayTestFleet(folder, ('v1',)) as test_fleet:
-        for endpoint in endpoints:
-            test_fleet.announce(endpoint, 1000)
-        relay_caller = broken_answers.RelayCaller(test_fleet)
-        _await_sound(relay_caller, 1, endpoints)
-        with cut_off_vm.cut_off(test_fleet, 0):
-            _await_sound(relay_caller, 0, endpoints)
-            yield relay_caller
-
-
-def _await_sound(caller, number, endpoints):
-    for endpoint, path in zip(endpoints, ('/orders/x', '/checks/x')):
-        endpoint.chosen = broken_answers.Answer(broken_answers.Framing.LENGTH)
-        relay_test_fleet.await_reply(
-            lambda path=path: caller.ask(path, number),
-            lambda data: broken_answers.BODY in data,
-        )
-
-
-def _ask_for(caller, endpoints, answer, path, number):
-    for endpoint in endpoints:
-        endpoint.chosen = answer
-    return caller.ask(path, number)
-
-
 @pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
 @pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
 @pytest.mark.parametrize('framing', FRAMINGS, ids=FRAMING_IDS)
 @pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
 def test_an_answer_with_a_malformed_field_line_is_no_answer(
-    caller, endpoints, line, framing, is_stream, number
+    relay_caller, line, framing, is_stream, number
 ):
     sound = broken_answers.Answer(framing, is_stream)
-    paths = STREAM_PATHS if is_stream else PATHS
+    paths = broken_answers.STREAM_PATHS if is_stream else broken_answers.PATHS
     for position, path in itertools.product(sound.positions(), paths):
         answer = dataclasses.replace(
             sound, malformed_line=line, position=position
         )
-        data = _ask_for(caller, endpoints, answer, path, number)
+        data = relay_caller.ask_for(answer, path, number)
         assert broken_answers.is_refusal(data), (position, path, data)
 
 
@@ -102,7 +55,7 @@
 @pytest.mark.parametrize('status', INTERIM_STATUSES)
 @pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
 def test_a_malformed_field_line_of_an_interim_head_is_no_answer(
-    caller, endpoints, line, status, number
+    relay_caller, line, status, number
 ):
     for is_last in (False, True):
         lines = (b'X-Sound: value', line) if is_last else (line, b'X-Sound: v')
@@ -110,7 +63,7 @@
         answer = broken_answers.Answer(
             broken_answers.Framing.LENGTH, interim=interim
         )
-        data = _ask_for(caller, endpoints, answer, PATHS[0], number)
+        data = relay_caller.ask_for(answer, broken_answers.PATHS[0], number)
         assert broken_answers.is_refusal(data), (is_last, data)
 
 
@@ -119,15 +72,19 @@
 @pytest.mark.parametrize('framing', FRAMINGS, ids=FRAMING_IDS)
 @pytest.mark.parametrize('line', SOUND_LINES)
 def test_an_answer_with_an_odd_but_sound_field_line_is_delivered(
-    caller, endpoints, line, framing, is_stream, number
+    relay_caller, line, framing, is_stream, number
 ):
     sound = broken_answers.Answer(framing, is_stream)
-    path = STREAM_PATHS[0] if is_stream else PATHS[0]
+    path = (
+        broken_answers.STREAM_PATHS[0]
+        if is_stream
+        else broken_answers.PATHS[0]
+    )
     for position in sound.positions():
         answer = dataclasses.replace(
             sound, malformed_line=line, position=position
         )
-        data = _ask_for(caller, endpoints, answer, path, number)
+        data = relay_caller.ask_for(answer, path, number)
         assert broken_answers.parse(data) == (200, sound.body), position
 
 
@@ -136,11 +93,15 @@
 @pytest.mark.parametrize('blanks', BLANKS)
 @pytest.mark.parametrize('framing', FRAMINGS[:2], ids=FRAMING_IDS[:2])
 def test_blanks_behind_the_framing_of_an_answer_do_not_change_its_body(
-    caller, endpoints, framing, blanks, is_stream, number
+    relay_caller, framing, blanks, is_stream, number
 ):
     answer = broken_answers.Answer(framing, is_stream, framing_blanks=blanks)
-    path = STREAM_PATHS[0] if is_stream else PATHS[0]
-    data = _ask_for(caller, endpoints, answer, path, number)
+    path = (
+        broken_answers.STREAM_PATHS[0]
+        if is_stream
+        else broken_answers.PATHS[0]
+    )
+    data = relay_caller.ask_for(answer, path, number)
     assert broken_answers.parse(data) == (200, answer.body)
 
 
@@ -171,15 +132,17 @@
 
 
 @pytest.fixture
-def stand_in_vm(caller, monkeypatch):
+def stand_in_vm(relay_caller, monkeypatch):
     """Yield the stand-in that the cut off VM 0 passes its requests on to."""
-    pool = caller.entry_vm(0)._shared.peer_pool
+    pool = relay_caller.entry_vm(0)._shared.peer_pool
     connect = pool.connect
     with _StandInVm() as vm:
         monkeypatch.setattr(
             pool, 'connect', lambda _, seconds: connect(vm.address, seconds)
         )
-        pool.close_idle(caller.entry_vm(1).directory.own_vm.forward_address)
+        pool.close_idle(
+            relay_caller.entry_vm(1).directory.own_vm.forward_address
+        )
         yield vm
 
 
@@ -187,14 +150,14 @@
 @pytest.mark.parametrize('framing', FRAMINGS[:2], ids=FRAMING_IDS[:2])
 @pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
 def test_a_malformed_field_line_of_another_vm_is_no_answer(
-    caller, stand_in_vm, line, framing, is_stream
+    relay_caller, stand_in_vm, line, framing, is_stream
 ):
     sound = broken_answers.Answer(framing, is_stream)
     for position in sound.positions():
         stand_in_vm.chosen = dataclasses.replace(
             sound, malformed_line=line, position=position
         )
-        data = caller.ask(PATHS[0], 0)
+        data = relay_caller.ask(broken_answers.PATHS[0], 0)
         assert broken_answers.is_refusal(data), (position, data)
 
 
