Refuse answers with a malformed line in the trailer

Callers saw: a 200 with the whole content of a chunked body, though the lines behind its last chunk were no trailer; also if they were another answer, whose head was then skipped with it and the connection kept for the next request.

Cause: the trailer was skipped up to the next empty line, whatever stood before it.

Change: each line of a trailer is checked by the grammar of the lines of a head. A body with another line is malformed, as one that ends within its trailer is truncated; a trailer beyond its bounds still ends a whole body. A stream whose events have gone to the caller is cut then, not ended.

The tests share their readers of single answers.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
@@ -19,13 +19,16 @@
 MAX_TRAILER_SECONDS = 1.0
 
 _CRLF = b'\r\n'
-_END_OF_TRAILER = _CRLF + _CRLF
 
 
 class BadChunk(http.client.HTTPException):
     """A chunk does not have the size that it declares, or declares none."""
 
 
+class BadTrailer(http.client.HTTPException):
+    """What follows the last chunk is no trailer."""
+
+
 class Framing(enum.Enum):
     """How the end of a body is found (RFC 9112, 6.3).
 
@@ -148,16 +151,17 @@
 
     Chunks that arrive together are returned as one piece, so that a
     stream of small chunks takes few reads. The trailer is discarded. A body
-    whose connection ends in it is truncated, one whose trailer exceeds its
-    bounds is not: the last chunk has come.
+    whose connection ends in it is truncated, and one whose trailer has a line
+    that is no field is malformed: other bytes may have come in the place of
+    the body's end. One whose trailer exceeds its bounds is whole.
     """
 
     framing = Framing.CHUNKED
 
     def __init__(self, reader):
         super().__init__(reader)
-        # Bytes of an incomplete size line, or the last bytes of the trailer,
-        # or what follows it.
+        # Bytes of an incomplete size line or line of the trailer, or what
+        # follows the trailer.
         self._buffer = b''
         self._remaining = 0
         self._trailer_bytes = 0
@@ -213,18 +217,22 @@
 
     def _consume_trailer(self, data):
         self._trailer_bytes += len(data)
-        window = self._buffer + data
-        end = window.find(_END_OF_TRAILER)
-        if end < 0:
-            self._buffer = window[1 - len(_END_OF_TRAILER) :]
-            return
-        self._buffer = window[end + len(_END_OF_TRAILER) :]
-        self._is_complete = True
+        buffer = self._buffer + data
+        position = 0
+        while not self._is_complete:
+            end = buffer.find(_CRLF, position)
+            if end < 0:
+                break
+            line = buffer[position : end + len(_CRLF)]
+            position += len(line)
+            self._is_complete = line == _CRLF
+            if not self._is_complete:
+                _check_trailer_line(line)
+        self._buffer = buffer[position:]
 
     def _begin_trailer(self, data):
         self._trailer_ends_at = clocks.now() + MAX_TRAILER_SECONDS
-        # The end of the size line: an empty trailer is a CRLF behind it.
-        self._buffer = _CRLF
+        self._buffer = b''
         self._consume_trailer(data)
 
     def _consume_chunks(self):
@@ -269,6 +277,11 @@
         return piece[:-count]
 
 
+def _check_trailer_line(line):
+    if http_grammar.parse_field_line(line) is None:
+        raise BadTrailer('a line is no field')
+
+
 def open_body(response):
     """Return the ``ResponseBody`` for an ``http.client.HTTPResponse``."""
     if response.fp is None:
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -7,6 +7,8 @@
 import io
 import socket
 
+from carobwood_daemon.entry import bounded_call
+from carobwood_daemon.entry import upstream
 import cut_off_vm
 import raw_answers
 import relay_builders
@@ -16,6 +18,9 @@
 EVENTS = b'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'
 STATUS_LINE = b'HTTP/1.1 200 OK'
 TIMEOUT_SECONDS = 30.0
+# Bounds of what reads an answer without a fleet.
+READ_SECONDS = 5.0
+MAX_BYTES = 1000
 # Of requests that run once at most, and of those that may run again.
 PATHS = ('/orders/x', '/lookups/x')
 STREAM_PATHS = ('/checks/x', '/captions/x')
@@ -284,6 +289,50 @@
         yield caller
 
 
+def read_by_call(answer):
+    """Return the status and the body that a call of a VM's own reads.
+
+    Args:
+        answer: the ``Answer``.
+    """
+    with (
+        _serve(answer) as address,
+        contextlib.closing(bounded_call.HttpCaller()) as caller,
+    ):
+        received = caller.call(
+            bounded_call.Call('GET', address, '/'),
+            bounded_call.CallBounds(READ_SECONDS, MAX_BYTES),
+        )
+        return received.status, received.data
+
+
+def read_by_upstream(answer):
+    """Return the status and the body that the callers' own interface reads.
+
+    Args:
+        answer: the ``Answer``.
+    """
+    request = upstream.UpstreamRequest(
+        'GET', '/', {}, None, 'r-1', True, READ_SECONDS, READ_SECONDS
+    )
+    with _serve(answer) as address:
+        connection = upstream.open_connection(address)
+        with contextlib.closing(connection):
+            response = upstream.send(connection, request)
+            return response.status, response.read_all(MAX_BYTES)
+
+
+@contextlib.contextmanager
+def _serve(answer):
+    """Yield the address of an endpoint that gives an answer to ``r-1``."""
+    manner = raw_answers.Manner(reads_all=True)
+    with raw_answers.RawEndpoint(answer.encode(b'r-1'), manner) as endpoint:
+        yield endpoint.address
+
+
+READERS = (read_by_call, read_by_upstream)
+
+
 class _GivenBytes:
     """A socket that gives bytes which have been received before."""
 
--- a/tests/test_malformed_chunks.py
+++ b/tests/test_malformed_chunks.py
@@ -1,16 +1,9 @@
 """A body with a malformed chunk is not taken for the body of an endpoint."""
 
-import contextlib
-
 import broken_answers
 from carobwood import errors
-from carobwood_daemon.entry import bounded_call
-from carobwood_daemon.entry import upstream
 import pytest
-import raw_answers
 
-SECONDS = 5.0
-MAX_BYTES = 1000
 CHUNKED = broken_answers.Framing.CHUNKED
 EVENT = b'id: 1\ndata: one\n\n'
 # Bodies by their fault, each with a chunk that should hold ``EVENT``.
@@ -41,30 +34,6 @@
 SOUND = [_fill(body) for body in SOUND_BODIES]
 
 
-def _call(address):
-    with contextlib.closing(bounded_call.HttpCaller()) as caller:
-        return caller.call(
-            bounded_call.Call('GET', address, '/'),
-            bounded_call.CallBounds(SECONDS, MAX_BYTES),
-        ).data
-
-
-def _read_by_entry(address):
-    request = upstream.UpstreamRequest(
-        'GET', '/', {}, None, 'r-1', True, SECONDS, SECONDS
-    )
-    connection = upstream.open_connection(address)
-    with contextlib.closing(connection):
-        return upstream.send(connection, request).read_all(MAX_BYTES)
-
-
-def _read(read, body):
-    answer = broken_answers.Answer(CHUNKED, framed_body=body)
-    manner = raw_answers.Manner(reads_all=True)
-    with raw_answers.RawEndpoint(answer.encode(b'r-1'), manner) as endpoint:
-        return read(endpoint.address)
-
-
 @pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
 @pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
 @pytest.mark.parametrize('body', MALFORMED, ids=list(MALFORMED_BODIES))
@@ -90,14 +59,15 @@
     assert broken_answers.parse(data) == (200, EVENT)
 
 
-@pytest.mark.parametrize('read', [_call, _read_by_entry])
+@pytest.mark.parametrize('read', broken_answers.READERS)
 @pytest.mark.parametrize('body', MALFORMED, ids=list(MALFORMED_BODIES))
 def test_a_malformed_chunk_is_no_part_of_a_body(read, body):
     with pytest.raises(errors.CarobwoodError):
-        _read(read, body)
+        read(broken_answers.Answer(CHUNKED, framed_body=body))
 
 
-@pytest.mark.parametrize('read', [_call, _read_by_entry])
+@pytest.mark.parametrize('read', broken_answers.READERS)
 @pytest.mark.parametrize('body', SOUND)
 def test_an_odd_but_sound_chunk_is_read(read, body):
-    assert _read(read, body) == EVENT
+    answer = broken_answers.Answer(CHUNKED, framed_body=body)
+    assert read(answer) == (200, EVENT)
--- a/tests/test_malformed_field_lines.py
+++ b/tests/test_malformed_field_lines.py
@@ -5,13 +5,11 @@
 that the framing was lost and callers got a body that was not the engine's.
 """
 
-import contextlib
 import dataclasses
 import itertools
 
 import broken_answers
 from carobwood import errors
-from carobwood_daemon.entry import bounded_call
 import pytest
 import raw_answers
 
@@ -30,8 +28,6 @@
 # RFC 9112, 5: blanks around a value are none of it.
 BLANKS = (b' ', b'\t', b' \t ')
 INTERIM_STATUSES = (b'100 Continue', b'103 Early Hints')
-CALL_SECONDS = 5.0
-MAX_BYTES = 1000
 
 
 @pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
@@ -111,7 +107,7 @@
     framing, blanks
 ):
     answer = broken_answers.Answer(framing, framing_blanks=blanks)
-    assert _call(answer) == (200, answer.body)
+    assert broken_answers.read_by_call(answer) == (200, answer.body)
 
 
 class _StandInVm(raw_answers.RawEndpoint):
@@ -170,18 +166,4 @@
             sound, malformed_line=line, position=position
         )
         with pytest.raises(errors.EngineCallFailed):
-            _call(answer)
-
-
-def _call(answer):
-    """Return the status and the body that a call of a VM's own reads."""
-    manner = raw_answers.Manner(reads_all=True)
-    with (
-        raw_answers.RawEndpoint(answer.encode(b'r-1'), manner) as endpoint,
-        contextlib.closing(bounded_call.HttpCaller()) as http_caller,
-    ):
-        received = http_caller.call(
-            bounded_call.Call('GET', endpoint.address, '/'),
-            bounded_call.CallBounds(CALL_SECONDS, MAX_BYTES),
-        )
-        return received.status, received.data
+            broken_answers.read_by_call(answer)
--- a/tests/test_malformed_field_lines_for_carobwoodd.py
+++ b/tests/test_malformed_field_lines_for_carobwoodd.py
@@ -4,7 +4,6 @@
 the endpoint, as the fields behind the malformed line were forgotten.
 """
 
-import contextlib
 import dataclasses
 import json
 import secrets
@@ -12,17 +11,13 @@
 import broken_answers
 import builders
 from carobwood import errors
-from carobwood_daemon.entry import upstream
 import fleet as fleets
 import pytest
-import raw_answers
 
 LINES = list(broken_answers.MALFORMED_FIELD_LINES.values())
 LINE_IDS = list(broken_answers.MALFORMED_FIELD_LINES)
 FRAMINGS = list(broken_answers.Framing)
 FRAMING_IDS = [framing.value for framing in FRAMINGS]
-SECONDS = 5.0
-MAX_BYTES = 1000
 # Behind the ids and the version, before the framing.
 POSITION = 4
 # Requests by name: method, path, and body.
@@ -38,39 +33,25 @@
 }
 
 
-def _read(address):
-    request = upstream.UpstreamRequest(
-        'GET', '/', {}, None, 'r-1', True, SECONDS, SECONDS
-    )
-    connection = upstream.open_connection(address)
-    with contextlib.closing(connection):
-        response = upstream.send(connection, request)
-        return response.status, response.read_all(MAX_BYTES)
-
-
 @pytest.mark.parametrize('framing', FRAMINGS, ids=FRAMING_IDS)
 @pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
 def test_an_upstream_answer_with_a_malformed_field_line_is_no_answer(
     line, framing
 ):
     sound = broken_answers.Answer(framing)
-    manner = raw_answers.Manner(reads_all=True)
-    with raw_answers.RawEndpoint(sound.encode(b'r-1'), manner) as endpoint:
-        assert _read(endpoint.address) == (200, sound.body)
-        for position in sound.positions():
-            endpoint.answer = dataclasses.replace(
-                sound, malformed_line=line, position=position
-            ).encode(b'r-1')
-            with pytest.raises(errors.EndpointFailed):
-                _read(endpoint.address)
+    assert broken_answers.read_by_upstream(sound) == (200, sound.body)
+    for position in sound.positions():
+        answer = dataclasses.replace(
+            sound, malformed_line=line, position=position
+        )
+        with pytest.raises(errors.EndpointFailed):
+            broken_answers.read_by_upstream(answer)
 
 
 @pytest.mark.parametrize('framing', FRAMINGS[:2], ids=FRAMING_IDS[:2])
 def test_blanks_behind_the_framing_do_not_change_the_body(framing):
     answer = broken_answers.Answer(framing, framing_blanks=b' \t ')
-    manner = raw_answers.Manner(reads_all=True)
-    with raw_answers.RawEndpoint(answer.encode(b'r-1'), manner) as endpoint:
-        assert _read(endpoint.address) == (200, answer.body)
+    assert broken_answers.read_by_upstream(answer) == (200, answer.body)
 
 
 @pytest.fixture(scope='module')
