Refuse answers with a control byte in the reason

Callers saw: a 200 for an answer whose status line held NUL, ESC or DEL in its reason; no sound endpoint sends such a line.

Cause: the check of the status line took any bytes but CR and LF for a reason.

Evidence: tests/test_malformed_status_lines.py now asks as callers do, over real connections, for answers with malformed status lines in each framing, behind an interim head and as one, on the VM that has the endpoint, through another one, and from a stand-in for that other one.

Change: the status line is checked by its grammar in RFC 9112, 4, beside that of the fields.

--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
@@ -17,8 +17,6 @@
 MAX_QUOTED_BYTES = 100
 _END_OF_HEAD = (b'\r\n', b'\n')
 _LENGTH = re.compile(r'[0-9]{1,18}')
-# RFC 9112, 4; a reason may be missing with the space before it.
-_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] [1-5][0-9]{2}( [^\r\n]*)?\r?\n')
 
 
 class BadFieldLine(http.client.HTTPException):
@@ -74,7 +72,7 @@
 
 def _check_status_line(line):
     # An empty one is the end of the connection.
-    if line and not _STATUS_LINE.fullmatch(line):
+    if line and not http_grammar.is_status_line(line):
         raise http.client.BadStatusLine(repr(line[:MAX_QUOTED_BYTES]))
 
 
--- a/packages/carobwood/carobwood/http_grammar.py
+++ b/packages/carobwood/carobwood/http_grammar.py
@@ -1,7 +1,7 @@
 """Grammar of the lines of an HTTP/1 response.
 
-Source: RFC 9110, sections 5.1, 5.5 and 5.6.2; RFC 9112, sections 2.2, 5 and
-7.1. A line of a head may end with LF alone. Folded lines are refused, as a
+Source: RFC 9110, sections 5.1, 5.5 and 5.6.2; RFC 9112, sections 2.2, 4, 5
+and 7.1. A line of a head may end with LF alone. Folded lines are refused, as a
 proxy may do.
 """
 
@@ -12,11 +12,24 @@
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _LINE_END = rb'\r?\n'
 _BLANKS = b' \t'
+# A reason may be missing with the space before it.
+_STATUS_LINE = re.compile(
+    rb'HTTP/1\.[0-9] [1-5][0-9]{2}( ' + _TEXT + rb')?' + _LINE_END
+)
 # More digits than the largest size of any body needs are refused.
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,12})[ \t]*(;' + _TEXT + rb')?')
 _FIELD_LINE = re.compile(rb'(' + _TOKEN + rb'):(' + _TEXT + rb')' + _LINE_END)
 
 
+def is_status_line(line):
+    """Tell whether bytes are the status line of a response.
+
+    Args:
+        line: bytes of the line, with its end.
+    """
+    return _STATUS_LINE.fullmatch(line) is not None
+
+
 def parse_field_line(line):
     """Return the name and the value of a field, or None if it is malformed.
 
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -172,6 +172,23 @@
         )
 
 
+class StandInVm(raw_answers.RawEndpoint):
+    """Stands in for the VM that another one passes its requests on to.
+
+    Attributes:
+        chosen: the ``Answer`` to each request.
+    """
+
+    def __init__(self):
+        self.chosen = Answer(Framing.LENGTH)
+        super().__init__(
+            lambda head: self.chosen.encode(
+                raw_answers.find_header(head, b'x-carobwood-request-id')
+            ),
+            raw_answers.Manner(reads_all=True),
+        )
+
+
 def ask(port, path, request_id, headers, body=b'prompt', method='POST'):
     """Send a request and return all bytes that come until the end.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -84,6 +84,21 @@
         yield caller
 
 
+@pytest.fixture
+def stand_in_vm(relay_caller, monkeypatch):
+    """Yield the stand-in that the cut off VM 0 passes its requests on to."""
+    pool = relay_caller.entry_vm(0)._shared.peer_pool
+    connect = pool.connect
+    with broken_answers.StandInVm() as vm:
+        monkeypatch.setattr(
+            pool, 'connect', lambda _, seconds: connect(vm.address, seconds)
+        )
+        pool.close_idle(
+            relay_caller.entry_vm(1).directory.own_vm.forward_address
+        )
+        yield vm
+
+
 @pytest.fixture(scope='module')
 def _shared_fleet(tmp_path_factory):
     relay_fleet = relay_test_fleet.RelayTestFleet(
--- a/tests/test_malformed_field_lines.py
+++ b/tests/test_malformed_field_lines.py
@@ -11,7 +11,6 @@
 import broken_answers
 from carobwood import errors
 import pytest
-import raw_answers
 
 LINES = list(broken_answers.MALFORMED_FIELD_LINES.values())
 LINE_IDS = list(broken_answers.MALFORMED_FIELD_LINES)
@@ -110,38 +109,6 @@
     assert broken_answers.read_by_call(answer) == (200, answer.body)
 
 
-class _StandInVm(raw_answers.RawEndpoint):
-    """Stands in for the VM that another one passes its requests on to.
-
-    Attributes:
-        chosen: the ``Answer`` to each request.
-    """
-
-    def __init__(self):
-        self.chosen = broken_answers.Answer(broken_answers.Framing.LENGTH)
-        super().__init__(
-            lambda head: self.chosen.encode(
-                raw_answers.find_header(head, b'x-carobwood-request-id')
-            ),
-            raw_answers.Manner(reads_all=True),
-        )
-
-
-@pytest.fixture
-def stand_in_vm(relay_caller, monkeypatch):
-    """Yield the stand-in that the cut off VM 0 passes its requests on to."""
-    pool = relay_caller.entry_vm(0)._shared.peer_pool
-    connect = pool.connect
-    with _StandInVm() as vm:
-        monkeypatch.setattr(
-            pool, 'connect', lambda _, seconds: connect(vm.address, seconds)
-        )
-        pool.close_idle(
-            relay_caller.entry_vm(1).directory.own_vm.forward_address
-        )
-        yield vm
-
-
 @pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
 @pytest.mark.parametrize('framing', FRAMINGS[:2], ids=FRAMING_IDS[:2])
 @pytest.mark.parametrize('line', LINES, ids=LINE_IDS)
--- a/tests/test_malformed_status_lines.py
+++ b/tests/test_malformed_status_lines.py
@@ -1,7 +1,9 @@
 """Bytes that are no status line of HTTP/1 are never taken for an answer."""
 
+import dataclasses
 import socket
 
+import broken_answers
 from carobwood import addresses
 from carobwood import errors
 from carobwood_daemon.entry import bounded_call
@@ -31,6 +33,11 @@
     b'HTTP/0.9 200 OK',
     b'HTTP/2 200 OK',
     b' HTTP/1.1 200 OK',
+    b'HTTP/1.1 200 O\x00K',
+    b'HTTP/1.1 200 O\x1bK',
+    b'HTTP/1.1 200 O\x7fK',
+    b'HTTP/1.1 200 OK\r',
+    b'HTTP/1.1 200 O\rK',
 ]
 VALID_LINES = [
     b'HTTP/1.1 200 OK',
@@ -38,6 +45,7 @@
     b'HTTP/1.1 200',
     b'HTTP/1.0 200 OK',
     b'HTTP/1.1 599 Odd',
+    b'HTTP/1.1 200 caf\xe9\tau lait',
 ]
 BODY = b'whole'
 
@@ -104,3 +112,39 @@
         read(b'HTTP/1.1 0100 Continue\r\n\r\nHTTP/1.1 200 OK')
     status, body = read(b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK')
     assert (status, body) == (200, BODY)
+
+
+@pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
+@pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
+@pytest.mark.parametrize('framing', list(broken_answers.Framing))
+@pytest.mark.parametrize('line', MALFORMED_LINES)
+def test_an_answer_with_a_malformed_status_line_reaches_no_caller(
+    relay_caller, line, framing, is_stream, number
+):
+    sound = broken_answers.Answer(framing, is_stream)
+    interim = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
+    paths = broken_answers.STREAM_PATHS if is_stream else broken_answers.PATHS
+    for changes in (
+        {'status_line': line},
+        {'status_line': line, 'interim': interim},
+        {'interim': line + b'\r\n\r\n'},
+    ):
+        answer = dataclasses.replace(sound, **changes)
+        data = relay_caller.ask_for(answer, paths[0], number)
+        assert broken_answers.is_refusal(data), (changes, data)
+
+
+@pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
+@pytest.mark.parametrize('line', MALFORMED_LINES)
+def test_a_malformed_status_line_of_another_vm_reaches_no_caller(
+    relay_caller, stand_in_vm, line, is_stream
+):
+    for framing in (
+        broken_answers.Framing.LENGTH,
+        broken_answers.Framing.CHUNKED,
+    ):
+        stand_in_vm.chosen = broken_answers.Answer(
+            framing, is_stream, status_line=line
+        )
+        data = relay_caller.ask(broken_answers.PATHS[0], 0)
+        assert broken_answers.is_refusal(data), (framing, data)
