Test parts of early answers in each framing, and for callers of carobwoodd

The case was handled already: a 200 without a length, a part of its body and a reset while a long upload is still being written reach no caller as a whole answer; nothing but tests has changed.

New cases: such answers with a length and in chunks, besides those that end with their connection, and uploads of callers of a running carobwoodd.

--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,8 +1,8 @@
 """Parts of answers that come while a request is still being sent.
 
-An engine answered a long upload at once with a 200 without a length, sent a
-part of its body and reset the connection. Its caller must never get the part
-as a whole answer, on any path that the answer takes.
+An engine answered a long upload at once with a 200, mostly without a length,
+sent a part of its body and reset the connection. Its caller must never get the
+part as a whole answer, on any path that the answer takes.
 """
 
 import contextlib
@@ -10,6 +10,7 @@
 import http.client
 import itertools
 
+import broken_answers
 from carobwood import errors
 from carobwood_daemon.entry import upstream
 import cut_off_vm
@@ -29,6 +30,7 @@
 # Pauses between the part and the reset: none, and one in which the VM has
 # read the part.
 PAUSES_SECONDS = (0.0, 0.05)
+UNTIL_CLOSE = broken_answers.Framing.UNTIL_CLOSE
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,12 +38,14 @@
     """What an endpoint sends, and how its caller sends the request.
 
     Attributes:
+        answer_framing: the ``Framing`` of the answer.
         is_stream: whether the answer says that it is an event stream.
         upload_bytes: size of the request's body.
         is_chunked: whether the caller sends the body in chunks.
         pause_seconds: time between the part and the reset.
     """
 
+    answer_framing: broken_answers.Framing
     is_stream: bool
     upload_bytes: int
     is_chunked: bool
@@ -51,12 +55,15 @@
         """Return the id of the test."""
         kind = 'stream' if self.is_stream else 'whole'
         framing = 'chunked' if self.is_chunked else 'length'
-        return f'{kind}-{self.upload_bytes}-{framing}-{self.pause_seconds}'
+        upload = f'{self.upload_bytes}-{framing}'
+        answer = f'{kind}-{self.answer_framing.value}'
+        return f'{answer}-{upload}-{self.pause_seconds}'
 
 
 CASES = [
     Case(*values)
     for values in itertools.product(
+        broken_answers.Framing,
         (False, True),
         (SHORT_BYTES, LONG_BYTES),
         (False, True),
@@ -65,13 +72,16 @@
 ]
 
 
+FIRST_CASE = Case(UNTIL_CLOSE, False, SHORT_BYTES, False, 0.0)
+
+
 class EarlyEndpoint(raw_answers.RawEndpoint):
     """An endpoint of the service ``orders`` that sends a part and resets."""
 
     def __init__(self):
         super().__init__(self._make_answer, raw_answers.Manner(resets=True))
         self.name = 'orders-0'
-        self.is_stream = False
+        self._case = FIRST_CASE
 
     def announcement(self, sequence=1, state='ready'):
         """Return its announcement to control VMs."""
@@ -81,24 +91,37 @@
 
     def set_case(self, case):
         """Answer later requests as a ``Case`` says."""
-        self.is_stream = case.is_stream
+        self._case = case
         self.manner = raw_answers.Manner(True, case.pause_seconds)
 
     def _make_answer(self, head):
         request_id = raw_answers.find_header(head, b'x-carobwood-request-id')
         kind = b'text/plain'
         part = b'x' * PART_BYTES
-        if self.is_stream:
+        if self._case.is_stream:
             kind = b'text/event-stream'
             part = b'id: 1\ndata: one\n\nid: 2\ndata: tw'
         return (
             b'HTTP/1.1 200 OK\r\n'
             b'X-Carobwood-Response-Stamp: orders-0\r\n'
             b'X-Carobwood-Request-Id: %s\r\n'
-            b'Content-Type: %s\r\n\r\n%s' % (request_id, kind, part)
+            b'Content-Type: %s\r\n%s'
+            % (request_id, kind, _frame(self._case.answer_framing, part))
         )
 
 
+def _frame(framing, part):
+    """Return the end of a head and a part of the body that it announces."""
+    match framing:
+        case broken_answers.Framing.LENGTH:
+            return b'Content-Length: %d\r\n\r\n%s' % (2 * len(part), part)
+        case broken_answers.Framing.CHUNKED:
+            chunk = b'%x\r\n%s\r\n' % (len(part), part)
+            return b'Transfer-Encoding: chunked\r\n\r\n' + chunk
+        case broken_answers.Framing.UNTIL_CLOSE:
+            return b'\r\n' + part
+
+
 @pytest.fixture(scope='module')
 def endpoint():
     """Yield the endpoint."""
@@ -123,9 +146,8 @@
 
 
 def _await_sent(test_fleet, number):
-    case = Case(False, SHORT_BYTES, False, 0.0)
     relay_test_fleet.await_reply(
-        lambda: _ask(test_fleet, number, case, 0),
+        lambda: _ask(test_fleet, number, FIRST_CASE, 0),
         lambda reply: reply.status != 503,
     )
 
@@ -179,7 +201,7 @@
 def test_a_part_that_is_passed_on_for_want_of_memory_is_not_whole(
     fleet, endpoint, number, pause, monkeypatch
 ):
-    case = Case(False, SHORT_BYTES, False, pause)
+    case = Case(UNTIL_CLOSE, False, SHORT_BYTES, False, pause)
     endpoint.set_case(case)
     for budget in fleet.fleet.budgets_by_vm.values():
         monkeypatch.setattr(
@@ -194,13 +216,14 @@
     return max(0, budget.total_bytes - endless_endpoint.MEGABYTE // 64)
 
 
+@pytest.mark.parametrize('framing', list(broken_answers.Framing))
 @pytest.mark.parametrize('size', [SHORT_BYTES, LONG_BYTES])
 @pytest.mark.parametrize('pause', PAUSES_SECONDS)
 @pytest.mark.parametrize('is_chunked', [False, True])
 def test_a_part_of_an_early_answer_is_not_whole_for_carobwoodd(
-    endpoint, size, pause, is_chunked
+    endpoint, framing, size, pause, is_chunked
 ):
-    endpoint.set_case(Case(False, size, is_chunked, pause))
+    endpoint.set_case(Case(framing, False, size, is_chunked, pause))
     body = b'x' * size
     request = upstream.UpstreamRequest(
         'POST',
