Have the operators' client refuse malformed answers

Operators saw: the result of a call although the answer to it was malformed: a field line with a blank or a control byte in its name, a status line such as "HTTP/1.1 999 OK" or "HTTP/1.1 0200 OK", a chunk of another size than it declares, or a malformed or missing end behind the last chunk. A sound answer behind an interim one (103) was lost: the interim one was taken for the answer.

Cause: the client read answers with http.client and urllib3 alone, not with the checks that the VMs have. A status of 000 was refused there, too.

Change: the readers of heads and bodies move from the daemon to the package that both share, and the client reads with them. What reads a body to its end and refuses a trailer without one is shared with the VMs' own calls.

--- a/packages/carobwood-client/carobwood_client/connection.py
+++ b/packages/carobwood-client/carobwood_client/connection.py
@@ -1,5 +1,6 @@
 """Authenticated calls to the operators' HTTP API of the VMs."""
 
+import contextlib
 import http.client
 import json
 import socket
@@ -10,12 +11,13 @@
 from urllib3 import connection as urllib3_connection
 
 from carobwood import errors
+from carobwood import response_body
+from carobwood import response_head
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 READ_TIMEOUT_SECONDS = 30.0
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
-_READ_BYTES = 64 * 1024
 _FAILURES = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -157,14 +159,17 @@
             with _Watchdog(operator, connection.sock, seconds):
                 connection.timeout = seconds
                 connection.sock.settimeout(seconds)
-                connection.request(
-                    *request, preload_content=False, decode_content=False
-                )
-                response = connection.getresponse()
-                content = _read_all(operator, response)
+                connection.request(*request)
+                # urllib3 would read the body in its own, lenient way.
+                response = http.client.HTTPConnection.getresponse(connection)
+                with contextlib.closing(response):
+                    body = response_body.open_body(response)
+                    content = _read_all(operator, body)
         except BaseException:
             connection.close()
             raise
+        if body.has_surplus_bytes:
+            connection.close()
         self._idle_by_operator[operator] = connection
         return response.status, content
 
@@ -190,6 +195,7 @@
             connection = urllib3_connection.HTTPConnection(
                 host, url.port, timeout=CONNECT_TIMEOUT_SECONDS
             )
+        connection.response_class = response_head.StrictResponse
         try:
             connection.connect()
         except BaseException:
@@ -233,10 +239,10 @@
             pass
 
 
-def _read_all(operator, response):
+def _read_all(operator, body):
     parts = []
     size = 0
-    while part := response.read(_READ_BYTES):
+    for part in response_body.read_parts(body):
         parts.append(part)
         size += len(part)
         if size > MAX_RESPONSE_BYTES:
--- a/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/bounded_call.py
@@ -6,7 +6,6 @@
 
 import collections
 import dataclasses
-import http.client
 import io
 import select
 import threading
@@ -16,13 +15,13 @@
 from carobwood import addresses
 from carobwood import clocks
 from carobwood import errors
+from carobwood import response_body
+from carobwood import response_head
 
 from ..limits import buffer_budget
 
 from . import bounded_reader
 from . import connect_errors
-from . import response_body
-from . import response_head
 
 # Idle connections that are kept per address, and addresses that have any.
 MAX_IDLE_PER_ADDRESS = 2
@@ -297,7 +296,7 @@
         body = response_body.open_body(response)
         # Detached, as it would close the reader.
         response.fp = None
-        content = _read_all(body)
+        content = b''.join(response_body.read_parts(body))
         self._raw_reader.allowance = None
         self.is_reusable = not (
             response.will_close
@@ -358,15 +357,6 @@
     return _CallConnection(parsed, connection.sock)
 
 
-def _read_all(body):
-    parts = []
-    while not body.has_ended:
-        parts.append(body.read_available())
-    if body.framing is response_body.Framing.CHUNKED and not body.is_complete:
-        raise http.client.HTTPException('the trailer does not end')
-    return b''.join(parts)
-
-
 def _close_all(connections):
     for connection in connections:
         connection.close()
--- a/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/upstream.py
@@ -17,12 +17,12 @@
 
 from carobwood import addresses
 from carobwood import errors
+from carobwood import response_body
+from carobwood import response_head
 
 from . import bounded_reader
 from . import connect_errors
 from . import headers
-from . import response_body
-from . import response_head
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 KEEPALIVE_INTERVAL_SECONDS = 2
--- a/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/endpoint_connections.py
@@ -17,10 +17,10 @@
 
 from carobwood import clocks
 from carobwood import errors
+from carobwood import response_body
+from carobwood import response_head
 
 from ..entry import bounded_reader
-from ..entry import response_body
-from ..entry import response_head
 
 from . import request_encoder
 from . import user_timeout
--- a/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/response_forwarder.py
@@ -9,8 +9,7 @@
 
 from carobwood import clocks
 from carobwood import errors
-
-from ..entry import response_body
+from carobwood import response_body
 
 from . import admission
 from . import answer_reader
--- a/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/vm_forwarder.py
@@ -11,8 +11,7 @@
 from carobwood import clocks
 from carobwood import errors
 from carobwood import events
-
-from ..entry import response_body
+from carobwood import response_body
 
 from . import answer_reader
 from . import caller_request
--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_body.py
+++ b/packages/carobwood/carobwood/response_body.py
@@ -8,8 +8,8 @@
 import enum
 import http.client
 
-from carobwood import clocks
-from carobwood import http_grammar
+from . import clocks
+from . import http_grammar
 
 READ_BYTES = 64 * 1024
 MAX_CHUNK_SIZE_LINE_BYTES = 1024
@@ -291,3 +291,18 @@
     if response.length is not None:
         return LengthBody(response.fp, response.length)
     return UntilEndBody(response.fp)
+
+
+def read_parts(body):
+    """Yield the parts of a whole body; see ``ResponseBody`` for errors.
+
+    Args:
+        body: the ``ResponseBody``.
+
+    Raises:
+        BadTrailer: the trailer exceeds its bounds.
+    """
+    while not body.has_ended:
+        yield body.read_available()
+    if body.framing is Framing.CHUNKED and not body.is_complete:
+        raise BadTrailer('it does not end')
--- a/packages/carobwood-daemon/carobwood_daemon/entry/response_head.py
+++ b/packages/carobwood/carobwood/response_head.py
@@ -11,7 +11,7 @@
 import http.client
 import re
 
-from carobwood import http_grammar
+from . import http_grammar
 
 # Bytes of a malformed line that its error quotes.
 MAX_QUOTED_BYTES = 100
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -49,6 +49,33 @@
     'folded value': b'X-Name: a\r\n value',
 }
 
+# Status lines with a status that HTTP does not have, or with a form that only
+# a lenient reader takes for one that it has.
+MALFORMED_STATUS_LINES = [
+    b'HTTP/1.1 000 OK',
+    b'HTTP/1.1 0 OK',
+    b'HTTP/1.1 099 OK',
+    b'HTTP/1.1 600 OK',
+    b'HTTP/1.1 999 OK',
+    b'HTTP/1.1 20 OK',
+    b'HTTP/1.1 2000 OK',
+    b'HTTP/1.1 0200 OK',
+    b'HTTP/1.1 +200 OK',
+    b'HTTP/1.1 2_00 OK',
+    b'HTTP/1.1 -200 OK',
+    b'HTTP/1.1 200OK',
+    b'HTTP/1.1\t200 OK',
+    b'HTTP/1.x 200 OK',
+    b'HTTP/0.9 200 OK',
+    b'HTTP/2 200 OK',
+    b' HTTP/1.1 200 OK',
+    b'HTTP/1.1 200 O\x00K',
+    b'HTTP/1.1 200 O\x1bK',
+    b'HTTP/1.1 200 O\x7fK',
+    b'HTTP/1.1 200 OK\r',
+    b'HTTP/1.1 200 O\rK',
+]
+
 
 class Framing(enum.Enum):
     """How an endpoint tells the end of a body.
@@ -78,6 +105,8 @@
         framing_blanks: what follows the value of the field that tells the
             framing.
         framed_body: bytes in place of the body in its framing, or empty.
+        length: number that ``Content-Length`` names, or None for that of the
+            body.
         trailer: lines behind the last chunk, each with its CRLF.
     """
 
@@ -89,6 +118,7 @@
     position: int = 0
     framing_blanks: bytes = b''
     framed_body: bytes = b''
+    length: int | None = None
     trailer: bytes = b''
 
     @property
@@ -123,11 +153,12 @@
         ]
         match self.framing:
             case Framing.LENGTH:
-                length = b'Content-Length: %d' % len(self.body)
-                lines.append(length + self.framing_blanks)
+                length = len(self.body) if self.length is None else self.length
+                field = b'Content-Length: %d' % length
+                lines.append(field + self.framing_blanks)
             case Framing.CHUNKED:
-                encoding = b'Transfer-Encoding: chunked'
-                lines.append(encoding + self.framing_blanks)
+                field = b'Transfer-Encoding: chunked'
+                lines.append(field + self.framing_blanks)
         return lines
 
     def _encode_body(self):
--- a/tests/test_malformed_status_lines.py
+++ b/tests/test_malformed_status_lines.py
@@ -13,32 +13,6 @@
 
 READ_SECONDS = 5.0
 MAX_BYTES = 1000
-# Status lines with a status that HTTP does not have, or with a form that only
-# a lenient reader takes for one that it has.
-MALFORMED_LINES = [
-    b'HTTP/1.1 000 OK',
-    b'HTTP/1.1 0 OK',
-    b'HTTP/1.1 099 OK',
-    b'HTTP/1.1 600 OK',
-    b'HTTP/1.1 999 OK',
-    b'HTTP/1.1 20 OK',
-    b'HTTP/1.1 2000 OK',
-    b'HTTP/1.1 0200 OK',
-    b'HTTP/1.1 +200 OK',
-    b'HTTP/1.1 2_00 OK',
-    b'HTTP/1.1 -200 OK',
-    b'HTTP/1.1 200OK',
-    b'HTTP/1.1\t200 OK',
-    b'HTTP/1.x 200 OK',
-    b'HTTP/0.9 200 OK',
-    b'HTTP/2 200 OK',
-    b' HTTP/1.1 200 OK',
-    b'HTTP/1.1 200 O\x00K',
-    b'HTTP/1.1 200 O\x1bK',
-    b'HTTP/1.1 200 O\x7fK',
-    b'HTTP/1.1 200 OK\r',
-    b'HTTP/1.1 200 O\rK',
-]
 VALID_LINES = [
     b'HTTP/1.1 200 OK',
     b'HTTP/1.1 200 ',
@@ -92,7 +66,7 @@
 # An engine in trouble sent an answer whose status was 000, and others with
 # statuses beyond 599; their callers got them as answers.
 @pytest.mark.parametrize('read', READERS)
-@pytest.mark.parametrize('line', MALFORMED_LINES)
+@pytest.mark.parametrize('line', broken_answers.MALFORMED_STATUS_LINES)
 def test_a_malformed_status_line_is_no_answer(read, line):
     with pytest.raises(errors.CarobwoodError):
         read(line)
@@ -117,7 +91,7 @@
 @pytest.mark.parametrize('number', [1, 0], ids=['direct', 'forwarded'])
 @pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
 @pytest.mark.parametrize('framing', list(broken_answers.Framing))
-@pytest.mark.parametrize('line', MALFORMED_LINES)
+@pytest.mark.parametrize('line', broken_answers.MALFORMED_STATUS_LINES)
 def test_an_answer_with_a_malformed_status_line_reaches_no_caller(
     relay_caller, line, framing, is_stream, number
 ):
@@ -135,7 +109,7 @@
 
 
 @pytest.mark.parametrize('is_stream', [False, True], ids=['whole', 'stream'])
-@pytest.mark.parametrize('line', MALFORMED_LINES)
+@pytest.mark.parametrize('line', broken_answers.MALFORMED_STATUS_LINES)
 def test_a_malformed_status_line_of_another_vm_reaches_no_caller(
     relay_caller, stand_in_vm, line, is_stream
 ):
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -11,7 +11,7 @@
 import pytest
 import yaml
 
-from carobwood_daemon.entry import response_body
+from carobwood import response_body
 
 BODY_MIB = 64
 MAX_MEMORY_GROWTH_MIB = 32
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -6,7 +6,7 @@
 
 from carobwood import addresses
 from carobwood import errors
-from carobwood_daemon.entry import response_head
+from carobwood import response_head
 from carobwood_daemon.entry import upstream
 from carobwood_daemon.relay import connection_pool
 from carobwood_daemon.relay import endpoint_connections
