Refuse answers that declare two framings of their body

Callers saw: for an answer with both Content-Length and "Transfer-Encoding: chunked", callers of carobwoodd's own interface got two answers on one connection, a 500 of the VM and the 200, or a 200 whose end never came; orders and models got the content of the chunks as a whole answer.

Cause: the body was read by its chunks, but its length was passed on from the other field. Found on the way through the places that read answers.

Evidence: 10 cases (a length below and beyond that of the chunks, for a service, an order and a model of a running VM; both orders of the fields for the relay and the upstreams). All failed on the code before.

Change: RFC 9112, 6.3 calls such an answer one to be handled as an error. It is refused as one whose length is unclear, by all that read answers.

--- a/packages/carobwood/carobwood/response_head.py
+++ b/packages/carobwood/carobwood/response_head.py
@@ -114,5 +114,7 @@
         if encodings and [e.strip().lower() for e in encodings] != ['chunked']:
             raise http.client.HTTPException('unknown Transfer-Encoding')
         lengths = self.headers.get_all('Content-Length', [])
+        if encodings and lengths:
+            raise http.client.HTTPException('two framings of one body')
         if len(set(lengths)) > 1 or not all(map(_LENGTH.fullmatch, lengths)):
             raise http.client.HTTPException('malformed Content-Length')
--- a/tests/test_malformed_field_lines_for_carobwoodd.py
+++ b/tests/test_malformed_field_lines_for_carobwoodd.py
@@ -120,3 +120,20 @@
     statuses = (502,) if name in ('service', 'order') else (503,)
     assert broken_answers.is_refusal(data, statuses), data
     assert b'Carobwood-Outcome: unknown' in data
+
+
+@pytest.mark.parametrize('length', [5, 1000])
+@pytest.mark.parametrize('name', ['service', 'order', 'model'])
+def test_a_caller_gets_no_answer_with_two_framings(
+    world, endpoints, name, length
+):
+    _await_sound(world, endpoints, name)
+    for endpoint in endpoints:
+        endpoint.chosen = broken_answers.Answer(
+            broken_answers.Framing.CHUNKED,
+            malformed_line=b'Content-Length: %d' % length,
+            position=POSITION,
+        )
+    data = _ask(world, name)
+    statuses = (503,) if name == 'model' else (502,)
+    assert broken_answers.is_refusal(data, statuses), data
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -21,11 +21,12 @@
     + STAMP
     + b'Content-Length: %d\r\n\r\n%s' % (len(BODY), BODY)
 )
+CHUNKS = b'%x\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY)
 CHUNKED = (
     b'HTTP/1.1 200 OK\r\n'
     + STAMP
     + b'Transfer-Encoding: chunked\r\n\r\n'
-    + b'%x\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY)
+    + CHUNKS
 )
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
@@ -107,11 +108,14 @@
         b'Content-Length: 5\r\nContent-Length: 6',
         b'Transfer-Encoding: chunk',
         b'Transfer-Encoding: gzip, chunked',
+        b'Transfer-Encoding: chunked\r\nContent-Length: 5',
+        b'Content-Length: 5\r\nTransfer-Encoding: chunked',
     ],
 )
 def test_an_answer_of_unclear_length_is_not_whole(read, header):
+    body = CHUNKS if b': chunked' in header else b'hello'
     with pytest.raises(errors.EndpointFailed):
-        read(b'HTTP/1.1 200 OK\r\n' + header + b'\r\n\r\nhello')
+        read(b'HTTP/1.1 200 OK\r\n' + header + b'\r\n\r\n' + body)
 
 
 @pytest.mark.parametrize('read', READERS)
