Take an error that is no JSON object for no answer in the client

Operators saw: a traceback instead of the next VM, if a VM's error was JSON but no object, or its field "error" none.

Cause: the client looked for fields in whatever had been decoded.

Evidence: 5 such bodies in tests/test_malformed_answers_to_operators.py; on the code before each ended the client with an AttributeError.

Change: such an error counts as no usable response.

--- a/packages/carobwood-client/carobwood_client/connection.py
+++ b/packages/carobwood-client/carobwood_client/connection.py
@@ -259,9 +259,19 @@
         raise Unreachable(f'{operator}: the response is not JSON') from error
     if status == 200:
         return decoded
-    error_fields = decoded.get('error', {})
+    error_fields = _error_fields(operator, decoded)
     raise ErrorResponse(
         error_fields.get('code', 'unknown'),
         status,
         error_fields.get('message', f'HTTP status {status}'),
     )
+
+
+def _error_fields(operator, decoded):
+    """Return the fields of an error response; they may be missing."""
+    if not isinstance(decoded, dict):
+        raise Unreachable(f'{operator}: the response is no object')
+    fields = decoded.get('error', {})
+    if not isinstance(fields, dict):
+        raise Unreachable(f'{operator}: the error is no object')
+    return fields
--- a/tests/test_malformed_answers_to_operators.py
+++ b/tests/test_malformed_answers_to_operators.py
@@ -125,3 +125,17 @@
         broken_answers.Framing.CHUNKED, framed_body=body
     )
     assert _unreachable([answer]) == [True]
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'[]', b'"error"', b'null', b'{"error": "text"}', b'{"error": []}'],
+)
+def test_an_error_that_is_no_object_is_no_answer(body):
+    answer = broken_answers.Answer(
+        broken_answers.Framing.LENGTH,
+        status_line=b'HTTP/1.1 500 Internal Server Error',
+        framed_body=body,
+        length=len(body),
+    )
+    assert _unreachable([answer]) == [True]
