--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -100,7 +100,7 @@
         is_stream: whether it is an event stream.
         status_line: its first line.
         interim: bytes before that line.
-        malformed_line: a further line of the head, or empty.
+        extra_line: a further line of the head, or empty.
         position: number of sound field lines before that one.
         framing_blanks: what follows the value of the field that tells the
             framing.
@@ -114,7 +114,7 @@
     is_stream: bool = False
     status_line: bytes = STATUS_LINE
     interim: bytes = b''
-    malformed_line: bytes = b''
+    extra_line: bytes = b''
     position: int = 0
     framing_blanks: bytes = b''
     framed_body: bytes = b''
@@ -133,8 +133,8 @@
             request_id: id of the request that is answered, as bytes.
         """
         lines = self._field_lines(request_id)
-        if self.malformed_line:
-            lines.insert(self.position, self.malformed_line)
+        if self.extra_line:
+            lines.insert(self.position, self.extra_line)
         head = b'\r\n'.join([self.status_line, *lines, b'', b''])
         return self.interim + head + self._encode_body()
 
--- a/tests/test_malformed_answers_to_operators.py
+++ b/tests/test_malformed_answers_to_operators.py
@@ -85,7 +85,7 @@
 def test_an_operator_gets_no_answer_with_a_malformed_field_line(framing):
     sound = _answer(framing)
     answers = [
-        dataclasses.replace(sound, malformed_line=line, position=position)
+        dataclasses.replace(sound, extra_line=line, position=position)
         for line, position in itertools.product(
             broken_answers.MALFORMED_FIELD_LINES.values(), sound.positions()
         )
--- a/tests/test_malformed_field_lines.py
+++ b/tests/test_malformed_field_lines.py
@@ -39,9 +39,7 @@
     sound = broken_answers.Answer(framing, is_stream)
     paths = broken_answers.STREAM_PATHS if is_stream else broken_answers.PATHS
     for position, path in itertools.product(sound.positions(), paths):
-        answer = dataclasses.replace(
-            sound, malformed_line=line, position=position
-        )
+        answer = dataclasses.replace(sound, extra_line=line, position=position)
         data = relay_caller.ask_for(answer, path, number)
         assert broken_answers.is_refusal(data), (position, path, data)
 
@@ -76,9 +74,7 @@
         else broken_answers.PATHS[0]
     )
     for position in sound.positions():
-        answer = dataclasses.replace(
-            sound, malformed_line=line, position=position
-        )
+        answer = dataclasses.replace(sound, extra_line=line, position=position)
         data = relay_caller.ask_for(answer, path, number)
         assert broken_answers.parse(data) == (200, sound.body), position
 
@@ -118,7 +114,7 @@
     sound = broken_answers.Answer(framing, is_stream)
     for position in sound.positions():
         stand_in_vm.chosen = dataclasses.replace(
-            sound, malformed_line=line, position=position
+            sound, extra_line=line, position=position
         )
         data = relay_caller.ask(broken_answers.PATHS[0], 0)
         assert broken_answers.is_refusal(data), (position, data)
@@ -129,8 +125,6 @@
 def test_a_malformed_field_line_ends_a_call_of_a_vm(line, framing):
     sound = broken_answers.Answer(framing)
     for position in sound.positions():
-        answer = dataclasses.replace(
-            sound, malformed_line=line, position=position
-        )
+        answer = dataclasses.replace(sound, extra_line=line, position=position)
         with pytest.raises(errors.EngineCallFailed):
             broken_answers.read_by_call(answer)
--- a/tests/test_malformed_field_lines_for_carobwoodd.py
+++ b/tests/test_malformed_field_lines_for_carobwoodd.py
@@ -41,9 +41,7 @@
     sound = broken_answers.Answer(framing)
     assert broken_answers.read_by_upstream(sound) == (200, sound.body)
     for position in sound.positions():
-        answer = dataclasses.replace(
-            sound, malformed_line=line, position=position
-        )
+        answer = dataclasses.replace(sound, extra_line=line, position=position)
         with pytest.raises(errors.EndpointFailed):
             broken_answers.read_by_upstream(answer)
 
@@ -112,7 +110,7 @@
         endpoint.chosen = broken_answers.Answer(
             broken_answers.Framing.LENGTH,
             is_stream=name == 'stream',
-            malformed_line=line,
+            extra_line=line,
             position=POSITION,
         )
     data = _ask(world, name)
@@ -131,7 +129,7 @@
     for endpoint in endpoints:
         endpoint.chosen = broken_answers.Answer(
             broken_answers.Framing.CHUNKED,
-            malformed_line=b'Content-Length: %d' % length,
+            extra_line=b'Content-Length: %d' % length,
             position=POSITION,
         )
     data = _ask(world, name)
