Do not reuse a connection whose trailer was not waited for

Callers would have seen: the rest of a trailer, or what stands in its place, at the beginning of the next answer on that connection.

Cause: the reader of chunks kept the last bytes of an open trailer, and these told the pool that bytes may still come. Since it reads line by line, nothing is left of whole lines, and the connection looked free.

Change: a chunked body whose end has not come says that bytes may follow, as the contract of bodies has it.

--- a/packages/carobwood/carobwood/response_body.py
+++ b/packages/carobwood/carobwood/response_body.py
@@ -171,8 +171,8 @@
 
     @property
     def has_surplus_bytes(self):
-        """See ``ResponseBody``."""
-        return bool(self._buffer)
+        """See ``ResponseBody``; a trailer may still come."""
+        return bool(self._buffer) or not self._is_complete
 
     @property
     def is_complete(self):
