--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -203,6 +203,35 @@
         )
 
 
+class KeepingEndpoint(AnsweringEndpoint):
+    """An endpoint that answers further requests on each connection.
+
+    Attributes:
+        connection_count: connections that it has accepted.
+    """
+
+    def __init__(self, name, service):
+        self.connection_count = 0
+        super().__init__(name, service)
+
+    def _answer(self, connection):
+        self.connection_count += 1
+        with connection.makefile('rb') as reader:
+            while head := _read_request(reader):
+                connection.sendall(self._make_answer(head))
+
+
+def _read_request(reader):
+    """Return the head of a request, or nothing once there is none."""
+    lines = []
+    while (line := reader.readline()) not in (b'', b'\r\n'):
+        lines.append(line)
+    head = b''.join(lines)
+    length = raw_answers.find_header(head, b'content-length')
+    reader.read(int(length or 0))
+    return head
+
+
 class StandInVm(raw_answers.RawEndpoint):
     """Stands in for the VM that another one passes its requests on to.
 
@@ -267,6 +296,11 @@
         self._endpoints = endpoints
         self._asked = 0
 
+    @property
+    def connection_count(self):
+        """Connections that ``KeepingEndpoint``s have accepted."""
+        return sum(each.connection_count for each in self._endpoints)
+
     def entry_vm(self, number):
         """Return an entry VM by its index."""
         return self._fleet.vms[cut_off_vm.FIRST_ENTRY_VM + number]
@@ -311,15 +345,16 @@
 
 
 @contextlib.contextmanager
-def relay_caller(folder):
+def relay_caller(folder, endpoint_class=AnsweringEndpoint):
     """Yield the ``RelayCaller`` of a new fleet.
 
     Args:
         folder: path of the folder of its data.
+        endpoint_class: class of its endpoints.
     """
     with contextlib.ExitStack() as stack:
         endpoints = [
-            stack.enter_context(AnsweringEndpoint(name, service))
+            stack.enter_context(endpoint_class(name, service))
             for name, service in (
                 ('orders-0', 'orders'),
                 ('engine-0', 'engines'),
