Use one grammar of field names for requests and answers

Change: the parser of requests asks the grammar. Names and comments use the terms of RFC 9110 (whitespace, VCHAR, line folding), the count of lines is named so, and errors of chunks say what is wrong.

--- a/packages/carobwood-client/carobwood_client/connection.py
+++ b/packages/carobwood-client/carobwood_client/connection.py
@@ -169,6 +169,7 @@
             connection.close()
             raise
         if body.has_surplus_bytes:
+            # It is not used again, since it is not connected any more.
             connection.close()
         self._idle_by_operator[operator] = connection
         return response.status, content
--- a/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
+++ b/packages/carobwood-daemon/carobwood_daemon/entry/strict_request.py
@@ -15,6 +15,7 @@
 from cheroot import wsgi as cheroot_wsgi
 
 from carobwood import errors
+from carobwood import http_grammar
 
 from . import request_body
 
@@ -36,7 +37,6 @@
         b'X-Api-Key',
     )
 )
-_HEADER_NAME = re.compile(rb'^[A-Za-z0-9!#$%&\'*+.^_`|~-]+$')
 _CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 _LENGTH_PATTERN = re.compile(rb'^[0-9]{1,18}$')
 
@@ -80,7 +80,7 @@
                 )
             )
         name, separator, value = line[:-2].partition(b':')
-        if not separator or not _HEADER_NAME.match(name):
+        if not separator or not http_grammar.is_field_name(name):
             raise _header_error(
                 errors.MalformedRequest('a header name is malformed')
             )
--- a/packages/carobwood/carobwood/http_grammar.py
+++ b/packages/carobwood/carobwood/http_grammar.py
@@ -1,23 +1,24 @@
-"""Grammar of the lines of an HTTP/1 response.
+"""Grammar of the lines of HTTP/1 messages.
 
 Source: RFC 9110, sections 5.1, 5.5 and 5.6.2; RFC 9112, sections 2.2, 4, 5
-and 7.1. A line of a head may end with LF alone. Folded lines are refused, as a
+and 7.1. A line of a head may end with LF alone. Line folding is refused, as a
 proxy may do.
 """
 
 import re
 
-# A tab, visible characters with blanks between them, and bytes beyond ASCII.
+# HTAB, SP, VCHAR and obs-text.
 _TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _LINE_END = rb'\r?\n'
-_BLANKS = b' \t'
+_WHITESPACE = b' \t'
 # A reason may be missing with the space before it.
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.[0-9] [1-5][0-9]{2}( ' + _TEXT + rb')?' + _LINE_END
 )
 # More digits than the largest size of any body needs are refused.
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,12})[ \t]*(;' + _TEXT + rb')?')
+_FIELD_NAME = re.compile(_TOKEN)
 _FIELD_LINE = re.compile(rb'(' + _TOKEN + rb'):(' + _TEXT + rb')' + _LINE_END)
 
 
@@ -30,6 +31,11 @@
     return _STATUS_LINE.fullmatch(line) is not None
 
 
+def is_field_name(name):
+    """Tell whether bytes are the name of a field."""
+    return _FIELD_NAME.fullmatch(name) is not None
+
+
 def parse_field_line(line):
     """Return the name and the value of a field, or None if it is malformed.
 
@@ -37,12 +43,12 @@
         line: bytes of the line, with its end.
 
     Returns:
-        Both as bytes; the value is without the blanks around it.
+        Both as bytes; the value is without the whitespace around it.
     """
     match = _FIELD_LINE.fullmatch(line)
     if match is None:
         return None
-    return match[1], match[2].strip(_BLANKS)
+    return match[1], match[2].strip(_WHITESPACE)
 
 
 def parse_chunk_size(line):
--- a/packages/carobwood/carobwood/response_body.py
+++ b/packages/carobwood/carobwood/response_body.py
@@ -22,7 +22,7 @@
 
 
 class BadChunk(http.client.HTTPException):
-    """A chunk does not have the size that it declares, or declares none."""
+    """A chunk has another size than it declares, or declares none."""
 
 
 class BadTrailer(http.client.HTTPException):
@@ -262,7 +262,7 @@
             return None, position
         size = http_grammar.parse_chunk_size(buffer[position:end])
         if size is None:
-            raise BadChunk('size')
+            raise BadChunk('its size is malformed')
         return size, end + len(_CRLF)
 
     def _strip_trailing_crlf(self, piece):
@@ -273,7 +273,7 @@
         if count == 0:
             return piece
         if piece[-count:] != _CRLF[received - count : received]:
-            raise BadChunk('end')
+            raise BadChunk('no CRLF follows its data')
         return piece[:-count]
 
 
--- a/packages/carobwood/carobwood/response_head.py
+++ b/packages/carobwood/carobwood/response_head.py
@@ -4,7 +4,7 @@
 length or an encoding that it cannot read for none. A response that broke off
 there would look like a whole one with an empty or a short body. It also takes
 any number below 1000 for a status, in any form that Python reads as a number.
-Its parser of fields ends a head at a line that it cannot read, and forgets the
+Its header parser ends a head at a line that it cannot read, and forgets the
 fields after that line, those of the framing among them.
 """
 
@@ -36,7 +36,7 @@
     def __init__(self, reader):
         self._reader = reader
         # Lines of the current head that have been read.
-        self._count = 0
+        self._line_count = 0
         self.has_ended = False
 
     def readline(self, limit=-1):
@@ -47,22 +47,22 @@
             BadFieldLine: it should be a field and is none.
         """
         line = self._reader.readline(limit)
-        self.has_ended = self._count > 0 and line in _END_OF_HEAD
-        if self._count == 0:
+        self.has_ended = self._line_count > 0 and line in _END_OF_HEAD
+        if self._line_count == 0:
             _check_status_line(line)
         elif line.endswith(b'\n') and not self.has_ended:
             line = self._normalize_field_line(line)
-        self._count = 0 if self.has_ended else self._count + 1
+        self._line_count = 0 if self.has_ended else self._line_count + 1
         return line
 
     def _normalize_field_line(self, line):
-        """Return the line of a field without the blanks around its value.
+        """Return the line of a field without the whitespace around its value.
 
-        ``http.client`` compares values with the blanks behind them.
+        ``http.client`` compares values with the whitespace behind them.
         """
         field = http_grammar.parse_field_line(line)
         if field is None:
-            raise BadFieldLine(f'line {self._count + 1} of a head')
+            raise BadFieldLine(f'line {self._line_count + 1} of a head')
         return b'%s: %s\r\n' % field
 
     def close(self):
