Review case 7: engines that were cut off for a while are lost for good

Cause: an entry VM drops an endpoint that is silent and accepts no connection; control VMs keep it, so that its next announcement is no news that they spread.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,8 @@
-"""An entry of another writer, without a field, stands beside sound ones."""
+"""Engines are cut off for some seconds each, one after the other."""
 
 import os
 import pathlib
+import socket
 import sys
 import threading
 import time
@@ -11,127 +12,143 @@
 import lab  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-# The fields that the other writer leaves out.
-MISSING = os.environ.get('MISSING', 'slots').split(',')
 HOST = 'booths.example'
-KEY = 'key-of-the-booths'
-SERVICE = 'app-one'
-REQUESTS = 100
-REQUESTS_PER_SECOND = 20
+FIRST, LATER = 'app-one', 'app-two'
+# The site's largest dose of node_cut, and the time between two cuts.
+CUT_SECONDS = float(os.environ.get('CUT', '5.5'))
+PAUSE_SECONDS = 4.0
+# Time after the last cut, contact_ms and more, and between the samples.
+SETTLE_SECONDS = 10.0
+REQUESTS = 40
 
 
-class OtherWriter(lab.Engine):
-    """A server of another writer; its entry lacks fields of PROTOCOL.md."""
+class CutOffEngine(lab.Engine):
+    """An engine that can be partitioned from all machines of the system."""
+
+    is_cut_off = False
 
     def describe(self):
-        """Return the body of a heartbeat, without some of its fields."""
-        body = super().describe()
-        for name in MISSING:
-            del body[name]
-        return body
+        """Return the body of a heartbeat, once it can be sent."""
+        while self.is_cut_off:
+            time.sleep(0.05)
+        return super().describe()
+
+    def cut_off(self):
+        """Refuse all connections and send no heartbeat; go on running."""
+        self.record.note('cut', engine=self.id)
+        self.is_cut_off = True
+        self.port = self.listener.getsockname()[1]
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def heal(self):
+        """End the partition; the engine is the same incarnation."""
+        self.listener = socket.create_server(
+            (self.fleet.engine_host, self.port), backlog=512
+        )
+        self.is_cut_off = False
+        threading.Thread(target=self._accept, daemon=True).start()
+        self.record.note('healed', engine=self.id)
 
 
-def configuration():
-    """Return the configuration of version 7."""
+def route(name, service):
+    """Return a route to a service."""
     return {
-        'version': 7,
-        'routes': [
-            {
-                'name': 'r-pay', 'host': HOST,
-                'path_prefix': '/pay/', 'kind': 'unsafe',
-                'timeout_ms': 3000, 'target_latency_ms': 400, 'priority': 0,
-                'service': SERVICE, 'max_attempts': 1, 'public': False,
-                'sticky': False, 'resumable': False,
-            },
-        ],
+        'name': f'r-{name}', 'host': HOST, 'path_prefix': f'/{name}/',
+        'kind': 'safe', 'timeout_ms': 3000, 'target_latency_ms': 400,
+        'priority': 1, 'service': service, 'max_attempts': 2, 'public': True,
+        'sticky': False, 'resumable': False,
+    }
+
+
+def configuration(version, routes):
+    """Return a configuration."""
+    return {
+        'version': version,
+        'routes': routes,
         'services': [
             {
-                'name': SERVICE, 'health_path': '/health', 'max_conns': 100,
+                'name': name, 'health_path': '/health', 'max_conns': 100,
                 'protocol': 'h1', 'tls': False,
-            },
+            }
+            for name in (FIRST, LATER)
         ],
         'limits': lab.LIMITS,
-        'tenants': [
-            {
-                'name': 'booths', 'api_keys': [KEY], 'priority': 1,
-                'unit': 'tokens', 'plain_tokens': 200, 'isolated': False,
-                'rate_per_s': 70603, 'burst': 70603,
-            },
-        ],
     }
 
 
-def send(fleet, statuses):
-    """Send one request and record its answer."""
-    request_id = lab.new_id()
-    vm = fleet.front[int(request_id, 16) % len(fleet.front)]
-    headers = {
-        'Host': HOST,
-        'X-Carobwood-Request-Id': request_id,
-        'X-Carobwood-Deadline-Ms': '3000',
-        'Authorization': f'Bearer {KEY}',
-    }
-    fleet.record.note('send', id=request_id, vm=vm.name)
-    try:
-        status, found, _ = lab.call(
-            vm.host, fleet.front_port, 'POST', '/pay/pay', b'x' * 200,
-            headers, timeout=3.5,
+def count_served(fleet, name):
+    """Return how many of some requests on a route are answered 200."""
+    served = 0
+    for number in range(REQUESTS):
+        vm = fleet.front[number % len(fleet.front)]
+        request_id = lab.new_id()
+        headers = {
+            'Host': HOST,
+            'X-Carobwood-Request-Id': request_id,
+            'X-Carobwood-Deadline-Ms': '3000',
+        }
+        try:
+            status, _, content = lab.call(
+                vm.host, fleet.front_port, 'GET', f'/{name}/x', None,
+                headers, timeout=3.5,
+            )
+        except OSError as error:
+            status, content = 0, repr(error).encode()
+        fleet.record.note(
+            'answer', route=name, vm=vm.name, id=request_id, status=status,
+            body=content[:110] if status != 200 else b'',
         )
-        stamp = found.get('x-carobwood-response-stamp')
-    except OSError:
-        status, stamp = 0, None
-    fleet.record.note('answer', id=request_id, status=status, stamp=stamp)
-    statuses.append(status)
+        served += status == 200
+    return served
 
 
 def main(record):
     """Play the case and return the exit code."""
     fleet = lab.Fleet(record)
-    engines = [
-        lab.Engine(fleet, SERVICE, lab.ZONES[i % 3], (), slots=6)
-        for i in range(3)
-    ]
-    other = OtherWriter(fleet, SERVICE, lab.ZONES[0], (), slots=6)
+    engines = {
+        service: [
+            CutOffEngine(fleet, service, zone, (), slots=6)
+            for zone in lab.ZONES
+        ]
+        for service in (FIRST, LATER)
+    }
     try:
         fleet.start()
-        for engine in engines:
+        for engine in engines[FIRST] + engines[LATER]:
             engine.start()
-        if TROUBLE:
-            record.note(
-                'other-writer', id=other.id, address=other.address,
-                missing=MISSING,
-            )
-            other.start()
-        fleet.order('PUT', '/v1/config', configuration())
+        routes = [route('first', FIRST)]
+        fleet.order('PUT', '/v1/config', configuration(1, routes))
         fleet.await_ready()
-        time.sleep(5.0)
-        statuses = []
-        threads = []
-        for _ in range(REQUESTS):
-            thread = threading.Thread(target=send, args=(fleet, statuses))
-            thread.start()
-            threads.append(thread)
-            time.sleep(1 / REQUESTS_PER_SECOND)
-        for thread in threads:
-            thread.join()
-        return judge(record, engines, other, statuses)
+        time.sleep(3.0)
+        routes.append(route('later', LATER))
+        fleet.order('PUT', '/v1/config', configuration(2, routes))
+        time.sleep(3.0)
+        before = count_served(fleet, 'first'), count_served(fleet, 'later')
+        if not all(before):
+            raise lab.CaseCouldNotRun('a route was not served before')
+        for engine in engines[LATER]:
+            if TROUBLE:
+                engine.cut_off()
+            time.sleep(CUT_SECONDS)
+            if TROUBLE:
+                engine.heal()
+            time.sleep(PAUSE_SECONDS)
+        return judge(fleet, record, before)
     finally:
         fleet.close()
 
 
-def judge(record, engines, other, statuses):
-    """Return 1 if the rule was broken, else 0."""
-    sound = sum(len(engine.runs) for engine in engines)
-    record.note(
-        'result', run_by_engines=sound, run_by_other=len(other.runs),
-        served=statuses.count(200),
-    )
-    print(f'{sound} requests were run by the engines, {len(other.runs)} by '
-          f'the server of the other writer; {statuses.count(200)} of '
-          f'{len(statuses)} were answered 200')
-    if not sound:
-        raise lab.CaseCouldNotRun('no request was run by an engine')
-    return int(bool(other.runs))
+def judge(fleet, record, before):
+    """Return 1 if the rule was broken at the end, else 0."""
+    print(f'before: first {before[0]}, later {before[1]} of {REQUESTS}')
+    for _ in range(2):
+        time.sleep(SETTLE_SECONDS)
+        first = count_served(fleet, 'first')
+        later = count_served(fleet, 'later')
+        record.note('sample', first=first, later=later, sent=REQUESTS)
+        print(f'after the cuts: first {first}, later {later} of {REQUESTS}')
+    return int(later < first / 4)
 
 
 lab.exit_with(main)
