End a review script with 2 if the script itself fails

Cause: an error in a stand-in ended a script with 1, as a broken rule does; only the first of the ports was looked at for being free. Change: such an error ends with 2; all ports of a machine are looked at.

--- a/review/fleet2/lab.py
+++ b/review/fleet2/lab.py
@@ -18,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ('bole', 'kirkos', 'arada')
@@ -102,20 +103,21 @@
             self._file.flush()
 
 
-def free_port(hosts):
-    """Return a port that is free on all of some addresses."""
+def free_ports(hosts, count):
+    """Return the first of some ports that are free on some addresses."""
     while True:
-        port = random.randint(20000, 30000)
+        first = random.randint(20000, 30000)
         try:
             for host in hosts:
-                with socket.socket() as probe:
-                    probe.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
-                    )
-                    probe.bind((host, port))
+                for port in range(first, first + count):
+                    with socket.socket() as probe:
+                        probe.setsockopt(
+                            socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+                        )
+                        probe.bind((host, port))
         except OSError:
             continue
-        return port
+        return first
 
 
 class Vm:
@@ -234,13 +236,12 @@
         # Machines that were removed or replaced.
         self.removed = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='case-'))
-        self.block = random.randint(10, 240)
-        net = f'127.{self.block}.{random.randint(1, 250)}'
+        net = f'127.{random.randint(10, 240)}.{random.randint(1, 250)}'
         core_hosts = [f'{net}.{10 + i}' for i in range(core_count)]
         front_hosts = [f'{net}.{50 + i}' for i in range(front_count)]
         self.engine_host = f'{net}.200'
         hosts = core_hosts + front_hosts
-        self.front_port = free_port(hosts)
+        self.front_port = free_ports(hosts, 26)
         self.ready_port = self.front_port + 1
         self.control_port = self.front_port + 2
         self.first_port = self.front_port + 10
@@ -607,4 +608,10 @@
         record.note('could-not-run', reason=error)
         print(f'could not run: {error}')
         code = 2
+    except Exception:
+        # Not the rule's break, which is exit code 1.
+        traceback.print_exc()
+        code = 2
+    sys.stdout.flush()
+    sys.stderr.flush()
     os._exit(code)
