Know an endpoint again that an entry VM has dropped

What callers saw: each endpoint of a service was cut off for 5.5 s, one after the other.

Cause: an entry VM drops an endpoint that is silent for 4 s and accepts no connection, control VMs keep it. Only announcements that differ in start, address, weights or leaving were spread, and after a cut none of it differs.

Why it works: an announcement that ends a silence is news, so whoever was told of the silence is told of its end. What a member has dropped although its aggregator heard it (a cut of its own data centre, a wrong answer at the address) it finds by the list of silent endpoints that each reply has, and asks for all records again, once. No message changes.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -70,6 +70,9 @@
         self._lock = threading.Lock()
         self._endpoints_by_id = {}
         self._tombstones_by_id = {}
+        # When the dropped endpoints were last known to be silent.
+        self._dropped_at_by_id = {}
+        self._is_reread_due = False
         self._announced_here_at_by_id = {}
         # When a member of this VM's group has last sent news of an endpoint.
         self._member_news_at_by_id = {}
@@ -146,16 +149,50 @@
                 return False
             if known is not None and self._is_outdated(endpoint, known):
                 return False
+            if known is None and not self._may_return(endpoint, tombstone):
+                return False
+            silence = self._silence_of(known)
             self._endpoints_by_id[endpoint.id] = endpoint
             if is_from_member:
                 self._member_news_at_by_id[endpoint.id] = self._clock()
-            changed = known is None or _must_spread(known, endpoint)
+            # Others may have dropped an endpoint that was silent here.
+            is_heard_again = silence > ENDPOINT_SILENCE_SECONDS
+            changed = (
+                known is None
+                or is_heard_again
+                or _must_spread(known, endpoint)
+            )
+        if is_heard_again:
+            events.emit(
+                events.ENDPOINT_HEARD_AGAIN,
+                endpoint=endpoint.id,
+                silent_seconds=round(silence, 3),
+            )
         if changed:
             self._log_change(endpoint)
             for listener in self._endpoint_listeners:
                 listener(endpoint)
         return True
 
+    def _may_return(self, endpoint, tombstone):
+        """Tell whether an announcement may bring an endpoint back.
+
+        The last one of an endpoint that has ended may have reached other VMs
+        only, which keep it.
+        """
+        ended_incarnation, _ = tombstone
+        if endpoint.incarnation != ended_incarnation:
+            return True
+        if (
+            endpoint.id in self._unconfirmed_ids
+            and self._silence_of(endpoint) > ENDPOINT_SILENCE_SECONDS
+        ):
+            return False
+        if self._dropped_at_by_id.pop(endpoint.id, None) is not None:
+            # What this VM knew of it was dropped as well.
+            self._is_reread_due = True
+        return True
+
     def announces_to_this_vm(self, endpoint):
         """Tell whether an endpoint announces itself to this VM."""
         announced_at = self._announced_here_at_by_id.get(
@@ -225,6 +262,12 @@
         heard_at = max(endpoint.last_seen_at, self._confirmed_at)
         return self._clock() - heard_at
 
+    def _silence_of(self, endpoint):
+        """Return for how many seconds an endpoint, or None, is silent."""
+        if endpoint is None:
+            return 0.0
+        return self._clock() - self._heard_at(endpoint)
+
     def _heard_at(self, endpoint):
         if endpoint.id in self._unconfirmed_ids:
             return endpoint.last_seen_at
@@ -270,6 +313,32 @@
         with self._lock:
             self._confirmed_at = self._clock()
             self._unconfirmed_ids = frozenset(silent_ids)
+            self._review_dropped()
+
+    def _review_dropped(self):
+        """Find the dropped endpoints that the aggregator hears.
+
+        It tells of each return, but not of what it has heard all the time.
+        One that it has not heard since the drop becomes silent there.
+        """
+        now = self._confirmed_at
+        for endpoint_id, dropped_at in list(self._dropped_at_by_id.items()):
+            if endpoint_id in self._unconfirmed_ids:
+                self._dropped_at_by_id[endpoint_id] = now
+            elif now - dropped_at > ENDPOINT_SILENCE_SECONDS:
+                del self._dropped_at_by_id[endpoint_id]
+                self._is_reread_due = True
+
+    def take_reread_due(self):
+        """Tell once whether the aggregator has to send all records again.
+
+        It may hold records of endpoints that this VM has dropped and that
+        have not ended.
+        """
+        with self._lock:
+            is_due = self._is_reread_due
+            self._is_reread_due = False
+        return is_due
 
     def confirm_alive(self, endpoint):
         """Reset the silence of an endpoint that answered a probe."""
@@ -312,6 +381,7 @@
             self._member_news_at_by_id.pop(endpoint.id, None)
             if self.is_named(endpoint):
                 self._tombstones_by_id[endpoint.id] = endpoint.order
+                self._dropped_at_by_id[endpoint.id] = self._clock()
         events.emit(events.ENDPOINT_EXPIRED, endpoint=endpoint.id)
 
     def drop_replaced(self, endpoint, found_id):
--- a/packages/carobwood-daemon/carobwood_daemon/membership/uplink.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/uplink.py
@@ -92,6 +92,9 @@
             )
         self.period = reply.period_ms / 1000
         self._gossip.merge_summary(message, reply)
+        if self._directory.take_reread_due():
+            self._received_position = None
+            events.emit(events.RECORDS_READ_AGAIN, vm=reply.vm.vm_id)
         self._contact.note_reply(reply)
         found_address = self._search.take_found()
         if self._contact.is_lost:
--- a/packages/carobwood/carobwood/events.py
+++ b/packages/carobwood/carobwood/events.py
@@ -102,6 +102,8 @@
 )
 AGGREGATOR_IN_CONTACT = Event(339, 'aggregator-in-contact', logging.INFO)
 ORDER_CALL_FAILED = Event(340, 'order-call-failed', logging.WARNING)
+ENDPOINT_HEARD_AGAIN = Event(341, 'endpoint-heard-again', logging.INFO)
+RECORDS_READ_AGAIN = Event(342, 'records-read-again', logging.INFO)
 CACHE_LOST = Event(315, 'cache-lost', logging.WARNING)
 CACHE_REGAINED = Event(316, 'cache-regained', logging.INFO)
 TERM_STARTED = Event(400, 'term-started', logging.INFO)
--- a/tests/test_predecessors_that_drain.py
+++ b/tests/test_predecessors_that_drain.py
@@ -83,3 +83,24 @@
     )
     reply = _ask(fleet, '/captions/pause-2500-after-2')
     assert (reply.status, reply.body) == (200, EVENTS)
+
+
+# An endpoint that was dropped for the answer of another one, and went on
+# announcing itself without a change, got no requests from that VM any more.
+def test_an_endpoint_that_goes_on_is_known_again_without_a_change(fleet):
+    engine = fleet.engines[0]
+    engine.instance_id = f'{engine.name}-anew'
+    _vm(fleet).pool.close_idle(engine.address)
+    _ask(fleet, '/captions/x')
+    assert _find(fleet, engine) is None
+    engine.instance_id = engine.name
+
+    def announce_and_find():
+        fleet.announce(engine)
+        return _find(fleet, engine)
+
+    relay_test_fleet.await_reply(
+        announce_and_find, lambda known: known is not None
+    )
+    reply = _ask(fleet, '/captions/x')
+    assert reply.status == 200
