Know VMs again that were forgotten after a long silence

What callers saw: nothing that was reported. After a cut of 120 s between data centres each side went on without the entry VMs of the other for good: who does not know a VM counts the fleet too small and forwards it nothing.

Cause: VMs without a disk are forgotten after 120 s of silence, by each VM on its own, and their descriptors are sent at their start only. Those that still know a VM have nothing new to tell those that have forgotten it.

Change: a return after half that time is news and a sign of life; an aggregator sends all again after as long without an answer, including what it has from the receiver; a member that has not run for as long reads all again.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/directory.py
@@ -12,6 +12,9 @@
 VM_SILENCE_SECONDS = 2.0
 # Time after which a VM that is silent and has no disk is forgotten.
 VM_FORGET_SECONDS = 120.0
+# Silence of a VM after which its return is news: others may have forgotten it
+# by the time that they hear of it.
+VM_NEWS_AGAIN_SECONDS = VM_FORGET_SECONDS / 2
 # Minimum time between two rosters that differ only in versions of the
 # replicated state.
 ROSTER_VERSIONS_SECONDS = 5.0
@@ -81,6 +84,7 @@
         self._roster_number = 0
         self._roster_sent_at = float('-inf')
         self._last_live_at_by_id = {}
+        self._reviewed_at = clock()
         # Whether this VM aggregates the reports of others.
         self._is_aggregator = True
 
@@ -193,13 +197,14 @@
             known = self._vms_by_id.get(vm.id)
             if known is not None and known.incarnation > vm.incarnation:
                 return
+            is_back = self._note_return(vm)
             self._vms_by_id[vm.id] = dataclasses.replace(
                 vm,
                 last_seen_at=self._clock(),
                 version=version,
                 is_member=is_member,
             )
-        self._announce_start(vm, known)
+        self._announce_start(vm, None if is_back else known)
 
     def merge_vm(self, vm):
         """Merge a VM's descriptor that another VM sent."""
@@ -208,11 +213,28 @@
                 self._exceed_incarnation(vm)
                 return
             known = self._vms_by_id.get(vm.id)
-            if known is not None and known.incarnation >= vm.incarnation:
-                self._add_features(known, vm)
+            if known is not None and known.incarnation > vm.incarnation:
                 return
-            self._vms_by_id[vm.id] = vm
-        self._announce_start(vm, known)
+            is_back = self._note_return(vm)
+            if known is None or known.incarnation < vm.incarnation:
+                self._vms_by_id[vm.id] = vm
+            else:
+                self._add_features(known, vm)
+        self._announce_start(vm, None if is_back else known)
+
+    def _note_return(self, vm):
+        """Note that a VM has come back if it was silent for long.
+
+        Returns:
+            Whether others may have forgotten it.
+        """
+        now = self._clock()
+        last_live_at = self._last_live_at_by_id.get(vm.id, now)
+        is_back = now - last_live_at > VM_NEWS_AGAIN_SECONDS
+        if is_back:
+            # No roster may tell of it yet.
+            self._last_live_at_by_id[vm.id] = now
+        return is_back
 
     def _add_features(self, known, vm):
         """Add features that an aggregator of an older build had dropped."""
@@ -247,12 +269,23 @@
         """
         self._is_aggregator = is_aggregator
         with self._lock:
+            self._require_reread_after_pause()
             self._forget_lost_vms()
             has_changed = is_aggregator and self._update_roster()
         if has_changed:
             for listener in self._roster_listeners:
                 listener(self._own_vm.id)
 
+    def _require_reread_after_pause(self):
+        """Note that this VM may forget VMs that are alive.
+
+        It has not run for long, and heard of none meanwhile.
+        """
+        now = self._clock()
+        if now - self._reviewed_at > VM_NEWS_AGAIN_SECONDS:
+            self._is_reread_due = True
+        self._reviewed_at = now
+
     def _update_roster(self):
         """Replace this VM's roster if it has changed; return whether so."""
         now = self._clock()
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip.py
@@ -305,8 +305,11 @@
         ]
 
     def _answer_member(self, message, reply):
+        # A member that asks for all may have lost what it told of as well.
+        wants_all = message.position is None
+
         def is_wanted(source):
-            return source.vm_id != message.vm.vm_id
+            return wants_all or source.vm_id != message.vm.vm_id
 
         reply.records, reply.position = self._records.read(
             message.position, is_wanted, is_wanted
--- a/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/gossip_peers.py
@@ -9,6 +9,8 @@
 from carobwood import events
 from carobwood.gen.links import ttypes
 
+from . import directory as directories
+
 CALL_TIMEOUT_SECONDS = 1.0
 # Period of an uplink before its aggregator has named one.
 INITIAL_PERIOD_SECONDS = 0.1
@@ -124,14 +126,17 @@
         self._vm_id = ''
         self._position = None
         self._incarnation = 0
+        self._answered_at = clocks.now()
         # From when on news of members has still to be passed on.
         self._members_sent_until = float('-inf')
 
     def exchange(self):
         """Send the records that the other aggregator lacks."""
         now = clocks.now()
+        # One that may have lost what it knew also lacks what it told of.
+        receiver_id = '' if self._position is None else self._vm_id
         message, next_position = self._gossip.make_message(
-            ttypes.SenderRole.AGGREGATOR, self._position, self._vm_id
+            ttypes.SenderRole.AGGREGATOR, self._position, receiver_id
         )
         self._add_refreshed_endpoints(message)
         message.records.announcements += self._gossip.announcements_of_members(
@@ -148,14 +153,22 @@
         self._position = next_position
         self._members_sent_until = now
         self._vm_id = reply.vm.vm_id
-        if reply.vm.incarnation != self._incarnation:
-            # The other VM was restarted and has lost what it was sent.
-            if self._incarnation:
-                self._position = None
-                self._is_woken = True
-            self._incarnation = reply.vm.incarnation
+        if self._incarnation and self._may_lack_records(reply, now):
+            self._position = None
+            self._is_woken = True
+        self._incarnation = reply.vm.incarnation
+        self._answered_at = now
         self._gossip.merge_reply(reply)
 
+    def _may_lack_records(self, reply, now):
+        """Tell whether the other VM has lost what it was sent.
+
+        It was restarted, or has forgotten VMs that it had not heard of.
+        """
+        if reply.vm.incarnation != self._incarnation:
+            return True
+        return now - self._answered_at > directories.VM_NEWS_AGAIN_SECONDS
+
     def _silent_period(self):
         """Return the seconds until a VM that has not answered is asked again.
 
