Hand the vote of a control VM that stops to its successor

Cause: a successor joins as a learner and became a voter only once a voter had been silent for 4 s. A VM that stopped transferred leadership but kept its vote, so that the voters were one that was gone, one with a lost disk and one more: no majority, and nobody who could change it.

Change: a voter that stops asks the leader to make a learner a voter and to remove it after that (events 415 and 416, at most 2 s, with the call replace_voter without a new VM, which earlier builds refuse). A learner that answers may catch up meanwhile; without one the vote is kept, as there must never be fewer voters than before. A new leader counts the silence of the former one from its last message.

It works because the quorum after the end of a VM consists of VMs that run, so that another loss leaves a majority of them.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/fleet_handler.py
@@ -90,13 +90,18 @@
         return ttypes.JoinReply(True, self._replica_runner.fleet_id, '')
 
     def replace_voter(self, request):
-        """Replace a voter; see ``MembershipChanges.replace``."""
+        """Replace a voter; see ``MembershipChanges.replace``.
+
+        Without a new VM, see ``MembershipChanges.hand_over``. Earlier builds
+        refuse that after the time that the request names.
+        """
+        timeout = request.timeout_ms / 1000
         try:
-            self._require_voter().replace(
-                request.old_vm_id,
-                request.new_vm_id,
-                request.timeout_ms / 1000,
-            )
+            voter = self._require_voter()
+            if request.new_vm_id:
+                voter.replace(request.old_vm_id, request.new_vm_id, timeout)
+            else:
+                voter.hand_over(request.old_vm_id, timeout)
         except errors.NotLeader as error:
             return ttypes.ReplaceReply(
                 ttypes.ProposeStatus.NOT_LEADER, '', error.leader_address
--- a/packages/carobwood-daemon/carobwood_daemon/replication/membership_changes.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/membership_changes.py
@@ -132,6 +132,53 @@
             others = [m for m in membership.voters if m is not failed]
             self._promote_one(membership.learners, others)
 
+    def hand_over(self, vm_id, timeout):
+        """Make a learner a voter in place of one that is about to stop.
+
+        A learner that answers has until the deadline to catch up: the number
+        of voters never falls below what it was. Returns once the change is
+        committed, or at once if the VM has no vote.
+
+        Args:
+            vm_id: the VM that stops.
+            timeout: seconds for the whole change.
+
+        Raises:
+            NotLeader: this replica does not lead.
+            ReplacementRefused: no learner has caught up, or the change took
+                too long.
+        """
+        deadline = clocks.now() + timeout
+        replica = self._replica
+        while True:
+            self._wait_until(deadline, self._can_change_membership)
+            with replica.changed:
+                self._require_leader()
+                voter = replica.membership.voter_on(vm_id)
+                if voter is None:
+                    return
+                self._hand_over_step(voter, deadline)
+                replica.changed.wait(POLL_PERIOD_SECONDS)
+
+    def _hand_over_step(self, voter, deadline):
+        """Promote a learner, or remove the voter once one is promoted."""
+        membership = self._replica.membership
+        if len(membership.voters) > self._target_voters:
+            if self._has_quorum_without(voter):
+                self._append_membership(membership.without(voter.replica_id))
+            return
+        candidates = [
+            member
+            for member in membership.learners
+            if member.vm_id != voter.vm_id
+        ]
+        others = [m for m in membership.voters if m is not voter]
+        if self._promote_one(candidates, others):
+            return
+        is_late = clocks.now() > deadline
+        if is_late or all(map(self._has_been_silent, candidates)):
+            raise errors.ReplacementRefused('no learner has caught up')
+
     def remove_lost_learners(self):
         """Remove a learner at whose address another replica is alive.
 
@@ -162,10 +209,13 @@
         Args:
             candidates: the learners that may be promoted.
             voters: the voters beside which it will vote.
+
+        Returns:
+            Whether there is one.
         """
         caught_up = [m for m in candidates if self._is_caught_up(m)]
         if not caught_up:
-            return
+            return False
         data_centres = self._find_data_centres()
         counts = collections.Counter(
             data_centres.get(voter.address) for voter in voters
@@ -175,6 +225,7 @@
         )
         membership = self._replica.membership
         self._append_membership(membership.with_voter(chosen))
+        return True
 
     def _find_failed_voter(self, unresponsive_seconds):
         replica = self._replica
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica.py
@@ -83,6 +83,7 @@
         leader_id: id of the known leader of the term, or empty.
         leader_address: link address of that leader, or empty.
         leader_contact_at: monotonic time of the leader's last message.
+        last_leader_id: id of the replica that sent it, in whichever term.
         election_timeout_at: monotonic time of the next election timeout.
         commit_index: highest index known to be committed.
         applied_index: highest index applied to the state machine.
@@ -118,6 +119,7 @@
         # Before a restart this replica may have acknowledged a message
         # that extends the leader's lease, so it must not vote at once.
         self.leader_contact_at = clocks.now()
+        self.last_leader_id = ''
         self.election_timeout_at = 0.0
         self.commit_index = log.base.index
         self.applied_index = log.base.index
@@ -355,9 +357,20 @@
         entry = self.append_locked(commands.encode(commands.NoOperation()))
         self.term_start_index = entry.index
         self.update_tracked_members()
+        self._count_silence_of_former_leader()
         self.notify_all_waiting()
         events.emit(events.LEADER_ELECTED, term=self.term, vm=self.vm_id)
 
+    def _count_silence_of_former_leader(self):
+        """Date the last answer of the former leader back to its last message.
+
+        It may be the loss that has caused the election, and is replaced
+        after as long as any other voter.
+        """
+        progress = self.progress_by_id.get(self.last_leader_id)
+        if progress is not None:
+            progress.acked_at = min(progress.acked_at, self.leader_contact_at)
+
     def update_tracked_members(self):
         """Keep a ``Progress`` for each other member, and for no one else."""
         members = self.membership.members_by_id.keys() - {self.replica_id}
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica_requests.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica_requests.py
@@ -151,6 +151,7 @@
             self._replica.become_follower(request.term)
         self._replica.leader_id = request.leader_id
         self._replica.leader_contact_at = clocks.now()
+        self._replica.last_leader_id = request.leader_id
         self._replica.reset_election_timeout()
         return None
 
--- a/packages/carobwood-daemon/carobwood_daemon/replication/replica_runner.py
+++ b/packages/carobwood-daemon/carobwood_daemon/replication/replica_runner.py
@@ -6,6 +6,7 @@
 
 from carobwood import clocks
 from carobwood import errors
+from carobwood import events
 from carobwood.gen.links import ttypes
 
 from . import applier
@@ -28,6 +29,8 @@
 MAINTENANCE_PERIOD_SECONDS = 0.25
 # Bound on the time that a stopping leader spends on the transfer.
 TRANSFER_TIMEOUT_SECONDS = 3.0
+# Bound on the time that a stopping voter waits for a learner in its place.
+HAND_OVER_TIMEOUT_SECONDS = 2.0
 _FLEET_ID_BYTES = 8
 # Replica ids of the first voters are derived from their addresses.
 _FOUNDER_ID_PREFIX = 'first-'
@@ -218,6 +221,18 @@
         self.replica.contact_age()
         self._membership_changes.replace(old_vm_id, new_vm_id, timeout)
 
+    def hand_over(self, vm_id, timeout):
+        """Replace a voter that stops; see ``MembershipChanges.hand_over``.
+
+        Raises:
+            NotLeader: there is no replica, or it does not lead.
+            ReplacementRefused: no learner has caught up, or the change took
+                too long.
+        """
+        # Raises NotLeader if there is no replica.
+        self.replica.contact_age()
+        self._membership_changes.hand_over(vm_id, timeout)
+
     def handle_transfer(self, request):
         """Answer a ``TransferRequest``: start an election at once.
 
@@ -229,11 +244,16 @@
         return self._elector.campaign_now(request.term)
 
     def stop(self):
-        """Transfer leadership, store the commit index and stop the replica."""
+        """Hand leadership and vote over, and stop the replica.
+
+        The commit index is stored. The VM may not come back; until it does,
+        a voter that has stopped is one loss that the fleet can't bear twice.
+        """
         replica = self._replica
         if replica is None:
             return
         self._transfer_leadership()
+        self._hand_vote_over()
         with replica.changed:
             replica.stopped = True
             replica.notify_all_waiting()
@@ -362,6 +382,52 @@
             while replica.is_leader and clocks.now() < deadline:
                 replica.changed.wait(MAINTENANCE_PERIOD_SECONDS)
 
+    def _hand_vote_over(self):
+        """Have the leader make a learner a voter in place of this replica.
+
+        Without a learner, or a leader, the vote is kept, and also if only
+        operators replace voters.
+        """
+        if self._options.replace_after <= 0:
+            return
+        deadline = clocks.now() + HAND_OVER_TIMEOUT_SECONDS
+        leader_address = self._find_leader_for_vote(deadline)
+        if leader_address is None:
+            return
+        left_ms = int(1000 * (deadline - clocks.now()))
+        # No new VM is named: the leader chooses a learner.
+        request = ttypes.ReplaceRequest(self._vm_id, '', left_ms)
+        try:
+            reply = self._links.to(leader_address).call(
+                'replace_voter', request, left_ms / 1000
+            )
+        except errors.LinkFailed as error:
+            events.emit(events.VOTE_KEPT, reason=error.detail)
+            return
+        if reply.status == ttypes.ProposeStatus.COMMITTED:
+            events.emit(events.VOTE_HANDED_OVER, leader=leader_address)
+        else:
+            events.emit(events.VOTE_KEPT, reason=reply.problem)
+
+    def _find_leader_for_vote(self, deadline):
+        """Return the leader's address, or None if no vote can be handed over.
+
+        Args:
+            deadline: time until which a leader is awaited.
+        """
+        replica = self._replica
+        with replica.changed:
+            membership = replica.membership
+            if not membership.is_voter(replica.replica_id):
+                return None
+            if not membership.learners or replica.is_leader:
+                return None
+            while not replica.leader_address:
+                if clocks.now() >= deadline:
+                    return None
+                replica.changed.wait(MAINTENANCE_PERIOD_SECONDS)
+            return replica.leader_address
+
     def _wait_for_successor(self, deadline):
         replica = self._replica
         while replica.is_leader and clocks.now() < deadline:
--- a/tests/control_processes.py
+++ b/tests/control_processes.py
@@ -76,6 +76,8 @@
 
     def read_log(self):
         """Return the events that it has logged."""
+        if not self._log_path.exists():
+            return []
         lines = self._log_path.read_text().splitlines(keepends=True)
         return [json.loads(line) for line in lines if line.endswith('}\n')]
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -1,6 +1,7 @@
 """Tests of the platform's settings file."""
 
 from carobwood import errors
+from carobwood_daemon.replication import replica_runner
 from carobwood_platform import settings
 import pytest
 import yaml
@@ -68,3 +69,18 @@
 def test_the_memory_limit_is_read_in_megabytes(read):
     limited = yaml.safe_dump({**FIELDS, 'limits': {'memory_mb': 150}})
     assert read(limited).memory_limit_bytes == 150 * 1024 * 1024
+
+
+# A successor was not yet a voter when its VM counted as lost no longer.
+@pytest.mark.parametrize('catch_up_seconds', [4.0, 6.0])
+def test_voters_are_replaced_before_a_successor_has_caught_up(
+    read, catch_up_seconds
+):
+    bounds = {**FIELDS['bounds'], 'catch_up_s': catch_up_seconds}
+    text = yaml.safe_dump({**FIELDS, 'bounds': bounds})
+    replica_options = read(text).replica_options
+    timing = replica_options.timing
+    # Two changes of the voters, each in a period of its own.
+    changes_seconds = 2 * replica_runner.MAINTENANCE_PERIOD_SECONDS
+    needed = max(timing.election_max, replica_options.replace_after)
+    assert needed + changes_seconds < catch_up_seconds
