Keep a weights version for each model of an engine

Cause: EngineWeights kept one version an engine, the highest reported. After the load of the first model each engine seemed to have version 2 of the second as well: no load was due, and each request said that it expected version 2, which the engine refused; asking it changed nothing, as the higher number was kept.

Evidence: no line 432 names the second model, and each refused request has a line 436 with 2 believed and 1 found.

Change: versions are kept by model once an engine has named several. Announcements and reports between VMs have room for one version; the others, and the model of a load, travel in envelopes, which earlier builds pass on. Nothing is sent for engines with one model, and no message changes. On the same path: the pause after a failed load, what "loading" stops, and the salts of cached blocks are by model, and an engine without a model gets neither its requests nor its orders.

It works because each report is compared with what is known of the same model only.

--- a/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/endpoint_table.py
@@ -22,14 +22,16 @@
         data_centre: data centre that it runs in.
         pool: id of the pool that it belongs to.
         environment: id of the environment that it belongs to.
-        weights_version: version of the weights that it has loaded; empty
-            if it is no engine.
+        weights_version: version of the weights that it has loaded, of its
+            first model if it has several; empty if it is no engine.
         leaving: whether it asks for no new requests.
         running: number of requests that it runs.
         waiting: number of requests that it queues.
         last_seen_at: time of the announcement by ``clocks.now``, in seconds.
         software_version: version of the software that it runs, or empty if
             it announces none.
+        announced_weights: (model, version) of each model, if it has announced
+            itself to this VM; other VMs are told by ``model_records``.
     """
 
     id: str
@@ -45,6 +47,7 @@
     waiting: int = 0
     last_seen_at: float = 0.0
     software_version: str = ''
+    announced_weights: tuple[tuple[str, int], ...] = ()
 
     @property
     def instance(self):
--- a/packages/carobwood-daemon/carobwood_daemon/membership/foreign_records.py
+++ b/packages/carobwood-daemon/carobwood_daemon/membership/foreign_records.py
@@ -1,9 +1,9 @@
-"""Records of kinds that this build does not know, passed on as they are.
+"""Records in envelopes, also of kinds that this build does not know.
 
-A newer build sends each new kind of record, and each new field of a known
-one, in an envelope that says all that is needed to pass it on: what it is a
-record of, which of two is newer, and how long it counts. This build reads the
-envelope only. The envelope itself never changes.
+Each new kind of record, and each new field of a known one, is sent in an
+envelope that says all that is needed to pass it on: what it is a record of,
+which of two is newer, and how long it counts. Of a kind that it does not know,
+a build reads the envelope only. The envelope itself never changes.
 """
 
 import dataclasses
@@ -71,7 +71,7 @@
 
 
 class ForeignRecords(gossip_records.RecordSource):
-    """Record source for records of unknown kinds, by (kind, key)."""
+    """Record source for records in envelopes, by (kind, key)."""
 
     field = 'foreign'
 
@@ -81,6 +81,7 @@
         self._held_by_id = {}
         self._size = 0
         self._listeners = []
+        self._readers_by_kind = {}
         self._logged_kinds = set()
         self._logged_reasons = set()
 
@@ -88,6 +89,29 @@
         """See ``RecordSource``."""
         self._listeners.append(listener)
 
+    def read_kind(self, kind, reader):
+        """Call ``reader(record)`` with each newer record of a kind.
+
+        The reader raises ``msgspec.DecodeError`` if it can't read the body.
+        """
+        self._readers_by_kind[kind] = reader
+
+    def find(self, kind, key):
+        """Return the ``ForeignRecord`` with the time it has left, or None."""
+        with self._lock:
+            held = self._held_by_id.get((kind, key))
+        if held is None:
+            return None
+        left = max(0.0, held.expires_at - self._clock())
+        return msgspec.structs.replace(
+            held.record, lifetime_ms=int(1000 * left)
+        )
+
+    def write(self, record):
+        """Hold a record of this VM and pass it on, if it is newer."""
+        if self._hold(record, len(msgspec.msgpack.encode(record))):
+            self._tell_listeners([record.id])
+
     def review(self, is_aggregator):
         """Drop the records whose time has ended."""
         now = self._clock()
@@ -127,9 +151,20 @@
             record = self._decode(data)
             if record is not None and self._hold(record, len(data)):
                 changed.append(record.id)
-                self._log_kind(record.kind)
+                self._read(record)
         self._tell_listeners(changed)
 
+    def _read(self, record):
+        reader = self._readers_by_kind.get(record.kind)
+        if reader is None:
+            self._log_kind(record.kind)
+            return
+        try:
+            reader(record)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            # It is passed on: another build may read it.
+            self._log_refusal(f'unreadable body of {record.kind}')
+
     def _decode(self, data):
         if len(data) > MAX_RECORD_BYTES:
             self._log_refusal('too large')
--- a/packages/carobwood-daemon/carobwood_daemon/orders/weights_rollout.py
+++ b/packages/carobwood-daemon/carobwood_daemon/orders/weights_rollout.py
@@ -134,7 +134,7 @@
             if service.engine is None:
                 continue
             for model in service.engine.models:
-                is_due = self._roll_out(service.name, model) or is_due
+                is_due = self._roll_out(service, model) or is_due
         with self._lock:
             is_idle = not is_due and not self._loading
         if is_idle:
@@ -144,7 +144,7 @@
         """Start the loads of a model that are due.
 
         Args:
-            service: name of the service.
+            service: the service of the configuration.
             model: name of the model.
 
         Returns:
@@ -156,11 +156,13 @@
         engines = [
             EngineStatus(
                 endpoint,
-                self._weights.version(endpoint),
+                self._find_version(service, endpoint, model),
                 self._key(endpoint) in self._loading,
             )
             for endpoint in self._directory.serving_endpoints()
-            if endpoint.pool == service and not self._is_paused(endpoint)
+            if endpoint.pool == service.name
+            and self._may_have(service, endpoint, model)
+            and not self._is_paused(endpoint, model)
         ]
         selected = choose_loads(engines, wanted)
         if not selected or not self._orders_lock.acquire():
@@ -176,15 +178,32 @@
             ).start()
         return True
 
+    def _find_version(self, service, endpoint, model):
+        """Return an engine's version of a model, or 0 if unknown.
+
+        A version that was reported without a model may be that of another
+        one if the service has several.
+        """
+        if len(service.engine.models) > 1:
+            return self._weights.versions_by_model(endpoint).get(model, 0)
+        return self._weights.version(endpoint, model)
+
+    def _may_have(self, service, endpoint, model):
+        """Return whether an engine may have one of its service's models."""
+        if len(service.engine.models) < 2:
+            return True
+        known = self._weights.versions_by_model(endpoint)
+        return not known or model in known
+
     def _load(self, endpoint, model):
         term = self._replica_runner.replica.term
         try:
-            self._report_load(endpoint, term, 0, True)
+            self._report_start(endpoint, term, model)
             threading.Event().wait(GOSSIP_DELAY_SECONDS)
             version = self._order_and_await(endpoint, model, term)
-            self._report_load(endpoint, term, version, False)
+            self._report_end(endpoint, term, version)
         except (errors.EngineCallFailed, errors.EngineOrderRefused) as error:
-            self._report_load(endpoint, term, 0, False)
+            self._report_end(endpoint, term, 0)
             events.emit(
                 events.WEIGHTS_ORDER_FAILED,
                 endpoint=endpoint.id,
@@ -195,17 +214,16 @@
             )
             with self._lock:
                 retry_at = clocks.now() + RETRY_SECONDS
-                self._retry_at_by_key[self._key(endpoint)] = retry_at
+                self._retry_at_by_key[self._key(endpoint), model] = retry_at
         finally:
             with self._lock:
                 self._loading.discard(self._key(endpoint))
 
     def _order_and_await(self, endpoint, model, term):
-        address = endpoint.address
-        report = self._dialect.read_engine_report(
-            address, CALL_TIMEOUT_SECONDS
-        )
-        version = report.weights_by_model.get(model, 0)
+        report = self._read_report(endpoint)
+        if model not in report.weights_by_model:
+            return 0
+        version = report.weights_by_model[model]
         wanted = self._weights.target_version(model)
         if version < wanted and not report.is_busy:
             self._order(endpoint, model, wanted, term, report)
@@ -213,13 +231,19 @@
         deadline = clocks.now() + LOAD_TIMEOUT_SECONDS
         while version < wanted and clocks.now() < deadline:
             threading.Event().wait(POLL_SECONDS)
-            report = self._dialect.read_engine_report(
-                address, CALL_TIMEOUT_SECONDS
-            )
+            report = self._read_report(endpoint)
             if not report.is_busy:
                 version = report.weights_by_model.get(model, 0)
         return version
 
+    def _read_report(self, endpoint):
+        report = self._dialect.read_engine_report(
+            endpoint.address, CALL_TIMEOUT_SECONDS
+        )
+        if not report.is_busy:
+            self._weights.record_models(endpoint, report.weights_by_model)
+        return report
+
     def _order(self, endpoint, model, version, term, report):
         if (
             not self._orders_lock.is_held()
@@ -251,17 +275,36 @@
             term=term,
         )
 
-    def _report_load(self, endpoint, term, version, is_loading):
+    def _report_start(self, endpoint, term, model):
+        number = self._next_report_number(term)
+        if self._has_several_models(endpoint):
+            # Requests for the other models go on.
+            self._weights.record_load_model(endpoint, number, model)
+        self._report(endpoint, number, 0, True)
+
+    def _report_end(self, endpoint, term, version):
+        if self._has_several_models(endpoint):
+            # The report has no room for the model; it was recorded by name.
+            version = 0
+        self._report(endpoint, self._next_report_number(term), version, False)
+
+    def _has_several_models(self, endpoint):
+        return len(self._weights.versions_by_model(endpoint)) > 1
+
+    def _next_report_number(self, term):
         with self._lock:
             self._number += 1
-            order = (term, self._number)
+            return term, self._number
+
+    def _report(self, endpoint, number, version, is_loading):
         self._weights.record_report(
-            endpoint.id, endpoint.incarnation, order, version, is_loading
+            endpoint.id, endpoint.incarnation, number, version, is_loading
         )
         self._options.push()
 
-    def _is_paused(self, endpoint):
-        retry_at = self._retry_at_by_key.get(self._key(endpoint), 0.0)
+    def _is_paused(self, endpoint, model):
+        key = (self._key(endpoint), model)
+        retry_at = self._retry_at_by_key.get(key, 0.0)
         return clocks.now() < retry_at
 
     @staticmethod
--- a/packages/carobwood-daemon/carobwood_daemon/relay/candidates.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/candidates.py
@@ -51,8 +51,10 @@
         affinity_id = self._affinity_id(request, endpoints)
         weights = self._context.engine_weights
         # Read once: the salt and the expected version rest on it.
+        model = request.metadata.model
         versions_by_id = {
-            endpoint.id: weights.version(endpoint) for endpoint in endpoints
+            endpoint.id: weights.version(endpoint, model)
+            for endpoint in endpoints
         }
         return [
             self._engine_candidate(
@@ -65,7 +67,7 @@
             )
             for endpoint in endpoints
             if versions_by_id[endpoint.id]
-            and not weights.is_loading(endpoint)
+            and not weights.is_loading(endpoint, model)
             and not self._is_outdated(request, versions_by_id[endpoint.id])
         ]
 
@@ -157,8 +159,22 @@
         request: the ``AdmittedRequest``.
         weights_version: version of the weights that make the blocks.
     """
+    version = f'{_model_prefix(request)}v{weights_version}'
     customer = request.customer
     if customer is not None and customer.is_isolated:
-        return f'v{weights_version}/{customer.name}'
+        return f'{version}/{customer.name}'
     group = request.configuration.sharing_group
-    return f'v{weights_version}.{group}' if group else f'v{weights_version}'
+    return f'{version}.{group}' if group else version
+
+
+def _model_prefix(request):
+    """Return what tells the blocks of a service's models apart.
+
+    Empty for a service with a single model.
+    """
+    service = request.configuration.services_by_name.get(request.service)
+    if service is None or service.engine is None:
+        return ''
+    if len(service.engine.models) < 2:
+        return ''
+    return f'{request.metadata.model}:'
--- a/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/control_operations.py
@@ -149,6 +149,7 @@
             self._weights.record_version(
                 endpoint, int(endpoint.weights_version)
             )
+        self._weights.record_models(endpoint, dict(endpoint.announced_weights))
         self._require_hearers()
         if endpoint.leaving:
             self._confirm_leaving(endpoint)
--- a/packages/carobwood-daemon/carobwood_daemon/relay/explainer.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/explainer.py
@@ -150,6 +150,7 @@
                 obstacle = self._obstacle_to_any(endpoint)
             views.append(
                 self._view_endpoint(
+                    request.metadata.model,
                     endpoint,
                     obstacle,
                     survey.loads_by_id.get(endpoint.id, fleet_loads.Load()),
@@ -169,9 +170,9 @@
             return obstacles.Obstacle.LEAVING
         return obstacles.Obstacle.OTHER_VERSION
 
-    def _view_endpoint(self, endpoint, obstacle, load, candidate, cost):
+    def _view_endpoint(self, model, endpoint, obstacle, load, candidate, cost):
         context = self._context
-        weights_version = context.engine_weights.version(endpoint)
+        weights_version = context.engine_weights.version(endpoint, model)
         if candidate is not None:
             weights_version = candidate.weights_version
         return explanation.EndpointView(
--- a/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/result_recorder.py
@@ -215,6 +215,7 @@
         if not assignment.weights_version:
             return False
         endpoint = assignment.endpoint
+        model = self._request.metadata.model
         try:
             report = context.dialect.read_engine_report(
                 endpoint.address, REPORT_TIMEOUT_SECONDS
@@ -222,9 +223,10 @@
         except errors.CarobwoodError as error:
             found, reason = 0, error.detail
         else:
-            model = self._request.metadata.model
             found, reason = report.weights_by_model.get(model, 0), ''
-            context.engine_weights.record_version(endpoint, found)
+            context.engine_weights.record_models(
+                endpoint, report.weights_by_model
+            )
         events.emit(
             events.WEIGHTS_MISMATCH,
             request_id=self._request.metadata.request_id,
@@ -234,7 +236,7 @@
             reason=reason,
         )
         return (
-            context.engine_weights.version(endpoint)
+            context.engine_weights.version(endpoint, model)
             != assignment.weights_version
         )
 
@@ -279,5 +281,7 @@
     def _note_version(self, assignment, head):
         if head.weights_version:
             self._context.engine_weights.record_version(
-                assignment.endpoint, head.weights_version
+                assignment.endpoint,
+                head.weights_version,
+                self._request.metadata.model,
             )
--- a/packages/carobwood-daemon/carobwood_daemon/relay_membership.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay_membership.py
@@ -10,6 +10,7 @@
 from .relay import cut_off_records
 from .relay import gossip_topic
 from .relay import leaving_records
+from .relay import model_records
 from .relay import rate_limit_records
 from .relay import speed_gossip
 from .relay import weights_records
@@ -93,7 +94,7 @@
     topics = [topic]
     if shared.engine_speeds is not None:
         topics.append(speed_gossip.SpeedGossipTopic(shared.engine_speeds))
-    return gossips.Gossip(
+    gossip = gossips.Gossip(
         directory,
         withdrawal_sets.Withdrawals(),
         shared.crash_suspects,
@@ -109,3 +110,9 @@
             shared.kv_stores,
         ),
     )
+    model_records.ModelRecords(
+        shared.engine_weights,
+        gossip.foreign_records,
+        shared.wait_queue.notify_all,
+    )
+    return gossip
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -53,6 +53,8 @@
         born: when it started, as its announcements name it.
         service: name of the service that it belongs to.
         version: version of the weights that it has loaded.
+        other_versions: versions of its further models by name.
+        refused_models: models whose orders it refuses.
         software_version: version of its software.
         orders: bodies of the orders that it has received.
         requests: headers of the requests that it has received, by name in
@@ -93,6 +95,8 @@
         self.born = 1_700_000_000_000
         self.service = service
         self.version = 1
+        self.other_versions = {}
+        self.refused_models = set()
         self.software_version = 'v1'
         self.orders = []
         self.requests = []
@@ -120,6 +124,24 @@
         self._serve(0)
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
 
+    def versions(self):
+        """Return the version of each of its models, the first one first."""
+        return {builders.MODEL: self.version, **self.other_versions}
+
+    def load(self, model, version):
+        """Load weights of one of its models."""
+        if model in self.other_versions:
+            self.other_versions[model] = version
+        else:
+            self.version = version
+
+    def list_models(self):
+        """Return its models as announcements and reports list them."""
+        return [
+            {'name': model, 'version': version}
+            for model, version in self.versions().items()
+        ]
+
     def fails_next(self):
         """Return whether the next answer has the failure status."""
         is_drawn = random.random() < self.failure_share
@@ -151,7 +173,7 @@
             'address': self.address,
             'zone': 'bole',
             'state': state,
-            'models': [{'name': builders.MODEL, 'version': self.version}],
+            'models': self.list_models(),
             'seq_no': sequence,
             'born': self.born,
             'version': self.software_version,
@@ -245,9 +267,7 @@
         if self.path == '/v1/report':
             self.engine.on_report()
             body = {
-                'models': [
-                    {'name': builders.MODEL, 'version': self.engine.version}
-                ],
+                'models': self.engine.list_models(),
                 'busy': False,
                 'seq_no': len(self.engine.orders),
             }
@@ -269,7 +289,14 @@
 
     def _is_misdirected(self):
         expected = self.headers.get('X-Carobwood-Expect-Instance')
-        return expected not in (None, self.engine.instance_id)
+        if expected not in (None, self.engine.instance_id):
+            return True
+        if not self.engine.other_versions:
+            return False
+        versions = self.engine.versions()
+        version = versions.get(self.headers.get('X-Carobwood-Model'))
+        expected = self.headers.get('X-Carobwood-Expect-Version')
+        return expected not in (None, str(version))
 
     def do_POST(self):  # noqa: N802 (named by http.server)
         """Accept an order, or handle a request."""
@@ -281,7 +308,10 @@
         if self.path == '/v1/order':
             order = json.loads(self._body)
             self.engine.orders.append(order)
-            self.engine.version = order['version']
+            if order['model'] in self.engine.refused_models:
+                self._send_response(400, b'')
+                return
+            self.engine.load(order['model'], order['version'])
             self._send_response(202, b'')
             return
         self._handle_request()
@@ -418,7 +448,7 @@
         headers = {
             'X-Carobwood-Request-Id': self.headers['X-Carobwood-Request-Id'],
             'X-Carobwood-Response-Stamp': self.engine.name,
-            'X-Carobwood-Weight-Versions': str(self.engine.version),
+            'X-Carobwood-Weight-Versions': str(self._answering_version()),
         }
         if self.engine.is_leaving:
             headers['Server-Leaving'] = '1'
@@ -426,6 +456,10 @@
             headers['Server-Limit'] = self.engine.rate_limit
         return headers
 
+    def _answering_version(self):
+        model = self.headers.get('X-Carobwood-Model')
+        return self.engine.other_versions.get(model, self.engine.version)
+
     def _send_response(self, status, body, headers=None):
         self.send_response(status)
         if 'X-Carobwood-Request-Id' not in (headers or {}):
--- a/tests/test_relay_weights.py
+++ b/tests/test_relay_weights.py
@@ -48,33 +48,33 @@
     endpoint = builders.endpoint()
     weights.record_version(endpoint, 3)
     weights.record_version(endpoint, 2)
-    assert weights.version(endpoint) == 3
+    assert weights.version(endpoint, builders.MODEL) == 3
     restarted = builders.endpoint(incarnation=2)
-    assert weights.version(restarted) == 0
+    assert weights.version(restarted, builders.MODEL) == 0
     weights.record_version(restarted, 1)
     weights.record_version(endpoint, 9)
-    assert weights.version(restarted) == 1
+    assert weights.version(restarted, builders.MODEL) == 1
 
 
 def test_an_older_report_of_a_load_does_not_replace_a_newer_one():
     weights = engine_weights.EngineWeights()
     endpoint = builders.endpoint()
     assert weights.record_report(endpoint.id, 1, (2, 1), 0, True)
-    assert weights.is_loading(endpoint)
+    assert weights.is_loading(endpoint, builders.MODEL)
     assert weights.record_report(endpoint.id, 1, (2, 2), 5, False)
     assert not weights.record_report(endpoint.id, 1, (2, 1), 0, True)
     assert not weights.record_report(endpoint.id, 1, (1, 9), 0, True)
-    assert not weights.is_loading(endpoint)
-    assert weights.version(endpoint) == 5
+    assert not weights.is_loading(endpoint, builders.MODEL)
+    assert weights.version(endpoint, builders.MODEL) == 5
 
 
 def test_a_load_whose_end_is_not_reported_times_out():
     clock = builders.Clock()
     weights = engine_weights.EngineWeights(clock)
     weights.record_report('engine-1', 1, (1, 1), 0, True)
-    assert weights.is_loading(builders.endpoint())
+    assert weights.is_loading(builders.endpoint(), builders.MODEL)
     clock.advance(engine_weights.MAX_LOADING_SECONDS + 0.1)
-    assert not weights.is_loading(builders.endpoint())
+    assert not weights.is_loading(builders.endpoint(), builders.MODEL)
 
 
 def test_superseded_versions_are_not_wanted():
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -35,11 +35,11 @@
     def __init__(self, versions):
         self.versions = versions
 
-    def version(self, endpoint):
+    def version(self, endpoint, model):
         """Return the next version."""
         return next(self.versions)
 
-    def is_loading(self, endpoint):
+    def is_loading(self, endpoint, model):
         """Return False."""
         return False
 
--- a/tests/test_result_recorder.py
+++ b/tests/test_result_recorder.py
@@ -59,7 +59,7 @@
 def test_an_engine_that_rejects_is_asked_for_its_weights(lines):
     harness = RecorderHarness(3)
     harness.recorder.note_not_run(harness.assignment, REJECTION)
-    assert harness.weights.version(ENGINE) == 3
+    assert harness.weights.version(ENGINE, builders.MODEL) == 3
     # It accepts requests for the weights that it has.
     assert not harness.health.is_ejected(ENGINE)
     [(event, fields)] = lines
