Hold a new version whose order may be missed while cut off

Cause: an entry VM may learn of a version's endpoints just before its order, which it fetches 0.05 s after gossip has told of it. If contact is lost in between, the version counts as any other: the hold for new versions doesn't apply in the first 2 s after a service's first endpoint, and ends after 3 s.

Change: a VM that counts as cut off holds back the versions that it learnt of less than 0.5 s before its last contact, or after it, until there is contact, unless nothing else serves. The policy takes the age of the contact in place of a yes or no.

It works because an order given before the first endpoint is fetched within that time, so that only such versions can lack theirs.

The new test in tests/test_version_policy.py failed before.

--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/entry_rollouts.py
@@ -240,7 +240,7 @@
     if limits is None:
         return NoRollouts()
     rollouts = EntryRollouts(
-        version_policy.VersionPolicy(lambda: _is_in_touch(store)),
+        version_policy.VersionPolicy(store.contact_age),
         evidence_collector.EvidenceCollector(),
         metrics,
         notify_waiting,
@@ -254,10 +254,6 @@
     return rollouts
 
 
-def _is_in_touch(store):
-    return store.contact_age() < version_policy.CUT_OFF_SECONDS
-
-
 def _query(request, draw, tried_versions=frozenset()):
     return version_policy.VersionQuery(
         request.service, request.software_version, draw, tried_versions
--- a/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
+++ b/packages/carobwood-daemon/carobwood_daemon/rollouts/version_policy.py
@@ -114,15 +114,15 @@
 class VersionPolicy:
     """The one owner of the choice between versions on this VM."""
 
-    def __init__(self, is_in_touch, clock=clocks.now):
+    def __init__(self, contact_age, clock=clocks.now):
         """Create a policy that knows of no rollout.
 
         Args:
-            is_in_touch: function without arguments; returns whether this VM
-                is in contact with the control VMs.
+            contact_age: function without arguments; returns the seconds since
+                this VM's last contact with the control VMs.
             clock: function that returns the monotonic time in seconds.
         """
-        self._is_in_touch = is_in_touch
+        self._contact_age = contact_age
         self._clock = clock
         self._lock = threading.Lock()
         self._rollouts_by_service = {}
@@ -234,9 +234,15 @@
         """Return whether the versions of a service are told apart now."""
         if service in self._rollouts_by_service:
             return True
-        return self._history.has_new and (
-            self._history.may_hold(self._clock())
-        )
+        return self._history.may_hold(self._clock(), self._find_lost_at())
+
+    def _is_in_touch(self):
+        return self._contact_age() < CUT_OFF_SECONDS
+
+    def _find_lost_at(self):
+        """Return the time of the last contact if cut off, or None."""
+        age = self._contact_age()
+        return self._clock() - age if age >= CUT_OFF_SECONDS else None
 
     def find_possible(self, query, versions):
         """Return the versions that a request may go to, now or later.
@@ -282,11 +288,14 @@
             Sets of versions, as a tuple.
         """
         now = self._clock()
-        is_in_touch = self._is_in_touch()
+        lost_at = self._find_lost_at()
+        is_in_touch = lost_at is None
         with self._lock:
             rollout = self._rollouts_by_service.get(query.service)
             if rollout is None:
-                held = self._history.new_versions(query.service, versions, now)
+                held = self._history.new_versions(
+                    query.service, versions, now, lost_at
+                )
                 return (versions - held,)
             if rollout.phase not in (_Phase.CANARY, _Phase.SHIFTING):
                 return (versions,)
--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -124,13 +124,10 @@
         self.cut_off_at = None
         self.frozen_until = 0.0
         self.report_number = 0
-        self.policy = version_policy.VersionPolicy(self._is_in_touch, clock)
+        self.policy = version_policy.VersionPolicy(self.cut_off_for, clock)
         self.collector = evidence_collector.EvidenceCollector(clock)
         self._clock = clock
 
-    def _is_in_touch(self):
-        return self.cut_off_for() < version_policy.CUT_OFF_SECONDS
-
     def cut_off_for(self):
         """Return for how many seconds it has been cut off."""
         if self.cut_off_at is None:
--- a/tests/test_relay_selector.py
+++ b/tests/test_relay_selector.py
@@ -697,7 +697,7 @@
     """Return a harness whose endpoint runs the target of a rollout."""
     harness = SelectorHarness(on_recheck)
     harness.reservation.release()
-    harness.policy = version_policy.VersionPolicy(lambda: True, harness.clock)
+    harness.policy = version_policy.VersionPolicy(lambda: 0.0, harness.clock)
     harness.policy.follow(
         {'orders': rollout_records.RolloutRecord(7, 'orders', 'v1', 6000)}
     )
--- a/tests/test_version_policy.py
+++ b/tests/test_version_policy.py
@@ -269,6 +269,37 @@
     assert harness.groups() == (builders.BOTH,)
 
 
+# An entry VM that knew endpoints of a new version, but couldn't hear of the
+# order of its rollout any more, sent them a usual share of its requests.
+@pytest.mark.parametrize('seconds_before', [0.7, 5.0])
+def test_a_version_whose_order_may_be_missed_is_held_until_there_is_contact(
+    seconds_before,
+):
+    harness = builders.PolicyHarness()
+    harness.policy.note_version(builders.SERVICE, FORMER)
+    harness.clock.advance(seconds_before)
+    harness.policy.note_version(builders.SERVICE, TARGET)
+    harness.lose_contact()
+    harness.clock.advance(version_history.HOLD_SECONDS)
+    assert harness.policy.decides_on(builders.SERVICE)
+    assert harness.groups() == (frozenset({FORMER}),)
+    # Nothing else serves.
+    assert harness.groups({TARGET}) == (frozenset({TARGET}),)
+    harness.is_in_touch = True
+    assert harness.groups() == (builders.BOTH,)
+
+
+def test_a_version_that_was_known_before_contact_was_lost_goes_on():
+    harness = builders.PolicyHarness()
+    harness.policy.note_version(builders.SERVICE, FORMER)
+    harness.clock.advance(0.7)
+    harness.policy.note_version(builders.SERVICE, TARGET)
+    harness.clock.advance(version_history.SETTLE_SECONDS)
+    harness.lose_contact()
+    assert not harness.policy.decides_on(builders.SERVICE)
+    assert harness.groups() == (builders.BOTH,)
+
+
 def test_units_are_spread_over_the_time_of_their_grant():
     grants = exposure_grants.ExposureGrants()
     grants.add(builders.count_grant(4, 101.0))
--- a/tests/version_builders.py
+++ b/tests/version_builders.py
@@ -1,5 +1,6 @@
 """Builders of test data for rollouts."""
 
+import math
 import types
 
 import relay_builders
@@ -80,6 +81,8 @@
     Attributes:
         clock: the ``Clock``.
         is_in_touch: whether the VM is in contact with the control VMs.
+        lost_at: time of its last contact if it is not, or None if it never
+            had any.
         policy: the ``VersionPolicy``.
     """
 
@@ -91,12 +94,26 @@
         """
         self.clock = relay_builders.Clock()
         self.is_in_touch = True
+        self.lost_at = None
         self.policy = version_policy.VersionPolicy(
-            lambda: self.is_in_touch, self.clock
+            self._contact_age, self.clock
         )
         if phase is not None:
             self.follow(phase)
 
+    def lose_contact(self):
+        """Have the control VMs stand still until the VM counts as cut off."""
+        self.lost_at = self.clock.now
+        self.is_in_touch = False
+        self.clock.advance(version_policy.CUT_OFF_SECONDS)
+
+    def _contact_age(self):
+        if self.is_in_touch:
+            return 0.0
+        if self.lost_at is None:
+            return math.inf
+        return self.clock.now - self.lost_at
+
     def follow(self, phase, **changes):
         """Have the policy follow a rollout in some phase."""
         self.policy.follow({SERVICE: record(phase, **changes)})
