Keep a load going beside an announcement of another model

The load of an engine with several models now ends with the version of its model, or with the order holder's report. The new test in tests/test_several_models.py failed before.

--- a/packages/carobwood-daemon/carobwood_daemon/relay/engine_weights.py
+++ b/packages/carobwood-daemon/carobwood_daemon/relay/engine_weights.py
@@ -133,8 +133,12 @@
             if model:
                 self._raise_versions(endpoint.id, state, {model: version})
             elif version > state.version:
+                # Of several models, it may not be the one that is loaded.
+                until = (
+                    state.loading_until if state.has_several_models else 0.0
+                )
                 self._states_by_endpoint[endpoint.id] = dataclasses.replace(
-                    state, version=version, loading_until=0.0
+                    state, version=version, loading_until=until
                 )
 
     def record_models(self, endpoint, versions_by_model):
--- a/tests/test_several_models.py
+++ b/tests/test_several_models.py
@@ -182,6 +182,20 @@
     assert reader.versions(endpoint) == [1, 9]
 
 
+# The load of one model seemed to have ended with an announcement of another.
+def test_an_announcement_ends_no_load_of_another_model(vms):
+    vm = vms[0]
+    endpoint = builders.endpoint()
+    vm.weights.record_version(endpoint, 1)
+    vm.weights.record_models(endpoint, BOTH)
+    vm.weights.record_load_model(endpoint, (3, 1), OTHER)
+    vm.weights.record_report(endpoint.id, 1, (3, 1), 0, True)
+    vm.weights.record_version(endpoint, 2)
+    assert vm.weights.is_loading(endpoint, OTHER)
+    vm.weights.record_models(endpoint, {builders.MODEL: 2, OTHER: 2})
+    assert not vm.weights.is_loading(endpoint, OTHER)
+
+
 def test_a_load_of_an_unknown_model_concerns_all_of_them(vms):
     vm = vms[0]
     endpoint = builders.endpoint()
